feat: pure plumbing crates for types, document, log, control state and routing

Change: workspace with types, estate, consensus, control, route and wire (schema and generated code committed).

--- /dev/null
+++ b/crates/consensus/src/log.rs
@@ -0,0 +1,102 @@
+//! The log in memory: the newest snapshot and the entries after it.
+
+use crate::{Config, Entry, Payload, Position, Snapshot};
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Log {
+    pub(crate) snapshot: Snapshot,
+    entries: Vec<Entry>,
+}
+
+impl Log {
+    pub(crate) fn new(snapshot: Snapshot, mut entries: Vec<Entry>) -> Self {
+        entries.retain(|entry| entry.position.index > snapshot.position.index);
+        Self { snapshot, entries }
+    }
+
+    pub(crate) fn last(&self) -> Position {
+        self.entries.last().map_or(self.snapshot.position, |entry| entry.position)
+    }
+
+    /// Returns the term of the entry at `index`, if the log still knows it.
+    pub(crate) fn term_at(&self, index: u64) -> Option<u64> {
+        if index == self.snapshot.position.index {
+            return Some(self.snapshot.position.term);
+        }
+        self.get(index).map(|entry| entry.position.term)
+    }
+
+    pub(crate) fn get(&self, index: u64) -> Option<&Entry> {
+        let offset = index.checked_sub(self.snapshot.position.index + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    pub(crate) fn append(&mut self, entry: Entry) {
+        self.entries.push(entry);
+    }
+
+    /// Drops the entries from `index` on.
+    pub(crate) fn truncate_from(&mut self, index: u64) {
+        self.entries.retain(|entry| entry.position.index < index);
+    }
+
+    /// Returns the entries after `index`, up to `max_bytes` but at least one.
+    pub(crate) fn slice_after(&self, index: u64, max_bytes: usize) -> Vec<Entry> {
+        let skip = index.saturating_sub(self.snapshot.position.index) as usize;
+        let mut bytes = 0;
+        let mut found = Vec::new();
+        for entry in self.entries.iter().skip(skip) {
+            bytes += entry_bytes(entry);
+            if !found.is_empty() && bytes > max_bytes {
+                break;
+            }
+            found.push(entry.clone());
+        }
+        found
+    }
+
+    /// Returns the newest voters in the log, committed or not.
+    pub(crate) fn config(&self) -> &Config {
+        self.config_entry().map_or(&self.snapshot.config, |(_, config)| config)
+    }
+
+    /// Returns the newest entry that holds voters.
+    pub(crate) fn config_entry(&self) -> Option<(u64, &Config)> {
+        self.entries.iter().rev().find_map(|entry| match &entry.payload {
+            Payload::Config(config) => Some((entry.position.index, config)),
+            _ => None,
+        })
+    }
+
+    /// Returns the voters in force at `index`.
+    pub(crate) fn config_at(&self, index: u64) -> Config {
+        let upto = self.entries.iter().rev().filter(|entry| entry.position.index <= index);
+        let found = upto.into_iter().find_map(|entry| match &entry.payload {
+            Payload::Config(config) => Some(config.clone()),
+            _ => None,
+        });
+        found.unwrap_or_else(|| self.snapshot.config.clone())
+    }
+
+    /// Replaces the log up to the snapshot's position; tells whether no entry continues it.
+    pub(crate) fn install(&mut self, snapshot: Snapshot) -> bool {
+        let continues = self.term_at(snapshot.position.index) == Some(snapshot.position.term);
+        if continues {
+            let index = snapshot.position.index;
+            self.entries.retain(|entry| entry.position.index > index);
+        } else {
+            self.entries.clear();
+        }
+        self.snapshot = snapshot;
+        !continues
+    }
+}
+
+fn entry_bytes(entry: &Entry) -> usize {
+    const OVERHEAD_BYTES: usize = 32;
+    match &entry.payload {
+        Payload::Command(data) => OVERHEAD_BYTES + data.len(),
+        Payload::Config(config) => OVERHEAD_BYTES * (1 + config.voters.len()),
+        Payload::Noop => OVERHEAD_BYTES,
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/storage/record.rs
@@ -0,0 +1,46 @@
+//! Checksummed records: a header with the payload's length and two checksums, then the payload.
+
+const HEADER_BYTES: usize = 12;
+
+/// The result of reading one record.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum Read<'a> {
+    /// The payload, and where the next record starts.
+    Record(&'a [u8], usize),
+    /// The bytes end before the record does.
+    Torn,
+    /// The record is damaged.
+    Corrupt(&'static str),
+}
+
+/// Appends a record with `payload` to `out`.
+pub(super) fn write(out: &mut Vec<u8>, payload: &[u8]) {
+    let length = (payload.len() as u32).to_le_bytes();
+    out.extend(length);
+    out.extend(crc32fast::hash(&length).to_le_bytes());
+    out.extend(crc32fast::hash(payload).to_le_bytes());
+    out.extend(payload);
+}
+
+/// Reads the record at `offset`.
+///
+/// A header that is complete but wrong counts as damage, unless only zeros follow: a file grown
+/// by an interrupted write ends in zeros.
+pub(super) fn read(bytes: &[u8], offset: usize) -> Read<'_> {
+    let rest = &bytes[offset..];
+    if rest.len() < HEADER_BYTES || rest.iter().all(|byte| *byte == 0) {
+        return Read::Torn;
+    }
+    let word = |at: usize| u32::from_le_bytes([rest[at], rest[at + 1], rest[at + 2], rest[at + 3]]);
+    if crc32fast::hash(&rest[..4]) != word(4) {
+        return Read::Corrupt("the length's checksum differs");
+    }
+    let end = HEADER_BYTES + word(0) as usize;
+    let Some(payload) = rest.get(HEADER_BYTES..end) else {
+        return Read::Torn;
+    };
+    if crc32fast::hash(payload) != word(8) {
+        return Read::Corrupt("the content's checksum differs");
+    }
+    Read::Record(payload, offset + end)
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,18 @@
+//! Replicated control state and the controllers over it, all pure.
+//!
+//! * [`state`] is the state machine behind the replicated log: sections, moves and claims.
+//! * [`registry`] knows the instances and endpoints by their leases.
+//! * [`slots`] shares the slots of endpoints out between instances.
+//! * [`moves`] plans version moves and compares versions.
+//! * [`view`] is what control state shows to the traffic threads.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+pub mod moves;
+pub mod registry;
+pub mod slots;
+pub mod state;
+pub mod view;
+
+pub use state::{Command, Reply, State};
+pub use view::View;
--- /dev/null
+++ b/crates/control/src/moves/mod.rs
@@ -0,0 +1,11 @@
+//! Version moves: the plan, the comparison of versions and the controller.
+
+mod controller;
+mod observation;
+mod plan;
+mod sequential;
+
+pub use controller::{Controller, Supply};
+pub use observation::{Observation, ObservationKey, Observations};
+pub use plan::Plan;
+pub use sequential::{Comparison, Side, Verdict};
--- /dev/null
+++ b/crates/control/src/state/feed.rs
@@ -0,0 +1,69 @@
+//! What instances without a replica receive of the control state: its changes, without claims.
+
+use super::{DecodeError, MoveRecord, SectionRecord, State};
+use lycheehub_types::{SectionName, ServiceName, Version};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+/// The changes of sections and moves after one revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Feed {
+    /// The revision that the changes lead to.
+    pub revision: u64,
+    /// The changed sections.
+    pub sections: BTreeMap<SectionName, SectionRecord>,
+    /// The changed moves.
+    pub moves: BTreeMap<SmolStr, MoveRecord>,
+    /// The versions that moves have left services at.
+    pub serving: BTreeMap<ServiceName, Version>,
+}
+
+impl Feed {
+    /// Encodes the changes.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Decodes changes.
+    ///
+    /// # Errors
+    /// Fails where the bytes are no changes of this version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        postcard::from_bytes(bytes)
+            .map_err(|cause| DecodeError::Malformed("feed", cause.to_string().into()))
+    }
+}
+
+impl State {
+    /// Returns what changed after `revision`.
+    ///
+    /// # Examples
+    /// ```
+    /// let state = lycheehub_control::State::default();
+    /// assert_eq!(state.feed_after(0).revision, 0);
+    /// ```
+    pub fn feed_after(&self, revision: u64) -> Feed {
+        let sections = self.sections.iter().filter(|(_, record)| record.revision > revision);
+        let moves = self.moves.iter().filter(|(_, record)| record.changed > revision);
+        Feed {
+            revision: self.revision,
+            sections: sections.map(|(name, record)| (name.clone(), record.clone())).collect(),
+            moves: moves.map(|(id, record)| (id.clone(), record.clone())).collect(),
+            serving: self.serving.clone(),
+        }
+    }
+
+    /// Takes changes into a state that has no log; older ones than the present are ignored.
+    pub fn take_feed(&mut self, feed: Feed) -> bool {
+        if feed.revision <= self.revision {
+            return false;
+        }
+        self.revision = feed.revision;
+        self.sections.extend(feed.sections);
+        self.moves.extend(feed.moves);
+        self.serving = feed.serving;
+        self.rebuild_estate();
+        true
+    }
+}
--- /dev/null
+++ b/crates/control/src/state/mod.rs
@@ -0,0 +1,112 @@
+//! The state machine behind the replicated log.
+//!
+//! Applying the same commands in the same order gives the same state on every replica: times come
+//! from the commands, never from a clock.
+
+mod claims;
+mod command;
+mod feed;
+mod moves;
+mod sections;
+
+pub use claims::{Claim, ClaimKey, ClaimState, Claimant, Claims};
+pub use command::{ApplyOutcome, ClaimOutcome, Command, MoveStep, Reply, Submission};
+pub use feed::Feed;
+pub use moves::{MoveRecord, Phase};
+pub use sections::{RequestLog, SectionRecord};
+
+use lycheehub_estate::Estate;
+use lycheehub_types::{SectionName, ServiceName, Version};
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+quick_error! {
+    /// Bytes that hold no state or command of this version.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum DecodeError {
+        /// The bytes do not decode.
+        Malformed(what: &'static str, cause: SmolStr) {
+            display("{} does not decode: {}", what, cause)
+        }
+    }
+}
+
+/// The replicated control state.
+///
+/// # Examples
+/// ```
+/// use lycheehub_control::state::{ApplyOutcome, Command, Reply, State, Submission};
+///
+/// let mut state = State::default();
+/// let submission = Submission {
+///     section: "labels".into(),
+///     base_revision: 0,
+///     request_id: "r1".into(),
+///     operator: "labels".into(),
+///     text: "owner = \"labels\"".into(),
+/// };
+/// let reply = state.apply(7, Command::Submit(submission));
+/// assert_eq!(reply, Reply::Apply(ApplyOutcome::Accepted { revision: 7 }));
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct State {
+    /// The index of the newest command that changed sections or moves.
+    pub revision: u64,
+    /// The sections by name.
+    pub sections: BTreeMap<SectionName, SectionRecord>,
+    /// The first answers to operators' request ids.
+    pub requests: RequestLog,
+    /// The version moves by id.
+    pub moves: BTreeMap<SmolStr, MoveRecord>,
+    /// The version that moves have left each service at.
+    pub serving: BTreeMap<ServiceName, Version>,
+    /// The claims on idempotency keys.
+    pub claims: Claims,
+    /// The estate that the sections describe.
+    #[serde(skip)]
+    pub estate: Estate,
+}
+
+impl State {
+    /// Applies the command at `index` of the log.
+    pub fn apply(&mut self, index: u64, command: Command) -> Reply {
+        match command {
+            Command::Submit(submission) => Reply::Apply(self.submit(index, submission)),
+            Command::StepMove(step) => Reply::Stepped(self.step_move(index, step)),
+            Command::Claim { key, claimant, fingerprint, now_unix_ms } => {
+                Reply::Claim(self.claims.claim(key, claimant, fingerprint, now_unix_ms))
+            }
+            Command::Settle { key, claimant, state } => {
+                self.claims.settle(&key, &claimant, state);
+                Reply::Settled
+            }
+        }
+    }
+
+    /// Returns the version that serves `service` where no move is under way.
+    pub fn serving(&self, service: &ServiceName) -> Option<Version> {
+        let named = self.estate.services.get(service).map(|spec| spec.version.clone());
+        self.serving.get(service).cloned().or(named)
+    }
+
+    /// Encodes the state for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Decodes a snapshot; no bytes stand for the empty state.
+    ///
+    /// # Errors
+    /// Fails where the bytes are no state of this version.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let mut state: Self = postcard::from_bytes(bytes)
+            .map_err(|cause| DecodeError::Malformed("snapshot", cause.to_string().into()))?;
+        state.rebuild_estate();
+        Ok(state)
+    }
+}
--- /dev/null
+++ b/crates/route/src/scheduler/dispatch.rs
@@ -0,0 +1,72 @@
+//! Dispatch: takes requests from the queue while endpoints have slots.
+
+use super::{Running, Scheduler};
+use crate::{Assignment, Decision, JobKey};
+use lycheehub_types::{Refusal, RefusalKind, ServiceName};
+
+/// How often one request may be tried at other endpoints.
+const TRIES_MAX: usize = 3;
+
+impl Scheduler {
+    /// Dispatches what waits, highest tier first, until no endpoint is open to it.
+    pub(super) fn dispatch_waiting(
+        &mut self,
+        now_ms: u64,
+        service: &ServiceName,
+        decisions: &mut Vec<Decision>,
+    ) {
+        loop {
+            let Some(pool) = self.pools.get(service) else { return };
+            let Some(key) = pool.queue.peek() else { return };
+            let Some(assignment) = self.choose(now_ms, key) else { return };
+            self.start(now_ms, service, key, &assignment);
+            decisions.push(Decision::Dispatch(key, assignment));
+        }
+    }
+
+    fn start(&mut self, now_ms: u64, service: &ServiceName, key: JobKey, assignment: &Assignment) {
+        let Some(state) = self.jobs.get_mut(key) else { return };
+        let Some(pool) = self.pools.get_mut(service) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(assignment.endpoint) else { return };
+        let job = &state.job;
+        pool.queue.take(key, job.tier, &job.account);
+        pool.versions.dispatched(&job.route, &assignment.version);
+        let cached_tokens = endpoint.prefix.cached_tokens(now_ms, &job.prefix);
+        let prefill_tokens = job.prompt_tokens.saturating_sub(cached_tokens);
+        endpoint.prefix.note(now_ms, &job.prefix);
+        endpoint.in_flight[usize::from(job.tier.rank())] += 1;
+        let version = assignment.version.clone();
+        state.running = Some(Running { endpoint: assignment.endpoint, version, prefill_tokens });
+    }
+
+    /// Takes back a request of which no byte was written to its endpoint, or one that may run again
+    /// from `relayed_tokens` on, and tries it elsewhere within the retry budget.
+    pub fn retry(&mut self, now_ms: u64, key: JobKey, relayed_tokens: u64) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        let Some(endpoint) = self.release(key) else { return decisions };
+        let mut excluded = None;
+        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
+            endpoint.breaker.failed(now_ms);
+            excluded = Some(endpoint.record.endpoint.clone());
+        }
+        let Some(state) = self.jobs.get_mut(key) else { return decisions };
+        state.excluded.extend(excluded);
+        state.job.max_tokens = state.job.max_tokens.saturating_sub(relayed_tokens);
+        let tries = state.excluded.len();
+        let job = state.job.clone();
+        let Some(pool) = self.pools.get_mut(&job.service) else { return decisions };
+        if tries >= TRIES_MAX || !pool.retries.spend() {
+            let work_ms = pool.work_ms(&job);
+            self.jobs.remove(key);
+            let message = "endpoints cannot be reached";
+            let refusal =
+                Refusal::retry(RefusalKind::NoEndpoint, message, (work_ms as u64).max(1_000));
+            decisions.push(Decision::Refuse(key, refusal));
+        } else {
+            let work_ms = pool.work_ms(&job);
+            pool.queue.push_front(key, job.tier, &job.account, job.weight, work_ms);
+        }
+        self.dispatch_waiting(now_ms, &job.service, &mut decisions);
+        decisions
+    }
+}
--- /dev/null
+++ b/crates/types/src/error.rs
@@ -0,0 +1,26 @@
+//! The error that names the step and the peer at which it arose.
+
+use quick_error::quick_error;
+use smol_str::SmolStr;
+
+quick_error! {
+    /// A failed exchange with a peer, an endpoint or a file.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum PeerError {
+        /// The step failed.
+        Failed(step: &'static str, peer: SmolStr, message: SmolStr) {
+            display("{} at {}: {}", step, peer, message)
+        }
+        /// The step did not finish in time.
+        TimedOut(step: &'static str, peer: SmolStr, after_ms: u64) {
+            display("{} at {}: no answer within {} ms", step, peer, after_ms)
+        }
+    }
+}
+
+impl PeerError {
+    /// Makes an error of `step` at `peer` from any cause.
+    pub fn failed(step: &'static str, peer: impl Into<SmolStr>, cause: impl ToString) -> Self {
+        Self::Failed(step, peer.into(), cause.to_string().into())
+    }
+}
--- /dev/null
+++ b/crates/wire/schema/peer.capnp
@@ -0,0 +1,169 @@
+@0xc7f1b6a2d8e34b19;
+# The protocol between lycheehub's own processes.
+
+struct Position { term @0 :UInt64; index @1 :UInt64; }
+struct Voter { id @0 :UInt64; instance @1 :Text; }
+struct Config { voters @0 :List(Voter); }
+
+struct Entry {
+  position @0 :Position;
+  union {
+    noop @1 :Void;
+    config @2 :Config;
+    command @3 :Data;
+  }
+}
+
+struct Snapshot { position @0 :Position; config @1 :Config; data @2 :Data; }
+
+struct Vote { term @0 :UInt64; last @1 :Position; transfer @2 :Bool; }
+struct VoteReply { term @0 :UInt64; granted @1 :Bool; }
+
+struct Append {
+  term @0 :UInt64;
+  previous @1 :Position;
+  entries @2 :List(Entry);
+  commit @3 :UInt64;
+  round @4 :UInt64;
+}
+
+struct AppendReply { term @0 :UInt64; accepted @1 :Bool; index @2 :UInt64; round @3 :UInt64; }
+struct Install { term @0 :UInt64; snapshot @1 :Snapshot; round @2 :UInt64; }
+
+struct ConsensusMessage {
+  union {
+    preVote @0 :Vote;
+    preVoteReply @1 :VoteReply;
+    requestVote @2 :Vote;
+    voteReply @3 :VoteReply;
+    append @4 :Append;
+    appendReply @5 :AppendReply;
+    install @6 :Install;
+    campaignNow @7 :UInt64;
+  }
+}
+
+struct EndpointRecord {
+  endpoint @0 :Text;
+  address @1 :Text;
+  service @2 :Text;
+  version @3 :Text;
+  plain @4 :Bool;
+  hardware @5 :Text;
+  failureDomain @6 :Text;
+  slots @7 :UInt32;
+  fencing @8 :Bool;
+  incarnation @9 :UInt64;
+  sequence @10 :UInt64;
+  leaving @11 :Bool;
+  running @12 :UInt32;
+  waiting @13 :UInt32;
+  ageMs @14 :UInt64;
+}
+
+struct ServiceCount { service @0 :Text; count @1 :UInt32; }
+
+struct InstanceRecord {
+  instance @0 :Text;
+  peerAddress @1 :Text;
+  httpAddress @2 :Text;
+  failureDomain @3 :Text;
+  incarnation @4 :UInt64;
+  sequence @5 :UInt64;
+  replicaId @6 :UInt64;
+  revisionInForce @7 :UInt64;
+  stopping @8 :Bool;
+  shedFloor @9 :List(ServiceCount);
+  demand @10 :List(ServiceCount);
+  ageMs @11 :UInt64;
+}
+
+struct Delta { instances @0 :List(InstanceRecord); endpoints @1 :List(EndpointRecord); }
+
+struct Observation {
+  service @0 :Text;
+  version @1 :Text;
+  route @2 :Text;
+  requests @3 :UInt64;
+  failures @4 :UInt64;
+  timed @5 :UInt64;
+  logTimeSum @6 :Float64;
+  logTimeSquareSum @7 :Float64;
+}
+
+struct Demand { endpoint @0 :Text; inUse @1 :UInt32; wanted @2 :List(UInt32); }
+struct Trip { moveId @0 :Text; reason @1 :Text; }
+
+struct Report {
+  instance @0 :Text;
+  demands @1 :List(Demand);
+  observations @2 :List(Observation);
+  trips @3 :List(Trip);
+}
+
+struct Grant { endpoint @0 :Text; slots @1 :UInt32; }
+
+struct ReportReply {
+  # Whether the receiver leads and so took the report.
+  taken @0 :Bool;
+  grants @1 :List(Grant);
+}
+
+struct ProposeReply {
+  union {
+    # The receiver does not lead; nothing was changed.
+    notLeader @0 :Void;
+    # Leadership was lost on the way: the command may yet be committed.
+    unknown @1 :Void;
+    accepted @2 :UInt64;
+    conflict @3 :Conflict;
+    invalid @4 :Text;
+    stepped @5 :Bool;
+    claimGranted @6 :Void;
+    claimTaken @7 :ClaimTaken;
+    claimOtherRequest @8 :Void;
+    claimsFull @9 :Void;
+    settled @10 :Void;
+  }
+}
+
+struct Conflict { revision @0 :UInt64; operator @1 :Text; requestId @2 :Text; }
+
+enum ClaimState { open @0; answered @1; notRun @2; unknown @3; }
+
+struct ClaimTaken {
+  instance @0 :Text;
+  incarnation @1 :UInt64;
+  request @2 :UInt64;
+  state @3 :ClaimState;
+}
+
+struct KeptAnswer {
+  union {
+    # No answer is kept here.
+    gone @0 :Void;
+    running @1 :Void;
+    answered @2 :Answer;
+  }
+}
+
+struct Answer { status @0 :UInt16; contentType @1 :Text; body @2 :Data; }
+
+# What a connection offers before the caller has proved that it holds the peer key.
+interface Greeter {
+  challenge @0 () -> (nonce :Data);
+  login @1 (instance :Text, nonce :Data, proof :Data) -> (proof :Data, peer :Peer);
+}
+
+interface Peer {
+  consensus @0 (sender :UInt64, receiver :UInt64, message :ConsensusMessage) -> ();
+  status @1 () -> (id :UInt64, config :Config);
+  gossip @2 (delta :Delta) -> (delta :Delta);
+  propose @3 (command :Data) -> (reply :ProposeReply);
+  # Confirms leadership with a quorum; answers what changed after `revision`, as of then.
+  read @4 (revision :UInt64) -> (confirmed :Bool, feed :Data);
+  # Answers as soon as anything changed after `revision`, or after `waitMs`.
+  follow @5 (revision :UInt64, waitMs :UInt32) -> (feed :Data);
+  report @6 (report :Report) -> (reply :ReportReply);
+  answer @7 (instance :Text, incarnation :UInt64, request :UInt64) -> (answer :KeptAnswer);
+}
--- /dev/null
+++ b/crates/wire/src/convert/mod.rs
@@ -0,0 +1,47 @@
+//! Conversions between messages of the schema and the types of the other crates.
+
+mod consensus;
+mod records;
+mod replies;
+mod reports;
+
+pub use consensus::{write_config, write_message};
+pub use records::write_delta;
+pub use replies::{write_kept_answer, write_propose_reply};
+pub use reports::{write_report, write_report_reply};
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// A message that does not decode.
+    #[derive(Debug)]
+    pub enum WireError {
+        /// The bytes break the encoding.
+        Encoding(cause: capnp::Error) {
+            display("malformed message: {}", cause)
+            source(cause)
+            from()
+        }
+        /// A text is not UTF-8.
+        Text(cause: std::str::Utf8Error) {
+            display("text is not UTF-8: {}", cause)
+            source(cause)
+            from()
+        }
+        /// The message is of a kind that this version does not know.
+        Unknown(number: u16) {
+            display("unknown kind {}", number)
+            from(kind: capnp::NotInSchema) -> (kind.0)
+        }
+    }
+}
+
+impl From<WireError> for capnp::Error {
+    fn from(error: WireError) -> Self {
+        Self::failed(error.to_string())
+    }
+}
+
+fn text(reader: capnp::Result<capnp::text::Reader<'_>>) -> Result<&str, WireError> {
+    Ok(reader?.to_str()?)
+}
--- /dev/null
+++ b/crates/wire/src/convert/records.rs
@@ -0,0 +1,141 @@
+//! Records of instances and endpoints.
+
+use super::{WireError, text};
+use crate::peer_capnp as schema;
+use lycheehub_control::registry::Delta;
+use lycheehub_types::{
+    EndpointKind, EndpointLoad, EndpointRecord, InstanceRecord, ServiceName, Tier,
+};
+use std::collections::BTreeMap;
+
+impl TryFrom<schema::endpoint_record::Reader<'_>> for EndpointRecord {
+    type Error = WireError;
+
+    fn try_from(reader: schema::endpoint_record::Reader<'_>) -> Result<Self, WireError> {
+        let kind = if reader.get_plain() { EndpointKind::Plain } else { EndpointKind::Engine };
+        Ok(Self {
+            endpoint: text(reader.get_endpoint())?.into(),
+            address: text(reader.get_address())?.into(),
+            service: text(reader.get_service())?.into(),
+            version: text(reader.get_version())?.into(),
+            kind,
+            hardware: text(reader.get_hardware())?.into(),
+            failure_domain: text(reader.get_failure_domain())?.into(),
+            slots: reader.get_slots(),
+            fencing: reader.get_fencing(),
+            incarnation: reader.get_incarnation(),
+            sequence: reader.get_sequence(),
+            leaving: reader.get_leaving(),
+            load: EndpointLoad { running: reader.get_running(), waiting: reader.get_waiting() },
+        })
+    }
+}
+
+impl TryFrom<schema::instance_record::Reader<'_>> for InstanceRecord {
+    type Error = WireError;
+
+    fn try_from(reader: schema::instance_record::Reader<'_>) -> Result<Self, WireError> {
+        let floors = read_counts(reader.get_shed_floor()?)?;
+        let tier = |count: u32| Tier::new(u8::try_from(count).unwrap_or(u8::MAX));
+        Ok(Self {
+            instance: text(reader.get_instance())?.into(),
+            peer_address: text(reader.get_peer_address())?.into(),
+            http_address: text(reader.get_http_address())?.into(),
+            failure_domain: text(reader.get_failure_domain())?.into(),
+            incarnation: reader.get_incarnation(),
+            sequence: reader.get_sequence(),
+            replica_id: reader.get_replica_id(),
+            revision_in_force: reader.get_revision_in_force(),
+            stopping: reader.get_stopping(),
+            shed_floor: floors.into_iter().map(|(service, rank)| (service, tier(rank))).collect(),
+            demand: read_counts(reader.get_demand()?)?,
+        })
+    }
+}
+
+impl TryFrom<schema::delta::Reader<'_>> for Delta {
+    type Error = WireError;
+
+    fn try_from(reader: schema::delta::Reader<'_>) -> Result<Self, WireError> {
+        let mut delta = Self::default();
+        for record in reader.get_instances()? {
+            delta.instances.push((record.try_into()?, record.get_age_ms()));
+        }
+        for record in reader.get_endpoints()? {
+            delta.endpoints.push((record.try_into()?, record.get_age_ms()));
+        }
+        Ok(delta)
+    }
+}
+
+type Counts<'a> = capnp::struct_list::Reader<'a, schema::service_count::Owned>;
+
+fn read_counts(reader: Counts<'_>) -> Result<BTreeMap<ServiceName, u32>, WireError> {
+    let pair = |count: schema::service_count::Reader<'_>| {
+        Ok((ServiceName::from(text(count.get_service())?), count.get_count()))
+    };
+    reader.iter().map(pair).collect()
+}
+
+/// Writes changed records.
+pub fn write_delta(delta: &Delta, mut builder: schema::delta::Builder<'_>) {
+    let mut instances = builder.reborrow().init_instances(delta.instances.len() as u32);
+    for (at, (record, age_ms)) in delta.instances.iter().enumerate() {
+        write_instance(record, *age_ms, instances.reborrow().get(at as u32));
+    }
+    let mut endpoints = builder.init_endpoints(delta.endpoints.len() as u32);
+    for (at, (record, age_ms)) in delta.endpoints.iter().enumerate() {
+        write_endpoint(record, *age_ms, endpoints.reborrow().get(at as u32));
+    }
+}
+
+fn write_endpoint(
+    record: &EndpointRecord,
+    age_ms: u64,
+    mut builder: schema::endpoint_record::Builder<'_>,
+) {
+    builder.set_endpoint(record.endpoint.as_str());
+    builder.set_address(&*record.address);
+    builder.set_service(record.service.as_str());
+    builder.set_version(record.version.as_str());
+    builder.set_plain(record.kind == EndpointKind::Plain);
+    builder.set_hardware(&*record.hardware);
+    builder.set_failure_domain(record.failure_domain.as_str());
+    builder.set_slots(record.slots);
+    builder.set_fencing(record.fencing);
+    builder.set_incarnation(record.incarnation);
+    builder.set_sequence(record.sequence);
+    builder.set_leaving(record.leaving);
+    builder.set_running(record.load.running);
+    builder.set_waiting(record.load.waiting);
+    builder.set_age_ms(age_ms);
+}
+
+fn write_instance(
+    record: &InstanceRecord,
+    age_ms: u64,
+    mut builder: schema::instance_record::Builder<'_>,
+) {
+    builder.set_instance(record.instance.as_str());
+    builder.set_peer_address(&*record.peer_address);
+    builder.set_http_address(&*record.http_address);
+    builder.set_failure_domain(record.failure_domain.as_str());
+    builder.set_incarnation(record.incarnation);
+    builder.set_sequence(record.sequence);
+    builder.set_replica_id(record.replica_id);
+    builder.set_revision_in_force(record.revision_in_force);
+    builder.set_stopping(record.stopping);
+    builder.set_age_ms(age_ms);
+    let mut floors = builder.reborrow().init_shed_floor(record.shed_floor.len() as u32);
+    for (at, (service, tier)) in record.shed_floor.iter().enumerate() {
+        let mut floor = floors.reborrow().get(at as u32);
+        floor.set_service(service.as_str());
+        floor.set_count(u32::from(tier.rank()));
+    }
+    let mut demand = builder.init_demand(record.demand.len() as u32);
+    for (at, (service, count)) in record.demand.iter().enumerate() {
+        let mut entry = demand.reborrow().get(at as u32);
+        entry.set_service(service.as_str());
+        entry.set_count(*count);
+    }
+}
--- /dev/null
+++ b/crates/wire/src/convert/replies.rs
@@ -0,0 +1,142 @@
+//! Answers to proposals, and answers kept for resends.
+
+use super::{WireError, text};
+use crate::peer_capnp as schema;
+use crate::{Answer, KeptAnswer, ProposeReply};
+use lycheehub_control::state::{ApplyOutcome, ClaimOutcome, ClaimState, Claimant, Reply};
+
+impl From<schema::ClaimState> for ClaimState {
+    fn from(state: schema::ClaimState) -> Self {
+        match state {
+            schema::ClaimState::Open => Self::Open,
+            schema::ClaimState::Answered => Self::Answered,
+            schema::ClaimState::NotRun => Self::NotRun,
+            schema::ClaimState::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl From<ClaimState> for schema::ClaimState {
+    fn from(state: ClaimState) -> Self {
+        match state {
+            ClaimState::Open => Self::Open,
+            ClaimState::Answered => Self::Answered,
+            ClaimState::NotRun => Self::NotRun,
+            ClaimState::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl TryFrom<schema::propose_reply::Reader<'_>> for ProposeReply {
+    type Error = WireError;
+
+    fn try_from(reader: schema::propose_reply::Reader<'_>) -> Result<Self, WireError> {
+        use schema::propose_reply::Which;
+        let apply = |outcome| Self::Done(Reply::Apply(outcome));
+        let claim = |outcome| Self::Done(Reply::Claim(outcome));
+        Ok(match reader.which()? {
+            Which::NotLeader(()) => Self::NotLeader,
+            Which::Unknown(()) => Self::Unknown,
+            Which::Accepted(revision) => apply(ApplyOutcome::Accepted { revision }),
+            Which::Conflict(conflict) => {
+                let conflict = conflict?;
+                apply(ApplyOutcome::Conflict {
+                    revision: conflict.get_revision(),
+                    operator: text(conflict.get_operator())?.into(),
+                    request_id: text(conflict.get_request_id())?.into(),
+                })
+            }
+            Which::Invalid(message) => {
+                apply(ApplyOutcome::Invalid { message: text(message)?.into() })
+            }
+            Which::Stepped(taken) => Self::Done(Reply::Stepped(taken)),
+            Which::ClaimGranted(()) => claim(ClaimOutcome::Granted),
+            Which::ClaimTaken(taken) => {
+                let taken = taken?;
+                let claimant = Claimant {
+                    instance: text(taken.get_instance())?.into(),
+                    incarnation: taken.get_incarnation(),
+                    request: taken.get_request(),
+                };
+                claim(ClaimOutcome::Taken { claimant, state: taken.get_state()?.into() })
+            }
+            Which::ClaimOtherRequest(()) => claim(ClaimOutcome::OtherRequest),
+            Which::ClaimsFull(()) => claim(ClaimOutcome::Full),
+            Which::Settled(()) => Self::Done(Reply::Settled),
+        })
+    }
+}
+
+/// Writes the answer to a proposal.
+pub fn write_propose_reply(reply: &ProposeReply, mut builder: schema::propose_reply::Builder<'_>) {
+    match reply {
+        ProposeReply::NotLeader => builder.set_not_leader(()),
+        ProposeReply::Unknown => builder.set_unknown(()),
+        ProposeReply::Done(Reply::Apply(outcome)) => write_apply(outcome, builder),
+        ProposeReply::Done(Reply::Stepped(taken)) => builder.set_stepped(*taken),
+        ProposeReply::Done(Reply::Claim(outcome)) => write_claim(outcome, builder),
+        ProposeReply::Done(Reply::Settled) => builder.set_settled(()),
+    }
+}
+
+fn write_apply(outcome: &ApplyOutcome, mut builder: schema::propose_reply::Builder<'_>) {
+    match outcome {
+        ApplyOutcome::Accepted { revision } => builder.set_accepted(*revision),
+        ApplyOutcome::Conflict { revision, operator, request_id } => {
+            let mut conflict = builder.init_conflict();
+            conflict.set_revision(*revision);
+            conflict.set_operator(&**operator);
+            conflict.set_request_id(&**request_id);
+        }
+        ApplyOutcome::Invalid { message } => builder.set_invalid(&**message),
+    }
+}
+
+fn write_claim(outcome: &ClaimOutcome, mut builder: schema::propose_reply::Builder<'_>) {
+    match outcome {
+        ClaimOutcome::Granted => builder.set_claim_granted(()),
+        ClaimOutcome::Taken { claimant, state } => {
+            let mut taken = builder.init_claim_taken();
+            taken.set_instance(claimant.instance.as_str());
+            taken.set_incarnation(claimant.incarnation);
+            taken.set_request(claimant.request);
+            taken.set_state((*state).into());
+        }
+        ClaimOutcome::OtherRequest => builder.set_claim_other_request(()),
+        ClaimOutcome::Full => builder.set_claims_full(()),
+    }
+}
+
+impl TryFrom<schema::kept_answer::Reader<'_>> for KeptAnswer {
+    type Error = WireError;
+
+    fn try_from(reader: schema::kept_answer::Reader<'_>) -> Result<Self, WireError> {
+        use schema::kept_answer::Which;
+        Ok(match reader.which()? {
+            Which::Gone(()) => Self::Gone,
+            Which::Running(()) => Self::Running,
+            Which::Answered(answer) => {
+                let answer = answer?;
+                Self::Answered(Answer {
+                    status: answer.get_status(),
+                    content_type: text(answer.get_content_type())?.into(),
+                    body: answer.get_body()?.to_vec(),
+                })
+            }
+        })
+    }
+}
+
+/// Writes what is known of an answer.
+pub fn write_kept_answer(answer: &KeptAnswer, mut builder: schema::kept_answer::Builder<'_>) {
+    match answer {
+        KeptAnswer::Gone => builder.set_gone(()),
+        KeptAnswer::Running => builder.set_running(()),
+        KeptAnswer::Answered(answer) => {
+            let mut entry = builder.init_answered();
+            entry.set_status(answer.status);
+            entry.set_content_type(&*answer.content_type);
+            entry.set_body(&answer.body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wire/src/convert/reports.rs
@@ -0,0 +1,122 @@
+//! Reports to the leader and their answers.
+
+use super::{WireError, text};
+use crate::peer_capnp as schema;
+use crate::{Report, ReportReply};
+use lycheehub_control::moves::{Observation, ObservationKey};
+use lycheehub_control::slots::Demand;
+use smol_str::SmolStr;
+
+impl TryFrom<schema::report::Reader<'_>> for Report {
+    type Error = WireError;
+
+    fn try_from(reader: schema::report::Reader<'_>) -> Result<Self, WireError> {
+        let mut report = Self { instance: text(reader.get_instance())?.into(), ..Self::default() };
+        for demand in reader.get_demands()? {
+            let endpoint = text(demand.get_endpoint())?.into();
+            report.demands.insert(endpoint, demand.try_into()?);
+        }
+        for observation in reader.get_observations()? {
+            let (key, sum) = read_observation(observation)?;
+            report.observations.insert(key, sum);
+        }
+        for trip in reader.get_trips()? {
+            let move_id = SmolStr::new(text(trip.get_move_id())?);
+            report.trips.insert(move_id, text(trip.get_reason())?.into());
+        }
+        Ok(report)
+    }
+}
+
+impl TryFrom<schema::demand::Reader<'_>> for Demand {
+    type Error = WireError;
+
+    fn try_from(reader: schema::demand::Reader<'_>) -> Result<Self, WireError> {
+        let mut demand = Self { in_use: reader.get_in_use(), ..Self::default() };
+        for (wanted, value) in demand.wanted.iter_mut().zip(reader.get_wanted()?.iter()) {
+            *wanted = value;
+        }
+        Ok(demand)
+    }
+}
+
+fn read_observation(
+    reader: schema::observation::Reader<'_>,
+) -> Result<(ObservationKey, Observation), WireError> {
+    let key = ObservationKey {
+        service: text(reader.get_service())?.into(),
+        version: text(reader.get_version())?.into(),
+        route: text(reader.get_route())?.into(),
+    };
+    let sum = Observation {
+        requests: reader.get_requests(),
+        failures: reader.get_failures().min(reader.get_requests()),
+        timed: reader.get_timed(),
+        log_time_sum: reader.get_log_time_sum(),
+        log_time_square_sum: reader.get_log_time_square_sum(),
+    };
+    Ok((key, sum))
+}
+
+impl TryFrom<schema::report_reply::Reader<'_>> for ReportReply {
+    type Error = WireError;
+
+    fn try_from(reader: schema::report_reply::Reader<'_>) -> Result<Self, WireError> {
+        let mut reply = Self { taken: reader.get_taken(), ..Self::default() };
+        for grant in reader.get_grants()? {
+            reply.grants.insert(text(grant.get_endpoint())?.into(), grant.get_slots());
+        }
+        Ok(reply)
+    }
+}
+
+/// Writes a report.
+pub fn write_report(report: &Report, mut builder: schema::report::Builder<'_>) {
+    builder.set_instance(report.instance.as_str());
+    let mut demands = builder.reborrow().init_demands(report.demands.len() as u32);
+    for (at, (endpoint, demand)) in report.demands.iter().enumerate() {
+        let mut entry = demands.reborrow().get(at as u32);
+        entry.set_endpoint(endpoint.as_str());
+        entry.set_in_use(demand.in_use);
+        let mut wanted = entry.init_wanted(demand.wanted.len() as u32);
+        for (rank, value) in demand.wanted.iter().enumerate() {
+            wanted.set(rank as u32, *value);
+        }
+    }
+    let mut observations = builder.reborrow().init_observations(report.observations.len() as u32);
+    for (at, (key, sum)) in report.observations.iter().enumerate() {
+        write_observation(key, sum, observations.reborrow().get(at as u32));
+    }
+    let mut trips = builder.init_trips(report.trips.len() as u32);
+    for (at, (move_id, reason)) in report.trips.iter().enumerate() {
+        let mut trip = trips.reborrow().get(at as u32);
+        trip.set_move_id(&**move_id);
+        trip.set_reason(&**reason);
+    }
+}
+
+fn write_observation(
+    key: &ObservationKey,
+    sum: &Observation,
+    mut builder: schema::observation::Builder<'_>,
+) {
+    builder.set_service(key.service.as_str());
+    builder.set_version(key.version.as_str());
+    builder.set_route(key.route.as_str());
+    builder.set_requests(sum.requests);
+    builder.set_failures(sum.failures);
+    builder.set_timed(sum.timed);
+    builder.set_log_time_sum(sum.log_time_sum);
+    builder.set_log_time_square_sum(sum.log_time_square_sum);
+}
+
+/// Writes the answer to a report.
+pub fn write_report_reply(reply: &ReportReply, mut builder: schema::report_reply::Builder<'_>) {
+    builder.set_taken(reply.taken);
+    let mut grants = builder.init_grants(reply.grants.len() as u32);
+    for (at, (endpoint, slots)) in reply.grants.iter().enumerate() {
+        let mut grant = grants.reborrow().get(at as u32);
+        grant.set_endpoint(endpoint.as_str());
+        grant.set_slots(*slots);
+    }
+}
