--- /dev/null
+++ b/crates/cli/src/arguments.rs
@@ -0,0 +1,169 @@
+//! The command line.
+
+use gumdrop::Options;
+
+/// A request scheduler for unlike model engines.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// Shows the version.
+    #[options(help = "show the version", no_short)]
+    pub version: bool,
+    /// The command.
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// Runs an instance.
+    #[options(help = "run an instance: lycheehub serve [--settings FILE]")]
+    Serve(Serve),
+    /// Checks a file.
+    #[options(help = "check a settings file or a section: lycheehub check FILE")]
+    Check(Check),
+    /// Submits a section.
+    #[options(help = "submit a section: lycheehub apply --section labels labels.toml")]
+    Apply(Apply),
+    /// Shows sections.
+    #[options(help = "show one section, or all with their revisions: lycheehub get [SECTION]")]
+    Get(Get),
+    /// Shows version moves.
+    #[options(help = "show version moves, or wait for one: lycheehub moves [--wait ID]")]
+    Moves(Moves),
+    /// Shows endpoints.
+    #[options(help = "show endpoints that are live: lycheehub endpoints")]
+    Endpoints(List),
+    /// Shows instances.
+    #[options(help = "show instances and what each has in force: lycheehub instances")]
+    Instances(List),
+}
+
+/// Options of `serve`.
+#[derive(Debug, Default, Options)]
+pub struct Serve {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The settings file.
+    #[options(help = "the settings file; without it a single instance runs on loopback")]
+    pub settings: Option<String>,
+}
+
+/// Options of `check`.
+#[derive(Debug, Options)]
+pub struct Check {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The files.
+    #[options(free, required, help = "settings files or sections")]
+    pub files: Vec<String>,
+}
+
+/// Where instances are, and the operator's key.
+#[derive(Debug, Default, Options)]
+pub struct Apply {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The instances to try in turn.
+    #[options(help = "instances to try in turn, as address:port[,...] (or LYCHEEHUB_TO)")]
+    pub to: Option<String>,
+    /// The file with the operator's key.
+    #[options(help = "file with the operator's key (or LYCHEEHUB_KEY_FILE)")]
+    pub key_file: Option<String>,
+    /// Prints JSON.
+    #[options(help = "print JSON", no_short)]
+    pub json: bool,
+    /// The section's name.
+    #[options(help = "the section's name", required)]
+    pub section: String,
+    /// The revision that the text is based on.
+    #[options(help = "the revision that the text is based on (default: the present one)")]
+    pub base: Option<u64>,
+    /// The id of this submission.
+    #[options(help = "the id of this submission, the same for a resend", no_short)]
+    pub request_id: Option<String>,
+    /// Shows the difference only.
+    #[options(help = "show the difference and submit nothing", no_short)]
+    pub dry_run: bool,
+    /// Waits until the section is in force everywhere.
+    #[options(help = "wait until it is in force on every live instance", no_short)]
+    pub wait: bool,
+    /// The file with the section's text.
+    #[options(free, required, help = "file with the section's text")]
+    pub file: String,
+}
+
+/// Options of `get`.
+#[derive(Debug, Default, Options)]
+pub struct Get {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The instances to try in turn.
+    #[options(help = "instances to try in turn, as address:port[,...] (or LYCHEEHUB_TO)")]
+    pub to: Option<String>,
+    /// The file with the operator's key.
+    #[options(help = "file with the operator's key (or LYCHEEHUB_KEY_FILE)")]
+    pub key_file: Option<String>,
+    /// Prints JSON.
+    #[options(help = "print JSON", no_short)]
+    pub json: bool,
+    /// The section.
+    #[options(free, help = "the section; all are listed without it")]
+    pub section: Option<String>,
+}
+
+/// Options of `moves`.
+#[derive(Debug, Default, Options)]
+pub struct Moves {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The instances to try in turn.
+    #[options(help = "instances to try in turn, as address:port[,...] (or LYCHEEHUB_TO)")]
+    pub to: Option<String>,
+    /// The file with the operator's key.
+    #[options(help = "file with the operator's key (or LYCHEEHUB_KEY_FILE)")]
+    pub key_file: Option<String>,
+    /// Prints JSON.
+    #[options(help = "print JSON", no_short)]
+    pub json: bool,
+    /// The move to wait for.
+    #[options(help = "wait until this move is done or taken back, and show each step")]
+    pub wait: Option<String>,
+}
+
+/// Options of commands that list something.
+#[derive(Debug, Default, Options)]
+pub struct List {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The instances to try in turn.
+    #[options(help = "instances to try in turn, as address:port[,...] (or LYCHEEHUB_TO)")]
+    pub to: Option<String>,
+    /// The file with the operator's key.
+    #[options(help = "file with the operator's key (or LYCHEEHUB_KEY_FILE)")]
+    pub key_file: Option<String>,
+    /// Prints JSON.
+    #[options(help = "print JSON", no_short)]
+    pub json: bool,
+}
+
+/// Returns the help text with the exit codes.
+pub fn help() -> String {
+    format!(
+        "Usage: lycheehub COMMAND [OPTIONS]\n\n{}\n\nCommands:\n{}\n\n{EXIT_CODES}",
+        Arguments::usage(),
+        Arguments::command_list().unwrap_or_default()
+    )
+}
+
+const EXIT_CODES: &str = "Exit codes: 0 done, 1 failed, 2 wrong command line, 3 invalid file or \
+document,\n4 conflict, 5 not applied, 6 outcome unknown, 7 move taken back or superseded";
--- /dev/null
+++ b/crates/cli/src/client/mod.rs
@@ -0,0 +1,10 @@
+//! What operators call: a client that tries several instances in turn.
+
+pub mod apply;
+mod call;
+pub mod get;
+pub mod lists;
+pub mod moves;
+mod table;
+
+pub use call::{Call, Client};
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,48 @@
+//! The lycheehub daemon and operators' command line.
+//!
+//! * [`arguments`] is the command line.
+//! * [`settings`] is the settings file.
+//! * [`serve`] is the daemon.
+//! * [`client`] is what operators call.
+//! * [`check`] checks files without a daemon.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod arguments;
+mod check;
+mod client;
+mod exit;
+mod serve;
+mod settings;
+
+use arguments::{Arguments, Command};
+use gumdrop::Options;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse_args_default_or_exit();
+    if arguments.version {
+        println!("lycheehub {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let result = match arguments.command {
+        Some(Command::Serve(options)) => serve::run(&options),
+        Some(Command::Check(options)) => check::run(&options),
+        Some(Command::Apply(options)) => client::apply::run(&options),
+        Some(Command::Get(options)) => client::get::run(&options),
+        Some(Command::Moves(options)) => client::moves::run(&options),
+        Some(Command::Endpoints(options)) => client::lists::endpoints(&options),
+        Some(Command::Instances(options)) => client::lists::instances(&options),
+        None => {
+            println!("{}", arguments::help());
+            return exit::Code::Usage.into();
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lycheehub: {error}");
+            error.code().into()
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/serve/wire_up.rs
@@ -0,0 +1,127 @@
+//! Starts the control thread and the traffic threads, and connects them.
+
+use crate::exit::{Code, Error};
+use crate::settings::Loaded;
+use lycheehub_clock::{Clock, TimerService};
+use lycheehub_gateway::answers::KeptAnswers;
+use lycheehub_gateway::dispatcher::Dispatcher;
+use lycheehub_gateway::{Gateway, http};
+use lycheehub_peer::{Control, ControlRequest, Node, Settings as PeerSettings, Views};
+use lycheehub_route::{Options as RouteOptions, Scheduler};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use rand::RngCore;
+use smol::Executor;
+use smol::channel::{Receiver, Sender, bounded, unbounded};
+use smol::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
+
+/// What the control thread is started with.
+struct ControlParts {
+    settings: PeerSettings,
+    clock: Clock,
+    timers: Arc<TimerService>,
+    views: Views,
+    answers: Arc<KeptAnswers>,
+    listener: TcpListener,
+    requests: Receiver<ControlRequest>,
+}
+
+/// Starts all threads of an instance.
+pub(super) async fn start(
+    loaded: Loaded,
+    http: TcpListener,
+    peer: TcpListener,
+) -> Result<Arc<Gateway>, Error> {
+    let clock = Clock::new();
+    let timers = Arc::new(TimerService::new(clock));
+    let views = Views::default();
+    let limits = &loaded.gateway;
+    let answers =
+        Arc::new(KeptAnswers::new(clock, limits.answer_retention_ms, limits.answers_max_bytes));
+    let (sender, requests) = unbounded();
+    let parts = ControlParts {
+        settings: loaded.peer,
+        clock,
+        timers: timers.clone(),
+        views: views.clone(),
+        answers: answers.clone(),
+        listener: peer,
+        requests,
+    };
+    let incarnation = start_control(parts).await?;
+    let options = RouteOptions { queue_max: loaded.queue_max, ..RouteOptions::default() };
+    let scheduler = Scheduler::new(options, rand::rng().next_u64());
+    let gateway = Arc::new(Gateway {
+        settings: loaded.gateway,
+        clock,
+        views,
+        control: Control::new(sender),
+        dispatcher: Dispatcher::new(clock, scheduler),
+        answers,
+        metrics: start_metrics()?,
+        executor: Arc::new(Executor::new()),
+        incarnation,
+        requests: AtomicU64::new(0),
+        connections: AtomicUsize::new(0),
+        exchanges: AtomicUsize::new(0),
+        background: AtomicUsize::new(0),
+        draining: AtomicBool::new(false),
+        stopping: AtomicBool::new(false),
+    });
+    gateway.start(timers.as_ref());
+    gateway.executor.spawn(http::serve(gateway.clone(), http)).detach();
+    gateway.executor.spawn(async move { timers.run().await }).detach();
+    for number in 0..loaded.traffic_threads {
+        start_traffic(number, gateway.executor.clone())?;
+    }
+    let name = &gateway.settings.instance;
+    spdlog::info!("instance started", kv: { instance: = name, http: = loaded.http, incarnation });
+    Ok(gateway)
+}
+
+fn start_metrics() -> Result<PrometheusHandle, Error> {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder)
+        .map_err(|error| Error::new(Code::Failed, format!("cannot start metrics: {error}")))?;
+    Ok(handle)
+}
+
+/// Starts the control thread; returns this run's incarnation once its state is open.
+async fn start_control(parts: ControlParts) -> Result<u64, Error> {
+    let (opened, wait) = bounded(1);
+    let thread = std::thread::Builder::new().name("control".to_owned());
+    let started = thread.spawn(move || run_control(parts, &opened));
+    started.map_err(|error| Error::new(Code::Failed, format!("cannot start a thread: {error}")))?;
+    let opened = wait.recv().await;
+    opened
+        .unwrap_or_else(|_| Err("the control thread ended".to_owned()))
+        .map_err(|message| Error::new(Code::Failed, message))
+}
+
+fn run_control(parts: ControlParts, opened: &Sender<Result<u64, String>>) {
+    let seed = rand::rng().next_u64();
+    let node =
+        Node::open(parts.settings, parts.clock, parts.timers, parts.views, parts.answers, seed);
+    let node = match node {
+        Ok(node) => node,
+        Err(error) => {
+            // The starting thread waits for this answer.
+            let _ = opened.try_send(Err(format!("cannot open the data folder: {error}")));
+            return;
+        }
+    };
+    // The starting thread waits for this answer.
+    let _ = opened.try_send(Ok(node.incarnation()));
+    node.run(parts.listener, parts.requests);
+}
+
+fn start_traffic(number: usize, executor: Arc<Executor<'static>>) -> Result<(), Error> {
+    let thread = std::thread::Builder::new().name(format!("traffic-{number}"));
+    let run = move || smol::block_on(executor.run(std::future::pending::<()>()));
+    let started = thread.spawn(run);
+    started
+        .map(drop)
+        .map_err(|error| Error::new(Code::Failed, format!("cannot start a thread: {error}")))
+}
--- /dev/null
+++ b/crates/cli/src/settings/load.rs
@@ -0,0 +1,218 @@
+//! Reads and checks the settings file, naming file, line and column of what is wrong.
+
+use super::{File, LogFormat};
+use crate::exit::{Code, Error};
+use lycheehub_gateway::keys::KeyFile;
+use lycheehub_peer::{Seed, Settings as PeerSettings};
+use lycheehub_types::{InstanceName, name};
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::path::{Path, PathBuf};
+use toml::Spanned;
+
+/// The most threads that carry traffic.
+const TRAFFIC_THREADS_MAX: usize = 64;
+/// The shortest peer key, in bytes.
+const PEER_KEY_MIN_BYTES: usize = 16;
+/// The settings of a single instance on loopback.
+const EMBEDDED: &str = include_str!("embedded.toml");
+
+/// Settings, checked.
+#[derive(Debug)]
+pub struct Loaded {
+    /// For the control thread.
+    pub peer: PeerSettings,
+    /// For the HTTP side.
+    pub gateway: lycheehub_gateway::Settings,
+    /// Where to listen for HTTP.
+    pub http: SocketAddr,
+    /// Where to listen for peers.
+    pub listen_peer: SocketAddr,
+    /// How many threads carry traffic.
+    pub traffic_threads: usize,
+    /// The most requests that wait for one service.
+    pub queue_max: usize,
+    /// How long requests are still taken after the instance reports that it is not ready, in
+    /// milliseconds.
+    pub drain_ms: u64,
+    /// How long requests in flight may take to end after that, in milliseconds.
+    pub stop_timeout_ms: u64,
+    /// The form of a log line.
+    pub log_format: LogFormat,
+    /// Whether decisions of lesser weight are logged too.
+    pub log_debug: bool,
+}
+
+struct Source<'a> {
+    path: &'a str,
+    text: &'a str,
+}
+
+impl Source<'_> {
+    fn error(&self, span: &Range<usize>, message: impl std::fmt::Display) -> Error {
+        let end = span.start.min(self.text.len());
+        let before = &self.text.as_bytes()[..end];
+        let line = before.iter().filter(|byte| **byte == b'\n').count() + 1;
+        let column = before.iter().rev().take_while(|byte| **byte != b'\n').count() + 1;
+        Error::new(Code::Invalid, format!("{}:{line}:{column}: {message}", self.path))
+    }
+
+    fn parse(&self) -> Result<File, Error> {
+        toml::from_str(self.text)
+            .map_err(|error| self.error(&error.span().unwrap_or(0..0), error.message()))
+    }
+
+    fn name(&self, value: &Spanned<String>) -> Result<String, Error> {
+        let text = value.get_ref();
+        if name::is_valid(text) {
+            return Ok(text.clone());
+        }
+        let rule =
+            format!("expected 1 to {} letters, digits, '-', '_' or '.'", name::NAME_MAX_BYTES);
+        Err(self.error(&value.span(), rule))
+    }
+
+    fn address(&self, value: &Spanned<String>) -> Result<SocketAddr, Error> {
+        let parsed = value.get_ref().parse();
+        parsed.map_err(|_| {
+            self.error(&value.span(), "expected an IP number and a port, such as \"10.0.0.1:7100\"")
+        })
+    }
+}
+
+/// Reads the settings file at `path`.
+///
+/// # Errors
+/// Names the file, line and column of the first thing that is wrong.
+pub fn load(path: &str) -> Result<Loaded, Error> {
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        Error::new(Code::Invalid, format!("cannot read settings {path}: {error}"))
+    })?;
+    let folder = Path::new(path).parent().unwrap_or(Path::new("")).to_owned();
+    let source = Source { path, text: &text };
+    let file = source.parse()?;
+    let key_file = |name: &str| KeyFile::open(&folder.join(name));
+    let invalid =
+        |error: lycheehub_gateway::keys::Error| Error::new(Code::Invalid, error.to_string());
+    let operators = key_file(&file.keys.operators_file).map_err(invalid)?;
+    let endpoints = key_file(&file.keys.endpoints_file).map_err(invalid)?;
+    let peer_key = read_peer_key(&folder.join(&file.keys.peer_file))?;
+    check(&source, file, &folder, peer_key, operators, endpoints)
+}
+
+/// Returns the settings of a single instance on loopback, with keys for trying it out.
+///
+/// # Errors
+/// Fails only where the embedded text is wrong.
+pub fn embedded() -> Result<Loaded, Error> {
+    let source = Source { path: "embedded settings", text: EMBEDDED };
+    let file = source.parse()?;
+    let operators = KeyFile::fixed([("operator", "try-operator")]);
+    let endpoints = KeyFile::fixed([("endpoint", "try-endpoint")]);
+    let peer_key = b"a key for one instance alone".to_vec();
+    check(&source, file, Path::new(""), peer_key, operators, endpoints)
+}
+
+fn read_peer_key(path: &Path) -> Result<Vec<u8>, Error> {
+    let key = std::fs::read_to_string(path).map_err(|error| {
+        Error::new(Code::Invalid, format!("cannot read the peer key {}: {error}", path.display()))
+    })?;
+    let key = key.trim().as_bytes().to_vec();
+    if key.len() < PEER_KEY_MIN_BYTES {
+        let path = path.display();
+        let message = format!("the peer key {path} has fewer than {PEER_KEY_MIN_BYTES} bytes");
+        return Err(Error::new(Code::Invalid, message));
+    }
+    Ok(key)
+}
+
+fn check(
+    source: &Source<'_>,
+    file: File,
+    folder: &Path,
+    peer_key: Vec<u8>,
+    operator_keys: KeyFile,
+    endpoint_keys: KeyFile,
+) -> Result<Loaded, Error> {
+    let instance = &file.instance;
+    let name = InstanceName::from(source.name(&instance.name)?);
+    let http = source.address(&instance.http)?;
+    let listen_peer = source.address(&instance.peer)?;
+    let traffic_threads = match &instance.traffic_threads {
+        Some(count) if !(1..=TRAFFIC_THREADS_MAX).contains(count.get_ref()) => {
+            let rule = format!("expected 1 to {TRAFFIC_THREADS_MAX} threads");
+            return Err(source.error(&count.span(), rule));
+        }
+        Some(count) => *count.get_ref(),
+        None => 1,
+    };
+    let seeds = seeds(source, &file)?;
+    let data_folder = instance.data_folder.as_ref().map(|path| folder.join(path));
+    check_founder(source, &file, &name, data_folder.as_ref())?;
+    let limits = &file.limits;
+    Ok(Loaded {
+        peer: PeerSettings {
+            instance: name.clone(),
+            failure_domain: source.name(&instance.failure_domain)?.into(),
+            peer_address: listen_peer.to_string().into(),
+            http_address: http.to_string().into(),
+            seeds,
+            data_folder,
+            peer_key,
+        },
+        gateway: lycheehub_gateway::Settings {
+            instance: name,
+            body_max_bytes: limits.body_max_bytes,
+            answer_max_bytes: limits.answer_max_bytes,
+            header_timeout_ms: limits.header_timeout_ms,
+            body_timeout_ms: limits.body_timeout_ms,
+            connections_max: limits.connections_max,
+            connect_timeout_ms: limits.connect_timeout_ms,
+            idle_timeout_ms: limits.idle_timeout_ms,
+            answer_retention_ms: limits.answer_retention_ms,
+            answers_max_bytes: limits.answers_max_bytes,
+            operator_keys,
+            endpoint_keys,
+        },
+        http,
+        listen_peer,
+        traffic_threads,
+        queue_max: limits.queue_max,
+        drain_ms: limits.drain_ms,
+        stop_timeout_ms: limits.stop_timeout_ms,
+        log_format: file.log.format,
+        log_debug: file.log.debug,
+    })
+}
+
+fn seeds(source: &Source<'_>, file: &File) -> Result<Vec<Seed>, Error> {
+    let mut seeds: Vec<Seed> = Vec::new();
+    for seed in &file.seed {
+        let instance = InstanceName::from(source.name(&seed.name)?);
+        if seeds.iter().any(|other| other.instance == instance) {
+            return Err(source.error(&seed.name.span(), "another seed has this name"));
+        }
+        let address = source.address(&seed.peer)?.to_string().into();
+        seeds.push(Seed { instance, address, replica: seed.replica });
+    }
+    if !seeds.iter().any(|seed| seed.replica) {
+        return Err(source.error(&(0..0), "expected at least one [[seed]] with replica = true"));
+    }
+    Ok(seeds)
+}
+
+/// A seed that holds one of the first replicas needs a data folder.
+fn check_founder(
+    source: &Source<'_>,
+    file: &File,
+    name: &InstanceName,
+    data_folder: Option<&PathBuf>,
+) -> Result<(), Error> {
+    let own = file.seed.iter().find(|seed| seed.name.get_ref() == name.as_str());
+    let founder = own.is_some_and(|seed| seed.replica);
+    if founder && data_folder.is_none() {
+        let message = "this instance holds a control replica: expected data_folder";
+        return Err(source.error(&file.instance.name.span(), message));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/cli/src/settings/mod.rs
@@ -0,0 +1,7 @@
+//! The settings file.
+
+mod file;
+mod load;
+
+pub use file::{File, LogFormat};
+pub use load::{Loaded, embedded, load};
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the daemon and the command line, with instances as separate processes.
+
+mod support;
+mod whole_path;
--- /dev/null
+++ b/crates/cli/tests/cli/whole_path.rs
@@ -0,0 +1,161 @@
+//! The whole path, thin: a golden file of a whole run over three processes.
+
+use crate::support::{PATIENCE, Site, TRUCK_KEY, document, stdout};
+use goldenfile::Mint;
+use lycheehub_standin::caller::{Call, Streamed, chat_messages, stream};
+use lycheehub_standin::cluster::{Layout, eventually};
+use lycheehub_standin::endpoint::{Faults, Options, token_text};
+use lycheehub_types::EndpointKind;
+use std::fmt::Write as _;
+use std::io::Write as _;
+use std::time::{Duration, SystemTime};
+
+fn text_of(prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|at| token_text(&chat_messages(prompt), at)).collect()
+}
+
+#[test]
+fn a_whole_run_is_as_in_the_golden_file() {
+    let mut seen = String::new();
+    let mut site = Site::start("whole_path", &Layout::default());
+    writeln!(seen, "apply: accepted and in force on 3 instances").unwrap();
+    site.add(Options::default());
+    let plain = Options {
+        name: "invoices-1".into(),
+        kind: EndpointKind::Plain,
+        service: "invoices".into(),
+        ..Options::default()
+    };
+    site.add(plain);
+    writeln!(seen, "announce: engine-1 and invoices-1 seen by 3 instances").unwrap();
+    request_streamed(&site, &mut seen);
+    request_whole(&site, &mut seen);
+    plain_service(&site, &mut seen);
+    version_move(&mut site, &mut seen);
+    endpoint_leaving(&site, &mut seen);
+    graceful_stop(&mut site, &mut seen);
+    let mut mint = Mint::new("tests/cli/golden");
+    let mut golden = mint.new_goldenfile("whole_path.txt").expect("golden file");
+    golden.write_all(seen.as_bytes()).expect("written");
+}
+
+fn request_streamed(site: &Site, seen: &mut String) {
+    for at in 0..3 {
+        let prompt = format!("label for crate {at}");
+        let call = Call::chat("label-writer", &prompt, 5, true).key(TRUCK_KEY);
+        let mut streamed = Streamed::default();
+        let address = &site.cluster.instances[at].http;
+        smol::block_on(stream(address, &call, &mut streamed)).expect("streamed");
+        let whole = streamed.done && streamed.text == text_of(&prompt, 5);
+        writeln!(seen, "stream at instance {at}: {} tokens, whole: {whole}", streamed.tokens)
+            .unwrap();
+    }
+}
+
+fn request_whole(site: &Site, seen: &mut String) {
+    let call = Call::chat("label-writer", "declare lot 7", 4, false).key(TRUCK_KEY);
+    let reply = site.send(1, &call);
+    let text = reply.json()["choices"][0]["message"]["content"].as_str().unwrap_or("").to_owned();
+    let whole = text == text_of("declare lot 7", 4);
+    writeln!(seen, "whole answer: status {}, whole: {whole}", reply.status).unwrap();
+}
+
+fn plain_service(site: &Site, seen: &mut String) {
+    let call = Call::post("/v1/services/invoices/invoice/17").key(TRUCK_KEY);
+    let call = call.header("idempotency-key", "invoice-17").body(b"{\"crates\":40}".to_vec());
+    let first = site.send(0, &call);
+    let resend = site.send(2, &call);
+    let ran = site.records.ran().iter().filter(|ran| ran.path == "/invoice/17").count();
+    writeln!(
+        seen,
+        "invoice: status {}, resend elsewhere: status {}, same answer: {}, ran {ran} time",
+        first.status,
+        resend.status,
+        first.body == resend.body
+    )
+    .unwrap();
+}
+
+fn version_move(site: &mut Site, seen: &mut String) {
+    let next = Options { name: "engine-2".into(), version: "v2".into(), ..Options::default() };
+    site.add(next);
+    let by = SystemTime::now() + Duration::from_secs(8);
+    let by = by.duration_since(SystemTime::UNIX_EPOCH).expect("after 1970").as_secs();
+    let order = format!(
+        "\n[move.writer-v2]\nservice = \"label-writer\"\nto = \"v2\"\nby = \"{}\"\n",
+        rfc3339(by)
+    );
+    let base = site.cluster.read(0, "sections/labels").expect("read").json()["revision"].as_u64();
+    site.apply("labels", base.expect("revision"), "second", &(document() + &order));
+    let shown = stdout(&site.command(&["moves", "--wait", "writer-v2"]));
+    let last =
+        shown.lines().last().and_then(|line| line.split(' ').next()).unwrap_or("").to_owned();
+    writeln!(seen, "move writer-v2: {last}").unwrap();
+    let call = Call::chat("label-writer", "after the move", 2, false).key(TRUCK_KEY);
+    site.send(0, &call);
+    let by = site.records.ran().last().map(|ran| ran.version.clone()).unwrap_or_default();
+    writeln!(seen, "served after the move by {by}").unwrap();
+}
+
+fn rfc3339(unix_s: u64) -> String {
+    let (days, second) = (unix_s / 86_400, unix_s % 86_400);
+    let shifted = days + 719_468;
+    let era = shifted / 146_097;
+    let day_of_era = shifted % 146_097;
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month + 2) / 5 + 1;
+    let month = if month < 10 { month + 3 } else { month - 9 };
+    let year = year_of_era + era * 400 + u64::from(month <= 2);
+    format!(
+        "{year:04}-{month:02}-{day:02}T{:02}:{:02}:{:02}Z",
+        second / 3_600,
+        second / 60 % 60,
+        second % 60
+    )
+}
+
+fn endpoint_leaving(site: &Site, seen: &mut String) {
+    let leaving = &site.endpoints[1];
+    leaving.set_faults(Faults { leaving: true, ..Faults::default() });
+    let gone = eventually(PATIENCE, || {
+        (0..3).all(|at| {
+            let reply = site.cluster.read(at, "endpoints").expect("read").json();
+            let endpoints = reply["endpoints"].as_array().cloned().unwrap_or_default();
+            endpoints
+                .iter()
+                .any(|entry| entry["endpoint"] == "invoices-1" && entry["leaving"] == true)
+        })
+    });
+    let before = site.records.ran().len();
+    let reply = site.send(1, &Call::post("/v1/services/invoices/invoice/18").key(TRUCK_KEY));
+    let ran = site.records.ran().len() - before;
+    writeln!(
+        seen,
+        "invoices-1 leaving, seen by 3: {gone}; next request: {} not run: {}, ran {ran}",
+        reply.code().unwrap_or_default(),
+        reply.not_run()
+    )
+    .unwrap();
+}
+
+fn graceful_stop(site: &mut Site, seen: &mut String) {
+    let address = site.cluster.instances[0].http.clone();
+    let running = std::thread::spawn(move || {
+        let call = Call::chat("label-writer", "a long label", 300, true).key(TRUCK_KEY);
+        let mut streamed = Streamed::default();
+        let end = smol::block_on(stream(&address, &call, &mut streamed));
+        (end.is_ok(), streamed)
+    });
+    let started = || site.endpoints.iter().any(|endpoint| endpoint.running() > 0);
+    assert!(eventually(PATIENCE, started));
+    site.cluster.signal(0, "TERM");
+    let exit = site.cluster.wait_exit(0, PATIENCE);
+    let (ended, streamed) = running.join().expect("caller");
+    let whole = ended && streamed.text == text_of("a long label", 300);
+    writeln!(seen, "stop in the middle of a stream: exit {exit:?}, answer whole: {whole}").unwrap();
+    let call = Call::chat("label-writer", "after the stop", 2, false).key(TRUCK_KEY);
+    writeln!(seen, "other instance serves: status {}", site.send(1, &call).status).unwrap();
+}
--- /dev/null
+++ b/crates/clock/src/lib.rs
@@ -0,0 +1,126 @@
+//! The clock, and the timer service that parts subscribe to.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+use smol::Timer;
+use smol::channel::{Receiver, Sender, bounded};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The longest sleep of the timer service without looking for new subscribers, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 50;
+
+/// A clock that never goes back, counted from the start of the process.
+///
+/// # Examples
+/// ```
+/// let clock = lycheehub_clock::Clock::new();
+/// assert!(clock.now_ms() >= 1);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    started: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Clock {
+    /// Starts a clock.
+    pub fn new() -> Self {
+        Self { started: Instant::now() }
+    }
+
+    /// Returns the milliseconds since the clock was started, from 1.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64 + 1
+    }
+
+    /// Returns the milliseconds since the clock was started, with their fraction.
+    pub fn now_fine_ms(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// Returns the time of day in milliseconds since the Unix epoch, by the system's clock.
+    pub fn now_unix_ms(&self) -> u64 {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        since.map_or(0, |since| since.as_millis() as u64)
+    }
+}
+
+/// Gives parts their ticks.
+pub trait Timers: Send + Sync {
+    /// Returns a channel that gets a message each `period_ms` milliseconds; a tick that is not
+    /// taken before the next one is dropped.
+    fn subscribe(&self, period_ms: u64) -> Receiver<()>;
+}
+
+#[derive(Debug)]
+struct Subscriber {
+    period_ms: u64,
+    due_ms: u64,
+    sender: Sender<()>,
+}
+
+/// A timer service on one task.
+///
+/// # Examples
+/// ```
+/// use lycheehub_clock::{Clock, TimerService, Timers};
+///
+/// let timers = TimerService::new(Clock::new());
+/// let ticks = timers.subscribe(5);
+/// smol::block_on(smol::future::or(timers.run(), async {
+///     ticks.recv().await.unwrap();
+/// }));
+/// ```
+#[derive(Debug)]
+pub struct TimerService {
+    clock: Clock,
+    subscribers: Mutex<Vec<Subscriber>>,
+}
+
+impl TimerService {
+    /// Makes a service that works by `clock`.
+    pub fn new(clock: Clock) -> Self {
+        Self { clock, subscribers: Mutex::new(Vec::new()) }
+    }
+
+    /// Sends ticks until it is dropped.
+    pub async fn run(&self) {
+        loop {
+            let wait_ms = self.fire();
+            Timer::after(Duration::from_millis(wait_ms)).await;
+        }
+    }
+
+    /// Sends the ticks that are due; returns the time to the next one, in milliseconds.
+    fn fire(&self) -> u64 {
+        let now_ms = self.clock.now_ms();
+        let mut subscribers = self.subscribers.lock().unwrap_or_else(PoisonError::into_inner);
+        subscribers.retain(|subscriber| !subscriber.sender.is_closed());
+        let mut next_ms = now_ms + LOOK_AGAIN_MS;
+        for subscriber in subscribers.iter_mut() {
+            if subscriber.due_ms <= now_ms {
+                let missed = subscriber.sender.try_send(()).is_err();
+                let base_ms = if missed { now_ms } else { subscriber.due_ms };
+                subscriber.due_ms = (base_ms + subscriber.period_ms).max(now_ms + 1);
+            }
+            next_ms = next_ms.min(subscriber.due_ms);
+        }
+        next_ms - now_ms
+    }
+}
+
+impl Timers for TimerService {
+    fn subscribe(&self, period_ms: u64) -> Receiver<()> {
+        let (sender, receiver) = bounded(1);
+        let due_ms = self.clock.now_ms() + period_ms;
+        let subscriber = Subscriber { period_ms, due_ms, sender };
+        self.subscribers.lock().unwrap_or_else(PoisonError::into_inner).push(subscriber);
+        receiver
+    }
+}
--- a/crates/consensus/src/storage/disk.rs
+++ b/crates/consensus/src/storage/disk.rs
@@ -65,13 +65,11 @@
     }
 
     fn check_gap(&self, snapshot: &Snapshot) -> Result<(), Error> {
-        let mut expected = snapshot.position.index + 1;
-        for entry in &self.entries {
+        for (expected, entry) in (snapshot.position.index + 1..).zip(&self.entries) {
             if entry.position.index != expected {
                 let message = format!("entry {expected} is missing");
                 return Err(Error::Corrupt(self.path(LOG_FILE), 0, message));
             }
-            expected += 1;
         }
         Ok(())
     }
--- a/crates/control/src/moves/plan.rs
+++ b/crates/control/src/moves/plan.rs
@@ -1,6 +1,6 @@
 //! The plan of a move, laid back from the time by which it must be done.
 
-use crate::state::MoveRecord;
+use crate::state::{MoveRecord, Phase};
 
 /// The shares of traffic that the new version gets in turn, in thousandths; the first is the
 /// canary's.
@@ -55,10 +55,14 @@
         let ramp_ms = (total_ms - canary_ms) * (number as u64).saturating_sub(1) / steps;
         self.begins_unix_ms + canary_ms + ramp_ms
     }
+}
 
-    /// Tells whether the move can still be done in time with the shortest dwell at each step.
-    pub fn is_feasible(&self, now_unix_ms: u64, record: &MoveRecord) -> bool {
-        let left = SHARES_PERMILLE.iter().filter(|share| **share > record.share_permille).count();
-        now_unix_ms + left as u64 * DWELL_MIN_MS <= self.by_unix_ms
+/// Tells whether a move is done, or can still be done in time with the shortest time at each step.
+pub fn is_in_time(now_unix_ms: u64, record: &MoveRecord) -> bool {
+    let left = SHARES_PERMILLE.iter().filter(|share| **share > record.share_permille).count();
+    match record.phase {
+        Phase::Done => record.step_unix_ms <= record.spec.by_unix_ms,
+        Phase::Reverted | Phase::Superseded => false,
+        _ => now_unix_ms + left as u64 * DWELL_MIN_MS <= record.spec.by_unix_ms,
     }
 }
--- /dev/null
+++ b/crates/gateway/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! HTTP: connections, routes and error responses.
+
+mod connection;
+mod error;
+mod read;
+mod routes;
+
+pub use connection::serve;
+pub use error::{json, refusal_response};
+pub use read::{bearer, header, read_body};
--- /dev/null
+++ b/crates/gateway/src/http/read.rs
@@ -0,0 +1,52 @@
+//! Reading requests within bounds.
+
+use crate::Gateway;
+use futures_lite::FutureExt;
+use http_types::Request;
+use lycheehub_types::{Refusal, RefusalKind};
+use smol::Timer;
+use smol::io::AsyncReadExt;
+use std::time::Duration;
+
+/// Returns a header's value.
+pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
+    request.header(name).map(|values| values.as_str())
+}
+
+/// Returns the bearer key of a request.
+pub fn bearer(request: &Request) -> Option<&str> {
+    header(request, "authorization")?.strip_prefix("Bearer ")
+}
+
+/// Reads a request's body within the bounds of size and time.
+///
+/// # Errors
+/// Refuses a body that is too long, too slow or cut short.
+pub async fn read_body(gateway: &Gateway, request: &mut Request) -> Result<Vec<u8>, Refusal> {
+    let max_bytes = gateway.settings.body_max_bytes;
+    let too_large =
+        || Refusal::new(RefusalKind::TooLarge, format!("a body has at most {max_bytes} bytes"));
+    let expected = request.len();
+    if expected.is_some_and(|length| length > max_bytes) {
+        return Err(too_large());
+    }
+    let body = request.take_body();
+    let read = async {
+        let mut bytes = Vec::new();
+        let read = body.take(max_bytes as u64 + 1).read_to_end(&mut bytes).await;
+        read.map_err(|_| Refusal::new(RefusalKind::BadRequest, "the body does not decode"))?;
+        Ok(bytes)
+    };
+    let timeout = async {
+        Timer::after(Duration::from_millis(gateway.settings.body_timeout_ms)).await;
+        Err(Refusal::new(RefusalKind::BadRequest, "the body did not come in time"))
+    };
+    let bytes = read.or(timeout).await?;
+    if bytes.len() > max_bytes {
+        return Err(too_large());
+    }
+    if expected.is_some_and(|length| length != bytes.len()) {
+        return Err(Refusal::new(RefusalKind::BadRequest, "the body ends too soon"));
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/gateway/src/operators/apply.rs
@@ -0,0 +1,92 @@
+//! Takes a section's new text.
+
+use crate::Gateway;
+use crate::http::{header, json, read_body};
+use http_types::{Request, Response};
+use lycheehub_control::Command;
+use lycheehub_control::state::{ApplyOutcome, Reply, Submission};
+use lycheehub_peer::ProposeReply;
+use lycheehub_types::{Refusal, RefusalKind, SectionName, name};
+use serde::Serialize;
+use smol_str::SmolStr;
+
+#[derive(Serialize)]
+struct Applied<'a> {
+    outcome: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revision: Option<u64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    operator: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request_id: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<&'a str>,
+}
+
+const NOTHING: Applied<'static> =
+    Applied { outcome: "", revision: None, operator: None, request_id: None, message: None };
+
+pub(super) async fn apply(
+    gateway: &Gateway,
+    mut request: Request,
+    operator: &SmolStr,
+    section: &str,
+) -> Result<Response, Refusal> {
+    let bad = |message: &str| Refusal::new(RefusalKind::BadRequest, message);
+    if !name::is_valid(section) {
+        return Err(bad("the section's name is no name"));
+    }
+    let base_revision = header(&request, "x-base-revision").and_then(|text| text.parse().ok());
+    let base_revision =
+        base_revision.ok_or_else(|| bad("expected x-base-revision, 0 for a new section"))?;
+    let request_id =
+        header(&request, "x-request-id").filter(|id| name::is_valid(id)).map(SmolStr::new);
+    let request_id =
+        request_id.ok_or_else(|| bad("expected x-request-id, a name that a resend repeats"))?;
+    let body = read_body(gateway, &mut request).await?;
+    let text = String::from_utf8(body).map_err(|_| bad("the section is not UTF-8"))?;
+    let submission = Submission {
+        section: SectionName::from(section),
+        base_revision,
+        request_id,
+        operator: operator.clone(),
+        text,
+    };
+    let reply = gateway.control.propose(Command::Submit(submission)).await;
+    spdlog::info!("section submitted", kv: { section, operator: = operator, reply:? });
+    Ok(respond(reply))
+}
+
+fn respond(reply: ProposeReply) -> Response {
+    match reply {
+        ProposeReply::Done(Reply::Apply(ApplyOutcome::Accepted { revision })) => {
+            json(200, &Applied { outcome: "accepted", revision: Some(revision), ..NOTHING })
+        }
+        ProposeReply::Done(Reply::Apply(ApplyOutcome::Conflict {
+            revision,
+            operator,
+            request_id,
+        })) => {
+            let conflict = Applied {
+                outcome: "conflict",
+                revision: Some(revision),
+                operator: Some(&operator),
+                request_id: Some(&request_id),
+                message: Some("another submission came first; get the section and submit again"),
+            };
+            json(409, &conflict)
+        }
+        ProposeReply::Done(Reply::Apply(ApplyOutcome::Invalid { message })) => {
+            json(422, &Applied { outcome: "invalid", message: Some(&message), ..NOTHING })
+        }
+        ProposeReply::NotLeader => {
+            let message = "no quorum of control replicas can be reached; nothing was changed";
+            json(503, &Applied { outcome: "not_applied", message: Some(message), ..NOTHING })
+        }
+        _ => {
+            let message = "it is not known whether the section was changed; submit again with the \
+                           same x-request-id to learn the first answer";
+            json(504, &Applied { outcome: "unknown", message: Some(message), ..NOTHING })
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -0,0 +1,100 @@
+//! The exchange with one endpoint.
+
+use crate::Gateway;
+use crate::filters::{Exchange, Payload};
+use futures_lite::FutureExt;
+use http_types::{Body, Request, Response, Url};
+use lycheehub_types::PeerError;
+use smol::Timer;
+use smol::net::TcpStream;
+use std::future::Future;
+use std::time::Duration;
+
+/// How an attempt at an endpoint failed.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// No byte of the request was written, or the endpoint said that it did not run it.
+    NotRun(PeerError),
+    /// The request may have run.
+    Unknown(PeerError),
+}
+
+/// Connects to an endpoint; a failure means that the request did not run.
+pub(super) async fn connect(gateway: &Gateway, address: &str) -> Result<TcpStream, Failure> {
+    let fail = |cause: String| Failure::NotRun(PeerError::failed("connect", address, cause));
+    let connect =
+        async { TcpStream::connect(address).await.map_err(|error| fail(error.to_string())) };
+    let timeout_ms = gateway.settings.connect_timeout_ms;
+    let timeout = async {
+        Timer::after(Duration::from_millis(timeout_ms)).await;
+        Err(Failure::NotRun(PeerError::TimedOut("connect", address.into(), timeout_ms)))
+    };
+    let stream = connect.or(timeout).await?;
+    stream.set_nodelay(true).map_err(|error| fail(error.to_string()))?;
+    Ok(stream)
+}
+
+/// Sends a request and takes the head of the response; the request counts as dispatched.
+pub(super) async fn send(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    payload: &Payload,
+    address: &str,
+    stream: &TcpStream,
+    resume_from: u64,
+) -> Result<Response, Failure> {
+    let request = request(gateway, exchange, payload, address, resume_from)
+        .map_err(|cause| Failure::NotRun(PeerError::failed("prepare", address, cause)))?;
+    let sent = async {
+        let response = async_h1::connect(stream.clone(), request).await;
+        response.map_err(|error| PeerError::failed("send", address, error))
+    };
+    let left_ms = payload.job.deadline_ms.saturating_sub(gateway.clock.now_ms());
+    let response = bounded("send", address, left_ms, sent).await.map_err(Failure::Unknown)?;
+    let not_run = response.header("x-not-run").is_some_and(|values| values.as_str() == "true");
+    if not_run {
+        let cause = format!("refused with status {}", response.status());
+        return Err(Failure::NotRun(PeerError::failed("send", address, cause)));
+    }
+    Ok(response)
+}
+
+/// Bounds a step at an endpoint in time.
+pub(super) async fn bounded<T>(
+    step: &'static str,
+    address: &str,
+    timeout_ms: u64,
+    work: impl Future<Output = Result<T, PeerError>>,
+) -> Result<T, PeerError> {
+    let timeout = async {
+        Timer::after(Duration::from_millis(timeout_ms)).await;
+        Err(PeerError::TimedOut(step, address.into(), timeout_ms))
+    };
+    work.or(timeout).await
+}
+
+fn request(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    payload: &Payload,
+    address: &str,
+    resume_from: u64,
+) -> Result<Request, String> {
+    let url =
+        Url::parse(&format!("http://{address}{}", payload.path)).map_err(|e| e.to_string())?;
+    let mut request = Request::new(exchange.method, url);
+    request.set_body(Body::from_bytes(exchange.body.clone()));
+    if let Some(content_type) = &exchange.content_type {
+        request.insert_header("content-type", content_type.as_str());
+    }
+    let id = format!("{}/{}/{}", gateway.settings.instance, gateway.incarnation, exchange.request);
+    request.insert_header("x-request", id);
+    request.insert_header("connection", "close");
+    if let Some(key) = &exchange.idempotency_key {
+        request.insert_header("idempotency-key", key.as_str());
+    }
+    if resume_from > 0 {
+        request.insert_header("x-resume-from", resume_from.to_string());
+    }
+    Ok(request)
+}
--- /dev/null
+++ b/crates/peer/src/control.rs
@@ -0,0 +1,105 @@
+//! The handle by which traffic threads reach the control thread.
+
+use lycheehub_control::state::{Command, MoveRecord, SectionRecord};
+use lycheehub_route::Demands;
+use lycheehub_types::{EndpointRecord, InstanceName, RefusalKind, SectionName};
+use lycheehub_wire::{KeptAnswer, ProposeReply};
+use smol::channel::{Sender, bounded};
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+
+/// Where the answers of this instance's own requests are kept.
+pub trait AnswerSource: Send + Sync {
+    /// Returns what is known of the answer to a request.
+    fn answer(&self, request: u64) -> KeptAnswer;
+}
+
+/// What is committed, as confirmed by a quorum.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Statement {
+    /// The newest revision.
+    pub revision: u64,
+    /// All sections.
+    pub sections: BTreeMap<SectionName, SectionRecord>,
+    /// All moves.
+    pub moves: BTreeMap<SmolStr, MoveRecord>,
+}
+
+/// A request to the control thread; the answer goes to the sender inside.
+#[derive(Debug)]
+pub enum ControlRequest {
+    /// Commits a command.
+    Propose(Command, Sender<ProposeReply>),
+    /// Reads what is committed, nothing without a quorum.
+    Read(Sender<Option<Statement>>),
+    /// Takes an endpoint's announcement.
+    Announce(EndpointRecord),
+    /// Takes what the scheduler wants and has seen.
+    Report(Demands),
+    /// Asks another instance for the answer to a request that it dispatched.
+    Answer(InstanceName, u64, u64, Sender<Option<KeptAnswer>>),
+    /// This instance is shutting down; answers once leadership and the last reports are passed on.
+    Stop(Sender<()>),
+}
+
+/// The handle.
+#[derive(Clone, Debug)]
+pub struct Control {
+    sender: Sender<ControlRequest>,
+}
+
+impl Control {
+    /// Makes a handle that sends to the control thread.
+    pub fn new(sender: Sender<ControlRequest>) -> Self {
+        Self { sender }
+    }
+
+    async fn ask<T>(&self, request: impl FnOnce(Sender<T>) -> ControlRequest) -> Option<T> {
+        let (sender, receiver) = bounded(1);
+        self.sender.send(request(sender)).await.ok()?;
+        receiver.recv().await.ok()
+    }
+
+    /// Commits a command.
+    pub async fn propose(&self, command: Command) -> ProposeReply {
+        let reply = self.ask(|sender| ControlRequest::Propose(command, sender)).await;
+        reply.unwrap_or(ProposeReply::Unknown)
+    }
+
+    /// Reads what is committed.
+    ///
+    /// # Errors
+    /// Fails where no quorum confirms it.
+    pub async fn read(&self) -> Result<Statement, RefusalKind> {
+        self.ask(ControlRequest::Read).await.flatten().ok_or(RefusalKind::NoQuorum)
+    }
+
+    /// Passes an endpoint's announcement on.
+    pub async fn announce(&self, record: EndpointRecord) {
+        // The control thread is gone only when the process ends.
+        let _ = self.sender.send(ControlRequest::Announce(record)).await;
+    }
+
+    /// Passes on what the scheduler wants and has seen.
+    pub async fn report(&self, demands: Demands) {
+        // The control thread is gone only when the process ends.
+        let _ = self.sender.send(ControlRequest::Report(demands)).await;
+    }
+
+    /// Asks the instance of this incarnation for the answer to a request; nothing if it cannot be
+    /// reached.
+    pub async fn answer(
+        &self,
+        of: &InstanceName,
+        incarnation: u64,
+        request: u64,
+    ) -> Option<KeptAnswer> {
+        let of = of.clone();
+        self.ask(|sender| ControlRequest::Answer(of, incarnation, request, sender)).await.flatten()
+    }
+
+    /// Tells the control thread that this instance shuts down.
+    pub async fn stop(&self) {
+        self.ask(ControlRequest::Stop).await;
+    }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,1 +1,22 @@
-//! x
+//! Peer connections and the control thread.
+//!
+//! * [`control`] is the handle by which traffic threads reach the control thread.
+//! * [`node`] is the control thread: one [`Node`] runs on a local executor and owns the registry,
+//!   the replica or the learned state, and the controllers.
+//! * [`link`] and [`server`] are the two ends of a connection between instances.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod auth;
+pub mod control;
+mod link;
+mod node;
+mod server;
+mod settings;
+mod views;
+
+pub use control::{AnswerSource, Control, ControlRequest, Statement};
+pub use lycheehub_wire::{Answer, KeptAnswer, ProposeReply};
+pub use node::Node;
+pub use settings::{Seed, Settings};
+pub use views::Views;
--- /dev/null
+++ b/crates/peer/src/node/calls.rs
@@ -0,0 +1,107 @@
+//! Calls to other instances.
+
+use super::{Core, Node};
+use crate::link::within;
+use lycheehub_consensus::founding::Status;
+use lycheehub_consensus::{Config, Message, ReplicaId};
+use lycheehub_types::{InstanceName, PeerError};
+use lycheehub_wire::peer_capnp::peer;
+use smol_str::SmolStr;
+use std::future::Future;
+use std::rc::Rc;
+
+/// How long a peer may take to answer an ordinary call, in milliseconds.
+pub(super) const CALL_TIMEOUT_MS: u64 = 1_500;
+
+impl Core {
+    /// Returns where an instance listens for peers.
+    pub(super) fn address_of(&self, node: &Node, name: &InstanceName) -> Option<SmolStr> {
+        if let Some(known) = self.registry.instance(name) {
+            return Some(known.record.peer_address.clone());
+        }
+        let seed = node.settings.seeds.iter().find(|seed| seed.instance == *name)?;
+        Some(seed.address.clone())
+    }
+
+    /// Returns the instance that runs a replica.
+    fn instance_of(&self, id: ReplicaId) -> Option<InstanceName> {
+        let voters = &self.replica()?.config().voters;
+        if let Some(name) = voters.get(&id) {
+            return Some(name.clone());
+        }
+        let known = self.registry.instances().find(|known| known.record.replica_id == id.0)?;
+        Some(known.record.instance.clone())
+    }
+}
+
+impl Node {
+    /// Makes a call to an instance, and forgets the connection where the call fails.
+    pub(super) async fn call<T, F>(
+        &self,
+        step: &'static str,
+        to: &InstanceName,
+        timeout_ms: u64,
+        call: impl FnOnce(peer::Client) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        let address = self.core.borrow().address_of(self, to);
+        let Some(address) = address else {
+            return Err(PeerError::failed(step, to.as_str(), "its address is not known"));
+        };
+        let peer = self.links.peer(to, &address).await?;
+        let answer =
+            async { call(peer).await.map_err(|error| PeerError::failed(step, to.as_str(), error)) };
+        let answer = within(step, to, timeout_ms, answer).await;
+        if answer.is_err() {
+            self.links.drop_peer(to);
+        }
+        answer
+    }
+
+    /// Sends a message to another replica; a lost one is made up for by later ones.
+    pub(super) fn send_consensus(
+        self: &Rc<Self>,
+        core: &Core,
+        from: ReplicaId,
+        to: ReplicaId,
+        message: Message,
+    ) {
+        let Some(name) = core.instance_of(to) else { return };
+        let node = self.clone();
+        let task = async move {
+            let call = |peer: peer::Client| async move {
+                let mut request = peer.consensus_request();
+                request.get().set_sender(from.0);
+                request.get().set_receiver(to.0);
+                lycheehub_wire::write_message(&message, request.get().init_message());
+                request.send().promise.await.map(drop)
+            };
+            if let Err(error) = node.call("consensus", &name, CALL_TIMEOUT_MS, call).await {
+                spdlog::debug!("consensus message lost", kv: { error: });
+            }
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    /// Asks an instance for the state of its replica.
+    pub(super) async fn ask_status(&self, of: &InstanceName) -> Result<Status, PeerError> {
+        let call = |peer: peer::Client| async move {
+            let reply = peer.status_request().send().promise.await?;
+            let reply = reply.get()?;
+            let config = Config::try_from(reply.get_config()?)?;
+            Ok(Status { id: ReplicaId(reply.get_id()), config })
+        };
+        self.call("status", of, CALL_TIMEOUT_MS, call).await
+    }
+
+    /// Returns the state of this instance's replica; its identity is 0 where it has none.
+    pub(crate) fn replica_status(&self) -> Status {
+        let core = self.core.borrow();
+        let Some(replica) = core.replica() else {
+            return Status { id: ReplicaId::default(), config: Config::default() };
+        };
+        Status { id: replica.id(), config: replica.config().clone() }
+    }
+}
--- /dev/null
+++ b/crates/peer/src/node/driver.rs
@@ -0,0 +1,223 @@
+//! Drives the replica: stores what it asks to store, in order, and applies what is committed.
+
+use super::Node;
+use lycheehub_consensus::storage::{Error as StorageError, Storage};
+use lycheehub_consensus::{Action, Message, Options, Payload, Position, Replica, ReplicaId};
+use lycheehub_control::state::Reply;
+use lycheehub_control::{Command, State};
+use lycheehub_wire::ProposeReply;
+use smol::channel::Sender;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// How many applied entries bring about a snapshot.
+const SNAPSHOT_ENTRIES: u64 = 2_000;
+
+/// The replica with its storage and those that wait for it.
+pub(super) struct Driver {
+    pub(super) replica: Replica,
+    storage: Box<dyn Storage>,
+    waiting: BTreeMap<u64, (u64, Sender<ProposeReply>)>,
+    reads: BTreeMap<u64, Sender<bool>>,
+    next_read: u64,
+    /// Storage failed: the replica does nothing more until the process is started again.
+    halted: bool,
+}
+
+/// What the actions of one step lead to outside the replica.
+#[derive(Default)]
+struct Effects {
+    sends: Vec<(ReplicaId, Message)>,
+    revised: bool,
+    led: Option<bool>,
+}
+
+impl Driver {
+    pub(super) fn open(
+        mut storage: Box<dyn Storage>,
+        options: Options,
+        seed: u64,
+        now_ms: u64,
+    ) -> Result<(Self, State), StorageError> {
+        let (id, persisted) = storage.load()?;
+        let state = State::decode(&persisted.snapshot.data)
+            .map_err(|error| StorageError::Corrupt("snapshot".into(), 0, error.to_string()))?;
+        spdlog::info!("control replica opened", kv: {
+            replica: = id,
+            term = persisted.vote.term,
+            snapshot_index = persisted.snapshot.position.index,
+            entries = persisted.entries.len() as u64,
+        });
+        let replica = Replica::new(id, options, persisted, seed, now_ms);
+        let driver = Self {
+            replica,
+            storage,
+            waiting: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            next_read: 0,
+            halted: false,
+        };
+        Ok((driver, state))
+    }
+
+    /// Notes who waits for the entry at `position`.
+    pub(super) fn wait_for(&mut self, position: Position, sender: Sender<ProposeReply>) {
+        self.waiting.insert(position.index, (position.term, sender));
+    }
+
+    pub(super) fn begin_read(&mut self, sender: Sender<bool>) -> u64 {
+        self.next_read += 1;
+        self.reads.insert(self.next_read, sender);
+        self.next_read
+    }
+
+    fn carry_out(
+        &mut self,
+        actions: Vec<Action>,
+        state: &mut State,
+    ) -> Result<Effects, StorageError> {
+        let mut effects = Effects::default();
+        for action in actions {
+            match action {
+                Action::SaveVote(vote) => self.storage.save_vote(&vote)?,
+                Action::Append(entries) => self.storage.append(&entries)?,
+                Action::SaveSnapshot { snapshot, reset } => {
+                    self.storage.save_snapshot(&snapshot, reset)?;
+                }
+                Action::Send { to, message } => effects.sends.push((to, message)),
+                Action::Restore(snapshot) => {
+                    *state = decode_state(&snapshot.data)?;
+                    effects.revised = true;
+                }
+                Action::Apply(entry) => {
+                    effects.revised |= self.apply(entry.position, entry.payload, state);
+                }
+                Action::ReadReady { token, .. } => self.answer_read(token, true),
+                Action::ReadFailed { token } => self.answer_read(token, false),
+                Action::BecameLeader(first) => {
+                    spdlog::info!("became the leader", kv: { term = first.term });
+                    effects.led = Some(true);
+                }
+                Action::LostLeadership => {
+                    spdlog::info!("lost leadership", kv: { term = self.replica.term() });
+                    effects.led = Some(false);
+                    self.fail_waiting();
+                }
+            }
+        }
+        Ok(effects)
+    }
+
+    fn apply(&mut self, position: Position, payload: Payload, state: &mut State) -> bool {
+        let before = state.revision;
+        let reply = match payload {
+            Payload::Command(bytes) => match Command::decode(&bytes) {
+                Ok(command) => Some(state.apply(position.index, command)),
+                Err(error) => {
+                    spdlog::error!("command skipped", kv: { index = position.index, error: });
+                    None
+                }
+            },
+            Payload::Noop | Payload::Config(_) => None,
+        };
+        self.answer(position, reply);
+        state.revision != before
+    }
+
+    fn answer(&mut self, position: Position, reply: Option<Reply>) {
+        let Some((term, sender)) = self.waiting.remove(&position.index) else { return };
+        let own = term == position.term;
+        let reply = match reply {
+            Some(reply) if own => ProposeReply::Done(reply),
+            _ => ProposeReply::NotLeader,
+        };
+        // One that no longer waits needs no answer.
+        let _ = sender.try_send(reply);
+    }
+
+    fn answer_read(&mut self, token: u64, confirmed: bool) {
+        if let Some(sender) = self.reads.remove(&token) {
+            // One that no longer waits needs no answer.
+            let _ = sender.try_send(confirmed);
+        }
+    }
+
+    /// Answers all that wait: their commands may yet be committed by another leader.
+    fn fail_waiting(&mut self) {
+        for (_, (_, sender)) in std::mem::take(&mut self.waiting) {
+            // One that no longer waits needs no answer.
+            let _ = sender.try_send(ProposeReply::Unknown);
+        }
+    }
+
+    fn halt(&mut self, error: &StorageError) {
+        spdlog::critical!("control replica halted: storage failed", kv: { error: });
+        self.halted = true;
+        self.fail_waiting();
+        for (_, sender) in std::mem::take(&mut self.reads) {
+            // One that no longer waits needs no answer.
+            let _ = sender.try_send(false);
+        }
+    }
+}
+
+fn decode_state(data: &[u8]) -> Result<State, StorageError> {
+    State::decode(data)
+        .map_err(|error| StorageError::Corrupt("snapshot".into(), 0, error.to_string()))
+}
+
+impl Node {
+    /// Lets the replica take a step and carries out what it asks for.
+    pub(super) fn drive(self: &Rc<Self>, step: impl FnOnce(&mut Driver, u64) -> Vec<Action>) {
+        let now_ms = self.clock.now_ms();
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let Some(driver) = core.driver.as_mut().filter(|driver| !driver.halted) else { return };
+        let mut actions = step(driver, now_ms);
+        let mut sends = Vec::new();
+        let (mut revised, mut led) = (false, None);
+        while !actions.is_empty() {
+            match driver.carry_out(actions, &mut core.state) {
+                Ok(effects) => {
+                    sends.extend(effects.sends);
+                    revised |= effects.revised;
+                    led = effects.led.or(led);
+                }
+                Err(error) => {
+                    driver.halt(&error);
+                    core.leading_since_ms = None;
+                    return;
+                }
+            }
+            let due = driver.replica.compactable() >= SNAPSHOT_ENTRIES;
+            actions = if due { driver.replica.compact(core.state.encode()) } else { Vec::new() };
+        }
+        match led {
+            Some(true) => core.leading_since_ms = Some(now_ms),
+            Some(false) => core.leading_since_ms = None,
+            None => {}
+        }
+        let from = driver.replica.id();
+        for (to, message) in sends {
+            self.send_consensus(core, from, to, message);
+        }
+        if revised {
+            let node = self.clone();
+            self.executor.spawn(async move { node.note_revision() }).detach();
+        }
+    }
+
+    pub(super) fn tick_replica(self: &Rc<Self>) {
+        self.drive(|driver, now_ms| driver.replica.tick(now_ms));
+    }
+
+    /// Takes a message for the replica `to`.
+    pub(crate) fn on_consensus(self: &Rc<Self>, from: ReplicaId, to: ReplicaId, message: Message) {
+        self.drive(|driver, now_ms| {
+            if driver.replica.id() != to {
+                return Vec::new();
+            }
+            driver.replica.receive(now_ms, from, message)
+        });
+    }
+}
--- /dev/null
+++ b/crates/peer/src/node/mod.rs
@@ -0,0 +1,227 @@
+//! The control thread: registry, replica or learned state, and controllers.
+
+mod calls;
+mod driver;
+mod follow;
+mod founding;
+mod gossip;
+mod membership;
+mod propose;
+mod publish;
+mod report;
+mod requests;
+
+use crate::control::{AnswerSource, ControlRequest};
+use crate::link::Links;
+use crate::server;
+use crate::settings::Settings;
+use crate::views::Views;
+use driver::Driver;
+use lycheehub_clock::{Clock, Timers};
+use lycheehub_consensus::storage::{Disk, Error as StorageError};
+use lycheehub_consensus::{Options, Replica};
+use lycheehub_control::moves::Controller;
+use lycheehub_control::registry::{Cursor, Registry};
+use lycheehub_control::slots::SlotBook;
+use lycheehub_control::{State, View};
+use lycheehub_route::Demands;
+use lycheehub_types::{EndpointName, InstanceName, InstanceRecord};
+use lycheehub_wire::ProposeReply;
+use smol::LocalExecutor;
+use smol::channel::{Receiver, Sender};
+use smol::net::TcpListener;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// How often the replica's time is moved on, in milliseconds.
+const REPLICA_TICK_MS: u64 = 20;
+/// How often records are exchanged, in milliseconds.
+const GOSSIP_MS: u64 = 500;
+/// How often the view is replaced at most, in milliseconds.
+const PUBLISH_MS: u64 = 50;
+/// How often the leader's controllers run, in milliseconds.
+const CONTROLLER_MS: u64 = 250;
+/// How often membership is looked after, in milliseconds.
+const MEMBERSHIP_MS: u64 = 1_000;
+
+/// The control thread's state and tasks.
+pub struct Node {
+    settings: Rc<Settings>,
+    clock: Clock,
+    timers: Arc<dyn Timers>,
+    executor: Rc<LocalExecutor<'static>>,
+    links: Links,
+    views: Views,
+    answers: Arc<dyn AnswerSource>,
+    core: RefCell<Core>,
+    /// Wakes those that wait for a new revision.
+    revised: RefCell<Vec<Sender<()>>>,
+}
+
+/// What the control thread owns.
+struct Core {
+    registry: Registry,
+    own: InstanceRecord,
+    cursors: BTreeMap<InstanceName, Cursor>,
+    driver: Option<Driver>,
+    /// The state of the replica, or learned from one.
+    state: State,
+    /// A quorum has confirmed the state once since the start.
+    confirmed: bool,
+    leader_hint: Option<InstanceName>,
+    demands: Demands,
+    grants: BTreeMap<EndpointName, (u32, u64)>,
+    slot_book: SlotBook,
+    controller: Controller,
+    /// When this instance began to lead, in milliseconds.
+    leading_since_ms: Option<u64>,
+    proposals: Vec<(Vec<u8>, Sender<ProposeReply>)>,
+    dirty: bool,
+    seed: u64,
+}
+
+impl Node {
+    /// Opens the data folder, if there is one, and makes the control thread's state.
+    ///
+    /// # Errors
+    /// Fails where the data folder cannot be used or holds damaged files.
+    pub fn open(
+        settings: Settings,
+        clock: Clock,
+        timers: Arc<dyn Timers>,
+        views: Views,
+        answers: Arc<dyn AnswerSource>,
+        seed: u64,
+    ) -> Result<Rc<Self>, StorageError> {
+        let settings = Rc::new(settings);
+        let executor = Rc::new(LocalExecutor::new());
+        let mut state = State::default();
+        let driver = match &settings.data_folder {
+            Some(folder) => {
+                let disk = Box::new(Disk::open(folder)?);
+                let (driver, restored) =
+                    Driver::open(disk, Options::default(), seed, clock.now_ms())?;
+                state = restored;
+                Some(driver)
+            }
+            None => None,
+        };
+        let own = InstanceRecord {
+            instance: settings.instance.clone(),
+            peer_address: settings.peer_address.clone(),
+            http_address: settings.http_address.clone(),
+            failure_domain: settings.failure_domain.clone(),
+            incarnation: clock.now_unix_ms(),
+            sequence: 0,
+            replica_id: driver.as_ref().map_or(0, |driver| driver.replica.id().0),
+            revision_in_force: 0,
+            stopping: false,
+            shed_floor: BTreeMap::new(),
+            demand: BTreeMap::new(),
+        };
+        let core = Core {
+            registry: Registry::default(),
+            own,
+            cursors: BTreeMap::new(),
+            driver,
+            state,
+            confirmed: false,
+            leader_hint: None,
+            demands: Demands::default(),
+            grants: BTreeMap::new(),
+            slot_book: SlotBook::default(),
+            controller: Controller::default(),
+            leading_since_ms: None,
+            proposals: Vec::new(),
+            dirty: true,
+            seed,
+        };
+        let links = Links::new(settings.clone(), clock, executor.clone());
+        Ok(Rc::new(Self {
+            settings,
+            clock,
+            timers,
+            executor,
+            links,
+            views,
+            answers,
+            core: RefCell::new(core),
+            revised: RefCell::default(),
+        }))
+    }
+
+    /// Returns this run's number, which grows with each start of the instance.
+    pub fn incarnation(&self) -> u64 {
+        self.core.borrow().own.incarnation
+    }
+
+    /// Runs until the channel of requests closes.
+    pub fn run(self: Rc<Self>, listener: TcpListener, requests: Receiver<ControlRequest>) {
+        let executor = self.executor.clone();
+        executor.spawn(server::accept(self.clone(), listener)).detach();
+        self.every(GOSSIP_MS, Self::beat);
+        self.every(PUBLISH_MS, |node| node.publish());
+        self.every(MEMBERSHIP_MS, Self::look_after_membership);
+        self.every(report::REPORT_MS, Self::report);
+        if self.core.borrow().driver.is_some() {
+            self.every(REPLICA_TICK_MS, Self::tick_replica);
+            self.every(CONTROLLER_MS, Self::run_controllers);
+            executor.spawn(self.clone().found()).detach();
+        } else {
+            executor.spawn(self.clone().follow()).detach();
+        }
+        executor.spawn(self.clone().confirm()).detach();
+        self.beat();
+        smol::block_on(executor.run(async move {
+            while let Ok(request) = requests.recv().await {
+                self.take_request(request);
+            }
+        }));
+    }
+
+    /// Runs `step` each `period_ms` milliseconds.
+    fn every(self: &Rc<Self>, period_ms: u64, step: impl Fn(&Rc<Self>) + 'static) {
+        let ticks = self.timers.subscribe(period_ms);
+        let node = self.clone();
+        let task = async move {
+            while ticks.recv().await.is_ok() {
+                step(&node);
+            }
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    pub(crate) fn executor(&self) -> &Rc<LocalExecutor<'static>> {
+        &self.executor
+    }
+
+    pub(crate) fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Notes that the state has a new revision.
+    fn note_revision(&self) {
+        self.core.borrow_mut().dirty = true;
+        self.publish();
+        for waiting in self.revised.borrow_mut().drain(..) {
+            // One that no longer waits needs no word.
+            let _ = waiting.try_send(());
+        }
+    }
+}
+
+impl Core {
+    fn replica(&self) -> Option<&Replica> {
+        self.driver.as_ref().map(|driver| &driver.replica)
+    }
+
+    fn is_leader(&self) -> bool {
+        self.replica().is_some_and(Replica::is_established)
+    }
+
+    fn view(&self, now_ms: u64) -> View {
+        publish::view_of(self, now_ms)
+    }
+}
--- /dev/null
+++ b/crates/peer/src/node/propose.rs
@@ -0,0 +1,194 @@
+//! Commits commands and reads through the leader, wherever it is.
+
+use super::Node;
+use lycheehub_consensus::Position;
+use lycheehub_control::Command;
+use lycheehub_control::state::Feed;
+use lycheehub_types::InstanceName;
+use lycheehub_wire::ProposeReply;
+use lycheehub_wire::peer_capnp::peer;
+use smol::Timer;
+use smol::channel::bounded;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a command may take until its outcome counts as unknown, in milliseconds.
+const PROPOSE_TIMEOUT_MS: u64 = 4_000;
+/// How long one instance may take to commit a command, in milliseconds.
+const PROPOSE_TRY_MS: u64 = 2_500;
+/// How long to wait before the leader is looked for again, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 50;
+
+impl Node {
+    /// Commits a command, here or at the leader.
+    ///
+    /// Every command may be sent twice without harm, so it is tried again until its outcome is
+    /// known or the time is over.
+    pub(super) async fn propose(self: &Rc<Self>, command: Command) -> ProposeReply {
+        let command = command.encode();
+        let give_up_ms = self.clock.now_ms() + PROPOSE_TIMEOUT_MS;
+        let mut sent = false;
+        while self.clock.now_ms() < give_up_ms {
+            for target in self.leader_candidates() {
+                match self.propose_at(&target, command.clone()).await {
+                    ProposeReply::NotLeader => {}
+                    ProposeReply::Unknown => sent = true,
+                    done => {
+                        self.core.borrow_mut().leader_hint = Some(target);
+                        return done;
+                    }
+                }
+                if self.clock.now_ms() >= give_up_ms {
+                    break;
+                }
+            }
+            Timer::after(Duration::from_millis(LOOK_AGAIN_MS)).await;
+        }
+        if sent { ProposeReply::Unknown } else { ProposeReply::NotLeader }
+    }
+
+    async fn propose_at(self: &Rc<Self>, target: &InstanceName, command: Vec<u8>) -> ProposeReply {
+        if *target == self.settings.instance {
+            return self.propose_here(command).await;
+        }
+        let call = |peer: peer::Client| async move {
+            let mut request = peer.propose_request();
+            request.get().set_command(&command);
+            let reply = request.send().promise.await?;
+            Ok(ProposeReply::try_from(reply.get()?.get_reply()?)?)
+        };
+        match self.call("propose", target, PROPOSE_TRY_MS, call).await {
+            Ok(reply) => reply,
+            Err(error) if error.to_string().starts_with("connect") => ProposeReply::NotLeader,
+            Err(_) => ProposeReply::Unknown,
+        }
+    }
+
+    /// Returns the instances to try, the one most likely to lead first.
+    fn leader_candidates(&self) -> Vec<InstanceName> {
+        let mut candidates = self.replica_instances();
+        let core = self.core.borrow();
+        if core.replica().is_some() {
+            candidates.insert(0, self.settings.instance.clone());
+        }
+        let followed = core.replica().and_then(|replica| {
+            replica.leader().and_then(|id| replica.config().voters.get(&id)).cloned()
+        });
+        let likely = followed.or_else(|| core.leader_hint.clone());
+        if let Some(likely) = likely {
+            candidates.retain(|name| *name != likely);
+            candidates.insert(0, likely);
+        }
+        candidates
+    }
+
+    /// Commits an encoded command if this instance leads.
+    pub(crate) async fn propose_here(self: &Rc<Self>, command: Vec<u8>) -> ProposeReply {
+        if !self.core.borrow().is_leader() {
+            return ProposeReply::NotLeader;
+        }
+        let (sender, receiver) = bounded(1);
+        let first = {
+            let mut core = self.core.borrow_mut();
+            core.proposals.push((command, sender));
+            core.proposals.len() == 1
+        };
+        if first {
+            let node = self.clone();
+            let flush = async move {
+                // Commands that arrive together are stored together.
+                smol::future::yield_now().await;
+                node.flush_proposals();
+            };
+            self.executor.spawn(flush).detach();
+        }
+        let timeout = async {
+            Timer::after(Duration::from_millis(PROPOSE_TRY_MS)).await;
+            ProposeReply::Unknown
+        };
+        let reply = async { receiver.recv().await.unwrap_or(ProposeReply::Unknown) };
+        smol::future::or(reply, timeout).await
+    }
+
+    fn flush_proposals(self: &Rc<Self>) {
+        let proposals = std::mem::take(&mut self.core.borrow_mut().proposals);
+        let (commands, senders): (Vec<_>, Vec<_>) = proposals.into_iter().unzip();
+        self.drive(|driver, now_ms| {
+            let Some((first, actions)) = driver.replica.propose_all(now_ms, commands) else {
+                for sender in senders {
+                    // One that no longer waits needs no answer.
+                    let _ = sender.try_send(ProposeReply::NotLeader);
+                }
+                return Vec::new();
+            };
+            for (offset, sender) in senders.into_iter().enumerate() {
+                let index = first.index + offset as u64;
+                driver.wait_for(Position { term: first.term, index }, sender);
+            }
+            actions
+        });
+    }
+
+    /// Reads changes after `revision` if this instance leads and a quorum confirms it.
+    pub(crate) async fn read_here(self: &Rc<Self>, revision: u64) -> Option<Feed> {
+        let (sender, receiver) = bounded(1);
+        self.drive(|driver, now_ms| {
+            let token = driver.begin_read(sender);
+            driver.replica.read(now_ms, token)
+        });
+        let timeout = async {
+            Timer::after(Duration::from_millis(PROPOSE_TRY_MS)).await;
+            false
+        };
+        let confirmed = async { receiver.recv().await.unwrap_or(false) };
+        if !smol::future::or(confirmed, timeout).await {
+            return None;
+        }
+        Some(self.core.borrow().state.feed_after(revision))
+    }
+
+    async fn read_at(self: &Rc<Self>, target: &InstanceName, revision: u64) -> Option<Feed> {
+        if *target == self.settings.instance {
+            return self.read_here(revision).await;
+        }
+        let call = |peer: peer::Client| async move {
+            let mut request = peer.read_request();
+            request.get().set_revision(revision);
+            let reply = request.send().promise.await?;
+            let reply = reply.get()?;
+            if !reply.get_confirmed() {
+                return Ok(None);
+            }
+            let feed = Feed::decode(reply.get_feed()?);
+            feed.map(Some).map_err(|error| capnp::Error::failed(error.to_string()))
+        };
+        self.call("read", target, PROPOSE_TRY_MS, call).await.ok().flatten()
+    }
+
+    /// Reads all that is committed, confirmed by a quorum.
+    pub(super) async fn read_feed(self: &Rc<Self>, revision: u64) -> Option<Feed> {
+        let give_up_ms = self.clock.now_ms() + PROPOSE_TIMEOUT_MS;
+        while self.clock.now_ms() < give_up_ms {
+            for target in self.leader_candidates() {
+                if let Some(feed) = self.read_at(&target, revision).await {
+                    self.core.borrow_mut().leader_hint = Some(target);
+                    return Some(feed);
+                }
+                if self.clock.now_ms() >= give_up_ms {
+                    return None;
+                }
+            }
+            Timer::after(Duration::from_millis(LOOK_AGAIN_MS)).await;
+        }
+        None
+    }
+
+    /// Reads the state through a quorum and takes it; a replica only waits until it has it.
+    pub(super) async fn read_anywhere(self: &Rc<Self>) -> bool {
+        let revision = self.core.borrow().state.revision;
+        let Some(feed) = self.read_feed(revision).await else { return false };
+        let target = feed.revision;
+        self.take_feed(feed);
+        self.core.borrow().state.revision >= target
+    }
+}
--- /dev/null
+++ b/crates/peer/src/node/report.rs
@@ -0,0 +1,176 @@
+//! Reports to the leader, and what the leader makes of them: slot grants and steps of moves.
+
+use super::calls::CALL_TIMEOUT_MS;
+use super::{Core, Node};
+use lycheehub_control::Command;
+use lycheehub_control::moves::Supply;
+use lycheehub_control::slots::GRANT_LEASE_MS;
+use lycheehub_types::{EndpointName, InstanceName};
+use lycheehub_wire::peer_capnp::peer;
+use lycheehub_wire::{Report, ReportReply};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// How often this instance reports to the leader, in milliseconds.
+pub(super) const REPORT_MS: u64 = 250;
+
+impl Node {
+    /// Sends the newest demands and observations to the leader.
+    pub(super) fn report(self: &Rc<Self>) {
+        let Some(leader) = self.likely_leader() else { return };
+        let report = {
+            let mut core = self.core.borrow_mut();
+            Report {
+                instance: self.settings.instance.clone(),
+                demands: core.demands.endpoints.clone(),
+                observations: std::mem::take(&mut core.demands.observations),
+                trips: core.demands.trips.clone(),
+            }
+        };
+        self.executor.spawn(self.clone().send_report(leader, report)).detach();
+    }
+
+    fn likely_leader(&self) -> Option<InstanceName> {
+        let core = self.core.borrow();
+        if core.is_leader() {
+            return Some(self.settings.instance.clone());
+        }
+        let followed = core.replica().and_then(|replica| {
+            replica.leader().and_then(|id| replica.config().voters.get(&id)).cloned()
+        });
+        followed.or_else(|| core.leader_hint.clone())
+    }
+
+    async fn send_report(self: Rc<Self>, leader: InstanceName, report: Report) {
+        let sent_ms = self.clock.now_ms();
+        let kept = report.clone();
+        let reply = if leader == self.settings.instance {
+            Ok(self.on_report(report))
+        } else {
+            let call = |peer: peer::Client| async move {
+                let mut request = peer.report_request();
+                lycheehub_wire::write_report(&report, request.get().init_report());
+                let reply = request.send().promise.await?;
+                Ok(ReportReply::try_from(reply.get()?.get_reply()?)?)
+            };
+            self.call("report", &leader, CALL_TIMEOUT_MS, call).await
+        };
+        match reply {
+            Ok(reply) if reply.taken => self.take_grants(sent_ms, reply),
+            Ok(_) => self.keep_report(kept),
+            Err(error) => {
+                spdlog::debug!("report lost", kv: { error: });
+                self.keep_report(kept);
+            }
+        }
+    }
+
+    /// Keeps what the leader did not take for the next report.
+    fn keep_report(self: &Rc<Self>, report: Report) {
+        {
+            let mut core = self.core.borrow_mut();
+            for (key, observation) in report.observations {
+                *core.demands.observations.entry(key).or_default() += observation;
+            }
+            core.leader_hint = None;
+        }
+        self.look_for_leader();
+    }
+
+    /// Finds the leader by a read, where no replica here knows it.
+    fn look_for_leader(self: &Rc<Self>) {
+        let node = self.clone();
+        let task = async move {
+            node.read_anywhere().await;
+        };
+        self.executor.spawn(task).detach();
+    }
+
+    /// Takes grants; their lease counts from when the report was sent.
+    fn take_grants(&self, sent_ms: u64, reply: ReportReply) {
+        let mut core = self.core.borrow_mut();
+        for (endpoint, slots) in reply.grants {
+            core.grants.insert(endpoint, (slots, sent_ms + GRANT_LEASE_MS));
+        }
+        let now_ms = self.clock.now_ms();
+        core.grants.retain(|_, (_, until_ms)| now_ms < *until_ms);
+        core.dirty = true;
+    }
+
+    /// Takes another instance's report as the leader.
+    pub(crate) fn on_report(&self, report: Report) -> ReportReply {
+        let now_ms = self.clock.now_ms();
+        let now_unix_ms = self.clock.now_unix_ms();
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let holds_lease = core.replica().is_some_and(|replica| replica.holds_lease(now_ms));
+        if !holds_lease {
+            return ReportReply::default();
+        }
+        core.controller.observe(now_unix_ms, &core.state, &report.observations);
+        for (id, reason) in &report.trips {
+            core.controller.trip(now_unix_ms, id, reason.clone());
+        }
+        let settled =
+            core.leading_since_ms.is_some_and(|since_ms| now_ms >= since_ms + GRANT_LEASE_MS);
+        let grants = if settled { grants(core, now_ms, &report) } else { BTreeMap::new() };
+        ReportReply { taken: true, grants }
+    }
+
+    /// Runs the leader's controllers.
+    pub(super) fn run_controllers(self: &Rc<Self>) {
+        let now_ms = self.clock.now_ms();
+        let steps = {
+            let mut core = self.core.borrow_mut();
+            let core = &mut *core;
+            let holds_lease = core.replica().is_some_and(|replica| replica.holds_lease(now_ms));
+            if !holds_lease {
+                return;
+            }
+            let supply = supply(core, now_ms);
+            core.controller.tick(self.clock.now_unix_ms(), &core.state, &supply)
+        };
+        for step in steps {
+            spdlog::info!("move steps", kv: {
+                move_id: = step.id,
+                phase:? = step.phase,
+                share_permille = step.share_permille,
+                reason: = step.reason,
+            });
+            let node = self.clone();
+            let command = Command::StepMove(step).encode();
+            let task = async move {
+                // A step that is not taken is decided anew at the next run.
+                let _ = node.propose_here(command).await;
+            };
+            self.executor.spawn(task).detach();
+        }
+    }
+}
+
+/// Shares the slots of each endpoint that the report names.
+fn grants(core: &mut Core, now_ms: u64, report: &Report) -> BTreeMap<EndpointName, u32> {
+    let live: BTreeMap<EndpointName, u32> = core
+        .registry
+        .live_endpoints(now_ms)
+        .map(|known| (known.record.endpoint.clone(), known.record.slots))
+        .collect();
+    core.slot_book.retain(|endpoint| live.contains_key(endpoint));
+    let mut grants = BTreeMap::new();
+    for (endpoint, slots) in live {
+        let demand = report.demands.get(&endpoint).copied().unwrap_or_default();
+        let granted = core.slot_book.grant(now_ms, &endpoint, slots, &report.instance, demand);
+        grants.insert(endpoint, granted);
+    }
+    grants
+}
+
+/// Sums up the slots of live endpoints by service and version.
+fn supply(core: &Core, now_ms: u64) -> Supply {
+    let mut supply = Supply::new();
+    for known in core.registry.live_endpoints(now_ms).filter(|known| !known.record.leaving) {
+        let key = (known.record.service.clone(), known.record.version.clone());
+        *supply.entry(key).or_default() += known.record.slots;
+    }
+    supply
+}
--- /dev/null
+++ b/crates/peer/src/server.rs
@@ -0,0 +1,184 @@
+//! The answering end of connections between instances.
+
+use crate::auth::{self, End};
+use crate::link::MESSAGE_MAX_WORDS;
+use crate::node::Node;
+use capnp::message::ReaderOptions;
+use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
+use lycheehub_consensus::{Message, ReplicaId};
+use lycheehub_control::registry::Delta;
+use lycheehub_types::InstanceName;
+use lycheehub_wire::peer_capnp::{greeter, peer};
+use lycheehub_wire::{Report, WireError};
+use smol::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+
+/// Takes connections until the node is dropped.
+pub(crate) async fn accept(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => serve(&node, stream),
+            Err(error) => {
+                spdlog::warn!("peer connection not accepted", kv: { error: });
+                smol::Timer::after(std::time::Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+fn serve(node: &Rc<Node>, stream: TcpStream) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MESSAGE_MAX_WORDS));
+    let network = VatNetwork::new(stream.clone(), stream, Side::Server, options);
+    let greeter = Greeter { node: node.clone(), nonce: auth::nonce() };
+    let client: greeter::Client = new_client(greeter);
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let connection = async move {
+        // The peer sees the end of the connection in its own calls.
+        let _ = system.await;
+    };
+    node.executor().spawn(connection).detach();
+}
+
+struct Greeter {
+    node: Rc<Node>,
+    nonce: Vec<u8>,
+}
+
+fn text<'a>(reader: capnp::Result<capnp::text::Reader<'a>>) -> Result<&'a str, capnp::Error> {
+    Ok(reader?.to_str().map_err(WireError::from)?)
+}
+
+impl greeter::Server for Greeter {
+    async fn challenge(
+        self: Rc<Self>,
+        _: greeter::ChallengeParams,
+        mut results: greeter::ChallengeResults,
+    ) -> Result<(), capnp::Error> {
+        results.get().set_nonce(&self.nonce);
+        Ok(())
+    }
+
+    async fn login(
+        self: Rc<Self>,
+        params: greeter::LoginParams,
+        mut results: greeter::LoginResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let name = text(params.get_instance())?;
+        let theirs = params.get_nonce()?;
+        let key = &self.node.settings().peer_key;
+        let expected = auth::prove(key, End::Caller, &self.nonce, theirs, name);
+        if !auth::matches(&expected, params.get_proof()?) {
+            spdlog::warn!("peer refused: wrong key", kv: { name });
+            return Err(capnp::Error::failed("the key is wrong".to_owned()));
+        }
+        let proof = auth::prove(key, End::Answerer, &self.nonce, theirs, name);
+        results.get().set_proof(&proof);
+        let peer = PeerServer { node: self.node.clone() };
+        results.get().set_peer(new_client(peer));
+        Ok(())
+    }
+}
+
+struct PeerServer {
+    node: Rc<Node>,
+}
+
+impl peer::Server for PeerServer {
+    async fn consensus(
+        self: Rc<Self>,
+        params: peer::ConsensusParams,
+        _: peer::ConsensusResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let message = Message::try_from(params.get_message()?)?;
+        let (from, to) = (ReplicaId(params.get_sender()), ReplicaId(params.get_receiver()));
+        self.node.on_consensus(from, to, message);
+        Ok(())
+    }
+
+    async fn status(
+        self: Rc<Self>,
+        _: peer::StatusParams,
+        mut results: peer::StatusResults,
+    ) -> Result<(), capnp::Error> {
+        let status = self.node.replica_status();
+        results.get().set_id(status.id.0);
+        lycheehub_wire::write_config(&status.config, results.get().init_config());
+        Ok(())
+    }
+
+    async fn gossip(
+        self: Rc<Self>,
+        params: peer::GossipParams,
+        mut results: peer::GossipResults,
+    ) -> Result<(), capnp::Error> {
+        let delta = Delta::try_from(params.get()?.get_delta()?)?;
+        let answer = self.node.on_gossip(delta);
+        lycheehub_wire::write_delta(&answer, results.get().init_delta());
+        Ok(())
+    }
+
+    async fn propose(
+        self: Rc<Self>,
+        params: peer::ProposeParams,
+        mut results: peer::ProposeResults,
+    ) -> Result<(), capnp::Error> {
+        let command = params.get()?.get_command()?.to_vec();
+        let reply = self.node.propose_here(command).await;
+        lycheehub_wire::write_propose_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn read(
+        self: Rc<Self>,
+        params: peer::ReadParams,
+        mut results: peer::ReadResults,
+    ) -> Result<(), capnp::Error> {
+        let revision = params.get()?.get_revision();
+        let feed = self.node.read_here(revision).await;
+        results.get().set_confirmed(feed.is_some());
+        results.get().set_feed(&feed.map(|feed| feed.encode()).unwrap_or_default());
+        Ok(())
+    }
+
+    async fn follow(
+        self: Rc<Self>,
+        params: peer::FollowParams,
+        mut results: peer::FollowResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let (revision, wait_ms) = (params.get_revision(), params.get_wait_ms());
+        let feed = self.node.changes_after(revision, u64::from(wait_ms)).await;
+        results.get().set_feed(&feed.encode());
+        Ok(())
+    }
+
+    async fn report(
+        self: Rc<Self>,
+        params: peer::ReportParams,
+        mut results: peer::ReportResults,
+    ) -> Result<(), capnp::Error> {
+        let report = Report::try_from(params.get()?.get_report()?)?;
+        let reply = self.node.on_report(report);
+        lycheehub_wire::write_report_reply(&reply, results.get().init_reply());
+        Ok(())
+    }
+
+    async fn answer(
+        self: Rc<Self>,
+        params: peer::AnswerParams,
+        mut results: peer::AnswerResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let instance = InstanceName::from(text(params.get_instance())?);
+        let answer =
+            self.node.kept_answer(&instance, params.get_incarnation(), params.get_request());
+        lycheehub_wire::write_kept_answer(&answer, results.get().init_answer());
+        Ok(())
+    }
+}
--- a/crates/route/src/endpoint/prefix.rs
+++ b/crates/route/src/endpoint/prefix.rs
@@ -1,7 +1,7 @@
 //! What prompt prefixes an endpoint is believed to have cached.
 //!
-//! Events from endpoints come late and with gaps, so they are hints: a gap voids what was
-//! believed, and belief ends with time.
+//! Events from endpoints come late and with gaps, so they are hints: a gap voids what was believed
+//! for long, and belief ends with time.
 
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -16,6 +16,8 @@
 const BLOCKS_MAX: usize = 8_192;
 /// How long belief in a block lasts, in milliseconds.
 const BELIEF_MS: u64 = 10 * 60 * 1_000;
+/// How long belief in a block survives a gap in the events, in milliseconds after it was noted.
+const GAP_BELIEF_MS: u64 = 60 * 1_000;
 
 /// Returns the digests of a prompt's whole blocks, each covering all blocks before it.
 ///
@@ -64,10 +66,10 @@
         }
     }
 
-    /// Takes an event by which blocks were stored or dropped; a gap voids all that was believed.
+    /// Takes an event by which blocks were stored or dropped; a gap voids what was not noted of late.
     pub fn event(&mut self, now_ms: u64, number: u64, stored: &[u64], dropped: &[u64]) {
         if number != self.next_event {
-            self.seen_ms.clear();
+            self.seen_ms.retain(|_, seen_ms| now_ms < *seen_ms + GAP_BELIEF_MS);
         }
         self.next_event = number + 1;
         self.note(now_ms, stored);
--- /dev/null
+++ b/crates/standin/src/load.rs
@@ -0,0 +1,1 @@
+//! Sends requests at given rates and measures what comes back.
