test(consensus): fault schedules over the pure replica, planted faults, storage damage

Cause: nothing showed that the log keeps what it committed. Change: a world of 3 replicas with fake storage under seeded schedules (loss, reorder, repeat, crash between any two durable steps, freeze, cuts, lost disk, clock drift of +-50 permille); membership upkeep moved into the replica, where it can be explored. A rule that let a disk be lost only when all held all entries hid the lost-disk vote; it now asks only that the last lost disk is made up for. Storage: every truncation of the log loads its whole entries; every single flipped byte of all four files is refused.

--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -3,6 +3,10 @@
 use super::{Replica, Role};
 use crate::{Action, Config, Entry, Payload, Position, ReplicaId};
 use lycheehub_types::InstanceName;
+use std::collections::BTreeMap;
+
+/// The most voters.
+const VOTERS_MAX: usize = 5;
 
 impl Replica {
     /// Sets the replicas that get the log without a vote.
@@ -19,6 +23,33 @@
         self.leading.progress.get(&id).is_some_and(|progress| progress.matched >= self.commit)
     }
 
+    /// Brings the voters in line with the replicas that are live.
+    ///
+    /// A live replica without a vote observes until it has caught up. Then it takes the place of
+    /// its instance's lost replica, whose vote goes first, or becomes a further voter. One step is
+    /// taken at a time.
+    pub fn maintain(
+        &mut self,
+        now_ms: u64,
+        live: &BTreeMap<ReplicaId, InstanceName>,
+    ) -> Vec<Action> {
+        if !self.is_established() {
+            return Vec::new();
+        }
+        let voters = self.log.config().voters.clone();
+        self.observe(live.keys().filter(|id| !voters.contains_key(id)).copied());
+        let caught_up = |(id, _): &(&ReplicaId, &InstanceName)| {
+            !voters.contains_key(id) && self.is_caught_up(**id)
+        };
+        let Some((id, name)) = live.iter().find(caught_up) else { return Vec::new() };
+        let lost = voters.iter().find(|(_, instance)| *instance == name);
+        match lost {
+            Some((lost, _)) => self.remove_voter(now_ms, *lost),
+            None if voters.len() < VOTERS_MAX => self.add_voter(now_ms, *id, name.clone()),
+            None => Vec::new(),
+        }
+    }
+
     /// Makes an observer a voter, once it holds all that is committed.
     pub fn add_voter(&mut self, now_ms: u64, id: ReplicaId, name: InstanceName) -> Vec<Action> {
         if !self.is_caught_up(id) {
--- /dev/null
+++ b/crates/consensus/tests/consensus/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the replicated log: fault schedules over pure replicas, and storage on a real disk.
+
+mod founding;
+mod schedules;
+mod storage;
+mod world;
