test(control): kills, lost disks, silent cuts, freezes and races over real processes

An instance now prefers the address its settings give for a seed to the announced one. Found: ports drawn and released one by one were given to two processes when tests ran side by side (one instance could not listen); each cluster now has a loopback address of its own.

--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the daemon and the command line, with instances as separate processes.
 
+mod control;
+mod operators;
 mod support;
 mod whole_path;
--- a/crates/peer/src/node/calls.rs
+++ b/crates/peer/src/node/calls.rs
@@ -14,13 +14,13 @@
 pub(super) const CALL_TIMEOUT_MS: u64 = 1_500;
 
 impl Core {
-    /// Returns where an instance listens for peers.
+    /// Returns where an instance listens for peers; the settings go before what it announces.
     pub(super) fn address_of(&self, node: &Node, name: &InstanceName) -> Option<SmolStr> {
-        if let Some(known) = self.registry.instance(name) {
-            return Some(known.record.peer_address.clone());
+        let seed = node.settings.seeds.iter().find(|seed| seed.instance == *name);
+        if let Some(seed) = seed {
+            return Some(seed.address.clone());
         }
-        let seed = node.settings.seeds.iter().find(|seed| seed.instance == *name)?;
-        Some(seed.address.clone())
+        Some(self.registry.instance(name)?.record.peer_address.clone())
     }
 
     /// Returns the instance that runs a replica.
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -1,11 +1,14 @@
 //! Instances as separate processes.
 
 use crate::caller::{Call, Reply, send};
+use crate::proxy::Proxy;
+use std::collections::BTreeMap;
 use std::fs;
 use std::io;
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 /// The operator's key of all test clusters.
@@ -26,6 +29,8 @@
     pub domains: Vec<String>,
     /// More lines for the `[limits]` table.
     pub limits: String,
+    /// Connections between instances pass proxies that can be cut.
+    pub proxied: bool,
 }
 
 impl Default for Layout {
@@ -36,6 +41,7 @@
             others: 0,
             domains: domains.map(str::to_owned).to_vec(),
             limits: "drain_ms = 200\n".to_owned(),
+            proxied: false,
         }
     }
 }
@@ -57,16 +63,25 @@
 }
 
 /// Instances that are ended when the cluster is dropped.
-#[derive(Debug)]
 pub struct Cluster {
     /// The instances.
     pub instances: Vec<Instance>,
     folder: PathBuf,
     binary: PathBuf,
+    /// Proxies by the instances that they connect.
+    proxies: BTreeMap<(usize, usize), Proxy>,
 }
 
-fn free_address() -> io::Result<String> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?.to_string())
+/// Addresses that no other process is given: each cluster has a loopback address of its own, and
+/// all ports are held until the last one is drawn.
+fn free_addresses(count: usize) -> io::Result<Vec<String>> {
+    static CLUSTERS: AtomicU32 = AtomicU32::new(0);
+    let cluster = CLUSTERS.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let octet = |number: u32| (number % 250 + 1) as u8;
+    let own = Ipv4Addr::new(127, octet(process / 250), octet(process), octet(cluster));
+    let held = (0..count).map(|_| TcpListener::bind((own, 0))).collect::<io::Result<Vec<_>>>()?;
+    held.iter().map(|listener| Ok(listener.local_addr()?.to_string())).collect()
 }
 
 impl Cluster {
@@ -93,6 +108,7 @@
         fs::write(folder.join("operators.keys"), operators)?;
         fs::write(folder.join("endpoints.keys"), format!("endpoints {ENDPOINT_KEY}\n"))?;
         let count = layout.replicas + layout.others;
+        let mut addresses = free_addresses(2 * count)?;
         let mut instances = Vec::new();
         for number in 1..=count {
             let name = format!("entry-{number}");
@@ -100,23 +116,32 @@
                 settings: folder.join(format!("{name}.toml")),
                 log: folder.join(format!("{name}.log")),
                 data: folder.join(format!("{name}-data")),
-                http: free_address()?,
-                peer: free_address()?,
+                http: addresses.pop().unwrap_or_default(),
+                peer: addresses.pop().unwrap_or_default(),
                 child: None,
                 name,
             });
         }
-        let seeds: String = instances
-            .iter()
-            .enumerate()
-            .map(|(at, instance)| {
+        let mut proxies = BTreeMap::new();
+        if layout.proxied {
+            for from in 0..count {
+                for to in (0..count).filter(|to| *to != from) {
+                    proxies.insert((from, to), Proxy::start(&instances[to].peer)?);
+                }
+            }
+        }
+        let seeds = |from: usize| -> String {
+            let seed = |(at, instance): (usize, &Instance)| {
+                let proxied = proxies.get(&(from, at)).map(Proxy::address);
+                let peer = proxied.unwrap_or_else(|| instance.peer.clone());
                 let replica = at < layout.replicas;
                 format!(
-                    "[[seed]]\nname = \"{}\"\npeer = \"{}\"\nreplica = {replica}\n\n",
-                    instance.name, instance.peer
+                    "[[seed]]\nname = \"{}\"\npeer = \"{peer}\"\nreplica = {replica}\n\n",
+                    instance.name
                 )
-            })
-            .collect();
+            };
+            instances.iter().enumerate().map(seed).collect()
+        };
         for (at, instance) in instances.iter().enumerate() {
             let data = if at < layout.replicas {
                 format!("data_folder = \"{}-data\"\n", instance.name)
@@ -124,16 +149,17 @@
                 String::new()
             };
             let text = format!(
-                "[instance]\nname = \"{}\"\nfailure_domain = \"{}\"\nhttp = \"{}\"\npeer = \"{}\"\n{data}\n{seeds}[keys]\npeer_file = \"peer.key\"\noperators_file = \"operators.keys\"\nendpoints_file = \"endpoints.keys\"\n\n[limits]\n{}",
+                "[instance]\nname = \"{}\"\nfailure_domain = \"{}\"\nhttp = \"{}\"\npeer = \"{}\"\n{data}\n{}[keys]\npeer_file = \"peer.key\"\noperators_file = \"operators.keys\"\nendpoints_file = \"endpoints.keys\"\n\n[limits]\n{}",
                 instance.name,
                 layout.domains[at % layout.domains.len()],
                 instance.http,
                 instance.peer,
+                seeds(at),
                 layout.limits,
             );
             fs::write(&instance.settings, text)?;
         }
-        Ok(Self { instances, folder: folder.to_owned(), binary: binary.to_owned() })
+        Ok(Self { instances, folder: folder.to_owned(), binary: binary.to_owned(), proxies })
     }
 
     /// Starts one instance.
@@ -171,6 +197,21 @@
         }
     }
 
+    /// Cuts the connections from one instance to another silently, or lets them through again.
+    pub fn cut(&self, from: usize, to: usize, cut: bool) {
+        if let Some(proxy) = self.proxies.get(&(from, to)) {
+            proxy.set_cut(cut);
+        }
+    }
+
+    /// Cuts an instance off from all others, or lets it through again.
+    pub fn isolate(&self, at: usize, cut: bool) {
+        for other in 0..self.instances.len() {
+            self.cut(at, other, cut);
+            self.cut(other, at, cut);
+        }
+    }
+
     /// Returns the process id of one instance.
     pub fn process(&self, at: usize) -> Option<u32> {
         self.instances[at].child.as_ref().map(Child::id)
