fix(route): shed what waits below a tier before the tier itself

Cause: a request refused on arrival, or given up while it waited, raised the shed floor, but lower tiers that waited were shed only at the next tick, up to 50 ms later. Found by the new property test (minimal case: one tier-0 request that cannot make its deadline while a tier-4 request waits). Ruled out: the queue's own order (newest of the lowest first was right). Change: the floor is enforced in the same step, before the higher tier is given up.

--- /dev/null
+++ b/crates/control/tests/control/claims.rs
@@ -0,0 +1,64 @@
+//! The first claim on a key wins, for as long as claims are kept.
+
+use lycheehub_control::state::{
+    ClaimKey, ClaimOutcome, ClaimState, Claimant, Command, Reply, State,
+};
+
+const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
+
+fn key() -> ClaimKey {
+    ClaimKey { account: "packhouse".into(), key: "invoice-17".into() }
+}
+
+fn claimant(request: u64) -> Claimant {
+    Claimant { instance: "entry-1".into(), incarnation: 1, request }
+}
+
+fn claim(state: &mut State, request: u64, fingerprint: u64, now_unix_ms: u64) -> ClaimOutcome {
+    let command =
+        Command::Claim { key: key(), claimant: claimant(request), fingerprint, now_unix_ms };
+    let Reply::Claim(outcome) = state.apply(1, command) else { panic!("no answer to the claim") };
+    outcome
+}
+
+fn settle(state: &mut State, request: u64, to: ClaimState) {
+    state.apply(1, Command::Settle { key: key(), claimant: claimant(request), state: to });
+}
+
+#[test]
+fn only_the_first_claimant_may_dispatch() {
+    let mut state = State::default();
+    assert_eq!(claim(&mut state, 1, 7, 0), ClaimOutcome::Granted);
+    // The same claim again, since its answer was lost, is granted again.
+    assert_eq!(claim(&mut state, 1, 7, 1), ClaimOutcome::Granted);
+    let taken = ClaimOutcome::Taken { claimant: claimant(1), state: ClaimState::Open };
+    assert_eq!(claim(&mut state, 2, 7, 2), taken);
+    assert_eq!(claim(&mut state, 2, 8, 2), ClaimOutcome::OtherRequest);
+}
+
+#[test]
+fn a_settled_claim_is_not_granted_again() {
+    let mut state = State::default();
+    claim(&mut state, 1, 7, 0);
+    settle(&mut state, 1, ClaimState::Answered);
+    let taken = ClaimOutcome::Taken { claimant: claimant(1), state: ClaimState::Answered };
+    assert_eq!(claim(&mut state, 1, 7, 1), taken);
+}
+
+#[test]
+fn a_key_whose_request_did_not_run_is_free_again() {
+    let mut state = State::default();
+    claim(&mut state, 1, 7, 0);
+    settle(&mut state, 9, ClaimState::NotRun);
+    assert!(matches!(claim(&mut state, 2, 7, 1), ClaimOutcome::Taken { .. }));
+    settle(&mut state, 1, ClaimState::NotRun);
+    assert_eq!(claim(&mut state, 2, 7, 2), ClaimOutcome::Granted);
+}
+
+#[test]
+fn claims_are_kept_for_a_day() {
+    let mut state = State::default();
+    claim(&mut state, 1, 7, 1_000);
+    assert!(matches!(claim(&mut state, 2, 7, 1_000 + DAY_MS - 1), ClaimOutcome::Taken { .. }));
+    assert_eq!(claim(&mut state, 2, 7, 1_000 + DAY_MS), ClaimOutcome::Granted);
+}
--- /dev/null
+++ b/crates/control/tests/control/state.rs
@@ -0,0 +1,104 @@
+//! Sections and moves as replicated.
+
+use lycheehub_control::State;
+use lycheehub_control::state::{ApplyOutcome, Command, MoveStep, Phase, Reply, Submission};
+
+const BASE: &str = "owner = \"ana\"\n[service.writer]\nkind = \"engine\"\nversion = \"v1\"\n";
+
+fn order(id: &str, to: &str, state: &str) -> String {
+    format!(
+        "[move.{id}]\nservice = \"writer\"\nto = \"{to}\"\nby = \"2026-12-04T06:00:00Z\"\nstate = \"{state}\"\n"
+    )
+}
+
+fn submit(state: &mut State, index: u64, base: u64, operator: &str, text: &str) -> ApplyOutcome {
+    let submission = Submission {
+        section: "labels".into(),
+        base_revision: base,
+        request_id: format!("request-{index}").into(),
+        operator: operator.into(),
+        text: text.into(),
+    };
+    let Reply::Apply(outcome) = state.apply(index, Command::Submit(submission)) else {
+        panic!("no answer to the submission")
+    };
+    outcome
+}
+
+fn step(state: &mut State, index: u64, after_step: u64, phase: Phase, share_permille: u32) -> bool {
+    let step = MoveStep {
+        id: "m1".into(),
+        after_step,
+        phase,
+        share_permille,
+        reason: "".into(),
+        now_unix_ms: index,
+    };
+    state.apply(index, Command::StepMove(step)) == Reply::Stepped(true)
+}
+
+#[test]
+fn of_two_submissions_on_one_base_one_wins() {
+    let mut state = State::default();
+    assert_eq!(submit(&mut state, 5, 0, "ana", BASE), ApplyOutcome::Accepted { revision: 5 });
+    let lost = ApplyOutcome::Conflict {
+        revision: 5,
+        operator: "ana".into(),
+        request_id: "request-5".into(),
+    };
+    assert_eq!(submit(&mut state, 6, 0, "ana", BASE), lost);
+}
+
+#[test]
+fn only_the_owner_changes_a_section() {
+    let mut state = State::default();
+    submit(&mut state, 5, 0, "ana", BASE);
+    assert!(matches!(submit(&mut state, 6, 5, "eva", BASE), ApplyOutcome::Invalid { .. }));
+}
+
+#[test]
+fn a_step_decided_on_an_old_state_is_not_taken() {
+    let mut state = State::default();
+    submit(&mut state, 5, 0, "ana", &(BASE.to_owned() + &order("m1", "v2", "run")));
+    assert!(step(&mut state, 6, 0, Phase::Canary, 20));
+    assert!(!step(&mut state, 7, 0, Phase::Ramp, 500));
+    assert!(step(&mut state, 8, 1, Phase::Reverted, 0));
+    assert!(!step(&mut state, 9, 2, Phase::Canary, 20));
+}
+
+#[test]
+fn a_reverted_move_stays_reverted_whatever_is_submitted() {
+    let mut state = State::default();
+    let with_move = BASE.to_owned() + &order("m1", "v2", "run");
+    submit(&mut state, 5, 0, "ana", &with_move);
+    step(&mut state, 6, 0, Phase::Reverted, 0);
+    submit(&mut state, 7, 5, "ana", &(with_move + "# again\n"));
+    assert_eq!(state.moves["m1"].phase, Phase::Reverted);
+    let restored = State::decode(&state.encode()).expect("decodes");
+    assert_eq!(restored, state);
+}
+
+#[test]
+fn a_later_move_of_the_service_takes_the_place_of_an_earlier_one() {
+    let mut state = State::default();
+    let first = BASE.to_owned() + &order("m1", "v2", "run");
+    submit(&mut state, 5, 0, "ana", &first);
+    submit(&mut state, 6, 5, "ana", &(first + &order("m2", "v3", "run")));
+    assert_eq!(state.moves["m1"].phase, Phase::Superseded);
+    assert_eq!(state.moves["m2"].from, "v1".into());
+}
+
+#[test]
+fn changes_reach_a_state_without_a_log() {
+    let mut state = State::default();
+    submit(&mut state, 5, 0, "ana", &(BASE.to_owned() + &order("m1", "v2", "run")));
+    let mut learned = State::default();
+    assert!(learned.take_feed(state.feed_after(0)));
+    step(&mut state, 8, 0, Phase::Canary, 20);
+    let feed = state.feed_after(learned.revision);
+    assert!(feed.sections.is_empty());
+    assert!(learned.take_feed(feed));
+    assert_eq!((&learned.moves, &learned.estate), (&state.moves, &state.estate));
+    // An older feed changes nothing.
+    assert!(!learned.take_feed(state.feed_after(0)));
+}
--- a/crates/route/src/scheduler/admit.rs
+++ b/crates/route/src/scheduler/admit.rs
@@ -30,6 +30,8 @@
         let mut decisions = Vec::new();
         if let Some(refusal) = self.refusal(now_ms, &service, key) {
             self.jobs.remove(key);
+            // What waits below a tier that is shed goes first.
+            self.enforce_floor(now_ms, &service, &mut decisions);
             decisions.push(Decision::Refuse(key, refusal));
             return (key, decisions);
         }
@@ -150,13 +152,16 @@
                 .get(*key)
                 .is_some_and(|state| now_ms as f64 + state.work_ms > state.job.deadline_ms as f64)
         };
-        let late: Vec<(JobKey, Tier)> = pool.queue.iter().filter(late).collect();
+        let mut late: Vec<(JobKey, Tier)> = pool.queue.iter().filter(late).collect();
+        late.sort_by_key(|(_, tier)| *tier);
+        let Some(highest) = late.iter().map(|(_, tier)| *tier).max() else { return };
+        self.raise_floor(now_ms, service, highest);
+        self.enforce_floor(now_ms, service, decisions);
         for (key, tier) in late {
             let Some(state) = self.jobs.remove(key) else { continue };
             if let Some(pool) = self.pools.get_mut(service) {
                 pool.queue.remove(key, tier, &state.job.account);
             }
-            self.raise_floor(now_ms, service, tier);
             let wait_ms = self.wait_ms(now_ms, service, tier);
             decisions.push(Decision::Refuse(key, overloaded(tier, wait_ms)));
         }
--- /dev/null
+++ b/crates/route/tests/route/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the routing decisions.
+
+mod fairness;
+mod fixtures;
+mod leases;
+mod retries;
+mod tiers;
+mod versions;
