test(requests): once, in full, by tier, under kills, cuts, freezes and bursts

Change: eight tests that join the stand-ins' record with what callers saw. A daemon now waits up to 2 s for an address that an earlier process is just leaving (found: a port held for a moment by a process being started made an instance give up).

--- a/crates/cli/src/serve/mod.rs
+++ b/crates/cli/src/serve/mod.rs
@@ -7,7 +7,15 @@
 use crate::arguments::Serve;
 use crate::exit::{Code, Error};
 use crate::settings::{self, Loaded};
+use smol::Timer;
 use smol::net::TcpListener;
+use std::io::ErrorKind;
+use std::time::Duration;
+
+/// How often an address in use is tried.
+const LISTEN_TRIES: u32 = 20;
+/// How long to wait before it is tried again, in milliseconds.
+const LISTEN_AGAIN_MS: u64 = 100;
 
 /// Runs an instance until it is told to stop.
 pub fn run(options: &Serve) -> Result<(), Error> {
@@ -29,11 +37,21 @@
     stop::stop(&gateway, drain_ms, stop_timeout_ms).await
 }
 
+/// Listens on an address; one that an earlier process is just leaving is waited for.
 async fn listen(what: &str, address: std::net::SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.map_err(|error| {
-        let message = format!(
-            "cannot listen for {what} on {address}: {error}; is another instance running there?"
-        );
-        Error::new(Code::Failed, message)
-    })
+    let mut tries = 0;
+    loop {
+        tries += 1;
+        match TcpListener::bind(address).await {
+            Ok(listener) => return Ok(listener),
+            Err(error) if error.kind() == ErrorKind::AddrInUse && tries < LISTEN_TRIES => {
+                Timer::after(Duration::from_millis(LISTEN_AGAIN_MS)).await;
+            }
+            Err(error) => {
+                let hint = "is another instance running there?";
+                let message = format!("cannot listen for {what} on {address}: {error}; {hint}");
+                return Err(Error::new(Code::Failed, message));
+            }
+        }
+    }
 }
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -2,5 +2,6 @@
 
 mod control;
 mod operators;
+mod requests;
 mod support;
 mod whole_path;
--- /dev/null
+++ b/crates/cli/tests/cli/requests.rs
@@ -0,0 +1,355 @@
+//! Requests under failure. The stand-ins' record of what they ran is the ground truth; it is
+//! joined with what callers saw.
+
+use crate::support::{BATCH_KEY, PATIENCE, Site, TRUCK_KEY};
+use lycheehub_standin::caller::{Call, Reply, Streamed, chat_messages, send, stream};
+use lycheehub_standin::cluster::{Layout, eventually};
+use lycheehub_standin::endpoint::{Faults, Options, token_text};
+use lycheehub_types::EndpointKind;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// The seconds after which an endpoint that is leaving or silent gets no new work.
+const LEAVING_BOUND: Duration = Duration::from_secs(6);
+/// One in this many requests of a burst is of the top tier, well below what the engine can do.
+const TOP: u64 = 50;
+
+fn plain(number: u32) -> Options {
+    Options {
+        name: format!("invoices-{number}"),
+        kind: EndpointKind::Plain,
+        service: "invoices".into(),
+        token_ms: 15.0,
+        seed: u64::from(number),
+        ..Options::default()
+    }
+}
+
+fn engine(number: u32) -> Options {
+    Options { name: format!("engine-{number}"), seed: u64::from(number), ..Options::default() }
+}
+
+/// Callers that run until they are stopped.
+struct Callers<T> {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<Vec<T>>>,
+}
+
+impl<T: Send + 'static> Callers<T> {
+    /// Starts `count` callers; each calls `one` with a number of its own, again and again.
+    fn start(count: u64, one: impl Fn(u64) -> T + Clone + Send + 'static) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let next = Arc::new(AtomicU64::new(1));
+        let caller = |_| {
+            let (stop, next, one) = (stop.clone(), next.clone(), one.clone());
+            std::thread::spawn(move || {
+                let mut seen = Vec::new();
+                while !stop.load(Ordering::Relaxed) {
+                    seen.push(one(next.fetch_add(1, Ordering::Relaxed)));
+                }
+                seen
+            })
+        };
+        let threads = (0..count).map(caller).collect();
+        Self { stop, threads }
+    }
+
+    fn finish(self) -> Vec<T> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.threads.into_iter().flat_map(|thread| thread.join().expect("caller")).collect()
+    }
+}
+
+/// Sends one invoice under one key to instance after instance until it is answered.
+fn invoice(addresses: &[String], number: u64) -> (String, Vec<Option<Reply>>) {
+    const TRIES: u64 = 8;
+    let path = format!("/invoice/{number}");
+    let mut replies = Vec::new();
+    for turn in 0..TRIES {
+        let call = Call::post(&format!("/v1/services/invoices{path}"))
+            .key(TRUCK_KEY)
+            .header("idempotency-key", &format!("key-{number}"))
+            .header("x-deadline-ms", "6000")
+            .body(path.clone().into_bytes());
+        let address = &addresses[(number + turn) as usize % addresses.len()];
+        let reply = smol::block_on(send(address, &call)).ok();
+        let answered = reply.as_ref().is_some_and(|reply| reply.status == 200);
+        replies.push(reply);
+        if answered && turn > 0 {
+            break;
+        }
+        std::thread::sleep(Duration::from_millis(if answered { 0 } else { 150 }));
+    }
+    (path, replies)
+}
+
+/// Checks what callers saw of their invoices against what was run.
+fn check_invoices(site: &Site, seen: &[(String, Vec<Option<Reply>>)]) {
+    let mut ran: BTreeMap<String, usize> = BTreeMap::new();
+    for entry in site.records.ran() {
+        *ran.entry(entry.path).or_default() += 1;
+    }
+    for (path, replies) in seen {
+        let times = ran.get(path).copied().unwrap_or(0);
+        assert!(times <= 1, "{path} ran {times} times");
+        let answers: Vec<&Reply> =
+            replies.iter().flatten().filter(|reply| reply.status == 200).collect();
+        for answer in &answers {
+            assert_eq!(answer.json()["ran"], path.as_str(), "another's answer");
+            assert_eq!(times, 1, "{path} was answered and did not run");
+        }
+        let refused = |reply: &Option<Reply>| reply.as_ref().is_some_and(Reply::not_run);
+        if replies.iter().all(refused) {
+            assert_eq!(times, 0, "{path} was always refused as not run, and ran");
+        }
+    }
+}
+
+#[test]
+fn an_invoice_runs_at_most_once_while_instances_are_killed_and_callers_resend() {
+    let layout = Layout { others: 2, ..Layout::default() };
+    let mut site = Site::start("requests_once", &layout);
+    (1..=2).for_each(|number| site.add(plain(number)));
+    let addresses = site.cluster.addresses();
+    let callers = Callers::start(12, move |number| invoice(&addresses, number));
+    for round in 0..5 {
+        std::thread::sleep(Duration::from_millis(700));
+        site.cluster.kill(round % 5);
+        if round == 2 {
+            site.cluster.signal(4, "STOP");
+        }
+        std::thread::sleep(Duration::from_millis(700));
+        site.cluster.signal(4, "CONT");
+        site.cluster.spawn(round % 5).expect("starts");
+    }
+    assert!(site.cluster.wait_all_ready(PATIENCE));
+    std::thread::sleep(Duration::from_millis(500));
+    let seen = callers.finish();
+    let answered =
+        seen.iter().filter(|(_, replies)| replies.iter().flatten().any(|r| r.status == 200));
+    assert!(answered.count() > 50, "too few were answered");
+    check_invoices(&site, &seen);
+}
+
+#[test]
+fn an_invoice_is_not_sent_again_when_its_endpoint_fails_in_the_middle() {
+    let mut site = Site::start("requests_frozen_endpoint", &Layout::default());
+    site.add(plain(1));
+    site.add(plain(2));
+    site.endpoints[0].set_faults(Faults { frozen: true, ..Faults::default() });
+    site.endpoints[1].set_faults(Faults { frozen: true, ..Faults::default() });
+    let call = Call::post("/v1/services/invoices/invoice/1")
+        .key(TRUCK_KEY)
+        .header("x-deadline-ms", "1500");
+    let reply = site.send(0, &call);
+    assert_eq!(reply.code().as_deref(), Some("outcome_unknown"), "{}", reply.json());
+    assert!(!reply.not_run());
+    assert_eq!(site.records.ran().len(), 1);
+}
+
+/// Streams one generation and tells how it ended.
+fn generation(addresses: &[String], number: u64) -> (String, u64, bool, Streamed) {
+    let prompt = format!("label {number}");
+    let tokens = 5 + number % 40;
+    let call = Call::chat("label-writer", &prompt, tokens, true).key(TRUCK_KEY);
+    let mut streamed = Streamed::default();
+    let address = &addresses[number as usize % addresses.len()];
+    let end = smol::block_on(stream(address, &call, &mut streamed));
+    std::thread::sleep(Duration::from_millis(10));
+    (prompt, tokens, end.is_ok(), streamed)
+}
+
+/// Checks that a stream that ended well is whole and the caller's own, and any other a part of it.
+fn check_generations(seen: &[(String, u64, bool, Streamed)]) -> usize {
+    let mut whole = 0;
+    for (prompt, tokens, ended, streamed) in seen {
+        let expected: String =
+            (0..*tokens).map(|at| token_text(&chat_messages(prompt), at)).collect();
+        if *ended {
+            assert_eq!(streamed.text, expected, "{prompt}");
+            whole += 1;
+        } else {
+            assert!(expected.starts_with(&streamed.text), "{prompt}: {}", streamed.text);
+            assert!(!streamed.done, "{prompt} was cut short and passed off as whole");
+        }
+    }
+    whole
+}
+
+#[test]
+fn every_stream_is_whole_and_the_callers_own_while_engines_fail() {
+    let mut site = Site::start("requests_streams", &Layout::default());
+    (1..=4).for_each(|number| site.add(engine(number)));
+    let addresses = site.cluster.addresses();
+    let callers = Callers::start(16, move |number| generation(&addresses, number));
+    let cut = Faults { cut_after_tokens: Some(7), ..Faults::default() };
+    let failing = Faults { fail: 0.5, ..Faults::default() };
+    for faults in [cut, failing] {
+        site.endpoints[0].set_faults(faults.clone());
+        std::thread::sleep(Duration::from_millis(800));
+        site.endpoints[1].set_faults(faults);
+        std::thread::sleep(Duration::from_millis(800));
+        site.endpoints.iter().for_each(|endpoint| endpoint.set_faults(Faults::default()));
+        std::thread::sleep(Duration::from_millis(400));
+    }
+    let seen = callers.finish();
+    let whole = check_generations(&seen);
+    assert!(whole * 100 >= seen.len() * 95, "{whole} of {} whole", seen.len());
+    let resumed = site.records.ran().iter().filter(|ran| ran.resumed_from > 0).count();
+    assert!(resumed > 0, "no stream went on elsewhere");
+}
+
+#[test]
+fn a_rolling_restart_under_load_cuts_no_stream() {
+    let layout = Layout { limits: "drain_ms = 1000\n".into(), ..Layout::default() };
+    let mut site = Site::start("requests_rolling", &layout);
+    (1..=3).for_each(|number| site.add(engine(number)));
+    let addresses = site.cluster.addresses();
+    // As a balancer does, callers go only to instances that report that they are ready.
+    let callers = Callers::start(12, move |number| {
+        let ready: Vec<String> =
+            addresses.iter().filter(|address| is_ready(address)).cloned().collect();
+        let target = if ready.is_empty() { addresses.clone() } else { ready };
+        generation(&target, number)
+    });
+    for at in 0..3 {
+        std::thread::sleep(Duration::from_millis(500));
+        site.cluster.signal(at, "TERM");
+        assert_eq!(site.cluster.wait_exit(at, PATIENCE), Some(0));
+        site.cluster.spawn(at).expect("starts");
+        assert!(site.cluster.wait_ready(at, PATIENCE));
+    }
+    let seen = callers.finish();
+    let whole = check_generations(&seen);
+    assert_eq!(whole, seen.len(), "streams were cut off");
+    assert!(whole > 100, "only {whole} streams");
+}
+
+fn is_ready(address: &str) -> bool {
+    smol::block_on(send(address, &Call::get("/readyz"))).is_ok_and(|reply| reply.status == 200)
+}
+
+#[test]
+fn a_silent_or_leaving_endpoint_gets_no_new_work_from_any_instance() {
+    let layout = Layout { proxied: true, ..Layout::default() };
+    let mut site = Site::start("requests_leaving", &layout);
+    (1..=3).for_each(|number| site.add(engine(number)));
+    // Instance 2 is cut off from the others; the endpoints go on announcing to all in turn.
+    site.cluster.isolate(2, true);
+    site.endpoints[0].set_faults(Faults { silent: true, ..Faults::default() });
+    site.endpoints[1].set_faults(Faults { leaving: true, ..Faults::default() });
+    std::thread::sleep(LEAVING_BOUND);
+    let before = site.records.ran().len();
+    for at in 0..3 {
+        for number in 0..10 {
+            let call =
+                Call::chat("label-writer", &format!("late {at} {number}"), 2, false).key(TRUCK_KEY);
+            site.send(at, &call);
+        }
+    }
+    let late: Vec<String> = site.records.ran().drain(before..).map(|ran| ran.endpoint).collect();
+    assert!(late.len() >= 20, "{} served", late.len());
+    assert!(late.iter().all(|name| name == "engine-3"), "{late:?}");
+}
+
+#[test]
+fn refusals_are_prompt_and_true_and_the_top_tier_is_served_in_a_burst() {
+    let layout = Layout { limits: "drain_ms = 200\nqueue_max = 20\n".into(), ..Layout::default() };
+    let mut site = Site::start("requests_burst", &layout);
+    site.add(Options { slots: 6, token_ms: 5.0, ..engine(1) });
+    let addresses = site.cluster.addresses();
+    let ask = move |number: u64| {
+        let key = if number.is_multiple_of(TOP) { TRUCK_KEY } else { BATCH_KEY };
+        let prompt = format!("burst {number}");
+        let call = Call::chat("label-writer", &prompt, 20, false).key(key);
+        let call = call.header("x-deadline-ms", "5000");
+        let begun = std::time::Instant::now();
+        let reply = smol::block_on(send(&addresses[number as usize % 3], &call)).expect("answered");
+        let took = begun.elapsed();
+        if reply.status != 200 {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        (number, prompt, reply, took)
+    };
+    let callers = Callers::start(120, ask);
+    std::thread::sleep(Duration::from_secs(4));
+    let seen = callers.finish();
+    let ran = site.records.ran();
+    let (mut top, mut top_served, mut refused) = (0, 0, 0);
+    for (number, prompt, reply, took) in &seen {
+        let body = chat_messages(prompt);
+        let times = ran.iter().filter(|ran| ran.body.contains(&body)).count();
+        if number.is_multiple_of(TOP) {
+            top += 1;
+            top_served += usize::from(reply.status == 200);
+        }
+        if reply.status == 200 {
+            assert_eq!(times, 1);
+            continue;
+        }
+        refused += 1;
+        assert!(reply.not_run() && reply.retry_after.is_some(), "{}", reply.json());
+        assert_eq!(times, 0, "refused as not run, and ran");
+        assert!(*took < Duration::from_millis(4_000), "a refusal took {took:?}");
+    }
+    assert!(refused > 0, "the burst was too small");
+    assert!(top_served * 100 >= top * 95, "{top_served} of {top} of the top tier served");
+}
+
+#[test]
+fn a_caller_that_leaves_frees_its_slot() {
+    let mut site = Site::start("requests_left", &Layout::default());
+    site.add(Options { slots: 3, token_ms: 50.0, ..engine(1) });
+    let address = site.cluster.instances[0].http.clone();
+    let call = Call::chat("label-writer", "long", 400, true).key(TRUCK_KEY);
+    smol::block_on(smol::future::or(
+        async {
+            // The caller leaves before the end.
+            let _ = stream(&address, &call, &mut Streamed::default()).await;
+        },
+        async {
+            smol::Timer::after(Duration::from_millis(500)).await;
+        },
+    ));
+    assert!(eventually(Duration::from_secs(5), || site.endpoints[0].running() == 0));
+}
+
+#[test]
+fn malformed_requests_get_typed_errors() {
+    let site = Site::start(
+        "requests_malformed",
+        &Layout { replicas: 1, limits: "body_max_bytes = 1000\n".into(), ..Layout::default() },
+    );
+    let chat = |body: &str| Call::post("/v1/chat/completions").key(TRUCK_KEY).body(body.into());
+    let cases = [
+        (chat("{"), 400, "bad_request"),
+        (chat("{\"model\":\"label-writer\"}"), 400, "bad_request"),
+        (chat("{\"model\":\"x\",\"messages\":[]}"), 404, "unknown_service"),
+        (chat("{\"model\":\"label-writer\",\"messages\":[]}"), 503, "no_endpoint"),
+        (chat(&"x".repeat(2_000)), 413, "too_large"),
+        (
+            chat("{\"model\":\"label-writer\",\"messages\":[]}").header("x-tier", "high"),
+            400,
+            "bad_request",
+        ),
+        (
+            chat("{\"model\":\"label-writer\",\"messages\":[]}")
+                .header("idempotency-key", &"k".repeat(200)),
+            400,
+            "bad_request",
+        ),
+        (Call::chat("label-writer", "hello", 1, false).key("wrong"), 401, "unauthorized"),
+        (Call::get("/v1/operators/sections"), 401, "unauthorized"),
+        (Call::post("/v1/endpoints/announce").body(b"{}".to_vec()), 401, "unauthorized"),
+        (Call::get("/nothing"), 404, "not_found"),
+        (Call::get("/v1/services/none/x").key(TRUCK_KEY), 404, "unknown_service"),
+    ];
+    for (call, status, code) in cases {
+        let reply = site.send(0, &call);
+        assert_eq!((reply.status, reply.code().as_deref()), (status, Some(code)), "{call:?}");
+        assert!(reply.not_run());
+    }
+}
