feat(moves): compare versions in the same window only, and pool all routes

Ruled out: the alarm threshold alone (a higher one loses slow services, a lower one good versions). Change: the last step leaves 2% with the old version until the move is done; times are compared only with the old version's in the same window; the assumed spread counts as 20 requests; a comparison of all routes together beside each route's own; a version is cleared with 1 error in 1,000 instead of 1 in 100; one that is suspect when its time is over is taken back. The plan starts at the move's first step, which is now replicated.

--- a/crates/control/src/moves/controller.rs
+++ b/crates/control/src/moves/controller.rs
@@ -20,6 +20,9 @@
 /// The rate of requests below which traffic counts as low, per second.
 const SPARSE_RATE: f64 = 5.0;
 
+/// All traffic, in thousandths.
+const WHOLE_PERMILLE: u32 = 1_000;
+
 /// The slots of live endpoints, by service and version.
 pub type Supply = BTreeMap<(ServiceName, Version), u32>;
 
@@ -123,7 +126,7 @@
 }
 
 fn decide(now_unix_ms: u64, record: &MoveRecord, watch: &Watch, supply: &Supply) -> Option<Next> {
-    if let Some(reason) = revert_reason(record, watch) {
+    if let Some(reason) = revert_reason(now_unix_ms, record, watch) {
         return Some(Next { phase: Phase::Reverted, share_permille: 0, reason });
     }
     if record.spec.state == MoveState::Paused {
@@ -137,13 +140,20 @@
     }
 }
 
-fn revert_reason(record: &MoveRecord, watch: &Watch) -> Option<SmolStr> {
+fn revert_reason(now_unix_ms: u64, record: &MoveRecord, watch: &Watch) -> Option<SmolStr> {
     if record.spec.state == MoveState::Aborted {
         return Some("taken back by the operator".into());
     }
     if let Verdict::Bad(reason) = watch.comparison.verdict() {
         return Some(reason);
     }
+    let suspect = watch.comparison.alarm_level() >= QUIET_LEVEL;
+    if suspect && now_unix_ms >= record.spec.by_unix_ms {
+        return Some(format_smolstr!(
+            "suspect when its time was over: {}",
+            watch.comparison.summary()
+        ));
+    }
     watch.tripped.clone()
 }
 
@@ -216,17 +226,12 @@
     if watch.comparison.verdict() == Verdict::Cleared {
         return Some(format_smolstr!("cleared: {summary}"));
     }
-    let plan = Plan::new(move_begins_unix_ms(record, watch), record.spec.by_unix_ms);
+    let plan = Plan::new(record.begins_unix_ms, record.spec.by_unix_ms);
     let due = now_unix_ms >= plan.step_due_unix_ms(number);
     let quiet = watch.comparison.alarm_level() < QUIET_LEVEL;
     (due && quiet).then(|| format_smolstr!("due by the plan: {summary}"))
 }
 
-/// The plan starts anew at each phase, so that a new leader lays it from what is replicated.
-fn move_begins_unix_ms(record: &MoveRecord, watch: &Watch) -> u64 {
-    if record.phase_since_unix_ms > 0 { record.phase_since_unix_ms } else { watch.since_unix_ms }
-}
-
 /// Tells whether the new version's endpoints can carry `share_permille` of what the old ones can.
 fn can_carry(record: &MoveRecord, share_permille: u32, supply: &Supply) -> bool {
     let new = u64::from(slots(record, &record.spec.to, supply));
@@ -243,9 +248,5 @@
         return None;
     }
     let reason = format_smolstr!("done: {}", watch.comparison.summary());
-    Some(Next {
-        phase: Phase::Done,
-        share_permille: SHARES_PERMILLE[SHARES_PERMILLE.len() - 1],
-        reason,
-    })
+    Some(Next { phase: Phase::Done, share_permille: WHOLE_PERMILLE, reason })
 }
--- a/crates/control/src/moves/plan.rs
+++ b/crates/control/src/moves/plan.rs
@@ -3,8 +3,8 @@
 use crate::state::{MoveRecord, Phase};
 
 /// The shares of traffic that the new version gets in turn, in thousandths; the first is the
-/// canary's.
-pub const SHARES_PERMILLE: [u32; 7] = [20, 50, 100, 250, 500, 750, 1_000];
+/// canary's. The last one leaves the old version enough to compare with until the move is done.
+pub const SHARES_PERMILLE: [u32; 7] = [20, 50, 100, 250, 500, 750, 980];
 /// The part of the time that the canary may take, in thousandths.
 const CANARY_PERMILLE: u64 = 500;
 /// The part of the time that the old version stays loaded after the last step, in thousandths.
--- a/crates/control/src/moves/sequential.rs
+++ b/crates/control/src/moves/sequential.rs
@@ -19,12 +19,18 @@
 const CLEARED: usize = 1;
 /// The alarm's threshold. A good version passes it with a chance of about `exp(-16)` a request.
 const ALARM: f64 = 16.0;
-/// The chance that a version as bad as [`CLEARED`] is taken for good at one step: 1 in 100.
-const CLEAR: f64 = -4.6;
+/// The chance that a version as bad as [`CLEARED`] is taken for good at one step: 1 in 1,000.
+const CLEAR: f64 = -6.9;
 /// How many requests of the old version close a window.
 const WINDOW_REQUESTS: u64 = 20;
-/// The spread of the logarithm of time per token that is assumed at least.
-const LOG_SPREAD_MIN: f64 = 0.1;
+/// How many requests of the old version a window needs to be compared at all.
+const WINDOW_REQUESTS_MIN: u64 = 5;
+/// How often a window with fewer is left open.
+const LEFT_OPEN_MAX: u32 = 12;
+/// The spread of the logarithm of time per token that is assumed before it is known.
+const LOG_SPREAD: f64 = 0.3;
+/// The number of requests that the assumed spread counts for.
+const LOG_SPREAD_REQUESTS: f64 = 20.0;
 /// The share of the new version's requests above which a route must be cleared by itself.
 const ROUTE_SHARE_MIN: f64 = 0.05;
 
@@ -58,6 +64,8 @@
     slow_alarm: [f64; 3],
     failure_clear: f64,
     slow_clear: f64,
+    /// How often the window was left open since it began.
+    left_open: u32,
 }
 
 /// The comparison of two versions of one service.
@@ -77,33 +85,31 @@
 #[derive(Clone, Debug, Default)]
 pub struct Comparison {
     routes: BTreeMap<Route, RouteEvidence>,
+    /// All routes together, by which badness on all of them is found sooner.
+    all: RouteEvidence,
 }
 
 impl Comparison {
     /// Takes what was observed of one version on one route.
     pub fn add(&mut self, side: Side, route: &Route, observation: Observation) {
-        let evidence = self.routes.entry(route.clone()).or_default();
-        match side {
-            Side::Old => evidence.window_old += observation,
-            Side::New => evidence.window_new += observation,
-        }
-        if evidence.window_old.requests >= WINDOW_REQUESTS {
-            evidence.close_window();
-        }
+        self.routes.entry(route.clone()).or_default().add(side, observation);
+        self.all.add(side, observation);
     }
 
-    /// Closes the present windows, for routes on which the old version has little traffic.
+    /// Closes windows in which the old version has had some traffic, and those that were left open
+    /// for long.
     ///
-    /// Where the old version had none in the window, its long-term figures stand in for it.
+    /// Where the old version had none in the window, only failures are compared, with its long-term
+    /// rate; what slows both versions down would show in the new one's times alone.
     pub fn close_windows(&mut self) {
-        for evidence in self.routes.values_mut() {
-            evidence.close_window();
+        for evidence in self.routes.values_mut().chain([&mut self.all]) {
+            evidence.close_window_if_due();
         }
     }
 
     /// Restarts the test that clears the version for more traffic; alarms go on.
     pub fn restart_clearing(&mut self) {
-        for evidence in self.routes.values_mut() {
+        for evidence in self.routes.values_mut().chain([&mut self.all]) {
             evidence.failure_clear = 0.0;
             evidence.slow_clear = 0.0;
         }
@@ -111,8 +117,7 @@
 
     /// Returns how many requests of the new version were compared or wait to be.
     pub fn new_requests(&self) -> u64 {
-        let count = |evidence: &RouteEvidence| evidence.new.requests + evidence.window_new.requests;
-        self.routes.values().map(count).sum()
+        self.all.new.requests + self.all.window_new.requests
     }
 
     /// Returns the strongest alarm as a part of the threshold: 1 or above is an alarm.
@@ -120,7 +125,7 @@
         let level = |evidence: &RouteEvidence| {
             evidence.failure_alarm.iter().chain(&evidence.slow_alarm).copied().fold(0.0, f64::max)
         };
-        self.routes.values().map(level).fold(0.0, f64::max) / ALARM
+        self.routes.values().chain([&self.all]).map(level).fold(0.0, f64::max) / ALARM
     }
 
     /// Says what is known so far.
@@ -130,45 +135,60 @@
                 return Verdict::Bad(reason);
             }
         }
+        if let Some(reason) = self.all.alarm(&Route::from("all")) {
+            return Verdict::Bad(reason);
+        }
         if self.is_cleared() { Verdict::Cleared } else { Verdict::Open }
     }
 
     fn is_cleared(&self) -> bool {
-        let total: u64 = self.routes.values().map(|evidence| evidence.new.requests).sum();
-        let old_total: u64 = self.routes.values().map(|evidence| evidence.old.requests).sum();
-        if total == 0 {
-            return false;
-        }
-        self.routes.values().all(|evidence| {
-            let share = evidence.old.requests as f64 / old_total.max(1) as f64;
-            share < ROUTE_SHARE_MIN || evidence.is_cleared()
-        })
+        self.all.is_cleared()
+            && self.routes.values().all(|evidence| {
+                let share = evidence.old.requests as f64 / self.all.old.requests.max(1) as f64;
+                share < ROUTE_SHARE_MIN || evidence.is_cleared()
+            })
     }
 
     /// Sums the evidence up for operators.
     pub fn summary(&self) -> SmolStr {
-        let mut old = Observation::default();
-        let mut new = Observation::default();
-        for evidence in self.routes.values() {
-            old += evidence.old;
-            new += evidence.new;
+        self.all.figures()
+    }
+}
+
+impl RouteEvidence {
+    fn add(&mut self, side: Side, observation: Observation) {
+        match side {
+            Side::Old => self.window_old += observation,
+            Side::New => self.window_new += observation,
         }
-        let ratio = (new.log_mean() - old.log_mean()).exp();
+        if self.window_old.requests >= WINDOW_REQUESTS {
+            self.close_window();
+        }
+    }
+
+    fn close_window_if_due(&mut self) {
+        self.left_open += 1;
+        if self.window_old.requests >= WINDOW_REQUESTS_MIN || self.left_open >= LEFT_OPEN_MAX {
+            self.close_window();
+        }
+    }
+
+    fn figures(&self) -> SmolStr {
+        let ratio = (self.new.log_mean() - self.old.log_mean()).exp();
         format_smolstr!(
             "new {}/{} failed, old {}/{} failed, time per token x{ratio:.2}",
-            new.failures,
-            new.requests,
-            old.failures,
-            old.requests
+            self.new.failures,
+            self.new.requests,
+            self.old.failures,
+            self.old.requests
         )
     }
-}
 
-impl RouteEvidence {
     fn close_window(&mut self) {
         let (old, new) = (self.window_old, self.window_new);
         self.window_old = Observation::default();
         self.window_new = Observation::default();
+        self.left_open = 0;
         if new.requests > 0 {
             self.weigh_failures(&old, &new);
             self.weigh_times(&old, &new);
@@ -200,15 +220,16 @@
     }
 
     fn weigh_times(&mut self, old: &Observation, new: &Observation) {
-        let baseline = if old.timed > 0 { old } else { &self.old };
-        if baseline.timed == 0 || new.timed == 0 {
+        if old.timed == 0 || new.timed == 0 {
             return;
         }
         let mut all = self.old;
         all += *old;
-        let spread = all.log_variance().max(LOG_SPREAD_MIN * LOG_SPREAD_MIN);
-        let variance = spread * (1.0 + new.timed as f64 / baseline.timed as f64);
-        let usual = baseline.log_mean();
+        let known = all.timed as f64;
+        let assumed = LOG_SPREAD * LOG_SPREAD * LOG_SPREAD_REQUESTS;
+        let spread = (assumed + all.log_variance() * known) / (LOG_SPREAD_REQUESTS + known);
+        let variance = spread * (1.0 + new.timed as f64 / old.timed as f64);
+        let usual = old.log_mean();
         for (rank, slowdown) in SLOWDOWNS.iter().enumerate() {
             let shift = slowdown.ln();
             let excess = new.log_time_sum - new.timed as f64 * (usual + shift / 2.0);
@@ -221,21 +242,11 @@
     }
 
     fn alarm(&self, route: &Route) -> Option<SmolStr> {
-        let figures = || {
-            let ratio = (self.new.log_mean() - self.old.log_mean()).exp();
-            format_smolstr!(
-                "new {}/{} failed, old {}/{} failed, time per token x{ratio:.2}",
-                self.new.failures,
-                self.new.requests,
-                self.old.failures,
-                self.old.requests
-            )
-        };
         if self.failure_alarm.iter().any(|level| *level >= ALARM) {
-            return Some(format_smolstr!("fails on route {route}: {}", figures()));
+            return Some(format_smolstr!("fails on route {route}: {}", self.figures()));
         }
         if self.slow_alarm.iter().any(|level| *level >= ALARM) {
-            return Some(format_smolstr!("slow on route {route}: {}", figures()));
+            return Some(format_smolstr!("slow on route {route}: {}", self.figures()));
         }
         None
     }
--- a/crates/control/src/state/moves.rs
+++ b/crates/control/src/state/moves.rs
@@ -50,6 +50,8 @@
     pub step: u64,
     /// Why the last step was taken, with figures.
     pub reason: SmolStr,
+    /// When the move took its first step, in milliseconds since the Unix epoch, 0 before it.
+    pub begins_unix_ms: u64,
     /// When the present phase began, in milliseconds since the Unix epoch, 0 before the first step.
     pub phase_since_unix_ms: u64,
     /// When the last step was taken, in milliseconds since the Unix epoch, 0 before the first step.
@@ -106,6 +108,7 @@
             share_permille: 0,
             step: 0,
             reason: SmolStr::default(),
+            begins_unix_ms: 0,
             phase_since_unix_ms: 0,
             step_unix_ms: 0,
             changed: index,
@@ -131,6 +134,9 @@
         if record.step != step.after_step || record.phase.is_final() {
             return false;
         }
+        if record.begins_unix_ms == 0 {
+            record.begins_unix_ms = step.now_unix_ms;
+        }
         if record.phase != step.phase {
             record.phase_since_unix_ms = step.now_unix_ms;
         }
