--- a/crates/cli/src/serve/wire_up.rs
+++ b/crates/cli/src/serve/wire_up.rs
@@ -5,9 +5,10 @@
 use lycheehub_clock::{Clock, TimerService};
 use lycheehub_gateway::answers::KeptAnswers;
 use lycheehub_gateway::dispatcher::Dispatcher;
+use lycheehub_gateway::orders::OrderSender;
 use lycheehub_gateway::serve::Pool;
 use lycheehub_gateway::{Gateway, http};
-use lycheehub_peer::{Control, ControlRequest, Node, Settings as PeerSettings, Views};
+use lycheehub_peer::{Control, ControlRequest, Node, Outside, Settings as PeerSettings, Views};
 use lycheehub_route::Scheduler;
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use rand::RngCore;
@@ -23,7 +24,7 @@
     clock: Clock,
     timers: Arc<TimerService>,
     views: Views,
-    answers: Arc<KeptAnswers>,
+    outside: Outside,
     listener: TcpListener,
     requests: Receiver<ControlRequest>,
 }
@@ -47,7 +48,10 @@
         clock,
         timers: timers.clone(),
         views: views.clone(),
-        answers: answers.clone(),
+        outside: Outside {
+            answers: answers.clone(),
+            orders: Arc::new(OrderSender::new(clock, executor.clone())),
+        },
         listener: peer,
         requests,
     };
@@ -106,7 +110,7 @@
 fn run_control(parts: ControlParts, opened: &Sender<Result<u64, String>>) {
     let seed = rand::rng().next_u64();
     let node =
-        Node::open(parts.settings, parts.clock, parts.timers, parts.views, parts.answers, seed);
+        Node::open(parts.settings, parts.clock, parts.timers, parts.views, parts.outside, seed);
     let node = match node {
         Ok(node) => node,
         Err(error) => {
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the daemon and the command line, with instances as separate processes.
 
+mod command_line;
 mod control;
+mod moves;
 mod operators;
 mod requests;
+mod security;
 mod support;
 mod whole_path;
--- a/crates/cli/tests/cli/support.rs
+++ b/crates/cli/tests/cli/support.rs
@@ -6,7 +6,9 @@
 use sha2::{Digest, Sha256};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
 
 /// How long anything may take that a test waits for.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -135,3 +137,9 @@
     assert!(output.status.success(), "{error}");
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
+
+/// Returns the time that comes in this many seconds, as the document writes it.
+pub fn rfc3339_in(seconds: u64) -> String {
+    let at = SystemTime::now() + Duration::from_secs(seconds);
+    OffsetDateTime::from(at).format(&Rfc3339).expect("a time of this century")
+}
--- a/crates/cli/tests/cli/whole_path.rs
+++ b/crates/cli/tests/cli/whole_path.rs
@@ -1,6 +1,6 @@
 //! The whole path, thin: a golden file of a whole run over three processes.
 
-use crate::support::{PATIENCE, Site, TRUCK_KEY, document, stdout};
+use crate::support::{PATIENCE, Site, TRUCK_KEY, document, rfc3339_in, stdout};
 use goldenfile::Mint;
 use lycheehub_standin::caller::{Call, Streamed, chat_messages, stream};
 use lycheehub_standin::cluster::{Layout, eventually};
@@ -8,7 +8,6 @@
 use lycheehub_types::EndpointKind;
 use std::fmt::Write as _;
 use std::io::Write as _;
-use std::time::{Duration, SystemTime};
 
 fn text_of(prompt: &str, tokens: u64) -> String {
     (0..tokens).map(|at| token_text(&chat_messages(prompt), at)).collect()
@@ -79,11 +78,9 @@
 fn version_move(site: &mut Site, seen: &mut String) {
     let next = Options { name: "engine-2".into(), version: "v2".into(), ..Options::default() };
     site.add(next);
-    let by = SystemTime::now() + Duration::from_secs(8);
-    let by = by.duration_since(SystemTime::UNIX_EPOCH).expect("after 1970").as_secs();
     let order = format!(
         "\n[move.writer-v2]\nservice = \"label-writer\"\nto = \"v2\"\nby = \"{}\"\n",
-        rfc3339(by)
+        rfc3339_in(8)
     );
     let base = site.cluster.read(0, "sections/labels").expect("read").json()["revision"].as_u64();
     site.apply("labels", base.expect("revision"), "second", &(document() + &order));
@@ -97,26 +94,6 @@
     writeln!(seen, "served after the move by {by}").unwrap();
 }
 
-fn rfc3339(unix_s: u64) -> String {
-    let (days, second) = (unix_s / 86_400, unix_s % 86_400);
-    let shifted = days + 719_468;
-    let era = shifted / 146_097;
-    let day_of_era = shifted % 146_097;
-    let year_of_era =
-        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
-    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
-    let month = (5 * day_of_year + 2) / 153;
-    let day = day_of_year - (153 * month + 2) / 5 + 1;
-    let month = if month < 10 { month + 3 } else { month - 9 };
-    let year = year_of_era + era * 400 + u64::from(month <= 2);
-    format!(
-        "{year:04}-{month:02}-{day:02}T{:02}:{:02}:{:02}Z",
-        second / 3_600,
-        second / 60 % 60,
-        second % 60
-    )
-}
-
 fn endpoint_leaving(site: &Site, seen: &mut String) {
     let leaving = &site.endpoints[1];
     leaving.set_faults(Faults { leaving: true, ..Faults::default() });
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -216,7 +216,12 @@
     ///
     /// No other leader can be elected while this holds, within the stated clock drift.
     pub fn holds_lease(&self, now_ms: u64) -> bool {
-        self.is_established() && now_ms < self.leading.quorum_seen_ms + self.options.lease_ms()
+        self.is_established() && now_ms < self.lease_until_ms()
+    }
+
+    /// Returns when the lease of this leader ends, in milliseconds by its clock.
+    pub fn lease_until_ms(&self) -> u64 {
+        self.leading.quorum_seen_ms + self.options.lease_ms()
     }
 
     /// Tells whether this replica leads and knows all that earlier leaders committed.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,11 +4,13 @@
 //! * [`registry`] knows the instances and endpoints by their leases.
 //! * [`slots`] shares the slots of endpoints out between instances.
 //! * [`moves`] plans version moves and compares versions.
+//! * [`placement`] orders endpoints to load versions.
 //! * [`view`] is what control state shows to the traffic threads.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 pub mod moves;
+pub mod placement;
 pub mod registry;
 pub mod slots;
 pub mod state;
--- a/crates/control/src/moves/controller.rs
+++ b/crates/control/src/moves/controller.rs
@@ -232,11 +232,12 @@
     (due && quiet).then(|| format_smolstr!("due by the plan: {summary}"))
 }
 
-/// Tells whether the new version's endpoints can carry `share_permille` of what the old ones can.
+/// Tells whether the new version's endpoints can carry `share_permille` of the traffic: they have at
+/// least half of that share of all slots.
 fn can_carry(record: &MoveRecord, share_permille: u32, supply: &Supply) -> bool {
     let new = u64::from(slots(record, &record.spec.to, supply));
     let old = u64::from(slots(record, &record.from, supply));
-    new * 1_000 >= old.min(new.max(1) * 2) * u64::from(share_permille) / 2
+    new * 2_000 >= (new + old) * u64::from(share_permille)
 }
 
 fn finish(now_unix_ms: u64, record: &MoveRecord, watch: &Watch) -> Option<Next> {
--- a/crates/control/src/moves/mod.rs
+++ b/crates/control/src/moves/mod.rs
@@ -7,5 +7,5 @@
 
 pub use controller::{Controller, Supply};
 pub use observation::{Observation, ObservationKey, Observations};
-pub use plan::{Plan, is_in_time};
+pub use plan::{Plan, is_in_time, next_share_permille};
 pub use sequential::{Comparison, Side, Verdict};
--- a/crates/control/src/moves/plan.rs
+++ b/crates/control/src/moves/plan.rs
@@ -57,6 +57,15 @@
     }
 }
 
+/// Returns the share of traffic that the new version gets next, in thousandths.
+pub fn next_share_permille(record: &MoveRecord) -> u32 {
+    if matches!(record.phase, Phase::Planned | Phase::Loading) {
+        return SHARES_PERMILLE[0];
+    }
+    let next = SHARES_PERMILLE.into_iter().find(|share| *share > record.share_permille);
+    next.unwrap_or(record.share_permille)
+}
+
 /// Tells whether a move is done, or can still be done in time with the shortest time at each step.
 pub fn is_in_time(now_unix_ms: u64, record: &MoveRecord) -> bool {
     let left = SHARES_PERMILLE.iter().filter(|share| **share > record.share_permille).count();
--- a/crates/control/src/moves/sequential.rs
+++ b/crates/control/src/moves/sequential.rs
@@ -31,6 +31,8 @@
 const LOG_SPREAD: f64 = 0.3;
 /// The number of requests that the assumed spread counts for.
 const LOG_SPREAD_REQUESTS: f64 = 20.0;
+/// How much the variance is raised, since requests that run together share their load.
+const DEPENDENCE: f64 = 2.0;
 /// The share of the new version's requests above which a route must be cleared by itself.
 const ROUTE_SHARE_MIN: f64 = 0.05;
 
@@ -228,7 +230,7 @@
         let known = all.timed as f64;
         let assumed = LOG_SPREAD * LOG_SPREAD * LOG_SPREAD_REQUESTS;
         let spread = (assumed + all.log_variance() * known) / (LOG_SPREAD_REQUESTS + known);
-        let variance = spread * (1.0 + new.timed as f64 / old.timed as f64);
+        let variance = DEPENDENCE * spread * (1.0 + new.timed as f64 / old.timed as f64);
         let usual = old.log_mean();
         for (rank, slowdown) in SLOWDOWNS.iter().enumerate() {
             let shift = slowdown.ln();
--- a/crates/control/src/registry/delta.rs
+++ b/crates/control/src/registry/delta.rs
@@ -1,12 +1,24 @@
 //! What one instance tells another: the records that changed since it last told it.
 
-use super::{FORGET_MS, Registry};
-use lycheehub_types::{EndpointRecord, InstanceRecord};
+use super::{FORGET_MS, Known, Registry};
+use lycheehub_types::{EndpointLoad, EndpointRecord, InstanceRecord};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How far a peer has been told of changes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Cursor(u64);
 
+/// A new sequence number and load of an endpoint whose record the receiver has.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Renewal {
+    /// A digest of the endpoint's name and incarnation.
+    pub key: u64,
+    /// The sequence number.
+    pub sequence: u64,
+    /// The load.
+    pub load: EndpointLoad,
+}
+
 /// Changed records, each with its age in milliseconds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Delta {
@@ -14,6 +26,13 @@
     pub instances: Vec<(InstanceRecord, u64)>,
     /// Changed endpoints.
     pub endpoints: Vec<(EndpointRecord, u64)>,
+    /// Endpoints of which only the sequence number and the load changed.
+    pub renewals: Vec<(Renewal, u64)>,
+}
+
+/// Returns the key of an endpoint's renewals.
+pub(super) fn key_of(record: &EndpointRecord) -> u64 {
+    xxh3_64_with_seed(record.endpoint.as_str().as_bytes(), record.incarnation)
 }
 
 impl Registry {
@@ -21,15 +40,19 @@
     pub fn delta_after(&self, now_ms: u64, cursor: Cursor) -> (Delta, Cursor) {
         let age_ms = |made_ms: u64| now_ms.saturating_sub(made_ms);
         let instances = self.instances.values().filter(|known| known.change > cursor.0);
-        let endpoints = self.endpoints.values().filter(|known| known.change > cursor.0);
-        let delta = Delta {
+        let mut delta = Delta {
             instances: instances
                 .map(|known| (known.record.clone(), age_ms(known.made_ms)))
                 .collect(),
-            endpoints: endpoints
-                .map(|known| (known.record.clone(), age_ms(known.made_ms)))
-                .collect(),
+            ..Delta::default()
         };
+        for known in self.endpoints.values().filter(|known| known.change > cursor.0) {
+            if known.described > cursor.0 {
+                delta.endpoints.push((known.record.clone(), age_ms(known.made_ms)));
+            } else {
+                delta.renewals.push((renewal_of(known), age_ms(known.made_ms)));
+            }
+        }
         (delta, Cursor(self.changes))
     }
 
@@ -47,6 +70,35 @@
         for (record, age_ms) in delta.endpoints {
             news |= age_ms < FORGET_MS && self.take_endpoint(now_ms, record, age_ms);
         }
+        for (renewal, age_ms) in delta.renewals {
+            news |= age_ms < FORGET_MS && self.take_renewal(now_ms, renewal, age_ms);
+        }
         news
     }
+
+    /// Tells once whether a renewal came for an endpoint that is not known here, so that a peer
+    /// must be asked for all records.
+    pub fn take_lacking(&mut self) -> bool {
+        std::mem::take(&mut self.lacking)
+    }
+
+    fn take_renewal(&mut self, now_ms: u64, renewal: Renewal, age_ms: u64) -> bool {
+        let known = self.keys.get(&renewal.key).and_then(|name| self.endpoints.get(name));
+        let Some(known) = known.filter(|known| key_of(&known.record) == renewal.key) else {
+            // A renewal of an earlier incarnation names a key that is known.
+            self.lacking |= !self.keys.contains_key(&renewal.key);
+            return false;
+        };
+        let record = EndpointRecord {
+            sequence: renewal.sequence,
+            load: renewal.load,
+            ..known.record.clone()
+        };
+        self.take_endpoint(now_ms, record, age_ms)
+    }
+}
+
+fn renewal_of(known: &Known<EndpointRecord>) -> Renewal {
+    let record = &known.record;
+    Renewal { key: key_of(record), sequence: record.sequence, load: record.load }
 }
--- a/crates/control/src/registry/mod.rs
+++ b/crates/control/src/registry/mod.rs
@@ -5,7 +5,7 @@
 
 mod delta;
 
-pub use delta::{Cursor, Delta};
+pub use delta::{Cursor, Delta, Renewal};
 
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName, InstanceRecord};
 use std::collections::BTreeMap;
@@ -26,6 +26,8 @@
     pub made_ms: u64,
     /// The local change number, by which deltas are cut.
     change: u64,
+    /// The change number at which more than the sequence number and the load changed.
+    described: u64,
 }
 
 /// All instances and endpoints that an instance has heard of.
@@ -46,7 +48,11 @@
 pub struct Registry {
     instances: BTreeMap<InstanceName, Known<InstanceRecord>>,
     endpoints: BTreeMap<EndpointName, Known<EndpointRecord>>,
+    /// The endpoints by the key of their renewals.
+    keys: BTreeMap<u64, EndpointName>,
     changes: u64,
+    /// A renewal came for an endpoint that is not known here.
+    lacking: bool,
 }
 
 impl Registry {
@@ -60,7 +66,13 @@
             record.leaving |= same && known.record.leaving;
         }
         self.changes += 1;
-        let known = Known { made_ms: now_ms.saturating_sub(age_ms), change: self.changes, record };
+        let described = match self.endpoints.get(&record.endpoint) {
+            Some(known) if is_renewal(&known.record, &record) => known.described,
+            _ => self.changes,
+        };
+        self.keys.insert(delta::key_of(&record), record.endpoint.clone());
+        let made_ms = now_ms.saturating_sub(age_ms);
+        let known = Known { made_ms, change: self.changes, described, record };
         self.endpoints.insert(known.record.endpoint.clone(), known);
         true
     }
@@ -72,7 +84,8 @@
             return false;
         }
         self.changes += 1;
-        let known = Known { made_ms: now_ms.saturating_sub(age_ms), change: self.changes, record };
+        let made_ms = now_ms.saturating_sub(age_ms);
+        let known = Known { made_ms, change: self.changes, described: self.changes, record };
         self.instances.insert(known.record.instance.clone(), known);
         true
     }
@@ -108,5 +121,15 @@
     pub fn forget_old(&mut self, now_ms: u64) {
         self.endpoints.retain(|_, known| now_ms < known.made_ms + FORGET_MS);
         self.instances.retain(|_, known| now_ms < known.made_ms + FORGET_MS);
+        let endpoints = &self.endpoints;
+        self.keys.retain(|key, name| {
+            endpoints.get(name).is_some_and(|known| delta::key_of(&known.record) == *key)
+        });
     }
 }
+
+/// Tells whether only the sequence number and the load of a record have changed.
+fn is_renewal(old: &EndpointRecord, new: &EndpointRecord) -> bool {
+    let renewed = EndpointRecord { sequence: new.sequence, load: new.load, ..old.clone() };
+    renewed == *new
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,7 +1,9 @@
 //! Tests of the control state.
 
 mod claims;
+mod decode;
 mod moves;
+mod placement;
 mod registry;
 mod slots;
 mod state;
--- a/crates/control/tests/control/registry.rs
+++ b/crates/control/tests/control/registry.rs
@@ -14,6 +14,7 @@
         failure_domain: "salto".into(),
         slots: 8,
         fencing: false,
+        takes_orders: false,
         incarnation,
         sequence,
         leaving,
@@ -61,3 +62,25 @@
     assert_eq!(to.endpoints().next().map(|known| known.made_ms), Some(8_500));
     assert!(from.delta_after(1_600, cursor).0.endpoints.is_empty());
 }
+
+#[test]
+fn a_renewal_carries_only_what_changes_with_each_announcement() {
+    let mut from = Registry::default();
+    from.take_endpoint(1_000, record(1, 1, false), 0);
+    let (first, cursor) = from.delta_after(1_000, Cursor::default());
+    from.take_endpoint(2_000, record(1, 2, false), 0);
+    let (second, cursor) = from.delta_after(2_000, cursor);
+    assert_eq!((second.endpoints.len(), second.renewals.len()), (0, 1));
+    let mut to = Registry::default();
+    to.take_delta(1_000, first);
+    assert!(to.take_delta(2_000, second.clone()));
+    assert_eq!(to.live_endpoints(2_000 + ENDPOINT_LEASE_MS - 1).count(), 1);
+    // A change of more than that goes as a whole record.
+    from.take_endpoint(3_000, record(1, 3, true), 0);
+    assert_eq!(from.delta_after(3_000, cursor).0.endpoints.len(), 1);
+    // Who lacks the record learns that it does.
+    let mut new = Registry::default();
+    assert!(!new.take_delta(2_000, second));
+    assert!(new.take_lacking());
+    assert!(!new.take_lacking());
+}
--- /dev/null
+++ b/crates/estate/tests/estate/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the operators' document.
+
+mod merge;
+mod parse;
--- a/crates/gateway/src/dispatcher.rs
+++ b/crates/gateway/src/dispatcher.rs
@@ -108,11 +108,12 @@
         decision
     }
 
-    /// Takes the request back from its endpoint, to be tried elsewhere from `relayed_tokens` on.
-    pub fn retry(&mut self, relayed_tokens: u64) {
+    /// Takes the request back from its endpoint, to be tried elsewhere; `ran_to` is nothing where it
+    /// did not run, else how many tokens were relayed.
+    pub fn retry(&mut self, ran_to: Option<u64>) {
         let mut inner = self.dispatcher.lock();
         let now_ms = self.dispatcher.clock.now_ms();
-        let decisions = inner.scheduler.retry(now_ms, self.key, relayed_tokens);
+        let decisions = inner.scheduler.retry(now_ms, self.key, ran_to);
         inner.hand_out(decisions);
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! * [`filters`] is the chain that a caller's request passes: identify, classify, serve.
 //! * [`serve`] runs one request: claim, admit, dispatch, relay, account.
 //! * [`answers`] holds answers while they come in, and afterwards for resends.
-//! * [`operators`] and [`announce`] are the calls of operators and endpoints.
+//! * [`operators`] and [`announce`] are the calls of operators and endpoints, [`orders`] the calls
+//!   to endpoints.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
@@ -16,6 +17,7 @@
 pub mod http;
 pub mod keys;
 pub mod operators;
+pub mod orders;
 pub mod serve;
 mod settings;
 
--- /dev/null
+++ b/crates/gateway/src/orders.rs
@@ -0,0 +1,75 @@
+//! Orders to endpoints.
+
+use http_types::{Body, Method, Request, Url};
+use lycheehub_clock::Clock;
+use lycheehub_control::placement::{Fence, Order};
+use lycheehub_peer::OrderSink;
+use lycheehub_types::PeerError;
+use serde::Serialize;
+use smol::net::TcpStream;
+use smol::{Executor, Timer};
+use std::sync::Arc;
+use std::time::Duration;
+
+#[derive(Serialize)]
+struct Load<'a> {
+    order: &'static str,
+    service: &'a str,
+    version: &'a str,
+    fence: Fence,
+}
+
+/// Sends orders from the traffic threads.
+#[derive(Debug)]
+pub struct OrderSender {
+    clock: Clock,
+    executor: Arc<Executor<'static>>,
+}
+
+impl OrderSender {
+    /// Makes a sender that runs on `executor`.
+    pub fn new(clock: Clock, executor: Arc<Executor<'static>>) -> Self {
+        Self { clock, executor }
+    }
+}
+
+impl OrderSink for OrderSender {
+    fn send(&self, order: Order) {
+        let clock = self.clock;
+        let task = async move {
+            let left_ms = order.valid_until_ms.saturating_sub(clock.now_ms());
+            let sent = deliver(clock, &order);
+            let late = async {
+                Timer::after(Duration::from_millis(left_ms)).await;
+                Err(PeerError::TimedOut("order", order.address.clone(), left_ms))
+            };
+            if let Err(error) = smol::future::or(sent, late).await {
+                spdlog::warn!("order not taken", kv: { endpoint: = order.endpoint, error: });
+            }
+        };
+        self.executor.spawn(task).detach();
+    }
+}
+
+async fn deliver(clock: Clock, order: &Order) -> Result<(), PeerError> {
+    let address = order.address.as_str();
+    let fail = |cause: String| PeerError::failed("order", address, cause);
+    let url =
+        Url::parse(&format!("http://{address}/v1/orders")).map_err(|e| fail(e.to_string()))?;
+    let load = Load {
+        order: "load",
+        service: order.service.as_str(),
+        version: order.version.as_str(),
+        fence: order.fence,
+    };
+    let body = serde_json::to_vec(&load).map_err(|e| fail(e.to_string()))?;
+    let mut request = Request::new(Method::Post, url);
+    request.set_body(Body::from_bytes(body));
+    request.insert_header("connection", "close");
+    let stream = TcpStream::connect(address).await.map_err(|e| fail(e.to_string()))?;
+    if clock.now_ms() >= order.valid_until_ms {
+        return Err(fail("the order is no longer valid".to_owned()));
+    }
+    let response = async_h1::connect(stream, request).await.map_err(|e| fail(e.to_string()))?;
+    if response.status().is_success() { Ok(()) } else { Err(fail(response.status().to_string())) }
+}
--- a/crates/gateway/src/serve/run.rs
+++ b/crates/gateway/src/serve/run.rs
@@ -64,11 +64,11 @@
         log_dispatch(exchange, payload, &assignment);
         let begun_ms = gateway.clock.now_fine_ms();
         let attempt = attempt(gateway, exchange, payload, answer, &assignment, &mut progress).await;
-        let error = match attempt {
+        let (error, ran_to) = match attempt {
             Ok(()) => {
                 return End::Answered(outcome(begun_ms, gateway.clock.now_fine_ms(), &progress));
             }
-            Err(Failure::NotRun(error)) => error,
+            Err(Failure::NotRun(error)) => (error, None),
             Err(Failure::Unknown(error)) => {
                 ran = true;
                 let late = gateway.clock.now_ms() >= payload.job.deadline_ms;
@@ -76,7 +76,7 @@
                     spdlog::warn!("request failed", kv: { request = exchange.request, error: });
                     return End::Failed(unfinished(&error.to_string()));
                 }
-                error
+                (error, Some(progress.tokens))
             }
         };
         spdlog::info!("tried elsewhere", kv: {
@@ -85,7 +85,7 @@
             error:,
         });
         metrics::counter!("lycheehub_retries_total").increment(1);
-        ticket.retry(progress.tokens);
+        ticket.retry(ran_to);
     }
 }
 
@@ -124,7 +124,6 @@
         let relayed = relay::stream(gateway, address, response, bounds, answer, progress).await;
         reusable &= relayed.map_err(Failure::Unknown)?;
     } else {
-        progress.first_ms = Some(gateway.clock.now_fine_ms());
         whole_answer(gateway, payload, answer, address, response, bounds, progress).await?;
     }
     if reusable {
@@ -154,7 +153,6 @@
     if payload.kind == EndpointKind::Engine {
         progress.tokens = relay::tokens_of(&body);
     }
-    progress.last_ms = gateway.clock.now_fine_ms();
     let content_type = content_type.as_deref().unwrap_or("application/octet-stream");
     answer.begin(status, content_type, Some(body.len()));
     answer.append(&body).await;
@@ -163,11 +161,11 @@
 }
 
 fn outcome(begun_ms: f64, now_ms: f64, progress: &Progress) -> Outcome {
-    let first_ms = progress.first_ms.unwrap_or(now_ms);
+    let last_ms = if progress.first_ms.is_some() { progress.last_ms } else { now_ms };
     Outcome::Answered {
         tokens: progress.tokens,
-        first_token_ms: (first_ms - begun_ms).max(0.0),
-        decode_ms: (progress.last_ms - first_ms).max(0.0),
+        first_token_ms: progress.first_ms.map(|first_ms| (first_ms - begun_ms).max(0.0)),
+        total_ms: (last_ms - begun_ms).max(0.0),
     }
 }
 
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,5 +1,6 @@
 //! The handle by which traffic threads reach the control thread.
 
+use lycheehub_control::placement::Order;
 use lycheehub_control::state::{Command, MoveRecord, SectionRecord};
 use lycheehub_route::Demands;
 use lycheehub_types::{EndpointRecord, InstanceName, RefusalKind, SectionName};
@@ -14,6 +15,12 @@
     fn answer(&self, request: u64) -> KeptAnswer;
 }
 
+/// Where orders to endpoints are sent from.
+pub trait OrderSink: Send + Sync {
+    /// Sends an order while it is valid; whether it was taken shows in later announcements.
+    fn send(&self, order: Order);
+}
+
 /// What is committed, as confirmed by a quorum.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Statement {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -9,14 +9,15 @@
 
 mod auth;
 pub mod control;
+mod count;
 mod link;
 mod node;
 mod server;
 mod settings;
 mod views;
 
-pub use control::{AnswerSource, Control, ControlRequest, Statement};
+pub use control::{AnswerSource, Control, ControlRequest, OrderSink, Statement};
 pub use lycheehub_wire::{Answer, KeptAnswer, ProposeReply};
-pub use node::Node;
+pub use node::{Node, Outside};
 pub use settings::{Seed, Settings};
 pub use views::Views;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -1,6 +1,7 @@
 //! Outgoing connections to other instances.
 
 use crate::auth::{self, End};
+use crate::count::Counted;
 use crate::settings::Settings;
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
@@ -106,7 +107,7 @@
         stream.set_nodelay(true).map_err(|e| fail(e.to_string()))?;
         let mut options = ReaderOptions::new();
         options.traversal_limit_in_words(Some(MESSAGE_MAX_WORDS));
-        let network = VatNetwork::new(stream.clone(), stream, Side::Client, options);
+        let network = VatNetwork::new(stream.clone(), Counted(stream), Side::Client, options);
         let mut system = RpcSystem::new(Box::new(network), None);
         let greeter: greeter::Client = system.bootstrap(Side::Server);
         let system = self.executor.spawn(async move {
--- a/crates/peer/src/node/gossip.rs
+++ b/crates/peer/src/node/gossip.rs
@@ -60,7 +60,10 @@
             core.registry.delta_after(self.clock.now_ms(), told)
         };
         let own = self.settings.instance.clone();
-        let started = !self.core.borrow().heard;
+        let started = {
+            let mut core = self.core.borrow_mut();
+            core.registry.take_lacking() || !core.heard
+        };
         let call = |peer: peer::Client| async move {
             let mut request = peer.gossip_request();
             request.get().set_sender(own.as_str());
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -11,7 +11,7 @@
 mod report;
 mod requests;
 
-use crate::control::{AnswerSource, ControlRequest};
+use crate::control::{AnswerSource, ControlRequest, OrderSink};
 use crate::link::Links;
 use crate::server;
 use crate::settings::Settings;
@@ -21,6 +21,7 @@
 use lycheehub_consensus::storage::{Disk, Error as StorageError};
 use lycheehub_consensus::{Options, Replica};
 use lycheehub_control::moves::Controller;
+use lycheehub_control::placement::Placer;
 use lycheehub_control::registry::{Cursor, Registry};
 use lycheehub_control::slots::SlotBook;
 use lycheehub_control::{State, View};
@@ -55,11 +56,20 @@
     links: Links,
     views: Views,
     answers: Arc<dyn AnswerSource>,
+    orders: Arc<dyn OrderSink>,
     core: RefCell<Core>,
     /// Wakes those that wait for a new revision.
     revised: RefCell<Vec<Sender<()>>>,
 }
 
+/// What the control thread calls outside itself.
+pub struct Outside {
+    /// Where answers to this instance's requests are kept.
+    pub answers: Arc<dyn AnswerSource>,
+    /// Where orders to endpoints are sent from.
+    pub orders: Arc<dyn OrderSink>,
+}
+
 /// What the control thread owns.
 struct Core {
     registry: Registry,
@@ -77,6 +87,7 @@
     grants: BTreeMap<EndpointName, (u32, u64)>,
     slot_book: SlotBook,
     controller: Controller,
+    placer: Placer,
     /// When this instance began to lead, in milliseconds.
     leading_since_ms: Option<u64>,
     proposals: Vec<(Vec<u8>, Sender<ProposeReply>)>,
@@ -94,7 +105,7 @@
         clock: Clock,
         timers: Arc<dyn Timers>,
         views: Views,
-        answers: Arc<dyn AnswerSource>,
+        outside: Outside,
         seed: u64,
     ) -> Result<Rc<Self>, StorageError> {
         let settings = Rc::new(settings);
@@ -136,6 +147,7 @@
             grants: BTreeMap::new(),
             slot_book: SlotBook::default(),
             controller: Controller::default(),
+            placer: Placer::default(),
             leading_since_ms: None,
             proposals: Vec::new(),
             dirty: true,
@@ -149,7 +161,8 @@
             executor,
             links,
             views,
-            answers,
+            answers: outside.answers,
+            orders: outside.orders,
             core: RefCell::new(core),
             revised: RefCell::default(),
         }))
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -4,8 +4,9 @@
 use super::{Core, Node};
 use lycheehub_control::Command;
 use lycheehub_control::moves::Supply;
+use lycheehub_control::placement::{Leadership, Order};
 use lycheehub_control::slots::GRANT_LEASE_MS;
-use lycheehub_types::{EndpointName, InstanceName};
+use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use lycheehub_wire::peer_capnp::peer;
 use lycheehub_wire::{Report, ReportReply};
 use std::collections::BTreeMap;
@@ -120,7 +121,7 @@
     /// Runs the leader's controllers.
     pub(super) fn run_controllers(self: &Rc<Self>) {
         let now_ms = self.clock.now_ms();
-        let steps = {
+        let (steps, orders) = {
             let mut core = self.core.borrow_mut();
             let core = &mut *core;
             let holds_lease = core.replica().is_some_and(|replica| replica.holds_lease(now_ms));
@@ -128,8 +129,18 @@
                 return;
             }
             let supply = supply(core, now_ms);
-            core.controller.tick(self.clock.now_unix_ms(), &core.state, &supply)
+            let steps = core.controller.tick(self.clock.now_unix_ms(), &core.state, &supply);
+            (steps, orders(core, now_ms))
         };
+        for order in orders {
+            spdlog::info!("endpoint ordered to load", kv: {
+                endpoint: = order.endpoint,
+                version: = order.version,
+                term = order.fence.term,
+                counter = order.fence.counter,
+            });
+            self.orders.send(order);
+        }
         for step in steps {
             spdlog::info!("move steps", kv: {
                 move_id: = step.id,
@@ -165,6 +176,25 @@
     grants
 }
 
+/// Decides the orders that are due, while this instance holds the lease.
+fn orders(core: &mut Core, now_ms: u64) -> Vec<Order> {
+    let Some(replica) = core.driver.as_ref().map(|driver| &driver.replica) else {
+        return Vec::new();
+    };
+    let leadership = Leadership {
+        term: replica.term(),
+        since_ms: core.leading_since_ms.unwrap_or(now_ms),
+        lease_until_ms: replica.lease_until_ms(),
+    };
+    let live: Vec<&EndpointRecord> = core
+        .registry
+        .live_endpoints(now_ms)
+        .map(|known| &known.record)
+        .filter(|record| !record.leaving)
+        .collect();
+    core.placer.tick(now_ms, leadership, &core.state, &live)
+}
+
 /// Sums up the slots of live endpoints by service and version.
 fn supply(core: &Core, now_ms: u64) -> Supply {
     let mut supply = Supply::new();
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,6 +1,7 @@
 //! The answering end of connections between instances.
 
 use crate::auth::{self, End};
+use crate::count::Counted;
 use crate::link::MESSAGE_MAX_WORDS;
 use crate::node::Node;
 use capnp::message::ReaderOptions;
@@ -32,7 +33,7 @@
     }
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MESSAGE_MAX_WORDS));
-    let network = VatNetwork::new(stream.clone(), stream, Side::Server, options);
+    let network = VatNetwork::new(stream.clone(), Counted(stream), Side::Server, options);
     let greeter = Greeter { node: node.clone(), nonce: auth::nonce() };
     let client: greeter::Client = new_client(greeter);
     let system = RpcSystem::new(Box::new(network), Some(client.client));
--- a/crates/route/src/job.rs
+++ b/crates/route/src/job.rs
@@ -81,10 +81,10 @@
     Answered {
         /// Generated tokens.
         tokens: u64,
-        /// The time to the first token, in milliseconds.
-        first_token_ms: f64,
-        /// The time from the first token to the last, in milliseconds.
-        decode_ms: f64,
+        /// The time to the first token, in milliseconds; nothing where the answer came whole.
+        first_token_ms: Option<f64>,
+        /// The time to the last token, in milliseconds.
+        total_ms: f64,
     },
     /// The endpoint failed.
     Failed,
--- a/crates/route/src/scheduler/dispatch.rs
+++ b/crates/route/src/scheduler/dispatch.rs
@@ -39,16 +39,15 @@
         state.running = Some(Running { endpoint: assignment.endpoint, version, prefill_tokens });
     }
 
-    /// Takes back a request of which no byte was written to its endpoint, or one that may run again
-    /// from `relayed_tokens` on, and tries it elsewhere within the retry budget.
-    pub fn retry(&mut self, now_ms: u64, key: JobKey, relayed_tokens: u64) -> Vec<Decision> {
+    /// Takes back a request and tries it elsewhere within the retry budget.
+    ///
+    /// `ran_to` is nothing where the request did not run, else how many tokens were relayed: the
+    /// request goes on from there.
+    pub fn retry(&mut self, now_ms: u64, key: JobKey, ran_to: Option<u64>) -> Vec<Decision> {
         let mut decisions = Vec::new();
-        let Some(endpoint) = self.release(key) else { return decisions };
-        let mut excluded = None;
-        if let Some(endpoint) = self.endpoints.get_mut(endpoint) {
-            endpoint.breaker.failed(now_ms);
-            excluded = Some(endpoint.record.endpoint.clone());
-        }
+        let Some(endpoint) = self.release(now_ms, key, ran_to.is_some()) else { return decisions };
+        let relayed_tokens = ran_to.unwrap_or(0);
+        let excluded = self.endpoints.get(endpoint).map(|known| known.record.endpoint.clone());
         let Some(state) = self.jobs.get_mut(key) else { return decisions };
         state.excluded.extend(excluded);
         state.job.max_tokens = state.job.max_tokens.saturating_sub(relayed_tokens);
--- a/crates/route/src/scheduler/finish.rs
+++ b/crates/route/src/scheduler/finish.rs
@@ -32,9 +32,16 @@
     }
 
     /// Frees the slot of a request that goes back to the queue; returns its endpoint.
-    pub(super) fn release(&mut self, key: JobKey) -> Option<EndpointKey> {
+    ///
+    /// Where the request may have run, its failure counts against the endpoint and the version.
+    pub(super) fn release(&mut self, now_ms: u64, key: JobKey, ran: bool) -> Option<EndpointKey> {
         let running = self.jobs.get_mut(key)?.running.take()?;
         self.free_slot(key, &running);
+        if ran {
+            self.learn(now_ms, key, &running, Outcome::Failed);
+        } else if let Some(endpoint) = self.endpoints.get_mut(running.endpoint) {
+            endpoint.breaker.failed(now_ms);
+        }
         Some(running.endpoint)
     }
 
@@ -58,18 +65,18 @@
                 }
                 Observation::failure()
             }
-            Outcome::Answered { tokens, first_token_ms, decode_ms } => {
+            Outcome::Answered { tokens, first_token_ms, total_ms } => {
                 let prefill = running.prefill_tokens;
                 pool.lengths.learn(job.max_tokens, tokens);
-                pool.speed.learn(prefill, tokens, first_token_ms, decode_ms);
+                pool.speed.learn(prefill, tokens, first_token_ms, total_ms);
                 if let Some(endpoint) = self.endpoints.get_mut(running.endpoint) {
                     endpoint.breaker.answered();
-                    endpoint.speed.learn(prefill, tokens, first_token_ms, decode_ms);
-                    let hardware =
-                        pool.hardware.entry(endpoint.record.hardware.clone()).or_default();
-                    hardware.learn(prefill, tokens, first_token_ms, decode_ms);
+                    endpoint.speed.learn(prefill, tokens, first_token_ms, total_ms);
+                    let hardware = endpoint.record.hardware.clone();
+                    let hardware = pool.hardware.entry(hardware).or_default();
+                    hardware.learn(prefill, tokens, first_token_ms, total_ms);
                 }
-                observation_of(tokens, first_token_ms, decode_ms)
+                observation_of(tokens, first_token_ms, total_ms)
             }
         };
         let key = ObservationKey {
@@ -83,10 +90,12 @@
     }
 }
 
-/// A request without generated tokens, such as a plain service's, is timed as a whole.
-fn observation_of(tokens: u64, first_token_ms: f64, decode_ms: f64) -> Observation {
-    if tokens > 1 {
-        return Observation::success(decode_ms / (tokens - 1) as f64);
+/// A stream is timed between its tokens; an answer that came whole, over all of its tokens.
+fn observation_of(tokens: u64, first_token_ms: Option<f64>, total_ms: f64) -> Observation {
+    match first_token_ms {
+        Some(first_token_ms) if tokens > 1 => {
+            Observation::success((total_ms - first_token_ms) / (tokens - 1) as f64)
+        }
+        _ => Observation::success(total_ms / tokens.max(1) as f64),
     }
-    Observation::success(first_token_ms + decode_ms)
 }
--- a/crates/route/src/work.rs
+++ b/crates/route/src/work.rs
@@ -18,7 +18,7 @@
 /// let mut speed = Speed::default();
 /// let before = speed.request_ms(0, 100);
 /// for _ in 0..50 {
-///     speed.learn(0, 100, 5.0, 100.0);
+///     speed.learn(0, 100, Some(5.0), 105.0);
 /// }
 /// assert!(speed.request_ms(0, 100) < before);
 /// ```
@@ -52,11 +52,29 @@
         self.fixed_ms + prefill_ms + tokens as f64 * self.token_ms
     }
 
-    /// Learns from a request that had `prompt_tokens` to prefill.
-    pub fn learn(&mut self, prompt_tokens: u64, tokens: u64, first_token_ms: f64, decode_ms: f64) {
+    /// Learns from a request that had `prompt_tokens` to prefill; `first_token_ms` is nothing where
+    /// the answer came whole.
+    pub fn learn(
+        &mut self,
+        prompt_tokens: u64,
+        tokens: u64,
+        first_token_ms: Option<f64>,
+        total_ms: f64,
+    ) {
         const PREFILL_TOKENS_MIN: u64 = 64;
         let weight = NEWEST_WEIGHT.max(1.0 / (self.samples + 1) as f64);
         let blend = |old: f64, new: f64| old + weight * (new - old);
+        self.samples += 1;
+        let Some(first_token_ms) = first_token_ms else {
+            if tokens > 0 {
+                let before_ms = self.request_ms(prompt_tokens, 0).min(total_ms);
+                let rate = (total_ms - before_ms) / tokens as f64;
+                self.token_ms = blend(self.token_ms, rate).max(0.001);
+            } else {
+                self.fixed_ms = blend(self.fixed_ms, total_ms);
+            }
+            return;
+        };
         if prompt_tokens >= PREFILL_TOKENS_MIN {
             let rate = prompt_tokens as f64 / (first_token_ms - self.fixed_ms).max(0.1);
             self.prefill_tokens_per_ms = blend(self.prefill_tokens_per_ms, rate).max(0.01);
@@ -64,10 +82,9 @@
             self.fixed_ms = blend(self.fixed_ms, first_token_ms);
         }
         if tokens > 1 {
-            let rate = decode_ms / (tokens - 1) as f64;
+            let rate = (total_ms - first_token_ms) / (tokens - 1) as f64;
             self.token_ms = blend(self.token_ms, rate).max(0.001);
         }
-        self.samples += 1;
     }
 }
 
--- a/crates/route/tests/route/fairness.rs
+++ b/crates/route/tests/route/fairness.rs
@@ -15,7 +15,7 @@
     let mut turns = 0;
     while running != small {
         turns += 1;
-        let outcome = Outcome::Answered { tokens: 10, first_token_ms: 5.0, decode_ms: 100.0 };
+        let outcome = Outcome::Answered { tokens: 10, first_token_ms: Some(5.0), total_ms: 105.0 };
         let decisions = scheduler.finish(3 + turns, running, outcome);
         running = dispatched(&decisions)[0];
     }
@@ -35,7 +35,7 @@
     }
     let mut served = 0;
     for turn in 0..40 {
-        let outcome = Outcome::Answered { tokens: 10, first_token_ms: 5.0, decode_ms: 100.0 };
+        let outcome = Outcome::Answered { tokens: 10, first_token_ms: Some(5.0), total_ms: 105.0 };
         running = dispatched(&scheduler.finish(2 + turn, running, outcome))[0];
         served += usize::from(heavy.contains(&running));
     }
--- a/crates/route/tests/route/fixtures.rs
+++ b/crates/route/tests/route/fixtures.rs
@@ -44,6 +44,7 @@
         failure_domain: "salto".into(),
         slots,
         fencing: false,
+        takes_orders: false,
         incarnation: 1,
         sequence: 1,
         leaving: false,
--- a/crates/route/tests/route/retries.rs
+++ b/crates/route/tests/route/retries.rs
@@ -10,7 +10,7 @@
     scheduler.update(0, &view(vec![live("one"), live("two")]));
     let (key, decisions) = scheduler.submit(1, job(0, "a", 60_000));
     let Some(Decision::Dispatch(_, first)) = decisions.first() else { panic!("{decisions:?}") };
-    let decisions = scheduler.retry(2, key, 0);
+    let decisions = scheduler.retry(2, key, None);
     let Some(Decision::Dispatch(_, second)) = decisions.first() else { panic!("{decisions:?}") };
     assert_ne!(first.name, second.name);
 }
@@ -26,6 +26,7 @@
         .map(|(key, _)| key)
         .collect();
     assert_eq!(keys.len(), 60);
-    let given_up: usize = keys.iter().map(|key| refused(&scheduler.retry(2, *key, 0)).len()).sum();
+    let given_up: usize =
+        keys.iter().map(|key| refused(&scheduler.retry(2, *key, None)).len()).sum();
     assert_eq!(given_up, 40);
 }
--- a/crates/route/tests/route/tiers.rs
+++ b/crates/route/tests/route/tiers.rs
@@ -51,8 +51,8 @@
             Event::Arrive { tier, tokens, patience_ms } => self.arrive(tier, tokens, patience_ms),
             Event::Finish(pick) => self.end(pick, |tokens| Outcome::Answered {
                 tokens,
-                first_token_ms: 20.0,
-                decode_ms: 100.0,
+                first_token_ms: Some(20.0),
+                total_ms: 120.0,
             }),
             Event::Fail(pick) => self.end(pick, |_| Outcome::Failed),
             Event::Pass(ms) => {
--- a/crates/route/tests/route/versions.rs
+++ b/crates/route/tests/route/versions.rs
@@ -21,7 +21,7 @@
         };
         let new = assignment.name.as_str() == "new";
         to_new += u64::from(new);
-        let good = Outcome::Answered { tokens: 10, first_token_ms: 5.0, decode_ms: 90.0 };
+        let good = Outcome::Answered { tokens: 10, first_token_ms: Some(5.0), total_ms: 95.0 };
         let outcome = if new && bad { Outcome::Failed } else { good };
         scheduler.finish(now_ms + 5, key, outcome);
     }
@@ -43,3 +43,23 @@
     let demands = scheduler.demands(20_000);
     assert_eq!(demands.trips.keys().map(|id| id.as_str()).collect::<Vec<_>>(), ["move"]);
 }
+
+#[test]
+fn a_failure_that_is_made_good_elsewhere_counts_against_the_version() {
+    let mut scheduler = site(500);
+    let mut to_new = 0;
+    for turn in 0..400 {
+        let now_ms = 10 * turn + 1;
+        let (key, mut decisions) = scheduler.submit(now_ms, job(0, "a", now_ms + 60_000));
+        while let Some(Decision::Dispatch(_, assignment)) = decisions.first() {
+            if assignment.name.as_str() != "new" {
+                break;
+            }
+            to_new += 1;
+            decisions = scheduler.retry(now_ms, key, Some(0));
+        }
+        let good = Outcome::Answered { tokens: 10, first_token_ms: Some(5.0), total_ms: 95.0 };
+        scheduler.finish(now_ms + 5, key, good);
+    }
+    assert!(to_new <= 25, "{to_new} requests to a version that always fails");
+}
--- a/crates/standin/src/bin/lycheehub-measure.rs
+++ b/crates/standin/src/bin/lycheehub-measure.rs
@@ -148,6 +148,20 @@
     if seen { Ok(endpoint) } else { Err("an endpoint was not seen by all".into()) }
 }
 
+/// Starts a stand-in without waiting until it is seen.
+fn quick_engine(cluster: &Cluster, number: usize, records: &Records) -> Result<Endpoint, Failed> {
+    let options = Options {
+        name: format!("engine-{number}"),
+        service: SERVICE.into(),
+        announce_to: cluster.addresses(),
+        key: ENDPOINT_KEY.into(),
+        announce_ms: 1_000,
+        seed: number as u64,
+        ..Options::default()
+    };
+    Ok(Endpoint::start(options, records.clone())?)
+}
+
 /// What a process has used: processor seconds, and memory in bytes.
 fn usage(process: u32) -> (f64, u64) {
     const TICKS_PER_SECOND: f64 = 100.0;
@@ -442,11 +456,15 @@
     Ok(())
 }
 
-/// Returns the bytes that TCP sockets of one loopback address have sent, from the kernel's table.
-fn sent_bytes() -> u64 {
-    let text = std::fs::read_to_string("/proc/net/dev").unwrap_or_default();
-    let line = text.lines().find(|line| line.trim_start().starts_with("lo:"));
-    line.and_then(|line| line.split_whitespace().nth(9)?.parse().ok()).unwrap_or(0)
+/// Returns the bytes that all instances have sent to each other.
+fn sent_bytes(cluster: &Cluster) -> u64 {
+    let of = |address: &String| {
+        let reply = smol::block_on(send(address, &Call::get("/metrics"))).ok()?;
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        let line = text.lines().find(|line| line.starts_with("lycheehub_peer_sent_bytes_total"))?;
+        line.split_whitespace().last()?.parse::<u64>().ok()
+    };
+    cluster.addresses().iter().filter_map(of).sum()
 }
 
 /// What instances use when nothing is asked of them but to know their endpoints.
@@ -454,22 +472,22 @@
     let cluster = start(arguments)?;
     let records = Records::default();
     let _endpoints: Vec<Endpoint> = (1..=arguments.count)
-        .map(|number| engine(&cluster, number, |options| options, &records))
+        .map(|number| quick_engine(&cluster, number, &records))
         .collect::<Result<_, _>>()?;
-    std::thread::sleep(Duration::from_secs(3));
+    std::thread::sleep(Duration::from_secs(5));
     let processes: Vec<u32> =
         (0..cluster.instances.len()).filter_map(|at| cluster.process(at)).collect();
     let sum = || processes.iter().map(|process| usage(*process).0).sum::<f64>();
-    let (before, bytes) = (sum(), sent_bytes());
+    let (before, bytes) = (sum(), sent_bytes(&cluster));
     std::thread::sleep(Duration::from_secs(arguments.seconds));
     let each = processes.len() as f64 * arguments.seconds as f64;
     println!(
-        "{} replicas, {} others, {} endpoints: {:.2}% of a core, {:.0} bytes/s on loopback and {:.1} MB each",
+        "{} replicas, {} others, {} endpoints: {:.2}% of a core, {:.0} bytes/s to other instances and {:.1} MB each",
         arguments.replicas,
         arguments.others,
         arguments.count,
         (sum() - before) * 100.0 / each,
-        (sent_bytes() - bytes) as f64 / each,
+        (sent_bytes(&cluster) - bytes) as f64 / each,
         processes.iter().map(|process| usage(*process).1).sum::<u64>() as f64
             / 1e6
             / processes.len() as f64
--- a/crates/standin/src/endpoint/generate.rs
+++ b/crates/standin/src/endpoint/generate.rs
@@ -75,7 +75,7 @@
         request: header("x-request").unwrap_or_default(),
         idempotency_key: header("idempotency-key"),
         endpoint: shared.options.name.clone(),
-        version: shared.options.version.clone(),
+        version: shared.version(),
         path: request.url().path().to_owned(),
         body: body.clone(),
         resumed_from: from,
--- a/crates/standin/src/endpoint/mod.rs
+++ b/crates/standin/src/endpoint/mod.rs
@@ -4,13 +4,14 @@
 mod cache;
 mod faults;
 mod generate;
+mod orders;
 mod plain;
 mod records;
 mod server;
 
 pub use faults::Faults;
 pub use generate::token_text;
-pub use records::{Ran, Records, Totals};
+pub use records::{Ordered, Ran, Records, Totals};
 pub use server::Endpoint;
 
 use lycheehub_types::EndpointKind;
@@ -34,6 +35,10 @@
     pub slots: u32,
     /// Whether it refuses orders that carry an old fencing number.
     pub fencing: bool,
+    /// Whether it takes orders to load versions.
+    pub takes_orders: bool,
+    /// How long it takes to load a version, in milliseconds.
+    pub load_ms: u64,
     /// Where it listens, as `address:port`.
     pub listen: String,
     /// The instances that it announces itself to in turn, as `address:port`.
@@ -65,6 +70,8 @@
             failure_domain: "salto".to_owned(),
             slots: 8,
             fencing: false,
+            takes_orders: false,
+            load_ms: 300,
             listen: "127.0.0.1:0".to_owned(),
             announce_to: Vec::new(),
             key: "try-endpoint".to_owned(),
--- a/crates/standin/src/endpoint/plain.rs
+++ b/crates/standin/src/endpoint/plain.rs
@@ -20,7 +20,7 @@
         request: header("x-request").unwrap_or_default(),
         idempotency_key: header("idempotency-key"),
         endpoint: shared.options.name.clone(),
-        version: shared.options.version.clone(),
+        version: shared.version(),
         path: path.clone(),
         body: body.clone(),
         resumed_from: 0,
--- a/crates/standin/src/endpoint/records.rs
+++ b/crates/standin/src/endpoint/records.rs
@@ -21,6 +21,19 @@
     pub resumed_from: u64,
 }
 
+/// An order that came to a stand-in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ordered {
+    /// The endpoint.
+    pub endpoint: String,
+    /// The version to load.
+    pub version: String,
+    /// The fencing number: term and counter.
+    pub fence: (u64, u64),
+    /// Whether it was carried out.
+    pub taken: bool,
+}
+
 /// Sums over all requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Totals {
@@ -34,34 +47,51 @@
     pub peak_running: u32,
 }
 
+#[derive(Debug, Default)]
+struct Inner {
+    ran: Vec<Ran>,
+    ordered: Vec<Ordered>,
+    totals: Totals,
+}
+
 /// The record that several stand-ins may share.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
-    inner: Arc<Mutex<(Vec<Ran>, Totals)>>,
+    inner: Arc<Mutex<Inner>>,
 }
 
 impl Records {
-    fn lock(&self) -> MutexGuard<'_, (Vec<Ran>, Totals)> {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Adds a request.
     pub fn push(&self, ran: Ran) {
-        self.lock().0.push(ran);
+        self.lock().ran.push(ran);
+    }
+
+    /// Adds an order.
+    pub fn push_order(&self, ordered: Ordered) {
+        self.lock().ordered.push(ordered);
+    }
+
+    /// Returns all orders that came, in their order.
+    pub fn ordered(&self) -> Vec<Ordered> {
+        self.lock().ordered.clone()
     }
 
     /// Changes the sums.
     pub fn count(&self, change: impl FnOnce(&mut Totals)) {
-        change(&mut self.lock().1);
+        change(&mut self.lock().totals);
     }
 
     /// Returns all requests that were run, in their order.
     pub fn ran(&self) -> Vec<Ran> {
-        self.lock().0.clone()
+        self.lock().ran.clone()
     }
 
     /// Returns the sums.
     pub fn totals(&self) -> Totals {
-        self.lock().1
+        self.lock().totals
     }
 }
--- a/crates/standin/src/endpoint/server.rs
+++ b/crates/standin/src/endpoint/server.rs
@@ -1,7 +1,7 @@
 //! The stand-in's server.
 
 use super::cache::{Cache, Prefill};
-use super::{Faults, Options, Records, announce, generate, plain};
+use super::{Faults, Options, Records, announce, generate, orders, plain};
 use http_types::{Method, Request, Response, StatusCode};
 use lycheehub_types::EndpointKind;
 use rand::rngs::SmallRng;
@@ -31,6 +31,8 @@
     pub(super) executor: Arc<Executor<'static>>,
     faults: Mutex<Faults>,
     cache: Mutex<Cache>,
+    loaded: Mutex<String>,
+    newest_fence: Mutex<(u64, u64)>,
     /// Cache events that are not published yet.
     events: Mutex<Vec<Prefill>>,
     rng: Mutex<SmallRng>,
@@ -53,6 +55,23 @@
         prefill
     }
 
+    /// Returns the version that is loaded.
+    pub(super) fn version(&self) -> String {
+        self.loaded.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(super) fn set_version(&self, version: String) {
+        *self.loaded.lock().unwrap_or_else(PoisonError::into_inner) = version;
+    }
+
+    /// Tells whether an order with this fencing number is carried out.
+    pub(super) fn pass_fence(&self, fence: (u64, u64)) -> bool {
+        let mut newest = self.newest_fence.lock().unwrap_or_else(PoisonError::into_inner);
+        let old = fence < *newest;
+        *newest = fence.max(*newest);
+        !(self.options.fencing && old)
+    }
+
     /// Takes the cache events that are not published yet.
     pub(super) fn take_events(&self) -> Vec<Prefill> {
         std::mem::take(&mut *self.events.lock().unwrap_or_else(PoisonError::into_inner))
@@ -180,6 +199,8 @@
             executor: Arc::new(Executor::new()),
             faults: Mutex::default(),
             cache: Mutex::new(Cache::new(options.cache_blocks)),
+            loaded: Mutex::new(options.version.clone()),
+            newest_fence: Mutex::default(),
             events: Mutex::default(),
             rng: Mutex::new(SmallRng::seed_from_u64(options.seed)),
             options,
@@ -255,6 +276,9 @@
         *shared.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
         return Ok(Response::new(StatusCode::Ok));
     }
+    if request.method() == Method::Post && request.url().path() == "/v1/orders" {
+        return orders::take(shared, request).await;
+    }
     match shared.options.kind {
         EndpointKind::Engine => generate::generate(shared, request).await,
         EndpointKind::Plain => plain::answer(shared, request).await,
--- a/crates/types/src/endpoint.rs
+++ b/crates/types/src/endpoint.rs
@@ -46,6 +46,9 @@
     /// Whether it refuses orders that carry an old fencing number.
     #[serde(default)]
     pub fencing: bool,
+    /// Whether it takes orders to load versions.
+    #[serde(default)]
+    pub takes_orders: bool,
     /// Grows with each start of the endpoint.
     pub incarnation: u64,
     /// Grows with each announcement of one incarnation.
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -59,6 +59,7 @@
   running @12 :UInt32;
   waiting @13 :UInt32;
   ageMs @14 :UInt64;
+  takesOrders @15 :Bool;
 }
 
 struct ServiceCount { service @0 :Text; count @1 :UInt32; }
@@ -78,7 +79,20 @@
   ageMs @11 :UInt64;
 }
 
-struct Delta { instances @0 :List(InstanceRecord); endpoints @1 :List(EndpointRecord); }
+# A new sequence number of an endpoint whose record the receiver has.
+struct Renewal {
+  key @0 :UInt64;
+  sequence @1 :UInt64;
+  ageMs @2 :UInt32;
+  running @3 :UInt16;
+  waiting @4 :UInt16;
+}
+
+struct Delta {
+  instances @0 :List(InstanceRecord);
+  endpoints @1 :List(EndpointRecord);
+  renewals @2 :List(Renewal);
+}
 
 struct Observation {
   service @0 :Text;
--- a/crates/wire/src/convert/records.rs
+++ b/crates/wire/src/convert/records.rs
@@ -2,7 +2,7 @@
 
 use super::{WireError, text};
 use crate::peer_capnp as schema;
-use lycheehub_control::registry::Delta;
+use lycheehub_control::registry::{Delta, Renewal};
 use lycheehub_types::{
     EndpointKind, EndpointLoad, EndpointRecord, InstanceRecord, ServiceName, Tier,
 };
@@ -23,6 +23,7 @@
             failure_domain: text(reader.get_failure_domain())?.into(),
             slots: reader.get_slots(),
             fencing: reader.get_fencing(),
+            takes_orders: reader.get_takes_orders(),
             incarnation: reader.get_incarnation(),
             sequence: reader.get_sequence(),
             leaving: reader.get_leaving(),
@@ -64,10 +65,23 @@
         for record in reader.get_endpoints()? {
             delta.endpoints.push((record.try_into()?, record.get_age_ms()));
         }
+        for renewal in reader.get_renewals()? {
+            delta.renewals.push((renewal.into(), u64::from(renewal.get_age_ms())));
+        }
         Ok(delta)
     }
 }
 
+impl From<schema::renewal::Reader<'_>> for Renewal {
+    fn from(reader: schema::renewal::Reader<'_>) -> Self {
+        let load = EndpointLoad {
+            running: u32::from(reader.get_running()),
+            waiting: u32::from(reader.get_waiting()),
+        };
+        Self { key: reader.get_key(), sequence: reader.get_sequence(), load }
+    }
+}
+
 type Counts<'a> = capnp::struct_list::Reader<'a, schema::service_count::Owned>;
 
 fn read_counts(reader: Counts<'_>) -> Result<BTreeMap<ServiceName, u32>, WireError> {
@@ -83,12 +97,25 @@
     for (at, (record, age_ms)) in delta.instances.iter().enumerate() {
         write_instance(record, *age_ms, instances.reborrow().get(at as u32));
     }
+    let mut renewals = builder.reborrow().init_renewals(delta.renewals.len() as u32);
+    for (at, (renewal, age_ms)) in delta.renewals.iter().enumerate() {
+        write_renewal(renewal, *age_ms, renewals.reborrow().get(at as u32));
+    }
     let mut endpoints = builder.init_endpoints(delta.endpoints.len() as u32);
     for (at, (record, age_ms)) in delta.endpoints.iter().enumerate() {
         write_endpoint(record, *age_ms, endpoints.reborrow().get(at as u32));
     }
 }
 
+fn write_renewal(renewal: &Renewal, age_ms: u64, mut builder: schema::renewal::Builder<'_>) {
+    let short = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
+    builder.set_key(renewal.key);
+    builder.set_sequence(renewal.sequence);
+    builder.set_age_ms(u32::try_from(age_ms).unwrap_or(u32::MAX));
+    builder.set_running(short(renewal.load.running));
+    builder.set_waiting(short(renewal.load.waiting));
+}
+
 fn write_endpoint(
     record: &EndpointRecord,
     age_ms: u64,
@@ -103,6 +130,7 @@
     builder.set_failure_domain(record.failure_domain.as_str());
     builder.set_slots(record.slots);
     builder.set_fencing(record.fencing);
+    builder.set_takes_orders(record.takes_orders);
     builder.set_incarnation(record.incarnation);
     builder.set_sequence(record.sequence);
     builder.set_leaving(record.leaving);
