perf(control): name only wanted endpoints in reports, and only changed grants in answers

Cause: at 120 endpoints an instance sent 29 KB/s to the others, most of it reports and grants that named every endpoint twice a second. Ruled out: renewals (32 bytes each). Change: idle endpoints are left out of reports; the leader answers 'same' where a digest shows that the grants are; the replica ticks each 50 ms instead of 20, views and the scheduler each 100 ms instead of 50.

--- a/crates/cli/tests/cli/control.rs
+++ b/crates/cli/tests/cli/control.rs
@@ -12,15 +12,8 @@
 
 const A_WHILE: Duration = Duration::from_millis(1_500);
 
-/// Returns the instance that leads, by the newest word in the logs.
 fn leader(cluster: &Cluster, among: &[usize]) -> usize {
-    let term = |at: usize| {
-        let log = cluster.log(at);
-        let line = log.lines().rev().find(|line| line.contains("became the leader"))?;
-        let digits = line.rsplit("term=").next()?.trim_end_matches([' ', '}']);
-        digits.trim().parse::<u64>().ok()
-    };
-    among.iter().copied().max_by_key(|at| term(*at)).expect("one of them")
+    cluster.leader(among).expect("some are asked")
 }
 
 /// Watches that no instance's revision in force ever goes back, restarts included.
--- a/crates/cli/tests/cli/moves.rs
+++ b/crates/cli/tests/cli/moves.rs
@@ -39,12 +39,7 @@
 }
 
 fn kill_leader(cluster: &mut Cluster) -> usize {
-    let term = |at: usize| {
-        let log = cluster.log(at);
-        let line = log.lines().rev().find(|line| line.contains("became the leader"))?.to_owned();
-        line.rsplit("term=").next()?.trim_end_matches([' ', '}']).trim().parse::<u64>().ok()
-    };
-    let leader = (0..3).max_by_key(|at| term(*at)).expect("three of them");
+    let leader = cluster.leader(&[0, 1, 2]).expect("three are asked");
     cluster.kill(leader);
     leader
 }
--- a/crates/control/src/slots.rs
+++ b/crates/control/src/slots.rs
@@ -3,10 +3,18 @@
 
 use lycheehub_types::{EndpointName, InstanceName, Tier};
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How long a grant holds, in milliseconds.
 pub const GRANT_LEASE_MS: u64 = 2_000;
 
+/// Returns a digest by which two instances tell whether they mean the same grants.
+pub fn digest_of<'a>(grants: impl IntoIterator<Item = (&'a EndpointName, u32)>) -> u64 {
+    grants.into_iter().fold(0, |digest, (endpoint, slots)| {
+        xxh3_64_with_seed(endpoint.as_str().as_bytes(), digest ^ u64::from(slots))
+    })
+}
+
 /// What an instance wants of one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
@@ -17,6 +25,11 @@
 }
 
 impl Demand {
+    /// Tells whether nothing is used or wanted.
+    pub fn is_idle(&self) -> bool {
+        self.in_use == 0 && self.total() == 0
+    }
+
     fn total(&self) -> u32 {
         self.wanted.iter().sum()
     }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod decode;
+mod fixtures;
 mod moves;
 mod placement;
 mod registry;
--- a/crates/control/tests/control/slots.rs
+++ b/crates/control/tests/control/slots.rs
@@ -1,23 +1,13 @@
 //! Grants never sum to more than an endpoint has, whatever instances want and whoever dies.
 
+use crate::fixtures::config;
 use lycheehub_control::slots::{Demand, GRANT_LEASE_MS, SlotBook};
 use proptest::collection::vec;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 use std::collections::BTreeMap;
 
-fn config() -> Config {
-    Config {
-        cases: 1_000,
-        rng_algorithm: RngAlgorithm::ChaCha,
-        rng_seed: RngSeed::Fixed(20_261_204),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
-
 proptest! {
-    #![proptest_config(config())]
+    #![proptest_config(config(1_000))]
 
     #[test]
     fn grants_never_sum_to_more_than_the_slots(
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 /// How often demands are passed to the control thread, in milliseconds.
 const DEMANDS_MS: u64 = 100;
 /// How often the scheduler's time is moved on, in milliseconds.
-const TICK_MS: u64 = 50;
+const TICK_MS: u64 = 100;
 
 /// What all requests of an instance share.
 pub struct Gateway {
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -37,11 +37,11 @@
 use std::sync::Arc;
 
 /// How often the replica's time is moved on, in milliseconds.
-const REPLICA_TICK_MS: u64 = 20;
+const REPLICA_TICK_MS: u64 = 50;
 /// How often records are exchanged, in milliseconds.
 const GOSSIP_MS: u64 = 500;
 /// How often the view is replaced at most, in milliseconds.
-const PUBLISH_MS: u64 = 50;
+const PUBLISH_MS: u64 = 100;
 /// How often the leader's controllers run, in milliseconds.
 const CONTROLLER_MS: u64 = 250;
 /// How often membership is looked after, in milliseconds.
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -5,7 +5,7 @@
 use lycheehub_control::Command;
 use lycheehub_control::moves::Supply;
 use lycheehub_control::placement::{Leadership, Order};
-use lycheehub_control::slots::GRANT_LEASE_MS;
+use lycheehub_control::slots::{GRANT_LEASE_MS, digest_of};
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use lycheehub_wire::peer_capnp::peer;
 use lycheehub_wire::{Report, ReportReply};
@@ -21,9 +21,16 @@
         let Some(leader) = self.likely_leader() else { return };
         let report = {
             let mut core = self.core.borrow_mut();
+            let now_ms = self.clock.now_ms();
+            core.grants.retain(|_, (_, until_ms)| now_ms < *until_ms);
+            // An endpoint of which nothing is wanted need not be named.
+            let wanted = core.demands.endpoints.iter().filter(|(_, demand)| !demand.is_idle());
             Report {
                 instance: self.settings.instance.clone(),
-                demands: core.demands.endpoints.clone(),
+                demands: wanted.map(|(name, demand)| (name.clone(), *demand)).collect(),
+                grants_digest: digest_of(
+                    core.grants.iter().map(|(name, (slots, _))| (name, *slots)),
+                ),
                 observations: std::mem::take(&mut core.demands.observations),
                 trips: core.demands.trips.clone(),
             }
@@ -90,6 +97,11 @@
     /// Takes grants; their lease counts from when the report was sent.
     fn take_grants(&self, sent_ms: u64, reply: ReportReply) {
         let mut core = self.core.borrow_mut();
+        if reply.same {
+            core.grants.values_mut().for_each(|(_, until_ms)| *until_ms = sent_ms + GRANT_LEASE_MS);
+        } else if !reply.grants.is_empty() {
+            core.grants.clear();
+        }
         for (endpoint, slots) in reply.grants {
             core.grants.insert(endpoint, (slots, sent_ms + GRANT_LEASE_MS));
         }
@@ -115,7 +127,10 @@
         let settled =
             core.leading_since_ms.is_some_and(|since_ms| now_ms >= since_ms + GRANT_LEASE_MS);
         let grants = if settled { grants(core, now_ms, &report) } else { BTreeMap::new() };
-        ReportReply { taken: true, grants }
+        let same =
+            digest_of(grants.iter().map(|(name, slots)| (name, *slots))) == report.grants_digest;
+        let grants = if same { BTreeMap::new() } else { grants };
+        ReportReply { taken: true, grants, same }
     }
 
     /// Runs the leader's controllers.
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -212,6 +212,17 @@
         }
     }
 
+    /// Returns the instance among these that leads, by the newest word in the logs.
+    pub fn leader(&self, among: &[usize]) -> Option<usize> {
+        let term = |at: usize| {
+            let log = self.log(at);
+            let line = log.lines().rev().find(|line| line.contains("became the leader"))?;
+            let digits = line.rsplit("term=").next()?.trim_end_matches([' ', '}']);
+            digits.trim().parse::<u64>().ok()
+        };
+        among.iter().copied().max_by_key(|at| term(*at))
+    }
+
     /// Returns the process id of one instance.
     pub fn process(&self, at: usize) -> Option<u32> {
         self.instances[at].child.as_ref().map(Child::id)
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -113,6 +113,8 @@
   demands @1 :List(Demand);
   observations @2 :List(Observation);
   trips @3 :List(Trip);
+  # A digest of the grants that the sender holds.
+  grantsDigest @4 :UInt64;
 }
 
 struct Grant { endpoint @0 :Text; slots @1 :UInt32; }
@@ -121,6 +123,8 @@
   # Whether the receiver leads and so took the report.
   taken @0 :Bool;
   grants @1 :List(Grant);
+  # All grants are those that the sender holds; none are listed.
+  same @2 :Bool;
 }
 
 struct ProposeReply {
--- a/crates/wire/src/convert/reports.rs
+++ b/crates/wire/src/convert/reports.rs
@@ -11,7 +11,11 @@
     type Error = WireError;
 
     fn try_from(reader: schema::report::Reader<'_>) -> Result<Self, WireError> {
-        let mut report = Self { instance: text(reader.get_instance())?.into(), ..Self::default() };
+        let mut report = Self {
+            instance: text(reader.get_instance())?.into(),
+            grants_digest: reader.get_grants_digest(),
+            ..Self::default()
+        };
         for demand in reader.get_demands()? {
             let endpoint = text(demand.get_endpoint())?.into();
             report.demands.insert(endpoint, demand.try_into()?);
@@ -62,7 +66,8 @@
     type Error = WireError;
 
     fn try_from(reader: schema::report_reply::Reader<'_>) -> Result<Self, WireError> {
-        let mut reply = Self { taken: reader.get_taken(), ..Self::default() };
+        let mut reply =
+            Self { taken: reader.get_taken(), same: reader.get_same(), ..Self::default() };
         for grant in reader.get_grants()? {
             reply.grants.insert(text(grant.get_endpoint())?.into(), grant.get_slots());
         }
@@ -73,6 +78,7 @@
 /// Writes a report.
 pub fn write_report(report: &Report, mut builder: schema::report::Builder<'_>) {
     builder.set_instance(report.instance.as_str());
+    builder.set_grants_digest(report.grants_digest);
     let mut demands = builder.reborrow().init_demands(report.demands.len() as u32);
     for (at, (endpoint, demand)) in report.demands.iter().enumerate() {
         let mut entry = demands.reborrow().get(at as u32);
@@ -113,6 +119,7 @@
 /// Writes the answer to a report.
 pub fn write_report_reply(reply: &ReportReply, mut builder: schema::report_reply::Builder<'_>) {
     builder.set_taken(reply.taken);
+    builder.set_same(reply.same);
     let mut grants = builder.init_grants(reply.grants.len() as u32);
     for (at, (endpoint, slots)) in reply.grants.iter().enumerate() {
         let mut grant = grants.reborrow().get(at as u32);
--- a/crates/wire/src/types.rs
+++ b/crates/wire/src/types.rs
@@ -18,6 +18,8 @@
     pub observations: Observations,
     /// The moves whose version it stopped sending to, with the reason.
     pub trips: BTreeMap<SmolStr, SmolStr>,
+    /// A digest of the grants that the sender holds.
+    pub grants_digest: u64,
 }
 
 /// The leader's answer to a [`Report`].
@@ -25,8 +27,10 @@
 pub struct ReportReply {
     /// Whether the receiver leads and so took the report.
     pub taken: bool,
-    /// The slots granted, by endpoint.
+    /// The slots granted, by endpoint; none where they are the same.
     pub grants: BTreeMap<EndpointName, u32>,
+    /// The grants are those that the sender of the report holds.
+    pub same: bool,
 }
 
 /// The answer to a proposed command.
