fix(route): learn speed only from prompts that were not believed cached; isolated instances stop

Cause: at 0.7 times the capacity on a mix of 120 shared prefixes 219 of 1,224 requests were refused as overloaded (none with least in flight): a prompt wrongly believed cached taught the endpoint a slow fixed time, and waits were overestimated. Ruled out: the shed floor and the slots (the same in both policies). Change: prompts believed to be cached teach no speed; a first token as late as a whole prefill voids the belief; a prefix has a home endpoint by hash, which all instances share. The home has often no slot left for this instance, and the request then goes elsewhere at once; to wait for it briefly would need a queue that passes over requests that wait.

Also, each with its test: a claim carries the leader's time (an instance with a wrong clock could have ended all claims early); an instance that hears no other for 8 s stops serving by what may be an old configuration.

--- a/crates/cli/tests/cli/control.rs
+++ b/crates/cli/tests/cli/control.rs
@@ -1,7 +1,7 @@
 //! Control state under failure, with instances as separate processes.
 
 use crate::operators::{Operators, accepted, is_linearizable};
-use crate::support::{BINARY, PATIENCE, Site, document, folder};
+use crate::support::{BINARY, PATIENCE, Site, TRUCK_KEY, document, folder};
 use lycheehub_standin::caller::{Call, send};
 use lycheehub_standin::cluster::{Cluster, Layout, OPERATOR_KEY, eventually, submit_to};
 use std::path::Path;
@@ -148,6 +148,20 @@
     assert_eq!(reply.status, 409, "{}", reply.json());
 }
 
+#[test]
+fn an_instance_that_hears_no_other_stops_serving_by_its_old_configuration() {
+    let layout = Layout { others: 1, proxied: true, ..Layout::default() };
+    let site = Site::start("control_isolated_entry", &layout);
+    site.cluster.isolate(3, true);
+    let call = Call::chat("label-writer", "hello", 1, false).key(TRUCK_KEY);
+    assert!(eventually(PATIENCE, || site.send(3, &call).code().as_deref() == Some("no_quorum")));
+    assert!(site.send(3, &call).not_run());
+    // The others go on, and so does it once it hears them again.
+    assert_eq!(site.send(0, &call).code().as_deref(), Some("no_endpoint"));
+    site.cluster.isolate(3, false);
+    assert!(site.cluster.wait_ready(3, PATIENCE));
+}
+
 #[test]
 fn a_one_way_cut_does_not_stop_the_others() {
     let layout = Layout { proxied: true, ..Layout::default() };
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -138,6 +138,16 @@
         postcard::to_stdvec(self).unwrap_or_default()
     }
 
+    /// Puts the leader's time into a command, in milliseconds since the Unix epoch.
+    ///
+    /// Claims expire by the time of the instances that lead, not by that of any instance.
+    pub fn stamped(mut self, leader_unix_ms: u64) -> Self {
+        if let Self::Claim { now_unix_ms, .. } = &mut self {
+            *now_unix_ms = leader_unix_ms;
+        }
+        self
+    }
+
     /// Decodes a command of the log.
     ///
     /// # Errors
--- a/crates/control/tests/control/claims.rs
+++ b/crates/control/tests/control/claims.rs
@@ -55,6 +55,18 @@
     assert_eq!(claim(&mut state, 2, 7, 2), ClaimOutcome::Granted);
 }
 
+#[test]
+fn a_claim_has_the_leaders_time_not_the_claimants() {
+    let command = Command::Claim {
+        key: key(),
+        claimant: claimant(1),
+        fingerprint: 7,
+        now_unix_ms: 10 * DAY_MS,
+    };
+    let Command::Claim { now_unix_ms, .. } = command.stamped(1_000) else { panic!("no claim") };
+    assert_eq!(now_unix_ms, 1_000);
+}
+
 #[test]
 fn claims_are_kept_for_a_day() {
     let mut state = State::default();
--- a/crates/peer/src/node/gossip.rs
+++ b/crates/peer/src/node/gossip.rs
@@ -86,6 +86,7 @@
                 let told = if nothing_else { core.registry.cursor() } else { cursor };
                 core.cursors.insert(to, told);
                 core.heard = true;
+                core.heard_ms = self.clock.now_ms();
             }
             Err(error) => {
                 // What the peer took before is not known, so it is told all the next time.
@@ -104,6 +105,7 @@
         };
         self.take_delta(delta);
         let mut core = self.core.borrow_mut();
+        core.heard_ms = self.clock.now_ms();
         let told = core.registry.cursor();
         core.cursors.insert(sender, told);
         answer
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -44,6 +44,8 @@
 const PUBLISH_MS: u64 = 100;
 /// How often the leader's controllers run, in milliseconds.
 const CONTROLLER_MS: u64 = 250;
+/// How long an instance serves without hearing any other, in milliseconds.
+const ISOLATED_MS: u64 = 8_000;
 /// How often membership is looked after, in milliseconds.
 const MEMBERSHIP_MS: u64 = 1_000;
 
@@ -82,6 +84,10 @@
     confirmed: bool,
     /// Another instance has told its records once since the start, or there is none to tell them.
     heard: bool,
+    /// When another instance was last heard, in milliseconds.
+    heard_ms: u64,
+    /// The settings name other instances.
+    has_others: bool,
     leader_hint: Option<InstanceName>,
     demands: Demands,
     grants: BTreeMap<EndpointName, (u32, u64)>,
@@ -133,6 +139,7 @@
             stopping: false,
             shed_floor: BTreeMap::new(),
         };
+        let has_others = settings.seeds.iter().any(|seed| seed.instance != settings.instance);
         let core = Core {
             registry: Registry::default(),
             own,
@@ -140,7 +147,9 @@
             driver,
             state,
             confirmed: false,
-            heard: settings.seeds.iter().all(|seed| seed.instance == settings.instance),
+            heard: !has_others,
+            heard_ms: clock.now_ms(),
+            has_others,
             leader_hint: None,
             demands: Demands::default(),
             grants: BTreeMap::new(),
@@ -232,6 +241,12 @@
         self.driver.as_ref().map(|driver| &driver.replica)
     }
 
+    /// Tells whether nothing was heard of any other instance for so long that what was accepted
+    /// since may not be in force here.
+    fn is_isolated(&self, now_ms: u64) -> bool {
+        self.has_others && now_ms >= self.heard_ms + ISOLATED_MS
+    }
+
     fn is_leader(&self) -> bool {
         self.replica().is_some_and(Replica::is_established)
     }
--- a/crates/peer/src/node/propose.rs
+++ b/crates/peer/src/node/propose.rs
@@ -87,6 +87,8 @@
         if !self.core.borrow().is_leader() {
             return ProposeReply::NotLeader;
         }
+        let Ok(command) = Command::decode(&command) else { return ProposeReply::NotLeader };
+        let command = command.stamped(self.clock.now_unix_ms()).encode();
         let (sender, receiver) = bounded(1);
         self.core.borrow_mut().proposals.push((command, sender));
         self.flush_soon();
--- a/crates/peer/src/node/publish.rs
+++ b/crates/peer/src/node/publish.rs
@@ -34,7 +34,7 @@
         shares: version_shares(&core.state),
         instances: instances.collect(),
         shed_floor: heard_floors(core, now_ms),
-        ready: core.confirmed && core.heard,
+        ready: core.confirmed && core.heard && !core.is_isolated(now_ms),
         ..View::default()
     };
     let live: Vec<&InstanceName> =
--- a/crates/route/src/endpoint/prefix.rs
+++ b/crates/route/src/endpoint/prefix.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Forgets a prompt's blocks, since the endpoint was seen to prefill them again.
+    pub fn forget(&mut self, prefix: &[u64]) {
+        for block in prefix {
+            self.seen_ms.remove(block);
+        }
+    }
+
     /// Takes an event by which blocks were stored or dropped; a gap voids what was not noted of late.
     pub fn event(&mut self, now_ms: u64, number: u64, stored: &[u64], dropped: &[u64]) {
         if number != self.next_event {
--- a/crates/route/src/scheduler/choose.rs
+++ b/crates/route/src/scheduler/choose.rs
@@ -1,12 +1,20 @@
 //! Endpoint choice.
 
 use super::Scheduler;
+use crate::endpoint::BLOCK_TOKENS;
 use crate::{Assignment, Candidate, EndpointKey, JobKey, Policy};
 use lycheehub_types::Version;
 use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// How many endpoints are drawn for comparison, besides the one with the longest cached prefix.
+/// How many endpoints are drawn for comparison, besides the one with the longest cached prefix and
+/// the prefix's home.
 const DRAWN: usize = 2;
+/// How much of a prompt's prefix is taken to be cached at its home, where other instances send it
+/// too, in thousandths.
+const HOME_CACHED_PERMILLE: u64 = 500;
+/// How many leading blocks decide a prompt's home.
+const HOME_BLOCKS: usize = 4;
 
 #[derive(Clone, Copy, Debug)]
 struct Scored {
@@ -109,9 +117,26 @@
         {
             drawn.push(nearest);
         }
+        if let Some(home) = self.home(key, open)
+            && !drawn.contains(&home)
+        {
+            drawn.push(home);
+        }
         drawn
     }
 
+    /// Returns the endpoint that all instances prefer for a prompt's beginning, without a word
+    /// between them: the highest by a hash of both.
+    fn home(&self, key: JobKey, endpoints: &[EndpointKey]) -> Option<EndpointKey> {
+        let prefix = &self.jobs.get(key)?.job.prefix;
+        let beginning = *prefix.get(..HOME_BLOCKS)?.last()?;
+        let rank = |endpoint: &EndpointKey| {
+            let name = self.endpoints.get(*endpoint).map(|known| known.record.endpoint.as_str());
+            xxh3_64_with_seed(name.unwrap_or("").as_bytes(), beginning)
+        };
+        endpoints.iter().copied().max_by_key(rank)
+    }
+
     fn next_in_turn(&mut self, key: JobKey, open: &[EndpointKey]) -> Option<EndpointKey> {
         let service = &self.jobs.get(key)?.job.service;
         let pool = self.pools.get_mut(service)?;
@@ -128,7 +153,14 @@
         let job = &self.jobs.get(key)?.job;
         let known = self.endpoints.get(endpoint)?;
         let lengths = self.pools.get(&job.service)?.lengths;
-        let cached_tokens = known.prefix.cached_tokens(now_ms, &job.prefix).min(job.prompt_tokens);
+        let believed = known.prefix.cached_tokens(now_ms, &job.prefix);
+        let is_home = self.home(key, &self.pools.get(&job.service)?.endpoints) == Some(endpoint);
+        let at_home = if is_home {
+            job.prefix.len() as u64 * BLOCK_TOKENS * HOME_CACHED_PERMILLE / 1_000
+        } else {
+            0
+        };
+        let cached_tokens = believed.max(at_home).min(job.prompt_tokens);
         let tokens = lengths.expected_tokens(job.max_tokens);
         let score_ms = known.expected_ms(job.prompt_tokens, cached_tokens, tokens);
         Some(Scored { endpoint, score_ms, cached_tokens })
--- a/crates/route/src/scheduler/finish.rs
+++ b/crates/route/src/scheduler/finish.rs
@@ -1,6 +1,8 @@
 //! The end of requests: slots come free, speeds and versions are learned of.
 
 use super::{Running, Scheduler};
+use crate::endpoint::BLOCK_TOKENS;
+use crate::work::Speed;
 use crate::{Decision, EndpointKey, JobKey, Outcome};
 use lycheehub_control::moves::{Observation, ObservationKey};
 
@@ -66,15 +68,20 @@
                 Observation::failure()
             }
             Outcome::Answered { tokens, first_token_ms, total_ms } => {
-                let prefill = running.prefill_tokens;
                 pool.lengths.learn(job.max_tokens, tokens);
-                pool.speed.learn(prefill, tokens, first_token_ms, total_ms);
                 if let Some(endpoint) = self.endpoints.get_mut(running.endpoint) {
                     endpoint.breaker.answered();
-                    endpoint.speed.learn(prefill, tokens, first_token_ms, total_ms);
-                    let hardware = endpoint.record.hardware.clone();
-                    let hardware = pool.hardware.entry(hardware).or_default();
-                    hardware.learn(prefill, tokens, first_token_ms, total_ms);
+                    let prompt =
+                        Prompt { tokens: job.prompt_tokens, prefill: running.prefill_tokens };
+                    if prompt.was_misjudged(&endpoint.speed, first_token_ms) {
+                        endpoint.prefix.forget(&job.prefix);
+                    } else if prompt.tells_speed() {
+                        let hardware = endpoint.record.hardware.clone();
+                        let hardware = pool.hardware.entry(hardware).or_default();
+                        for speed in [&mut endpoint.speed, &mut pool.speed, hardware] {
+                            speed.learn(prompt.prefill, tokens, first_token_ms, total_ms);
+                        }
+                    }
                 }
                 observation_of(tokens, first_token_ms, total_ms)
             }
@@ -90,6 +97,29 @@
     }
 }
 
+/// A prompt, and how much of it was taken to need prefill.
+struct Prompt {
+    tokens: u64,
+    prefill: u64,
+}
+
+impl Prompt {
+    /// Tells whether the first token came as late as if little of the prompt had been cached.
+    fn was_misjudged(&self, speed: &Speed, first_token_ms: Option<f64>) -> bool {
+        const CACHED_MIN: u64 = 2 * BLOCK_TOKENS;
+        const MISJUDGED: f64 = 0.7;
+        let cached = self.tokens - self.prefill.min(self.tokens);
+        let whole_ms = speed.request_ms(self.tokens, 0);
+        cached >= CACHED_MIN
+            && first_token_ms.is_some_and(|first_ms| first_ms > MISJUDGED * whole_ms)
+    }
+
+    /// What was believed to be cached makes the time of the first token a bad measure of speed.
+    fn tells_speed(&self) -> bool {
+        self.prefill == self.tokens
+    }
+}
+
 /// A stream is timed between its tokens; an answer that came whole, over all of its tokens.
 fn observation_of(tokens: u64, first_token_ms: Option<f64>, total_ms: f64) -> Observation {
     match first_token_ms {
--- a/crates/route/src/work.rs
+++ b/crates/route/src/work.rs
@@ -62,6 +62,7 @@
         total_ms: f64,
     ) {
         const PREFILL_TOKENS_MIN: u64 = 64;
+        const PREFILL_SHARE_MIN: f64 = 0.1;
         let weight = NEWEST_WEIGHT.max(1.0 / (self.samples + 1) as f64);
         let blend = |old: f64, new: f64| old + weight * (new - old);
         self.samples += 1;
@@ -76,7 +77,9 @@
             return;
         };
         if prompt_tokens >= PREFILL_TOKENS_MIN {
-            let rate = prompt_tokens as f64 / (first_token_ms - self.fixed_ms).max(0.1);
+            let prefill_ms =
+                (first_token_ms - self.fixed_ms).max(first_token_ms * PREFILL_SHARE_MIN);
+            let rate = prompt_tokens as f64 / prefill_ms.max(0.01);
             self.prefill_tokens_per_ms = blend(self.prefill_tokens_per_ms, rate).max(0.01);
         } else {
             self.fixed_ms = blend(self.fixed_ms, first_token_ms);
--- a/crates/standin/src/bin/lycheehub-measure/control.rs
+++ b/crates/standin/src/bin/lycheehub-measure/control.rs
@@ -101,7 +101,8 @@
     let _endpoints: Vec<Endpoint> = (1..=arguments.count)
         .map(|number| quick_engine(&cluster, number, &records))
         .collect::<Result<_, _>>()?;
-    std::thread::sleep(Duration::from_secs(5));
+    // Instances that meet for the first time tell each other whole records.
+    std::thread::sleep(Duration::from_secs(5 + 2 * cluster.instances.len() as u64));
     let processes: Vec<u32> =
         (0..cluster.instances.len()).filter_map(|at| cluster.process(at)).collect();
     let sum = || processes.iter().map(|process| usage(*process).0).sum::<f64>();
--- a/crates/standin/src/bin/lycheehub-measure/relay.rs
+++ b/crates/standin/src/bin/lycheehub-measure/relay.rs
@@ -76,7 +76,15 @@
                 std::thread::sleep(Duration::from_millis(20));
             }
         }
-        std::thread::sleep(Duration::from_secs(3));
+        std::thread::sleep(Duration::from_secs(2));
+        let before = usage(process).0;
+        std::thread::sleep(Duration::from_secs(4));
+        let used = (usage(process).0 - before) / 4.0;
+        println!(
+            "  {goal} tokens/s: {:.1}% of a core, {:.1} us a token",
+            used * 100.0,
+            used * 1e6 / goal as f64
+        );
         println!(
             "{goal} streams asked for, {} run: {:.1} MB",
             records.ran().len(),
