test(requests): a floor holds on other instances within 2 s

Change: a test with real processes: the top tier overloads one instance until it sheds it; the lowest tier must be refused at the other two within 2 s, and served again afterwards.

--- /dev/null
+++ b/crates/cli/tests/cli/floors.rs
@@ -0,0 +1,43 @@
+//! Shedding between instances.
+
+use crate::support::{BATCH_KEY, Site, TRUCK_KEY};
+use lycheehub_standin::caller::{Call, send};
+use lycheehub_standin::cluster::{Layout, eventually};
+use lycheehub_standin::endpoint::Options;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// How long after a tier is shed at one instance a lower one may still be admitted at another.
+const FLOOR_BOUND: Duration = Duration::from_secs(2);
+
+#[test]
+fn a_lower_tier_is_not_admitted_elsewhere_once_a_higher_one_is_shed() {
+    let layout = Layout { limits: "drain_ms = 200\nqueue_max = 6\n".into(), ..Layout::default() };
+    let mut site = Site::start("floors", &layout);
+    site.add(Options { slots: 3, token_ms: 40.0, ..Options::default() });
+    // The top tier alone overloads instance 0, so that it sheds the top tier itself.
+    let stop = Arc::new(AtomicBool::new(false));
+    let flood: Vec<_> = (0..20)
+        .map(|number| {
+            let (stop, address) = (stop.clone(), site.cluster.instances[0].http.clone());
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let prompt = format!("flood {number}");
+                    let call = Call::chat("label-writer", &prompt, 10, false).key(TRUCK_KEY);
+                    // Whether it is served or shed, the flood goes on.
+                    let _ = smol::block_on(send(&address, &call));
+                }
+            })
+        })
+        .collect();
+    let low = Call::chat("label-writer", "low", 1, false).key(BATCH_KEY);
+    let shed_at = |at: usize| site.send(at, &low).code().as_deref() == Some("overloaded");
+    assert!(eventually(FLOOR_BOUND * 5, || shed_at(0)));
+    assert!(eventually(FLOOR_BOUND, || shed_at(1) && shed_at(2)), "a lower tier is still admitted");
+    stop.store(true, Ordering::Relaxed);
+    flood.into_iter().for_each(|caller| caller.join().expect("caller"));
+    // Once nothing is shed any more, the lower tier is served again.
+    let served = |at: usize| site.send(at, &low).status == 200;
+    assert!(eventually(FLOOR_BOUND * 10, || (0..3).all(served)));
+}
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -2,6 +2,7 @@
 
 mod command_line;
 mod control;
+mod floors;
 mod moves;
 mod operators;
 mod requests;
