--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -45,11 +45,15 @@
     address: &str,
     resume_from: u64,
 ) -> Result<(Response, TcpStream), Failure> {
-    if payload.idempotent
-        && let Some(stream) = gateway.pool.take(gateway.clock.now_ms(), address)
-        && let Ok(response) = send(gateway, exchange, payload, address, &stream, resume_from).await
-    {
-        return Ok((response, stream));
+    let idle =
+        if payload.idempotent { gateway.pool.take(gateway.clock.now_ms(), address) } else { None };
+    if let Some(stream) = idle {
+        match send(gateway, exchange, payload, address, &stream, resume_from).await {
+            Ok(response) => return Ok((response, stream)),
+            Err(Failure::NotRun(error) | Failure::Unknown(error)) => {
+                spdlog::info!("sent again on a new connection", kv: { request = exchange.request, error: });
+            }
+        }
     }
     let stream = connect(gateway, address).await?;
     let response = send(gateway, exchange, payload, address, &stream, resume_from).await?;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -17,6 +17,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The step of making a connection, as errors name it.
+pub(crate) const CONNECT: &str = "connect";
 /// How long a connection attempt may take, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 /// How long after a failed attempt the next one waits, in milliseconds.
@@ -70,9 +72,9 @@
         }
         let failed_ms = *slot.failed_ms.borrow();
         if failed_ms.is_some_and(|failed_ms| self.clock.now_ms() < failed_ms + RECONNECT_MS) {
-            return Err(PeerError::failed("connect", to.as_str(), "failed just before"));
+            return Err(PeerError::failed(CONNECT, to.as_str(), "failed just before"));
         }
-        let connected = within("connect", to, CONNECT_TIMEOUT_MS, self.connect(to, address)).await;
+        let connected = within(CONNECT, to, CONNECT_TIMEOUT_MS, self.connect(to, address)).await;
         drop(guard);
         match connected {
             Ok(connected) => {
@@ -102,7 +104,7 @@
     }
 
     async fn connect(&self, to: &InstanceName, address: &SmolStr) -> Result<Connected, PeerError> {
-        let fail = |cause: String| PeerError::failed("connect", to.as_str(), cause);
+        let fail = |cause: String| PeerError::failed(CONNECT, to.as_str(), cause);
         let stream = TcpStream::connect(address.as_str()).await.map_err(|e| fail(e.to_string()))?;
         stream.set_nodelay(true).map_err(|e| fail(e.to_string()))?;
         let mut options = ReaderOptions::new();
--- a/crates/peer/src/node/propose.rs
+++ b/crates/peer/src/node/propose.rs
@@ -1,6 +1,7 @@
 //! Commits commands and reads through the leader, wherever it is.
 
 use super::Node;
+use crate::link::CONNECT;
 use lycheehub_consensus::Position;
 use lycheehub_control::Command;
 use lycheehub_control::state::Feed;
@@ -59,7 +60,8 @@
         };
         match self.call("propose", target, PROPOSE_TRY_MS, call).await {
             Ok(reply) => reply,
-            Err(error) if error.to_string().starts_with("connect") => ProposeReply::NotLeader,
+            // Without a connection nothing was sent.
+            Err(error) if error.step() == CONNECT => ProposeReply::NotLeader,
             Err(_) => ProposeReply::Unknown,
         }
     }
--- a/crates/types/src/error.rs
+++ b/crates/types/src/error.rs
@@ -23,4 +23,17 @@
     pub fn failed(step: &'static str, peer: impl Into<SmolStr>, cause: impl ToString) -> Self {
         Self::Failed(step, peer.into(), cause.to_string().into())
     }
+
+    /// Returns the step that failed.
+    ///
+    /// # Examples
+    /// ```
+    /// let error = lycheehub_types::PeerError::failed("connect", "entry-1", "refused");
+    /// assert_eq!(error.step(), "connect");
+    /// ```
+    pub fn step(&self) -> &'static str {
+        match self {
+            Self::Failed(step, ..) | Self::TimedOut(step, ..) => step,
+        }
+    }
 }
