fix(gateway): a request sent over an idle connection is never said to have not run

Cause: an idempotent request whose idle connection broke was sent again on a new one; if that connection was refused, the request counted as not run, though the first sending may have run (and had, in the stand-in's record). Found by reading; the test kills the engine while the request runs. Also found by it: a request with nowhere else to go waited for its deadline (21.9 s) instead of getting its final answer at once. Ruled out: not reusing connections (it costs 80 to 200 us a request). Change: whatever follows an unknown first sending is unknown; a retry without another live endpoint is given up at once. The stand-in now closes its listener and connections when it ends; before, it hung instead of dying, and the test was green for the wrong reason. Before: refused as overloaded with not_run true; after: outcome_unknown. Also: line and column, bounds in time and the measuring tool's engines each in one place.

--- a/crates/cli/src/settings/load.rs
+++ b/crates/cli/src/settings/load.rs
@@ -2,6 +2,7 @@
 
 use super::{File, LogFormat};
 use crate::exit::{Code, Error};
+use lycheehub_estate::parse::position;
 use lycheehub_gateway::keys::KeyFile;
 use lycheehub_peer::{Seed, Settings as PeerSettings};
 use lycheehub_types::{InstanceName, name};
@@ -50,10 +51,7 @@
 
 impl Source<'_> {
     fn error(&self, span: &Range<usize>, message: impl std::fmt::Display) -> Error {
-        let end = span.start.min(self.text.len());
-        let before = &self.text.as_bytes()[..end];
-        let line = before.iter().filter(|byte| **byte == b'\n').count() + 1;
-        let column = before.iter().rev().take_while(|byte| **byte != b'\n').count() + 1;
+        let (line, column) = position(self.text, span.start);
         Error::new(Code::Invalid, format!("{}:{line}:{column}: {message}", self.path))
     }
 
--- a/crates/cli/tests/cli/requests.rs
+++ b/crates/cli/tests/cli/requests.rs
@@ -317,6 +317,26 @@
     assert!(top_served * 100 >= top * 95, "{top_served} of {top} of the top tier served");
 }
 
+#[test]
+fn a_request_lost_with_its_engine_is_not_said_to_have_not_run() {
+    let mut site =
+        Site::start("requests_engine_lost", &Layout { replicas: 1, ..Layout::default() });
+    site.add(Options { token_ms: 100.0, ..engine(1) });
+    // The first request leaves an idle connection, which the second one is sent over.
+    let warm = Call::chat("label-writer", "warm", 1, false).key(TRUCK_KEY);
+    assert_eq!(site.send(0, &warm).status, 200);
+    let address = site.cluster.instances[0].http.clone();
+    let lost = std::thread::spawn(move || {
+        let call = Call::chat("label-writer", "lost", 100, false).key(TRUCK_KEY);
+        smol::block_on(send(&address, &call)).expect("answered")
+    });
+    assert!(eventually(PATIENCE, || site.endpoints[0].running() > 0));
+    drop(site.endpoints.remove(0));
+    let reply = lost.join().expect("caller");
+    assert_eq!(site.records.ran().len(), 2);
+    assert!(reply.status >= 400 && !reply.not_run(), "{}", reply.json());
+}
+
 #[test]
 fn a_caller_that_leaves_frees_its_slot() {
     let mut site = Site::start("requests_left", &Layout::default());
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -4,6 +4,7 @@
 
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
+use std::future::Future;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -51,6 +52,22 @@
     }
 }
 
+/// Bounds a piece of work in time; nothing where it is not done in time.
+///
+/// # Examples
+/// ```
+/// let late = lycheehub_clock::within(1, std::future::pending::<()>());
+/// assert_eq!(smol::block_on(late), None);
+/// ```
+pub async fn within<T>(timeout_ms: u64, work: impl Future<Output = T>) -> Option<T> {
+    let done = async { Some(work.await) };
+    let late = async {
+        Timer::after(Duration::from_millis(timeout_ms)).await;
+        None
+    };
+    smol::future::or(done, late).await
+}
+
 /// Gives parts their ticks.
 pub trait Timers: Send + Sync {
     /// Returns a channel that gets a message each `period_ms` milliseconds; a tick that is not
--- a/crates/estate/src/parse.rs
+++ b/crates/estate/src/parse.rs
@@ -110,16 +110,26 @@
     Ok(section)
 }
 
+/// Returns the line and column of a byte of a text, both from 1.
+///
+/// # Examples
+/// ```
+/// assert_eq!(lycheehub_estate::parse::position("a\nbc", 3), (2, 2));
+/// ```
+pub fn position(text: &str, offset: usize) -> (usize, usize) {
+    let before = &text.as_bytes()[..offset.min(text.len())];
+    let line = before.iter().filter(|byte| **byte == b'\n').count() + 1;
+    let column = before.iter().rev().take_while(|byte| **byte != b'\n').count() + 1;
+    (line, column)
+}
+
 struct Places<'a> {
     text: &'a str,
 }
 
 impl Places<'_> {
     fn error(&self, span: &Range<usize>, message: impl Into<SmolStr>) -> Error {
-        let end = span.start.min(self.text.len());
-        let before = &self.text.as_bytes()[..end];
-        let line = before.iter().filter(|byte| **byte == b'\n').count() + 1;
-        let column = before.iter().rev().take_while(|byte| **byte != b'\n').count() + 1;
+        let (line, column) = position(self.text, span.start);
         Error::At(line, column, message.into())
     }
 
--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -2,13 +2,10 @@
 
 use crate::Gateway;
 use crate::filters::{Exchange, Payload};
-use futures_lite::FutureExt;
 use http_types::{Body, Request, Response, Url};
 use lycheehub_types::PeerError;
-use smol::Timer;
 use smol::net::TcpStream;
 use std::future::Future;
-use std::time::Duration;
 
 /// How an attempt at an endpoint failed.
 #[derive(Debug)]
@@ -21,16 +18,11 @@
 
 /// Connects to an endpoint; a failure means that the request did not run.
 async fn connect(gateway: &Gateway, address: &str) -> Result<TcpStream, Failure> {
-    let fail = |cause: String| Failure::NotRun(PeerError::failed("connect", address, cause));
-    let connect =
-        async { TcpStream::connect(address).await.map_err(|error| fail(error.to_string())) };
+    let fail = |cause: std::io::Error| PeerError::failed("connect", address, cause);
+    let connect = async { TcpStream::connect(address).await.map_err(fail) };
     let timeout_ms = gateway.settings.connect_timeout_ms;
-    let timeout = async {
-        Timer::after(Duration::from_millis(timeout_ms)).await;
-        Err(Failure::NotRun(PeerError::TimedOut("connect", address.into(), timeout_ms)))
-    };
-    let stream = connect.or(timeout).await?;
-    stream.set_nodelay(true).map_err(|error| fail(error.to_string()))?;
+    let stream = bounded("connect", address, timeout_ms, connect).await.map_err(Failure::NotRun)?;
+    stream.set_nodelay(true).map_err(|error| Failure::NotRun(fail(error)))?;
     Ok(stream)
 }
 
@@ -45,16 +37,31 @@
     address: &str,
     resume_from: u64,
 ) -> Result<(Response, TcpStream), Failure> {
-    let idle =
-        if payload.idempotent { gateway.pool.take(gateway.clock.now_ms(), address) } else { None };
-    if let Some(stream) = idle {
-        match send(gateway, exchange, payload, address, &stream, resume_from).await {
-            Ok(response) => return Ok((response, stream)),
-            Err(Failure::NotRun(error) | Failure::Unknown(error)) => {
-                spdlog::info!("sent again on a new connection", kv: { request = exchange.request, error: });
-            }
-        }
-    }
+    let now_ms = gateway.clock.now_ms();
+    let idle = payload.idempotent.then(|| gateway.pool.take(now_ms, address)).flatten();
+    let Some(stream) = idle else {
+        return exchange_new(gateway, exchange, payload, address, resume_from).await;
+    };
+    let error = match send(gateway, exchange, payload, address, &stream, resume_from).await {
+        Ok(response) => return Ok((response, stream)),
+        Err(Failure::NotRun(error)) => return Err(Failure::NotRun(error)),
+        Err(Failure::Unknown(error)) => error,
+    };
+    spdlog::info!("sent again on a new connection", kv: { request = exchange.request, error: });
+    let again = exchange_new(gateway, exchange, payload, address, resume_from).await;
+    // What was sent over the idle connection may have run, whatever became of the second attempt.
+    again.map_err(|failure| match failure {
+        Failure::NotRun(error) | Failure::Unknown(error) => Failure::Unknown(error),
+    })
+}
+
+async fn exchange_new(
+    gateway: &Gateway,
+    exchange: &Exchange,
+    payload: &Payload,
+    address: &str,
+    resume_from: u64,
+) -> Result<(Response, TcpStream), Failure> {
     let stream = connect(gateway, address).await?;
     let response = send(gateway, exchange, payload, address, &stream, resume_from).await?;
     Ok((response, stream))
@@ -92,11 +99,8 @@
     timeout_ms: u64,
     work: impl Future<Output = Result<T, PeerError>>,
 ) -> Result<T, PeerError> {
-    let timeout = async {
-        Timer::after(Duration::from_millis(timeout_ms)).await;
-        Err(PeerError::TimedOut(step, address.into(), timeout_ms))
-    };
-    work.or(timeout).await
+    let done = lycheehub_clock::within(timeout_ms, work).await;
+    done.unwrap_or_else(|| Err(PeerError::TimedOut(step, address.into(), timeout_ms)))
 }
 
 fn request(
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -5,17 +5,15 @@
 use crate::settings::Settings;
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
-use futures_lite::FutureExt;
 use lycheehub_types::{InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::{greeter, peer};
 use smol::net::TcpStream;
-use smol::{LocalExecutor, Task, Timer};
+use smol::{LocalExecutor, Task};
 use smol_str::SmolStr;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// The step of making a connection, as errors name it.
 pub(crate) const CONNECT: &str = "connect";
@@ -146,9 +144,6 @@
     timeout_ms: u64,
     work: impl Future<Output = Result<T, PeerError>>,
 ) -> Result<T, PeerError> {
-    let timeout = async {
-        Timer::after(Duration::from_millis(timeout_ms)).await;
-        Err(PeerError::TimedOut(step, peer.as_str().into(), timeout_ms))
-    };
-    work.or(timeout).await
+    let done = lycheehub_clock::within(timeout_ms, work).await;
+    done.unwrap_or_else(|| Err(PeerError::TimedOut(step, peer.as_str().into(), timeout_ms)))
 }
--- a/crates/route/src/scheduler/dispatch.rs
+++ b/crates/route/src/scheduler/dispatch.rs
@@ -54,7 +54,11 @@
         let tries = state.excluded.len();
         let job = state.job.clone();
         let Some(pool) = self.pools.get_mut(&job.service) else { return decisions };
-        if tries >= TRIES_MAX || !pool.retries.spend() {
+        let elsewhere =
+            pool.endpoints.iter().filter_map(|key| self.endpoints.get(*key)).any(|known| {
+                known.is_live(now_ms) && !state.excluded.contains(&known.record.endpoint)
+            });
+        if tries >= TRIES_MAX || !elsewhere || !pool.retries.spend() {
             let work_ms = pool.work_ms(&job);
             self.jobs.remove(key);
             let message = "endpoints cannot be reached";
--- a/crates/route/tests/route/retries.rs
+++ b/crates/route/tests/route/retries.rs
@@ -30,3 +30,11 @@
         keys.iter().map(|key| refused(&scheduler.retry(2, *key, None)).len()).sum();
     assert_eq!(given_up, 40);
 }
+
+#[test]
+fn a_request_with_nowhere_else_to_go_is_given_up_at_once() {
+    let mut scheduler = Scheduler::new(Options::default(), 1);
+    scheduler.update(0, &view(vec![endpoint("one", "v1", 4, u64::MAX)]));
+    let (key, _) = scheduler.submit(1, job(0, "a", 60_000));
+    assert_eq!(refused(&scheduler.retry(2, key, Some(3))), [key]);
+}
--- a/crates/standin/src/bin/lycheehub-measure/main.rs
+++ b/crates/standin/src/bin/lycheehub-measure/main.rs
@@ -128,15 +128,7 @@
     change: impl FnOnce(Options) -> Options,
     records: &Records,
 ) -> Result<Endpoint, Failed> {
-    let options = Options {
-        name: format!("engine-{number}"),
-        service: SERVICE.into(),
-        announce_to: cluster.addresses(),
-        key: ENDPOINT_KEY.into(),
-        announce_ms: 1_000,
-        seed: number as u64,
-        ..Options::default()
-    };
+    let options = engine_options(cluster, number);
     let endpoint = Endpoint::start(change(options), records.clone())?;
     let seen = eventually(PATIENCE, || {
         (0..cluster.instances.len()).all(|at| {
@@ -148,9 +140,8 @@
     if seen { Ok(endpoint) } else { Err("an endpoint was not seen by all".into()) }
 }
 
-/// Starts a stand-in without waiting until it is seen.
-fn quick_engine(cluster: &Cluster, number: usize, records: &Records) -> Result<Endpoint, Failed> {
-    let options = Options {
+fn engine_options(cluster: &Cluster, number: usize) -> Options {
+    Options {
         name: format!("engine-{number}"),
         service: SERVICE.into(),
         announce_to: cluster.addresses(),
@@ -158,8 +149,12 @@
         announce_ms: 1_000,
         seed: number as u64,
         ..Options::default()
-    };
-    Ok(Endpoint::start(options, records.clone())?)
+    }
+}
+
+/// Starts a stand-in without waiting until it is seen.
+fn quick_engine(cluster: &Cluster, number: usize, records: &Records) -> Result<Endpoint, Failed> {
+    Ok(Endpoint::start(engine_options(cluster, number), records.clone())?)
 }
 
 /// What a process has used: processor seconds, and memory in bytes.
--- a/crates/standin/src/endpoint/server.rs
+++ b/crates/standin/src/endpoint/server.rs
@@ -8,10 +8,10 @@
 use rand::{Rng, SeedableRng};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::io::{AsyncBufRead, AsyncRead, AsyncWrite};
-use smol::net::TcpListener;
+use smol::net::{TcpListener, TcpStream};
 use smol::{Executor, Timer};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -30,6 +30,8 @@
     pub(super) running: AtomicU32,
     pub(super) executor: Arc<Executor<'static>>,
     faults: Mutex<Faults>,
+    /// The connections taken, which end with the stand-in.
+    streams: Mutex<Vec<TcpStream>>,
     cache: Mutex<Cache>,
     loaded: Mutex<String>,
     newest_fence: Mutex<(u64, u64)>,
@@ -198,6 +200,7 @@
             running: AtomicU32::new(0),
             executor: Arc::new(Executor::new()),
             faults: Mutex::default(),
+            streams: Mutex::default(),
             cache: Mutex::new(Cache::new(options.cache_blocks)),
             loaded: Mutex::new(options.version.clone()),
             newest_fence: Mutex::default(),
@@ -249,6 +252,7 @@
         while let Ok((stream, _)) = listener.accept().await {
             // Latency alone suffers where this fails.
             let _ = stream.set_nodelay(true);
+            served.streams.lock().unwrap_or_else(PoisonError::into_inner).push(stream.clone());
             let shared = served.clone();
             let connection = async move {
                 let answer = |request| {
@@ -267,7 +271,15 @@
         // The channel closes when the stand-in is dropped.
         let _ = stopped.recv().await;
     }));
-    drop((accept, announce));
+    // A cancelled task is dropped, with the listener, only when the executor runs once more.
+    smol::block_on(executor.run(async {
+        accept.cancel().await;
+        announce.cancel().await;
+    }));
+    for stream in shared.streams.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+        // A connection that has ended cannot be shut down.
+        let _ = stream.shutdown(Shutdown::Both);
+    }
 }
 
 async fn answer(shared: &Arc<Shared>, mut request: Request) -> http_types::Result<Response> {
