refactor: one piece of code where the last reading found two

Ruled out: joining the stand-in's pipe reader with the gateway's answer reader (one ends by a flag, the other keeps answers for resends) and the option structs of the command line (gumdrop flattens none). Speed was not measured again.

--- a/crates/cli/src/client/call.rs
+++ b/crates/cli/src/client/call.rs
@@ -1,14 +1,12 @@
 //! Calls to instances.
 
 use crate::exit::{Code, Error};
-use futures_lite::FutureExt;
 use http_types::{Body, Method, Request, Url};
+use lycheehub_clock::within;
 use lycheehub_types::PeerError;
 use serde::de::DeserializeOwned;
-use smol::Timer;
 use smol::io::AsyncReadExt;
 use smol::net::TcpStream;
-use std::time::Duration;
 
 /// How long one instance may take to answer, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 10_000;
@@ -123,11 +121,8 @@
         call: &Call<'_>,
         sent: &mut bool,
     ) -> Result<Reply, PeerError> {
-        let timeout = async {
-            Timer::after(Duration::from_millis(CALL_TIMEOUT_MS)).await;
-            Err(PeerError::TimedOut("call", address.into(), CALL_TIMEOUT_MS))
-        };
-        self.exchange(address, call, sent).or(timeout).await
+        let late = || Err(PeerError::TimedOut("call", address.into(), CALL_TIMEOUT_MS));
+        within(CALL_TIMEOUT_MS, self.exchange(address, call, sent)).await.unwrap_or_else(late)
     }
 
     async fn exchange(
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -164,7 +164,7 @@
         live: &[&'a EndpointRecord],
     ) -> Option<(&'a EndpointRecord, Version)> {
         let of_service = |endpoint: &&&EndpointRecord| endpoint.service == record.spec.service;
-        let serving: Vec<&EndpointRecord> = live.iter().filter(of_service).copied().collect();
+        let serving: Vec<&'a EndpointRecord> = live.iter().filter(of_service).copied().collect();
         let to = &record.spec.to;
         let ordered = |endpoint: &EndpointRecord| {
             self.outstanding.get(&endpoint.endpoint).is_some_and(|(version, _)| version == to)
@@ -176,7 +176,7 @@
         if new >= target.max(1) {
             return None;
         }
-        let mut old_in: BTreeMap<&FailureDomain, Vec<&EndpointRecord>> = BTreeMap::new();
+        let mut old_in: BTreeMap<&FailureDomain, Vec<&'a EndpointRecord>> = BTreeMap::new();
         for endpoint in serving.into_iter().filter(|endpoint| endpoint.version == record.from) {
             old_in.entry(&endpoint.failure_domain).or_default().push(endpoint);
         }
@@ -185,8 +185,6 @@
         }
         let fullest = old_in.into_values().max_by_key(Vec::len)?;
         let free = |endpoint: &&EndpointRecord| endpoint.takes_orders && !ordered(endpoint);
-        let endpoint = fullest.into_iter().find(free)?;
-        let found = live.iter().find(|other| other.endpoint == endpoint.endpoint)?;
-        Some((*found, to.clone()))
+        Some((fullest.into_iter().find(free)?, to.clone()))
     }
 }
--- a/crates/gateway/src/http/read.rs
+++ b/crates/gateway/src/http/read.rs
@@ -1,12 +1,10 @@
 //! Reading requests within bounds.
 
 use crate::Gateway;
-use futures_lite::FutureExt;
 use http_types::Request;
+use lycheehub_clock::within;
 use lycheehub_types::{Refusal, RefusalKind};
-use smol::Timer;
 use smol::io::AsyncReadExt;
-use std::time::Duration;
 
 /// Returns a header's value.
 pub fn header<'a>(request: &'a Request, name: &str) -> Option<&'a str> {
@@ -37,11 +35,9 @@
         read.map_err(|_| Refusal::new(RefusalKind::BadRequest, "the body does not decode"))?;
         Ok(bytes)
     };
-    let timeout = async {
-        Timer::after(Duration::from_millis(gateway.settings.body_timeout_ms)).await;
-        Err(Refusal::new(RefusalKind::BadRequest, "the body did not come in time"))
-    };
-    let bytes = read.or(timeout).await?;
+    let late = || Err(Refusal::new(RefusalKind::BadRequest, "the body did not come in time"));
+    let read = within(gateway.settings.body_timeout_ms, read).await;
+    let bytes: Vec<u8> = read.unwrap_or_else(late)?;
     if bytes.len() > max_bytes {
         return Err(too_large());
     }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,15 +1,14 @@
 //! Orders to endpoints.
 
 use http_types::{Body, Method, Request, Url};
-use lycheehub_clock::Clock;
+use lycheehub_clock::{Clock, within};
 use lycheehub_control::placement::{Fence, Order};
 use lycheehub_peer::OrderSink;
 use lycheehub_types::PeerError;
 use serde::Serialize;
+use smol::Executor;
 use smol::net::TcpStream;
-use smol::{Executor, Timer};
 use std::sync::Arc;
-use std::time::Duration;
 
 #[derive(Serialize)]
 struct Load<'a> {
@@ -38,12 +37,9 @@
         let clock = self.clock;
         let task = async move {
             let left_ms = order.valid_until_ms.saturating_sub(clock.now_ms());
-            let sent = deliver(clock, &order);
-            let late = async {
-                Timer::after(Duration::from_millis(left_ms)).await;
-                Err(PeerError::TimedOut("order", order.address.clone(), left_ms))
-            };
-            if let Err(error) = smol::future::or(sent, late).await {
+            let late = || Err(PeerError::TimedOut("order", order.address.clone(), left_ms));
+            let sent = within(left_ms, deliver(clock, &order)).await;
+            if let Err(error) = sent.unwrap_or_else(late) {
                 spdlog::warn!("order not taken", kv: { endpoint: = order.endpoint, error: });
             }
         };
--- a/crates/peer/src/node/driver.rs
+++ b/crates/peer/src/node/driver.rs
@@ -43,8 +43,7 @@
         now_ms: u64,
     ) -> Result<(Self, State), StorageError> {
         let (id, persisted) = storage.load()?;
-        let state = State::decode(&persisted.snapshot.data)
-            .map_err(|error| StorageError::Corrupt("snapshot".into(), 0, error.to_string()))?;
+        let state = decode_state(&persisted.snapshot.data)?;
         spdlog::info!("control replica opened", kv: {
             replica: = id,
             term = persisted.vote.term,
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -247,6 +247,20 @@
         self.has_others && now_ms >= self.heard_ms + ISOLATED_MS
     }
 
+    /// Tells whether this instance may act as the only leader.
+    fn holds_lease(&self, now_ms: u64) -> bool {
+        self.replica().is_some_and(|replica| replica.holds_lease(now_ms))
+    }
+
+    /// Returns the instance that most likely leads: the one that the replica here follows, else the
+    /// one that last answered as the leader.
+    fn likely_leader(&self) -> Option<InstanceName> {
+        let followed = self.replica().and_then(|replica| {
+            replica.leader().and_then(|id| replica.config().voters.get(&id)).cloned()
+        });
+        followed.or_else(|| self.leader_hint.clone())
+    }
+
     fn is_leader(&self) -> bool {
         self.replica().is_some_and(Replica::is_established)
     }
--- a/crates/peer/src/node/propose.rs
+++ b/crates/peer/src/node/propose.rs
@@ -2,6 +2,7 @@
 
 use super::Node;
 use crate::link::CONNECT;
+use lycheehub_clock::within;
 use lycheehub_consensus::Position;
 use lycheehub_control::Command;
 use lycheehub_control::state::Feed;
@@ -73,11 +74,7 @@
         if core.replica().is_some() {
             candidates.insert(0, self.settings.instance.clone());
         }
-        let followed = core.replica().and_then(|replica| {
-            replica.leader().and_then(|id| replica.config().voters.get(&id)).cloned()
-        });
-        let likely = followed.or_else(|| core.leader_hint.clone());
-        if let Some(likely) = likely {
+        if let Some(likely) = core.likely_leader() {
             candidates.retain(|name| *name != likely);
             candidates.insert(0, likely);
         }
@@ -94,12 +91,8 @@
         let (sender, receiver) = bounded(1);
         self.core.borrow_mut().proposals.push((command, sender));
         self.flush_soon();
-        let timeout = async {
-            Timer::after(Duration::from_millis(PROPOSE_TRY_MS)).await;
-            ProposeReply::Unknown
-        };
-        let reply = async { receiver.recv().await.unwrap_or(ProposeReply::Unknown) };
-        smol::future::or(reply, timeout).await
+        let reply = within(PROPOSE_TRY_MS, receiver.recv()).await;
+        reply.and_then(Result::ok).unwrap_or(ProposeReply::Unknown)
     }
 
     /// Stores what waits to be proposed, unless earlier commands are not committed yet; what comes
@@ -145,12 +138,8 @@
             let token = driver.begin_read(sender);
             driver.replica.read(now_ms, token)
         });
-        let timeout = async {
-            Timer::after(Duration::from_millis(PROPOSE_TRY_MS)).await;
-            false
-        };
-        let confirmed = async { receiver.recv().await.unwrap_or(false) };
-        if !smol::future::or(confirmed, timeout).await {
+        let confirmed = within(PROPOSE_TRY_MS, receiver.recv()).await;
+        if !confirmed.and_then(Result::ok).unwrap_or(false) {
             return None;
         }
         Some(self.core.borrow().state.feed_after(revision))
--- a/crates/peer/src/node/report.rs
+++ b/crates/peer/src/node/report.rs
@@ -18,7 +18,12 @@
 impl Node {
     /// Sends the newest demands and observations to the leader.
     pub(super) fn report(self: &Rc<Self>) {
-        let Some(leader) = self.likely_leader() else { return };
+        let leader = {
+            let core = self.core.borrow();
+            let own = core.is_leader().then(|| self.settings.instance.clone());
+            own.or_else(|| core.likely_leader())
+        };
+        let Some(leader) = leader else { return };
         let report = {
             let mut core = self.core.borrow_mut();
             let now_ms = self.clock.now_ms();
@@ -38,17 +43,6 @@
         self.executor.spawn(self.clone().send_report(leader, report)).detach();
     }
 
-    fn likely_leader(&self) -> Option<InstanceName> {
-        let core = self.core.borrow();
-        if core.is_leader() {
-            return Some(self.settings.instance.clone());
-        }
-        let followed = core.replica().and_then(|replica| {
-            replica.leader().and_then(|id| replica.config().voters.get(&id)).cloned()
-        });
-        followed.or_else(|| core.leader_hint.clone())
-    }
-
     async fn send_report(self: Rc<Self>, leader: InstanceName, report: Report) {
         let sent_ms = self.clock.now_ms();
         let kept = report.clone();
@@ -116,8 +110,7 @@
         let now_unix_ms = self.clock.now_unix_ms();
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
-        let holds_lease = core.replica().is_some_and(|replica| replica.holds_lease(now_ms));
-        if !holds_lease {
+        if !core.holds_lease(now_ms) {
             return ReportReply::default();
         }
         core.controller.observe(now_unix_ms, &core.state, &report.observations);
@@ -139,8 +132,7 @@
         let (steps, orders) = {
             let mut core = self.core.borrow_mut();
             let core = &mut *core;
-            let holds_lease = core.replica().is_some_and(|replica| replica.holds_lease(now_ms));
-            if !holds_lease {
+            if !core.holds_lease(now_ms) {
                 return;
             }
             let supply = supply(core, now_ms);
--- a/crates/route/src/scheduler/choose.rs
+++ b/crates/route/src/scheduler/choose.rs
@@ -53,8 +53,9 @@
             Policy::RoundRobin => (vec![self.next_in_turn(key, open)?], "in turn"),
             Policy::LeastInFlight => (vec![self.least_in_flight(open)?], "least in flight"),
         };
-        let scored: Vec<Scored> =
-            compared.into_iter().filter_map(|endpoint| self.score(now_ms, key, endpoint)).collect();
+        let home = self.home(key, &self.pools.get(&self.jobs.get(key)?.job.service)?.endpoints);
+        let score = |endpoint| self.score(now_ms, key, endpoint, home == Some(endpoint));
+        let scored: Vec<Scored> = compared.into_iter().filter_map(score).collect();
         let best = scored.iter().min_by(|a, b| a.score_ms.total_cmp(&b.score_ms))?.endpoint;
         let endpoint = self.endpoints.get(best)?;
         let state = self.jobs.get(key)?;
@@ -149,12 +150,17 @@
         open.iter().copied().min_by_key(in_flight)
     }
 
-    fn score(&self, now_ms: u64, key: JobKey, endpoint: EndpointKey) -> Option<Scored> {
+    fn score(
+        &self,
+        now_ms: u64,
+        key: JobKey,
+        endpoint: EndpointKey,
+        is_home: bool,
+    ) -> Option<Scored> {
         let job = &self.jobs.get(key)?.job;
         let known = self.endpoints.get(endpoint)?;
         let lengths = self.pools.get(&job.service)?.lengths;
         let believed = known.prefix.cached_tokens(now_ms, &job.prefix);
-        let is_home = self.home(key, &self.pools.get(&job.service)?.endpoints) == Some(endpoint);
         let at_home = if is_home {
             job.prefix.len() as u64 * BLOCK_TOKENS * HOME_CACHED_PERMILLE / 1_000
         } else {
