--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -22,6 +22,12 @@
     /// Runs an instance.
     #[options(help = "run an instance: lycheehub serve [--settings FILE]")]
     Serve(Serve),
+    /// Runs an entry instance on the users' platform.
+    #[options(help = "run an entry instance by the platform's settings: lycheehub entry")]
+    Entry(Role),
+    /// Runs a control instance on the users' platform.
+    #[options(help = "run a control instance by the platform's settings: lycheehub control")]
+    Control(Role),
     /// Checks a file.
     #[options(help = "check a settings file or a section: lycheehub check FILE")]
     Check(Check),
@@ -53,6 +59,14 @@
     pub settings: Option<String>,
 }
 
+/// Options of `entry` and `control`.
+#[derive(Debug, Default, Options)]
+pub struct Role {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+}
+
 /// Options of `check`.
 #[derive(Debug, Options)]
 pub struct Check {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -2,7 +2,7 @@
 //!
 //! * [`arguments`] is the command line.
 //! * [`settings`] is the settings file.
-//! * [`serve`] is the daemon.
+//! * [`serve`] is the daemon; [`roles`] are the daemons on the users' platform.
 //! * [`client`] is what operators call.
 //! * [`check`] checks files without a daemon.
 #![deny(missing_docs, rust_2018_idioms)]
@@ -12,6 +12,7 @@
 mod check;
 mod client;
 mod exit;
+mod roles;
 mod serve;
 mod settings;
 
@@ -27,6 +28,8 @@
     }
     let result = match arguments.command {
         Some(Command::Serve(options)) => serve::run(&options),
+        Some(Command::Entry(_)) => roles::run_entry(),
+        Some(Command::Control(_)) => roles::run_control(),
         Some(Command::Check(options)) => check::run(&options),
         Some(Command::Apply(options)) => client::apply::run(&options),
         Some(Command::Get(options)) => client::get::run(&options),
--- /dev/null
+++ b/crates/cli/src/roles/entry.rs
@@ -0,0 +1,166 @@
+//! An entry instance: takes the requests of callers.
+
+use super::{METRICS_PORT, http, load, needed, start_metrics, wait_for_stop};
+use crate::exit::{Code, Error};
+use crate::serve::{listen, log};
+use crate::settings::LogFormat;
+use lycheehub_clock::{Clock, TimerService};
+use lycheehub_peer::entry::{EntryNode, EntryView, LeaderPlacement};
+use lycheehub_peer::{Latest, Seed};
+use lycheehub_platform::calls;
+use lycheehub_platform::headers::PlatformHeaders;
+use lycheehub_platform::settings::Deployment;
+use lycheehub_proxy::{Entry, Options, Snapshot, Snapshots, server};
+use smol::channel::{Receiver, bounded};
+use smol::{LocalExecutor, Timer};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long an endpoint may take to accept a connection, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+/// How long the balancer takes to leave an instance alone that is not ready, in milliseconds: two
+/// questions, one a second, and some delay.
+const BALANCER_MS: u64 = 2_700;
+/// How much before the end of the time for a stop the process ends, in milliseconds.
+const STOP_RESERVE_MS: u64 = 400;
+/// How often the end of the last request is looked for, in milliseconds.
+const LOOK_MS: u64 = 20;
+/// How often idle connections to endpoints are looked at, in milliseconds.
+const POOL_MS: u64 = 1_000;
+
+/// The newest view, as requests are answered by it.
+struct ViewSnapshots(Arc<Latest<EntryView>>);
+
+impl Snapshots for ViewSnapshots {
+    fn latest(&self) -> Snapshot {
+        let view = self.0.get();
+        Snapshot { table: view.table.clone(), revision: view.revision, is_ready: view.is_ready() }
+    }
+}
+
+/// Runs an entry instance until it is told to stop.
+pub fn run() -> Result<(), Error> {
+    let deployment = load()?;
+    log::start_bounded(LogFormat::Json, false)?;
+    let executor = Rc::new(LocalExecutor::new());
+    let result = smol::block_on(executor.run(serve(executor.clone(), deployment)));
+    log::flush();
+    result
+}
+
+async fn serve(executor: Rc<LocalExecutor<'static>>, deployment: Deployment) -> Result<(), Error> {
+    let callers_address = needed(deployment.callers, "callers")?;
+    let callers = listen("callers", callers_address).await?;
+    let readiness = listen("readiness", needed(deployment.readiness, "readiness")?).await?;
+    let metrics_address = std::net::SocketAddr::new(deployment.ip, METRICS_PORT);
+    let metrics_listener = listen("metrics", metrics_address).await?;
+    let metrics = start_metrics()?;
+    let clock = Clock::new();
+    let views = Arc::new(Latest::new(EntryView::default()));
+    let (seeds, seed_changes) = bounded(1);
+    start_control(&deployment, clock, views.clone(), seed_changes)?;
+    let placement =
+        LeaderPlacement::new(deployment.peer.clone(), clock, executor.clone(), views.clone());
+    placement.start();
+    executor.spawn(follow_views(views.clone(), placement.clone())).detach();
+    let options = Options {
+        instance: deployment.peer.instance.clone(),
+        failure_domain: deployment.peer.failure_domain.clone(),
+        connections_max: deployment.connections_max,
+        connect_timeout_ms: CONNECT_TIMEOUT_MS,
+    };
+    let entry = Entry::new(
+        options,
+        clock,
+        Box::new(PlatformHeaders),
+        Box::new(ViewSnapshots(views)),
+        placement,
+        executor.clone(),
+    );
+    executor.spawn(server::serve(entry.clone(), callers)).detach();
+    executor.spawn(close_old(entry.clone())).detach();
+    let asked = entry.clone();
+    let answer = move |request| {
+        let response = calls::answer_ready(asked.is_ready(), &request);
+        async move { response }
+    };
+    executor.spawn(http::serve(executor.clone(), readiness, answer)).detach();
+    let render = move |request| {
+        let response = http::metrics(&metrics, &request);
+        async move { response }
+    };
+    executor.spawn(http::serve(executor.clone(), metrics_listener, render)).detach();
+    spdlog::info!("entry instance started", kv: {
+        machine = deployment.machine,
+        callers: = callers_address,
+        seeds = deployment.peer.seeds.len() as u64,
+    });
+    wait_for_stop(|| reload(&seeds)).await?;
+    stop(&entry, deployment.stop_timeout_ms).await;
+    Ok(())
+}
+
+/// Reads the settings again and takes over the addresses of seeds.
+fn reload(seeds: &smol::channel::Sender<Vec<Seed>>) {
+    match load() {
+        Ok(deployment) => {
+            spdlog::info!("settings read again", kv: { seeds = deployment.peer.seeds.len() as u64 });
+            // A full channel holds seeds that are as new.
+            let _ = seeds.try_send(deployment.peer.seeds);
+        }
+        Err(error) => spdlog::error!("settings not read again", kv: { error: = error }),
+    }
+}
+
+fn start_control(
+    deployment: &Deployment,
+    clock: Clock,
+    views: Arc<Latest<EntryView>>,
+    seeds: Receiver<Vec<Seed>>,
+) -> Result<(), Error> {
+    let settings = deployment.peer.clone();
+    let run = move || {
+        let timers = Arc::new(TimerService::new(clock));
+        let node = EntryNode::new(settings, clock, timers.clone(), views);
+        node.run(seeds, async move { timers.run().await });
+    };
+    let thread = std::thread::Builder::new().name("control".to_owned());
+    let started = thread.spawn(run);
+    started
+        .map(drop)
+        .map_err(|error| Error::new(Code::Failed, format!("cannot start a thread: {error}")))
+}
+
+/// Passes each new view on to the placement.
+async fn follow_views(views: Arc<Latest<EntryView>>, placement: Rc<LeaderPlacement>) {
+    let mut document_revision = 0;
+    loop {
+        views.changed().await;
+        let view = views.get();
+        placement.take_view(&view, view.document_revision != document_revision);
+        document_revision = view.document_revision;
+    }
+}
+
+async fn close_old(entry: Rc<Entry>) {
+    loop {
+        Timer::after(Duration::from_millis(POOL_MS)).await;
+        entry.pool.close_old(entry.clock.now_ms());
+    }
+}
+
+/// Stops the instance: first not ready, then nothing idle, then the end of all that runs.
+async fn stop(entry: &Entry, timeout_ms: u64) {
+    let started_ms = entry.clock.now_ms();
+    let unfinished = entry.exchanges.get() as u64;
+    spdlog::info!("stopping: not ready", kv: { unfinished, timeout_ms });
+    entry.draining.set(true);
+    Timer::after(Duration::from_millis(BALANCER_MS)).await;
+    entry.close_idle();
+    let give_up_ms = started_ms + timeout_ms.saturating_sub(STOP_RESERVE_MS);
+    while entry.exchanges.get() > 0 && entry.clock.now_ms() < give_up_ms {
+        Timer::after(Duration::from_millis(LOOK_MS)).await;
+    }
+    spdlog::info!("stopped", kv: { unfinished = entry.exchanges.get() as u64 });
+}
--- a/crates/cli/src/serve/log.rs
+++ b/crates/cli/src/serve/log.rs
@@ -1,24 +1,46 @@
-//! The log: one line for each decision, on standard error.
+//! The log: one line for each decision.
 
+use super::bounded::BoundedSink;
 use crate::exit::{Code, Error};
 use crate::settings::LogFormat;
 use spdlog::formatter::{FullFormatter, JsonFormatter};
-use spdlog::sink::StdStreamSink;
+use spdlog::sink::{Sink, SinkProp, StdStreamSink};
 use spdlog::{Level, LevelFilter, Logger};
 use std::sync::Arc;
 
-/// Starts the log.
+fn fail(error: impl std::fmt::Display) -> Error {
+    Error::new(Code::Failed, format!("cannot start the log: {error}"))
+}
+
+/// Starts the log on standard output, by a buffer that nobody waits for.
+pub(crate) fn start_bounded(format: LogFormat, debug: bool) -> Result<(), Error> {
+    let prop = SinkProp::default();
+    match format {
+        LogFormat::Text => prop.set_formatter(FullFormatter::new()),
+        LogFormat::Json => prop.set_formatter(JsonFormatter::new()),
+    }
+    set_logger(BoundedSink::start(prop).map_err(fail)?, debug)
+}
+
+/// Writes what waits in the buffer.
+pub(crate) fn flush() {
+    spdlog::default_logger().flush();
+}
+
+/// Starts the log on standard error.
 pub(super) fn start(format: LogFormat, debug: bool) -> Result<(), Error> {
-    let level = if debug { Level::Debug } else { Level::Info };
-    let fail =
-        |error: spdlog::Error| Error::new(Code::Failed, format!("cannot start the log: {error}"));
     let stream = StdStreamSink::builder().stderr();
-    let sink = match format {
+    let sink: Result<Arc<StdStreamSink>, _> = match format {
         LogFormat::Text => stream.formatter(FullFormatter::new()).build_arc(),
         LogFormat::Json => stream.formatter(JsonFormatter::new()).build_arc(),
     };
+    set_logger(sink.map_err(fail)?, debug)
+}
+
+fn set_logger(sink: Arc<dyn Sink>, debug: bool) -> Result<(), Error> {
+    let level = if debug { Level::Debug } else { Level::Info };
     let logger = Logger::builder()
-        .sink(sink.map_err(fail)?)
+        .sink(sink)
         .level_filter(LevelFilter::MoreSevereEqual(level))
         .build()
         .map_err(fail)?;
--- a/crates/cli/src/serve/mod.rs
+++ b/crates/cli/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! The daemon.
 
-mod log;
+mod bounded;
+pub(crate) mod log;
 mod stop;
 mod wire_up;
 
@@ -40,7 +41,10 @@
 }
 
 /// Listens on an address; one that an earlier process is just leaving is waited for.
-async fn listen(what: &str, address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+pub(crate) async fn listen(
+    what: &str,
+    address: std::net::SocketAddr,
+) -> Result<TcpListener, Error> {
     let mut tries = 0;
     loop {
         tries += 1;
--- a/crates/cli/src/settings/load.rs
+++ b/crates/cli/src/settings/load.rs
@@ -157,6 +157,10 @@
             seeds,
             data_folder,
             peer_key,
+            may_found: true,
+            copies_min: 1,
+            balances: true,
+            dispatch: lycheehub_dispatch::Options::default(),
         },
         gateway: lycheehub_gateway::Settings {
             instance: name,
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -2,16 +2,26 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+use rustix::time::{ClockId, clock_gettime};
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 use std::future::Future;
 use std::sync::{Mutex, PoisonError};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// The longest sleep of the timer service without looking for new subscribers, in milliseconds.
 const LOOK_AGAIN_MS: u64 = 50;
 
-/// A clock that never goes back, counted from the start of the process.
+/// Reads the time since the machine was started, times of suspension included.
+fn since_boot() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec.unsigned_abs(), u32::try_from(time.tv_nsec).unwrap_or_default())
+}
+
+/// A clock that never goes back and goes on while the machine is suspended, counted from the start
+/// of the process.
+///
+/// Leases are promises about time outside this machine, so they may not stand still with it.
 ///
 /// # Examples
 /// ```
@@ -20,7 +30,8 @@
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    started: Instant,
+    read: fn() -> Duration,
+    started: Duration,
 }
 
 impl Default for Clock {
@@ -32,17 +43,34 @@
 impl Clock {
     /// Starts a clock.
     pub fn new() -> Self {
-        Self { started: Instant::now() }
+        Self::with_source(since_boot)
+    }
+
+    /// Starts a clock that reads its time from `read`, which must never go back.
+    ///
+    /// # Examples
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// let clock = lycheehub_clock::Clock::with_source(|| Duration::from_secs(7));
+    /// assert_eq!(clock.now_ms(), 1);
+    /// ```
+    pub fn with_source(read: fn() -> Duration) -> Self {
+        Self { read, started: read() }
+    }
+
+    fn elapsed(&self) -> Duration {
+        (self.read)().saturating_sub(self.started)
     }
 
     /// Returns the milliseconds since the clock was started, from 1.
     pub fn now_ms(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64 + 1
+        self.elapsed().as_millis() as u64 + 1
     }
 
     /// Returns the milliseconds since the clock was started, with their fraction.
     pub fn now_fine_ms(&self) -> f64 {
-        self.started.elapsed().as_secs_f64() * 1e3
+        self.elapsed().as_secs_f64() * 1e3
     }
 
     /// Returns the time of day in milliseconds since the Unix epoch, by the system's clock.
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -145,7 +145,8 @@
         self.leader = Some(self.id);
         self.leading = Leading { first, quorum_seen_ms: now_ms, ..Leading::default() };
         for id in self.followers() {
-            let progress = Progress { next: first.index, ..Progress::default() };
+            let progress =
+                Progress { next: first.index, answered_ms: now_ms, ..Progress::default() };
             self.leading.progress.insert(id, progress);
         }
         self.out.push(Action::BecameLeader(first));
--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -7,6 +7,9 @@
 
 /// The most voters.
 const VOTERS_MAX: usize = 5;
+/// How long a voter may be silent before another replica takes its place, in milliseconds: longer
+/// than a restart takes.
+const VOTER_SILENT_MS: u64 = 5_000;
 
 impl Replica {
     /// Sets the replicas that get the log without a vote.
@@ -26,8 +29,9 @@
     /// Brings the voters in line with the replicas that are live.
     ///
     /// A live replica without a vote observes until it has caught up. Then it takes the place of
-    /// its instance's lost replica, whose vote goes first, or becomes a further voter. One step is
-    /// taken at a time.
+    /// its instance's lost replica, whose vote goes first, or becomes a further voter; where there
+    /// are as many as there may be, it takes the place of one that has been silent for long. One
+    /// step is taken at a time.
     pub fn maintain(
         &mut self,
         now_ms: u64,
@@ -46,10 +50,23 @@
         match lost {
             Some((lost, _)) => self.remove_voter(now_ms, *lost),
             None if voters.len() < VOTERS_MAX => self.add_voter(now_ms, *id, name.clone()),
-            None => Vec::new(),
+            None => {
+                self.silent_voter(now_ms).map_or_else(Vec::new, |id| self.remove_voter(now_ms, id))
+            }
         }
     }
 
+    /// Returns the voter that has been silent for longest, if it was for too long.
+    fn silent_voter(&self, now_ms: u64) -> Option<ReplicaId> {
+        let others = self.log.config().voters.keys().filter(|id| **id != self.id);
+        let answered = others.map(|id| {
+            let progress = self.leading.progress.get(id);
+            (progress.map_or(now_ms, |progress| progress.answered_ms), *id)
+        });
+        let (answered_ms, id) = answered.min()?;
+        (now_ms >= answered_ms + VOTER_SILENT_MS).then_some(id)
+    }
+
     /// Makes an observer a voter, once it holds all that is committed.
     pub fn add_voter(&mut self, now_ms: u64, id: ReplicaId, name: InstanceName) -> Vec<Action> {
         if !self.is_caught_up(id) {
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -81,6 +81,8 @@
     in_flight_since_ms: u64,
     /// The round in which they were sent.
     in_flight_round: u64,
+    /// When this replica last answered, or this leader was elected, in milliseconds.
+    answered_ms: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -224,6 +226,17 @@
         self.leading.quorum_seen_ms + self.options.lease_ms()
     }
 
+    /// Tells whether a leader was heard within the last `within_ms`, or this replica leads with a
+    /// quorum that followed it so lately.
+    pub fn hears_leader(&self, now_ms: u64, within_ms: u64) -> bool {
+        let heard_ms = match self.role {
+            Role::Leader => self.leading.quorum_seen_ms,
+            _ if self.leader.is_some() => self.leader_seen_ms,
+            _ => return false,
+        };
+        now_ms < heard_ms + within_ms
+    }
+
     /// Tells whether this replica leads and knows all that earlier leaders committed.
     pub fn is_established(&self) -> bool {
         self.role == Role::Leader
--- a/crates/consensus/src/replica/replication.rs
+++ b/crates/consensus/src/replica/replication.rs
@@ -95,7 +95,7 @@
 
     fn replicate(&mut self, now_ms: u64, to: ReplicaId) {
         let next_index = self.log.last().index + 1;
-        let fresh = Progress { next: next_index, ..Progress::default() };
+        let fresh = Progress { next: next_index, answered_ms: now_ms, ..Progress::default() };
         let progress = self.leading.progress.entry(to).or_insert(fresh);
         let previous_index = progress.next.saturating_sub(1);
         let waiting = progress.is_waiting(now_ms, &self.options);
@@ -218,6 +218,7 @@
         let last_index = self.log.last().index;
         let Some(progress) = self.leading.progress.get_mut(&from) else { return };
         progress.acked_round = progress.acked_round.max(round);
+        progress.answered_ms = now_ms;
         if round >= progress.in_flight_round {
             progress.in_flight_since_ms = 0;
         }
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -1,12 +1,12 @@
 //! Commands and their replies.
 
-use super::{ClaimKey, ClaimState, Claimant, DecodeError, Phase};
+use super::{ClaimKey, ClaimState, Claimant, DecodeError, DocumentRecord, Phase, RolloutOrder};
 use lycheehub_types::SectionName;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
 /// A change of the control state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// An operator's new text for a section.
     Submit(Submission),
@@ -32,6 +32,10 @@
         /// How the request ended.
         state: ClaimState,
     },
+    /// An operator's new route document, in force if its version is the highest so far.
+    ReplaceDocument(DocumentRecord),
+    /// An operator's order to move a service to a version.
+    StartRollout(RolloutOrder),
 }
 
 /// An operator's new text for a section.
@@ -77,6 +81,13 @@
     Claim(ClaimOutcome),
     /// To [`Command::Settle`].
     Settled,
+    /// To [`Command::ReplaceDocument`].
+    Document {
+        /// The version that is in force now.
+        version: u64,
+    },
+    /// To [`Command::StartRollout`].
+    Rollout,
 }
 
 /// The answer to a submission.
@@ -142,12 +153,33 @@
     ///
     /// Claims expire by the time of the instances that lead, not by that of any instance.
     pub fn stamped(mut self, leader_unix_ms: u64) -> Self {
-        if let Self::Claim { now_unix_ms, .. } = &mut self {
-            *now_unix_ms = leader_unix_ms;
+        match &mut self {
+            Self::Claim { now_unix_ms, .. } => *now_unix_ms = leader_unix_ms,
+            Self::StartRollout(order) => order.now_unix_ms = leader_unix_ms,
+            _ => {}
         }
         self
     }
 
+    /// Returns the kind of the command, for logs.
+    ///
+    /// # Examples
+    /// ```
+    /// use lycheehub_control::Command;
+    /// use lycheehub_control::state::DocumentRecord;
+    /// assert_eq!(Command::ReplaceDocument(DocumentRecord::default()).kind(), "replace document");
+    /// ```
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit section",
+            Self::StepMove(_) => "step move",
+            Self::Claim { .. } => "claim",
+            Self::Settle { .. } => "settle claim",
+            Self::ReplaceDocument(_) => "replace document",
+            Self::StartRollout(_) => "start rollout",
+        }
+    }
+
     /// Decodes a command of the log.
     ///
     /// # Errors
--- a/crates/control/src/state/feed.rs
+++ b/crates/control/src/state/feed.rs
@@ -1,13 +1,13 @@
 //! What instances without a replica receive of the control state: its changes, without claims.
 
-use super::{DecodeError, MoveRecord, SectionRecord, State};
+use super::{DecodeError, DocumentRecord, MoveRecord, RolloutRecord, SectionRecord, State};
 use lycheehub_types::{SectionName, ServiceName, Version};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 
 /// The changes of sections and moves after one revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Feed {
     /// The revision that the changes lead to.
     pub revision: u64,
@@ -17,6 +17,10 @@
     pub moves: BTreeMap<SmolStr, MoveRecord>,
     /// The versions that moves have left services at.
     pub serving: BTreeMap<ServiceName, Version>,
+    /// The route document, if it changed.
+    pub document: Option<DocumentRecord>,
+    /// The changed rollouts.
+    pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
 }
 
 impl Feed {
@@ -46,11 +50,14 @@
     pub fn feed_after(&self, revision: u64) -> Feed {
         let sections = self.sections.iter().filter(|(_, record)| record.revision > revision);
         let moves = self.moves.iter().filter(|(_, record)| record.changed > revision);
+        let rollouts = self.rollouts.iter().filter(|(_, record)| record.revision > revision);
         Feed {
             revision: self.revision,
             sections: sections.map(|(name, record)| (name.clone(), record.clone())).collect(),
             moves: moves.map(|(id, record)| (id.clone(), record.clone())).collect(),
             serving: self.serving.clone(),
+            document: (self.document.revision > revision).then(|| self.document.clone()),
+            rollouts: rollouts.map(|(name, record)| (name.clone(), record.clone())).collect(),
         }
     }
 
@@ -63,6 +70,10 @@
         self.sections.extend(feed.sections);
         self.moves.extend(feed.moves);
         self.serving = feed.serving;
+        self.rollouts.extend(feed.rollouts);
+        if let Some(document) = feed.document {
+            self.document = document;
+        }
         self.rebuild_estate();
         true
     }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -5,14 +5,18 @@
 
 mod claims;
 mod command;
+mod document;
 mod feed;
 mod moves;
+mod rollouts;
 mod sections;
 
 pub use claims::{Claim, ClaimKey, ClaimState, Claimant, Claims};
 pub use command::{ApplyOutcome, ClaimOutcome, Command, MoveStep, Reply, Submission};
+pub use document::DocumentRecord;
 pub use feed::Feed;
 pub use moves::{MoveRecord, Phase};
+pub use rollouts::{RolloutOrder, RolloutRecord, RolloutState};
 pub use sections::{RequestLog, SectionRecord};
 
 use lycheehub_estate::Estate;
@@ -50,7 +54,7 @@
 /// let reply = state.apply(7, Command::Submit(submission));
 /// assert_eq!(reply, Reply::Apply(ApplyOutcome::Accepted { revision: 7 }));
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     /// The index of the newest command that changed sections or moves.
     pub revision: u64,
@@ -64,6 +68,10 @@
     pub serving: BTreeMap<ServiceName, Version>,
     /// The claims on idempotency keys.
     pub claims: Claims,
+    /// The route document in force.
+    pub document: DocumentRecord,
+    /// The newest rollout of each service.
+    pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
     /// The estate that the sections describe.
     #[serde(skip)]
     pub estate: Estate,
@@ -82,6 +90,13 @@
                 self.claims.settle(&key, &claimant, state);
                 Reply::Settled
             }
+            Command::ReplaceDocument(change) => {
+                Reply::Document { version: self.replace_document(index, change) }
+            }
+            Command::StartRollout(order) => {
+                self.start_rollout(index, order);
+                Reply::Rollout
+            }
         }
     }
 
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -0,0 +1,91 @@
+//! Chooses endpoints for what waits.
+//!
+//! Load pattern: endpoints five to one in speed, prompts a hundred to one in length. A prompt that
+//! is read delays the events of all streams beside it, longest on the slowest endpoint. So the
+//! endpoint is chosen by when its first event is expected, after the prompts that were placed there
+//! before.
+
+use super::{Dispatcher, PASSED_OVER_MAX, Placed};
+use crate::endpoints::{Endpoint, EndpointKey};
+use crate::job::{Decision, Job};
+use crate::queue::Waiting;
+use lycheehub_types::ServiceName;
+
+/// What an endpoint that fails all requests costs, in milliseconds of waiting.
+const FAILURE_MS: f64 = 2_000.0;
+/// How much further an endpoint may fail than the mean of its service, as a share of requests.
+const FAILURE_TOLERANCE: f64 = 0.1;
+
+impl Dispatcher {
+    /// Places what waits for a service while an endpoint takes it.
+    pub(super) fn fill(&mut self, now_ms: u64, name: &ServiceName) {
+        let mut passed_over = Vec::new();
+        while passed_over.len() < PASSED_OVER_MAX && self.has_room(now_ms, name) {
+            let popped = self.services.get_mut(name).and_then(|service| service.queue.pop(now_ms));
+            let Some(waiting) = popped else { break };
+            match self.choose(now_ms, name, &waiting.job) {
+                Some(key) => self.place(now_ms, key, waiting),
+                None => passed_over.push(waiting),
+            }
+        }
+        let Some(service) = self.services.get_mut(name) else { return };
+        for waiting in passed_over {
+            service.queue.push(now_ms, waiting);
+        }
+    }
+
+    fn has_room(&self, now_ms: u64, name: &ServiceName) -> bool {
+        let share = self.options.slot_share;
+        let has_room = |endpoint: &Endpoint| {
+            !endpoint.record.leaving
+                && endpoint.running.len() < endpoint.slots(share)
+                && endpoint.health.is_open(now_ms)
+        };
+        let Some(service) = self.services.get(name) else { return false };
+        service.endpoints.iter().any(|key| has_room(&self.endpoints[*key]))
+    }
+
+    fn choose(&self, now_ms: u64, name: &ServiceName, job: &Job) -> Option<EndpointKey> {
+        let service = self.services.get(name)?;
+        let share = self.options.slot_share;
+        let usable = service
+            .endpoints
+            .iter()
+            .copied()
+            .filter(|key| self.endpoints[*key].takes(now_ms, job, share));
+        let count = service.endpoints.len().max(1) as f64;
+        let failures: f64 =
+            service.endpoints.iter().map(|key| self.endpoints[*key].health.failure_share()).sum();
+        let tolerated = failures / count + FAILURE_TOLERANCE;
+        usable.min_by(|a, b| {
+            let cost = |key: &EndpointKey| self.cost_ms(now_ms, *key, job, tolerated);
+            cost(a).total_cmp(&cost(b))
+        })
+    }
+
+    /// Returns what it costs to place `job` at an endpoint, in milliseconds of waiting.
+    fn cost_ms(&self, now_ms: u64, key: EndpointKey, job: &Job, tolerated: f64) -> f64 {
+        let endpoint = &self.endpoints[key];
+        let foreign = endpoint.record.failure_domain != job.failure_domain;
+        let foreign_ms = if foreign { self.options.foreign_domain_ms } else { 0.0 };
+        let failure_ms = (endpoint.health.failure_share() - tolerated).max(0.0) * FAILURE_MS;
+        let load = endpoint.running.len() as f64 / f64::from(endpoint.record.slots.max(1));
+        endpoint.first_byte_ms(now_ms, job) + foreign_ms + failure_ms + load
+    }
+
+    fn place(&mut self, now_ms: u64, key: EndpointKey, waiting: Waiting) {
+        let job = waiting.job;
+        self.waiting.remove(&job.ticket);
+        let endpoint = &mut self.endpoints[key];
+        let first_byte_ms = endpoint.first_byte_ms(now_ms, &job) as u64;
+        endpoint.begin(now_ms, &job);
+        self.decisions.push(Decision::Place {
+            ticket: job.ticket,
+            endpoint: endpoint.name().clone(),
+            address: endpoint.record.address.clone(),
+            first_byte_ms,
+        });
+        let is_stream = job.output_tokens > 0;
+        self.placed.insert(job.ticket, Placed { endpoint: key, is_stream });
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -0,0 +1,277 @@
+//! The dispatcher: takes events, returns decisions.
+
+mod choose;
+mod refuse;
+mod update;
+
+use crate::endpoints::{Endpoint, EndpointKey, Speed, is_failure};
+use crate::job::{Decision, Finished, Job, Outcome, Reason, Ticket};
+use crate::options::Options;
+use crate::queue::{Queue, Waiting};
+use crate::quota::Quotas;
+use crate::retries::Retries;
+use lycheehub_routes::{EngineSpec, Quota};
+use lycheehub_types::{AccountName, EndpointName, ServiceName};
+use slotmap::SlotMap;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// How many jobs that no free endpoint suits are passed over for those behind them.
+const PASSED_OVER_MAX: usize = 8;
+
+/// A request at an endpoint.
+#[derive(Clone, Copy, Debug)]
+struct Placed {
+    endpoint: EndpointKey,
+    is_stream: bool,
+}
+
+/// A service with what waits for it.
+#[derive(Debug, Default)]
+struct Service {
+    queue: Queue,
+    endpoints: BTreeSet<EndpointKey>,
+    engine: Option<EngineSpec>,
+    /// The mean speed of its endpoints.
+    speed: Speed,
+}
+
+impl Service {
+    /// Returns how many events an answer of `output_tokens` has.
+    fn events_of(&self, output_tokens: u32) -> f64 {
+        let per_event = self.engine.map_or(1, |engine| engine.tokens_per_event.max(1));
+        (f64::from(output_tokens) / f64::from(per_event)).ceil()
+    }
+}
+
+/// A request that runs at an endpoint, as an instance tells it to a new dispatcher.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InFlight {
+    /// The request's number at its instance.
+    pub number: u64,
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The tokens that it takes of the endpoint's memory.
+    pub memory_tokens: u64,
+    /// Whether its answer is a stream of events.
+    pub is_stream: bool,
+}
+
+/// Decides for the requests of one or of all instances.
+///
+/// # Examples
+/// ```
+/// use lycheehub_dispatch::{Decision, Dispatcher, Options};
+///
+/// let mut dispatcher = Dispatcher::new(Options::default());
+/// dispatcher.tick(1_000);
+/// assert_eq!(dispatcher.take_decisions(), Vec::<Decision>::new());
+/// ```
+#[derive(Debug)]
+pub struct Dispatcher {
+    options: Options,
+    services: BTreeMap<ServiceName, Service>,
+    endpoints: SlotMap<EndpointKey, Endpoint>,
+    by_name: BTreeMap<EndpointName, EndpointKey>,
+    placed: BTreeMap<Ticket, Placed>,
+    waiting: BTreeMap<Ticket, ServiceName>,
+    accounts: BTreeMap<AccountName, Quota>,
+    quotas: Quotas,
+    retries: Retries,
+    decisions: Vec<Decision>,
+}
+
+impl Dispatcher {
+    /// Makes a dispatcher that knows no services yet.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            services: BTreeMap::new(),
+            endpoints: SlotMap::with_key(),
+            by_name: BTreeMap::new(),
+            placed: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            quotas: Quotas::default(),
+            retries: Retries::default(),
+            decisions: Vec::new(),
+        }
+    }
+
+    /// Returns the options in force.
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
+    /// Replaces the options.
+    pub fn set_options(&mut self, options: Options) {
+        self.options = options;
+    }
+
+    /// Takes a request; a decision follows, now or later.
+    pub fn submit(&mut self, now_ms: u64, job: Job) {
+        let units = match self.charge(now_ms, &job) {
+            Ok(units) => units,
+            Err((reason, retry_after_ms)) => {
+                return self.refuse(job.ticket, reason, retry_after_ms);
+            }
+        };
+        let Some(waiting) = self.waiting_of(now_ms, job, units) else { return };
+        if let Some(retry_after_ms) = self.overload_of(now_ms, &waiting) {
+            return self.refuse_waiting(waiting, Reason::Overloaded, retry_after_ms);
+        }
+        let name = waiting.job.service.clone();
+        self.waiting.insert(waiting.job.ticket, name.clone());
+        if let Some(service) = self.services.get_mut(&name) {
+            service.queue.push(now_ms, waiting);
+        }
+        self.fill(now_ms, &name);
+    }
+
+    /// Takes what a job counts from its account's quota and from the budget of repeats.
+    fn charge(&mut self, now_ms: u64, job: &Job) -> Result<f64, (Reason, u64)> {
+        const RETRY_AFTER_MS: u64 = 1_000;
+        if job.repeat {
+            if !self.retries.take(now_ms, &self.options, &job.service) {
+                return Err((Reason::RetriesExhausted, RETRY_AFTER_MS));
+            }
+            return Ok(0.0);
+        }
+        let mut taken = 0.0;
+        let limited = job.account.as_ref().and_then(|name| Some((name, self.accounts.get(name)?)));
+        if let Some((name, quota)) = limited {
+            let units = quota.units_of(job.told_tokens);
+            let result = self.quotas.take(now_ms, &self.options, name, quota, units);
+            result.map_err(|wait_ms| (Reason::QuotaExceeded, wait_ms))?;
+            taken = units;
+        }
+        self.retries.note_request(now_ms, &self.options, &job.service);
+        Ok(taken)
+    }
+
+    fn waiting_of(&mut self, now_ms: u64, job: Job, units: f64) -> Option<Waiting> {
+        const RETRY_AFTER_MS: u64 = 1_000;
+        let usable = self.services.get(&job.service).filter(|service| {
+            service.endpoints.iter().any(|key| !self.endpoints[*key].record.leaving)
+        });
+        let Some(service) = usable else {
+            self.give_back(&job, units);
+            self.refuse(job.ticket, Reason::NoEndpoint, RETRY_AFTER_MS);
+            return None;
+        };
+        let first_byte_ms = service.speed.prefill_ms(job.prompt_tokens) + service.speed.answer_ms();
+        let rest_ms = if job.output_tokens == 0 {
+            0.0
+        } else {
+            service.speed.events_ms(service.events_of(job.output_tokens))
+        };
+        Some(Waiting {
+            since_ms: now_ms,
+            objective_ms: now_ms + job.objective_left_ms,
+            deadline_ms: now_ms + job.deadline_left_ms,
+            first_byte_ms: first_byte_ms as u64,
+            slot_ms: (first_byte_ms + rest_ms).max(1.0) as u64,
+            units,
+            job,
+        })
+    }
+
+    /// Takes the end of a request at its endpoint.
+    pub fn finish(&mut self, now_ms: u64, finished: Finished) {
+        let Some(placed) = self.placed.remove(&finished.ticket) else { return };
+        let Some(endpoint) = self.endpoints.get_mut(placed.endpoint) else { return };
+        let running = endpoint.end(finished.ticket);
+        endpoint.health.note(now_ms, finished.outcome);
+        if let (Some(first_byte_ms), Some(running)) = (finished.first_byte_ms, running)
+            && is_failure(finished.outcome) != Some(true)
+        {
+            if placed.is_stream {
+                endpoint.speed.learn_first_event(running.expected_ms, f64::from(first_byte_ms));
+                endpoint.speed.learn_events(finished.events, f64::from(finished.rest_ms));
+            } else {
+                endpoint.speed.learn_answer(f64::from(first_byte_ms + finished.rest_ms));
+            }
+        }
+        if finished.outcome == Outcome::Rejected {
+            // Whoever fills the endpoint besides, it is busy for about one more request.
+            endpoint.prefill_until_ms = endpoint.prefill_until_ms.max(now_ms as f64);
+        }
+        let service = endpoint.record.service.clone();
+        self.fill(now_ms, &service);
+    }
+
+    /// Takes the news that a request has not had an answer for much longer than expected.
+    pub fn stalled(&mut self, now_ms: u64, ticket: Ticket) {
+        let Some(placed) = self.placed.get(&ticket) else { return };
+        if let Some(endpoint) = self.endpoints.get_mut(placed.endpoint) {
+            endpoint.health.pause(now_ms);
+        }
+    }
+
+    /// Takes back a request that waits or runs, since its caller has left.
+    pub fn withdraw(&mut self, now_ms: u64, ticket: Ticket) {
+        if let Some(name) = self.waiting.remove(&ticket) {
+            let removed = self.services.get_mut(&name).and_then(|s| s.queue.remove(ticket));
+            if let Some(waiting) = removed {
+                self.give_back(&waiting.job, waiting.units);
+            }
+            return;
+        }
+        let outcome = Outcome::Abandoned;
+        self.finish(
+            now_ms,
+            Finished { ticket, outcome, first_byte_ms: None, rest_ms: 0, events: 0 },
+        );
+    }
+
+    /// Takes over what an instance has sent to endpoints by the word of an earlier dispatcher.
+    pub fn adopt(&mut self, instance: u32, in_flight: &[InFlight]) {
+        for request in in_flight {
+            let Some(key) = self.by_name.get(&request.endpoint) else { continue };
+            let ticket = Ticket { instance, number: request.number };
+            self.endpoints[*key].adopt(ticket, request.memory_tokens);
+            self.placed.insert(ticket, Placed { endpoint: *key, is_stream: request.is_stream });
+        }
+    }
+
+    /// Forgets all requests of an instance that is gone.
+    pub fn forget_instance(&mut self, now_ms: u64, instance: u32) {
+        let range = Ticket { instance, number: 0 }..=Ticket { instance, number: u64::MAX };
+        let waiting: Vec<Ticket> = self.waiting.range(range.clone()).map(|(key, _)| *key).collect();
+        let placed: Vec<Ticket> = self.placed.range(range).map(|(key, _)| *key).collect();
+        for ticket in waiting.into_iter().chain(placed) {
+            self.withdraw(now_ms, ticket);
+        }
+    }
+
+    /// Lets time pass: refuses what can no longer be done in time, and uses endpoints that are open
+    /// again.
+    pub fn tick(&mut self, now_ms: u64) {
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        for name in names {
+            self.shed(now_ms, &name);
+            self.fill(now_ms, &name);
+            self.learn_mean(&name);
+        }
+    }
+
+    fn learn_mean(&mut self, name: &ServiceName) {
+        let Some(service) = self.services.get_mut(name) else { return };
+        let speeds = service.endpoints.iter().map(|key| &self.endpoints[*key].speed);
+        service.speed = Speed::mean(speeds);
+    }
+
+    /// Returns the decisions made since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// Returns how many requests wait, and how many are at endpoints.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.waiting.len(), self.placed.len())
+    }
+
+    /// Returns a line about each endpoint's load, for operators.
+    pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+}
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,9 +1,11 @@
 //! The handle by which traffic threads reach the control thread.
 
 use lycheehub_control::placement::Order;
-use lycheehub_control::state::{Command, MoveRecord, SectionRecord};
+use lycheehub_control::state::{Command, DocumentRecord, MoveRecord, RolloutRecord, SectionRecord};
 use lycheehub_route::Demands;
-use lycheehub_types::{EndpointRecord, InstanceName, RefusalKind, SectionName};
+use lycheehub_types::{
+    EndpointName, EndpointRecord, InstanceName, RefusalKind, SectionName, ServiceName,
+};
 use lycheehub_wire::{KeptAnswer, ProposeReply};
 use smol::channel::{Sender, bounded};
 use smol_str::SmolStr;
@@ -22,7 +24,7 @@
 }
 
 /// What is committed, as confirmed by a quorum.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Statement {
     /// The newest revision.
     pub revision: u64,
@@ -30,6 +32,10 @@
     pub sections: BTreeMap<SectionName, SectionRecord>,
     /// All moves.
     pub moves: BTreeMap<SmolStr, MoveRecord>,
+    /// The route document; of revision 0 where there is none.
+    pub document: DocumentRecord,
+    /// The newest rollout of each service.
+    pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
 }
 
 /// A request to the control thread; the answer goes to the sender inside.
@@ -41,6 +47,10 @@
     Read(Sender<Option<Statement>>),
     /// Takes an endpoint's announcement.
     Announce(EndpointRecord),
+    /// Takes an endpoint's announcement into the directory.
+    Hear(EndpointRecord),
+    /// Takes the word of an endpoint that it leaves for good.
+    Withdraw(EndpointName),
     /// Takes what the scheduler wants and has seen.
     Report(Demands),
     /// Asks another instance for the answer to a request that it dispatched.
@@ -87,6 +97,18 @@
         let _ = self.sender.send(ControlRequest::Announce(record)).await;
     }
 
+    /// Passes an endpoint's announcement on to the directory.
+    pub async fn hear(&self, record: EndpointRecord) {
+        // The control thread is gone only when the process ends.
+        let _ = self.sender.send(ControlRequest::Hear(record)).await;
+    }
+
+    /// Passes on that an endpoint leaves for good.
+    pub async fn withdraw(&self, endpoint: EndpointName) {
+        // The control thread is gone only when the process ends.
+        let _ = self.sender.send(ControlRequest::Withdraw(endpoint)).await;
+    }
+
     /// Passes on what the scheduler wants and has seen.
     pub async fn report(&self, demands: Demands) {
         // The control thread is gone only when the process ends.
--- /dev/null
+++ b/crates/peer/src/entry/mod.rs
@@ -0,0 +1,307 @@
+//! The control thread of an instance that takes requests and holds no replica.
+//!
+//! It watches all replicas that it can reach, so that what any of them knows of endpoints and of
+//! the route document is known here, whichever of them are lost.
+
+mod placement;
+mod view;
+
+pub use placement::LeaderPlacement;
+pub use view::EntryView;
+
+use crate::link::{Links, within};
+use crate::settings::Settings;
+use crate::views::Latest;
+use crate::watch::{self, News, Watcher};
+use lycheehub_clock::{Clock, Timers};
+use lycheehub_control::State;
+use lycheehub_control::directory::Directory;
+use lycheehub_control::state::Feed;
+use lycheehub_types::{InstanceName, PeerError};
+use lycheehub_wire::peer_capnp::peer;
+use smol::channel::Receiver;
+use smol::{LocalExecutor, Timer};
+use smol_str::SmolStr;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often leases are looked at, in milliseconds.
+const DIRECTORY_MS: u64 = 500;
+/// How long a replica may take to answer with changes of the state, in milliseconds.
+const FETCH_MS: u64 = 1_500;
+/// How long to wait before the state is read again to be confirmed, in milliseconds.
+const CONFIRM_AGAIN_MS: u64 = 150;
+
+/// The control thread's state.
+pub struct EntryNode {
+    clock: Clock,
+    timers: Arc<dyn Timers>,
+    executor: Rc<LocalExecutor<'static>>,
+    links: Links,
+    views: Arc<Latest<EntryView>>,
+    known: RefCell<Known>,
+}
+
+/// What the control thread has learned.
+#[derive(Default)]
+struct Known {
+    state: State,
+    directory: Directory,
+    addresses: BTreeMap<InstanceName, SmolStr>,
+    watched: BTreeSet<InstanceName>,
+    /// The replicas that answer.
+    heard: BTreeSet<InstanceName>,
+    leader: Option<InstanceName>,
+    /// A quorum has confirmed the state once since the start.
+    confirmed: bool,
+    fetching: bool,
+}
+
+impl EntryNode {
+    /// Makes the control thread's state.
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        timers: Arc<dyn Timers>,
+        views: Arc<Latest<EntryView>>,
+    ) -> Rc<Self> {
+        let settings = Rc::new(settings);
+        let executor = Rc::new(LocalExecutor::new());
+        let seeds = settings.seeds.iter();
+        let addresses = seeds.map(|seed| (seed.instance.clone(), seed.address.clone())).collect();
+        let links = Links::new(settings, clock, executor.clone());
+        let known = RefCell::new(Known { addresses, ..Known::default() });
+        Rc::new(Self { clock, timers, executor, links, views, known })
+    }
+
+    /// Runs until `seeds`, by which new addresses of seeds come, closes, and `beside` on the same
+    /// thread.
+    pub fn run(
+        self: Rc<Self>,
+        seeds: Receiver<Vec<crate::Seed>>,
+        beside: impl Future<Output = ()> + 'static,
+    ) {
+        self.executor.spawn(beside).detach();
+        self.watch_all();
+        self.executor.spawn(self.clone().confirm()).detach();
+        self.executor.spawn(self.clone().look_after_directory()).detach();
+        let executor = self.executor.clone();
+        smol::block_on(executor.run(async move {
+            while let Ok(seeds) = seeds.recv().await {
+                self.take_seeds(&seeds);
+            }
+        }));
+    }
+
+    fn take_seeds(self: &Rc<Self>, seeds: &[crate::Seed]) {
+        for seed in seeds {
+            let mut known = self.known.borrow_mut();
+            known.addresses.insert(seed.instance.clone(), seed.address.clone());
+        }
+        self.watch_all();
+    }
+
+    /// Watches all replicas that are not watched yet.
+    fn watch_all(self: &Rc<Self>) {
+        let names: Vec<InstanceName> = self.known.borrow().addresses.keys().cloned().collect();
+        for name in names {
+            if !self.known.borrow_mut().watched.insert(name.clone()) {
+                continue;
+            }
+            let watcher = Rc::new(Watching(self.clone()));
+            let task = async move {
+                let node = watcher.0.clone();
+                watch::watch(watcher, &node.links, node.clock, name).await;
+            };
+            self.executor.spawn(task).detach();
+        }
+    }
+
+    async fn look_after_directory(self: Rc<Self>) {
+        let ticks = self.timers.subscribe(DIRECTORY_MS);
+        while ticks.recv().await.is_ok() {
+            let over = {
+                let mut known = self.known.borrow_mut();
+                // An instance that hears no replica goes on with what it knows.
+                if known.heard.is_empty() {
+                    continue;
+                }
+                known.directory.expire(self.clock.now_ms())
+            };
+            for endpoint in &over {
+                spdlog::warn!("endpoint forgotten: nobody watches over it", kv: { endpoint: = endpoint });
+            }
+            if !over.is_empty() {
+                self.publish();
+            }
+        }
+    }
+
+    fn publish(&self) {
+        let known = self.known.borrow();
+        let before = self.views.get();
+        let leader = known.leader.clone().and_then(|name| {
+            let address = known.addresses.get(&name)?.clone();
+            Some((name, address))
+        });
+        self.views.publish(EntryView::new(
+            &known.state,
+            &known.directory,
+            leader,
+            known.confirmed,
+            &before,
+        ));
+    }
+
+    /// Fetches what changed in the state from a replica that has it.
+    async fn fetch(self: Rc<Self>, from: InstanceName) {
+        let revision = self.known.borrow().state.revision;
+        let call = |peer: peer::Client| async move {
+            let mut request = peer.follow_request();
+            request.get().set_revision(revision);
+            request.get().set_wait_ms(0);
+            let reply = request.send().promise.await?;
+            decode_feed(reply.get()?.get_feed()?)
+        };
+        let fetched = self.call("follow", &from, call).await;
+        self.known.borrow_mut().fetching = false;
+        match fetched {
+            Ok(feed) => self.take_feed(feed, &from),
+            Err(error) => spdlog::warn!("changes not received", kv: { error: }),
+        }
+    }
+
+    fn take_feed(&self, feed: Feed, from: &InstanceName) {
+        let (taken, revision, version) = {
+            let mut known = self.known.borrow_mut();
+            let taken = known.state.take_feed(feed);
+            (taken, known.state.revision, known.state.document.document.version)
+        };
+        if taken {
+            spdlog::info!("state taken", kv: { revision, document_version = version, from: = from });
+            self.publish();
+        }
+    }
+
+    /// Reads the state through a quorum once, so that a restarted instance serves nothing older
+    /// than what was in force before.
+    async fn confirm(self: Rc<Self>) {
+        loop {
+            let names: Vec<InstanceName> = {
+                let known = self.known.borrow();
+                let leader = known.leader.iter().cloned();
+                leader.chain(known.addresses.keys().cloned()).collect()
+            };
+            for name in names {
+                if self.confirm_at(&name).await {
+                    spdlog::info!("state confirmed by a quorum", kv: { leader: = name });
+                    self.known.borrow_mut().confirmed = true;
+                    return self.publish();
+                }
+            }
+            Timer::after(Duration::from_millis(CONFIRM_AGAIN_MS)).await;
+        }
+    }
+
+    async fn confirm_at(&self, name: &InstanceName) -> bool {
+        let revision = self.known.borrow().state.revision;
+        let call = |peer: peer::Client| async move {
+            let mut request = peer.read_request();
+            request.get().set_revision(revision);
+            let reply = request.send().promise.await?;
+            let reply = reply.get()?;
+            if !reply.get_confirmed() {
+                return Ok(None);
+            }
+            decode_feed(reply.get_feed()?).map(Some)
+        };
+        match self.call("read", name, call).await {
+            Ok(Some(feed)) => {
+                self.take_feed(feed, name);
+                true
+            }
+            Ok(None) => false,
+            Err(error) => {
+                spdlog::debug!("state not confirmed", kv: { error: });
+                false
+            }
+        }
+    }
+
+    async fn call<T, F>(
+        &self,
+        step: &'static str,
+        to: &InstanceName,
+        call: impl FnOnce(peer::Client) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        let address = self.known.borrow().addresses.get(to).cloned().unwrap_or_default();
+        let peer = self.links.peer(to, &address).await?;
+        let answer =
+            async { call(peer).await.map_err(|error| PeerError::failed(step, to.as_str(), error)) };
+        let answer = within(step, to, FETCH_MS, answer).await;
+        if answer.is_err() {
+            self.links.drop_peer(to);
+        }
+        answer
+    }
+}
+
+fn decode_feed(bytes: &[u8]) -> Result<Feed, capnp::Error> {
+    Feed::decode(bytes).map_err(|error| capnp::Error::failed(error.to_string()))
+}
+
+/// The control thread as a watcher of replicas.
+struct Watching(Rc<EntryNode>);
+
+impl Watcher for Watching {
+    fn revision(&self) -> u64 {
+        self.0.known.borrow().state.revision
+    }
+
+    fn address_of(&self, peer: &InstanceName) -> Option<SmolStr> {
+        self.0.known.borrow().addresses.get(peer).cloned()
+    }
+
+    fn take(&self, from: &InstanceName, news: News) {
+        let node = &self.0;
+        let now_ms = node.clock.now_ms();
+        let (changed, fetches, new_replicas) = {
+            let mut known = node.known.borrow_mut();
+            let mut changed = known.heard.insert(from.clone());
+            if news.restarted {
+                known.directory.note_restarted(now_ms, from);
+            }
+            changed |= known.directory.take(now_ms, from, news.listings);
+            if news.leader.is_some() && known.leader != news.leader {
+                known.leader = news.leader;
+                changed = true;
+            }
+            let before = known.addresses.len();
+            known.addresses.extend(news.replicas);
+            let fetches = news.revision > known.state.revision && !known.fetching;
+            known.fetching |= fetches;
+            (changed, fetches, known.addresses.len() > before)
+        };
+        if changed {
+            node.publish();
+        }
+        if new_replicas {
+            node.watch_all();
+        }
+        if fetches {
+            node.executor.spawn(node.clone().fetch(from.clone())).detach();
+        }
+    }
+
+    fn silent(&self, peer: &InstanceName) {
+        let mut known = self.0.known.borrow_mut();
+        known.heard.remove(peer);
+        known.directory.note_silent(self.0.clock.now_ms(), peer);
+    }
+}
--- /dev/null
+++ b/crates/peer/src/entry/placement.rs
@@ -0,0 +1,379 @@
+//! Places requests by the dispatcher at the leader, and by one of this instance's own while no
+//! leader answers.
+//!
+//! Load pattern: the leader is lost under full load. Requests that wait for its word, and those
+//! that come until another one leads, are placed here by what this instance has in flight itself
+//! and by its part of the slots.
+
+use super::EntryView;
+use crate::link::{Links, within};
+use crate::settings::Settings;
+use crate::views::Latest;
+use lycheehub_clock::Clock;
+use lycheehub_dispatch::placement::Deciding;
+use lycheehub_dispatch::{
+    Decision, Dispatcher, Finished, InFlight, Job, Options, Placement, Ticket,
+};
+use lycheehub_types::{InstanceName, PeerError};
+use lycheehub_wire::peer_capnp::{peer, placement};
+use lycheehub_wire::{read_decision, write_finished, write_in_flight, write_job};
+use smol::channel::{Receiver, Sender, bounded};
+use smol::{LocalExecutor, Timer};
+use smol_str::SmolStr;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long the leader may take to answer, in milliseconds: some round trips between failure
+/// domains and a short pause of the leader.
+const ANSWER_MS: u64 = 250;
+/// How often the leader is asked whether it is there while requests wait for it, in milliseconds.
+const ASK_BUSY_MS: u64 = 100;
+/// How often it is asked while none does, in milliseconds.
+const ASK_IDLE_MS: u64 = 500;
+/// How long to wait before the leader is looked for again, in milliseconds.
+const LOOK_AGAIN_MS: u64 = 100;
+/// How often the own dispatcher's time is moved on while requests wait, in milliseconds.
+const LOCAL_TICK_MS: u64 = 50;
+/// How many instances there are where no leader has told it yet.
+const INSTANCES_GUESS: u32 = 8;
+/// How much more than its equal part of the slots an instance uses without a leader: the others
+/// seldom need theirs at the same moment, and endpoints queue a few more.
+const LOCAL_SHARE: f64 = 2.0;
+
+/// The dispatcher at the leader, for as long as it answers.
+struct Session {
+    leader: InstanceName,
+    client: placement::Client,
+    /// Closed when the leader is given up.
+    ended: Receiver<()>,
+    _alive: Sender<()>,
+}
+
+/// A request that was placed.
+#[derive(Clone, Debug)]
+struct Placed {
+    in_flight: InFlight,
+}
+
+/// Places requests of this instance.
+pub struct LeaderPlacement {
+    settings: Rc<Settings>,
+    clock: Clock,
+    executor: Rc<LocalExecutor<'static>>,
+    links: Links,
+    views: Arc<Latest<EntryView>>,
+    session: RefCell<Option<Rc<Session>>>,
+    local: RefCell<Dispatcher>,
+    /// Those that wait for the own dispatcher.
+    deciding: RefCell<BTreeMap<u64, Sender<Decision>>>,
+    placed: RefCell<BTreeMap<u64, Placed>>,
+    /// How many requests wait for the leader's word.
+    asking: Cell<usize>,
+    instances: Cell<u32>,
+    last_number: Cell<u64>,
+}
+
+impl LeaderPlacement {
+    /// Makes a placement; its tasks run on `executor`.
+    pub fn new(
+        settings: Settings,
+        clock: Clock,
+        executor: Rc<LocalExecutor<'static>>,
+        views: Arc<Latest<EntryView>>,
+    ) -> Rc<Self> {
+        let settings = Rc::new(settings);
+        let links = Links::new(settings.clone(), clock, executor.clone());
+        let local =
+            RefCell::new(Dispatcher::new(local_options(&settings.dispatch, INSTANCES_GUESS)));
+        Rc::new(Self {
+            settings,
+            clock,
+            executor,
+            links,
+            views,
+            session: RefCell::default(),
+            local,
+            deciding: RefCell::default(),
+            placed: RefCell::default(),
+            asking: Cell::new(0),
+            instances: Cell::new(INSTANCES_GUESS),
+            last_number: Cell::new(0),
+        })
+    }
+
+    /// Starts the tasks that keep the way to the leader and the own dispatcher up to date.
+    pub fn start(self: &Rc<Self>) {
+        self.executor.spawn(self.clone().follow_leader()).detach();
+        self.executor.spawn(self.clone().tick_local()).detach();
+    }
+
+    /// Takes a new view.
+    pub fn take_view(&self, view: &EntryView, document_changed: bool) {
+        let now_ms = self.clock.now_ms();
+        {
+            let mut local = self.local.borrow_mut();
+            if document_changed {
+                local.take_document(now_ms, view.table.document());
+            }
+            local.take_endpoints(now_ms, view.endpoints.iter());
+        }
+        self.deliver_local();
+    }
+
+    /// Returns how many requests are at endpoints.
+    pub fn in_flight(&self) -> usize {
+        self.placed.borrow().len()
+    }
+
+    /// Keeps a session with whoever leads.
+    async fn follow_leader(self: Rc<Self>) {
+        loop {
+            let leader = self.views.get().leader.clone();
+            if let Some((name, address)) = leader {
+                match self.enter(&name, &address).await {
+                    Ok(alive) => self.keep_session(alive).await,
+                    Err(error) => spdlog::debug!("leader not entered", kv: { error: }),
+                }
+            }
+            Timer::after(Duration::from_millis(LOOK_AGAIN_MS)).await;
+        }
+    }
+
+    async fn enter(
+        &self,
+        name: &InstanceName,
+        address: &SmolStr,
+    ) -> Result<Rc<Session>, PeerError> {
+        const STEP: &str = "enter";
+        let peer = self.links.peer(name, address).await?;
+        let in_flight: Vec<InFlight> =
+            self.placed.borrow().values().map(|placed| placed.in_flight.clone()).collect();
+        let entered = async {
+            let client = enter_at(peer, self.settings.instance.as_str(), &in_flight).await;
+            client.map_err(|error| PeerError::failed(STEP, name.as_str(), error))
+        };
+        let client = within(STEP, name, ANSWER_MS, entered).await;
+        if client.is_err() {
+            self.links.drop_peer(name);
+        }
+        let (alive, ended) = bounded(1);
+        let session = Session { leader: name.clone(), client: client?, ended, _alive: alive };
+        let session = Rc::new(session);
+        spdlog::info!("requests are placed by the leader", kv: { leader: = name });
+        *self.session.borrow_mut() = Some(session.clone());
+        Ok(session)
+    }
+
+    /// Asks the leader whether it is there until it does not answer, or another one leads.
+    async fn keep_session(&self, session: Rc<Session>) {
+        loop {
+            let wait_ms = if self.asking.get() > 0 { ASK_BUSY_MS } else { ASK_IDLE_MS };
+            Timer::after(Duration::from_millis(wait_ms)).await;
+            let leader = self.views.get().leader.clone();
+            let moved = leader.is_some_and(|(name, _)| name != session.leader);
+            let answer = if moved { None } else { self.ask_alive(&session).await };
+            let Some(instances) = answer else { break };
+            self.note_instances(instances);
+        }
+        spdlog::warn!("leader lost: requests are placed here", kv: { leader: = session.leader });
+        self.session.borrow_mut().take();
+        session.ended.close();
+        self.links.drop_peer(&session.leader);
+    }
+
+    async fn ask_alive(&self, session: &Session) -> Option<u32> {
+        let asked = async {
+            let mut request = session.client.finish_request();
+            request.get().init_finished(0);
+            let reply = request.send().promise.await?;
+            Ok::<u32, capnp::Error>(reply.get()?.get_instances())
+        };
+        lycheehub_clock::within(ANSWER_MS, asked).await?.ok()
+    }
+
+    fn note_instances(&self, instances: u32) {
+        if instances > 0 && instances != self.instances.replace(instances) {
+            let options = local_options(&self.settings.dispatch, instances);
+            self.local.borrow_mut().set_options(options);
+        }
+    }
+
+    /// Asks the leader; nothing where it is given up meanwhile.
+    async fn place_at_leader(&self, session: &Session, job: &Job) -> Option<Decision> {
+        let asked = async {
+            let mut request = session.client.place_request();
+            write_job(job, request.get().init_job());
+            let reply = request.send().promise.await?;
+            Ok::<Decision, capnp::Error>(read_decision(job.ticket, reply.get()?.get_decision()?)?)
+        };
+        let ended = async {
+            // Nothing is ever sent: the channel closes when the leader is given up.
+            let _ = session.ended.recv().await;
+            None
+        };
+        let _asking = Counted::new(&self.asking);
+        smol::future::or(async { asked.await.ok() }, ended).await
+    }
+
+    async fn place_here(&self, job: Job) -> Decision {
+        let ticket = job.ticket;
+        let (sender, receiver) = bounded(1);
+        self.deciding.borrow_mut().insert(ticket.number, sender);
+        self.local.borrow_mut().submit(self.clock.now_ms(), job);
+        self.deliver_local();
+        let decision = receiver.recv().await;
+        decision.unwrap_or(Decision::Refuse {
+            ticket,
+            reason: lycheehub_dispatch::Reason::NoEndpoint,
+            retry_after_ms: ANSWER_MS,
+        })
+    }
+
+    fn deliver_local(&self) {
+        let decisions = self.local.borrow_mut().take_decisions();
+        for decision in decisions {
+            let (Decision::Place { ticket, .. } | Decision::Refuse { ticket, .. }) = &decision;
+            if let Some(sender) = self.deciding.borrow_mut().remove(&ticket.number) {
+                // One that no longer waits has withdrawn.
+                let _ = sender.try_send(decision);
+            }
+        }
+    }
+
+    async fn tick_local(self: Rc<Self>) {
+        loop {
+            Timer::after(Duration::from_millis(LOCAL_TICK_MS)).await;
+            if !self.deciding.borrow().is_empty() {
+                self.local.borrow_mut().tick(self.clock.now_ms());
+                self.deliver_local();
+            }
+        }
+    }
+
+    fn note_placed(&self, job: &Job, decision: &Decision, by_leader: bool) {
+        let Decision::Place { endpoint, .. } = decision else { return };
+        let memory_tokens = u64::from(job.prompt_tokens) + u64::from(job.output_tokens);
+        let in_flight = InFlight {
+            number: job.ticket.number,
+            endpoint: endpoint.clone(),
+            memory_tokens,
+            is_stream: job.output_tokens > 0,
+        };
+        if by_leader {
+            let own = std::slice::from_ref(&in_flight);
+            self.local.borrow_mut().adopt(job.ticket.instance, own);
+        }
+        self.placed.borrow_mut().insert(job.ticket.number, Placed { in_flight });
+    }
+
+    /// Sends a word to the leader, if there is one, without waiting for its answer.
+    fn tell(
+        &self,
+        send: impl FnOnce(&placement::Client) -> capnp::capability::Promise<(), capnp::Error>,
+    ) {
+        let Some(session) = self.session.borrow().clone() else { return };
+        let sent = send(&session.client);
+        let task = async move {
+            if let Err(error) = sent.await {
+                spdlog::debug!("word to the leader lost", kv: { error: });
+            }
+        };
+        self.executor.spawn(task).detach();
+    }
+}
+
+impl Placement for LeaderPlacement {
+    fn ticket(&self) -> Ticket {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        Ticket { instance: 0, number }
+    }
+
+    fn place(&self, job: Job) -> Deciding<'_> {
+        Box::pin(async move {
+            let session = self.session.borrow().clone();
+            if let Some(session) = session
+                && let Some(decision) = self.place_at_leader(&session, &job).await
+            {
+                self.note_placed(&job, &decision, true);
+                return decision;
+            }
+            let decision = self.place_here(job.clone()).await;
+            self.note_placed(&job, &decision, false);
+            decision
+        })
+    }
+
+    fn finish(&self, finished: Finished) {
+        self.placed.borrow_mut().remove(&finished.ticket.number);
+        self.local.borrow_mut().finish(self.clock.now_ms(), finished);
+        self.deliver_local();
+        self.tell(|client| {
+            let mut request = client.finish_request();
+            write_finished(&[finished], request.get().init_finished(1));
+            let sent = request.send().promise;
+            capnp::capability::Promise::from_future(async move { sent.await.map(drop) })
+        });
+    }
+
+    fn stalled(&self, ticket: Ticket) {
+        self.local.borrow_mut().stalled(self.clock.now_ms(), ticket);
+        self.tell(|client| {
+            let mut request = client.stalled_request();
+            request.get().set_number(ticket.number);
+            let sent = request.send().promise;
+            capnp::capability::Promise::from_future(async move { sent.await.map(drop) })
+        });
+    }
+
+    fn withdraw(&self, ticket: Ticket) {
+        self.deciding.borrow_mut().remove(&ticket.number);
+        self.placed.borrow_mut().remove(&ticket.number);
+        self.local.borrow_mut().withdraw(self.clock.now_ms(), ticket);
+        self.deliver_local();
+        self.tell(|client| {
+            let mut request = client.withdraw_request();
+            request.get().set_number(ticket.number);
+            let sent = request.send().promise;
+            capnp::capability::Promise::from_future(async move { sent.await.map(drop) })
+        });
+    }
+}
+
+/// Counts a request as long as it lives.
+struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+async fn enter_at(
+    peer: peer::Client,
+    own: &str,
+    in_flight: &[InFlight],
+) -> Result<placement::Client, capnp::Error> {
+    let mut request = peer.enter_request();
+    request.get().set_instance(own);
+    write_in_flight(in_flight, request.get().init_in_flight(in_flight.len() as u32));
+    let reply = request.send().promise.await?;
+    reply.get()?.get_placement()
+}
+
+/// Returns the options of an instance's own dispatcher among `instances`.
+fn local_options(options: &Options, instances: u32) -> Options {
+    let budget_share = 1.0 / f64::from(instances.max(1));
+    let slot_share = (LOCAL_SHARE * budget_share).min(1.0);
+    Options { slot_share, budget_share, ..*options }
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -3,6 +3,9 @@
 //! * [`control`] is the handle by which traffic threads reach the control thread.
 //! * [`node`] is the control thread: one [`Node`] runs on a local executor and owns the registry,
 //!   the replica or the learned state, and the controllers.
+//! * [`entry`] is the control thread of an instance that only takes requests, and its way to the
+//!   dispatcher at the leader.
+//! * [`watch`] follows the directory of a replica.
 //! * [`link`] and [`server`] are the two ends of a connection between instances.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
@@ -10,14 +13,16 @@
 mod auth;
 pub mod control;
 mod count;
+pub mod entry;
 mod link;
 mod node;
 mod server;
 mod settings;
 mod views;
+mod watch;
 
 pub use control::{AnswerSource, Control, ControlRequest, OrderSink, Statement};
 pub use lycheehub_wire::{Answer, KeptAnswer, ProposeReply};
 pub use node::{Node, Outside};
 pub use settings::{Seed, Settings};
-pub use views::Views;
+pub use views::{Latest, Views};
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -18,7 +18,7 @@
 /// The step of making a connection, as errors name it.
 pub(crate) const CONNECT: &str = "connect";
 /// How long a connection attempt may take, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 1_000;
+const CONNECT_TIMEOUT_MS: u64 = 700;
 /// How long after a failed attempt the next one waits, in milliseconds.
 const RECONNECT_MS: u64 = 200;
 /// The largest message taken from a peer, in words of 8 bytes.
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Returns the name of this instance.
+    pub(crate) fn own_name(&self) -> &str {
+        self.settings.instance.as_str()
+    }
+
     fn present(&self, slot: &Slot, address: &SmolStr) -> Option<peer::Client> {
         let connected = slot.connected.borrow();
         let connected = connected.as_ref().filter(|connected| connected.address == *address)?;
--- /dev/null
+++ b/crates/peer/src/node/directory.rs
@@ -0,0 +1,179 @@
+//! The directory of endpoints: announcements heard here, and what other replicas pass on.
+
+use super::{Core, Node};
+use crate::watch::{self, News, Watcher};
+use lycheehub_control::directory::Listing;
+use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
+use smol::Timer;
+use smol::channel::bounded;
+use smol_str::SmolStr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often leases are looked at, in milliseconds.
+pub(super) const DIRECTORY_MS: u64 = 250;
+/// How long a replica that hears no leader answers those that watch it, in milliseconds: it may not
+/// know what was accepted since.
+const LEADER_SILENT_MS: u64 = 1_500;
+
+/// What a replica answers to those that watch it.
+pub(crate) struct Watched {
+    pub(crate) epoch: u64,
+    pub(crate) change: u64,
+    pub(crate) listings: Vec<Listing>,
+    pub(crate) revision: u64,
+    pub(crate) leader: Option<InstanceName>,
+    pub(crate) replicas: Vec<(InstanceName, SmolStr)>,
+}
+
+impl Node {
+    /// Takes an announcement that was made here.
+    pub(super) fn hear(self: &Rc<Self>, record: EndpointRecord) {
+        let now_ms = self.clock.now_ms();
+        let (endpoint, leaving) = (record.endpoint.clone(), record.leaving);
+        let change = {
+            let mut core = self.core.borrow_mut();
+            core.directory.announce(now_ms, record).then(|| core.directory.change())
+        };
+        if let Some(change) = change {
+            spdlog::info!("endpoint announced", kv: { endpoint: = endpoint, leaving, change });
+            self.note_directory();
+        }
+    }
+
+    /// Takes the word of an endpoint that it leaves for good.
+    pub(super) fn withdraw(self: &Rc<Self>, endpoint: &EndpointName) {
+        let now_ms = self.clock.now_ms();
+        if self.core.borrow_mut().directory.withdraw(now_ms, endpoint) {
+            spdlog::info!("endpoint withdrawn", kv: { endpoint: = endpoint });
+            self.note_directory();
+        }
+    }
+
+    fn note_directory(&self) {
+        self.update_placing();
+        self.wake_watchers();
+    }
+
+    /// Ends leases, and watches replicas that are not watched yet.
+    pub(super) fn look_after_directory(self: &Rc<Self>) {
+        let now_ms = self.clock.now_ms();
+        let over = self.core.borrow_mut().directory.expire(now_ms);
+        for endpoint in &over {
+            spdlog::warn!("endpoint lost: its lease has ended", kv: { endpoint: = endpoint });
+        }
+        if !over.is_empty() {
+            self.note_directory();
+        }
+        for replica in self.replica_instances() {
+            if self.watched.borrow_mut().insert(replica.clone()) {
+                let node = self.clone();
+                let task = async move {
+                    watch::watch(node.clone(), &node.links, node.clock, replica).await;
+                };
+                self.executor.spawn(task).detach();
+            }
+        }
+    }
+
+    /// Waits until the directory or the state has changed, at most `wait_ms`.
+    pub(crate) async fn watched(
+        &self,
+        epoch: u64,
+        change: u64,
+        revision: u64,
+        wait_ms: u64,
+    ) -> Watched {
+        let has_news = |core: &Core| {
+            core.own.incarnation != epoch
+                || core.directory.change() > change
+                || core.state.revision > revision
+        };
+        if !has_news(&self.core.borrow()) {
+            self.wait_for_news(wait_ms).await;
+        }
+        let core = self.core.borrow();
+        let now_ms = self.clock.now_ms();
+        let known = if core.own.incarnation == epoch { change } else { 0 };
+        // Without a leader, what this replica holds may be older than what others have accepted.
+        let is_recent = core.hears_leader(now_ms, LEADER_SILENT_MS);
+        Watched {
+            epoch: core.own.incarnation,
+            change: core.directory.change(),
+            listings: core.directory.changes_after(known),
+            revision: if is_recent { core.state.revision } else { 0 },
+            leader: if is_recent { core.known_leader(&self.settings.instance) } else { None },
+            replicas: self.neighbours(&core),
+        }
+    }
+
+    async fn wait_for_news(&self, wait_ms: u64) {
+        let (sender, receiver) = bounded(1);
+        self.revised.borrow_mut().push(sender);
+        let timeout = async {
+            Timer::after(Duration::from_millis(wait_ms)).await;
+        };
+        let news = async {
+            // A closed channel is as good as the end of the wait.
+            let _ = receiver.recv().await;
+        };
+        smol::future::or(news, timeout).await;
+        drop(receiver);
+        self.revised.borrow_mut().retain(|sender| !sender.is_closed());
+    }
+
+    fn neighbours(&self, core: &Core) -> Vec<(InstanceName, SmolStr)> {
+        let live = core.registry.live_instances(self.clock.now_ms());
+        let replicas = live.filter(|known| known.record.replica_id != 0);
+        let entry = |record: &lycheehub_types::InstanceRecord| {
+            (record.instance.clone(), record.peer_address.clone())
+        };
+        replicas.map(|known| entry(&known.record)).collect()
+    }
+}
+
+impl Core {
+    fn hears_leader(&self, now_ms: u64, within_ms: u64) -> bool {
+        self.replica().is_some_and(|replica| replica.hears_leader(now_ms, within_ms))
+    }
+
+    /// Returns the leader that the replica here follows.
+    fn known_leader(&self, own: &InstanceName) -> Option<InstanceName> {
+        if self.is_leader() {
+            return Some(own.clone());
+        }
+        let replica = self.replica()?;
+        let leader = replica.leader().filter(|id| *id != replica.id())?;
+        replica.config().voters.get(&leader).cloned()
+    }
+}
+
+impl Watcher for Node {
+    fn revision(&self) -> u64 {
+        // A replica gets changes of the state by the log.
+        u64::MAX
+    }
+
+    fn address_of(&self, peer: &InstanceName) -> Option<SmolStr> {
+        self.core.borrow().address_of(self, peer)
+    }
+
+    fn take(&self, from: &InstanceName, news: News) {
+        let now_ms = self.clock.now_ms();
+        let changed = {
+            let mut core = self.core.borrow_mut();
+            if news.restarted {
+                core.directory.note_restarted(now_ms, from);
+            }
+            core.directory.take(now_ms, from, news.listings)
+        };
+        if changed {
+            self.note_directory();
+        }
+    }
+
+    fn silent(&self, peer: &InstanceName) {
+        let now_ms = self.clock.now_ms();
+        self.core.borrow_mut().directory.note_silent(now_ms, peer);
+    }
+}
--- a/crates/peer/src/node/driver.rs
+++ b/crates/peer/src/node/driver.rs
@@ -1,7 +1,7 @@
 //! Drives the replica: stores what it asks to store, in order, and applies what is committed.
 
 use super::Node;
-use lycheehub_consensus::storage::{Error as StorageError, Storage};
+use lycheehub_consensus::storage::{Disk, Error as StorageError, Storage};
 use lycheehub_consensus::{Action, Message, Options, Payload, Position, Replica, ReplicaId};
 use lycheehub_control::state::Reply;
 use lycheehub_control::{Command, State};
@@ -10,8 +10,12 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-/// How many applied entries bring about a snapshot, at least.
+/// How many applied entries bring about a snapshot.
 const SNAPSHOT_ENTRIES: u64 = 2_000;
+/// How many bytes of applied entries bring about a snapshot.
+const SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
+/// How long after a failure of the storage it is opened anew, in milliseconds.
+const REOPEN_MS: u64 = 1_000;
 
 /// The replica with its storage and those that wait for it.
 pub(super) struct Driver {
@@ -23,8 +27,8 @@
     /// The size of the newest snapshot, and of what was applied after it, in bytes.
     snapshot_bytes: usize,
     applied_bytes: usize,
-    /// Storage failed: the replica does nothing more until the process is started again.
-    halted: bool,
+    /// When the storage failed, in milliseconds: the replica does nothing until it is opened anew.
+    halted_ms: Option<u64>,
 }
 
 /// What the actions of one step lead to outside the replica.
@@ -60,7 +64,7 @@
             next_read: 0,
             snapshot_bytes,
             applied_bytes: 0,
-            halted: false,
+            halted_ms: None,
         };
         Ok((driver, state))
     }
@@ -74,7 +78,8 @@
     /// together cost about as much as the log.
     fn compact_if_due(&mut self, state: &State) -> Vec<Action> {
         let entries = self.replica.compactable();
-        if entries < SNAPSHOT_ENTRIES || self.applied_bytes < self.snapshot_bytes {
+        let is_long = entries >= SNAPSHOT_ENTRIES || self.applied_bytes >= SNAPSHOT_BYTES;
+        if !is_long || self.applied_bytes < self.snapshot_bytes {
             return Vec::new();
         }
         let data = state.encode();
@@ -170,9 +175,9 @@
         }
     }
 
-    fn halt(&mut self, error: &StorageError) {
+    fn halt(&mut self, now_ms: u64, error: &StorageError) {
         spdlog::critical!("control replica halted: storage failed", kv: { error: });
-        self.halted = true;
+        self.halted_ms = Some(now_ms);
         self.fail_waiting();
         for (_, sender) in std::mem::take(&mut self.reads) {
             // One that no longer waits needs no answer.
@@ -202,7 +207,9 @@
         let now_ms = self.clock.now_ms();
         let mut core = self.core.borrow_mut();
         let core = &mut *core;
-        let Some(driver) = core.driver.as_mut().filter(|driver| !driver.halted) else { return };
+        let Some(driver) = core.driver.as_mut().filter(|driver| driver.halted_ms.is_none()) else {
+            return;
+        };
         let mut actions = step(driver, now_ms);
         let mut sends = Vec::new();
         let (mut revised, mut led) = (false, None);
@@ -214,7 +221,7 @@
                     led = effects.led.or(led);
                 }
                 Err(error) => {
-                    driver.halt(&error);
+                    driver.halt(now_ms, &error);
                     core.leading_since_ms = None;
                     return;
                 }
@@ -242,9 +249,39 @@
     }
 
     pub(super) fn tick_replica(self: &Rc<Self>) {
+        self.reopen_storage();
         self.drive(|driver, now_ms| driver.replica.tick(now_ms));
     }
 
+    /// Opens a storage that failed once more, and starts the replica from what it holds.
+    fn reopen_storage(&self) {
+        let now_ms = self.clock.now_ms();
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let halted_ms = core.driver.as_ref().and_then(|driver| driver.halted_ms);
+        if halted_ms.is_none_or(|halted_ms| now_ms < halted_ms + REOPEN_MS) {
+            return;
+        }
+        match self.open_driver(core.seed) {
+            Ok((driver, state)) => {
+                core.driver = Some(driver);
+                core.state = state;
+            }
+            Err(error) => {
+                spdlog::warn!("storage still fails", kv: { error: });
+                if let Some(driver) = &mut core.driver {
+                    driver.halted_ms = Some(now_ms);
+                }
+            }
+        }
+    }
+
+    fn open_driver(&self, seed: u64) -> Result<(Driver, State), StorageError> {
+        let folder = self.settings.data_folder.clone().unwrap_or_default();
+        let disk = Box::new(Disk::open(folder)?);
+        Driver::open(disk, Options::default(), seed, self.clock.now_ms())
+    }
+
     /// Takes a message for the replica `to`.
     pub(crate) fn on_consensus(self: &Rc<Self>, from: ReplicaId, to: ReplicaId, message: Message) {
         self.drive(|driver, now_ms| {
--- a/crates/peer/src/node/founding.rs
+++ b/crates/peer/src/node/founding.rs
@@ -19,7 +19,10 @@
             let answers = self.ask_founders(&founders).await;
             let own = self.replica_status().id;
             let name = &self.settings.instance;
-            if let Outcome::Found(config) = founding::decide(own, name, &founders, &answers) {
+            let outcome = founding::decide(own, name, &founders, &answers);
+            if let Outcome::Found(config) = outcome
+                && (self.settings.may_found || answers.values().any(|a| a.config == config))
+            {
                 spdlog::info!("first configuration taken", kv: { voters = config.voters.len() as u64 });
                 self.drive(|driver, _| driver.replica.found(config));
                 return;
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -1,11 +1,13 @@
 //! The control thread: registry, replica or learned state, and controllers.
 
 mod calls;
+mod directory;
 mod driver;
 mod follow;
 mod founding;
 mod gossip;
 mod membership;
+mod placing;
 mod propose;
 mod publish;
 mod report;
@@ -20,6 +22,7 @@
 use lycheehub_clock::{Clock, Timers};
 use lycheehub_consensus::storage::{Disk, Error as StorageError};
 use lycheehub_consensus::{Options, Replica};
+use lycheehub_control::directory::Directory;
 use lycheehub_control::moves::Controller;
 use lycheehub_control::placement::Placer;
 use lycheehub_control::registry::{Cursor, Registry};
@@ -28,11 +31,12 @@
 use lycheehub_route::Demands;
 use lycheehub_types::{EndpointName, InstanceName, InstanceRecord};
 use lycheehub_wire::ProposeReply;
+use placing::Placing;
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
 use smol::net::TcpListener;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -47,7 +51,7 @@
 /// How long an instance serves without hearing any other, in milliseconds.
 const ISOLATED_MS: u64 = 8_000;
 /// How often membership is looked after, in milliseconds.
-const MEMBERSHIP_MS: u64 = 1_000;
+const MEMBERSHIP_MS: u64 = 300;
 
 /// The control thread's state and tasks.
 pub struct Node {
@@ -60,8 +64,12 @@
     answers: Arc<dyn AnswerSource>,
     orders: Arc<dyn OrderSink>,
     core: RefCell<Core>,
-    /// Wakes those that wait for a new revision.
+    /// Wakes those that wait for a new revision or a change of the directory.
     revised: RefCell<Vec<Sender<()>>>,
+    /// The replicas whose directories are watched.
+    watched: RefCell<BTreeSet<InstanceName>>,
+    /// Places requests while this instance leads.
+    placing: RefCell<Option<Placing>>,
 }
 
 /// What the control thread calls outside itself.
@@ -75,6 +83,7 @@
 /// What the control thread owns.
 struct Core {
     registry: Registry,
+    directory: Directory,
     own: InstanceRecord,
     cursors: BTreeMap<InstanceName, Cursor>,
     driver: Option<Driver>,
@@ -142,6 +151,7 @@
         let has_others = settings.seeds.iter().any(|seed| seed.instance != settings.instance);
         let core = Core {
             registry: Registry::default(),
+            directory: Directory::default(),
             own,
             cursors: BTreeMap::new(),
             driver,
@@ -173,6 +183,8 @@
             orders: outside.orders,
             core: RefCell::new(core),
             revised: RefCell::default(),
+            watched: RefCell::default(),
+            placing: RefCell::default(),
         }))
     }
 
@@ -183,15 +195,31 @@
 
     /// Runs until the channel of requests closes.
     pub fn run(self: Rc<Self>, listener: TcpListener, requests: Receiver<ControlRequest>) {
+        self.run_with(listener, requests, std::future::ready(()));
+    }
+
+    /// Runs until the channel of requests closes, and `beside` on the same thread.
+    pub fn run_with(
+        self: Rc<Self>,
+        listener: TcpListener,
+        requests: Receiver<ControlRequest>,
+        beside: impl Future<Output = ()> + 'static,
+    ) {
         let executor = self.executor.clone();
+        executor.spawn(beside).detach();
         executor.spawn(server::accept(self.clone(), listener)).detach();
         self.every(GOSSIP_MS, Self::beat);
         self.every(PUBLISH_MS, |node| node.publish());
         self.every(MEMBERSHIP_MS, Self::look_after_membership);
-        self.every(report::REPORT_MS, Self::report);
+        if self.settings.balances {
+            self.every(report::REPORT_MS, Self::report);
+            self.every(CONTROLLER_MS, Self::run_controllers);
+        } else {
+            self.every(directory::DIRECTORY_MS, Self::look_after_directory);
+            self.every(placing::PLACING_MS, Self::look_after_placing);
+        }
         if self.core.borrow().driver.is_some() {
             self.every(REPLICA_TICK_MS, Self::tick_replica);
-            self.every(CONTROLLER_MS, Self::run_controllers);
             executor.spawn(self.clone().found()).detach();
         } else {
             executor.spawn(self.clone().follow()).detach();
@@ -229,6 +257,12 @@
     fn note_revision(&self) {
         self.core.borrow_mut().dirty = true;
         self.publish();
+        self.update_placing();
+        self.wake_watchers();
+    }
+
+    /// Wakes those that wait for a new revision or a change of the directory.
+    fn wake_watchers(&self) {
         for waiting in self.revised.borrow_mut().drain(..) {
             // One that no longer waits needs no word.
             let _ = waiting.try_send(());
--- /dev/null
+++ b/crates/peer/src/node/placing.rs
@@ -0,0 +1,197 @@
+//! Places the requests of all instances while this one leads.
+
+use super::Node;
+use lycheehub_dispatch::{Decision, Dispatcher, Finished, InFlight, Job, Ticket};
+use lycheehub_types::InstanceName;
+use smol::channel::{Sender, bounded};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// How often what waits is looked at, in milliseconds.
+pub(super) const PLACING_MS: u64 = 100;
+/// How long an instance may be silent before its requests are forgotten, in milliseconds.
+const SILENT_MS: u64 = 3_000;
+
+/// An instance whose requests are placed here.
+struct Session {
+    instance: InstanceName,
+    heard_ms: u64,
+}
+
+/// The dispatcher with those that wait for it.
+pub(super) struct Placing {
+    dispatcher: Dispatcher,
+    deciding: BTreeMap<Ticket, Sender<Decision>>,
+    sessions: BTreeMap<u32, Session>,
+    last_session: u32,
+    /// The revision of the route document that the dispatcher has.
+    document_revision: u64,
+}
+
+impl Placing {
+    fn deliver(&mut self) {
+        for decision in self.dispatcher.take_decisions() {
+            let (Decision::Place { ticket, .. } | Decision::Refuse { ticket, .. }) = &decision;
+            if let Some(sender) = self.deciding.remove(ticket) {
+                // One that no longer waits has withdrawn, or its instance is gone.
+                let _ = sender.try_send(decision);
+            }
+        }
+    }
+
+    fn forget(&mut self, now_ms: u64, session: u32) {
+        let Some(gone) = self.sessions.remove(&session) else { return };
+        spdlog::info!("instance left", kv: { instance: = gone.instance, session });
+        self.dispatcher.forget_instance(now_ms, session);
+        let range = Ticket { instance: session, number: 0 };
+        let waiting = self.deciding.range(range..).map(|(ticket, _)| *ticket);
+        let waiting: Vec<Ticket> =
+            waiting.take_while(|ticket| ticket.instance == session).collect();
+        for ticket in waiting {
+            self.deciding.remove(&ticket);
+        }
+        self.deliver();
+    }
+}
+
+impl Node {
+    /// Begins to place requests with leadership, and ends with it; lets the dispatcher's time pass.
+    pub(super) fn look_after_placing(self: &Rc<Self>) {
+        let now_ms = self.clock.now_ms();
+        let leads = self.core.borrow().is_leader();
+        let places = self.placing.borrow().is_some();
+        if leads && !places {
+            self.begin_placing();
+        }
+        if !leads && places {
+            // Those that wait see their calls fail and turn elsewhere.
+            self.placing.borrow_mut().take();
+            spdlog::info!("placing ended with leadership");
+        }
+        let mut placing = self.placing.borrow_mut();
+        let Some(placing) = placing.as_mut() else { return };
+        let silent: Vec<u32> = placing
+            .sessions
+            .iter()
+            .filter(|(_, session)| now_ms >= session.heard_ms + SILENT_MS)
+            .map(|(number, _)| *number)
+            .collect();
+        for session in silent {
+            placing.forget(now_ms, session);
+        }
+        placing.dispatcher.tick(now_ms);
+        placing.deliver();
+    }
+
+    fn begin_placing(&self) {
+        let dispatcher = Dispatcher::new(self.settings.dispatch);
+        *self.placing.borrow_mut() = Some(Placing {
+            dispatcher,
+            deciding: BTreeMap::new(),
+            sessions: BTreeMap::new(),
+            last_session: 0,
+            document_revision: 0,
+        });
+        spdlog::info!("placing begins with leadership");
+        self.update_placing();
+    }
+
+    /// Passes the newest document and directory on to the dispatcher.
+    pub(super) fn update_placing(&self) {
+        let now_ms = self.clock.now_ms();
+        let core = self.core.borrow();
+        let mut placing = self.placing.borrow_mut();
+        let Some(placing) = placing.as_mut() else { return };
+        let record = &core.state.document;
+        if record.revision != placing.document_revision {
+            placing.document_revision = record.revision;
+            placing.dispatcher.take_document(now_ms, &record.document);
+        }
+        placing.dispatcher.take_endpoints(now_ms, core.directory.live());
+        placing.deliver();
+    }
+
+    /// Takes an instance whose requests are placed here; nothing where this one does not lead.
+    pub(crate) fn enter(&self, instance: InstanceName, in_flight: &[InFlight]) -> Option<u32> {
+        if !self.core.borrow().is_leader() {
+            return None;
+        }
+        if self.placing.borrow().is_none() {
+            self.begin_placing();
+        }
+        let now_ms = self.clock.now_ms();
+        let mut placing = self.placing.borrow_mut();
+        let placing = placing.as_mut()?;
+        let before = placing.sessions.iter().find(|(_, session)| session.instance == instance);
+        if let Some(before) = before.map(|(number, _)| *number) {
+            placing.forget(now_ms, before);
+        }
+        placing.last_session += 1;
+        let session = placing.last_session;
+        let count = in_flight.len() as u64;
+        spdlog::info!("instance entered", kv: { instance: = instance, session, in_flight = count });
+        placing.sessions.insert(session, Session { instance, heard_ms: now_ms });
+        placing.dispatcher.adopt(session, in_flight);
+        Some(session)
+    }
+
+    /// Decides about a request; nothing where this instance stops leading meanwhile.
+    pub(crate) async fn place(&self, job: Job) -> Option<Decision> {
+        let receiver = {
+            let now_ms = self.clock.now_ms();
+            let mut placing = self.placing.borrow_mut();
+            let placing = placing.as_mut()?;
+            placing.sessions.get_mut(&job.ticket.instance)?.heard_ms = now_ms;
+            let (sender, receiver) = bounded(1);
+            placing.deciding.insert(job.ticket, sender);
+            placing.dispatcher.submit(now_ms, job);
+            placing.deliver();
+            receiver
+        };
+        receiver.recv().await.ok()
+    }
+
+    /// Runs a step of the dispatcher for an instance; answers how many instances are served.
+    pub(crate) fn with_dispatcher(
+        &self,
+        session: u32,
+        step: impl FnOnce(&mut Dispatcher, u64),
+    ) -> Option<u32> {
+        let now_ms = self.clock.now_ms();
+        let mut placing = self.placing.borrow_mut();
+        let placing = placing.as_mut()?;
+        placing.sessions.get_mut(&session)?.heard_ms = now_ms;
+        step(&mut placing.dispatcher, now_ms);
+        placing.deliver();
+        u32::try_from(placing.sessions.len()).ok()
+    }
+
+    /// Takes the ends of requests.
+    pub(crate) fn finish(&self, session: u32, finished: Vec<Finished>) -> Option<u32> {
+        self.with_dispatcher(session, |dispatcher, now_ms| {
+            for finished in finished {
+                dispatcher.finish(now_ms, finished);
+            }
+        })
+    }
+
+    /// Takes the news that the caller of a request that waits has left.
+    pub(crate) fn withdraw_job(&self, session: u32, number: u64) -> Option<u32> {
+        let ticket = Ticket { instance: session, number };
+        let instances = self.with_dispatcher(session, |dispatcher, now_ms| {
+            dispatcher.withdraw(now_ms, ticket);
+        });
+        if let Some(placing) = self.placing.borrow_mut().as_mut() {
+            placing.deciding.remove(&ticket);
+        }
+        instances
+    }
+
+    /// Forgets an instance whose connection has ended.
+    pub(crate) fn leave(&self, session: u32) {
+        let now_ms = self.clock.now_ms();
+        if let Some(placing) = self.placing.borrow_mut().as_mut() {
+            placing.forget(now_ms, session);
+        }
+    }
+}
--- a/crates/peer/src/node/propose.rs
+++ b/crates/peer/src/node/propose.rs
@@ -87,6 +87,9 @@
             return ProposeReply::NotLeader;
         }
         let Ok(command) = Command::decode(&command) else { return ProposeReply::NotLeader };
+        if !self.has_copies_for(&command) {
+            return ProposeReply::NotLeader;
+        }
         let command = command.stamped(self.clock.now_unix_ms()).encode();
         let (sender, receiver) = bounded(1);
         self.core.borrow_mut().proposals.push((command, sender));
@@ -95,6 +98,19 @@
         reply.and_then(Result::ok).unwrap_or(ProposeReply::Unknown)
     }
 
+    /// Tells whether enough replicas store what is committed now, so that it survives the loss of
+    /// as many disks as must be borne.
+    fn has_copies_for(&self, command: &Command) -> bool {
+        let core = self.core.borrow();
+        let quorum = core.replica().map_or(0, |replica| replica.config().quorum());
+        let enough = quorum >= self.settings.copies_min;
+        if !enough {
+            let kind = command.kind();
+            spdlog::warn!("command not taken: too few replicas", kv: { kind, quorum });
+        }
+        enough
+    }
+
     /// Stores what waits to be proposed, unless earlier commands are not committed yet; what comes
     /// meanwhile is then stored together.
     pub(super) fn flush_soon(self: &Rc<Self>) {
--- a/crates/peer/src/node/requests.rs
+++ b/crates/peer/src/node/requests.rs
@@ -13,6 +13,8 @@
     pub(super) fn take_request(self: &Rc<Self>, request: ControlRequest) {
         match request {
             ControlRequest::Announce(record) => self.take_announcement(record),
+            ControlRequest::Hear(record) => self.hear(record),
+            ControlRequest::Withdraw(endpoint) => self.withdraw(&endpoint),
             ControlRequest::Report(demands) => self.take_demands(demands),
             ControlRequest::Propose(command, sender) => {
                 self.answer_later(sender, |node| async move { node.propose(command).await });
@@ -91,6 +93,8 @@
             revision: feed.revision,
             sections: feed.sections.clone(),
             moves: feed.moves.clone(),
+            document: feed.document.clone().unwrap_or_default(),
+            rollouts: feed.rollouts.clone(),
         };
         self.take_feed(feed);
         Some(statement)
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -8,7 +8,9 @@
 use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use lycheehub_consensus::{Message, ReplicaId};
 use lycheehub_control::registry::Delta;
+use lycheehub_dispatch::Ticket;
 use lycheehub_types::InstanceName;
+use lycheehub_wire::peer_capnp::placement;
 use lycheehub_wire::peer_capnp::{greeter, peer};
 use lycheehub_wire::{Report, WireError};
 use smol::net::{TcpListener, TcpStream};
@@ -184,4 +186,106 @@
         lycheehub_wire::write_kept_answer(&answer, results.get().init_answer());
         Ok(())
     }
+
+    async fn watch(
+        self: Rc<Self>,
+        params: peer::WatchParams,
+        mut results: peer::WatchResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let (epoch, change) = (params.get_epoch(), params.get_change());
+        let (revision, wait_ms) = (params.get_revision(), u64::from(params.get_wait_ms()));
+        let watched = self.node.watched(epoch, change, revision, wait_ms).await;
+        let mut reply = results.get();
+        reply.set_epoch(watched.epoch);
+        reply.set_change(watched.change);
+        reply.set_revision(watched.revision);
+        reply.set_leader(watched.leader.as_ref().map_or("", InstanceName::as_str));
+        let count = watched.listings.len() as u32;
+        lycheehub_wire::write_listings(&watched.listings, reply.reborrow().init_listings(count));
+        let mut replicas = reply.init_replicas(watched.replicas.len() as u32);
+        for (place, (instance, address)) in (0..).zip(&watched.replicas) {
+            let mut entry = replicas.reborrow().get(place);
+            entry.set_instance(instance.as_str());
+            entry.set_address(&**address);
+        }
+        Ok(())
+    }
+
+    async fn enter(
+        self: Rc<Self>,
+        params: peer::EnterParams,
+        mut results: peer::EnterResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let instance = InstanceName::from(text(params.get_instance())?);
+        let in_flight = lycheehub_wire::read_in_flight(params.get_in_flight()?)?;
+        let Some(session) = self.node.enter(instance, &in_flight) else {
+            return Err(not_leading());
+        };
+        let placement = PlacementServer { node: self.node.clone(), session };
+        results.get().set_placement(new_client(placement));
+        Ok(())
+    }
+}
+
+/// What an instance asks of the dispatcher here; dropped with the instance's connection.
+struct PlacementServer {
+    node: Rc<Node>,
+    session: u32,
+}
+
+impl Drop for PlacementServer {
+    fn drop(&mut self) {
+        self.node.leave(self.session);
+    }
+}
+
+impl placement::Server for PlacementServer {
+    async fn place(
+        self: Rc<Self>,
+        params: placement::PlaceParams,
+        mut results: placement::PlaceResults,
+    ) -> Result<(), capnp::Error> {
+        let job = lycheehub_wire::read_job(self.session, params.get()?.get_job()?)?;
+        let decision = self.node.place(job).await.ok_or_else(not_leading)?;
+        lycheehub_wire::write_decision(&decision, results.get().init_decision());
+        Ok(())
+    }
+
+    async fn finish(
+        self: Rc<Self>,
+        params: placement::FinishParams,
+        mut results: placement::FinishResults,
+    ) -> Result<(), capnp::Error> {
+        let finished = lycheehub_wire::read_finished(self.session, params.get()?.get_finished()?)?;
+        let instances = self.node.finish(self.session, finished).ok_or_else(not_leading)?;
+        results.get().set_instances(instances);
+        Ok(())
+    }
+
+    async fn stalled(
+        self: Rc<Self>,
+        params: placement::StalledParams,
+        _: placement::StalledResults,
+    ) -> Result<(), capnp::Error> {
+        let ticket = Ticket { instance: self.session, number: params.get()?.get_number() };
+        self.node.with_dispatcher(self.session, |dispatcher, now_ms| {
+            dispatcher.stalled(now_ms, ticket);
+        });
+        Ok(())
+    }
+
+    async fn withdraw(
+        self: Rc<Self>,
+        params: placement::WithdrawParams,
+        _: placement::WithdrawResults,
+    ) -> Result<(), capnp::Error> {
+        self.node.withdraw_job(self.session, params.get()?.get_number());
+        Ok(())
+    }
+}
+
+fn not_leading() -> capnp::Error {
+    capnp::Error::failed("this instance does not lead".to_owned())
 }
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -32,6 +32,14 @@
     pub data_folder: Option<PathBuf>,
     /// The key that all instances share.
     pub peer_key: Vec<u8>,
+    /// Whether this may be the very first start of all instances.
+    pub may_found: bool,
+    /// On how many replicas' disks a change must be before it is acknowledged.
+    pub copies_min: usize,
+    /// Whether slots are granted and version moves are stepped by this instance when it leads.
+    pub balances: bool,
+    /// How requests are placed by this instance when it leads.
+    pub dispatch: lycheehub_dispatch::Options,
 }
 
 impl Settings {
--- a/crates/peer/src/views.rs
+++ b/crates/peer/src/views.rs
@@ -1,4 +1,4 @@
-//! The newest view, shared between the control thread and the traffic threads.
+//! The newest views, shared between the control thread and the traffic threads.
 
 use lycheehub_control::View;
 use smol::channel::{Receiver, Sender, bounded};
@@ -47,3 +47,42 @@
         let _ = self.changed.1.recv().await;
     }
 }
+
+/// The newest value of a kind, replaced whole.
+///
+/// # Examples
+/// ```
+/// let latest = lycheehub_peer::Latest::new(7);
+/// latest.publish(8);
+/// assert_eq!(*latest.get(), 8);
+/// ```
+#[derive(Debug)]
+pub struct Latest<T> {
+    value: Mutex<Arc<T>>,
+    changed: (Sender<()>, Receiver<()>),
+}
+
+impl<T> Latest<T> {
+    /// Begins with `value`.
+    pub fn new(value: T) -> Self {
+        Self { value: Mutex::new(Arc::new(value)), changed: bounded(1) }
+    }
+
+    /// Returns the newest value.
+    pub fn get(&self) -> Arc<T> {
+        self.value.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Replaces the value.
+    pub fn publish(&self, value: T) {
+        *self.value.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(value);
+        // A full channel already tells that the value changed.
+        let _ = self.changed.0.try_send(());
+    }
+
+    /// Waits until the value was replaced; for one waiting task.
+    pub async fn changed(&self) {
+        // The channel cannot close while `self` holds its sender.
+        let _ = self.changed.1.recv().await;
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/entry.rs
@@ -0,0 +1,126 @@
+//! What all connections of an entry instance share.
+
+use crate::dialect::Dialect;
+use crate::pool::Pool;
+use lycheehub_clock::Clock;
+use lycheehub_dispatch::Placement;
+use lycheehub_routes::RouteTable;
+use lycheehub_types::{FailureDomain, InstanceName};
+use smol::LocalExecutor;
+use smol::channel::{Receiver, Sender, bounded};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+/// Bounds of an entry instance.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// This instance's name.
+    pub instance: InstanceName,
+    /// Where it runs.
+    pub failure_domain: FailureDomain,
+    /// The most connections of callers at once.
+    pub connections_max: usize,
+    /// How long an endpoint may take to accept a connection, in milliseconds.
+    pub connect_timeout_ms: u64,
+}
+
+/// What requests are answered by at one moment.
+#[derive(Clone, Debug, Default)]
+pub struct Snapshot {
+    /// The route document.
+    pub table: Arc<RouteTable>,
+    /// The revision of the document, for logs.
+    pub revision: u64,
+    /// The document is known to be recent.
+    pub is_ready: bool,
+}
+
+/// Where snapshots come from.
+pub trait Snapshots {
+    /// Returns the newest snapshot.
+    fn latest(&self) -> Snapshot;
+}
+
+/// An entry instance.
+pub struct Entry {
+    /// Bounds.
+    pub options: Options,
+    /// The clock.
+    pub clock: Clock,
+    /// The names of header fields.
+    pub dialect: Box<dyn Dialect>,
+    /// Where snapshots come from.
+    pub snapshots: Box<dyn Snapshots>,
+    /// Who places requests.
+    pub placement: Rc<dyn Placement>,
+    /// Idle connections to endpoints.
+    pub pool: Pool,
+    /// Runs the tasks of connections.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// How many connections of callers are open.
+    pub connections: Cell<usize>,
+    /// How many requests are being answered.
+    pub exchanges: Cell<usize>,
+    /// The instance is being stopped: answers are the last ones on their connections.
+    pub draining: Cell<bool>,
+    idle_end: (Sender<()>, Receiver<()>),
+}
+
+impl Entry {
+    /// Makes an entry instance without any connections.
+    pub fn new(
+        options: Options,
+        clock: Clock,
+        dialect: Box<dyn Dialect>,
+        snapshots: Box<dyn Snapshots>,
+        placement: Rc<dyn Placement>,
+        executor: Rc<LocalExecutor<'static>>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            options,
+            clock,
+            dialect,
+            snapshots,
+            placement,
+            pool: Pool::default(),
+            executor,
+            connections: Cell::new(0),
+            exchanges: Cell::new(0),
+            draining: Cell::new(false),
+            idle_end: bounded(1),
+        })
+    }
+
+    /// Tells whether the balancer may send new connections.
+    pub fn is_ready(&self) -> bool {
+        !self.draining.get() && self.snapshots.latest().is_ready
+    }
+
+    /// Closes the connections that have no request, now and from now on.
+    pub fn close_idle(&self) {
+        self.idle_end.0.close();
+    }
+
+    /// Waits until idle connections are to be closed.
+    pub(crate) async fn idle_closed(&self) {
+        // Nothing is ever sent: the channel closes.
+        let _ = self.idle_end.1.recv().await;
+    }
+}
+
+/// Counts something as long as it lives.
+pub(crate) struct Counted<'a>(&'a Cell<usize>);
+
+impl<'a> Counted<'a> {
+    pub(crate) fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange/mod.rs
@@ -0,0 +1,251 @@
+//! Answers one request of a caller.
+//!
+//! A request passes a chain of filters, is placed, sent, and its answer relayed. Before the first
+//! byte is sent to an endpoint, a failure is "not run" and the request goes elsewhere. After that,
+//! only a request that may be repeated does, or one of which the endpoint says that it did not run
+//! it.
+
+mod attempt;
+mod filters;
+mod guard;
+mod own;
+mod relay;
+mod trail;
+
+use crate::dialect::RequestFields;
+use crate::entry::{Entry, Snapshot};
+use crate::http1::{Connection, Error, RequestHead};
+use attempt::{AttemptEnd, Held};
+use filters::Identified;
+use guard::Interrupted;
+use lycheehub_dispatch::{Decision, Job, Reason, Ticket};
+use lycheehub_routes::RequestKind;
+use lycheehub_types::{EndpointName, Refusal, RefusalKind};
+use relay::StreamState;
+use std::rc::Rc;
+use trail::Trail;
+
+/// How long a request may be kept whose route tells no bound, in milliseconds.
+const NO_ROUTE_TIMEOUT_MS: u64 = 30_000;
+/// How many endpoints that cannot be reached are tried one after the other.
+const UNREACHED_MAX: u32 = 4;
+
+/// A request that is being answered.
+struct Exchange<'a> {
+    entry: &'a Rc<Entry>,
+    head: RequestHead,
+    body: Vec<u8>,
+    fields: RequestFields,
+    snapshot: Snapshot,
+    started_ms: u64,
+    /// When the caller's or the route's time is over.
+    deadline_ms: u64,
+    trail: Trail,
+}
+
+/// Answers a request; tells whether the connection can be used for another one.
+pub async fn answer(
+    entry: &Rc<Entry>,
+    connection: &mut Connection,
+    head: RequestHead,
+    body: Vec<u8>,
+) -> bool {
+    let started_ms = entry.clock.now_ms();
+    let fields = entry.dialect.read_request(&head);
+    let timeout_ms = fields.deadline_ms.unwrap_or(NO_ROUTE_TIMEOUT_MS);
+    let mut exchange = Exchange {
+        entry,
+        snapshot: entry.snapshots.latest(),
+        trail: Trail::new(&fields.id, started_ms),
+        head,
+        body,
+        fields,
+        started_ms,
+        deadline_ms: started_ms + timeout_ms,
+    };
+    let keeps_alive = exchange.run(connection).await;
+    exchange.trail.log(entry.clock.now_ms(), exchange.snapshot.revision);
+    keeps_alive
+}
+
+/// Answers a request that could not be read.
+pub async fn answer_unread(entry: &Entry, connection: &mut Connection, error: &Error) {
+    let kind = match error {
+        Error::HeadTooLong | Error::BodyTooLong => RefusalKind::TooLarge,
+        Error::Malformed(_) => RefusalKind::BadRequest,
+        Error::Io(_) | Error::Closed | Error::Cut => return,
+    };
+    let refusal = Refusal::new(kind, error.to_string());
+    if let Err(error) = connection.send(&own::refusal(entry, "", &refusal, false)).await {
+        spdlog::debug!("caller left before its refusal", kv: { error: });
+    }
+}
+
+impl Exchange<'_> {
+    async fn run(&mut self, connection: &mut Connection) -> bool {
+        let identified = match filters::identify(self) {
+            Ok(identified) => identified,
+            Err(refusal) => return self.refuse(connection, &refusal).await,
+        };
+        let route_ends_ms = self.started_ms + identified.route.timeout_ms;
+        self.deadline_ms = self.deadline_ms.min(route_ends_ms);
+        self.trail.note_route(&identified);
+        self.serve(connection, &identified).await
+    }
+
+    /// Sends the request to one endpoint after the other until it is answered.
+    async fn serve(&mut self, connection: &mut Connection, identified: &Identified) -> bool {
+        let mut tried = Vec::new();
+        let mut stream = StreamState::new(self.fields.last_event_id.clone());
+        let mut held: Option<Held> = None;
+        let mut unreached = 0;
+        let mut may_have_run = false;
+        loop {
+            let repeat = !tried.is_empty();
+            let placed = match self.place(connection, identified, &tried, repeat).await {
+                Ok(placed) => placed,
+                Err(Stopped::Interrupted(why)) => {
+                    return self.interrupted(connection, why, may_have_run, &stream).await;
+                }
+                Err(Stopped::Refused(refusal)) if may_have_run || stream.has_begun() => {
+                    return self.give_up(connection, held, &stream, &refusal).await;
+                }
+                Err(Stopped::Refused(refusal)) => return self.refuse(connection, &refusal).await,
+            };
+            let last = tried.len() as u32 + 1 >= identified.route.attempts_max;
+            let end = self.attempt(connection, identified, placed, &mut stream, last).await;
+            match end {
+                AttemptEnd::Answered { keeps_alive } => return keeps_alive,
+                AttemptEnd::Interrupted(why) => {
+                    return self.interrupted(connection, why, true, &stream).await;
+                }
+                AttemptEnd::NotSent(endpoint) => {
+                    unreached += 1;
+                    if unreached >= UNREACHED_MAX {
+                        let refusal = self.unreached(&endpoint);
+                        return self.refuse(connection, &refusal).await;
+                    }
+                }
+                AttemptEnd::NotRun { endpoint, retry_after_ms } => {
+                    tried.push(endpoint);
+                    if last {
+                        let kind = RefusalKind::Overloaded;
+                        let message = "the endpoint did not take the request";
+                        let refusal = Refusal::retry(kind, message, retry_after_ms);
+                        if may_have_run || stream.has_begun() {
+                            return self.give_up(connection, held, &stream, &refusal).await;
+                        }
+                        return self.refuse(connection, &refusal).await;
+                    }
+                }
+                AttemptEnd::Failed { endpoint, answer } => {
+                    tried.push(endpoint);
+                    may_have_run = true;
+                    held = answer.or(held);
+                    if last || !identified.route.kind.may_repeat() {
+                        let refusal = self.outcome_unknown(identified.route.kind);
+                        return self.give_up(connection, held, &stream, &refusal).await;
+                    }
+                }
+            }
+        }
+    }
+
+    fn unreached(&self, endpoint: &EndpointName) -> Refusal {
+        const RETRY_AFTER_MS: u64 = 500;
+        let message = format!("no endpoint could be reached, {endpoint} the last");
+        Refusal::retry(RefusalKind::NoEndpoint, message, RETRY_AFTER_MS)
+    }
+
+    fn outcome_unknown(&self, kind: RequestKind) -> Refusal {
+        let message = if kind.may_repeat() {
+            "no endpoint gave a whole answer"
+        } else {
+            "the endpoint gave no whole answer; the request may have run"
+        };
+        Refusal::new(RefusalKind::OutcomeUnknown, message)
+    }
+
+    /// Asks for an endpoint.
+    async fn place(
+        &mut self,
+        connection: &mut Connection,
+        identified: &Identified,
+        tried: &[EndpointName],
+        repeat: bool,
+    ) -> Result<Placed, Stopped> {
+        let asked_ms = self.entry.clock.now_ms();
+        let ticket = self.entry.placement.ticket();
+        let job = self.job(identified, ticket, tried, repeat);
+        let asked = guard::Asked::new(self.entry, ticket);
+        let deciding = self.entry.placement.place(job);
+        let decision = guard::guard(self.entry, connection, self.deadline_ms, deciding).await;
+        let decision = decision.map_err(Stopped::Interrupted)?;
+        asked.is_decided();
+        self.trail.note_wait(self.entry.clock.now_ms() - asked_ms);
+        match decision {
+            Decision::Place { endpoint, address, first_byte_ms, .. } => {
+                Ok(Placed { ticket, endpoint, address, first_byte_ms })
+            }
+            Decision::Refuse { reason, retry_after_ms, .. } => {
+                Err(Stopped::Refused(refusal_of(reason, retry_after_ms)))
+            }
+        }
+    }
+
+    fn job(
+        &self,
+        identified: &Identified,
+        ticket: Ticket,
+        tried: &[EndpointName],
+        repeat: bool,
+    ) -> Job {
+        let now_ms = self.entry.clock.now_ms();
+        let objective_ms = self.started_ms + identified.route.objective_ms;
+        let output_max = self.fields.output_max_tokens;
+        let told_tokens = self
+            .fields
+            .prompt_tokens
+            .map(|prompt| u64::from(prompt) + u64::from(output_max.unwrap_or_default()));
+        let likely = self.fields.output_hint_tokens.or(output_max).unwrap_or_default();
+        Job {
+            ticket,
+            service: identified.service.clone(),
+            rank: identified.rank,
+            account: identified.account.clone(),
+            told_tokens,
+            prompt_tokens: self.fields.prompt_tokens.unwrap_or_default(),
+            output_tokens: output_max.map_or(likely, |most| likely.min(most)),
+            prefix: self.fields.prefix.clone(),
+            objective_left_ms: objective_ms.saturating_sub(now_ms),
+            deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
+            failure_domain: self.entry.options.failure_domain.clone(),
+            tried: tried.to_vec(),
+            repeat,
+        }
+    }
+}
+
+/// A request with the endpoint that it goes to.
+struct Placed {
+    ticket: Ticket,
+    endpoint: EndpointName,
+    address: smol_str::SmolStr,
+    first_byte_ms: u64,
+}
+
+/// Why a request is not sent anywhere.
+enum Stopped {
+    Interrupted(Interrupted),
+    Refused(Refusal),
+}
+
+fn refusal_of(reason: Reason, retry_after_ms: u64) -> Refusal {
+    let (kind, message) = match reason {
+        Reason::Overloaded => (RefusalKind::Overloaded, "too much waits before this request"),
+        Reason::NoEndpoint => (RefusalKind::NoEndpoint, "no endpoint of the service takes work"),
+        Reason::QuotaExceeded => (RefusalKind::QuotaExceeded, "the quota is used up"),
+        Reason::RetriesExhausted => (RefusalKind::Overloaded, "too much is being repeated"),
+    };
+    Refusal::retry(kind, message, retry_after_ms)
+}
--- /dev/null
+++ b/crates/proxy/src/exchange/own.rs
@@ -0,0 +1,114 @@
+//! Answers of this instance's own.
+
+use super::{Exchange, Held, Interrupted, StreamState};
+use crate::entry::Entry;
+use crate::http1::{Connection, Headers};
+use lycheehub_types::{Refusal, RefusalKind};
+
+/// Returns the bytes of a refusal.
+pub(super) fn refusal(entry: &Entry, id: &str, refusal: &Refusal, keeps_alive: bool) -> Vec<u8> {
+    let kind = refusal.kind();
+    let body =
+        format!("{{\"error\":{{\"code\":\"{kind}\",\"message\":\"{}\"}}}}", refusal.message());
+    let mut headers = Headers::default();
+    headers.push("Content-Type", "application/json");
+    headers.push("Content-Length", body.len().to_string());
+    if let Some(after_ms) = refusal.retry_after_ms() {
+        headers.push("Retry-After", format!("{:.3}", after_ms as f64 / 1e3));
+    }
+    if !keeps_alive {
+        headers.push("Connection", "close");
+    }
+    entry.dialect.add_own(&mut headers, id);
+    let status = kind.http_status();
+    let mut bytes = format!("HTTP/1.1 {status} {}\r\n", reason_of(status)).into_bytes();
+    headers.write(&mut bytes);
+    bytes.extend_from_slice(b"\r\n");
+    bytes.extend_from_slice(body.as_bytes());
+    bytes
+}
+
+fn reason_of(status: u16) -> &'static str {
+    match status {
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Error",
+    }
+}
+
+impl Exchange<'_> {
+    /// Whether the caller's connection can be used after this answer.
+    pub(super) fn keeps_alive(&self) -> bool {
+        self.head.keeps_alive && !self.entry.draining.get()
+    }
+
+    /// Refuses the request; tells whether the connection can be used for another one.
+    pub(super) async fn refuse(&mut self, connection: &mut Connection, refused: &Refusal) -> bool {
+        self.trail.note_refusal(refused);
+        let keeps_alive = self.keeps_alive();
+        let bytes = refusal(self.entry, &self.fields.id, refused, keeps_alive);
+        match connection.send(&bytes).await {
+            Ok(()) => keeps_alive,
+            Err(error) => {
+                spdlog::debug!("caller left before its refusal", kv: { error: });
+                false
+            }
+        }
+    }
+
+    /// Ends a request that no further endpoint is asked for: by the last whole answer that an
+    /// endpoint gave, if there is one. A stream that has begun is cut off.
+    pub(super) async fn give_up(
+        &mut self,
+        connection: &mut Connection,
+        held: Option<Held>,
+        stream: &StreamState,
+        refused: &Refusal,
+    ) -> bool {
+        if stream.has_begun() {
+            self.trail.note_end("cut");
+            return false;
+        }
+        match held {
+            Some(held) => self.relay_held(connection, &held).await,
+            None => {
+                // An endpoint may have run it, whatever kept it from being sent to another one.
+                let kind = RefusalKind::OutcomeUnknown;
+                let unknown = Refusal::new(kind, refused.message());
+                self.refuse(connection, &unknown).await
+            }
+        }
+    }
+
+    /// Ends a request whose caller has left or whose time is over.
+    pub(super) async fn interrupted(
+        &mut self,
+        connection: &mut Connection,
+        why: Interrupted,
+        may_have_run: bool,
+        stream: &StreamState,
+    ) -> bool {
+        const RETRY_AFTER_MS: u64 = 1_000;
+        if why == Interrupted::CallerLeft {
+            self.trail.note_end("caller left");
+            return false;
+        }
+        if stream.has_begun() {
+            self.trail.note_end("timed out in its stream");
+            return false;
+        }
+        let refused = if may_have_run {
+            Refusal::new(RefusalKind::TimedOut, "no answer within the request's time")
+        } else {
+            let message = "no endpoint was free within the request's time";
+            Refusal::retry(RefusalKind::DeadlineUnreachable, message, RETRY_AFTER_MS)
+        };
+        self.refuse(connection, &refused).await
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/exchange/trail.rs
@@ -0,0 +1,102 @@
+//! What is logged and counted of a request: one line when it ends.
+
+use super::filters::Identified;
+use lycheehub_dispatch::Outcome;
+use lycheehub_types::{EndpointName, Refusal};
+use smol_str::{SmolStr, format_smolstr};
+use std::fmt::Write;
+
+/// What happened to a request.
+#[derive(Debug)]
+pub(super) struct Trail {
+    id: SmolStr,
+    started_ms: u64,
+    route: SmolStr,
+    service: SmolStr,
+    account: SmolStr,
+    rank: u8,
+    waited_ms: u64,
+    first_byte_ms: Option<u64>,
+    attempts: String,
+    end: SmolStr,
+    retry_after_ms: u64,
+}
+
+impl Trail {
+    pub(super) fn new(id: &SmolStr, started_ms: u64) -> Self {
+        Self {
+            id: id.clone(),
+            started_ms,
+            route: SmolStr::default(),
+            service: SmolStr::default(),
+            account: SmolStr::default(),
+            rank: 0,
+            waited_ms: 0,
+            first_byte_ms: None,
+            attempts: String::new(),
+            end: SmolStr::new("unanswered"),
+            retry_after_ms: 0,
+        }
+    }
+
+    pub(super) fn note_route(&mut self, identified: &Identified) {
+        self.route = identified.route.name.clone();
+        self.service = identified.service.as_str().into();
+        self.account = identified.account.as_ref().map_or("", |name| name.as_str()).into();
+        self.rank = identified.rank;
+    }
+
+    pub(super) fn note_wait(&mut self, waited_ms: u64) {
+        self.waited_ms += waited_ms;
+    }
+
+    pub(super) fn note_attempt(&mut self, endpoint: &EndpointName, outcome: Outcome, took_ms: u64) {
+        // Writing to a string cannot fail.
+        let _ = write!(self.attempts, "{endpoint}={outcome:?}@{took_ms}ms ");
+    }
+
+    pub(super) fn note_first_byte(&mut self, now_ms: u64) {
+        self.first_byte_ms.get_or_insert(now_ms - self.started_ms);
+    }
+
+    pub(super) fn note_refusal(&mut self, refusal: &Refusal) {
+        self.end = SmolStr::new(refusal.kind().code());
+        self.retry_after_ms = refusal.retry_after_ms().unwrap_or_default();
+    }
+
+    pub(super) fn note_status(&mut self, status: u16) {
+        self.end = format_smolstr!("{status}");
+    }
+
+    pub(super) fn note_end(&mut self, end: &'static str) {
+        self.end = SmolStr::new_static(end);
+    }
+
+    /// Writes the line and counts the request.
+    pub(super) fn log(&self, now_ms: u64, revision: u64) {
+        let total_ms = now_ms - self.started_ms;
+        let labels = [
+            ("service", self.service.to_string()),
+            ("rank", self.rank.to_string()),
+            ("end", self.end.to_string()),
+        ];
+        metrics::counter!("lycheehub_requests_total", &labels).increment(1);
+        let tier = [("service", self.service.to_string()), ("rank", self.rank.to_string())];
+        metrics::histogram!("lycheehub_request_ms", &tier).record(total_ms as f64);
+        metrics::histogram!("lycheehub_request_wait_ms", &tier).record(self.waited_ms as f64);
+        spdlog::info!("request", kv: {
+            id: = self.id,
+            end: = self.end,
+            route: = self.route,
+            service: = self.service,
+            account: = self.account,
+            rank = u64::from(self.rank),
+            waited_ms = self.waited_ms,
+            first_byte_ms:? = self.first_byte_ms,
+            total_ms,
+            attempts: = self.attempts.trim_end(),
+            retry_after_ms = self.retry_after_ms,
+            revision,
+        });
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/http1/connection.rs
@@ -0,0 +1,150 @@
+//! A connection with the bytes that were received and not yet used.
+
+use super::{Error, RequestHead, ResponseHead};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use smol::net::TcpStream;
+
+/// How many bytes are read at once, at most.
+const READ_BYTES: usize = 16 * 1024;
+/// How many header fields a head may have.
+const FIELDS_MAX: usize = 96;
+/// The longest head of an answer, in bytes.
+const ANSWER_HEAD_MAX_BYTES: usize = 32 * 1024;
+
+/// A connection.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+    received: Vec<u8>,
+    /// How many of the received bytes are used.
+    used: usize,
+}
+
+impl Connection {
+    /// Wraps a stream of which nothing was read.
+    pub fn new(stream: TcpStream) -> Self {
+        Self { stream, received: Vec::new(), used: 0 }
+    }
+
+    /// Returns another handle of the stream, for writing.
+    pub fn writer(&self) -> TcpStream {
+        self.stream.clone()
+    }
+
+    /// Returns the bytes that were received and not yet used.
+    pub fn unused(&self) -> &[u8] {
+        &self.received[self.used..]
+    }
+
+    /// Marks bytes as used.
+    pub fn consume(&mut self, count: usize) {
+        self.used += count;
+        if self.used == self.received.len() {
+            self.received.clear();
+            self.received.shrink_to(READ_BYTES);
+            self.used = 0;
+        }
+    }
+
+    /// Receives more bytes; 0 at the end of the stream. Nothing is lost when it is dropped.
+    ///
+    /// # Errors
+    /// Fails where the connection does.
+    pub async fn fill(&mut self) -> Result<usize, Error> {
+        let mut chunk = [0; READ_BYTES];
+        let count = self.stream.read(&mut chunk).await?;
+        self.received.drain(..self.used);
+        self.used = 0;
+        self.received.extend_from_slice(&chunk[..count]);
+        Ok(count)
+    }
+
+    /// Waits until the peer has closed the connection, keeping what it sends before, up to
+    /// `max_bytes`.
+    pub async fn closed(&mut self, max_bytes: usize) {
+        while self.unused().len() < max_bytes {
+            if !matches!(self.fill().await, Ok(1..)) {
+                return;
+            }
+        }
+        future::pending().await
+    }
+
+    /// Tells whether the peer has sent nothing, nor closed, since the last message.
+    pub async fn is_quiet(&mut self) -> bool {
+        self.unused().is_empty() && future::poll_once(self.fill()).await.is_none()
+    }
+
+    /// Sends bytes.
+    ///
+    /// # Errors
+    /// Fails where the connection does.
+    pub async fn send(&mut self, bytes: &[u8]) -> Result<(), Error> {
+        Ok(self.stream.write_all(bytes).await?)
+    }
+
+    /// Reads the head of a request.
+    ///
+    /// # Errors
+    /// Fails where it is malformed or longer than `max_bytes`, and at the end of the connection.
+    pub async fn read_request_head(&mut self, max_bytes: usize) -> Result<RequestHead, Error> {
+        loop {
+            self.skip_empty_lines();
+            let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+            let mut parsed = httparse::Request::new(&mut fields);
+            let status = parsed.parse(self.unused()).map_err(|error| match error {
+                httparse::Error::TooManyHeaders => Error::HeadTooLong,
+                _ => Error::Malformed("request head"),
+            })?;
+            if let httparse::Status::Complete(length) = status {
+                if length > max_bytes {
+                    return Err(Error::HeadTooLong);
+                }
+                let head = RequestHead::new(&parsed)?;
+                self.consume(length);
+                return Ok(head);
+            }
+            if self.unused().len() > max_bytes {
+                return Err(Error::HeadTooLong);
+            }
+            self.more().await?;
+        }
+    }
+
+    /// Reads the head of an answer.
+    ///
+    /// # Errors
+    /// Fails where it is malformed, and at the end of the connection.
+    pub async fn read_response_head(&mut self) -> Result<ResponseHead, Error> {
+        loop {
+            let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
+            let mut parsed = httparse::Response::new(&mut fields);
+            let status = parsed.parse(self.unused());
+            let status = status.map_err(|_| Error::Malformed("response head"))?;
+            if let httparse::Status::Complete(length) = status {
+                let head = ResponseHead::new(&parsed)?;
+                self.consume(length);
+                return Ok(head);
+            }
+            if self.unused().len() > ANSWER_HEAD_MAX_BYTES {
+                return Err(Error::HeadTooLong);
+            }
+            self.more().await?;
+        }
+    }
+
+    /// Receives more of a message.
+    pub(super) async fn more(&mut self) -> Result<(), Error> {
+        let had_some = !self.unused().is_empty();
+        match self.fill().await? {
+            0 if had_some => Err(Error::Cut),
+            0 => Err(Error::Closed),
+            _ => Ok(()),
+        }
+    }
+
+    fn skip_empty_lines(&mut self) {
+        let empty = self.unused().iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
+        self.consume(empty);
+    }
+}
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -41,6 +41,12 @@
     Conflict,
     /// No quorum of control replicas answered; nothing was changed.
     NoQuorum,
+    /// The instance does not know yet what is in force.
+    NotReady,
+    /// The client account has used up its quota.
+    QuotaExceeded,
+    /// No answer came within the request's time; the request may have run.
+    TimedOut,
 }
 
 impl RefusalKind {
@@ -63,6 +69,9 @@
             Self::EndpointFailed => "endpoint_failed",
             Self::Conflict => "conflict",
             Self::NoQuorum => "no_quorum",
+            Self::NotReady => "not_ready",
+            Self::QuotaExceeded => "quota_exceeded",
+            Self::TimedOut => "timed_out",
         }
     }
 
@@ -75,15 +84,23 @@
             Self::Conflict | Self::AlreadyRun => 409,
             Self::TooLarge => 413,
             Self::KeyReused => 422,
-            Self::Overloaded | Self::DeadlineUnreachable => 429,
+            Self::Overloaded | Self::DeadlineUnreachable | Self::QuotaExceeded => 429,
             Self::OutcomeUnknown | Self::EndpointFailed => 502,
-            Self::NoEndpoint | Self::Stopping | Self::ClaimUnavailable | Self::NoQuorum => 503,
+            Self::NoEndpoint
+            | Self::Stopping
+            | Self::ClaimUnavailable
+            | Self::NoQuorum
+            | Self::NotReady => 503,
+            Self::TimedOut => 504,
         }
     }
 
     /// Tells whether the refused request is known not to have run.
     pub fn not_run(self) -> bool {
-        !matches!(self, Self::AlreadyRun | Self::OutcomeUnknown | Self::EndpointFailed)
+        !matches!(
+            self,
+            Self::AlreadyRun | Self::OutcomeUnknown | Self::EndpointFailed | Self::TimedOut
+        )
     }
 }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -150,6 +150,9 @@
     claimOtherRequest @8 :Void;
     claimsFull @9 :Void;
     settled @10 :Void;
+    # The version of the route document that is in force.
+    document @11 :UInt64;
+    rollout @12 :Void;
   }
 }
 
@@ -175,6 +178,73 @@
 
 struct Answer { status @0 :UInt16; contentType @1 :Text; body @2 :Data; }
 
+# A control replica, and where it listens for peers.
+struct Neighbour { instance @0 :Text; address @1 :Text; }
+
+# An endpoint as control replicas pass it on.
+struct Listing { record @0 :EndpointRecord; gone @1 :Bool; withdrawn @2 :Bool; }
+
+struct PrefixPart { id @0 :UInt64; tokens @1 :UInt32; }
+
+# A request that asks for an endpoint.
+struct Job {
+  number @0 :UInt64;
+  service @1 :Text;
+  rank @2 :UInt8;
+  # Empty where the request came without a key.
+  account @3 :Text;
+  # The tokens that the request is counted by, 0 where it does not tell them.
+  toldTokens @4 :UInt64;
+  promptTokens @5 :UInt32;
+  outputTokens @6 :UInt32;
+  prefix @7 :List(PrefixPart);
+  objectiveLeftMs @8 :UInt64;
+  deadlineLeftMs @9 :UInt64;
+  failureDomain @10 :Text;
+  tried @11 :List(Text);
+  repeat @12 :Bool;
+}
+
+struct Decision {
+  union {
+    place @0 :Place;
+    refuse @1 :Refuse;
+  }
+}
+
+struct Place { endpoint @0 :Text; address @1 :Text; firstByteMs @2 :UInt64; }
+
+enum Reason { overloaded @0; noEndpoint @1; quotaExceeded @2; retriesExhausted @3; }
+
+struct Refuse { reason @0 :Reason; retryAfterMs @1 :UInt64; }
+
+enum Outcome {
+  answered @0; failed @1; rejected @2; broken @3; notConnected @4; misdirected @5; abandoned @6;
+}
+
+struct Finished {
+  number @0 :UInt64;
+  outcome @1 :Outcome;
+  hasFirstByte @2 :Bool;
+  firstByteMs @3 :UInt32;
+  restMs @4 :UInt32;
+  events @5 :UInt32;
+}
+
+struct InFlight { number @0 :UInt64; endpoint @1 :Text; memoryTokens @2 :UInt64; stream @3 :Bool; }
+
+# What an instance asks of the dispatcher at the leader; the end of the connection ends it.
+interface Placement {
+  # Answers when there is room, or as soon as it is certain that there will be none in time.
+  place @0 (job :Job) -> (decision :Decision);
+  # Also serves as a heartbeat; answers how many instances are served.
+  finish @1 (finished :List(Finished)) -> (instances :UInt32);
+  # The request has had no answer for much longer than expected.
+  stalled @2 (number :UInt64) -> ();
+  # The caller of a request that waits has left.
+  withdraw @3 (number :UInt64) -> ();
+}
+
 # What a connection offers before the caller has proved that it holds the peer key.
 interface Greeter {
   challenge @0 () -> (nonce :Data);
@@ -193,4 +263,11 @@
   follow @5 (revision :UInt64, waitMs :UInt32) -> (feed :Data);
   report @6 (report :Report) -> (reply :ReportReply);
   answer @7 (instance :Text, incarnation :UInt64, request :UInt64) -> (answer :KeptAnswer);
+  # Answers as soon as the receiver's directory has changed after `change`, or its state after
+  # `revision`, or after `waitMs`. All listings are sent where `epoch` is not the receiver's.
+  watch @8 (sender :Text, epoch :UInt64, change :UInt64, revision :UInt64, waitMs :UInt32)
+    -> (epoch :UInt64, change :UInt64, listings :List(Listing), revision :UInt64,
+        leader :Text, replicas :List(Neighbour));
+  # Fails where the receiver does not lead.
+  enter @9 (instance :Text, inFlight :List(InFlight)) -> (placement :Placement);
 }
--- /dev/null
+++ b/crates/wire/src/convert/directory.rs
@@ -0,0 +1,42 @@
+//! Endpoints as control replicas pass them on.
+
+use super::WireError;
+use super::records::write_endpoint;
+use crate::peer_capnp as schema;
+use capnp::struct_list;
+use lycheehub_control::directory::Listing;
+
+impl TryFrom<schema::listing::Reader<'_>> for Listing {
+    type Error = WireError;
+
+    fn try_from(reader: schema::listing::Reader<'_>) -> Result<Self, WireError> {
+        Ok(Self {
+            record: reader.get_record()?.try_into()?,
+            gone: reader.get_gone(),
+            withdrawn: reader.get_withdrawn(),
+        })
+    }
+}
+
+/// Reads a list of endpoints.
+///
+/// # Errors
+/// Fails where a listing does not decode.
+pub fn read_listings(
+    reader: struct_list::Reader<'_, schema::listing::Owned>,
+) -> Result<Vec<Listing>, WireError> {
+    reader.iter().map(Listing::try_from).collect()
+}
+
+/// Writes a list of endpoints; the builder has room for all of them.
+pub fn write_listings(
+    listings: &[Listing],
+    mut builder: struct_list::Builder<'_, schema::listing::Owned>,
+) {
+    for (place, listing) in (0..).zip(listings) {
+        let mut entry = builder.reborrow().get(place);
+        entry.set_gone(listing.gone);
+        entry.set_withdrawn(listing.withdrawn);
+        write_endpoint(&listing.record, 0, entry.init_record());
+    }
+}
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -1,11 +1,18 @@
 //! Conversions between messages of the schema and the types of the other crates.
 
 mod consensus;
+mod directory;
+mod placement;
 mod records;
 mod replies;
 mod reports;
 
 pub use consensus::{write_config, write_message};
+pub use directory::{read_listings, write_listings};
+pub use placement::{
+    read_decision, read_finished, read_in_flight, read_job, write_decision, write_finished,
+    write_in_flight, write_job,
+};
 pub use records::write_delta;
 pub use replies::{write_kept_answer, write_propose_reply};
 pub use reports::{write_report, write_report_reply};
--- /dev/null
+++ b/crates/wire/src/convert/placement.rs
@@ -0,0 +1,228 @@
+//! Requests that ask for an endpoint, decisions, and what is reported back.
+
+use super::{WireError, text};
+use crate::peer_capnp as schema;
+use capnp::struct_list;
+use lycheehub_dispatch::{Decision, Finished, InFlight, Job, Outcome, PrefixPart, Reason, Ticket};
+use lycheehub_types::{AccountName, EndpointName};
+
+/// Reads a request of the instance that has the number `instance`.
+///
+/// # Errors
+/// Fails where the message does not decode.
+pub fn read_job(instance: u32, reader: schema::job::Reader<'_>) -> Result<Job, WireError> {
+    let account = text(reader.get_account())?;
+    let told_tokens = reader.get_told_tokens();
+    let prefix = reader.get_prefix()?.iter();
+    let mut tried = Vec::new();
+    for name in reader.get_tried()? {
+        tried.push(EndpointName::from(text(name)?));
+    }
+    Ok(Job {
+        ticket: Ticket { instance, number: reader.get_number() },
+        service: text(reader.get_service())?.into(),
+        rank: reader.get_rank(),
+        account: (!account.is_empty()).then(|| AccountName::from(account)),
+        told_tokens: (told_tokens > 0).then_some(told_tokens),
+        prompt_tokens: reader.get_prompt_tokens(),
+        output_tokens: reader.get_output_tokens(),
+        prefix: prefix
+            .map(|part| PrefixPart { id: part.get_id(), tokens: part.get_tokens() })
+            .collect(),
+        objective_left_ms: reader.get_objective_left_ms(),
+        deadline_left_ms: reader.get_deadline_left_ms(),
+        failure_domain: text(reader.get_failure_domain())?.into(),
+        tried,
+        repeat: reader.get_repeat(),
+    })
+}
+
+/// Writes a request.
+pub fn write_job(job: &Job, mut builder: schema::job::Builder<'_>) {
+    builder.set_number(job.ticket.number);
+    builder.set_service(job.service.as_str());
+    builder.set_rank(job.rank);
+    builder.set_account(job.account.as_ref().map_or("", AccountName::as_str));
+    builder.set_told_tokens(job.told_tokens.unwrap_or_default());
+    builder.set_prompt_tokens(job.prompt_tokens);
+    builder.set_output_tokens(job.output_tokens);
+    builder.set_objective_left_ms(job.objective_left_ms);
+    builder.set_deadline_left_ms(job.deadline_left_ms);
+    builder.set_failure_domain(job.failure_domain.as_str());
+    builder.set_repeat(job.repeat);
+    let mut prefix = builder.reborrow().init_prefix(job.prefix.len() as u32);
+    for (place, part) in (0..).zip(&job.prefix) {
+        let mut entry = prefix.reborrow().get(place);
+        entry.set_id(part.id);
+        entry.set_tokens(part.tokens);
+    }
+    let mut tried = builder.init_tried(job.tried.len() as u32);
+    for (place, name) in (0..).zip(&job.tried) {
+        tried.set(place, name.as_str());
+    }
+}
+
+/// Reads a decision about the request `ticket`.
+///
+/// # Errors
+/// Fails where the message does not decode.
+pub fn read_decision(
+    ticket: Ticket,
+    reader: schema::decision::Reader<'_>,
+) -> Result<Decision, WireError> {
+    use schema::decision::Which;
+    Ok(match reader.which()? {
+        Which::Place(place) => {
+            let place = place?;
+            Decision::Place {
+                ticket,
+                endpoint: text(place.get_endpoint())?.into(),
+                address: text(place.get_address())?.into(),
+                first_byte_ms: place.get_first_byte_ms(),
+            }
+        }
+        Which::Refuse(refuse) => {
+            let refuse = refuse?;
+            Decision::Refuse {
+                ticket,
+                reason: refuse.get_reason()?.into(),
+                retry_after_ms: refuse.get_retry_after_ms(),
+            }
+        }
+    })
+}
+
+/// Writes a decision.
+pub fn write_decision(decision: &Decision, builder: schema::decision::Builder<'_>) {
+    match decision {
+        Decision::Place { endpoint, address, first_byte_ms, .. } => {
+            let mut place = builder.init_place();
+            place.set_endpoint(endpoint.as_str());
+            place.set_address(&**address);
+            place.set_first_byte_ms(*first_byte_ms);
+        }
+        Decision::Refuse { reason, retry_after_ms, .. } => {
+            let mut refuse = builder.init_refuse();
+            refuse.set_reason((*reason).into());
+            refuse.set_retry_after_ms(*retry_after_ms);
+        }
+    }
+}
+
+/// Reads the ends of requests of the instance that has the number `instance`.
+///
+/// # Errors
+/// Fails where the message does not decode.
+pub fn read_finished(
+    instance: u32,
+    reader: struct_list::Reader<'_, schema::finished::Owned>,
+) -> Result<Vec<Finished>, WireError> {
+    let read = |entry: schema::finished::Reader<'_>| {
+        Ok(Finished {
+            ticket: Ticket { instance, number: entry.get_number() },
+            outcome: entry.get_outcome()?.into(),
+            first_byte_ms: entry.get_has_first_byte().then(|| entry.get_first_byte_ms()),
+            rest_ms: entry.get_rest_ms(),
+            events: entry.get_events(),
+        })
+    };
+    reader.iter().map(read).collect()
+}
+
+/// Writes the ends of requests; the builder has room for all of them.
+pub fn write_finished(
+    finished: &[Finished],
+    mut builder: struct_list::Builder<'_, schema::finished::Owned>,
+) {
+    for (place, finished) in (0..).zip(finished) {
+        let mut entry = builder.reborrow().get(place);
+        entry.set_number(finished.ticket.number);
+        entry.set_outcome(finished.outcome.into());
+        entry.set_has_first_byte(finished.first_byte_ms.is_some());
+        entry.set_first_byte_ms(finished.first_byte_ms.unwrap_or_default());
+        entry.set_rest_ms(finished.rest_ms);
+        entry.set_events(finished.events);
+    }
+}
+
+/// Reads what an instance has sent to endpoints.
+///
+/// # Errors
+/// Fails where the message does not decode.
+pub fn read_in_flight(
+    reader: struct_list::Reader<'_, schema::in_flight::Owned>,
+) -> Result<Vec<InFlight>, WireError> {
+    let read = |entry: schema::in_flight::Reader<'_>| {
+        Ok(InFlight {
+            number: entry.get_number(),
+            endpoint: text(entry.get_endpoint())?.into(),
+            memory_tokens: entry.get_memory_tokens(),
+            is_stream: entry.get_stream(),
+        })
+    };
+    reader.iter().map(read).collect()
+}
+
+/// Writes what an instance has sent to endpoints; the builder has room for all of it.
+pub fn write_in_flight(
+    in_flight: &[InFlight],
+    mut builder: struct_list::Builder<'_, schema::in_flight::Owned>,
+) {
+    for (place, request) in (0..).zip(in_flight) {
+        let mut entry = builder.reborrow().get(place);
+        entry.set_number(request.number);
+        entry.set_endpoint(request.endpoint.as_str());
+        entry.set_memory_tokens(request.memory_tokens);
+        entry.set_stream(request.is_stream);
+    }
+}
+
+impl From<schema::Reason> for Reason {
+    fn from(reason: schema::Reason) -> Self {
+        match reason {
+            schema::Reason::Overloaded => Self::Overloaded,
+            schema::Reason::NoEndpoint => Self::NoEndpoint,
+            schema::Reason::QuotaExceeded => Self::QuotaExceeded,
+            schema::Reason::RetriesExhausted => Self::RetriesExhausted,
+        }
+    }
+}
+
+impl From<Reason> for schema::Reason {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::Overloaded => Self::Overloaded,
+            Reason::NoEndpoint => Self::NoEndpoint,
+            Reason::QuotaExceeded => Self::QuotaExceeded,
+            Reason::RetriesExhausted => Self::RetriesExhausted,
+        }
+    }
+}
+
+impl From<schema::Outcome> for Outcome {
+    fn from(outcome: schema::Outcome) -> Self {
+        match outcome {
+            schema::Outcome::Answered => Self::Answered,
+            schema::Outcome::Failed => Self::Failed,
+            schema::Outcome::Rejected => Self::Rejected,
+            schema::Outcome::Broken => Self::Broken,
+            schema::Outcome::NotConnected => Self::NotConnected,
+            schema::Outcome::Misdirected => Self::Misdirected,
+            schema::Outcome::Abandoned => Self::Abandoned,
+        }
+    }
+}
+
+impl From<Outcome> for schema::Outcome {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::Answered => Self::Answered,
+            Outcome::Failed => Self::Failed,
+            Outcome::Rejected => Self::Rejected,
+            Outcome::Broken => Self::Broken,
+            Outcome::NotConnected => Self::NotConnected,
+            Outcome::Misdirected => Self::Misdirected,
+            Outcome::Abandoned => Self::Abandoned,
+        }
+    }
+}
--- a/crates/wire/src/convert/records.rs
+++ b/crates/wire/src/convert/records.rs
@@ -137,7 +137,7 @@
     builder.set_waiting(short(renewal.load.waiting));
 }
 
-fn write_endpoint(
+pub(super) fn write_endpoint(
     record: &EndpointRecord,
     age_ms: u64,
     mut builder: schema::endpoint_record::Builder<'_>,
--- a/crates/wire/src/convert/replies.rs
+++ b/crates/wire/src/convert/replies.rs
@@ -63,6 +63,8 @@
             Which::ClaimOtherRequest(()) => claim(ClaimOutcome::OtherRequest),
             Which::ClaimsFull(()) => claim(ClaimOutcome::Full),
             Which::Settled(()) => Self::Done(Reply::Settled),
+            Which::Document(version) => Self::Done(Reply::Document { version }),
+            Which::Rollout(()) => Self::Done(Reply::Rollout),
         })
     }
 }
@@ -76,6 +78,8 @@
         ProposeReply::Done(Reply::Stepped(taken)) => builder.set_stepped(*taken),
         ProposeReply::Done(Reply::Claim(outcome)) => write_claim(outcome, builder),
         ProposeReply::Done(Reply::Settled) => builder.set_settled(()),
+        ProposeReply::Done(Reply::Document { version }) => builder.set_document(*version),
+        ProposeReply::Done(Reply::Rollout) => builder.set_rollout(()),
     }
 }
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,8 @@
 mod types;
 
 pub use convert::{
-    WireError, write_config, write_delta, write_kept_answer, write_message, write_propose_reply,
-    write_report, write_report_reply,
+    WireError, read_decision, read_finished, read_in_flight, read_job, read_listings, write_config,
+    write_decision, write_delta, write_finished, write_in_flight, write_job, write_kept_answer,
+    write_listings, write_message, write_propose_reply, write_report, write_report_reply,
 };
 pub use types::{Answer, KeptAnswer, ProposeReply, Report, ReportReply};
