--- a/crates/proxy/src/http1/body.rs
+++ b/crates/proxy/src/http1/body.rs
@@ -69,8 +69,8 @@
         connection: &mut Connection,
         out: &mut Vec<u8>,
     ) -> Result<bool, Error> {
+        let had = out.len();
         loop {
-            let had = out.len();
             if self.step(connection, out)? {
                 continue;
             }
