--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -8,7 +8,7 @@
 use crate::job::{Decision, Finished, Job, Outcome, Reason, Ticket};
 use crate::options::Options;
 use crate::queue::{Queue, Waiting};
-use crate::quota::Quotas;
+use crate::quota::{Quotas, Usage};
 use crate::retries::Retries;
 use lycheehub_routes::{EngineSpec, Quota};
 use lycheehub_types::{AccountName, EndpointName, ServiceName};
@@ -117,7 +117,7 @@
         };
         let Some(waiting) = self.waiting_of(now_ms, job, units) else { return };
         if let Some(retry_after_ms) = self.overload_of(now_ms, &waiting) {
-            return self.refuse_waiting(waiting, Reason::Overloaded, retry_after_ms);
+            return self.refuse_waiting(now_ms, waiting, Reason::Overloaded, retry_after_ms);
         }
         let name = waiting.job.service.clone();
         self.waiting.insert(waiting.job.ticket, name.clone());
@@ -140,7 +140,9 @@
         let limited = job.account.as_ref().and_then(|name| Some((name, self.accounts.get(name)?)));
         if let Some((name, quota)) = limited {
             let units = quota.units_of(job.told_tokens);
-            let result = self.quotas.take(now_ms, &self.options, name, quota, units);
+            let instance = job.ticket.instance;
+            let limited = (name, quota);
+            let result = self.quotas.take(now_ms, &self.options, instance, limited, units);
             result.map_err(|wait_ms| (Reason::QuotaExceeded, wait_ms))?;
             taken = units;
         }
@@ -154,7 +156,7 @@
             service.endpoints.iter().any(|key| !self.endpoints[*key].record.leaving)
         });
         let Some(service) = usable else {
-            self.give_back(&job, units);
+            self.give_back(now_ms, &job, units);
             self.refuse(job.ticket, Reason::NoEndpoint, RETRY_AFTER_MS);
             return None;
         };
@@ -212,7 +214,7 @@
         if let Some(name) = self.waiting.remove(&ticket) {
             let removed = self.services.get_mut(&name).and_then(|s| s.queue.remove(ticket));
             if let Some(waiting) = removed {
-                self.give_back(&waiting.job, waiting.units);
+                self.give_back(now_ms, &waiting.job, waiting.units);
             }
             return;
         }
@@ -233,6 +235,25 @@
         }
     }
 
+    /// Takes over what client accounts have used at an instance by its own word.
+    pub fn adopt_usage(&mut self, now_ms: u64, instance: u32, usage: &[Usage]) {
+        self.quotas.adopt(now_ms, instance, usage);
+    }
+
+    /// Notes that another dispatcher has placed a job, so that this one counts its use.
+    pub fn note_use(&mut self, now_ms: u64, job: &Job) {
+        let limited = job.account.as_ref().and_then(|name| Some((name, self.accounts.get(name)?)));
+        if let Some((name, quota)) = limited.filter(|_| !job.repeat) {
+            let units = quota.units_of(job.told_tokens);
+            self.quotas.note(now_ms, job.ticket.instance, name, units);
+        }
+    }
+
+    /// Returns what client accounts have used at an instance of late.
+    pub fn usage(&self, now_ms: u64, instance: u32) -> Vec<Usage> {
+        self.quotas.usage(now_ms, &self.options, instance)
+    }
+
     /// Forgets all requests of an instance that is gone.
     pub fn forget_instance(&mut self, now_ms: u64, instance: u32) {
         let range = Ticket { instance, number: 0 }..=Ticket { instance, number: u64::MAX };
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -41,12 +41,18 @@
         let ahead_ms = service.queue.ahead_ms(u8::MAX) / slots;
         for waiting in hopeless {
             self.waiting.remove(&waiting.job.ticket);
-            self.refuse_waiting(waiting, Reason::Overloaded, ahead_ms);
+            self.refuse_waiting(now_ms, waiting, Reason::Overloaded, ahead_ms);
         }
     }
 
-    pub(super) fn refuse_waiting(&mut self, waiting: Waiting, reason: Reason, retry_after_ms: u64) {
-        self.give_back(&waiting.job, waiting.units);
+    pub(super) fn refuse_waiting(
+        &mut self,
+        now_ms: u64,
+        waiting: Waiting,
+        reason: Reason,
+        retry_after_ms: u64,
+    ) {
+        self.give_back(now_ms, &waiting.job, waiting.units);
         self.refuse(waiting.job.ticket, reason, retry_after_ms);
     }
 
@@ -56,9 +62,9 @@
     }
 
     /// Gives back what a request took of its account's quota.
-    pub(super) fn give_back(&mut self, job: &Job, units: f64) {
+    pub(super) fn give_back(&mut self, now_ms: u64, job: &Job, units: f64) {
         if let Some(account) = job.account.as_ref().filter(|_| units > 0.0) {
-            self.quotas.give_back(account, units);
+            self.quotas.give_back(now_ms, job.ticket.instance, account, units);
         }
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -25,3 +25,4 @@
 pub use job::{Decision, Finished, Job, Outcome, PrefixPart, Reason, Ticket};
 pub use options::Options;
 pub use placement::Placement;
+pub use quota::Usage;
--- a/crates/dispatch/src/options.rs
+++ b/crates/dispatch/src/options.rs
@@ -8,9 +8,11 @@
     pub slot_share: f64,
     /// The part of quotas and of the retry budget that it may use.
     pub budget_share: f64,
-    /// How far use may pass a quota, as a part of it.
+    /// The length of the window for which quotas hold, in milliseconds.
+    pub quota_window_ms: u64,
+    /// How far use may pass a quota in a window, as a part of it.
     pub quota_overshoot: f64,
-    /// How many units beyond that may be used in a window.
+    /// How many units may be used beyond that.
     pub quota_slack_units: f64,
     /// How many repeats each request of a service allows.
     pub retry_ratio: f64,
@@ -29,6 +31,7 @@
         Self {
             slot_share: 1.0,
             budget_share: 1.0,
+            quota_window_ms: 8_000,
             quota_overshoot: 0.0,
             quota_slack_units: 0.0,
             retry_ratio: 0.2,
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -1,34 +1,101 @@
 //! What client accounts may use.
 //!
-//! Load pattern: one account sends many times its usual. A bucket that refills at the quota's rate
-//! lets through what the quota allows in any window and no more; what is over it is refused at
-//! once, so that it takes nothing from the others.
+//! Load pattern: one account sends many times its usual. What it was let through in the last window
+//! is counted over all instances; what would pass its quota is refused at once, so that it takes
+//! nothing from the others. A burst after a quiet time is let through, since the quota holds for
+//! the whole window.
 
 use crate::Options;
 use lycheehub_routes::Quota;
 use lycheehub_types::AccountName;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-/// The part of a bucket that is full where nothing is known of earlier use.
-const FIRST_FILL: f64 = 0.5;
-/// The part of the allowed overshoot that is used, so that refusals begin above the quota.
+/// The part of the allowed overshoot that is used: what instances without a leader let through
+/// besides must stay within it too.
 const OVERSHOOT_USED: f64 = 0.5;
+/// For how long units are counted together, in milliseconds.
+const GRAIN_MS: u64 = 100;
 
-#[derive(Clone, Copy, Debug)]
-struct Bucket {
-    quota: Quota,
-    units: f64,
-    filled_ms: u64,
+/// Units that an account used at one instance.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Usage {
+    /// The account.
+    pub account: AccountName,
+    /// How long ago, in milliseconds.
+    pub ago_ms: u64,
+    /// The units.
+    pub units: f64,
 }
 
-/// The buckets of all accounts that were seen.
+/// What was used of late at one instance.
+#[derive(Clone, Debug, Default)]
+struct Window {
+    used: VecDeque<(u64, f64)>,
+    sum: f64,
+}
+
+impl Window {
+    fn forget(&mut self, before_ms: u64) {
+        while let Some((at_ms, units)) = self.used.front().copied()
+            && at_ms < before_ms
+        {
+            self.used.pop_front();
+            self.sum -= units;
+        }
+        if self.used.is_empty() {
+            self.sum = 0.0;
+        }
+    }
+
+    fn add(&mut self, at_ms: u64, units: f64) {
+        self.sum += units;
+        match self.used.back_mut() {
+            Some((last_ms, last)) if at_ms < *last_ms + GRAIN_MS => *last += units,
+            _ => self.used.push_back((at_ms, units)),
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Account {
+    quota: Option<Quota>,
+    /// A higher quota that was in force before, and until when it counts, in milliseconds.
+    before: Option<(Quota, u64)>,
+    /// What each instance used.
+    windows: BTreeMap<u32, Window>,
+}
+
+impl Account {
+    /// Returns how many units may be used in a window.
+    fn limit(&mut self, now_ms: u64, options: &Options, quota: &Quota) -> f64 {
+        let window_ms = options.quota_window_ms;
+        if let Some(known) = self.quota.filter(|known| known != quota) {
+            let was_higher = limit_of(options, &known) > limit_of(options, quota);
+            self.before = was_higher.then_some((known, now_ms + window_ms));
+        }
+        self.quota = Some(*quota);
+        self.before = self.before.filter(|(_, until_ms)| now_ms < *until_ms);
+        let before = self.before.map_or(0.0, |(quota, _)| limit_of(options, &quota));
+        before.max(limit_of(options, quota))
+    }
+}
+
+fn limit_of(options: &Options, quota: &Quota) -> f64 {
+    let window_s = options.quota_window_ms as f64 / 1e3;
+    let units = quota.units_per_s * window_s + quota.burst_units;
+    let overshoot = units * options.quota_overshoot + options.quota_slack_units;
+    (units + overshoot * OVERSHOOT_USED) * options.budget_share
+}
+
+/// What all accounts used in the last window.
 #[derive(Clone, Debug, Default)]
 pub struct Quotas {
-    buckets: BTreeMap<AccountName, Bucket>,
+    accounts: BTreeMap<AccountName, Account>,
 }
 
 impl Quotas {
-    /// Takes `units` of an account; otherwise returns after how many milliseconds there are as many.
+    /// Takes `units` of an account for a request of an instance; otherwise returns after how many
+    /// milliseconds there are as many.
     ///
     /// # Errors
     /// Fails where the account has used up its quota.
@@ -36,40 +103,61 @@
         &mut self,
         now_ms: u64,
         options: &Options,
-        account: &AccountName,
-        quota: &Quota,
+        instance: u32,
+        (account, quota): (&AccountName, &Quota),
         units: f64,
     ) -> Result<(), u64> {
-        let rate = quota.units_per_s
-            * options.budget_share
-            * (1.0 + options.quota_overshoot * OVERSHOOT_USED);
-        let slack = options.quota_slack_units * OVERSHOOT_USED;
-        let capacity = (quota.burst_units + slack) * options.budget_share;
-        let bucket = self.buckets.entry(account.clone()).or_insert(Bucket {
-            quota: *quota,
-            units: capacity * FIRST_FILL,
-            filled_ms: now_ms,
-        });
-        if bucket.quota != *quota {
-            bucket.quota = *quota;
-            bucket.units = bucket.units.min(capacity);
+        let known = self.accounts.entry(account.clone()).or_default();
+        let limit = known.limit(now_ms, options, quota);
+        let before_ms = now_ms.saturating_sub(options.quota_window_ms);
+        for window in known.windows.values_mut() {
+            window.forget(before_ms);
         }
-        let passed_s = now_ms.saturating_sub(bucket.filled_ms) as f64 / 1e3;
-        bucket.units = (bucket.units + passed_s * rate).min(capacity);
-        bucket.filled_ms = now_ms;
-        // A request larger than the bucket passes when the bucket is full, and leaves a debt.
-        if bucket.units < units.min(capacity) {
-            let lacks = units.min(capacity) - bucket.units;
-            return Err((lacks / rate.max(1.0) * 1e3).ceil() as u64);
+        let used: f64 = known.windows.values().map(|window| window.sum).sum();
+        if used > 0.0 && used + units > limit {
+            let lacks = (used + units - limit).min(limit);
+            return Err((lacks / quota.units_per_s.max(1.0) * 1e3).ceil() as u64);
         }
-        bucket.units -= units;
+        known.windows.entry(instance).or_default().add(now_ms, units);
         Ok(())
     }
 
     /// Gives back what a request took that was not sent anywhere.
-    pub fn give_back(&mut self, account: &AccountName, units: f64) {
-        if let Some(bucket) = self.buckets.get_mut(account) {
-            bucket.units += units;
+    pub fn give_back(&mut self, now_ms: u64, instance: u32, account: &AccountName, units: f64) {
+        let known = self.accounts.get_mut(account);
+        if let Some(window) = known.and_then(|known| known.windows.get_mut(&instance)) {
+            window.add(now_ms, -units);
+        }
+    }
+
+    /// Notes what was used by the word of another dispatcher.
+    pub fn note(&mut self, now_ms: u64, instance: u32, account: &AccountName, units: f64) {
+        let known = self.accounts.entry(account.clone()).or_default();
+        known.windows.entry(instance).or_default().add(now_ms, units);
+    }
+
+    /// Replaces what is known of an instance's use by what it says itself, oldest first.
+    pub fn adopt(&mut self, now_ms: u64, instance: u32, usage: &[Usage]) {
+        for known in self.accounts.values_mut() {
+            known.windows.remove(&instance);
+        }
+        for usage in usage {
+            let at_ms = now_ms.saturating_sub(usage.ago_ms);
+            self.note(at_ms, instance, &usage.account, usage.units);
+        }
+    }
+
+    /// Returns what an instance used within the last window, oldest first.
+    pub fn usage(&self, now_ms: u64, options: &Options, instance: u32) -> Vec<Usage> {
+        let before_ms = now_ms.saturating_sub(options.quota_window_ms);
+        let mut usage = Vec::new();
+        for (account, known) in &self.accounts {
+            let used = known.windows.get(&instance).into_iter().flat_map(|window| &window.used);
+            for (at_ms, units) in used.filter(|(at_ms, _)| *at_ms >= before_ms) {
+                let ago_ms = now_ms - at_ms;
+                usage.push(Usage { account: account.clone(), ago_ms, units: *units });
+            }
         }
+        usage
     }
 }
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -12,11 +12,11 @@
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::placement::Deciding;
 use lycheehub_dispatch::{
-    Decision, Dispatcher, Finished, InFlight, Job, Options, Placement, Ticket,
+    Decision, Dispatcher, Finished, InFlight, Job, Options, Placement, Ticket, Usage,
 };
 use lycheehub_types::{InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::{peer, placement};
-use lycheehub_wire::{read_decision, write_finished, write_in_flight, write_job};
+use lycheehub_wire::{read_decision, write_finished, write_in_flight, write_job, write_usage};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{LocalExecutor, Timer};
 use smol_str::SmolStr;
@@ -151,8 +151,9 @@
         let peer = self.links.peer(name, address).await?;
         let in_flight: Vec<InFlight> =
             self.placed.borrow().values().map(|placed| placed.in_flight.clone()).collect();
+        let usage = self.local.borrow().usage(self.clock.now_ms(), 0);
         let entered = async {
-            let client = enter_at(peer, self.settings.instance.as_str(), &in_flight).await;
+            let client = enter_at(peer, self.settings.instance.as_str(), &in_flight, &usage).await;
             client.map_err(|error| PeerError::failed(STEP, name.as_str(), error))
         };
         let client = within(STEP, name, ANSWER_MS, entered).await;
@@ -264,7 +265,9 @@
         };
         if by_leader {
             let own = std::slice::from_ref(&in_flight);
-            self.local.borrow_mut().adopt(job.ticket.instance, own);
+            let mut local = self.local.borrow_mut();
+            local.adopt(job.ticket.instance, own);
+            local.note_use(self.clock.now_ms(), job);
         }
         self.placed.borrow_mut().insert(job.ticket.number, Placed { in_flight });
     }
@@ -363,10 +366,12 @@
     peer: peer::Client,
     own: &str,
     in_flight: &[InFlight],
+    usage: &[Usage],
 ) -> Result<placement::Client, capnp::Error> {
     let mut request = peer.enter_request();
     request.get().set_instance(own);
     write_in_flight(in_flight, request.get().init_in_flight(in_flight.len() as u32));
+    write_usage(usage, request.get().init_usage(usage.len() as u32));
     let reply = request.send().promise.await?;
     reply.get()?.get_placement()
 }
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -32,6 +32,7 @@
 use lycheehub_types::{EndpointName, InstanceName, InstanceRecord};
 use lycheehub_wire::ProposeReply;
 use placing::Placing;
+pub(crate) use placing::SessionKey;
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
 use smol::net::TcpListener;
--- a/crates/peer/src/node/placing.rs
+++ b/crates/peer/src/node/placing.rs
@@ -1,7 +1,7 @@
 //! Places the requests of all instances while this one leads.
 
 use super::Node;
-use lycheehub_dispatch::{Decision, Dispatcher, Finished, InFlight, Job, Ticket};
+use lycheehub_dispatch::{Decision, Dispatcher, Finished, InFlight, Job, Ticket, Usage};
 use lycheehub_types::InstanceName;
 use smol::channel::{Sender, bounded};
 use std::collections::BTreeMap;
@@ -12,9 +12,19 @@
 /// How long an instance may be silent before its requests are forgotten, in milliseconds.
 const SILENT_MS: u64 = 3_000;
 
+/// The connection of an instance whose requests are placed here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SessionKey {
+    /// The instance's number here, the same for all its connections.
+    pub(crate) instance: u32,
+    /// The number of the connection.
+    connection: u64,
+}
+
 /// An instance whose requests are placed here.
 struct Session {
     instance: InstanceName,
+    connection: u64,
     heard_ms: u64,
 }
 
@@ -23,7 +33,9 @@
     dispatcher: Dispatcher,
     deciding: BTreeMap<Ticket, Sender<Decision>>,
     sessions: BTreeMap<u32, Session>,
-    last_session: u32,
+    /// The numbers of all instances that ever entered.
+    numbers: BTreeMap<InstanceName, u32>,
+    last_connection: u64,
     /// The revision of the route document that the dispatcher has.
     document_revision: u64,
 }
@@ -39,6 +51,16 @@
         }
     }
 
+    fn is_current(&self, key: SessionKey) -> bool {
+        let session = self.sessions.get(&key.instance);
+        session.is_some_and(|session| session.connection == key.connection)
+    }
+
+    fn session(&mut self, key: SessionKey) -> Option<&mut Session> {
+        let session = self.sessions.get_mut(&key.instance);
+        session.filter(|session| session.connection == key.connection)
+    }
+
     fn forget(&mut self, now_ms: u64, session: u32) {
         let Some(gone) = self.sessions.remove(&session) else { return };
         spdlog::info!("instance left", kv: { instance: = gone.instance, session });
@@ -89,7 +111,8 @@
             dispatcher,
             deciding: BTreeMap::new(),
             sessions: BTreeMap::new(),
-            last_session: 0,
+            numbers: BTreeMap::new(),
+            last_connection: 0,
             document_revision: 0,
         });
         spdlog::info!("placing begins with leadership");
@@ -112,7 +135,12 @@
     }
 
     /// Takes an instance whose requests are placed here; nothing where this one does not lead.
-    pub(crate) fn enter(&self, instance: InstanceName, in_flight: &[InFlight]) -> Option<u32> {
+    pub(crate) fn enter(
+        &self,
+        instance: InstanceName,
+        in_flight: &[InFlight],
+        usage: &[Usage],
+    ) -> Option<SessionKey> {
         if !self.core.borrow().is_leader() {
             return None;
         }
@@ -122,26 +150,27 @@
         let now_ms = self.clock.now_ms();
         let mut placing = self.placing.borrow_mut();
         let placing = placing.as_mut()?;
-        let before = placing.sessions.iter().find(|(_, session)| session.instance == instance);
-        if let Some(before) = before.map(|(number, _)| *number) {
-            placing.forget(now_ms, before);
-        }
-        placing.last_session += 1;
-        let session = placing.last_session;
+        let next = placing.numbers.len() as u32 + 1;
+        let number = *placing.numbers.entry(instance.clone()).or_insert(next);
+        placing.forget(now_ms, number);
+        placing.last_connection += 1;
+        let key = SessionKey { instance: number, connection: placing.last_connection };
         let count = in_flight.len() as u64;
-        spdlog::info!("instance entered", kv: { instance: = instance, session, in_flight = count });
-        placing.sessions.insert(session, Session { instance, heard_ms: now_ms });
-        placing.dispatcher.adopt(session, in_flight);
-        Some(session)
+        spdlog::info!("instance entered", kv: { instance: = instance, number, in_flight = count });
+        let connection = key.connection;
+        placing.sessions.insert(number, Session { instance, connection, heard_ms: now_ms });
+        placing.dispatcher.adopt(number, in_flight);
+        placing.dispatcher.adopt_usage(now_ms, number, usage);
+        Some(key)
     }
 
     /// Decides about a request; nothing where this instance stops leading meanwhile.
-    pub(crate) async fn place(&self, job: Job) -> Option<Decision> {
+    pub(crate) async fn place(&self, session: SessionKey, job: Job) -> Option<Decision> {
         let receiver = {
             let now_ms = self.clock.now_ms();
             let mut placing = self.placing.borrow_mut();
             let placing = placing.as_mut()?;
-            placing.sessions.get_mut(&job.ticket.instance)?.heard_ms = now_ms;
+            placing.session(session)?.heard_ms = now_ms;
             let (sender, receiver) = bounded(1);
             placing.deciding.insert(job.ticket, sender);
             placing.dispatcher.submit(now_ms, job);
@@ -154,20 +183,20 @@
     /// Runs a step of the dispatcher for an instance; answers how many instances are served.
     pub(crate) fn with_dispatcher(
         &self,
-        session: u32,
+        session: SessionKey,
         step: impl FnOnce(&mut Dispatcher, u64),
     ) -> Option<u32> {
         let now_ms = self.clock.now_ms();
         let mut placing = self.placing.borrow_mut();
         let placing = placing.as_mut()?;
-        placing.sessions.get_mut(&session)?.heard_ms = now_ms;
+        placing.session(session)?.heard_ms = now_ms;
         step(&mut placing.dispatcher, now_ms);
         placing.deliver();
         u32::try_from(placing.sessions.len()).ok()
     }
 
     /// Takes the ends of requests.
-    pub(crate) fn finish(&self, session: u32, finished: Vec<Finished>) -> Option<u32> {
+    pub(crate) fn finish(&self, session: SessionKey, finished: Vec<Finished>) -> Option<u32> {
         self.with_dispatcher(session, |dispatcher, now_ms| {
             for finished in finished {
                 dispatcher.finish(now_ms, finished);
@@ -176,8 +205,8 @@
     }
 
     /// Takes the news that the caller of a request that waits has left.
-    pub(crate) fn withdraw_job(&self, session: u32, number: u64) -> Option<u32> {
-        let ticket = Ticket { instance: session, number };
+    pub(crate) fn withdraw_job(&self, session: SessionKey, number: u64) -> Option<u32> {
+        let ticket = Ticket { instance: session.instance, number };
         let instances = self.with_dispatcher(session, |dispatcher, now_ms| {
             dispatcher.withdraw(now_ms, ticket);
         });
@@ -188,10 +217,11 @@
     }
 
     /// Forgets an instance whose connection has ended.
-    pub(crate) fn leave(&self, session: u32) {
+    pub(crate) fn leave(&self, session: SessionKey) {
         let now_ms = self.clock.now_ms();
-        if let Some(placing) = self.placing.borrow_mut().as_mut() {
-            placing.forget(now_ms, session);
+        let mut placing = self.placing.borrow_mut();
+        if let Some(placing) = placing.as_mut().filter(|placing| placing.is_current(session)) {
+            placing.forget(now_ms, session.instance);
         }
     }
 }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -3,7 +3,7 @@
 use crate::auth::{self, End};
 use crate::count::Counted;
 use crate::link::MESSAGE_MAX_WORDS;
-use crate::node::Node;
+use crate::node::{Node, SessionKey};
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use lycheehub_consensus::{Message, ReplicaId};
@@ -220,7 +220,8 @@
         let params = params.get()?;
         let instance = InstanceName::from(text(params.get_instance())?);
         let in_flight = lycheehub_wire::read_in_flight(params.get_in_flight()?)?;
-        let Some(session) = self.node.enter(instance, &in_flight) else {
+        let usage = lycheehub_wire::read_usage(params.get_usage()?)?;
+        let Some(session) = self.node.enter(instance, &in_flight, &usage) else {
             return Err(not_leading());
         };
         let placement = PlacementServer { node: self.node.clone(), session };
@@ -232,7 +233,7 @@
 /// What an instance asks of the dispatcher here; dropped with the instance's connection.
 struct PlacementServer {
     node: Rc<Node>,
-    session: u32,
+    session: SessionKey,
 }
 
 impl Drop for PlacementServer {
@@ -247,8 +248,8 @@
         params: placement::PlaceParams,
         mut results: placement::PlaceResults,
     ) -> Result<(), capnp::Error> {
-        let job = lycheehub_wire::read_job(self.session, params.get()?.get_job()?)?;
-        let decision = self.node.place(job).await.ok_or_else(not_leading)?;
+        let job = lycheehub_wire::read_job(self.session.instance, params.get()?.get_job()?)?;
+        let decision = self.node.place(self.session, job).await.ok_or_else(not_leading)?;
         lycheehub_wire::write_decision(&decision, results.get().init_decision());
         Ok(())
     }
@@ -258,7 +259,8 @@
         params: placement::FinishParams,
         mut results: placement::FinishResults,
     ) -> Result<(), capnp::Error> {
-        let finished = lycheehub_wire::read_finished(self.session, params.get()?.get_finished()?)?;
+        let finished =
+            lycheehub_wire::read_finished(self.session.instance, params.get()?.get_finished()?)?;
         let instances = self.node.finish(self.session, finished).ok_or_else(not_leading)?;
         results.get().set_instances(instances);
         Ok(())
@@ -269,7 +271,7 @@
         params: placement::StalledParams,
         _: placement::StalledResults,
     ) -> Result<(), capnp::Error> {
-        let ticket = Ticket { instance: self.session, number: params.get()?.get_number() };
+        let ticket = Ticket { instance: self.session.instance, number: params.get()?.get_number() };
         self.node.with_dispatcher(self.session, |dispatcher, now_ms| {
             dispatcher.stalled(now_ms, ticket);
         });
--- a/crates/proxy/src/http1/connection.rs
+++ b/crates/proxy/src/http1/connection.rs
@@ -1,16 +1,27 @@
 //! A connection with the bytes that were received and not yet used.
 
 use super::{Error, RequestHead, ResponseHead};
-use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use futures_lite::{AsyncRead, AsyncWriteExt, future};
 use smol::net::TcpStream;
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
 
 /// How many bytes are read at once, at most.
 const READ_BYTES: usize = 16 * 1024;
+/// How much room an idle connection keeps for what it receives, in bytes.
+const KEPT_BYTES: usize = 1_024;
 /// How many header fields a head may have.
 const FIELDS_MAX: usize = 96;
 /// The longest head of an answer, in bytes.
 const ANSWER_HEAD_MAX_BYTES: usize = 32 * 1024;
 
+thread_local! {
+    /// Where bytes are read to first: one for all connections of a thread, since most of them are
+    /// idle at any moment.
+    static SCRATCH: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
 /// A connection.
 #[derive(Debug)]
 pub struct Connection {
@@ -41,7 +52,7 @@
         self.used += count;
         if self.used == self.received.len() {
             self.received.clear();
-            self.received.shrink_to(READ_BYTES);
+            self.received.shrink_to(KEPT_BYTES);
             self.used = 0;
         }
     }
@@ -51,12 +62,17 @@
     /// # Errors
     /// Fails where the connection does.
     pub async fn fill(&mut self) -> Result<usize, Error> {
-        let mut chunk = [0; READ_BYTES];
-        let count = self.stream.read(&mut chunk).await?;
-        self.received.drain(..self.used);
-        self.used = 0;
-        self.received.extend_from_slice(&chunk[..count]);
-        Ok(count)
+        Ok(future::poll_fn(|context| self.poll_fill(context)).await?)
+    }
+
+    fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<std::io::Result<usize>> {
+        SCRATCH.with_borrow_mut(|scratch| {
+            let count = ready!(Pin::new(&mut self.stream).poll_read(context, scratch))?;
+            self.received.drain(..self.used);
+            self.used = 0;
+            self.received.extend_from_slice(&scratch[..count]);
+            Poll::Ready(Ok(count))
+        })
     }
 
     /// Waits until the peer has closed the connection, keeping what it sends before, up to
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -233,6 +233,8 @@
 
 struct InFlight { number @0 :UInt64; endpoint @1 :Text; memoryTokens @2 :UInt64; stream @3 :Bool; }
 
+struct Usage { account @0 :Text; agoMs @1 :UInt64; units @2 :Float64; }
+
 # What an instance asks of the dispatcher at the leader; the end of the connection ends it.
 interface Placement {
   # Answers when there is room, or as soon as it is certain that there will be none in time.
@@ -269,5 +271,6 @@
     -> (epoch :UInt64, change :UInt64, listings :List(Listing), revision :UInt64,
         leader :Text, replicas :List(Neighbour));
   # Fails where the receiver does not lead.
-  enter @9 (instance :Text, inFlight :List(InFlight)) -> (placement :Placement);
+  enter @9 (instance :Text, inFlight :List(InFlight), usage :List(Usage))
+    -> (placement :Placement);
 }
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -3,7 +3,9 @@
 use super::{WireError, text};
 use crate::peer_capnp as schema;
 use capnp::struct_list;
-use lycheehub_dispatch::{Decision, Finished, InFlight, Job, Outcome, PrefixPart, Reason, Ticket};
+use lycheehub_dispatch::{
+    Decision, Finished, InFlight, Job, Outcome, PrefixPart, Reason, Ticket, Usage,
+};
 use lycheehub_types::{AccountName, EndpointName};
 
 /// Reads a request of the instance that has the number `instance`.
@@ -177,6 +179,33 @@
     }
 }
 
+/// Reads what client accounts have used at an instance.
+///
+/// # Errors
+/// Fails where the message does not decode.
+pub fn read_usage(
+    reader: struct_list::Reader<'_, schema::usage::Owned>,
+) -> Result<Vec<Usage>, WireError> {
+    let read = |entry: schema::usage::Reader<'_>| {
+        Ok(Usage {
+            account: text(entry.get_account())?.into(),
+            ago_ms: entry.get_ago_ms(),
+            units: entry.get_units(),
+        })
+    };
+    reader.iter().map(read).collect()
+}
+
+/// Writes what client accounts have used at an instance; the builder has room for all of it.
+pub fn write_usage(usage: &[Usage], mut builder: struct_list::Builder<'_, schema::usage::Owned>) {
+    for (place, usage) in (0..).zip(usage) {
+        let mut entry = builder.reborrow().get(place);
+        entry.set_account(usage.account.as_str());
+        entry.set_ago_ms(usage.ago_ms);
+        entry.set_units(usage.units);
+    }
+}
+
 impl From<schema::Reason> for Reason {
     fn from(reason: schema::Reason) -> Self {
         match reason {
