--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 /// How long an endpoint may take to accept a connection, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 300;
+const CONNECT_TIMEOUT_MS: u64 = 200;
 /// How long the balancer takes to leave an instance alone that is not ready, in milliseconds: two
 /// questions, one a second, and some delay.
 const BALANCER_MS: u64 = 2_700;
--- a/crates/cli/src/settings/load.rs
+++ b/crates/cli/src/settings/load.rs
@@ -160,6 +160,7 @@
             may_found: true,
             copies_min: 1,
             balances: true,
+            consensus: lycheehub_consensus::Options::default(),
             dispatch: lycheehub_dispatch::Options::default(),
         },
         gateway: lycheehub_gateway::Settings {
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -13,6 +13,10 @@
 
 /// What an endpoint that fails all requests costs, in milliseconds of waiting.
 const FAILURE_MS: f64 = 2_000.0;
+/// What an endpoint that has not answered since it failed costs, in milliseconds of waiting.
+const PROBATION_MS: f64 = 300.0;
+/// How long it takes until a slot of a full endpoint is free, in milliseconds.
+const SLOT_WAIT_MS: f64 = 60.0;
 /// How much further an endpoint may fail than the mean of its service, as a share of requests.
 const FAILURE_TOLERANCE: f64 = 0.1;
 
@@ -24,8 +28,10 @@
             let popped = self.services.get_mut(name).and_then(|service| service.queue.pop(now_ms));
             let Some(waiting) = popped else { break };
             match self.choose(now_ms, name, &waiting.job) {
-                Some(key) => self.place(now_ms, key, waiting),
-                None => passed_over.push(waiting),
+                Some(key) if !self.waits_for_faster(now_ms, key, &waiting) => {
+                    self.place(now_ms, key, waiting);
+                }
+                _ => passed_over.push(waiting),
             }
         }
         let Some(service) = self.services.get_mut(name) else { return };
@@ -34,6 +40,24 @@
         }
     }
 
+    /// Tells whether a job that is too late at a free endpoint would be on time at a faster one
+    /// that is full at the moment.
+    fn waits_for_faster(&self, now_ms: u64, key: EndpointKey, waiting: &Waiting) -> bool {
+        let job = &waiting.job;
+        let left_ms = waiting.objective_ms.saturating_sub(now_ms) as f64;
+        let endpoint = &self.endpoints[key];
+        if left_ms <= SLOT_WAIT_MS || endpoint.first_byte_ms(now_ms, job) <= left_ms {
+            return false;
+        }
+        let Some(service) = self.services.get(&job.service) else { return false };
+        let mut others = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+        others.any(|other| {
+            !other.record.leaving
+                && other.health.is_open(now_ms)
+                && other.first_byte_ms(now_ms, job) + SLOT_WAIT_MS <= left_ms
+        })
+    }
+
     fn has_room(&self, now_ms: u64, name: &ServiceName) -> bool {
         let share = self.options.slot_share;
         let has_room = |endpoint: &Endpoint| {
@@ -69,8 +93,9 @@
         let foreign = endpoint.record.failure_domain != job.failure_domain;
         let foreign_ms = if foreign { self.options.foreign_domain_ms } else { 0.0 };
         let failure_ms = (endpoint.health.failure_share() - tolerated).max(0.0) * FAILURE_MS;
+        let doubt_ms = if endpoint.health.is_on_probation(now_ms) { PROBATION_MS } else { 0.0 };
         let load = endpoint.running.len() as f64 / f64::from(endpoint.record.slots.max(1));
-        endpoint.first_byte_ms(now_ms, job) + foreign_ms + failure_ms + load
+        endpoint.first_byte_ms(now_ms, job) + foreign_ms + failure_ms + doubt_ms + load
     }
 
     fn place(&mut self, now_ms: u64, key: EndpointKey, waiting: Waiting) {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -33,6 +33,9 @@
     engine: Option<EngineSpec>,
     /// The mean speed of its endpoints.
     speed: Speed,
+    /// The highest tier that was shed of late, with until when nothing below it is admitted, in
+    /// milliseconds.
+    floor: Option<(u8, u64)>,
 }
 
 impl Service {
@@ -169,6 +172,7 @@
         Some(Waiting {
             since_ms: now_ms,
             objective_ms: now_ms + job.objective_left_ms,
+            patience_ms: now_ms + job.patience_left_ms,
             deadline_ms: now_ms + job.deadline_left_ms,
             first_byte_ms: first_byte_ms as u64,
             slot_ms: (first_byte_ms + rest_ms).max(1.0) as u64,
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -1,8 +1,10 @@
 //! Refuses what cannot be done in time.
 //!
-//! Load pattern: more work than the endpoints can do before the deadlines of what waits. A request
-//! is refused when it comes, by what waits before it, so that its caller knows at once when to come
-//! back; one that was overtaken by more urgent ones is refused as soon as that is certain.
+//! Load pattern: a burst of several seconds above capacity. What can no longer be on time is refused
+//! as soon as that is certain, unless the backlog is short, so that its caller knows at once when to
+//! come back and takes no slot from one that can be on time. Callers are told to come back spread
+//! over some seconds, after the time in which bursts end. One that has come back is kept for as long
+//! as it waits itself. While a tier is shed, nothing of a lower one is admitted.
 
 use super::Dispatcher;
 use crate::job::{Decision, Job, Reason, Ticket};
@@ -10,38 +12,62 @@
 use lycheehub_types::ServiceName;
 
 /// The shortest time after which a refused caller is told to come back, in milliseconds.
-const RETRY_AFTER_MIN_MS: u64 = 200;
+const RETRY_AFTER_MIN_MS: u64 = 150;
 /// The longest time after which a refused caller is told to come back, in milliseconds.
 const RETRY_AFTER_MAX_MS: u64 = 5_000;
+/// The part of its time left after which a caller comes back at the latest: callers do not wait for
+/// longer than a third of it.
+const RETRY_AFTER_SHARE: f64 = 0.32;
+/// Over how long callers that are refused in an overload come back, in milliseconds: as long as
+/// the shorter bursts last.
+const RETURN_SPREAD_MS: u64 = 2_500;
+/// How much backlog there may be for what is late to be kept, in milliseconds.
+const SHORT_BACKLOG_MS: u64 = 300;
+/// How long nothing of a lower tier is admitted after a higher one was shed, in milliseconds.
+const FLOOR_MS: u64 = 250;
 
 impl Dispatcher {
-    /// Returns after how long there will be room, in milliseconds, where a job cannot be done.
-    pub(super) fn overload_of(&self, now_ms: u64, waiting: &Waiting) -> Option<u64> {
-        let service = self.services.get(&waiting.job.service)?;
-        let slots = self.slots_of(&waiting.job.service).max(1) as u64;
-        let ahead_ms = service.queue.ahead_ms(waiting.job.rank) / slots;
-        let ends_ms = now_ms + ahead_ms + waiting.slot_ms;
-        let full = service.queue.len() >= self.options.queue_max;
-        let overloaded = !service.queue.is_empty() && ahead_ms > 0 && ends_ms > waiting.deadline_ms;
-        (full || overloaded).then_some(ahead_ms)
+    /// Returns why a new job is refused at once, if it is, with when there will be room.
+    pub(super) fn overload_of(&mut self, now_ms: u64, waiting: &Waiting) -> Option<u64> {
+        let job = &waiting.job;
+        let queue_max = self.options.queue_max;
+        let service = self.services.get_mut(&job.service)?;
+        service.floor = service.floor.filter(|(_, until_ms)| now_ms < *until_ms);
+        let below_floor = service.floor.is_some_and(|(tier, _)| job.tier > tier);
+        let full = service.queue.len() >= queue_max;
+        let hopeless = waiting.is_hopeless(now_ms) && !service.queue.is_empty();
+        (below_floor || full || hopeless).then(|| return_after_ms(waiting))
     }
 
-    fn slots_of(&self, name: &ServiceName) -> usize {
+    pub(super) fn slots_of(&self, name: &ServiceName) -> usize {
         let Some(service) = self.services.get(name) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         let usable = endpoints.filter(|endpoint| !endpoint.record.leaving);
         usable.map(|endpoint| endpoint.slots(self.options.slot_share)).sum()
     }
 
-    /// Refuses what can no longer be done before its deadline.
+    /// Refuses what can no longer be done in time.
     pub(super) fn shed(&mut self, now_ms: u64, name: &ServiceName) {
         let slots = self.slots_of(name).max(1) as u64;
         let Some(service) = self.services.get_mut(name) else { return };
-        let hopeless = service.queue.take_if(|waiting| waiting.is_hopeless(now_ms));
-        let ahead_ms = service.queue.ahead_ms(u8::MAX) / slots;
-        for waiting in hopeless {
+        let mut shed = service.queue.take_if(|waiting| waiting.is_hopeless(now_ms));
+        let backlog_ms = service.queue.ahead_ms(u8::MAX, u8::MAX) / slots;
+        let mut kept = Vec::new();
+        for waiting in service.queue.take_expired(now_ms) {
+            let keep = backlog_ms <= SHORT_BACKLOG_MS || waiting.job.returning;
+            if keep { kept.push(waiting) } else { shed.push(waiting) }
+        }
+        for waiting in kept {
+            service.queue.push(now_ms, waiting);
+        }
+        if let Some(highest) = shed.iter().map(|waiting| waiting.job.tier).min() {
+            let tier = service.floor.map_or(highest, |(tier, _)| tier.min(highest));
+            service.floor = Some((tier, now_ms + FLOOR_MS));
+        }
+        for waiting in shed {
             self.waiting.remove(&waiting.job.ticket);
-            self.refuse_waiting(now_ms, waiting, Reason::Overloaded, ahead_ms);
+            let after_ms = return_after_ms(&waiting);
+            self.refuse_waiting(now_ms, waiting, Reason::Overloaded, after_ms);
         }
     }
 
@@ -68,3 +94,14 @@
         }
     }
 }
+
+/// Returns after how long the caller of a job is told to come back, in milliseconds: as late as it
+/// is ready to, less a part that differs from job to job.
+fn return_after_ms(waiting: &Waiting) -> u64 {
+    let latest_ms = (waiting.job.deadline_left_ms as f64 * RETRY_AFTER_SHARE) as u64;
+    let spread_ms = RETURN_SPREAD_MS.min(latest_ms / 2);
+    let ticket = waiting.job.ticket;
+    let drawn =
+        (ticket.number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40) + u64::from(ticket.instance);
+    latest_ms - drawn % spread_ms.max(1)
+}
--- a/crates/dispatch/src/endpoints/health.rs
+++ b/crates/dispatch/src/endpoints/health.rs
@@ -10,6 +10,8 @@
 const LONGEST_PAUSE_MS: u64 = 3_000;
 /// How long an endpoint that said it did not run a request is left alone, in milliseconds.
 const REJECTED_PAUSE_MS: u64 = 60;
+/// How long a probation lasts where nothing is sent to the endpoint, in milliseconds.
+const PROBATION_MS: u64 = 5_000;
 /// How many answers in a row end a probation.
 const PROBATION_ANSWERS: u32 = 2;
 
@@ -30,8 +32,8 @@
     }
 
     /// Tells whether it gets one request at a time.
-    pub fn is_on_probation(&self) -> bool {
-        self.owes_answers > 0
+    pub fn is_on_probation(&self, now_ms: u64) -> bool {
+        self.owes_answers > 0 && now_ms < self.closed_until_ms + PROBATION_MS
     }
 
     /// Returns the share of requests that failed of late.
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -74,7 +74,7 @@
 
     /// Tells whether the endpoint takes `job` now.
     pub fn takes(&self, now_ms: u64, job: &Job, share: f64) -> bool {
-        let slots = if self.health.is_on_probation() { 1 } else { self.slots(share) };
+        let slots = if self.health.is_on_probation(now_ms) { 1 } else { self.slots(share) };
         !self.record.leaving
             && self.running.len() < slots
             && self.health.is_open(now_ms)
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -29,7 +29,9 @@
     pub ticket: Ticket,
     /// The service that is to answer.
     pub service: ServiceName,
-    /// The rank; 0 is the most urgent one.
+    /// The tier; nothing of a lower one is admitted while a higher one is shed. 0 is the highest.
+    pub tier: u8,
+    /// The rank within the tier; 0 is the most urgent one.
     pub rank: u8,
     /// The client account, if the request came with a key.
     pub account: Option<AccountName>,
@@ -43,8 +45,12 @@
     pub prefix: Vec<PrefixPart>,
     /// The time left in which an answer is on time, in milliseconds; 0 where it is late already.
     pub objective_left_ms: u64,
+    /// The time left until the caller leaves unless the first byte has come, in milliseconds.
+    pub patience_left_ms: u64,
     /// The time left in which an answer is of any use, in milliseconds.
     pub deadline_left_ms: u64,
+    /// The caller was refused before and has come back when it was told to.
+    pub returning: bool,
     /// Where the request was taken.
     pub failure_domain: FailureDomain,
     /// The endpoints that it was sent to before.
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -1,17 +1,18 @@
 //! What waits for one service, in the order in which it is served.
 //!
 //! Load pattern: a burst of several seconds above capacity. Served strictly by arrival, every
-//! request of a rank would start late for as long as the backlog lasts. So within a rank those
-//! that can still be on time go first, and those that cannot go when none of the former waits, but
-//! soon enough to end before their deadline.
+//! request would start late for as long as the backlog lasts, and most callers would have left by
+//! then. So those that can still be on time go before those that cannot; and as soon as the oldest
+//! of them has waited for half of its time, the newest goes first, so that what is served is served
+//! well on time and only what is left over runs out of time.
 
 use crate::job::{Job, Ticket};
 use std::collections::BTreeMap;
 
-/// The part of a job's likely time that is kept in hand before its deadline.
-const DEADLINE_RESERVE: f64 = 0.5;
-/// The time that is kept in hand besides, in milliseconds.
-const DEADLINE_RESERVE_MS: u64 = 300;
+/// The part of its time that the oldest job may wait before the newest goes first.
+const OLDEST_WAITS: f64 = 0.5;
+/// The part of the time to the first byte that is kept in hand: estimates are that far off.
+const RESERVE: f64 = 0.25;
 
 /// A job that waits.
 #[derive(Clone, Debug)]
@@ -22,6 +23,8 @@
     pub since_ms: u64,
     /// The last moment at which its first byte is on time.
     pub objective_ms: u64,
+    /// When its caller leaves unless the first byte has come.
+    pub patience_ms: u64,
     /// When its answer is of no more use.
     pub deadline_ms: u64,
     /// How long it is likely to take until its first byte once it is placed, in milliseconds.
@@ -33,129 +36,145 @@
 }
 
 impl Waiting {
-    /// Returns the last moment at which the job must be placed to be on time.
-    fn on_time_until_ms(&self) -> u64 {
-        self.objective_ms.saturating_sub(self.first_byte_ms)
+    /// Returns the last moment at which the job should be placed to be on time.
+    pub fn on_time_until_ms(&self) -> u64 {
+        let reserve_ms = (self.first_byte_ms as f64 * RESERVE) as u64;
+        self.objective_ms.saturating_sub(self.first_byte_ms + reserve_ms)
     }
 
-    /// Returns the last moment at which the job should be placed to end before its deadline.
-    pub fn must_start_ms(&self) -> u64 {
-        let reserve_ms = (self.slot_ms as f64 * DEADLINE_RESERVE) as u64 + DEADLINE_RESERVE_MS;
-        self.deadline_ms.saturating_sub(self.slot_ms + reserve_ms)
+    /// Tells whether the caller will have left, or the deadline will be over, before the answer.
+    pub fn is_hopeless(&self, now_ms: u64) -> bool {
+        let ends_ms = now_ms + self.slot_ms;
+        now_ms + self.first_byte_ms >= self.patience_ms || ends_ms >= self.deadline_ms
     }
 
-    /// Tells whether the job can no longer end before its deadline.
-    pub fn is_hopeless(&self, now_ms: u64) -> bool {
-        now_ms + self.first_byte_ms >= self.deadline_ms
+    /// Tells whether the job has waited for much of its time.
+    fn is_old(&self, now_ms: u64) -> bool {
+        let whole_ms = self.on_time_until_ms().saturating_sub(self.since_ms) as f64;
+        now_ms.saturating_sub(self.since_ms) as f64 > whole_ms * OLDEST_WAITS
     }
 }
 
-/// The jobs of one rank.
+/// Jobs of one rank by the moment until which each is best placed.
+type Line = BTreeMap<(u64, Ticket), Waiting>;
+
+/// The jobs of one tier, by rank.
 #[derive(Clone, Debug, Default)]
-struct Line {
+struct Tier {
     /// Those that may still be on time, by the moment until which they can be.
-    on_time: BTreeMap<(u64, Ticket), Waiting>,
-    /// Those that will be late, by the moment at which they must start.
-    late: BTreeMap<(u64, Ticket), Waiting>,
-    slot_ms: u64,
+    on_time: BTreeMap<u8, Line>,
+    /// Those that will be late, by the moment at which their callers leave.
+    late: BTreeMap<u8, Line>,
 }
 
-impl Line {
+impl Tier {
     fn push(&mut self, now_ms: u64, waiting: Waiting) {
-        self.slot_ms += waiting.slot_ms;
-        let ticket = waiting.job.ticket;
-        if waiting.on_time_until_ms() >= now_ms {
-            self.on_time.insert((waiting.on_time_until_ms(), ticket), waiting);
+        let (rank, ticket) = (waiting.job.rank, waiting.job.ticket);
+        let until_ms = waiting.on_time_until_ms();
+        if until_ms > now_ms {
+            self.on_time.entry(rank).or_default().insert((until_ms, ticket), waiting);
         } else {
-            self.late.insert((waiting.must_start_ms(), ticket), waiting);
+            let key = (waiting.patience_ms, ticket);
+            self.late.entry(rank).or_default().insert(key, waiting);
         }
     }
 
-    /// Moves those that can no longer be on time to the late ones.
-    fn sort_out(&mut self, now_ms: u64) {
-        while let Some(entry) = self.on_time.first_entry() {
-            if entry.key().0 >= now_ms {
-                return;
-            }
-            let waiting = entry.remove();
-            self.late.insert((waiting.must_start_ms(), waiting.job.ticket), waiting);
-        }
-    }
-
-    fn pop(&mut self, now_ms: u64) -> Option<Waiting> {
-        self.sort_out(now_ms);
-        let urgent =
-            self.late.first_key_value().is_some_and(|((start_ms, _), _)| *start_ms <= now_ms);
-        let popped = if urgent || self.on_time.is_empty() {
-            self.late.pop_first()
-        } else {
-            self.on_time.pop_first()
-        };
-        let (_, waiting) = popped?;
-        self.slot_ms -= waiting.slot_ms;
-        Some(waiting)
+    fn lines(&self) -> impl Iterator<Item = &Line> {
+        self.on_time.values().chain(self.late.values())
     }
 
-    fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
-        let found = self.on_time.keys().chain(self.late.keys()).find(|key| key.1 == ticket);
-        let key = *found?;
-        let waiting = self.on_time.remove(&key).or_else(|| self.late.remove(&key))?;
-        self.slot_ms -= waiting.slot_ms;
-        Some(waiting)
+    fn lines_mut(&mut self) -> impl Iterator<Item = &mut Line> {
+        self.on_time.values_mut().chain(self.late.values_mut())
     }
 
-    fn take_if(&mut self, mut wanted: impl FnMut(&Waiting) -> bool) -> Vec<Waiting> {
-        let keys = self.on_time.iter().chain(&self.late);
-        let found: Vec<Ticket> =
-            keys.filter(|(_, waiting)| wanted(waiting)).map(|(key, _)| key.1).collect();
-        found.into_iter().filter_map(|ticket| self.remove(ticket)).collect()
+    fn pop(&mut self, now_ms: u64) -> Option<Waiting> {
+        let on_time = self.on_time.values_mut().find_map(|line| pop_on_time(line, now_ms));
+        on_time.or_else(|| {
+            let mut late = self.late.values_mut();
+            late.find_map(|line| line.pop_first()).map(|(_, waiting)| waiting)
+        })
+    }
+
+    /// Takes those that can no longer be on time, and were not expected to be late.
+    fn take_expired(&mut self, now_ms: u64) -> Vec<Waiting> {
+        let mut expired = Vec::new();
+        for line in self.on_time.values_mut() {
+            while let Some(entry) = line.first_entry()
+                && entry.key().0 <= now_ms
+            {
+                expired.push(entry.remove());
+            }
+        }
+        expired
     }
+}
 
-    fn len(&self) -> usize {
-        self.on_time.len() + self.late.len()
-    }
+fn pop_on_time(line: &mut Line, now_ms: u64) -> Option<Waiting> {
+    let (_, oldest) = line.first_key_value()?;
+    let popped = if oldest.is_old(now_ms) { line.pop_last() } else { line.pop_first() };
+    popped.map(|(_, waiting)| waiting)
 }
 
 /// All that waits for one service.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
-    lines: BTreeMap<u8, Line>,
+    tiers: BTreeMap<u8, Tier>,
 }
 
 impl Queue {
     /// Adds a job.
     pub fn push(&mut self, now_ms: u64, waiting: Waiting) {
-        self.lines.entry(waiting.job.rank).or_default().push(now_ms, waiting);
+        self.tiers.entry(waiting.job.tier).or_default().push(now_ms, waiting);
     }
 
     /// Takes the job that is served next.
     pub fn pop(&mut self, now_ms: u64) -> Option<Waiting> {
-        self.lines.values_mut().find_map(|line| line.pop(now_ms))
+        self.tiers.values_mut().find_map(|tier| tier.pop(now_ms))
     }
 
     /// Takes a job that no longer waits.
     pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
-        self.lines.values_mut().find_map(|line| line.remove(ticket))
+        let mut lines = self.tiers.values_mut().flat_map(Tier::lines_mut);
+        lines.find_map(|line| {
+            let key = *line.keys().find(|key| key.1 == ticket)?;
+            line.remove(&key)
+        })
+    }
+
+    /// Takes the jobs that can no longer be on time.
+    pub fn take_expired(&mut self, now_ms: u64) -> Vec<Waiting> {
+        self.tiers.values_mut().flat_map(|tier| tier.take_expired(now_ms)).collect()
     }
 
     /// Takes all jobs that are `wanted`.
     pub fn take_if(&mut self, mut wanted: impl FnMut(&Waiting) -> bool) -> Vec<Waiting> {
-        self.lines.values_mut().flat_map(|line| line.take_if(&mut wanted)).collect()
+        let mut taken = Vec::new();
+        for line in self.tiers.values_mut().flat_map(Tier::lines_mut) {
+            let found = line.extract_if(.., |_, waiting| wanted(waiting));
+            taken.extend(found.map(|(_, waiting)| waiting));
+        }
+        taken
     }
 
-    /// Returns for how long slots are needed by what is served before a new job of `rank`, in
-    /// milliseconds.
-    pub fn ahead_ms(&self, rank: u8) -> u64 {
-        self.lines.range(..=rank).map(|(_, line)| line.slot_ms).sum()
+    /// Returns for how long slots are needed by what is served before a new job, in milliseconds.
+    pub fn ahead_ms(&self, tier: u8, rank: u8) -> u64 {
+        let sum = |line: &Line| line.values().map(|waiting| waiting.slot_ms).sum::<u64>();
+        let above = self.tiers.range(..tier).flat_map(|(_, tier)| tier.lines().map(sum));
+        let beside = self
+            .tiers
+            .get(&tier)
+            .into_iter()
+            .flat_map(|tier| tier.on_time.range(..=rank).map(|(_, line)| sum(line)));
+        above.chain(beside).sum()
     }
 
     /// Returns how many jobs wait.
     pub fn len(&self) -> usize {
-        self.lines.values().map(Line::len).sum()
+        self.tiers.values().flat_map(Tier::lines).map(Line::len).sum()
     }
 
     /// Tells whether no job waits.
     pub fn is_empty(&self) -> bool {
-        self.len() == 0
+        self.tiers.values().flat_map(Tier::lines).all(Line::is_empty)
     }
 }
--- a/crates/peer/src/node/driver.rs
+++ b/crates/peer/src/node/driver.rs
@@ -279,7 +279,7 @@
     fn open_driver(&self, seed: u64) -> Result<(Driver, State), StorageError> {
         let folder = self.settings.data_folder.clone().unwrap_or_default();
         let disk = Box::new(Disk::open(folder)?);
-        Driver::open(disk, Options::default(), seed, self.clock.now_ms())
+        Driver::open(disk, self.settings.consensus, seed, self.clock.now_ms())
     }
 
     /// Takes a message for the replica `to`.
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -20,8 +20,8 @@
 use crate::views::Views;
 use driver::Driver;
 use lycheehub_clock::{Clock, Timers};
+use lycheehub_consensus::Replica;
 use lycheehub_consensus::storage::{Disk, Error as StorageError};
-use lycheehub_consensus::{Options, Replica};
 use lycheehub_control::directory::Directory;
 use lycheehub_control::moves::Controller;
 use lycheehub_control::placement::Placer;
@@ -131,7 +131,7 @@
             Some(folder) => {
                 let disk = Box::new(Disk::open(folder)?);
                 let (driver, restored) =
-                    Driver::open(disk, Options::default(), seed, clock.now_ms())?;
+                    Driver::open(disk, settings.consensus, seed, clock.now_ms())?;
                 state = restored;
                 Some(driver)
             }
--- a/crates/peer/src/node/placing.rs
+++ b/crates/peer/src/node/placing.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 /// How often what waits is looked at, in milliseconds.
-pub(super) const PLACING_MS: u64 = 100;
+pub(super) const PLACING_MS: u64 = 50;
 /// How long an instance may be silent before its requests are forgotten, in milliseconds.
 const SILENT_MS: u64 = 3_000;
 
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -38,6 +38,8 @@
     pub copies_min: usize,
     /// Whether slots are granted and version moves are stepped by this instance when it leads.
     pub balances: bool,
+    /// Times and sizes of the control replica.
+    pub consensus: lycheehub_consensus::Options,
     /// How requests are placed by this instance when it leads.
     pub dispatch: lycheehub_dispatch::Options,
 }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -8,7 +8,9 @@
 use lycheehub_types::{FailureDomain, InstanceName};
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender, bounded};
-use std::cell::Cell;
+use smol_str::SmolStr;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -65,6 +67,8 @@
     /// The instance is being stopped: answers are the last ones on their connections.
     pub draining: Cell<bool>,
     idle_end: (Sender<()>, Receiver<()>),
+    /// The longest deadline that callers of each route came with, in milliseconds.
+    deadlines_ms: RefCell<BTreeMap<SmolStr, u64>>,
 }
 
 impl Entry {
@@ -89,6 +93,7 @@
             exchanges: Cell::new(0),
             draining: Cell::new(false),
             idle_end: bounded(1),
+            deadlines_ms: RefCell::default(),
         })
     }
 
@@ -97,6 +102,14 @@
         !self.draining.get() && self.snapshots.latest().is_ready
     }
 
+    /// Notes the deadline of a request; returns the longest one of its route, in milliseconds.
+    pub(crate) fn note_deadline(&self, route: &SmolStr, deadline_ms: u64) -> u64 {
+        let mut deadlines_ms = self.deadlines_ms.borrow_mut();
+        let longest_ms = deadlines_ms.entry(route.clone()).or_default();
+        *longest_ms = deadline_ms.max(*longest_ms);
+        *longest_ms
+    }
+
     /// Closes the connections that have no request, now and from now on.
     pub fn close_idle(&self) {
         self.idle_end.0.close();
--- a/crates/proxy/src/exchange/filters.rs
+++ b/crates/proxy/src/exchange/filters.rs
@@ -11,16 +11,16 @@
     pub(super) route: RouteSpec,
     pub(super) service: ServiceName,
     pub(super) account: Option<AccountName>,
-    pub(super) rank: u8,
+    pub(super) tier: u8,
 }
 
 /// Passes a request through the chain.
 pub(super) fn identify(exchange: &Exchange<'_>) -> Result<Identified, Refusal> {
     is_ready(exchange)?;
     let route = find_route(exchange)?;
-    let (account, rank) = find_account(exchange, route)?;
+    let (account, tier) = find_account(exchange, route)?;
     let service = draw_service(exchange, route)?;
-    Ok(Identified { route: route.clone(), service, account, rank })
+    Ok(Identified { route: route.clone(), service, account, tier })
 }
 
 /// Without a document that is known to be recent, nothing can be said of any request.
@@ -46,7 +46,7 @@
     let table = &exchange.snapshot.table;
     let key = exchange.fields.key.as_deref();
     if let Some(account) = key.and_then(|key| table.account_of(key)) {
-        return Ok((Some(account.name.clone()), account.rank.unwrap_or(route.rank)));
+        return Ok((Some(account.name.clone()), account.tier.unwrap_or(route.rank)));
     }
     if route.anonymous || table.document().accounts.is_empty() {
         return Ok((None, route.rank));
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -177,6 +177,7 @@
         let asked_ms = self.entry.clock.now_ms();
         let ticket = self.entry.placement.ticket();
         let job = self.job(identified, ticket, tried, repeat);
+        self.trail.note_job(&job);
         let asked = guard::Asked::new(self.entry, ticket);
         let deciding = self.entry.placement.place(job);
         let decision = guard::guard(self.entry, connection, self.deadline_ms, deciding).await;
@@ -201,7 +202,11 @@
         repeat: bool,
     ) -> Job {
         let now_ms = self.entry.clock.now_ms();
-        let objective_ms = self.started_ms + identified.route.objective_ms;
+        let route = &identified.route;
+        let age_ms = self.age_ms(identified);
+        let objective_ms = (self.started_ms + route.objective_ms).saturating_sub(age_ms);
+        let patience_ms = route.patience_ms.map_or(self.deadline_ms, |ms| self.started_ms + ms);
+        let patience_ms = patience_ms.min(self.deadline_ms);
         let output_max = self.fields.output_max_tokens;
         let told_tokens = self
             .fields
@@ -211,14 +216,17 @@
         Job {
             ticket,
             service: identified.service.clone(),
-            rank: identified.rank,
+            tier: identified.tier,
+            rank: route.rank,
             account: identified.account.clone(),
             told_tokens,
             prompt_tokens: self.fields.prompt_tokens.unwrap_or_default(),
             output_tokens: output_max.map_or(likely, |most| likely.min(most)),
             prefix: self.fields.prefix.clone(),
             objective_left_ms: objective_ms.saturating_sub(now_ms),
+            patience_left_ms: patience_ms.saturating_sub(now_ms),
             deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
+            returning: age_ms > 0,
             failure_domain: self.entry.options.failure_domain.clone(),
             tried: tried.to_vec(),
             repeat,
@@ -226,6 +234,18 @@
     }
 }
 
+impl Exchange<'_> {
+    /// Returns how long ago the caller began to ask, in milliseconds: callers of a route begin with
+    /// the same deadline, so that one with less time left has been refused before.
+    fn age_ms(&self, identified: &Identified) -> u64 {
+        const TELLING_MS: u64 = 50;
+        let Some(deadline_ms) = self.fields.deadline_ms else { return 0 };
+        let whole_ms = self.entry.note_deadline(&identified.route.name, deadline_ms);
+        let age_ms = whole_ms - deadline_ms;
+        if age_ms < TELLING_MS { 0 } else { age_ms }
+    }
+}
+
 /// A request with the endpoint that it goes to.
 struct Placed {
     ticket: Ticket,
--- a/crates/proxy/src/exchange/trail.rs
+++ b/crates/proxy/src/exchange/trail.rs
@@ -1,7 +1,7 @@
 //! What is logged and counted of a request: one line when it ends.
 
 use super::filters::Identified;
-use lycheehub_dispatch::Outcome;
+use lycheehub_dispatch::{Job, Outcome};
 use lycheehub_types::{EndpointName, Refusal};
 use smol_str::{SmolStr, format_smolstr};
 use std::fmt::Write;
@@ -14,12 +14,16 @@
     route: SmolStr,
     service: SmolStr,
     account: SmolStr,
+    tier: u8,
     rank: u8,
     waited_ms: u64,
     first_byte_ms: Option<u64>,
     attempts: String,
     end: SmolStr,
     retry_after_ms: u64,
+    tokens: u64,
+    deadline_ms: u64,
+    returning: bool,
 }
 
 impl Trail {
@@ -30,12 +34,16 @@
             route: SmolStr::default(),
             service: SmolStr::default(),
             account: SmolStr::default(),
+            tier: 0,
             rank: 0,
             waited_ms: 0,
             first_byte_ms: None,
             attempts: String::new(),
             end: SmolStr::new("unanswered"),
             retry_after_ms: 0,
+            tokens: 0,
+            deadline_ms: 0,
+            returning: false,
         }
     }
 
@@ -43,7 +51,15 @@
         self.route = identified.route.name.clone();
         self.service = identified.service.as_str().into();
         self.account = identified.account.as_ref().map_or("", |name| name.as_str()).into();
-        self.rank = identified.rank;
+        self.tier = identified.tier;
+        self.rank = identified.route.rank;
+    }
+
+    /// Notes what the decision is made by.
+    pub(super) fn note_job(&mut self, job: &Job) {
+        self.tokens = job.told_tokens.unwrap_or_default();
+        self.deadline_ms = job.deadline_left_ms;
+        self.returning = job.returning;
     }
 
     pub(super) fn note_wait(&mut self, waited_ms: u64) {
@@ -77,6 +93,7 @@
         let total_ms = now_ms - self.started_ms;
         let labels = [
             ("service", self.service.to_string()),
+            ("tier", self.tier.to_string()),
             ("rank", self.rank.to_string()),
             ("end", self.end.to_string()),
         ];
@@ -90,12 +107,16 @@
             route: = self.route,
             service: = self.service,
             account: = self.account,
+            tier = u64::from(self.tier),
             rank = u64::from(self.rank),
             waited_ms = self.waited_ms,
             first_byte_ms:? = self.first_byte_ms,
             total_ms,
             attempts: = self.attempts.trim_end(),
             retry_after_ms = self.retry_after_ms,
+            tokens = self.tokens,
+            deadline_ms = self.deadline_ms,
+            returning = self.returning,
             revision,
         });
     }
--- a/crates/routes/src/document.rs
+++ b/crates/routes/src/document.rs
@@ -77,6 +77,9 @@
     pub objective_ms: u64,
     /// The longest pause between events of a stream that is on time, in milliseconds.
     pub gap_objective_ms: Option<u64>,
+    /// How long callers wait for the first byte of an answer, in milliseconds, where that is less
+    /// than their deadline.
+    pub patience_ms: Option<u64>,
     /// The rank; 0 is the most urgent one.
     pub rank: u8,
     /// The services that answer.
@@ -142,8 +145,8 @@
     pub name: AccountName,
     /// The keys of its callers.
     pub keys: Vec<SmolStr>,
-    /// The rank of its requests, in place of their route's.
-    pub rank: Option<u8>,
+    /// The tier of its requests; 0 is the highest one.
+    pub tier: Option<u8>,
     /// What it may use; everything where there is none.
     pub quota: Option<Quota>,
 }
--- a/crates/routes/tests/routes/main.rs
+++ b/crates/routes/tests/routes/main.rs
@@ -16,6 +16,7 @@
         timeout_ms: 800,
         objective_ms: 100,
         gap_objective_ms: None,
+        patience_ms: None,
         rank: 2,
         targets: vec![Target { service: "labels".into(), weight: 1 }],
         attempts_max: 1,
@@ -35,7 +36,7 @@
 
 fn account(name: &str, keys: &[&str]) -> AccountSpec {
     let keys = keys.iter().map(|key| (*key).into()).collect();
-    AccountSpec { name: name.into(), keys, rank: None, quota: None }
+    AccountSpec { name: name.into(), keys, tier: None, quota: None }
 }
 
 #[gtest]
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -203,6 +203,9 @@
   failureDomain @10 :Text;
   tried @11 :List(Text);
   repeat @12 :Bool;
+  tier @13 :UInt8;
+  patienceLeftMs @14 :UInt64;
+  returning @15 :Bool;
 }
 
 struct Decision {
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -23,6 +23,7 @@
     Ok(Job {
         ticket: Ticket { instance, number: reader.get_number() },
         service: text(reader.get_service())?.into(),
+        tier: reader.get_tier(),
         rank: reader.get_rank(),
         account: (!account.is_empty()).then(|| AccountName::from(account)),
         told_tokens: (told_tokens > 0).then_some(told_tokens),
@@ -32,7 +33,9 @@
             .map(|part| PrefixPart { id: part.get_id(), tokens: part.get_tokens() })
             .collect(),
         objective_left_ms: reader.get_objective_left_ms(),
+        patience_left_ms: reader.get_patience_left_ms(),
         deadline_left_ms: reader.get_deadline_left_ms(),
+        returning: reader.get_returning(),
         failure_domain: text(reader.get_failure_domain())?.into(),
         tried,
         repeat: reader.get_repeat(),
@@ -43,13 +46,16 @@
 pub fn write_job(job: &Job, mut builder: schema::job::Builder<'_>) {
     builder.set_number(job.ticket.number);
     builder.set_service(job.service.as_str());
+    builder.set_tier(job.tier);
     builder.set_rank(job.rank);
     builder.set_account(job.account.as_ref().map_or("", AccountName::as_str));
     builder.set_told_tokens(job.told_tokens.unwrap_or_default());
     builder.set_prompt_tokens(job.prompt_tokens);
     builder.set_output_tokens(job.output_tokens);
     builder.set_objective_left_ms(job.objective_left_ms);
+    builder.set_patience_left_ms(job.patience_left_ms);
     builder.set_deadline_left_ms(job.deadline_left_ms);
+    builder.set_returning(job.returning);
     builder.set_failure_domain(job.failure_domain.as_str());
     builder.set_repeat(job.repeat);
     let mut prefix = builder.reborrow().init_prefix(job.prefix.len() as u32);
