--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -51,6 +51,7 @@
         let slots = self.slots_of(name).max(1) as u64;
         let Some(service) = self.services.get_mut(name) else { return };
         let mut shed = service.queue.take_if(|waiting| waiting.is_hopeless(now_ms));
+        shed.extend(service.queue.take_overdue(now_ms));
         let backlog_ms = service.queue.ahead_ms(u8::MAX, u8::MAX) / slots;
         let mut kept = Vec::new();
         for waiting in service.queue.take_expired(now_ms) {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -13,6 +13,12 @@
 const OLDEST_WAITS: f64 = 0.5;
 /// The part of the time to the first byte that is kept in hand: estimates are that far off.
 const RESERVE: f64 = 0.25;
+/// The time that is kept in hand besides where the caller would leave, in milliseconds: what is
+/// placed in the last moment is worked on for nobody.
+const LEAVE_RESERVE_MS: u64 = 150;
+/// How long a job that will be late is kept, in milliseconds: half of the time that the least
+/// patient callers wait.
+const LATE_WAITS_MS: u64 = 1_000;
 
 /// A job that waits.
 #[derive(Clone, Debug)]
@@ -38,19 +44,29 @@
 impl Waiting {
     /// Returns the last moment at which the job should be placed to be on time.
     pub fn on_time_until_ms(&self) -> u64 {
-        let reserve_ms = (self.first_byte_ms as f64 * RESERVE) as u64;
-        self.objective_ms.saturating_sub(self.first_byte_ms + reserve_ms)
+        self.objective_ms.saturating_sub(self.first_byte_ms + self.reserve_ms())
     }
 
     /// Tells whether the caller will have left, or the deadline will be over, before the answer.
     pub fn is_hopeless(&self, now_ms: u64) -> bool {
-        let ends_ms = now_ms + self.slot_ms;
-        now_ms + self.first_byte_ms >= self.patience_ms || ends_ms >= self.deadline_ms
+        let first_ms = now_ms + self.first_byte_ms + self.reserve_ms() + LEAVE_RESERVE_MS;
+        first_ms >= self.patience_ms.min(self.deadline_ms)
+            || now_ms + self.slot_ms >= self.deadline_ms
     }
 
-    /// Tells whether the job has waited for much of its time.
-    fn is_old(&self, now_ms: u64) -> bool {
-        let whole_ms = self.on_time_until_ms().saturating_sub(self.since_ms) as f64;
+    fn reserve_ms(&self) -> u64 {
+        (self.first_byte_ms as f64 * RESERVE) as u64
+    }
+
+    /// Returns until when the job is kept where it will be late.
+    fn late_until_ms(&self) -> u64 {
+        let late_ms = self.since_ms.max(self.on_time_until_ms());
+        self.patience_ms.min(late_ms + LATE_WAITS_MS)
+    }
+
+    /// Tells whether the job has waited for much of the time until `until_ms`.
+    fn is_old(&self, now_ms: u64, until_ms: u64) -> bool {
+        let whole_ms = until_ms.saturating_sub(self.since_ms) as f64;
         now_ms.saturating_sub(self.since_ms) as f64 > whole_ms * OLDEST_WAITS
     }
 }
@@ -63,7 +79,7 @@
 struct Tier {
     /// Those that may still be on time, by the moment until which they can be.
     on_time: BTreeMap<u8, Line>,
-    /// Those that will be late, by the moment at which their callers leave.
+    /// Those that will be late, by the moment until which they are kept.
     late: BTreeMap<u8, Line>,
 }
 
@@ -74,7 +90,7 @@
         if until_ms > now_ms {
             self.on_time.entry(rank).or_default().insert((until_ms, ticket), waiting);
         } else {
-            let key = (waiting.patience_ms, ticket);
+            let key = (waiting.late_until_ms(), ticket);
             self.late.entry(rank).or_default().insert(key, waiting);
         }
     }
@@ -88,33 +104,30 @@
     }
 
     fn pop(&mut self, now_ms: u64) -> Option<Waiting> {
-        let on_time = self.on_time.values_mut().find_map(|line| pop_on_time(line, now_ms));
-        on_time.or_else(|| {
-            let mut late = self.late.values_mut();
-            late.find_map(|line| line.pop_first()).map(|(_, waiting)| waiting)
-        })
-    }
-
-    /// Takes those that can no longer be on time, and were not expected to be late.
-    fn take_expired(&mut self, now_ms: u64) -> Vec<Waiting> {
-        let mut expired = Vec::new();
-        for line in self.on_time.values_mut() {
-            while let Some(entry) = line.first_entry()
-                && entry.key().0 <= now_ms
-            {
-                expired.push(entry.remove());
-            }
-        }
-        expired
+        let mut lines = self.on_time.values_mut().chain(self.late.values_mut());
+        lines.find_map(|line| pop_line(line, now_ms))
     }
 }
 
-fn pop_on_time(line: &mut Line, now_ms: u64) -> Option<Waiting> {
-    let (_, oldest) = line.first_key_value()?;
-    let popped = if oldest.is_old(now_ms) { line.pop_last() } else { line.pop_first() };
+fn pop_line(line: &mut Line, now_ms: u64) -> Option<Waiting> {
+    let ((until_ms, _), oldest) = line.first_key_value()?;
+    let popped = if oldest.is_old(now_ms, *until_ms) { line.pop_last() } else { line.pop_first() };
     popped.map(|(_, waiting)| waiting)
 }
 
+/// Takes those of which the time is over.
+fn take_expired<'a>(lines: impl Iterator<Item = &'a mut Line>, now_ms: u64) -> Vec<Waiting> {
+    let mut expired = Vec::new();
+    for line in lines {
+        while let Some(entry) = line.first_entry()
+            && entry.key().0 <= now_ms
+        {
+            expired.push(entry.remove());
+        }
+    }
+    expired
+}
+
 /// All that waits for one service.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
@@ -141,9 +154,14 @@
         })
     }
 
-    /// Takes the jobs that can no longer be on time.
+    /// Takes the jobs that can no longer be on time, and were not known to be late.
     pub fn take_expired(&mut self, now_ms: u64) -> Vec<Waiting> {
-        self.tiers.values_mut().flat_map(|tier| tier.take_expired(now_ms)).collect()
+        take_expired(self.tiers.values_mut().flat_map(|tier| tier.on_time.values_mut()), now_ms)
+    }
+
+    /// Takes the late jobs that have been kept for as long as they are.
+    pub fn take_overdue(&mut self, now_ms: u64) -> Vec<Waiting> {
+        take_expired(self.tiers.values_mut().flat_map(|tier| tier.late.values_mut()), now_ms)
     }
 
     /// Takes all jobs that are `wanted`.
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -39,9 +39,6 @@
 const LOCAL_TICK_MS: u64 = 50;
 /// How many instances there are where no leader has told it yet.
 const INSTANCES_GUESS: u32 = 8;
-/// How much more than its equal part of the slots an instance uses without a leader: the others
-/// seldom need theirs at the same moment, and endpoints queue a few more.
-const LOCAL_SHARE: f64 = 2.0;
 
 /// The dispatcher at the leader, for as long as it answers.
 struct Session {
@@ -378,7 +375,6 @@
 
 /// Returns the options of an instance's own dispatcher among `instances`.
 fn local_options(options: &Options, instances: u32) -> Options {
-    let budget_share = 1.0 / f64::from(instances.max(1));
-    let slot_share = (LOCAL_SHARE * budget_share).min(1.0);
-    Options { slot_share, budget_share, ..*options }
+    let share = 1.0 / f64::from(instances.max(1));
+    Options { slot_share: share, budget_share: share, ..*options }
 }
