--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -186,7 +186,8 @@
         let Some(placed) = self.placed.remove(&finished.ticket) else { return };
         let Some(endpoint) = self.endpoints.get_mut(placed.endpoint) else { return };
         let running = endpoint.end(finished.ticket);
-        endpoint.health.note(now_ms, finished.outcome);
+        let since_ms = running.map_or(now_ms, |running| running.since_ms);
+        endpoint.health.note(now_ms, since_ms, finished.outcome);
         if let (Some(first_byte_ms), Some(running)) = (finished.first_byte_ms, running)
             && is_failure(finished.outcome) != Some(true)
         {
@@ -208,9 +209,9 @@
     /// Takes the news that a request has not had an answer for much longer than expected.
     pub fn stalled(&mut self, now_ms: u64, ticket: Ticket) {
         let Some(placed) = self.placed.get(&ticket) else { return };
-        if let Some(endpoint) = self.endpoints.get_mut(placed.endpoint) {
-            endpoint.health.pause(now_ms);
-        }
+        let Some(endpoint) = self.endpoints.get_mut(placed.endpoint) else { return };
+        let since_ms = endpoint.running.get(&ticket).map_or(now_ms, |running| running.since_ms);
+        endpoint.health.pause(now_ms, since_ms);
     }
 
     /// Takes back a request that waits or runs, since its caller has left.
@@ -230,11 +231,11 @@
     }
 
     /// Takes over what an instance has sent to endpoints by the word of an earlier dispatcher.
-    pub fn adopt(&mut self, instance: u32, in_flight: &[InFlight]) {
+    pub fn adopt(&mut self, now_ms: u64, instance: u32, in_flight: &[InFlight]) {
         for request in in_flight {
             let Some(key) = self.by_name.get(&request.endpoint) else { continue };
             let ticket = Ticket { instance, number: request.number };
-            self.endpoints[*key].adopt(ticket, request.memory_tokens);
+            self.endpoints[*key].adopt(now_ms, ticket, request.memory_tokens);
             self.placed.insert(ticket, Placed { endpoint: *key, is_stream: request.is_stream });
         }
     }
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -61,7 +61,9 @@
         for waiting in kept {
             service.queue.push(now_ms, waiting);
         }
-        if let Some(highest) = shed.iter().map(|waiting| waiting.job.tier).min() {
+        // One that came without the time that it needs says nothing of the load.
+        let overloads = shed.iter().filter(|waiting| waiting.had_time());
+        if let Some(highest) = overloads.map(|waiting| waiting.job.tier).min() {
             let tier = service.floor.map_or(highest, |(tier, _)| tier.min(highest));
             service.floor = Some((tier, now_ms + FLOOR_MS));
         }
--- a/crates/dispatch/src/endpoints/health.rs
+++ b/crates/dispatch/src/endpoints/health.rs
@@ -19,6 +19,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Health {
     failure_share: f64,
+    /// When the endpoint answered last, in milliseconds.
+    answered_ms: u64,
     closed_until_ms: u64,
     pauses: u32,
     /// How many more answers the endpoint owes before it gets its full load again.
@@ -41,19 +43,19 @@
         self.failure_share
     }
 
-    /// Notes how a request ended.
+    /// Notes how a request ended that was sent at `since_ms`.
     ///
     /// # Examples
     /// ```
     /// use lycheehub_dispatch::{Outcome, endpoints::Health};
     ///
     /// let mut health = Health::default();
-    /// health.note(1_000, Outcome::NotConnected);
+    /// health.note(1_000, 900, Outcome::NotConnected);
     /// assert!(!health.is_open(1_001));
     /// ```
-    pub fn note(&mut self, now_ms: u64, outcome: Outcome) {
+    pub fn note(&mut self, now_ms: u64, since_ms: u64, outcome: Outcome) {
         match outcome {
-            Outcome::Answered => self.note_answer(),
+            Outcome::Answered => self.note_answer(now_ms),
             Outcome::Failed | Outcome::Broken => self.note_failure(),
             Outcome::Rejected => {
                 self.note_failure();
@@ -61,14 +63,15 @@
             }
             Outcome::NotConnected => {
                 self.note_failure();
-                self.pause(now_ms);
+                self.pause(now_ms, since_ms);
             }
             Outcome::Misdirected => self.closed_until_ms = now_ms + LONGEST_PAUSE_MS,
             Outcome::Abandoned => {}
         }
     }
 
-    fn note_answer(&mut self) {
+    fn note_answer(&mut self, now_ms: u64) {
+        self.answered_ms = now_ms;
         self.failure_share -= WEIGHT * self.failure_share;
         self.pauses = 0;
         self.owes_answers = self.owes_answers.saturating_sub(1);
@@ -78,8 +81,12 @@
         self.failure_share += WEIGHT * (1.0 - self.failure_share);
     }
 
-    /// Leaves the endpoint alone, longer each time until it answers.
-    pub fn pause(&mut self, now_ms: u64) {
+    /// Leaves the endpoint alone after a request that was sent at `since_ms` got no answer, longer
+    /// each time until it answers. One that has answered another request meanwhile is not.
+    pub fn pause(&mut self, now_ms: u64, since_ms: u64) {
+        if self.answered_ms > since_ms {
+            return;
+        }
         let pause_ms = (FIRST_PAUSE_MS << self.pauses.min(8)).min(LONGEST_PAUSE_MS);
         self.pauses += 1;
         self.closed_until_ms = now_ms + pause_ms;
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -24,6 +24,8 @@
     pub memory_tokens: u64,
     /// When its first byte was expected, in milliseconds after it was placed.
     pub expected_ms: f64,
+    /// When it was placed, in milliseconds.
+    pub since_ms: u64,
 }
 
 /// An endpoint with all that is known of it.
@@ -107,12 +109,15 @@
         let prefill_ms = self.speed.prefill_ms(job.prompt_tokens.saturating_sub(cached));
         self.prefill_until_ms = self.prefill_until_ms.max(now_ms as f64) + prefill_ms;
         self.prefixes.note(&job.prefix);
-        self.add(job.ticket, Running { memory_tokens: tokens_of(job), expected_ms });
+        self.add(
+            job.ticket,
+            Running { memory_tokens: tokens_of(job), expected_ms, since_ms: now_ms },
+        );
     }
 
     /// Notes a request that was placed here by another dispatcher.
-    pub fn adopt(&mut self, ticket: Ticket, memory_tokens: u64) {
-        self.add(ticket, Running { memory_tokens, expected_ms: 0.0 });
+    pub fn adopt(&mut self, now_ms: u64, ticket: Ticket, memory_tokens: u64) {
+        self.add(ticket, Running { memory_tokens, expected_ms: 0.0, since_ms: now_ms });
     }
 
     fn add(&mut self, ticket: Ticket, running: Running) {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -13,9 +13,10 @@
 const OLDEST_WAITS: f64 = 0.5;
 /// The part of the time to the first byte that is kept in hand: estimates are that far off.
 const RESERVE: f64 = 0.25;
-/// The time that is kept in hand besides where the caller would leave, in milliseconds: what is
-/// placed in the last moment is worked on for nobody.
-const LEAVE_RESERVE_MS: u64 = 150;
+/// The time that is kept in hand where the caller would leave, in milliseconds, beside as much
+/// again as the first byte is likely to take: what is placed in the last moment is worked on for
+/// nobody.
+const LEAVE_RESERVE_MS: u64 = 30;
 /// How long a job that will be late is kept, in milliseconds: half of the time that the least
 /// patient callers wait.
 const LATE_WAITS_MS: u64 = 1_000;
@@ -49,11 +50,17 @@
 
     /// Tells whether the caller will have left, or the deadline will be over, before the answer.
     pub fn is_hopeless(&self, now_ms: u64) -> bool {
-        let first_ms = now_ms + self.first_byte_ms + self.reserve_ms() + LEAVE_RESERVE_MS;
+        let first_ms = now_ms + 2 * self.first_byte_ms + LEAVE_RESERVE_MS;
         first_ms >= self.patience_ms.min(self.deadline_ms)
             || now_ms + self.slot_ms >= self.deadline_ms
     }
 
+    /// Tells whether the job could have been done in time when it came.
+    pub fn had_time(&self) -> bool {
+        const SOON_MS: u64 = 100;
+        !self.is_hopeless(self.since_ms + SOON_MS)
+    }
+
     fn reserve_ms(&self) -> u64 {
         (self.first_byte_ms as f64 * RESERVE) as u64
     }
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -262,9 +262,10 @@
         };
         if by_leader {
             let own = std::slice::from_ref(&in_flight);
+            let now_ms = self.clock.now_ms();
             let mut local = self.local.borrow_mut();
-            local.adopt(job.ticket.instance, own);
-            local.note_use(self.clock.now_ms(), job);
+            local.adopt(now_ms, job.ticket.instance, own);
+            local.note_use(now_ms, job);
         }
         self.placed.borrow_mut().insert(job.ticket.number, Placed { in_flight });
     }
--- a/crates/peer/src/node/placing.rs
+++ b/crates/peer/src/node/placing.rs
@@ -159,7 +159,7 @@
         spdlog::info!("instance entered", kv: { instance: = instance, number, in_flight = count });
         let connection = key.connection;
         placing.sessions.insert(number, Session { instance, connection, heard_ms: now_ms });
-        placing.dispatcher.adopt(number, in_flight);
+        placing.dispatcher.adopt(now_ms, number, in_flight);
         placing.dispatcher.adopt_usage(now_ms, number, usage);
         Some(key)
     }
