--- /dev/null
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -0,0 +1,130 @@
+//! What is passed on of a request, and what may be repeated.
+
+use crate::support::{get, post, read_request, reset, run, stream};
+use futures_lite::AsyncWriteExt;
+use googletest::prelude::*;
+use lycheehub_dispatch::Outcome;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+#[gtest]
+fn method_path_query_body_and_headers_arrive_unchanged() {
+    run(|world| async move {
+        let seen = Rc::new(RefCell::new(String::new()));
+        let note = seen.clone();
+        world
+            .endpoint(move |mut stream, _| {
+                let note = note.clone();
+                async move {
+                    *note.borrow_mut() = read_request(&mut stream).await.unwrap();
+                    let answer = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 0\r\n\r\n";
+                    stream.write_all(answer.as_bytes()).await.unwrap();
+                }
+            })
+            .await;
+        let request = post("/unsafe/a%20b?x=1&y=%2f", "body")
+            .replace("id: r1\r\n", "id: r1\r\nX-Own: A b\r\nKeep-Alive: 5\r\ndeadline: 900\r\nendpoint: forged\r\nConnection: x-hop\r\nX-Hop: 1\r\n");
+        world.ask(&request).await;
+        let seen = seen.borrow();
+        expect_that!(*seen, starts_with("POST /unsafe/a%20b?x=1&y=%2f HTTP/1.1\r\n"));
+        expect_that!(*seen, ends_with("\r\n\r\nbody"));
+        expect_that!(*seen, contains_substring("X-Own: A b\r\n"));
+        expect_that!(*seen, contains_substring("endpoint: endpoint-0\r\n"));
+        for dropped in ["forged", "X-Hop", "Keep-Alive", "deadline: 900\r\ndeadline"] {
+            expect_that!(*seen, not(contains_substring(dropped)));
+        }
+    });
+}
+
+#[gtest]
+fn an_unsafe_request_is_not_sent_again_after_a_reset() {
+    run(|world| async move {
+        for _ in 0..2 {
+            world
+                .endpoint(|mut stream, _| async move {
+                    read_request(&mut stream).await;
+                    reset(stream);
+                })
+                .await;
+        }
+        let answer = world.ask(&post("/unsafe/", "pay")).await;
+        expect_that!(answer, starts_with("HTTP/1.1 502 "));
+        expect_that!(*world.placement.outcomes.borrow(), elements_are![eq(&Outcome::Broken)]);
+    });
+}
+
+#[gtest]
+fn a_safe_request_goes_elsewhere_after_a_reset() {
+    run(|world| async move {
+        world
+            .endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                reset(stream);
+            })
+            .await;
+        world.answering("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok").await;
+        expect_that!(world.ask(&get("/safe/")).await, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+#[gtest]
+fn what_the_endpoint_did_not_run_goes_elsewhere() {
+    run(|world| async move {
+        world
+            .answering("HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n")
+            .await;
+        world.answering("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok").await;
+        expect_that!(world.ask(&post("/unsafe/", "pay")).await, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+#[gtest]
+fn what_no_endpoint_ran_is_refused_with_a_time_to_come_back() {
+    run(|world| async move {
+        world
+            .answering("HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n")
+            .await;
+        let answer = world.ask(&post("/unsafe/", "pay")).await;
+        expect_that!(answer, starts_with("HTTP/1.1 429 "));
+        expect_that!(answer, contains_substring("Retry-After: "));
+        expect_that!(world.placement.outcomes.borrow().len(), eq(2));
+    });
+}
+
+#[gtest]
+fn a_failure_is_passed_on_where_the_budget_of_repeats_is_used_up() {
+    run(|world| async move {
+        world
+            .answering("HTTP/1.1 500 Broke\r\nid: r1\r\nseal: s\r\nContent-Length: 4\r\n\r\noops")
+            .await;
+        world.placement.no_repeats.set(true);
+        let answer = world.ask(&get("/safe/")).await;
+        expect_that!(answer, starts_with("HTTP/1.1 500 Broke\r\n"));
+        expect_that!(answer, ends_with("oops"));
+    });
+}
+
+#[gtest]
+fn an_endpoint_that_cannot_be_reached_was_sent_nothing() {
+    run(|world| async move {
+        world.placement.addresses.borrow_mut().push("127.0.0.1:1".to_owned());
+        world.answering("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok").await;
+        expect_that!(world.ask(&post("/unsafe/", "pay")).await, starts_with("HTTP/1.1 200 "));
+        let outcomes = world.placement.outcomes.borrow();
+        expect_that!(*outcomes, elements_are![eq(&Outcome::NotConnected), eq(&Outcome::Answered)]);
+    });
+}
+
+#[gtest]
+fn a_stream_that_may_not_be_resumed_is_not_sent_again() {
+    run(|world| async move {
+        world
+            .endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                reset(stream);
+            })
+            .await;
+        expect_that!(world.ask(&stream("/stream/")).await, starts_with("HTTP/1.1 502 "));
+        expect_that!(world.placement.outcomes.borrow().len(), eq(1));
+    });
+}
--- /dev/null
+++ b/crates/proxy/tests/proxy/streams.rs
@@ -0,0 +1,116 @@
+//! Streams: whole events, resumed only where the route allows it, cut where they break.
+
+use crate::support::{read_request, reset, run, sleep_ms, stream};
+use futures_lite::AsyncWriteExt;
+use googletest::prelude::*;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nseal: first\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+#[gtest]
+fn events_are_passed_on_as_they_come() {
+    run(|world| async move {
+        world
+            .endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                let first = HEAD.to_owned() + &chunk("id: 1\ndata: a\n\n");
+                stream.write_all(first.as_bytes()).await.unwrap();
+                sleep_ms(300).await;
+                let last = chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+                stream.write_all(last.as_bytes()).await.unwrap();
+            })
+            .await;
+        use futures_lite::AsyncReadExt;
+        let mut caller = world.connect().await;
+        caller.write_all(stream("/stream/").as_bytes()).await.unwrap();
+        let mut first = vec![0; 4_096];
+        let read = lycheehub_clock::within(200, caller.read(&mut first)).await;
+        let count = read.expect("the first event waits for the second").unwrap();
+        let first = String::from_utf8_lossy(&first[..count]).into_owned();
+        expect_that!(first, contains_substring("data: a"));
+        let rest = crate::support::read_all(&mut caller).await;
+        expect_that!(rest, ends_with("data: b\n\n\r\n0\r\n\r\n"));
+    });
+}
+
+#[gtest]
+fn a_stream_that_breaks_off_does_not_look_whole() {
+    run(|world| async move {
+        world
+            .endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                let cut = HEAD.to_owned() + &chunk("id: 1\ndata: a\n\nid: 2\nda");
+                stream.write_all(cut.as_bytes()).await.unwrap();
+                sleep_ms(20).await;
+                reset(stream);
+            })
+            .await;
+        let answer = world.ask(&stream("/stream/")).await;
+        expect_that!(answer, ends_with("id: 1\ndata: a\n\n\r\n"));
+        expect_that!(world.placement.outcomes.borrow().len(), eq(1));
+    });
+}
+
+#[gtest]
+fn a_stream_that_may_be_resumed_goes_on_after_its_last_whole_event() {
+    run(|world| async move {
+        let seen = Rc::new(RefCell::new(String::new()));
+        let note = seen.clone();
+        world
+            .endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                let cut = HEAD.to_owned() + &chunk("id: 1\ndata: a\n\nid: 2\nda");
+                stream.write_all(cut.as_bytes()).await.unwrap();
+                sleep_ms(20).await;
+                reset(stream);
+            })
+            .await;
+        world
+            .endpoint(move |mut stream, _| {
+                let note = note.clone();
+                async move {
+                    *note.borrow_mut() = read_request(&mut stream).await.unwrap();
+                    let rest = HEAD.replace("first", "second")
+                        + &chunk("id: 2\ndata: b\n\n")
+                        + "0\r\n\r\n";
+                    stream.write_all(rest.as_bytes()).await.unwrap();
+                }
+            })
+            .await;
+        let answer = world.ask(&stream("/resume/")).await;
+        expect_that!(*seen.borrow(), contains_substring("last-event-id: 1\r\n"));
+        expect_that!(answer.matches("HTTP/1.1").count(), eq(1));
+        expect_that!(answer, contains_substring("seal: first"));
+        expect_that!(answer, not(contains_substring("second")));
+        expect_that!(answer.matches("id: 2\n").count(), eq(1));
+        expect_that!(answer, ends_with("data: b\n\n\r\n0\r\n\r\n"));
+    });
+}
+
+#[gtest]
+fn a_stream_that_pauses_for_long_is_moved() {
+    run(|world| async move {
+        world
+            .endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                let first = HEAD.to_owned() + &chunk("id: 1\ndata: a\n\n");
+                stream.write_all(first.as_bytes()).await.unwrap();
+                sleep_ms(4_000).await;
+            })
+            .await;
+        world
+            .endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                let rest = HEAD.to_owned() + &chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+                stream.write_all(rest.as_bytes()).await.unwrap();
+            })
+            .await;
+        let answer = world.ask(&stream("/resume/")).await;
+        expect_that!(answer, ends_with("data: b\n\n\r\n0\r\n\r\n"));
+    });
+}
--- /dev/null
+++ b/crates/proxy/tests/proxy/support.rs
@@ -0,0 +1,305 @@
+//! A caller, an endpoint that follows a script, and a dispatcher that always places there.
+
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use lycheehub_clock::Clock;
+use lycheehub_dispatch::placement::Deciding;
+use lycheehub_dispatch::{Decision, Finished, Job, Outcome, Placement, Reason, Ticket};
+use lycheehub_proxy::dialect::{AnswerFields, Dialect, OnwardFields, RequestFields};
+use lycheehub_proxy::http1::{Headers, RequestHead, ResponseHead};
+use lycheehub_proxy::{Entry, Options, Snapshot, Snapshots, server};
+use lycheehub_routes::{Document, RequestKind, RouteSpec, RouteTable, ServiceSpec, Target};
+use smol::net::{TcpListener, TcpStream};
+use smol::{LocalExecutor, Timer};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long anything may take in these tests, in milliseconds.
+const PATIENCE_MS: u64 = 5_000;
+
+/// Header names of these tests.
+#[derive(Debug)]
+struct Names;
+
+impl Dialect for Names {
+    fn read_request(&self, head: &RequestHead) -> RequestFields {
+        RequestFields {
+            id: head.headers.text("id").unwrap_or_default().into(),
+            deadline_ms: head.headers.text("deadline").and_then(|text| text.parse().ok()),
+            prompt_tokens: head.headers.text("tokens").and_then(|text| text.parse().ok()),
+            output_max_tokens: head.headers.text("tokens").map(|_| 100),
+            last_event_id: head.headers.text("last-event-id").map(Into::into),
+            ..RequestFields::default()
+        }
+    }
+
+    fn is_kept_back(&self, name: &str) -> bool {
+        matches!(name.to_ascii_lowercase().as_str(), "deadline" | "last-event-id" | "endpoint")
+    }
+
+    fn add_onward(&self, headers: &mut Headers, fields: &OnwardFields) {
+        headers.push("deadline", fields.deadline_left_ms.to_string());
+        headers.push("endpoint", fields.endpoint.as_str());
+        if let Some(id) = &fields.last_event_id {
+            headers.push("last-event-id", id.as_str());
+        }
+    }
+
+    fn read_answer(&self, head: &ResponseHead) -> AnswerFields {
+        AnswerFields {
+            id: head.headers.text("id").map(Into::into),
+            not_run: head.headers.text("not-run").is_some(),
+            misdirected: head.status == 421,
+        }
+    }
+
+    fn add_own(&self, headers: &mut Headers, id: &str) {
+        headers.push("id", id);
+    }
+}
+
+/// Places every request at the endpoints in turn, and notes what is reported.
+#[derive(Default)]
+pub struct Turns {
+    pub addresses: RefCell<Vec<String>>,
+    next: Cell<usize>,
+    number: Cell<u64>,
+    pub outcomes: RefCell<Vec<Outcome>>,
+    pub withdrawn: Cell<u32>,
+    /// Requests wait for ever.
+    pub holds: Cell<bool>,
+    /// Repeats are refused.
+    pub no_repeats: Cell<bool>,
+}
+
+impl Placement for Turns {
+    fn ticket(&self) -> Ticket {
+        self.number.set(self.number.get() + 1);
+        Ticket { instance: 0, number: self.number.get() }
+    }
+
+    fn place(&self, job: Job) -> Deciding<'_> {
+        Box::pin(async move {
+            let ticket = job.ticket;
+            if self.holds.get() {
+                smol::future::pending::<()>().await;
+            }
+            if job.repeat && self.no_repeats.get() {
+                let reason = Reason::RetriesExhausted;
+                return Decision::Refuse { ticket, reason, retry_after_ms: 700 };
+            }
+            let addresses = self.addresses.borrow();
+            let turn = self.next.get();
+            self.next.set(turn + 1);
+            let address = &addresses[turn % addresses.len()];
+            let endpoint = format!("endpoint-{}", turn % addresses.len()).into();
+            Decision::Place {
+                ticket,
+                endpoint,
+                address: address.as_str().into(),
+                first_byte_ms: 10,
+            }
+        })
+    }
+
+    fn finish(&self, finished: Finished) {
+        self.outcomes.borrow_mut().push(finished.outcome);
+    }
+
+    fn stalled(&self, _: Ticket) {}
+
+    fn withdraw(&self, _: Ticket) {
+        self.withdrawn.set(self.withdrawn.get() + 1);
+    }
+}
+
+struct Fixed(Snapshot);
+
+impl Snapshots for Fixed {
+    fn latest(&self) -> Snapshot {
+        self.0.clone()
+    }
+}
+
+fn route(name: &str, kind: RequestKind, attempts_max: u32) -> RouteSpec {
+    RouteSpec {
+        name: name.into(),
+        host: "salto.example".into(),
+        path_prefix: format!("/{name}/").into(),
+        kind,
+        timeout_ms: 2_000,
+        objective_ms: 500,
+        gap_objective_ms: None,
+        patience_ms: None,
+        rank: 0,
+        targets: vec![Target { service: "labels".into(), weight: 1 }],
+        attempts_max,
+        anonymous: true,
+    }
+}
+
+fn document() -> Document {
+    let stream = |resumable| RequestKind::Stream { resumable };
+    Document {
+        version: 1,
+        routes: vec![
+            route("unsafe", RequestKind::Unsafe, 2),
+            route("safe", RequestKind::Idempotent, 2),
+            route("stream", stream(false), 2),
+            route("resume", stream(true), 2),
+        ],
+        services: vec![ServiceSpec {
+            name: "labels".into(),
+            health_path: "/health".into(),
+            connections_max: None,
+            engine: None,
+        }],
+        ..Document::default()
+    }
+}
+
+/// An entry instance under test.
+pub struct World {
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub placement: Rc<Turns>,
+    pub entry: Rc<Entry>,
+    pub address: String,
+}
+
+/// Runs a test against a new instance.
+pub fn run<F: Future<Output = ()>>(test: impl FnOnce(World) -> F) {
+    let executor = Rc::new(LocalExecutor::new());
+    let runner = executor.clone();
+    smol::block_on(runner.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let placement = Rc::new(Turns::default());
+        let table = Arc::new(RouteTable::new(document()));
+        let entry = Entry::new(
+            Options {
+                instance: "entry-1".into(),
+                failure_domain: "salto".into(),
+                connections_max: 100,
+                connect_timeout_ms: 300,
+            },
+            Clock::new(),
+            Box::new(Names),
+            Box::new(Fixed(Snapshot { table, revision: 1, is_ready: true })),
+            placement.clone(),
+            executor.clone(),
+        );
+        executor.spawn(server::serve(entry.clone(), listener)).detach();
+        let world = World { executor, placement, entry, address };
+        lycheehub_clock::within(PATIENCE_MS * 2, test(world))
+            .await
+            .expect("the test takes too long");
+    }));
+}
+
+impl World {
+    /// Adds an endpoint; `script` serves each of its connections.
+    pub async fn endpoint<F: Future<Output = ()> + 'static>(
+        &self,
+        script: impl Fn(TcpStream, u32) -> F + 'static,
+    ) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        self.placement.addresses.borrow_mut().push(address);
+        let executor = self.executor.clone();
+        let accept = async move {
+            let mut count = 0;
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                count += 1;
+                executor.spawn(script(stream, count)).detach();
+            }
+        };
+        self.executor.spawn(accept).detach();
+    }
+
+    /// Adds an endpoint that reads a request and answers with `bytes`, over and over.
+    pub async fn answering(&self, bytes: &'static str) {
+        self.endpoint(move |mut stream, _| async move {
+            while read_request(&mut stream).await.is_some() {
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+            }
+        })
+        .await;
+    }
+
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(&self.address).await.unwrap()
+    }
+
+    /// Sends a request over a new connection and returns all that comes until it is closed.
+    pub async fn ask(&self, request: &str) -> String {
+        let mut stream = self.connect().await;
+        stream.write_all(request.as_bytes()).await.unwrap();
+        read_all(&mut stream).await
+    }
+}
+
+/// Returns a request that is the last one on its connection.
+pub fn get(path: &str) -> String {
+    format!("GET {path} HTTP/1.1\r\nHost: salto.example\r\nid: r1\r\nConnection: close\r\n\r\n")
+}
+
+/// Returns a request with a body.
+pub fn post(path: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: salto.example\r\nid: r1\r\nConnection: close\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Returns a request for a stream.
+pub fn stream(path: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: salto.example\r\nid: r1\r\ntokens: 50\r\n\
+         Connection: close\r\n\r\n"
+    )
+}
+
+/// Reads until the other end closes, or resets.
+pub async fn read_all(stream: &mut TcpStream) -> String {
+    let mut all = Vec::new();
+    let mut chunk = [0; 4_096];
+    let read = async {
+        while let Ok(count @ 1..) = stream.read(&mut chunk).await {
+            all.extend_from_slice(&chunk[..count]);
+        }
+    };
+    lycheehub_clock::within(PATIENCE_MS, read).await.expect("the connection stays open");
+    String::from_utf8_lossy(&all).into_owned()
+}
+
+/// Reads one request with the body that its length tells; nothing at the end of the connection.
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut all: Vec<u8> = Vec::new();
+    let mut byte = [0; 1];
+    while !all.ends_with(b"\r\n\r\n") {
+        if !matches!(stream.read(&mut byte).await, Ok(1)) {
+            return None;
+        }
+        all.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&all).into_owned();
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse().unwrap())
+    });
+    let mut body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(head + &String::from_utf8_lossy(&body))
+}
+
+pub async fn sleep_ms(ms: u64) {
+    Timer::after(Duration::from_millis(ms)).await;
+}
+
+/// Closes a connection so that the other end sees a reset.
+pub fn reset(stream: TcpStream) {
+    rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+}
