--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -10,7 +10,7 @@
 use lycheehub_platform::calls;
 use lycheehub_platform::headers::PlatformHeaders;
 use lycheehub_platform::settings::Deployment;
-use lycheehub_proxy::{Entry, Options, Snapshot, Snapshots, server};
+use lycheehub_proxy::{Entry, Options, Snapshot, Snapshots, Stop, server};
 use smol::channel::{Receiver, bounded};
 use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
@@ -155,10 +155,11 @@
     let started_ms = entry.clock.now_ms();
     let unfinished = entry.exchanges.get() as u64;
     spdlog::info!("stopping: not ready", kv: { unfinished, timeout_ms });
-    entry.draining.set(true);
+    let give_up_ms = started_ms + timeout_ms.saturating_sub(STOP_RESERVE_MS);
+    let refuses_from_ms = started_ms + BALANCER_MS;
+    entry.begin_stop(Stop { refuses_from_ms, ends_ms: give_up_ms });
     Timer::after(Duration::from_millis(BALANCER_MS)).await;
     entry.close_idle();
-    let give_up_ms = started_ms + timeout_ms.saturating_sub(STOP_RESERVE_MS);
     while entry.exchanges.get() > 0 && entry.clock.now_ms() < give_up_ms {
         Timer::after(Duration::from_millis(LOOK_MS)).await;
     }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -44,6 +44,15 @@
     fn latest(&self) -> Snapshot;
 }
 
+/// When an instance that is being stopped does what, in milliseconds by its clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Stop {
+    /// From when on it takes only requests that end before its own end.
+    pub refuses_from_ms: u64,
+    /// When it ends.
+    pub ends_ms: u64,
+}
+
 /// An entry instance.
 pub struct Entry {
     /// Bounds.
@@ -64,8 +73,7 @@
     pub connections: Cell<usize>,
     /// How many requests are being answered.
     pub exchanges: Cell<usize>,
-    /// The instance is being stopped: answers are the last ones on their connections.
-    pub draining: Cell<bool>,
+    stop: Cell<Option<Stop>>,
     idle_end: (Sender<()>, Receiver<()>),
     /// The longest deadline that callers of each route came with, in milliseconds.
     deadlines_ms: RefCell<BTreeMap<SmolStr, u64>>,
@@ -91,7 +99,7 @@
             executor,
             connections: Cell::new(0),
             exchanges: Cell::new(0),
-            draining: Cell::new(false),
+            stop: Cell::new(None),
             idle_end: bounded(1),
             deadlines_ms: RefCell::default(),
         })
@@ -99,7 +107,7 @@
 
     /// Tells whether the balancer may send new connections.
     pub fn is_ready(&self) -> bool {
-        !self.draining.get() && self.snapshots.latest().is_ready
+        !self.is_stopping() && self.snapshots.latest().is_ready
     }
 
     /// Notes the deadline of a request; returns the longest one of its route, in milliseconds.
@@ -110,6 +118,23 @@
         *longest_ms
     }
 
+    /// Begins to stop: answers are the last ones on their connections from now on.
+    pub fn begin_stop(&self, stop: Stop) {
+        self.stop.set(Some(stop));
+    }
+
+    /// Tells whether the instance is being stopped.
+    pub fn is_stopping(&self) -> bool {
+        self.stop.get().is_some()
+    }
+
+    /// Tells whether a request that may take `for_ms` comes too late to be answered before the end.
+    pub(crate) fn is_too_late(&self, for_ms: u64) -> bool {
+        let now_ms = self.clock.now_ms();
+        let stop = self.stop.get().filter(|stop| now_ms >= stop.refuses_from_ms);
+        stop.is_some_and(|stop| now_ms + for_ms > stop.ends_ms)
+    }
+
     /// Closes the connections that have no request, now and from now on.
     pub fn close_idle(&self) {
         self.idle_end.0.close();
--- a/crates/proxy/src/exchange/filters.rs
+++ b/crates/proxy/src/exchange/filters.rs
@@ -18,6 +18,7 @@
 pub(super) fn identify(exchange: &Exchange<'_>) -> Result<Identified, Refusal> {
     is_ready(exchange)?;
     let route = find_route(exchange)?;
+    ends_in_time(exchange, route)?;
     let (account, tier) = find_account(exchange, route)?;
     let service = draw_service(exchange, route)?;
     Ok(Identified { route: route.clone(), service, account, tier })
@@ -39,6 +40,18 @@
     route.ok_or_else(|| Refusal::new(RefusalKind::NotFound, "no route takes this host and path"))
 }
 
+/// Load pattern: all instances of a place are stopped in turn, and the balancer sends requests to
+/// those that it has none better for. One that may still run at the end is refused, and not cut off.
+fn ends_in_time(exchange: &Exchange<'_>, route: &RouteSpec) -> Result<(), Refusal> {
+    const RETRY_AFTER_MS: u64 = 300;
+    let for_ms = exchange.fields.deadline_ms.unwrap_or(u64::MAX / 2).min(route.timeout_ms);
+    if !exchange.entry.is_too_late(for_ms) {
+        return Ok(());
+    }
+    let message = "this instance is being stopped";
+    Err(Refusal::retry(RefusalKind::Stopping, message, RETRY_AFTER_MS))
+}
+
 fn find_account(
     exchange: &Exchange<'_>,
     route: &RouteSpec,
--- a/crates/proxy/src/exchange/own.rs
+++ b/crates/proxy/src/exchange/own.rs
@@ -45,7 +45,7 @@
 impl Exchange<'_> {
     /// Whether the caller's connection can be used after this answer.
     pub(super) fn keeps_alive(&self) -> bool {
-        self.head.keeps_alive && !self.entry.draining.get()
+        self.head.keeps_alive && !self.entry.is_stopping()
     }
 
     /// Refuses the request; tells whether the connection can be used for another one.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -17,4 +17,4 @@
 pub mod server;
 
 pub use dialect::{AnswerFields, Dialect, OnwardFields, RequestFields};
-pub use entry::{Entry, Options, Snapshot, Snapshots};
+pub use entry::{Entry, Options, Snapshot, Snapshots, Stop};
--- a/crates/proxy/tests/proxy/callers.rs
+++ b/crates/proxy/tests/proxy/callers.rs
@@ -4,6 +4,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
 use lycheehub_dispatch::Outcome;
+use lycheehub_proxy::Stop;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -86,7 +87,8 @@
         let keep = get("/unsafe/").replace("Connection: close\r\n", "");
         busy.write_all(keep.as_bytes()).await.unwrap();
         sleep_ms(100).await;
-        world.entry.draining.set(true);
+        let now_ms = world.entry.clock.now_ms();
+        world.entry.begin_stop(Stop { refuses_from_ms: now_ms + 100, ends_ms: now_ms + 5_000 });
         world.entry.close_idle();
         expect_that!(read_all(&mut idle).await, eq(""));
         let answer = read_all(&mut busy).await;
@@ -95,6 +97,23 @@
     });
 }
 
+#[gtest]
+fn an_instance_that_stops_refuses_what_may_run_beyond_its_end() {
+    run(|world| async move {
+        world.answering("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok").await;
+        let now_ms = world.entry.clock.now_ms();
+        world.entry.begin_stop(Stop { refuses_from_ms: now_ms + 200, ends_ms: now_ms + 1_500 });
+        // The route's timeout is 2 s.
+        expect_that!(world.ask(&get("/safe/")).await, starts_with("HTTP/1.1 200 "));
+        sleep_ms(250).await;
+        let refused = world.ask(&get("/safe/")).await;
+        expect_that!(refused, starts_with("HTTP/1.1 503 "));
+        expect_that!(refused, contains_substring("Retry-After: "));
+        let short = get("/safe/").replace("id: r1", "deadline: 400\r\nid: r1");
+        expect_that!(world.ask(&short).await, starts_with("HTTP/1.1 200 "));
+    });
+}
+
 #[gtest]
 fn a_caller_that_leaves_its_stream_ends_it() {
     run(|world| async move {
