fix(dispatch): while jobs run out of time the newest goes first at a shorter backlog

The share is now 0.3 while jobs of the same line expire, 0.8 otherwise. Beside it: the longest pause of a stream in the line of a request.

--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -3,14 +3,19 @@
 //! Load pattern: a burst of several seconds above capacity. Served strictly by arrival, every
 //! request would start late for as long as the backlog lasts, and most callers would have left by
 //! then. So those that can still be on time go before those that cannot; and where the backlog is
-//! longer than the newest of them can wait, the newest goes first, so that what is served is served
-//! well on time and only what is left over runs out of time.
+//! longer than the newest of them can wait, or jobs already run out of time, the newest goes first,
+//! so that what is served is served well on time and only what is left over runs out of time.
 
 use crate::job::{Job, Ticket};
 use std::collections::BTreeMap;
 
 /// The part of the newest job's time within which a backlog must be done to be served by arrival.
 const BACKLOG_SHARE: f64 = 0.8;
+/// The same part while jobs run out of time: what is then served by arrival is served in the last
+/// moment.
+const BACKLOG_SHARE_SHEDDING: f64 = 0.3;
+/// How long a line counts as running out of time after the last one did, in milliseconds.
+const SHEDDING_MS: u64 = 500;
 /// The part of the time to the first byte that is kept in hand: estimates are that far off.
 const RESERVE: f64 = 0.25;
 /// The time that is kept in hand where the caller would leave, in milliseconds, beside as much
@@ -78,6 +83,8 @@
     jobs: BTreeMap<(u64, Ticket), Waiting>,
     /// For how long the jobs need slots, in milliseconds.
     slot_ms: u64,
+    /// When one last ran out of time, in milliseconds.
+    expired_ms: Option<u64>,
 }
 
 impl Line {
@@ -97,7 +104,9 @@
         let (first, last) = (*self.jobs.first_key_value()?.0, *self.jobs.last_key_value()?.0);
         let backlog_ms = self.slot_ms as f64 / slots.max(1) as f64;
         let newest_waits_ms = last.0.saturating_sub(now_ms) as f64;
-        let by_arrival = backlog_ms <= newest_waits_ms * BACKLOG_SHARE;
+        let sheds = self.expired_ms.is_some_and(|at_ms| now_ms < at_ms + SHEDDING_MS);
+        let share = if sheds { BACKLOG_SHARE_SHEDDING } else { BACKLOG_SHARE };
+        let by_arrival = backlog_ms <= newest_waits_ms * share;
         self.take(if by_arrival { first } else { last })
     }
 
@@ -105,6 +114,9 @@
     fn take_expired(&mut self, now_ms: u64) -> Vec<Waiting> {
         let expired = self.jobs.keys().take_while(|key| key.0 <= now_ms).copied();
         let expired: Vec<(u64, Ticket)> = expired.collect();
+        if !expired.is_empty() {
+            self.expired_ms = Some(now_ms);
+        }
         expired.into_iter().filter_map(|key| self.take(key)).collect()
     }
 
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -54,6 +54,9 @@
     pub(super) sent_ms: u64,
     pub(super) first_byte_ms: Cell<Option<u64>>,
     pub(super) events: Cell<u32>,
+    last_event_ms: Cell<u64>,
+    /// The longest pause between events, in milliseconds.
+    pub(super) pause_ms: Cell<u64>,
     is_reported: Cell<bool>,
 }
 
@@ -66,6 +69,8 @@
             sent_ms: entry.clock.now_ms(),
             first_byte_ms: Cell::new(None),
             events: Cell::new(0),
+            last_event_ms: Cell::new(0),
+            pause_ms: Cell::new(0),
             is_reported: Cell::new(false),
         }
     }
@@ -76,6 +81,16 @@
         }
     }
 
+    pub(super) fn note_event(&self, now_ms: u64) {
+        self.note_first_byte(now_ms);
+        if self.events.get() > 0 {
+            let pause_ms = now_ms - self.last_event_ms.get();
+            self.pause_ms.set(self.pause_ms.get().max(pause_ms));
+        }
+        self.last_event_ms.set(now_ms);
+        self.events.set(self.events.get() + 1);
+    }
+
     /// Reports how the attempt ended; returns how long it took, in milliseconds.
     pub(super) fn report(&self, outcome: Outcome) -> u64 {
         let now_ms = self.entry.clock.now_ms();
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -148,8 +148,7 @@
                 let more = more && !body.is_at_end();
                 events.push(&piece);
                 while let Some(event) = events.next_event() {
-                    attempt.note_first_byte(clock.now_ms());
-                    attempt.events.set(attempt.events.get() + 1);
+                    attempt.note_event(clock.now_ms());
                     take_event(&mut pending, framing, stream, event);
                 }
                 if !more {
@@ -170,6 +169,7 @@
         if let Some(first_ms) = attempt.first_byte_ms.get() {
             self.trail.note_first_byte(first_ms);
         }
+        self.trail.note_pause(attempt.pause_ms.get());
         let endpoint = attempt.endpoint.clone();
         match end {
             Err(why) => AttemptEnd::Interrupted(why),
--- a/crates/proxy/src/exchange/trail.rs
+++ b/crates/proxy/src/exchange/trail.rs
@@ -18,6 +18,8 @@
     rank: u8,
     waited_ms: u64,
     first_byte_ms: Option<u64>,
+    /// The longest pause between events of a stream.
+    pause_ms: u64,
     attempts: String,
     end: SmolStr,
     retry_after_ms: u64,
@@ -38,6 +40,7 @@
             rank: 0,
             waited_ms: 0,
             first_byte_ms: None,
+            pause_ms: 0,
             attempts: String::new(),
             end: SmolStr::new("unanswered"),
             retry_after_ms: 0,
@@ -75,6 +78,10 @@
         self.first_byte_ms.get_or_insert(now_ms - self.started_ms);
     }
 
+    pub(super) fn note_pause(&mut self, pause_ms: u64) {
+        self.pause_ms = self.pause_ms.max(pause_ms);
+    }
+
     pub(super) fn note_refusal(&mut self, refusal: &Refusal) {
         self.end = SmolStr::new(refusal.kind().code());
         self.retry_after_ms = refusal.retry_after_ms().unwrap_or_default();
@@ -111,6 +118,7 @@
             rank = u64::from(self.rank),
             waited_ms = self.waited_ms,
             first_byte_ms:? = self.first_byte_ms,
+            pause_ms = self.pause_ms,
             total_ms,
             attempts: = self.attempts.trim_end(),
             retry_after_ms = self.retry_after_ms,
