fix(proxy): callers begin with different deadlines; one that came back has much less

Callers of a route begin with 0.85 to 1 of its longest deadline, and every one below the longest counted as returning: late from the start, and served last. Now only one below 0.8 of it does. The new test failed before.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -27,6 +27,8 @@
 
 /// How long a request may be kept whose route tells no bound, in milliseconds.
 const NO_ROUTE_TIMEOUT_MS: u64 = 30_000;
+/// The least part of the longest deadline of a route that callers begin with.
+const FIRST_DEADLINE_SHARE: f64 = 0.8;
 /// How many endpoints that cannot be reached are tried one after the other.
 const UNREACHED_MAX: u32 = 4;
 
@@ -203,8 +205,9 @@
     ) -> Job {
         let now_ms = self.entry.clock.now_ms();
         let route = &identified.route;
-        let age_ms = self.age_ms(identified);
-        let objective_ms = (self.started_ms + route.objective_ms).saturating_sub(age_ms);
+        let returning = self.is_returning(identified);
+        // One that has come back is late, whenever it is answered.
+        let objective_ms = if returning { 0 } else { self.started_ms + route.objective_ms };
         let patience_ms = route.patience_ms.map_or(self.deadline_ms, |ms| self.started_ms + ms);
         let patience_ms = patience_ms.min(self.deadline_ms);
         let output_max = self.fields.output_max_tokens;
@@ -226,7 +229,7 @@
             objective_left_ms: objective_ms.saturating_sub(now_ms),
             patience_left_ms: patience_ms.saturating_sub(now_ms),
             deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
-            returning: age_ms > 0,
+            returning,
             failure_domain: self.entry.options.failure_domain.clone(),
             tried: tried.to_vec(),
             repeat,
@@ -235,14 +238,12 @@
 }
 
 impl Exchange<'_> {
-    /// Returns how long ago the caller began to ask, in milliseconds: callers of a route begin with
-    /// the same deadline, so that one with less time left has been refused before.
-    fn age_ms(&self, identified: &Identified) -> u64 {
-        const TELLING_MS: u64 = 50;
-        let Some(deadline_ms) = self.fields.deadline_ms else { return 0 };
-        let whole_ms = self.entry.note_deadline(&identified.route.name, deadline_ms);
-        let age_ms = whole_ms - deadline_ms;
-        if age_ms < TELLING_MS { 0 } else { age_ms }
+    /// Tells whether the caller was refused before: it has much less time left than callers of the
+    /// route begin with.
+    fn is_returning(&self, identified: &Identified) -> bool {
+        let Some(deadline_ms) = self.fields.deadline_ms else { return false };
+        let longest_ms = self.entry.note_deadline(&identified.route.name, deadline_ms);
+        (deadline_ms as f64) < longest_ms as f64 * FIRST_DEADLINE_SHARE
     }
 }
 
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -36,6 +36,20 @@
     });
 }
 
+#[gtest]
+fn a_caller_that_comes_back_is_known_by_the_time_that_it_has_left() {
+    run(|world| async move {
+        world.answering("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok").await;
+        // Callers begin with somewhat different deadlines.
+        for deadline_ms in [1_000, 860, 940, 700, 1_000] {
+            let head = format!("deadline: {deadline_ms}\r\nid: r1");
+            world.ask(&get("/safe/").replace("id: r1", &head)).await;
+        }
+        let returning = world.placement.returning.borrow();
+        expect_that!(*returning, eq(&[false, false, false, true, false]));
+    });
+}
+
 #[gtest]
 fn an_unsafe_request_is_not_sent_again_after_a_reset() {
     run(|world| async move {
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -67,6 +67,8 @@
     number: Cell<u64>,
     pub outcomes: RefCell<Vec<Outcome>>,
     pub withdrawn: Cell<u32>,
+    /// Whether each request is one that came back.
+    pub returning: RefCell<Vec<bool>>,
     /// Requests wait for ever.
     pub holds: Cell<bool>,
     /// Repeats are refused.
@@ -82,6 +84,7 @@
     fn place(&self, job: Job) -> Deciding<'_> {
         Box::pin(async move {
             let ticket = job.ticket;
+            self.returning.borrow_mut().push(job.returning);
             if self.holds.get() {
                 smol::future::pending::<()>().await;
             }
