fix(dispatch): what is given back leaves the window with what was taken; little of a tight account without a leader

By reading: a request that waited and was refused gave its units back at the moment of the refusal, so they counted against the window for longer than they had been taken; and without a leader each instance let through its equal part of an account whose quota was used up, since uneven use leaves parts unused. Now units are given back where they were taken, and the leader tells which accounts are near their quota.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -120,7 +120,7 @@
         };
         let Some(waiting) = self.waiting_of(now_ms, job, units) else { return };
         if let Some(retry_after_ms) = self.overload_of(now_ms, &waiting) {
-            return self.refuse_waiting(now_ms, waiting, Reason::Overloaded, retry_after_ms);
+            return self.refuse_waiting(waiting, Reason::Overloaded, retry_after_ms);
         }
         let name = waiting.job.service.clone();
         self.waiting.insert(waiting.job.ticket, name.clone());
@@ -219,7 +219,7 @@
         if let Some(name) = self.waiting.remove(&ticket) {
             let removed = self.services.get_mut(&name).and_then(|s| s.queue.remove(ticket));
             if let Some(waiting) = removed {
-                self.give_back(now_ms, &waiting.job, waiting.units);
+                self.give_back(waiting.since_ms, &waiting.job, waiting.units);
             }
             return;
         }
@@ -254,6 +254,16 @@
         }
     }
 
+    /// Returns the client accounts that have used up most of their quota.
+    pub fn tight_accounts(&mut self, now_ms: u64) -> Vec<AccountName> {
+        self.quotas.tight(now_ms, &self.options)
+    }
+
+    /// Takes the leader's word which client accounts have used up most of their quota.
+    pub fn set_tight_accounts(&mut self, tight: BTreeSet<AccountName>) {
+        self.quotas.set_tight(tight);
+    }
+
     /// Returns what client accounts have used at an instance of late.
     pub fn usage(&self, now_ms: u64, instance: u32) -> Vec<Usage> {
         self.quotas.usage(now_ms, &self.options, instance)
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -70,18 +70,12 @@
         for waiting in shed {
             self.waiting.remove(&waiting.job.ticket);
             let after_ms = return_after_ms(&waiting);
-            self.refuse_waiting(now_ms, waiting, Reason::Overloaded, after_ms);
+            self.refuse_waiting(waiting, Reason::Overloaded, after_ms);
         }
     }
 
-    pub(super) fn refuse_waiting(
-        &mut self,
-        now_ms: u64,
-        waiting: Waiting,
-        reason: Reason,
-        retry_after_ms: u64,
-    ) {
-        self.give_back(now_ms, &waiting.job, waiting.units);
+    pub(super) fn refuse_waiting(&mut self, waiting: Waiting, reason: Reason, retry_after_ms: u64) {
+        self.give_back(waiting.since_ms, &waiting.job, waiting.units);
         self.refuse(waiting.job.ticket, reason, retry_after_ms);
     }
 
@@ -90,10 +84,10 @@
         self.decisions.push(Decision::Refuse { ticket, reason, retry_after_ms });
     }
 
-    /// Gives back what a request took of its account's quota.
-    pub(super) fn give_back(&mut self, now_ms: u64, job: &Job, units: f64) {
+    /// Gives back what a request took of its account's quota when it came, at `since_ms`.
+    pub(super) fn give_back(&mut self, since_ms: u64, job: &Job, units: f64) {
         if let Some(account) = job.account.as_ref().filter(|_| units > 0.0) {
-            self.quotas.give_back(now_ms, job.ticket.instance, account, units);
+            self.quotas.give_back(since_ms, job.ticket.instance, account, units);
         }
     }
 }
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -21,7 +21,7 @@
         let gone: Vec<ServiceName> =
             self.services.keys().filter(|name| !known.contains_key(name)).cloned().collect();
         for name in gone {
-            self.drop_service(now_ms, &name);
+            self.drop_service(&name);
         }
         let names: Vec<EndpointName> = self.by_name.keys().cloned().collect();
         for name in names {
@@ -30,12 +30,12 @@
         self.tick(now_ms);
     }
 
-    fn drop_service(&mut self, now_ms: u64, name: &ServiceName) {
+    fn drop_service(&mut self, name: &ServiceName) {
         const RETRY_AFTER_MS: u64 = 1_000;
         let Some(mut service) = self.services.remove(name) else { return };
         for waiting in service.queue.take_if(|_| true) {
             self.waiting.remove(&waiting.job.ticket);
-            self.refuse_waiting(now_ms, waiting, Reason::NoEndpoint, RETRY_AFTER_MS);
+            self.refuse_waiting(waiting, Reason::NoEndpoint, RETRY_AFTER_MS);
         }
     }
 
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -8,11 +8,19 @@
 use crate::Options;
 use lycheehub_routes::Quota;
 use lycheehub_types::AccountName;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The part of the allowed overshoot that is used: what instances without a leader let through
 /// besides must stay within it too.
 const OVERSHOOT_USED: f64 = 0.5;
+/// The part of a quota from which on an account counts as tight.
+const TIGHT_SHARE: f64 = 0.7;
+/// What an instance without a leader lets through of a tight account's equal part: what the others
+/// have let through is not known, and an uneven part of it is missing here.
+const TIGHT_PART: f64 = 0.25;
+/// What it lets through of any other account's equal part: requests come unevenly, and there is
+/// room.
+const LOOSE_PART: f64 = 1.4;
 /// For how long units are counted together, in milliseconds.
 const GRAIN_MS: u64 = 100;
 
@@ -47,6 +55,15 @@
         }
     }
 
+    /// Takes back units that were added at `at_ms`, if they still count.
+    fn take_back(&mut self, at_ms: u64, units: f64) {
+        let counted = self.used.iter_mut().rev().find(|(from_ms, _)| *from_ms <= at_ms);
+        if let Some((_, used)) = counted {
+            *used -= units;
+            self.sum -= units;
+        }
+    }
+
     fn add(&mut self, at_ms: u64, units: f64) {
         self.sum += units;
         match self.used.back_mut() {
@@ -78,6 +95,13 @@
         let before = self.before.map_or(0.0, |(quota, _)| limit_of(options, &quota));
         before.max(limit_of(options, quota))
     }
+
+    fn used(&mut self, before_ms: u64) -> f64 {
+        for window in self.windows.values_mut() {
+            window.forget(before_ms);
+        }
+        self.windows.values().map(|window| window.sum).sum()
+    }
 }
 
 fn limit_of(options: &Options, quota: &Quota) -> f64 {
@@ -91,9 +115,38 @@
 #[derive(Clone, Debug, Default)]
 pub struct Quotas {
     accounts: BTreeMap<AccountName, Account>,
+    /// The accounts that have used up most of their quota, by the word of the leader.
+    tight: BTreeSet<AccountName>,
 }
 
 impl Quotas {
+    /// Takes the leader's word which accounts have used up most of their quota.
+    pub fn set_tight(&mut self, tight: BTreeSet<AccountName>) {
+        self.tight = tight;
+    }
+
+    /// Returns the accounts that have used up most of their quota.
+    pub fn tight(&mut self, now_ms: u64, options: &Options) -> Vec<AccountName> {
+        let before_ms = now_ms.saturating_sub(options.quota_window_ms);
+        let mut tight = Vec::new();
+        for (name, account) in &mut self.accounts {
+            let Some(quota) = account.quota else { continue };
+            if account.used(before_ms) > limit_of(options, &quota) * TIGHT_SHARE {
+                tight.push(name.clone());
+            }
+        }
+        tight
+    }
+
+    /// Returns what part of an account's equal part may be used here.
+    fn part_of(&self, options: &Options, account: &AccountName) -> f64 {
+        match options.budget_share < 1.0 {
+            true if self.tight.contains(account) => TIGHT_PART,
+            true => LOOSE_PART,
+            false => 1.0,
+        }
+    }
+
     /// Takes `units` of an account for a request of an instance; otherwise returns after how many
     /// milliseconds there are as many.
     ///
@@ -107,13 +160,10 @@
         (account, quota): (&AccountName, &Quota),
         units: f64,
     ) -> Result<(), u64> {
+        let part = self.part_of(options, account);
         let known = self.accounts.entry(account.clone()).or_default();
-        let limit = known.limit(now_ms, options, quota);
-        let before_ms = now_ms.saturating_sub(options.quota_window_ms);
-        for window in known.windows.values_mut() {
-            window.forget(before_ms);
-        }
-        let used: f64 = known.windows.values().map(|window| window.sum).sum();
+        let limit = known.limit(now_ms, options, quota) * part;
+        let used = known.used(now_ms.saturating_sub(options.quota_window_ms));
         if used > 0.0 && used + units > limit {
             let lacks = (used + units - limit).min(limit);
             return Err((lacks / quota.units_per_s.max(1.0) * 1e3).ceil() as u64);
@@ -122,11 +172,11 @@
         Ok(())
     }
 
-    /// Gives back what a request took that was not sent anywhere.
-    pub fn give_back(&mut self, now_ms: u64, instance: u32, account: &AccountName, units: f64) {
+    /// Gives back what a request took at `at_ms` that was not sent anywhere.
+    pub fn give_back(&mut self, at_ms: u64, instance: u32, account: &AccountName, units: f64) {
         let known = self.accounts.get_mut(account);
         if let Some(window) = known.and_then(|known| known.windows.get_mut(&instance)) {
-            window.add(now_ms, -units);
+            window.take_back(at_ms, units);
         }
     }
 
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -14,14 +14,14 @@
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, InFlight, Job, Options, Placement, Ticket, Usage,
 };
-use lycheehub_types::{InstanceName, PeerError};
+use lycheehub_types::{AccountName, InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::{peer, placement};
 use lycheehub_wire::{read_decision, write_finished, write_in_flight, write_job, write_usage};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{LocalExecutor, Timer};
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -173,8 +173,9 @@
             let leader = self.views.get().leader.clone();
             let moved = leader.is_some_and(|(name, _)| name != session.leader);
             let answer = if moved { None } else { self.ask_alive(&session).await };
-            let Some(instances) = answer else { break };
+            let Some((instances, tight)) = answer else { break };
             self.note_instances(instances);
+            self.local.borrow_mut().set_tight_accounts(tight);
         }
         spdlog::warn!("leader lost: requests are placed here", kv: { leader: = session.leader });
         self.session.borrow_mut().take();
@@ -182,12 +183,19 @@
         self.links.drop_peer(&session.leader);
     }
 
-    async fn ask_alive(&self, session: &Session) -> Option<u32> {
+    /// Returns how many instances the leader serves, and which client accounts have used up most of
+    /// their quota.
+    async fn ask_alive(&self, session: &Session) -> Option<(u32, BTreeSet<AccountName>)> {
         let asked = async {
             let mut request = session.client.finish_request();
             request.get().init_finished(0);
             let reply = request.send().promise.await?;
-            Ok::<u32, capnp::Error>(reply.get()?.get_instances())
+            let reply = reply.get()?;
+            let mut tight = BTreeSet::new();
+            for account in reply.get_tight()? {
+                tight.insert(AccountName::from(account?.to_str()?));
+            }
+            Ok::<_, capnp::Error>((reply.get_instances(), tight))
         };
         lycheehub_clock::within(ANSWER_MS, asked).await?.ok()
     }
--- a/crates/peer/src/node/placing.rs
+++ b/crates/peer/src/node/placing.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use lycheehub_dispatch::{Decision, Dispatcher, Finished, InFlight, Job, Ticket, Usage};
-use lycheehub_types::InstanceName;
+use lycheehub_types::{AccountName, InstanceName};
 use smol::channel::{Sender, bounded};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -204,6 +204,14 @@
         })
     }
 
+    /// Returns the client accounts that have used up most of their quota.
+    pub(crate) fn tight_accounts(&self) -> Vec<AccountName> {
+        let now_ms = self.clock.now_ms();
+        let mut placing = self.placing.borrow_mut();
+        let placing = placing.as_mut();
+        placing.map_or_else(Vec::new, |placing| placing.dispatcher.tight_accounts(now_ms))
+    }
+
     /// Takes the news that the caller of a request that waits has left.
     pub(crate) fn withdraw_job(&self, session: SessionKey, number: u64) -> Option<u32> {
         let ticket = Ticket { instance: session.instance, number };
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -259,10 +259,18 @@
         params: placement::FinishParams,
         mut results: placement::FinishResults,
     ) -> Result<(), capnp::Error> {
-        let finished =
-            lycheehub_wire::read_finished(self.session.instance, params.get()?.get_finished()?)?;
+        let finished = params.get()?.get_finished()?;
+        let finished = lycheehub_wire::read_finished(self.session.instance, finished)?;
+        let is_heartbeat = finished.is_empty();
         let instances = self.node.finish(self.session, finished).ok_or_else(not_leading)?;
         results.get().set_instances(instances);
+        if is_heartbeat {
+            let accounts = self.node.tight_accounts();
+            let mut tight = results.get().init_tight(accounts.len() as u32);
+            for (place, account) in (0..).zip(&accounts) {
+                tight.set(place, account.as_str());
+            }
+        }
         Ok(())
     }
 
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -242,8 +242,9 @@
 interface Placement {
   # Answers when there is room, or as soon as it is certain that there will be none in time.
   place @0 (job :Job) -> (decision :Decision);
-  # Also serves as a heartbeat; answers how many instances are served.
-  finish @1 (finished :List(Finished)) -> (instances :UInt32);
+  # Also serves as a heartbeat; answers how many instances are served, and which client accounts
+  # have used up most of their quota.
+  finish @1 (finished :List(Finished)) -> (instances :UInt32, tight :List(Text));
   # The request has had no answer for much longer than expected.
   stalled @2 (number :UInt64) -> ();
   # The caller of a request that waits has left.
