fix(dispatch): an instance that was started again frees nothing of what it used

The log shows 8 entry instances entering anew at 10 s, within the window; each replaced what the leader had counted for it by its own empty word. The larger of both is kept now. Test failed before.

--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -186,14 +186,20 @@
         known.windows.entry(instance).or_default().add(now_ms, units);
     }
 
-    /// Replaces what is known of an instance's use by what it says itself, oldest first.
+    /// Takes over what an instance says that it used, oldest first, where it says more than is known
+    /// here: one that was started again has forgotten what it used.
     pub fn adopt(&mut self, now_ms: u64, instance: u32, usage: &[Usage]) {
-        for known in self.accounts.values_mut() {
-            known.windows.remove(&instance);
-        }
+        let mut told: BTreeMap<&AccountName, Window> = BTreeMap::new();
         for usage in usage {
             let at_ms = now_ms.saturating_sub(usage.ago_ms);
-            self.note(at_ms, instance, &usage.account, usage.units);
+            told.entry(&usage.account).or_default().add(at_ms, usage.units);
+        }
+        for (account, told) in told {
+            let known = self.accounts.entry(account.clone()).or_default();
+            let window = known.windows.entry(instance).or_default();
+            if told.sum > window.sum {
+                *window = told;
+            }
         }
     }
 
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -72,6 +72,15 @@
     expect_that!(largest_window(&mut after, 5_000, 3_900, 60), le(1));
 }
 
+#[gtest]
+fn an_instance_that_was_started_again_frees_nothing_that_it_used() {
+    let mut dispatcher = dispatcher(Options::default(), QUOTA);
+    expect_that!(largest_window(&mut dispatcher, 1_000, 4_000, 60), ge(88));
+    dispatcher.forget_instance(5_000, 1);
+    dispatcher.adopt_usage(5_000, 1, &[]);
+    expect_that!(largest_window(&mut dispatcher, 5_000, 3_900, 60), le(1));
+}
+
 #[gtest]
 fn a_lowered_quota_holds_one_window_later() {
     let mut dispatcher = dispatcher(Options::default(), QUOTA);
