--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -18,6 +18,9 @@
 /// How many jobs that no free endpoint suits are passed over for those behind them.
 const PASSED_OVER_MAX: usize = 8;
 
+/// How many times as long as a short job the mean one holds a slot.
+const SHORT_FACTOR: f64 = 4.0;
+
 /// A request at an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Placed {
@@ -33,12 +36,23 @@
     engine: Option<EngineSpec>,
     /// The mean speed of its endpoints.
     speed: Speed,
+    /// How long a job is likely to hold a slot, as a mean, in milliseconds; 0 until one came.
+    slot_ms: f64,
     /// The highest tier that was shed of late, with until when nothing below it is admitted, in
     /// milliseconds.
     floor: Option<(u8, u64)>,
 }
 
 impl Service {
+    /// Takes how long a job is likely to hold a slot into the mean; returns the mean, in
+    /// milliseconds.
+    fn note_slot_ms(&mut self, slot_ms: f64) -> f64 {
+        const WEIGHT: f64 = 0.02;
+        let weight = if self.slot_ms == 0.0 { 1.0 } else { WEIGHT };
+        self.slot_ms += weight * (slot_ms - self.slot_ms);
+        self.slot_ms
+    }
+
     /// Returns how many events an answer of `output_tokens` has.
     fn events_of(&self, output_tokens: u32) -> f64 {
         let per_event = self.engine.map_or(1, |engine| engine.tokens_per_event.max(1));
@@ -155,9 +169,11 @@
 
     fn waiting_of(&mut self, now_ms: u64, job: Job, units: f64) -> Option<Waiting> {
         const RETRY_AFTER_MS: u64 = 1_000;
-        let usable = self.services.get(&job.service).filter(|service| {
-            service.endpoints.iter().any(|key| !self.endpoints[*key].record.leaving)
-        });
+        let endpoints = &self.endpoints;
+        let usable = self
+            .services
+            .get_mut(&job.service)
+            .filter(|service| service.endpoints.iter().any(|key| !endpoints[*key].record.leaving));
         let Some(service) = usable else {
             self.give_back(now_ms, &job, units);
             self.refuse(job.ticket, Reason::NoEndpoint, RETRY_AFTER_MS);
@@ -169,13 +185,16 @@
         } else {
             service.speed.events_ms(service.events_of(job.output_tokens))
         };
+        let slot_ms = (first_byte_ms + rest_ms).max(1.0);
+        let is_short = slot_ms * SHORT_FACTOR <= service.note_slot_ms(slot_ms);
         Some(Waiting {
+            is_short,
             since_ms: now_ms,
             objective_ms: now_ms + job.objective_left_ms,
             patience_ms: now_ms + job.patience_left_ms,
             deadline_ms: now_ms + job.deadline_left_ms,
             first_byte_ms: first_byte_ms as u64,
-            slot_ms: (first_byte_ms + rest_ms).max(1.0) as u64,
+            slot_ms: slot_ms as u64,
             units,
             job,
         })
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -5,6 +5,9 @@
 //! then. So those that can still be on time go before those that cannot; and where the backlog is
 //! longer than the newest of them can wait, or jobs already run out of time, the newest goes first,
 //! so that what is served is served well on time and only what is left over runs out of time.
+//!
+//! Load pattern: short requests behind long ones. One that needs a small part of what others need
+//! delays them by little, and is served with the most urgent ones of its tier.
 
 use crate::job::{Job, Ticket};
 use std::collections::BTreeMap;
@@ -43,6 +46,8 @@
     pub first_byte_ms: u64,
     /// How long it is likely to hold a slot, in milliseconds.
     pub slot_ms: u64,
+    /// It needs little of what others need: it goes with the most urgent ones of its tier.
+    pub is_short: bool,
     /// What it took of its account's quota.
     pub units: f64,
 }
@@ -60,6 +65,11 @@
             || now_ms + self.slot_ms >= self.deadline_ms
     }
 
+    /// Returns the rank of the line in which the job waits.
+    fn line_rank(&self) -> u8 {
+        if self.is_short { 0 } else { self.job.rank }
+    }
+
     /// Tells whether the job could have been done in time when it came.
     pub fn had_time(&self) -> bool {
         const SOON_MS: u64 = 100;
@@ -138,7 +148,7 @@
 
 impl Tier {
     fn push(&mut self, now_ms: u64, waiting: Waiting) {
-        let rank = waiting.job.rank;
+        let rank = waiting.line_rank();
         let until_ms = waiting.on_time_until_ms();
         if until_ms > now_ms {
             self.on_time.entry(rank).or_default().push(until_ms, waiting);
--- a/crates/dispatch/tests/dispatch/overload.rs
+++ b/crates/dispatch/tests/dispatch/overload.rs
@@ -92,6 +92,19 @@
     expect_that!(share(&replay, 0, 8, 13), gt(0.98));
 }
 
+#[gtest]
+fn short_requests_are_not_shed_for_long_ones() {
+    let long = Class { job: job(0), per_s: CAPACITY_PER_S * 1.5 };
+    let short = Job { rank: 2, output_tokens: 20, prompt_tokens: 300, ..job(0) };
+    let short = Class { job: short, per_s: CAPACITY_PER_S * 0.5 };
+    let mut replay = Replay::new(&SPEEDS);
+    replay.run(10_000, &[long, short], 1.0);
+    // They need a fifteenth of a slot each: 3% of the capacity.
+    expect_that!(share(&replay, 1, 2, 10), gt(0.95));
+    let served = f64::from(replay.count(0, 2, 10, on_time)) / 8.0;
+    expect_that!(served, gt(CAPACITY_PER_S * 0.75));
+}
+
 #[gtest]
 fn long_prompts_are_not_starved_by_short_ones() {
     let short = Class { job: job(0), per_s: CAPACITY_PER_S * 0.9 };
