--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -1,10 +1,9 @@
 //! A control instance: holds a replica, hears endpoints and operators, and places requests while
 //! it leads.
 
-use super::{METRICS_PORT, http, load, needed, start_metrics, wait_for_stop};
+use super::{http, needed, serve_metrics, start_thread, wait_for_stop};
 use crate::exit::{Code, Error};
-use crate::serve::{listen, log};
-use crate::settings::LogFormat;
+use crate::serve::listen;
 use lycheehub_clock::{Clock, TimerService};
 use lycheehub_gateway::answers::KeptAnswers;
 use lycheehub_gateway::orders::OrderSender;
@@ -18,23 +17,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-/// Runs a control instance until it is told to stop.
-pub fn run() -> Result<(), Error> {
-    let deployment = load()?;
-    log::start_bounded(LogFormat::Json, false)?;
-    let executor = Rc::new(LocalExecutor::new());
-    let result = smol::block_on(executor.run(serve(executor.clone(), deployment)));
-    log::flush();
-    result
-}
-
-async fn serve(executor: Rc<LocalExecutor<'static>>, deployment: Deployment) -> Result<(), Error> {
+/// Serves until the process is told to stop.
+pub(super) async fn serve(
+    executor: Rc<LocalExecutor<'static>>,
+    deployment: Deployment,
+) -> Result<(), Error> {
     let address = needed(deployment.control, "endpoints and operators")?;
     let calls = listen("endpoints and operators", address).await?;
     let peers = listen("peers", deployment.peers).await?;
-    let metrics_address = std::net::SocketAddr::new(deployment.ip, METRICS_PORT);
-    let metrics_listener = listen("metrics", metrics_address).await?;
-    let metrics = start_metrics()?;
+    serve_metrics(&executor, &deployment).await?;
     let (sender, requests) = unbounded();
     let control = Control::new(sender);
     start_control(&deployment, peers, requests).await?;
@@ -51,11 +42,6 @@
         async move { calls::answer_control(&control, &own, request).await }
     };
     executor.spawn(http::serve(executor.clone(), calls, answer)).detach();
-    let render = move |request| {
-        let response = http::metrics(&metrics, &request);
-        async move { response }
-    };
-    executor.spawn(http::serve(executor.clone(), metrics_listener, render)).detach();
     wait_for_stop(|| spdlog::info!("settings changed: nothing to reload")).await?;
     spdlog::info!("stopping");
     control.stop().await;
@@ -87,9 +73,7 @@
             node.run_with(listener, requests, async move { timers.run().await });
         }
     };
-    let thread = std::thread::Builder::new().name("control".to_owned());
-    let started = thread.spawn(run);
-    started.map_err(|error| Error::new(Code::Failed, format!("cannot start a thread: {error}")))?;
+    start_thread("control", run)?;
     let opened = wait.recv().await;
     opened.unwrap_or_else(|_| Err("the control thread ended".to_owned())).map_err(|message| {
         Error::new(Code::Failed, format!("cannot open the data folder: {message}"))
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -1,9 +1,8 @@
 //! An entry instance: takes the requests of callers.
 
-use super::{METRICS_PORT, http, load, needed, start_metrics, wait_for_stop};
-use crate::exit::{Code, Error};
-use crate::serve::{listen, log};
-use crate::settings::LogFormat;
+use super::{http, load, needed, serve_metrics, start_thread, wait_for_stop};
+use crate::exit::Error;
+use crate::serve::listen;
 use lycheehub_clock::{Clock, TimerService};
 use lycheehub_peer::entry::{EntryNode, EntryView, LeaderPlacement};
 use lycheehub_peer::{Latest, Seed};
@@ -39,23 +38,15 @@
     }
 }
 
-/// Runs an entry instance until it is told to stop.
-pub fn run() -> Result<(), Error> {
-    let deployment = load()?;
-    log::start_bounded(LogFormat::Json, false)?;
-    let executor = Rc::new(LocalExecutor::new());
-    let result = smol::block_on(executor.run(serve(executor.clone(), deployment)));
-    log::flush();
-    result
-}
-
-async fn serve(executor: Rc<LocalExecutor<'static>>, deployment: Deployment) -> Result<(), Error> {
+/// Serves until the process is told to stop.
+pub(super) async fn serve(
+    executor: Rc<LocalExecutor<'static>>,
+    deployment: Deployment,
+) -> Result<(), Error> {
     let callers_address = needed(deployment.callers, "callers")?;
     let callers = listen("callers", callers_address).await?;
     let readiness = listen("readiness", needed(deployment.readiness, "readiness")?).await?;
-    let metrics_address = std::net::SocketAddr::new(deployment.ip, METRICS_PORT);
-    let metrics_listener = listen("metrics", metrics_address).await?;
-    let metrics = start_metrics()?;
+    serve_metrics(&executor, &deployment).await?;
     let clock = Clock::new();
     let views = Arc::new(Latest::new(EntryView::default()));
     let (seeds, seed_changes) = bounded(1);
@@ -86,11 +77,6 @@
         async move { response }
     };
     executor.spawn(http::serve(executor.clone(), readiness, answer)).detach();
-    let render = move |request| {
-        let response = http::metrics(&metrics, &request);
-        async move { response }
-    };
-    executor.spawn(http::serve(executor.clone(), metrics_listener, render)).detach();
     spdlog::info!("entry instance started", kv: {
         machine = deployment.machine,
         callers: = callers_address,
@@ -125,11 +111,7 @@
         let node = EntryNode::new(settings, clock, timers.clone(), views);
         node.run(seeds, async move { timers.run().await });
     };
-    let thread = std::thread::Builder::new().name("control".to_owned());
-    let started = thread.spawn(run);
-    started
-        .map(drop)
-        .map_err(|error| Error::new(Code::Failed, format!("cannot start a thread: {error}")))
+    start_thread("control", run)
 }
 
 /// Passes each new view on to the placement.
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -4,19 +4,66 @@
 mod entry;
 mod http;
 
-pub use control::run as run_control;
-pub use entry::run as run_entry;
-
 use crate::exit::{Code, Error};
+use crate::serve::{listen, log};
+use crate::settings::LogFormat;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use lycheehub_platform::settings::{self, Deployment};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use smol::LocalExecutor;
 use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Runs an entry instance until it is told to stop.
+pub fn run_entry() -> Result<(), Error> {
+    run(entry::serve)
+}
+
+/// Runs a control instance until it is told to stop.
+pub fn run_control() -> Result<(), Error> {
+    run(control::serve)
+}
 
 /// The port at which metrics are served on the platform, as its deploy file says.
 const METRICS_PORT: u16 = 9464;
 
+/// Runs a role until it is told to stop.
+fn run<F>(serve: impl FnOnce(Rc<LocalExecutor<'static>>, Deployment) -> F) -> Result<(), Error>
+where
+    F: Future<Output = Result<(), Error>>,
+{
+    let deployment = load()?;
+    log::start_bounded(LogFormat::Json, false)?;
+    let executor = Rc::new(LocalExecutor::new());
+    let result = smol::block_on(executor.run(serve(executor.clone(), deployment)));
+    log::flush();
+    result
+}
+
+/// Starts a thread of a role.
+fn start_thread(name: &str, run: impl FnOnce() + Send + 'static) -> Result<(), Error> {
+    let started = std::thread::Builder::new().name(name.to_owned()).spawn(run);
+    started
+        .map(drop)
+        .map_err(|error| Error::new(Code::Failed, format!("cannot start a thread: {error}")))
+}
+
+/// Listens for metrics, and serves them.
+async fn serve_metrics(
+    executor: &Rc<LocalExecutor<'static>>,
+    deployment: &Deployment,
+) -> Result<(), Error> {
+    let listener = listen("metrics", SocketAddr::new(deployment.ip, METRICS_PORT)).await?;
+    let handle = start_metrics()?;
+    let render = move |request| {
+        let response = http::metrics(&handle, &request);
+        async move { response }
+    };
+    executor.spawn(http::serve(executor.clone(), listener, render)).detach();
+    Ok(())
+}
+
 /// Reads the settings file.
 fn load() -> Result<Deployment, Error> {
     let path = settings::path();
--- a/crates/dispatch/tests/dispatch/replay.rs
+++ b/crates/dispatch/tests/dispatch/replay.rs
@@ -86,12 +86,12 @@
     OnTime,
     Late,
     Left,
-    Refused(Reason2),
+    Refused(Refusal),
 }
 
-/// [`Reason`], in an order.
+/// Why a request was refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reason2 {
+pub enum Refusal {
     Overloaded,
     Other,
 }
@@ -219,7 +219,7 @@
         let held_ms = self.now_ms - asked.since_ms;
         self.longest_hold_ms = self.longest_hold_ms.max(held_ms);
         let overloaded = reason == Reason::Overloaded;
-        let reason = if overloaded { Reason2::Overloaded } else { Reason2::Other };
+        let reason = if overloaded { Refusal::Overloaded } else { Refusal::Other };
         self.note(asked.class, asked.since_ms, End::Refused(reason));
         if !asked.job.returning {
             let left_ms = asked.job.deadline_left_ms - held_ms - retry_after_ms;
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -107,7 +107,8 @@
         }
     }
 
-    async fn wait_for_news(&self, wait_ms: u64) {
+    /// Waits until a revision or the directory changes, at most `wait_ms`.
+    pub(super) async fn wait_for_news(&self, wait_ms: u64) {
         let (sender, receiver) = bounded(1);
         self.revised.borrow_mut().push(sender);
         let timeout = async {
--- a/crates/peer/src/node/follow.rs
+++ b/crates/peer/src/node/follow.rs
@@ -6,7 +6,6 @@
 use lycheehub_types::{InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::peer;
 use smol::Timer;
-use smol::channel::bounded;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -81,21 +80,10 @@
         found
     }
 
-    /// Waits until the state has changed after `revision`, at most `wait_ms`.
+    /// Waits until the state has changed after `revision`, or something else has, at most `wait_ms`.
     pub(crate) async fn changes_after(&self, revision: u64, wait_ms: u64) -> Feed {
         if self.core.borrow().state.revision <= revision {
-            let (sender, receiver) = bounded(1);
-            self.revised.borrow_mut().push(sender);
-            let timeout = async {
-                Timer::after(Duration::from_millis(wait_ms)).await;
-            };
-            let revised = async {
-                // A closed channel is as good as the end of the wait.
-                let _ = receiver.recv().await;
-            };
-            smol::future::or(revised, timeout).await;
-            drop(receiver);
-            self.revised.borrow_mut().retain(|sender| !sender.is_closed());
+            self.wait_for_news(wait_ms).await;
         }
         self.core.borrow().state.feed_after(revision)
     }
