test(cli): the whole path over the platform's protocol, with the real programs as processes

Three control and two entry instances on loopback addresses of their own, a stand-in for an endpoint, an operator and callers: requests and streams, documents acknowledged, read back and refused, keys taken away, a control instance killed, an endpoint that leaves, a planned stop.

--- /dev/null
+++ b/crates/cli/tests/platform/main.rs
@@ -0,0 +1,130 @@
+//! The whole path over the platform's protocol with the real programs as separate processes: three
+//! control instances, two entry instances, a stand-in for an endpoint, an operator and callers.
+
+mod support;
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use support::{Endpoint, Network, Reply, eventually};
+
+fn document(version: u64) -> Value {
+    json!({
+        "version": version,
+        "routes": [
+            { "name": "print", "hostname": "crates.example", "path_prefix": "/print/",
+              "kind": "unsafe", "timeout_ms": 2000, "target_latency_ms": 500, "priority": 1,
+              "service": "labels", "max_attempts": 2 },
+            { "name": "draft", "hostname": "crates.example", "path_prefix": "/draft/",
+              "kind": "streaming", "timeout_ms": 5000, "target_latency_ms": 1000, "priority": 0,
+              "service": "labels", "max_attempts": 1, "stream_resume": false },
+        ],
+        "services": [{ "name": "labels", "health_path": "/health" }],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 4194304,
+                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000 },
+        "tenants": [{ "name": "packhouse", "api_keys": ["key-1"] }],
+    })
+}
+
+fn put(network: &Network, control: usize, document: &Value) -> Reply {
+    network.control(control, "PUT", "/-/config", &document.to_string())
+}
+
+/// Starts everything and waits until the path is open.
+fn open() -> (Network, Endpoint) {
+    let network = Network::start(3, 2);
+    eventually("the document is acknowledged", || put(&network, 0, &document(3)).status == 200);
+    let endpoint = Endpoint::start(&network);
+    eventually("the announcement is taken", || {
+        network.announce(1, &endpoint, 1, "ready").status == 200
+    });
+    for entry in 0..2 {
+        eventually("the entry instance is ready", || network.ready(entry) == 200);
+        eventually("a request is answered", || {
+            network.ask(entry, "GET", "/print/warm", "key-1", "").status == 200
+        });
+    }
+    (network, endpoint)
+}
+
+#[gtest]
+fn requests_and_streams_go_the_whole_way() {
+    let (network, endpoint) = open();
+    let answer = network.ask(0, "POST", "/print/7?copies=2", "key-1", "a crate label");
+    expect_that!(answer.status, eq(200));
+    expect_that!(answer.head, contains_substring("Response-Seal: seal-1"));
+    expect_that!(answer.body, eq("printed a crate label"));
+    let seen = endpoint.last_request();
+    expect_that!(seen, starts_with("POST /print/7?copies=2 HTTP/1.1\r\n"));
+    for line in ["Tenant: packhouse", "Expect-Instance: i-1", "Request-Id: r-", "Deadline-Ms: "] {
+        expect_that!(seen, contains_substring(line));
+    }
+    expect_that!(seen, not(contains_substring("key-1")));
+
+    let stream = network.ask(1, "POST", "/draft/1", "key-1", "declare");
+    expect_that!(stream.status, eq(200));
+    let events = stream.body.matches("data: ").count();
+    expect_that!((events, stream.body.ends_with("0\r\n\r\n")), eq((3, true)));
+
+    expect_that!(network.ask(0, "GET", "/print/1", "forged", "").status, eq(401));
+    expect_that!(network.ask(0, "GET", "/other/1", "key-1", "").status, eq(404));
+}
+
+#[gtest]
+fn documents_are_acknowledged_read_back_and_refused() {
+    let (network, _endpoint) = open();
+    let held = document(3).to_string();
+    let read = || network.control(2, "GET", "/-/config", "");
+    expect_that!(read().body, eq(&held));
+    // Not higher: acknowledged, and nothing is changed.
+    let mut other = document(3);
+    other["tenants"] = json!([]);
+    expect_that!(put(&network, 1, &other).status, eq(200));
+    expect_that!(put(&network, 2, &document(2)).status, eq(200));
+    expect_that!(read().body, eq(&held));
+    let mut invalid = document(9);
+    invalid["routes"][0]["service"] = json!("unknown");
+    for control in 0..3 {
+        expect_that!(put(&network, control, &invalid).status, eq(400));
+    }
+    expect_that!(read().body, eq(&held));
+    // A key that is taken away is refused at every entry instance within two seconds.
+    let mut revoked = document(4);
+    revoked["tenants"][0]["api_keys"] = json!(["key-2"]);
+    expect_that!(put(&network, 0, &revoked).status, eq(200));
+    std::thread::sleep(std::time::Duration::from_secs(2));
+    for entry in 0..2 {
+        expect_that!(network.ask(entry, "GET", "/print/1", "key-1", "").status, eq(401));
+        expect_that!(network.ask(entry, "GET", "/print/1", "key-2", "").status, eq(200));
+    }
+}
+
+#[gtest]
+fn the_path_stays_open_while_a_control_instance_is_lost_and_closes_with_the_endpoint() {
+    let (mut network, endpoint) = open();
+    network.kill_control(0);
+    for number in 0..20 {
+        let answer = network.ask(number % 2, "POST", "/print/1", "key-1", "label");
+        expect_that!(answer.status, eq(200));
+    }
+    eventually("another control instance takes documents", || {
+        put(&network, 1, &document(5)).status == 200
+    });
+    eventually("the endpoint's word is taken", || {
+        network.announce(2, &endpoint, 2, "draining").status == 200
+    });
+    eventually("nothing goes to an endpoint that leaves", || {
+        network.ask(0, "GET", "/print/1", "key-1", "").status == 503
+    });
+    let refused = network.ask(1, "GET", "/print/1", "key-1", "");
+    expect_that!(refused.head, contains_substring("Retry-After: "));
+}
+
+#[gtest]
+fn an_entry_instance_stops_by_itself_and_cuts_nothing() {
+    let (mut network, _endpoint) = open();
+    network.terminate_entry(0);
+    eventually("it says that it is not ready", || network.ready(0) == 503);
+    expect_that!(network.ask(0, "POST", "/print/1", "key-1", "label").status, eq(200));
+    expect_that!(network.entry_ends(0), eq(true));
+    expect_that!(network.ask(1, "POST", "/print/1", "key-1", "label").status, eq(200));
+}
