test(standin): number the addresses of clusters instead of asking for free ones

Cause: an address was drawn by opening a listener on port 0 and closing it. A process that another test thread starts in between inherits the listener until it runs its program, so the port stays taken for some moments.

Ruled out: other users of the port (each cluster has a loopback address of its own) and connections that linger (listeners set SO_REUSEADDR).

--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io;
-use std::net::{Ipv4Addr, TcpListener};
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -72,16 +72,20 @@
     proxies: BTreeMap<(usize, usize), Proxy>,
 }
 
-/// Addresses that no other process is given: each cluster has a loopback address of its own, and
-/// all ports are held until the last one is drawn.
-fn free_addresses(count: usize) -> io::Result<Vec<String>> {
+/// The first port of each cluster: below those that the kernel gives to connections.
+const FIRST_PORT: u16 = 20_000;
+
+/// Addresses that no other process is given: each cluster has a loopback address of its own.
+///
+/// They are numbered, not asked of the kernel: a listener that is opened to learn a free port lives
+/// on in each process that is being started beside it, until that one runs its program.
+fn free_addresses(count: usize) -> Vec<String> {
     static CLUSTERS: AtomicU32 = AtomicU32::new(0);
     let cluster = CLUSTERS.fetch_add(1, Ordering::Relaxed);
     let process = std::process::id();
     let octet = |number: u32| (number % 250 + 1) as u8;
     let own = Ipv4Addr::new(127, octet(process / 250), octet(process), octet(cluster));
-    let held = (0..count).map(|_| TcpListener::bind((own, 0))).collect::<io::Result<Vec<_>>>()?;
-    held.iter().map(|listener| Ok(listener.local_addr()?.to_string())).collect()
+    (FIRST_PORT..).take(count).map(|port| format!("{own}:{port}")).collect()
 }
 
 impl Cluster {
@@ -108,7 +112,7 @@
         fs::write(folder.join("operators.keys"), operators)?;
         fs::write(folder.join("endpoints.keys"), format!("endpoints {ENDPOINT_KEY}\n"))?;
         let count = layout.replicas + layout.others;
-        let mut addresses = free_addresses(2 * count)?;
+        let mut addresses = free_addresses(2 * count);
         let mut instances = Vec::new();
         for number in 1..=count {
             let name = format!("entry-{number}");
