test(soak): a seeded fault soak over the real programs

Control and entry instances run as separate processes on loopback addresses of their own; a proxy stands on each path between instances and before each endpoint. A seed draws faults that overlap: kills, pauses, stops, reloads, lost disks, interrupted writes, paths that are silenced, cut one way, delayed, refused or reset, endpoints that crash, leave, fail, reject, lose, cut, double or delay answers. Callers on kept connections, endpoints and an operator check by what they see that requests run as they were sent and at most once, that refusals are true, answers whole and the caller's own, that nothing goes on after its caller left or its endpoint, that documents are neither lost nor read older, that service returns within 12 s, and that no process ends by itself.

The processes of the platform's test moved to tests/deployment, which both use. An entry instance now keeps the addresses of seeds that its settings give, as control instances do already: without that, paths of entry instances would have left their proxies as soon as they had heard of their neighbours.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -1,11 +1,14 @@
 //! The whole path over the platform's protocol with the real programs as separate processes: three
 //! control instances, two entry instances, a stand-in for an endpoint, an operator and callers.
 
+#[path = "../deployment/mod.rs"]
+mod deployment;
 mod support;
 
+use deployment::{Deployment, Layout, Reply, eventually};
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use support::{Endpoint, Network, Reply, eventually};
+use support::{Endpoint, announce, ask};
 
 fn document(version: u64) -> Value {
     json!({
@@ -25,22 +28,22 @@
     })
 }
 
-fn put(network: &Network, control: usize, document: &Value) -> Reply {
+fn put(network: &Deployment, control: usize, document: &Value) -> Reply {
     network.control(control, "PUT", "/-/config", &document.to_string())
 }
 
 /// Starts everything and waits until the path is open.
-fn open() -> (Network, Endpoint) {
-    let network = Network::start(3, 2);
+fn open() -> (Deployment, Endpoint) {
+    let network = Deployment::start(Layout { controls: 3, entries: 2, losses: 1, proxied: false });
     eventually("the document is acknowledged", || put(&network, 0, &document(3)).status == 200);
     let endpoint = Endpoint::start(&network);
     eventually("the announcement is taken", || {
-        network.announce(1, &endpoint, 1, "ready").status == 200
+        announce(&network, 1, &endpoint, 1, "ready").status == 200
     });
     for entry in 0..2 {
         eventually("the entry instance is ready", || network.ready(entry) == 200);
         eventually("a request is answered", || {
-            network.ask(entry, "GET", "/print/warm", "key-1", "").status == 200
+            ask(&network, entry, "GET", "/print/warm", "key-1", "").status == 200
         });
     }
     (network, endpoint)
@@ -49,7 +52,7 @@
 #[gtest]
 fn requests_and_streams_go_the_whole_way() {
     let (network, endpoint) = open();
-    let answer = network.ask(0, "POST", "/print/7?copies=2", "key-1", "a crate label");
+    let answer = ask(&network, 0, "POST", "/print/7?copies=2", "key-1", "a crate label");
     expect_that!(answer.status, eq(200));
     expect_that!(answer.head, contains_substring("Response-Seal: seal-1"));
     expect_that!(answer.body, eq("printed a crate label"));
@@ -60,13 +63,13 @@
     }
     expect_that!(seen, not(contains_substring("key-1")));
 
-    let stream = network.ask(1, "POST", "/draft/1", "key-1", "declare");
+    let stream = ask(&network, 1, "POST", "/draft/1", "key-1", "declare");
     expect_that!(stream.status, eq(200));
     let events = stream.body.matches("data: ").count();
     expect_that!((events, stream.body.ends_with("0\r\n\r\n")), eq((3, true)));
 
-    expect_that!(network.ask(0, "GET", "/print/1", "forged", "").status, eq(401));
-    expect_that!(network.ask(0, "GET", "/other/1", "key-1", "").status, eq(404));
+    expect_that!(ask(&network, 0, "GET", "/print/1", "forged", "").status, eq(401));
+    expect_that!(ask(&network, 0, "GET", "/other/1", "key-1", "").status, eq(404));
 }
 
 #[gtest]
@@ -93,38 +96,39 @@
     expect_that!(put(&network, 0, &revoked).status, eq(200));
     std::thread::sleep(std::time::Duration::from_secs(2));
     for entry in 0..2 {
-        expect_that!(network.ask(entry, "GET", "/print/1", "key-1", "").status, eq(401));
-        expect_that!(network.ask(entry, "GET", "/print/1", "key-2", "").status, eq(200));
+        expect_that!(ask(&network, entry, "GET", "/print/1", "key-1", "").status, eq(401));
+        expect_that!(ask(&network, entry, "GET", "/print/1", "key-2", "").status, eq(200));
     }
 }
 
 #[gtest]
 fn the_path_stays_open_while_a_control_instance_is_lost_and_closes_with_the_endpoint() {
     let (mut network, endpoint) = open();
-    network.kill_control(0);
+    network.controls[0].kill();
     for number in 0..20 {
-        let answer = network.ask(number % 2, "POST", "/print/1", "key-1", "label");
+        let answer = ask(&network, number % 2, "POST", "/print/1", "key-1", "label");
         expect_that!(answer.status, eq(200));
     }
     eventually("another control instance takes documents", || {
         put(&network, 1, &document(5)).status == 200
     });
     eventually("the endpoint's word is taken", || {
-        network.announce(2, &endpoint, 2, "draining").status == 200
+        announce(&network, 2, &endpoint, 2, "draining").status == 200
     });
     eventually("nothing goes to an endpoint that leaves", || {
-        network.ask(0, "GET", "/print/1", "key-1", "").status == 503
+        ask(&network, 0, "GET", "/print/1", "key-1", "").status == 503
     });
-    let refused = network.ask(1, "GET", "/print/1", "key-1", "");
+    let refused = ask(&network, 1, "GET", "/print/1", "key-1", "");
     expect_that!(refused.head, contains_substring("Retry-After: "));
 }
 
 #[gtest]
 fn an_entry_instance_stops_by_itself_and_cuts_nothing() {
     let (mut network, _endpoint) = open();
-    network.terminate_entry(0);
+    network.entries[0].signal("TERM");
     eventually("it says that it is not ready", || network.ready(0) == 503);
-    expect_that!(network.ask(0, "POST", "/print/1", "key-1", "label").status, eq(200));
-    expect_that!(network.entry_ends(0), eq(true));
-    expect_that!(network.ask(1, "POST", "/print/1", "key-1", "label").status, eq(200));
+    expect_that!(ask(&network, 0, "POST", "/print/1", "key-1", "label").status, eq(200));
+    let status = network.entries[0].ends_within(std::time::Duration::from_secs(8));
+    expect_that!(status.map(|status| status.success()), eq(Some(true)));
+    expect_that!(ask(&network, 1, "POST", "/print/1", "key-1", "label").status, eq(200));
 }
--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -51,6 +51,8 @@
     state: State,
     directory: Directory,
     addresses: BTreeMap<InstanceName, SmolStr>,
+    /// The replicas whose addresses come from the settings.
+    seeds: BTreeSet<InstanceName>,
     watched: BTreeSet<InstanceName>,
     /// The replicas that answer.
     heard: BTreeSet<InstanceName>,
@@ -60,6 +62,23 @@
     fetching: bool,
 }
 
+impl Known {
+    fn take_seeds(&mut self, seeds: &[crate::Seed]) {
+        self.seeds.extend(seeds.iter().map(|seed| seed.instance.clone()));
+        let addresses = seeds.iter().map(|seed| (seed.instance.clone(), seed.address.clone()));
+        self.addresses.extend(addresses);
+    }
+
+    /// Takes replicas that others name; addresses from the settings go before theirs.
+    fn take_replicas(&mut self, replicas: impl IntoIterator<Item = (InstanceName, SmolStr)>) {
+        for (name, address) in replicas {
+            if !self.seeds.contains(&name) {
+                self.addresses.insert(name, address);
+            }
+        }
+    }
+}
+
 impl EntryNode {
     /// Makes the control thread's state.
     pub fn new(
@@ -70,11 +89,10 @@
     ) -> Rc<Self> {
         let settings = Rc::new(settings);
         let executor = Rc::new(LocalExecutor::new());
-        let seeds = settings.seeds.iter();
-        let addresses = seeds.map(|seed| (seed.instance.clone(), seed.address.clone())).collect();
+        let mut known = Known::default();
+        known.take_seeds(&settings.seeds);
         let links = Links::new(settings, clock, executor.clone());
-        let known = RefCell::new(Known { addresses, ..Known::default() });
-        Rc::new(Self { clock, timers, executor, links, views, known })
+        Rc::new(Self { clock, timers, executor, links, views, known: RefCell::new(known) })
     }
 
     /// Runs until `seeds`, by which new addresses of seeds come, closes, and `beside` on the same
@@ -97,10 +115,7 @@
     }
 
     fn take_seeds(self: &Rc<Self>, seeds: &[crate::Seed]) {
-        for seed in seeds {
-            let mut known = self.known.borrow_mut();
-            known.addresses.insert(seed.instance.clone(), seed.address.clone());
-        }
+        self.known.borrow_mut().take_seeds(seeds);
         self.watch_all();
     }
 
@@ -283,7 +298,7 @@
                 changed = true;
             }
             let before = known.addresses.len();
-            known.addresses.extend(news.replicas);
+            known.take_replicas(news.replicas);
             let fetches = news.revision > known.state.revision && !known.fetching;
             known.fetching |= fetches;
             (changed, fetches, known.addresses.len() > before)
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -1,39 +1,99 @@
-//! A proxy between two processes that can be cut silently: connections stay open, nothing passes,
-//! and no reset tells either side.
+//! A proxy between two processes, by which the connections between them are disturbed: silenced,
+//! cut one way, delayed, refused or reset.
 
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-/// How often a cut connection looks whether it is let through again.
+/// How often a held connection looks whether it is let through again.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// What becomes of what passes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It passes.
+    #[default]
+    Open,
+    /// Nothing passes either way; connections stay open and no reset tells either side.
+    Silent,
+    /// Nothing passes from the side that connects; the other way is open.
+    SilentForth,
+    /// Nothing passes to the side that connects; the other way is open.
+    SilentBack,
+    /// Each piece is held for so long, in milliseconds.
+    Delayed(u64),
+    /// New connections are closed at once.
+    Refused,
+}
+
+impl Mode {
+    fn holds(self, way: Way) -> bool {
+        match self {
+            Self::Silent => true,
+            Self::SilentForth => way == Way::Forth,
+            Self::SilentBack => way == Way::Back,
+            Self::Open | Self::Delayed(_) | Self::Refused => false,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Forth,
+    Back,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    mode: Mutex<Mode>,
+    /// Connections that began under an earlier number are reset.
+    resets: AtomicU64,
+}
+
+impl Shared {
+    fn mode(&self) -> Mode {
+        *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn resets(&self) -> u64 {
+        self.resets.load(Ordering::Relaxed)
+    }
+}
+
 /// A proxy to one address; it ends with the process.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Proxy {
     address: SocketAddr,
-    cut: Arc<AtomicBool>,
+    shared: Arc<Shared>,
 }
 
 impl Proxy {
-    /// Starts a proxy to `to`.
+    /// Starts a proxy to `to` at a free address.
     ///
     /// # Errors
     /// Fails where it cannot listen.
     pub fn start(to: &str) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        Self::start_at("127.0.0.1:0", to)
+    }
+
+    /// Starts a proxy to `to` that listens at `at`.
+    ///
+    /// # Errors
+    /// Fails where it cannot listen.
+    pub fn start_at(at: &str, to: &str) -> io::Result<Self> {
+        let listener = TcpListener::bind(at)?;
         let address = listener.local_addr()?;
-        let cut = Arc::new(AtomicBool::new(false));
-        let (to, shared) = (to.to_owned(), cut.clone());
+        let shared = Arc::new(Shared::default());
+        let (to, passed_on) = (to.to_owned(), shared.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (to, cut) = (to.clone(), shared.clone());
-                std::thread::spawn(move || pass(stream, &to, &cut));
+                let (to, shared) = (to.clone(), passed_on.clone());
+                std::thread::spawn(move || pass(stream, &to, &shared));
             }
         });
-        Ok(Self { address, cut })
+        Ok(Self { address, shared })
     }
 
     /// Returns where the proxy listens.
@@ -43,32 +103,55 @@
 
     /// Cuts what passes, or lets it through again.
     pub fn set_cut(&self, cut: bool) {
-        self.cut.store(cut, Ordering::Relaxed);
+        self.set_mode(if cut { Mode::Silent } else { Mode::Open });
+    }
+
+    /// Says what becomes of what passes from now on.
+    pub fn set_mode(&self, mode: Mode) {
+        *self.shared.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
+    }
+
+    /// Closes all connections that are open.
+    pub fn reset(&self) {
+        self.shared.resets.fetch_add(1, Ordering::Relaxed);
     }
 }
 
-fn pass(near: TcpStream, to: &str, cut: &Arc<AtomicBool>) {
-    wait_while(cut);
+fn pass(near: TcpStream, to: &str, shared: &Arc<Shared>) {
+    let resets = shared.resets();
+    while shared.mode().holds(Way::Forth) && shared.resets() == resets {
+        std::thread::sleep(LOOK);
+    }
+    if shared.mode() == Mode::Refused {
+        return;
+    }
     let Ok(far) = TcpStream::connect(to) else { return };
     // Latency alone suffers where this fails.
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (Ok(near_reader), Ok(far_reader)) = (near.try_clone(), far.try_clone()) else { return };
-    let shared = cut.clone();
-    std::thread::spawn(move || copy(near_reader, far, &shared));
-    copy(far_reader, near, cut);
-}
-
-fn wait_while(cut: &AtomicBool) {
-    while cut.load(Ordering::Relaxed) {
-        std::thread::sleep(LOOK);
-    }
+    let forth = shared.clone();
+    std::thread::spawn(move || copy(near_reader, far, Way::Forth, resets, &forth));
+    copy(far_reader, near, Way::Back, resets, shared);
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool) {
+/// Copies until either side closes, or the proxy resets its connections.
+fn copy(mut from: TcpStream, mut to: TcpStream, way: Way, resets: u64, shared: &Shared) {
     let mut buffer = [0; 16 * 1024];
-    while let Ok(count) = from.read(&mut buffer) {
-        wait_while(cut);
-        if count == 0 || to.write_all(&buffer[..count]).is_err() {
+    // Without the pauses a reset would only be seen with the next piece.
+    let looks = from.set_read_timeout(Some(LOOK)).is_ok();
+    while shared.resets() == resets {
+        let count = match from.read(&mut buffer) {
+            Ok(count) => count,
+            Err(error) if looks && error.kind() == io::ErrorKind::WouldBlock => continue,
+            Err(_) => break,
+        };
+        while shared.mode().holds(way) && shared.resets() == resets {
+            std::thread::sleep(LOOK);
+        }
+        if let Mode::Delayed(delay_ms) = shared.mode() {
+            std::thread::sleep(Duration::from_millis(delay_ms));
+        }
+        if count == 0 || shared.resets() != resets || to.write_all(&buffer[..count]).is_err() {
             break;
         }
     }
