fix(peer): hand waiting requests over to the leader once there is one

Cause: a request that came while no leader answered waited for the own dispatcher of its entry instance, which has only its part of the slots, and stayed there when the leader was back. Found by a test that sent a burst right after the start: one slot of eight was used, and 58 of 60 requests were refused as overloaded.

Now an instance that enters a leader hands over all that waits; jobs that are asked for again carry the time that they have left by then, also those that turn from a lost leader to the own dispatcher.

Ruled out: the dispatcher itself, which fills all slots in a burst (test added).

--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -60,6 +60,32 @@
     pub repeat: bool,
 }
 
+impl Job {
+    /// Returns the job as it is after `waited_ms` milliseconds: with so much less time left.
+    ///
+    /// # Examples
+    /// ```
+    /// # use lycheehub_dispatch::{Job, Ticket};
+    /// # let ticket = Ticket { instance: 1, number: 1 };
+    /// # let job = Job {
+    /// #     ticket, service: "labels".into(), tier: 0, rank: 0, account: None, told_tokens: None,
+    /// #     prompt_tokens: 0, output_tokens: 0, prefix: vec![], objective_left_ms: 100,
+    /// #     patience_left_ms: 500, deadline_left_ms: 500, returning: false,
+    /// #     failure_domain: "salto".into(), tried: vec![], repeat: false,
+    /// # };
+    /// let later = job.after(200);
+    /// assert_eq!((later.objective_left_ms, later.deadline_left_ms), (0, 300));
+    /// ```
+    pub fn after(&self, waited_ms: u64) -> Self {
+        Self {
+            objective_left_ms: self.objective_left_ms.saturating_sub(waited_ms),
+            patience_left_ms: self.patience_left_ms.saturating_sub(waited_ms),
+            deadline_left_ms: self.deadline_left_ms.saturating_sub(waited_ms),
+            ..self.clone()
+        }
+    }
+}
+
 /// What becomes of a request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -2,7 +2,9 @@
 
 use crate::replay::{Class, End, Replay, dispatcher, finished, job, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::{Decision, Dispatcher, InFlight, Job, Outcome, PrefixPart, Ticket};
+use lycheehub_dispatch::{
+    Decision, Dispatcher, Finished, InFlight, Job, Outcome, PrefixPart, Ticket,
+};
 
 fn placed(dispatcher: &mut Dispatcher) -> Vec<String> {
     let decisions = dispatcher.take_decisions().into_iter();
@@ -94,3 +96,19 @@
     dispatcher.submit(10, large(2));
     expect_that!(placed(&mut dispatcher).len(), eq(1));
 }
+
+#[test]
+fn a_burst_at_a_quick_endpoint_gets_all_its_slots() {
+    let mut dispatcher = dispatcher(&[record("e1", 8)]);
+    let plain = |number| Job { prompt_tokens: 0, output_tokens: 0, ..job(number) };
+    dispatcher.submit(1_000, plain(1));
+    assert_eq!(placed(&mut dispatcher).len(), 1);
+    let ticket = Ticket { instance: 1, number: 1 };
+    let outcome = Outcome::Answered;
+    let first_byte_ms = Some(1);
+    dispatcher.finish(1_001, Finished { ticket, outcome, first_byte_ms, rest_ms: 0, events: 0 });
+    for number in 2..62 {
+        dispatcher.submit(1_010, plain(number));
+    }
+    assert_eq!(placed(&mut dispatcher).len(), 8);
+}
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -9,6 +9,8 @@
 use crate::link::{Links, within};
 use crate::settings::Settings;
 use crate::views::Latest;
+use capnp::capability::{FromTypelessPipeline, Request};
+use capnp::traits::{Owned, Pipelined};
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::placement::Deciding;
 use lycheehub_dispatch::{
@@ -37,6 +39,8 @@
 const LOOK_AGAIN_MS: u64 = 100;
 /// How often the own dispatcher's time is moved on while requests wait, in milliseconds.
 const LOCAL_TICK_MS: u64 = 50;
+/// The number of this instance at its own dispatcher.
+const OWN_NUMBER: u32 = 0;
 /// How many instances there are where no leader has told it yet.
 const INSTANCES_GUESS: u32 = 8;
 
@@ -49,12 +53,6 @@
     _alive: Sender<()>,
 }
 
-/// A request that was placed.
-#[derive(Clone, Debug)]
-struct Placed {
-    in_flight: InFlight,
-}
-
 /// Places requests of this instance.
 pub struct LeaderPlacement {
     settings: Rc<Settings>,
@@ -66,7 +64,7 @@
     local: RefCell<Dispatcher>,
     /// Those that wait for the own dispatcher.
     deciding: RefCell<BTreeMap<u64, Sender<Decision>>>,
-    placed: RefCell<BTreeMap<u64, Placed>>,
+    placed: RefCell<BTreeMap<u64, InFlight>>,
     /// How many requests wait for the leader's word.
     asking: Cell<usize>,
     instances: Cell<u32>,
@@ -146,9 +144,8 @@
     ) -> Result<Rc<Session>, PeerError> {
         const STEP: &str = "enter";
         let peer = self.links.peer(name, address).await?;
-        let in_flight: Vec<InFlight> =
-            self.placed.borrow().values().map(|placed| placed.in_flight.clone()).collect();
-        let usage = self.local.borrow().usage(self.clock.now_ms(), 0);
+        let in_flight: Vec<InFlight> = self.placed.borrow().values().cloned().collect();
+        let usage = self.local.borrow().usage(self.clock.now_ms(), OWN_NUMBER);
         let entered = async {
             let client = enter_at(peer, self.settings.instance.as_str(), &in_flight, &usage).await;
             client.map_err(|error| PeerError::failed(STEP, name.as_str(), error))
@@ -162,6 +159,7 @@
         let session = Rc::new(session);
         spdlog::info!("requests are placed by the leader", kv: { leader: = name });
         *self.session.borrow_mut() = Some(session.clone());
+        self.hand_over();
         Ok(session)
     }
 
@@ -224,18 +222,27 @@
         smol::future::or(async { asked.await.ok() }, ended).await
     }
 
-    async fn place_here(&self, job: Job) -> Decision {
-        let ticket = job.ticket;
+    /// Asks the own dispatcher; nothing where the request is handed over to a leader meanwhile.
+    async fn place_here(&self, job: Job) -> Option<Decision> {
         let (sender, receiver) = bounded(1);
-        self.deciding.borrow_mut().insert(ticket.number, sender);
+        self.deciding.borrow_mut().insert(job.ticket.number, sender);
         self.local.borrow_mut().submit(self.clock.now_ms(), job);
         self.deliver_local();
-        let decision = receiver.recv().await;
-        decision.unwrap_or(Decision::Refuse {
-            ticket,
-            reason: lycheehub_dispatch::Reason::NoEndpoint,
-            retry_after_ms: ANSWER_MS,
-        })
+        receiver.recv().await.ok()
+    }
+
+    /// Hands all that waits here over to the leader, which has all slots to give.
+    fn hand_over(&self) {
+        let waiting = std::mem::take(&mut *self.deciding.borrow_mut());
+        let now_ms = self.clock.now_ms();
+        let mut local = self.local.borrow_mut();
+        for number in waiting.keys() {
+            local.withdraw(now_ms, Ticket { instance: OWN_NUMBER, number: *number });
+        }
+        if !waiting.is_empty() {
+            let count = waiting.len() as u64;
+            spdlog::info!("waiting requests handed over to the leader", kv: { count });
+        }
     }
 
     fn deliver_local(&self) {
@@ -275,16 +282,19 @@
             local.adopt(now_ms, job.ticket.instance, own);
             local.note_use(now_ms, job);
         }
-        self.placed.borrow_mut().insert(job.ticket.number, Placed { in_flight });
+        self.placed.borrow_mut().insert(job.ticket.number, in_flight);
     }
 
     /// Sends a word to the leader, if there is one, without waiting for its answer.
-    fn tell(
+    fn tell<Params, Results>(
         &self,
-        send: impl FnOnce(&placement::Client) -> capnp::capability::Promise<(), capnp::Error>,
-    ) {
+        word: impl FnOnce(&placement::Client) -> Request<Params, Results>,
+    ) where
+        Results: Owned + Pipelined + Unpin + 'static,
+        Results::Pipeline: FromTypelessPipeline,
+    {
         let Some(session) = self.session.borrow().clone() else { return };
-        let sent = send(&session.client);
+        let sent = word(&session.client).send().promise;
         let task = async move {
             if let Err(error) = sent.await {
                 spdlog::debug!("word to the leader lost", kv: { error: });
@@ -298,21 +308,26 @@
     fn ticket(&self) -> Ticket {
         let number = self.last_number.get() + 1;
         self.last_number.set(number);
-        Ticket { instance: 0, number }
+        Ticket { instance: OWN_NUMBER, number }
     }
 
     fn place(&self, job: Job) -> Deciding<'_> {
         Box::pin(async move {
-            let session = self.session.borrow().clone();
-            if let Some(session) = session
-                && let Some(decision) = self.place_at_leader(&session, &job).await
-            {
-                self.note_placed(&job, &decision, true);
-                return decision;
+            let asked_ms = self.clock.now_ms();
+            let job_now = || job.after(self.clock.now_ms() - asked_ms);
+            loop {
+                let session = self.session.borrow().clone();
+                if let Some(session) = session
+                    && let Some(decision) = self.place_at_leader(&session, &job_now()).await
+                {
+                    self.note_placed(&job, &decision, true);
+                    return decision;
+                }
+                if let Some(decision) = self.place_here(job_now()).await {
+                    self.note_placed(&job, &decision, false);
+                    return decision;
+                }
             }
-            let decision = self.place_here(job.clone()).await;
-            self.note_placed(&job, &decision, false);
-            decision
         })
     }
 
@@ -323,8 +338,7 @@
         self.tell(|client| {
             let mut request = client.finish_request();
             write_finished(&[finished], request.get().init_finished(1));
-            let sent = request.send().promise;
-            capnp::capability::Promise::from_future(async move { sent.await.map(drop) })
+            request
         });
     }
 
@@ -333,8 +347,7 @@
         self.tell(|client| {
             let mut request = client.stalled_request();
             request.get().set_number(ticket.number);
-            let sent = request.send().promise;
-            capnp::capability::Promise::from_future(async move { sent.await.map(drop) })
+            request
         });
     }
 
@@ -346,8 +359,7 @@
         self.tell(|client| {
             let mut request = client.withdraw_request();
             request.get().set_number(ticket.number);
-            let sent = request.send().promise;
-            capnp::capability::Promise::from_future(async move { sent.await.map(drop) })
+            request
         });
     }
 }
