--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -169,7 +169,7 @@
         if let Some(first_ms) = attempt.first_byte_ms.get() {
             self.trail.note_first_byte(first_ms);
         }
-        self.trail.note_pause(attempt.pause_ms.get());
+        self.trail.note_events(attempt.events.get(), attempt.pause_ms.get());
         let endpoint = attempt.endpoint.clone();
         match end {
             Err(why) => AttemptEnd::Interrupted(why),
--- a/crates/proxy/src/exchange/trail.rs
+++ b/crates/proxy/src/exchange/trail.rs
@@ -23,7 +23,12 @@
     attempts: String,
     end: SmolStr,
     retry_after_ms: u64,
+    /// The events of a stream that were passed on.
+    events: u32,
+    /// The tokens that the request is counted by.
     tokens: u64,
+    /// The likely length of the answer.
+    output_tokens: u32,
     deadline_ms: u64,
     returning: bool,
 }
@@ -44,7 +49,9 @@
             attempts: String::new(),
             end: SmolStr::new("unanswered"),
             retry_after_ms: 0,
+            events: 0,
             tokens: 0,
+            output_tokens: 0,
             deadline_ms: 0,
             returning: false,
         }
@@ -61,6 +68,7 @@
     /// Notes what the decision is made by.
     pub(super) fn note_job(&mut self, job: &Job) {
         self.tokens = job.told_tokens.unwrap_or_default();
+        self.output_tokens = job.output_tokens;
         self.deadline_ms = job.deadline_left_ms;
         self.returning = job.returning;
     }
@@ -78,7 +86,8 @@
         self.first_byte_ms.get_or_insert(now_ms - self.started_ms);
     }
 
-    pub(super) fn note_pause(&mut self, pause_ms: u64) {
+    pub(super) fn note_events(&mut self, events: u32, pause_ms: u64) {
+        self.events += events;
         self.pause_ms = self.pause_ms.max(pause_ms);
     }
 
@@ -122,7 +131,9 @@
             total_ms,
             attempts: = self.attempts.trim_end(),
             retry_after_ms = self.retry_after_ms,
+            events = u64::from(self.events),
             tokens = self.tokens,
+            output_tokens = u64::from(self.output_tokens),
             deadline_ms = self.deadline_ms,
             returning = self.returning,
             revision,
