fix(dispatch): divide slots between instances so that their sum is right

Cause: without a leader each entry instance used its part of each endpoint's slots, rounded up to at least one. With 67 instances before 90 endpoints of 7 slots that is 6,030 places where there are 630: endpoints got many times what they can run, and what was sent there was late.

Now the rest of the division is drawn by the names of instance and endpoint, so that an instance uses whole slots at some endpoints and none at others; a service of which an instance would get none gives it one.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -61,10 +61,9 @@
     }
 
     fn has_room(&self, now_ms: u64, name: &ServiceName) -> bool {
-        let share = self.options.slot_share;
         let has_room = |endpoint: &Endpoint| {
             !endpoint.record.leaving
-                && endpoint.running.len() < endpoint.slots(share)
+                && endpoint.running.len() < endpoint.own_slots
                 && endpoint.health.is_open(now_ms)
         };
         let Some(service) = self.services.get(name) else { return false };
@@ -73,12 +72,8 @@
 
     fn choose(&self, now_ms: u64, name: &ServiceName, job: &Job) -> Option<EndpointKey> {
         let service = self.services.get(name)?;
-        let share = self.options.slot_share;
-        let usable = service
-            .endpoints
-            .iter()
-            .copied()
-            .filter(|key| self.endpoints[*key].takes(now_ms, job, share));
+        let usable =
+            service.endpoints.iter().copied().filter(|key| self.endpoints[*key].takes(now_ms, job));
         let count = service.endpoints.len().max(1) as f64;
         let failures: f64 =
             service.endpoints.iter().map(|key| self.endpoints[*key].health.failure_share()).sum();
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -2,6 +2,7 @@
 
 mod choose;
 mod refuse;
+mod share;
 mod update;
 
 use crate::endpoints::{Endpoint, EndpointKey, Speed, is_failure};
@@ -122,6 +123,8 @@
     /// Replaces the options.
     pub fn set_options(&mut self, options: Options) {
         self.options = options;
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        names.iter().for_each(|name| self.share_out(name));
     }
 
     /// Takes a request; a decision follows, now or later.
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -43,7 +43,7 @@
         let Some(service) = self.services.get(name) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         let usable = endpoints.filter(|endpoint| !endpoint.record.leaving);
-        usable.map(|endpoint| endpoint.slots(self.options.slot_share)).sum()
+        usable.map(|endpoint| endpoint.own_slots).sum()
     }
 
     /// Refuses what can no longer be done in time.
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -27,6 +27,9 @@
         for name in names {
             self.describe(&name);
         }
+        for name in known.into_keys() {
+            self.share_out(name);
+        }
         self.tick(now_ms);
     }
 
@@ -55,6 +58,8 @@
         for name in gone {
             self.drop_endpoint(&name);
         }
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        names.iter().for_each(|name| self.share_out(name));
         self.tick(now_ms);
     }
 
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -33,6 +33,8 @@
 pub struct Endpoint {
     /// What it says of itself.
     pub record: EndpointRecord,
+    /// How many requests of this dispatcher may run there.
+    pub own_slots: usize,
     /// How much memory it has for prompts and answers, in tokens; unbounded where it is not known.
     pub memory_tokens: Option<u64>,
     /// What was placed there and has not ended.
@@ -53,6 +55,7 @@
     /// Makes an endpoint of which nothing is known but its record.
     pub fn new(record: EndpointRecord, memory_tokens: Option<u64>, speed: Speed) -> Self {
         Self {
+            own_slots: record.slots as usize,
             record,
             memory_tokens,
             running: BTreeMap::new(),
@@ -69,14 +72,10 @@
         &self.record.endpoint
     }
 
-    /// Returns how many requests may run there, of a part `share` of its slots.
-    pub fn slots(&self, share: f64) -> usize {
-        (f64::from(self.record.slots) * share).ceil().max(1.0) as usize
-    }
-
     /// Tells whether the endpoint takes `job` now.
-    pub fn takes(&self, now_ms: u64, job: &Job, share: f64) -> bool {
-        let slots = if self.health.is_on_probation(now_ms) { 1 } else { self.slots(share) };
+    pub fn takes(&self, now_ms: u64, job: &Job) -> bool {
+        let slots_max = if self.health.is_on_probation(now_ms) { 1 } else { usize::MAX };
+        let slots = self.own_slots.min(slots_max);
         !self.record.leaving
             && self.running.len() < slots
             && self.health.is_open(now_ms)
--- a/crates/dispatch/src/options.rs
+++ b/crates/dispatch/src/options.rs
@@ -6,6 +6,8 @@
     /// The part of each endpoint's slots that this dispatcher may use: 1 where it sees the requests
     /// of all instances.
     pub slot_share: f64,
+    /// What the slots that fall to this dispatcher are drawn by; it differs from one to the other.
+    pub slot_salt: u64,
     /// The part of quotas and of the retry budget that it may use.
     pub budget_share: f64,
     /// The length of the window for which quotas hold, in milliseconds.
@@ -30,6 +32,7 @@
     fn default() -> Self {
         Self {
             slot_share: 1.0,
+            slot_salt: 0,
             budget_share: 1.0,
             quota_window_ms: 8_000,
             quota_overshoot: 0.0,
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -5,3 +5,4 @@
 mod overload;
 mod placement;
 mod replay;
+mod share;
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/share.rs
@@ -0,0 +1,46 @@
+//! Replays of load without a leader: many dispatchers that know nothing of each other.
+
+use crate::replay::{document, job, record};
+use googletest::prelude::*;
+use lycheehub_dispatch::{Decision, Dispatcher, Job, Options, Ticket};
+use std::collections::BTreeMap;
+
+/// Lets each of so many dispatchers place all that it can; returns how much each endpoint got.
+fn placed(instances: u32, endpoints: usize, slots: u32) -> BTreeMap<String, usize> {
+    let records: Vec<_> = (0..endpoints).map(|n| record(&format!("i-{n}"), slots)).collect();
+    let mut placed = BTreeMap::new();
+    for instance in 0..instances {
+        let share = 1.0 / f64::from(instances);
+        let slot_salt = u64::from(instance) + 1;
+
+        let options = Options { slot_share: share, slot_salt, ..Options::default() };
+        let mut dispatcher = Dispatcher::new(options);
+        dispatcher.take_document(1, &document(None));
+        dispatcher.take_endpoints(1, records.iter());
+        for number in 0..500 {
+            let ticket = Ticket { instance, number };
+            dispatcher.submit(1_000, Job { ticket, ..job(0) });
+        }
+        for decision in dispatcher.take_decisions() {
+            if let Decision::Place { endpoint, .. } = decision {
+                *placed.entry(endpoint.to_string()).or_default() += 1;
+            }
+        }
+    }
+    placed
+}
+
+#[gtest]
+fn endpoints_get_about_what_they_can_run_from_many_instances() {
+    let placed = placed(67, 90, 7);
+    let all: usize = placed.values().sum();
+    // Within a fifth of all slots, and no endpoint with more than twice its own.
+    expect_that!(all, all![ge(504), le(756)]);
+    expect_that!(placed.values().max(), some(le(&15)));
+}
+
+#[gtest]
+fn each_instance_can_serve_a_service_of_few_endpoints() {
+    let placed = placed(67, 4, 6);
+    expect_that!(placed.values().sum::<usize>(), ge(67));
+}
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -27,6 +27,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How long the leader may take to answer, in milliseconds: some round trips between failure
 /// domains and a short pause of the leader.
@@ -81,8 +82,7 @@
     ) -> Rc<Self> {
         let settings = Rc::new(settings);
         let links = Links::new(settings.clone(), clock, executor.clone());
-        let local =
-            RefCell::new(Dispatcher::new(local_options(&settings.dispatch, INSTANCES_GUESS)));
+        let local = RefCell::new(Dispatcher::new(local_options(&settings, INSTANCES_GUESS)));
         Rc::new(Self {
             settings,
             clock,
@@ -200,7 +200,7 @@
 
     fn note_instances(&self, instances: u32) {
         if instances > 0 && instances != self.instances.replace(instances) {
-            let options = local_options(&self.settings.dispatch, instances);
+            let options = local_options(&self.settings, instances);
             self.local.borrow_mut().set_options(options);
         }
     }
@@ -395,7 +395,8 @@
 }
 
 /// Returns the options of an instance's own dispatcher among `instances`.
-fn local_options(options: &Options, instances: u32) -> Options {
+fn local_options(settings: &Settings, instances: u32) -> Options {
     let share = 1.0 / f64::from(instances.max(1));
-    Options { slot_share: share, budget_share: share, ..*options }
+    let slot_salt = xxh3_64(settings.instance.as_str().as_bytes());
+    Options { slot_share: share, slot_salt, budget_share: share, ..settings.dispatch }
 }
