feat(consensus): elect at once after a restart where no leases are given

On the platform nothing is decided by a lease: reads are confirmed by a quorum.

Option `leases`: without, a replica that has heard no leader since its start campaigns within three heartbeats and is bound by no promise; other replicas that hear a leader still refuse it their vote before the vote.

The schedule explorer now plays half of its worlds without leases, and catches one more planted fault: a clock that stands still while its process is frozen. A test restarts all replicas 50 times.

--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -9,7 +9,7 @@
             return;
         }
         let since_ms = match self.role {
-            Role::Follower => self.leader_seen_ms,
+            Role::Follower => self.leader_seen_ms.unwrap_or(self.started_ms),
             _ => self.campaign_started_ms,
         };
         if now_ms.saturating_sub(since_ms) < self.election_timeout_ms {
@@ -63,7 +63,9 @@
     /// Tells whether this replica has promised a leader not to vote yet.
     fn is_bound_to_leader(&self, now_ms: u64) -> bool {
         self.role == Role::Leader
-            || now_ms < self.leader_seen_ms.saturating_add(self.options.election_min_ms)
+            || self.leader_seen_ms.is_some_and(|seen_ms| {
+                now_ms < seen_ms.saturating_add(self.options.election_min_ms)
+            })
     }
 
     fn is_up_to_date(&self, last: Position) -> bool {
@@ -120,7 +122,7 @@
             self.role = Role::Follower;
             self.vote.voted_for = Some(from);
             self.out.push(Action::SaveVote(self.vote));
-            self.leader_seen_ms = now_ms;
+            self.leader_seen_ms = Some(now_ms);
         }
         self.send(from, Message::VoteReply { term: self.vote.term, granted });
     }
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -47,8 +47,9 @@
     applied: u64,
     role: Role,
     leader: Option<ReplicaId>,
-    /// When a leader was last heard, or this replica started.
-    leader_seen_ms: u64,
+    started_ms: u64,
+    /// When a leader was last heard, or a vote given; with leases also when this replica started.
+    leader_seen_ms: Option<u64>,
     election_timeout_ms: u64,
     campaign_started_ms: u64,
     granted: BTreeSet<ReplicaId>,
@@ -95,8 +96,8 @@
 impl Replica {
     /// Starts a replica from what it persisted; `now_ms` is by a clock that never goes back.
     ///
-    /// The replica gives no vote before the shortest election time has passed, since it may have
-    /// promised a leader not to before it restarted.
+    /// With leases the replica gives no vote before the shortest election time has passed, since it
+    /// may have promised a leader not to before it restarted.
     pub fn new(
         id: ReplicaId,
         options: Options,
@@ -114,7 +115,8 @@
             applied: commit,
             role: Role::Follower,
             leader: None,
-            leader_seen_ms: now_ms,
+            started_ms: now_ms,
+            leader_seen_ms: options.leases.then_some(now_ms),
             election_timeout_ms: 0,
             campaign_started_ms: 0,
             granted: BTreeSet::new(),
@@ -218,7 +220,7 @@
     ///
     /// No other leader can be elected while this holds, within the stated clock drift.
     pub fn holds_lease(&self, now_ms: u64) -> bool {
-        self.is_established() && now_ms < self.lease_until_ms()
+        self.options.leases && self.is_established() && now_ms < self.lease_until_ms()
     }
 
     /// Returns when the lease of this leader ends, in milliseconds by its clock.
@@ -230,11 +232,11 @@
     /// quorum that followed it so lately.
     pub fn hears_leader(&self, now_ms: u64, within_ms: u64) -> bool {
         let heard_ms = match self.role {
-            Role::Leader => self.leading.quorum_seen_ms,
+            Role::Leader => Some(self.leading.quorum_seen_ms),
             _ if self.leader.is_some() => self.leader_seen_ms,
             _ => return false,
         };
-        now_ms < heard_ms + within_ms
+        heard_ms.is_some_and(|heard_ms| now_ms < heard_ms + within_ms)
     }
 
     /// Tells whether this replica leads and knows all that earlier leaders committed.
@@ -294,7 +296,7 @@
     fn follow(&mut self, now_ms: u64, term: u64, leader: ReplicaId) {
         self.become_follower(term);
         self.leader = Some(leader);
-        self.leader_seen_ms = now_ms;
+        self.leader_seen_ms = Some(now_ms);
     }
 
     fn become_follower(&mut self, term: u64) {
@@ -312,7 +314,10 @@
     }
 
     fn draw_election_timeout(&mut self) {
-        let range = self.options.election_min_ms..=self.options.election_max_ms;
+        let range = match self.leader_seen_ms {
+            None => self.options.first_election_ms(),
+            Some(_) => self.options.election_ms(),
+        };
         self.election_timeout_ms = self.rng.random_range(range);
     }
 }
--- a/crates/consensus/tests/consensus/schedules.rs
+++ b/crates/consensus/tests/consensus/schedules.rs
@@ -1,6 +1,7 @@
 //! Seeded fault schedules, and the faults planted to show that the checks catch them.
 
 use crate::world::{Planted, Step, World};
+use lycheehub_consensus::Options;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestError, TestRunner};
@@ -116,6 +117,24 @@
     is_caught(Planted::LeaseIgnored);
 }
 
+#[test]
+fn a_clock_that_stands_still_while_its_process_is_frozen_is_caught() {
+    is_caught(Planted::FrozenClock);
+}
+
+#[test]
+fn without_leases_a_leader_is_there_soon_after_all_have_restarted() {
+    let options = Options { leases: false, ..Options::default() };
+    // The first campaign begins within three heartbeats; a split vote costs as much again.
+    let bound_ms = 6 * options.heartbeat_ms + 100;
+    for seed in 0..50 {
+        let mut world = World::with_options(seed, Planted::None, options);
+        world.step(Step::Run(1_400));
+        let took_ms = world.leads_after_restart_ms();
+        assert!(took_ms <= bound_ms, "seed {seed}: {took_ms} ms");
+    }
+}
+
 #[test]
 fn a_read_without_a_quorum_is_caught() {
     is_caught(Planted::ReadWithoutQuorum);
--- a/crates/consensus/tests/consensus/world.rs
+++ b/crates/consensus/tests/consensus/world.rs
@@ -27,6 +27,8 @@
     LeaseIgnored,
     /// A read is answered without asking a quorum.
     ReadWithoutQuorum,
+    /// The clock does not count the time for which a process is frozen.
+    FrozenClock,
 }
 
 /// A step of a schedule.
@@ -86,6 +88,8 @@
     drift_permille: i64,
     crash_after: Option<u8>,
     frozen: bool,
+    /// For how long it has been frozen, as far as its clock does not count that.
+    uncounted_ms: u64,
 }
 
 pub struct World {
@@ -108,13 +112,23 @@
 const UNDER_WAY_MAX: usize = 200;
 
 impl World {
+    /// Begins with leases in half of the worlds.
     pub fn new(seed: u64, planted: Planted) -> Self {
+        let needs_leases = matches!(
+            planted,
+            Planted::RestartVotesAtOnce | Planted::LeaseIgnored | Planted::FrozenClock
+        );
+        let leases = needs_leases || seed.is_multiple_of(2);
+        Self::with_options(seed, planted, Options { leases, ..Options::default() })
+    }
+
+    /// Begins with these options.
+    pub fn with_options(seed: u64, planted: Planted, options: Options) -> Self {
         let ids: Vec<ReplicaId> = (1..=SIZE as u64).map(ReplicaId).collect();
         let name = |id: &ReplicaId| InstanceName::new(format!("entry-{id}"));
         let config = Config { voters: ids.iter().map(|id| (*id, name(id))).collect() };
         let position = Position { term: 1, index: 1 };
         let snapshot = Snapshot { position, config, data: Vec::new() };
-        let options = Options::default();
         let drift = |at: usize| match (seed as usize + at) % 3 {
             0 => -(options.clock_drift_permille as i64),
             1 => 0,
@@ -136,6 +150,7 @@
                 drift_permille: drift(at),
                 crash_after: None,
                 frozen: false,
+                uncounted_ms: 0,
             })
             .collect();
         let mut world = Self {
@@ -161,7 +176,7 @@
 
     fn local_ms(&self, at: usize) -> u64 {
         let rate = 1_000 + self.nodes[at].drift_permille;
-        (self.now_ms as i64 * rate / 1_000) as u64
+        ((self.now_ms - self.nodes[at].uncounted_ms) as i64 * rate / 1_000) as u64
     }
 
     fn restart(&mut self, at: usize) {
@@ -253,6 +268,10 @@
 
     fn pass(&mut self, ms: u64) {
         self.now_ms += ms;
+        if self.planted == Planted::FrozenClock {
+            let frozen = self.nodes.iter_mut().filter(|node| node.frozen);
+            frozen.for_each(|node| node.uncounted_ms += ms);
+        }
         let live: BTreeMap<ReplicaId, InstanceName> = self
             .nodes
             .iter()
@@ -471,6 +490,22 @@
         done && same
     }
 
+    /// Crashes all replicas and starts them again; returns after how many milliseconds one leads
+    /// that knows all that was committed.
+    pub fn leads_after_restart_ms(&mut self) -> u64 {
+        const STEP_MS: u64 = 10;
+        self.nodes.iter_mut().for_each(|node| node.replica = None);
+        self.under_way.clear();
+        (0..SIZE).for_each(|at| self.restart(at));
+        let began_ms = self.now_ms;
+        let leads = |node: &Node| node.replica.as_ref().is_some_and(Replica::is_established);
+        while !self.nodes.iter().any(leads) {
+            self.pass(STEP_MS);
+            self.deliver_all();
+        }
+        self.now_ms - began_ms
+    }
+
     /// Returns how many commands were committed.
     pub fn committed(&self) -> usize {
         self.committed.len()
