feat(proxy): let requests wait a moment until the routes are known

They now wait for at most 600 ms, then they are refused as before. The test fails before (503 at once); another one bounds the wait.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -22,13 +22,20 @@
 use lycheehub_routes::RequestKind;
 use lycheehub_types::{EndpointName, Refusal, RefusalKind};
 use relay::StreamState;
+use smol::Timer;
 use std::rc::Rc;
+use std::time::Duration;
 use trail::Trail;
 
 /// How long a request may be kept whose route tells no bound, in milliseconds.
 const NO_ROUTE_TIMEOUT_MS: u64 = 30_000;
 /// The least part of the longest deadline of a route that callers begin with.
 const FIRST_DEADLINE_SHARE: f64 = 0.8;
+/// How long a request waits until the routes are known, in milliseconds: what an election takes
+/// after all control instances have started again.
+const ROUTES_WAIT_MS: u64 = 600;
+/// How often it is looked whether they are, in milliseconds.
+const ROUTES_LOOK_MS: u64 = 20;
 /// How many endpoints that cannot be reached are tried one after the other.
 const UNREACHED_MAX: u32 = 4;
 
@@ -85,6 +92,9 @@
 
 impl Exchange<'_> {
     async fn run(&mut self, connection: &mut Connection) -> bool {
+        if let Err(why) = self.await_routes(connection).await {
+            return self.interrupted(connection, why, false, &StreamState::new(None)).await;
+        }
         let identified = match filters::identify(self) {
             Ok(identified) => identified,
             Err(refusal) => return self.refuse(connection, &refusal).await,
@@ -95,6 +105,21 @@
         self.serve(connection, &identified).await
     }
 
+    /// Waits until the routes are known, or for as long as that takes where it goes well.
+    ///
+    /// Load pattern: all instances have started again, and callers come before a leader is elected.
+    /// Those that wait for it are answered sooner than those that are told to come back.
+    async fn await_routes(&mut self, connection: &mut Connection) -> Result<(), Interrupted> {
+        let until_ms = self.deadline_ms.min(self.started_ms + ROUTES_WAIT_MS);
+        while !self.snapshot.is_ready && self.entry.clock.now_ms() < until_ms {
+            let look = Timer::after(Duration::from_millis(ROUTES_LOOK_MS));
+            guard::guard(self.entry, connection, self.deadline_ms, look).await?;
+            self.snapshot = self.entry.snapshots.latest();
+            self.trail.note_wait(ROUTES_LOOK_MS);
+        }
+        Ok(())
+    }
+
     /// Sends the request to one endpoint after the other until it is answered.
     async fn serve(&mut self, connection: &mut Connection, identified: &Identified) -> bool {
         let mut tried = Vec::new();
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -4,8 +4,10 @@
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
 use lycheehub_dispatch::Outcome;
+use smol::Timer;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 #[gtest]
 fn method_path_query_body_and_headers_arrive_unchanged() {
@@ -50,6 +52,34 @@
     });
 }
 
+#[gtest]
+fn what_comes_before_the_routes_are_known_waits_for_them_for_a_moment() {
+    run(|world| async move {
+        world.answering("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok").await;
+        world.is_ready.set(false);
+        let is_ready = world.is_ready.clone();
+        let later = async move {
+            Timer::after(Duration::from_millis(200)).await;
+            is_ready.set(true);
+        };
+        world.executor.spawn(later).detach();
+        let answer = world.ask(&get("/safe/")).await;
+        expect_that!(answer, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+#[gtest]
+fn it_is_told_to_come_back_where_the_routes_stay_unknown() {
+    run(|world| async move {
+        world.is_ready.set(false);
+        let began = Instant::now();
+        let answer = world.ask(&get("/safe/")).await;
+        expect_that!(answer, starts_with("HTTP/1.1 503 "));
+        expect_that!(answer, contains_substring("Retry-After: "));
+        expect_that!(began.elapsed(), lt(Duration::from_millis(1_000)));
+    });
+}
+
 #[gtest]
 fn an_unsafe_request_is_not_sent_again_after_a_reset() {
     run(|world| async move {
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -117,11 +117,15 @@
     }
 }
 
-struct Fixed(Snapshot);
+/// A document that is there from the begin, and is known to be recent when the test says so.
+struct Fixed {
+    table: Arc<RouteTable>,
+    is_ready: Rc<Cell<bool>>,
+}
 
 impl Snapshots for Fixed {
     fn latest(&self) -> Snapshot {
-        self.0.clone()
+        Snapshot { table: self.table.clone(), revision: 1, is_ready: self.is_ready.get() }
     }
 }
 
@@ -167,6 +171,8 @@
     pub executor: Rc<LocalExecutor<'static>>,
     pub placement: Rc<Turns>,
     pub entry: Rc<Entry>,
+    /// Whether the document is known to be recent.
+    pub is_ready: Rc<Cell<bool>>,
     pub address: String,
 }
 
@@ -179,6 +185,7 @@
         let address = listener.local_addr().unwrap().to_string();
         let placement = Rc::new(Turns::default());
         let table = Arc::new(RouteTable::new(document()));
+        let is_ready = Rc::new(Cell::new(true));
         let entry = Entry::new(
             Options {
                 instance: "entry-1".into(),
@@ -188,12 +195,12 @@
             },
             Clock::new(),
             Box::new(Names),
-            Box::new(Fixed(Snapshot { table, revision: 1, is_ready: true })),
+            Box::new(Fixed { table, is_ready: is_ready.clone() }),
             placement.clone(),
             executor.clone(),
         );
         executor.spawn(server::serve(entry.clone(), listener)).detach();
-        let world = World { executor, placement, entry, address };
+        let world = World { executor, placement, entry, is_ready, address };
         lycheehub_clock::within(PATIENCE_MS * 2, test(world))
             .await
             .expect("the test takes too long");
