fix(peer): tell of a new leader at once, and give up dead connections sooner

Besides, a replica that follows a new leader told it to those that watch it only with the next change of the directory, or after a second.

Now one that watches names the leader it was told of, and the answer comes as soon as the replica follows another; the state is confirmed by the leader alone, as soon as it is known; a connection attempt lasts 300 ms.

--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -84,6 +84,11 @@
         self.folder.join(format!("{}.toml", self.ip))
     }
 
+    /// Returns the path of its log.
+    pub fn log(&self) -> PathBuf {
+        self.folder.join(format!("{}.log", self.ip))
+    }
+
     /// Returns the folder of its data.
     pub fn data(&self) -> PathBuf {
         self.folder.join(&self.ip)
@@ -93,8 +98,7 @@
     pub fn start(&mut self, is_first: bool) {
         let settings = format!("bootstrap = {is_first}\n{}", self.settings);
         std::fs::write(self.settings_path(), settings).unwrap();
-        let path = self.folder.join(format!("{}.log", self.ip));
-        let log = std::fs::File::options().create(true).append(true).open(path).unwrap();
+        let log = std::fs::File::options().create(true).append(true).open(self.log()).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_lycheehub"))
             .arg(self.role)
             .env("LYCHEEHUB_BOOT", self.settings_path())
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -6,7 +6,7 @@
 mod support;
 mod trace;
 
-use deployment::{Deployment, Layout, Reply, eventually};
+use deployment::{Deployment, Layout, Process, Reply, eventually};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use support::{Endpoint, announce, ask};
@@ -160,8 +160,37 @@
     expect_that!(endpoint.most_at_once(), gt(OWN_SLOTS));
 }
 
+#[gtest]
+fn a_new_leader_places_requests_soon_after_its_election() {
+    const BOUND_MS: u64 = 500;
+    let (mut network, _endpoint) = open();
+    eventually("the leader places requests", || has_logged(&network, "placed by the leader"));
+    let leads = |control: &Process| times_logged_ms(control, "became the leader").pop();
+    let old = network.controls.iter().position(|control| leads(control).is_some());
+    network.controls[old.expect("a leader")].kill();
+    let newest = |network: &Deployment| {
+        let others = network.controls.iter().enumerate().filter(|(place, _)| Some(*place) != old);
+        others.filter_map(|(_, control)| leads(control)).max()
+    };
+    eventually("another one leads", || newest(&network).is_some());
+    let entered = |network: &Deployment| {
+        times_logged_ms(&network.entries[0], "requests are placed by the leader")
+    };
+    eventually("it places requests", || entered(&network).len() > 1);
+    let elected_ms = newest(&network).expect("a leader");
+    let entered_ms = entered(&network)[1];
+    expect_that!(entered_ms.saturating_sub(elected_ms), lt(BOUND_MS));
+}
+
 /// Tells whether the first entry instance has logged a line.
 fn has_logged(network: &Deployment, text: &str) -> bool {
-    let path = network.folder.join(format!("{}.log", network.entries[0].ip));
-    std::fs::read_to_string(path).is_ok_and(|log| log.contains(text))
+    !times_logged_ms(&network.entries[0], text).is_empty()
+}
+
+/// Returns when a process logged a line, in milliseconds since the Unix epoch.
+fn times_logged_ms(process: &Process, text: &str) -> Vec<u64> {
+    let log = std::fs::read_to_string(process.log()).unwrap_or_default();
+    let lines = log.lines().filter(|line| line.contains(text));
+    let line = |line| serde_json::from_str::<Value>(line).ok()?["timestamp"].as_u64();
+    lines.filter_map(line).collect()
 }
--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -32,8 +32,9 @@
 const DIRECTORY_MS: u64 = 500;
 /// How long a replica may take to answer with changes of the state, in milliseconds.
 const FETCH_MS: u64 = 1_500;
-/// How long to wait before the state is read again to be confirmed, in milliseconds.
-const CONFIRM_AGAIN_MS: u64 = 150;
+/// How long to wait before it is looked again whether a leader can confirm the state, in
+/// milliseconds.
+const CONFIRM_AGAIN_MS: u64 = 50;
 
 /// The control thread's state.
 pub struct EntryNode {
@@ -205,17 +206,13 @@
     /// than what was in force before.
     async fn confirm(self: Rc<Self>) {
         loop {
-            let names: Vec<InstanceName> = {
-                let known = self.known.borrow();
-                let leader = known.leader.iter().cloned();
-                leader.chain(known.addresses.keys().cloned()).collect()
-            };
-            for name in names {
-                if self.confirm_at(&name).await {
-                    spdlog::info!("state confirmed by a quorum", kv: { leader: = name });
-                    self.known.borrow_mut().confirmed = true;
-                    return self.publish();
-                }
+            let leader = self.known.borrow().leader.clone();
+            if let Some(name) = leader
+                && self.confirm_at(&name).await
+            {
+                spdlog::info!("state confirmed by a quorum", kv: { leader: = name });
+                self.known.borrow_mut().confirmed = true;
+                return self.publish();
             }
             Timer::after(Duration::from_millis(CONFIRM_AGAIN_MS)).await;
         }
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -17,10 +17,11 @@
 
 /// The step of making a connection, as errors name it.
 pub(crate) const CONNECT: &str = "connect";
-/// How long a connection attempt may take, in milliseconds.
-const CONNECT_TIMEOUT_MS: u64 = 700;
+/// How long a connection attempt may take, in milliseconds: some round trips between regions. The
+/// first packet to a machine that has no power yet is lost, and sent again only after a second.
+const CONNECT_TIMEOUT_MS: u64 = 300;
 /// How long after a failed attempt the next one waits, in milliseconds.
-const RECONNECT_MS: u64 = 200;
+const RECONNECT_MS: u64 = 100;
 /// The largest message taken from a peer, in words of 8 bytes.
 pub(crate) const MESSAGE_MAX_WORDS: usize = 8 * 1024 * 1024;
 
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -16,6 +16,16 @@
 /// know what was accepted since.
 const LEADER_SILENT_MS: u64 = 1_500;
 
+/// What one that watches has been told already.
+#[derive(Clone, Debug)]
+pub(crate) struct Told {
+    /// The run of this instance of which it knows changes.
+    pub(crate) epoch: u64,
+    pub(crate) change: u64,
+    pub(crate) revision: u64,
+    pub(crate) leader: Option<InstanceName>,
+}
+
 /// What a replica answers to those that watch it.
 pub(crate) struct Watched {
     pub(crate) epoch: u64,
@@ -76,25 +86,36 @@
         }
     }
 
-    /// Waits until the directory or the state has changed, at most `wait_ms`.
-    pub(crate) async fn watched(
-        &self,
-        epoch: u64,
-        change: u64,
-        revision: u64,
-        wait_ms: u64,
-    ) -> Watched {
+    /// Tells those that watch where the replica here follows another leader than it did.
+    pub(super) fn look_after_leader(&self) {
+        let leader = self.recent_leader(&self.core.borrow());
+        if leader.is_some() && *self.announced_leader.borrow() != leader {
+            *self.announced_leader.borrow_mut() = leader;
+            self.wake_watchers();
+        }
+    }
+
+    /// Returns the leader that the replica here has heard of late.
+    fn recent_leader(&self, core: &Core) -> Option<InstanceName> {
+        let is_recent = core.hears_leader(self.clock.now_ms(), LEADER_SILENT_MS);
+        if is_recent { core.known_leader(&self.settings.instance) } else { None }
+    }
+
+    /// Waits until there is news for one that watches, at most `wait_ms`.
+    pub(crate) async fn watched(&self, told: &Told, wait_ms: u64) -> Watched {
         let has_news = |core: &Core| {
-            core.own.incarnation != epoch
-                || core.directory.change() > change
-                || core.state.revision > revision
+            let leader = self.recent_leader(core);
+            core.own.incarnation != told.epoch
+                || core.directory.change() > told.change
+                || core.state.revision > told.revision
+                || leader.is_some() && leader != told.leader
         };
         if !has_news(&self.core.borrow()) {
             self.wait_for_news(wait_ms).await;
         }
         let core = self.core.borrow();
         let now_ms = self.clock.now_ms();
-        let known = if core.own.incarnation == epoch { change } else { 0 };
+        let known = if core.own.incarnation == told.epoch { told.change } else { 0 };
         // Without a leader, what this replica holds may be older than what others have accepted.
         let is_recent = core.hears_leader(now_ms, LEADER_SILENT_MS);
         Watched {
@@ -102,7 +123,7 @@
             change: core.directory.change(),
             listings: core.directory.changes_after(known),
             revision: if is_recent { core.state.revision } else { 0 },
-            leader: if is_recent { core.known_leader(&self.settings.instance) } else { None },
+            leader: self.recent_leader(&core),
             replicas: self.neighbours(&core),
         }
     }
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -18,6 +18,7 @@
 use crate::server;
 use crate::settings::Settings;
 use crate::views::Views;
+pub(crate) use directory::Told;
 use driver::Driver;
 use lycheehub_clock::{Clock, Timers};
 use lycheehub_consensus::Replica;
@@ -67,6 +68,8 @@
     core: RefCell<Core>,
     /// Wakes those that wait for a new revision or a change of the directory.
     revised: RefCell<Vec<Sender<()>>>,
+    /// The leader of which those that watch were told last.
+    announced_leader: RefCell<Option<InstanceName>>,
     /// The replicas whose directories are watched.
     watched: RefCell<BTreeSet<InstanceName>>,
     /// Places requests while this instance leads.
@@ -184,6 +187,7 @@
             orders: outside.orders,
             core: RefCell::new(core),
             revised: RefCell::default(),
+            announced_leader: RefCell::default(),
             watched: RefCell::default(),
             placing: RefCell::default(),
         }))
@@ -218,6 +222,7 @@
         } else {
             self.every(directory::DIRECTORY_MS, Self::look_after_directory);
             self.every(placing::PLACING_MS, Self::look_after_placing);
+            self.every(placing::PLACING_MS, |node| node.look_after_leader());
         }
         if self.core.borrow().driver.is_some() {
             self.every(REPLICA_TICK_MS, Self::tick_replica);
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -3,7 +3,7 @@
 use crate::auth::{self, End};
 use crate::count::Counted;
 use crate::link::MESSAGE_MAX_WORDS;
-use crate::node::{Node, SessionKey};
+use crate::node::{Node, SessionKey, Told};
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use lycheehub_consensus::{Message, ReplicaId};
@@ -193,9 +193,14 @@
         mut results: peer::WatchResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let (epoch, change) = (params.get_epoch(), params.get_change());
-        let (revision, wait_ms) = (params.get_revision(), u64::from(params.get_wait_ms()));
-        let watched = self.node.watched(epoch, change, revision, wait_ms).await;
+        let leader = text(params.get_leader())?;
+        let told = Told {
+            epoch: params.get_epoch(),
+            change: params.get_change(),
+            revision: params.get_revision(),
+            leader: (!leader.is_empty()).then(|| InstanceName::new(leader)),
+        };
+        let watched = self.node.watched(&told, u64::from(params.get_wait_ms())).await;
         let mut reply = results.get();
         reply.set_epoch(watched.epoch);
         reply.set_change(watched.change);
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -46,11 +46,13 @@
     fn silent(&self, peer: &InstanceName);
 }
 
-/// How far a replica's directory is known.
-#[derive(Clone, Copy, Debug, Default)]
+/// What a replica has told last.
+#[derive(Clone, Debug, Default)]
 struct Cursor {
     epoch: u64,
     change: u64,
+    /// The leader that it follows.
+    leader: Option<InstanceName>,
 }
 
 /// Watches a replica for ever.
@@ -100,9 +102,9 @@
         return Err(PeerError::failed(STEP, to.as_str(), "its address is not known"));
     };
     let peer = links.peer(to, &address).await?;
-    let (revision, told) = (watcher.revision(), *cursor);
+    let (revision, told) = (watcher.revision(), cursor.clone());
     let asked = async {
-        let answer = ask_peer(peer, links.own_name(), told, revision).await;
+        let answer = ask_peer(peer, links.own_name(), &told, revision).await;
         answer.map_err(|error| PeerError::failed(STEP, to.as_str(), error))
     };
     let answer = within(STEP, to, u64::from(WAIT_MS) + ANSWER_MS, asked).await;
@@ -118,7 +120,7 @@
 async fn ask_peer(
     peer: peer::Client,
     own: &str,
-    told: Cursor,
+    told: &Cursor,
     revision: u64,
 ) -> Result<(Cursor, News), capnp::Error> {
     let mut request = peer.watch_request();
@@ -128,6 +130,7 @@
     params.set_change(told.change);
     params.set_revision(revision);
     params.set_wait_ms(WAIT_MS);
+    params.set_leader(told.leader.as_ref().map_or("", InstanceName::as_str));
     let reply = request.send().promise.await?;
     let reply = reply.get()?;
     let text = |text: capnp::Result<capnp::text::Reader<'_>>| -> Result<SmolStr, WireError> {
@@ -146,5 +149,6 @@
         replicas,
         restarted: false,
     };
-    Ok((Cursor { epoch: reply.get_epoch(), change: reply.get_change() }, news))
+    let (epoch, change) = (reply.get_epoch(), reply.get_change());
+    Ok((Cursor { epoch, change, leader: news.leader.clone() }, news))
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -270,8 +270,10 @@
   report @6 (report :Report) -> (reply :ReportReply);
   answer @7 (instance :Text, incarnation :UInt64, request :UInt64) -> (answer :KeptAnswer);
   # Answers as soon as the receiver's directory has changed after `change`, or its state after
-  # `revision`, or after `waitMs`. All listings are sent where `epoch` is not the receiver's.
-  watch @8 (sender :Text, epoch :UInt64, change :UInt64, revision :UInt64, waitMs :UInt32)
+  # `revision`, or it follows another leader than `leader`, or after `waitMs`. All listings are sent
+  # where `epoch` is not the receiver's.
+  watch @8 (sender :Text, epoch :UInt64, change :UInt64, revision :UInt64, waitMs :UInt32,
+            leader :Text)
     -> (epoch :UInt64, change :UInt64, listings :List(Listing), revision :UInt64,
         leader :Text, replicas :List(Neighbour));
   # Fails where the receiver does not lead.
