feat(peer): measure and log what waits beside free and closed slots

The leader could not be asked whether slots stayed idle beside requests that wait: gauges, and at most two lines a second for each service with anything waiting.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -62,9 +62,7 @@
 
     fn has_room(&self, now_ms: u64, name: &ServiceName) -> bool {
         let has_room = |endpoint: &Endpoint| {
-            !endpoint.record.leaving
-                && endpoint.running.len() < endpoint.own_slots
-                && endpoint.health.is_open(now_ms)
+            !endpoint.record.leaving && endpoint.running.len() < endpoint.usable_slots(now_ms)
         };
         let Some(service) = self.services.get(name) else { return false };
         service.endpoints.iter().any(|key| has_room(&self.endpoints[*key]))
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -61,6 +61,21 @@
     }
 }
 
+/// How much a service has to do, and what is left of its endpoints' slots.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceLoad {
+    /// The service.
+    pub service: ServiceName,
+    /// How many requests wait.
+    pub waiting: usize,
+    /// How many run.
+    pub running: usize,
+    /// Slots in which one more could run now.
+    pub free_slots: usize,
+    /// Slots of endpoints that are left alone, or tried again, after they failed.
+    pub closed_slots: usize,
+}
+
 /// A request that runs at an endpoint, as an instance tells it to a new dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InFlight {
@@ -323,9 +338,33 @@
         std::mem::take(&mut self.decisions)
     }
 
-    /// Returns how many requests wait, and how many are at endpoints.
-    pub fn counts(&self) -> (usize, usize) {
-        (self.waiting.len(), self.placed.len())
+    /// Returns the load of each service.
+    ///
+    /// # Examples
+    /// ```
+    /// use lycheehub_dispatch::{Dispatcher, Options};
+    ///
+    /// let dispatcher = Dispatcher::new(Options::default());
+    /// assert_eq!(dispatcher.loads(1_000).count(), 0);
+    /// ```
+    pub fn loads(&self, now_ms: u64) -> impl Iterator<Item = ServiceLoad> {
+        self.services.iter().map(move |(name, service)| {
+            let mut load = ServiceLoad {
+                service: name.clone(),
+                waiting: service.queue.len(),
+                running: 0,
+                free_slots: 0,
+                closed_slots: 0,
+            };
+            let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+            for endpoint in endpoints.filter(|endpoint| !endpoint.record.leaving) {
+                load.running += endpoint.running.len();
+                let usable = endpoint.usable_slots(now_ms);
+                load.closed_slots += endpoint.own_slots - usable;
+                load.free_slots += usable.saturating_sub(endpoint.running.len());
+            }
+            load
+        })
     }
 
     /// Returns a line about each endpoint's load, for operators.
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -72,13 +72,21 @@
         &self.record.endpoint
     }
 
+    /// Returns how many requests of this dispatcher may run there now, by its health.
+    pub fn usable_slots(&self, now_ms: u64) -> usize {
+        if !self.health.is_open(now_ms) {
+            0
+        } else if self.health.is_on_probation(now_ms) {
+            self.own_slots.min(1)
+        } else {
+            self.own_slots
+        }
+    }
+
     /// Tells whether the endpoint takes `job` now.
     pub fn takes(&self, now_ms: u64, job: &Job) -> bool {
-        let slots_max = if self.health.is_on_probation(now_ms) { 1 } else { usize::MAX };
-        let slots = self.own_slots.min(slots_max);
         !self.record.leaving
-            && self.running.len() < slots
-            && self.health.is_open(now_ms)
+            && self.running.len() < self.usable_slots(now_ms)
             && self.has_memory_for(job)
             && !job.tried.contains(&self.record.endpoint)
     }
--- a/crates/peer/src/node/placing.rs
+++ b/crates/peer/src/node/placing.rs
@@ -9,6 +9,8 @@
 
 /// How often what waits is looked at, in milliseconds.
 pub(super) const PLACING_MS: u64 = 50;
+/// How often the load is measured, in milliseconds.
+const LOAD_MS: u64 = 500;
 /// How long an instance may be silent before its requests are forgotten, in milliseconds.
 const SILENT_MS: u64 = 3_000;
 
@@ -36,6 +38,7 @@
     /// The numbers of all instances that ever entered.
     numbers: BTreeMap<InstanceName, u32>,
     last_connection: u64,
+    load_noted_ms: u64,
     /// The revision of the route document that the dispatcher has.
     document_revision: u64,
 }
@@ -51,6 +54,30 @@
         }
     }
 
+    /// Measures what waits, and says so where anything does.
+    fn note_load(&mut self, now_ms: u64) {
+        if now_ms < self.load_noted_ms + LOAD_MS {
+            return;
+        }
+        self.load_noted_ms = now_ms;
+        for load in self.dispatcher.loads(now_ms) {
+            let service = [("service", load.service.to_string())];
+            metrics::gauge!("lycheehub_waiting_requests", &service).set(load.waiting as f64);
+            metrics::gauge!("lycheehub_running_requests", &service).set(load.running as f64);
+            metrics::gauge!("lycheehub_free_slots", &service).set(load.free_slots as f64);
+            metrics::gauge!("lycheehub_closed_slots", &service).set(load.closed_slots as f64);
+            if load.waiting > 0 {
+                spdlog::info!("requests wait", kv: {
+                    service: = load.service,
+                    waiting = load.waiting as u64,
+                    running = load.running as u64,
+                    free_slots = load.free_slots as u64,
+                    closed_slots = load.closed_slots as u64,
+                });
+            }
+        }
+    }
+
     fn is_current(&self, key: SessionKey) -> bool {
         let session = self.sessions.get(&key.instance);
         session.is_some_and(|session| session.connection == key.connection)
@@ -103,6 +130,7 @@
         }
         placing.dispatcher.tick(now_ms);
         placing.deliver();
+        placing.note_load(now_ms);
     }
 
     fn begin_placing(&self) {
@@ -113,6 +141,7 @@
             sessions: BTreeMap::new(),
             numbers: BTreeMap::new(),
             last_connection: 0,
+            load_noted_ms: 0,
             document_revision: 0,
         });
         spdlog::info!("placing begins with leadership");
