fix(control): acknowledge a farewell only where it takes effect

Cause, found by reading: after all control instances had started again, a DELETE of an endpoint that had not announced itself since was answered 200 and changed nothing.

A replica that does not know the endpoint and has been running for less than a lease now answers 503, so that the endpoint asks again or elsewhere. The test restarts all control instances; before, it saw 200.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -160,6 +160,23 @@
     expect_that!(endpoint.most_at_once(), gt(OWN_SLOTS));
 }
 
+#[gtest]
+fn a_farewell_is_acknowledged_only_where_it_takes_effect() {
+    let (mut network, endpoint) = open();
+    let farewell =
+        |network: &Deployment| network.control(0, "DELETE", "/-/instances/i-1", "").status;
+    network.controls.iter_mut().for_each(Process::kill);
+    network.controls.iter_mut().for_each(|control| control.start(false));
+    eventually("control is back", || network.control(0, "GET", "/-/config", "").status == 200);
+    // Entry instances still send to it, and control does not know it yet.
+    expect_that!(farewell(&network), eq(503));
+    expect_that!(announce(&network, 0, &endpoint, 2, "ready").status, eq(200));
+    expect_that!(farewell(&network), eq(200));
+    eventually("nothing goes to an endpoint that has left", || {
+        ask(&network, 0, "GET", "/print/1", "key-1", "").status == 503
+    });
+}
+
 #[gtest]
 fn a_new_leader_places_requests_soon_after_its_election() {
     const BOUND_MS: u64 = 500;
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -97,6 +97,11 @@
         self.insert(now_ms, listing, Watcher::Here(now_ms))
     }
 
+    /// Tells whether an endpoint was heard of, also one that is gone.
+    pub fn knows(&self, name: &EndpointName) -> bool {
+        self.entries.contains_key(name)
+    }
+
     /// Takes the word of an endpoint that it leaves for good; tells whether it was known.
     pub fn withdraw(&mut self, now_ms: u64, name: &EndpointName) -> bool {
         let Some(known) = self.entries.get(name) else { return false };
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -49,8 +49,8 @@
     Announce(EndpointRecord),
     /// Takes an endpoint's announcement into the directory.
     Hear(EndpointRecord),
-    /// Takes the word of an endpoint that it leaves for good.
-    Withdraw(EndpointName),
+    /// Takes the word of an endpoint that it leaves for good; answers whether that takes effect.
+    Withdraw(EndpointName, Sender<bool>),
     /// Takes what the scheduler wants and has seen.
     Report(Demands),
     /// Asks another instance for the answer to a request that it dispatched.
@@ -103,10 +103,10 @@
         let _ = self.sender.send(ControlRequest::Hear(record)).await;
     }
 
-    /// Passes on that an endpoint leaves for good.
-    pub async fn withdraw(&self, endpoint: EndpointName) {
-        // The control thread is gone only when the process ends.
-        let _ = self.sender.send(ControlRequest::Withdraw(endpoint)).await;
+    /// Passes on that an endpoint leaves for good; tells whether that takes effect.
+    pub async fn withdraw(&self, endpoint: EndpointName) -> bool {
+        let taken = self.ask(|sender| ControlRequest::Withdraw(endpoint, sender)).await;
+        taken.unwrap_or(false)
     }
 
     /// Passes on what the scheduler wants and has seen.
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -2,7 +2,7 @@
 
 use super::{Core, Node};
 use crate::watch::{self, News, Watcher};
-use lycheehub_control::directory::Listing;
+use lycheehub_control::directory::{LEASE_MS, Listing};
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use smol::Timer;
 use smol::channel::bounded;
@@ -51,13 +51,25 @@
         }
     }
 
-    /// Takes the word of an endpoint that it leaves for good.
-    pub(super) fn withdraw(self: &Rc<Self>, endpoint: &EndpointName) {
+    /// Takes the word of an endpoint that it leaves for good; tells whether that takes effect.
+    ///
+    /// A replica that has just started may not have heard of an endpoint that entry instances still
+    /// send to: it could not tell them that the endpoint leaves.
+    pub(super) fn withdraw(self: &Rc<Self>, endpoint: &EndpointName) -> bool {
         let now_ms = self.clock.now_ms();
-        if self.core.borrow_mut().directory.withdraw(now_ms, endpoint) {
+        let (is_known, changed) = {
+            let directory = &mut self.core.borrow_mut().directory;
+            (directory.knows(endpoint), directory.withdraw(now_ms, endpoint))
+        };
+        if changed {
             spdlog::info!("endpoint withdrawn", kv: { endpoint: = endpoint });
             self.note_directory();
         }
+        let has_heard_all = now_ms >= self.started_ms + LEASE_MS;
+        if !is_known && !has_heard_all {
+            spdlog::info!("farewell not taken: endpoint not known yet", kv: { endpoint: = endpoint });
+        }
+        is_known || has_heard_all
     }
 
     fn note_directory(&self) {
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -68,6 +68,7 @@
     core: RefCell<Core>,
     /// Wakes those that wait for a new revision or a change of the directory.
     revised: RefCell<Vec<Sender<()>>>,
+    started_ms: u64,
     /// The leader of which those that watch were told last.
     announced_leader: RefCell<Option<InstanceName>>,
     /// The replicas whose directories are watched.
@@ -187,6 +188,7 @@
             orders: outside.orders,
             core: RefCell::new(core),
             revised: RefCell::default(),
+            started_ms: clock.now_ms(),
             announced_leader: RefCell::default(),
             watched: RefCell::default(),
             placing: RefCell::default(),
--- a/crates/peer/src/node/requests.rs
+++ b/crates/peer/src/node/requests.rs
@@ -14,7 +14,10 @@
         match request {
             ControlRequest::Announce(record) => self.take_announcement(record),
             ControlRequest::Hear(record) => self.hear(record),
-            ControlRequest::Withdraw(endpoint) => self.withdraw(&endpoint),
+            ControlRequest::Withdraw(endpoint, sender) => {
+                // One that no longer waits is told nothing.
+                let _ = sender.try_send(self.withdraw(&endpoint));
+            }
             ControlRequest::Report(demands) => self.take_demands(demands),
             ControlRequest::Propose(command, sender) => {
                 self.answer_later(sender, |node| async move { node.propose(command).await });
