fix(dispatch): keep late requests for a part of their time only

What is late is now kept for at most a third of the time that its caller has left, and a second as before.

--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -25,9 +25,12 @@
 /// again as the first byte is likely to take: what is placed in the last moment is worked on for
 /// nobody.
 const LEAVE_RESERVE_MS: u64 = 30;
-/// How long a job that will be late is kept, in milliseconds: half of the time that the least
-/// patient callers wait.
+/// How long a job that will be late is kept at most, in milliseconds: half of the time that the
+/// least patient callers of streams wait.
 const LATE_WAITS_MS: u64 = 1_000;
+/// The part of its time left for which it is kept at most: a caller whose time is nearly over when
+/// it is refused was held in vain.
+const LATE_WAITS_SHARE: f64 = 0.33;
 
 /// A job that waits.
 #[derive(Clone, Debug)]
@@ -83,7 +86,8 @@
     /// Returns until when the job is kept where it will be late.
     fn late_until_ms(&self) -> u64 {
         let late_ms = self.since_ms.max(self.on_time_until_ms());
-        self.patience_ms.min(late_ms + LATE_WAITS_MS)
+        let left_ms = self.patience_ms.saturating_sub(late_ms) as f64;
+        late_ms + LATE_WAITS_MS.min((left_ms * LATE_WAITS_SHARE) as u64)
     }
 }
 
--- a/crates/dispatch/tests/dispatch/overload.rs
+++ b/crates/dispatch/tests/dispatch/overload.rs
@@ -119,3 +119,15 @@
     };
     expect_that!(share(1), gt(share(0) / 2.0));
 }
+
+#[gtest]
+fn one_that_came_back_with_little_time_is_not_held_in_vain() {
+    // Callers with 2.5 s come back with about half of it.
+    let short = Job { deadline_left_ms: 2_500, patience_left_ms: 2_000, ..job(0) };
+    let short = Job { output_tokens: 15, ..short };
+    // They hold a slot for a tenth of the time.
+    let classes = [Class { job: short, per_s: CAPACITY_PER_S * 40.0 }];
+    let mut replay = Replay::new(&SPEEDS);
+    replay.run(10_000, &classes, 1.0);
+    expect_that!(replay.largest_held_part, le(0.5));
+}
--- a/crates/dispatch/tests/dispatch/replay.rs
+++ b/crates/dispatch/tests/dispatch/replay.rs
@@ -137,6 +137,8 @@
     /// Ends by second of arrival and class.
     pub ends: BTreeMap<(u64, usize), BTreeMap<End, u32>>,
     pub longest_hold_ms: u64,
+    /// The largest part of its time for which a request was held and then refused.
+    pub largest_held_part: f64,
     /// How many streams of each class were cut since their time was over.
     pub overran: BTreeMap<usize, u32>,
     rng: SmallRng,
@@ -165,6 +167,7 @@
             returns: BTreeMap::new(),
             ends: BTreeMap::new(),
             longest_hold_ms: 0,
+            largest_held_part: 0.0,
             overran: BTreeMap::new(),
             rng: SmallRng::seed_from_u64(7),
             number: 0,
@@ -234,12 +237,16 @@
         let asked = self.asked.remove(&ticket).unwrap();
         let held_ms = self.now_ms - asked.since_ms;
         self.longest_hold_ms = self.longest_hold_ms.max(held_ms);
+        let held_part = held_ms as f64 / asked.job.patience_left_ms as f64;
+        self.largest_held_part = self.largest_held_part.max(held_part);
         let overloaded = reason == Reason::Overloaded;
         let reason = if overloaded { Refusal::Overloaded } else { Refusal::Other };
         self.note(asked.class, asked.since_ms, End::Refused(reason));
         if !asked.job.returning {
             let left_ms = asked.job.deadline_left_ms - held_ms - retry_after_ms;
+            let patience_left_ms = asked.job.patience_left_ms.min(left_ms);
             let job = Job { objective_left_ms: 0, deadline_left_ms: left_ms, ..asked.job };
+            let job = Job { patience_left_ms, ..job };
             let at_ms = self.now_ms + retry_after_ms;
             self.returns.entry(at_ms).or_default().push((job, asked.class));
         }
