--- a/crates/dispatch/tests/dispatch/share.rs
+++ b/crates/dispatch/tests/dispatch/share.rs
@@ -44,3 +44,18 @@
     let placed = placed(67, 4, 6);
     expect_that!(placed.values().sum::<usize>(), ge(67));
 }
+
+#[gtest]
+fn a_service_of_short_requests_gets_some_ahead() {
+    let mut plain = document(None);
+    plain.services[0].engine = None;
+    let mut dispatcher = Dispatcher::new(Options::default());
+    dispatcher.take_document(1, &plain);
+    dispatcher.take_endpoints(1, [record("i", 6)].iter());
+    for number in 0..40 {
+        let ticket = Ticket { instance: 1, number };
+        dispatcher.submit(1_000, Job { ticket, output_tokens: 0, ..job(0) });
+    }
+    let placed = dispatcher.take_decisions().into_iter();
+    expect_that!(placed.filter(|it| matches!(it, Decision::Place { .. })).count(), eq(8));
+}
