--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -9,7 +9,7 @@
 pub use placement::LeaderPlacement;
 pub use view::EntryView;
 
-use crate::link::{Links, within};
+use crate::link::Links;
 use crate::settings::Settings;
 use crate::views::Latest;
 use crate::watch::{self, News, Watcher};
@@ -252,15 +252,8 @@
     where
         F: Future<Output = Result<T, capnp::Error>>,
     {
-        let address = self.known.borrow().addresses.get(to).cloned().unwrap_or_default();
-        let peer = self.links.peer(to, &address).await?;
-        let answer =
-            async { call(peer).await.map_err(|error| PeerError::failed(step, to.as_str(), error)) };
-        let answer = within(step, to, FETCH_MS, answer).await;
-        if answer.is_err() {
-            self.links.drop_peer(to);
-        }
-        answer
+        let address = self.known.borrow().addresses.get(to).cloned();
+        self.links.call(step, to, address, FETCH_MS, call).await
     }
 }
 
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -89,6 +89,31 @@
         }
     }
 
+    /// Makes a call to an instance, and forgets the connection where the call fails.
+    pub(crate) async fn call<T, F>(
+        &self,
+        step: &'static str,
+        to: &InstanceName,
+        address: Option<SmolStr>,
+        timeout_ms: u64,
+        call: impl FnOnce(peer::Client) -> F,
+    ) -> Result<T, PeerError>
+    where
+        F: Future<Output = Result<T, capnp::Error>>,
+    {
+        let Some(address) = address else {
+            return Err(PeerError::failed(step, to.as_str(), "its address is not known"));
+        };
+        let peer = self.peer(to, &address).await?;
+        let answer =
+            async { call(peer).await.map_err(|error| PeerError::failed(step, to.as_str(), error)) };
+        let answer = within(step, to, timeout_ms, answer).await;
+        if answer.is_err() {
+            self.drop_peer(to);
+        }
+        answer
+    }
+
     /// Returns the name of this instance.
     pub(crate) fn own_name(&self) -> &str {
         self.settings.instance.as_str()
--- a/crates/peer/src/node/calls.rs
+++ b/crates/peer/src/node/calls.rs
@@ -1,7 +1,6 @@
 //! Calls to other instances.
 
 use super::{Core, Node};
-use crate::link::within;
 use lycheehub_consensus::founding::Status;
 use lycheehub_consensus::{Config, Message, ReplicaId};
 use lycheehub_types::{InstanceName, PeerError};
@@ -35,7 +34,7 @@
 }
 
 impl Node {
-    /// Makes a call to an instance, and forgets the connection where the call fails.
+    /// Makes a call to an instance.
     pub(super) async fn call<T, F>(
         &self,
         step: &'static str,
@@ -47,17 +46,7 @@
         F: Future<Output = Result<T, capnp::Error>>,
     {
         let address = self.core.borrow().address_of(self, to);
-        let Some(address) = address else {
-            return Err(PeerError::failed(step, to.as_str(), "its address is not known"));
-        };
-        let peer = self.links.peer(to, &address).await?;
-        let answer =
-            async { call(peer).await.map_err(|error| PeerError::failed(step, to.as_str(), error)) };
-        let answer = within(step, to, timeout_ms, answer).await;
-        if answer.is_err() {
-            self.links.drop_peer(to);
-        }
-        answer
+        self.links.call(step, to, address, timeout_ms, call).await
     }
 
     /// Sends a message to another replica; a lost one is made up for by later ones.
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -1,6 +1,6 @@
 //! Watches the directory and the revision of a control replica.
 
-use crate::link::{Links, within};
+use crate::link::Links;
 use lycheehub_clock::Clock;
 use lycheehub_control::directory::{Listing, ORPHAN_MS};
 use lycheehub_types::{InstanceName, PeerError};
@@ -98,20 +98,10 @@
     cursor: &mut Cursor,
 ) -> Result<News, PeerError> {
     const STEP: &str = "watch";
-    let Some(address) = watcher.address_of(to) else {
-        return Err(PeerError::failed(STEP, to.as_str(), "its address is not known"));
-    };
-    let peer = links.peer(to, &address).await?;
     let (revision, told) = (watcher.revision(), cursor.clone());
-    let asked = async {
-        let answer = ask_peer(peer, links.own_name(), &told, revision).await;
-        answer.map_err(|error| PeerError::failed(STEP, to.as_str(), error))
-    };
-    let answer = within(STEP, to, u64::from(WAIT_MS) + ANSWER_MS, asked).await;
-    if answer.is_err() {
-        links.drop_peer(to);
-    }
-    let (now, mut news) = answer?;
+    let ask = |peer| ask_peer(peer, links.own_name(), &told, revision);
+    let timeout_ms = u64::from(WAIT_MS) + ANSWER_MS;
+    let (now, mut news) = links.call(STEP, to, watcher.address_of(to), timeout_ms, ask).await?;
     news.restarted = told.epoch != 0 && told.epoch != now.epoch;
     *cursor = now;
     Ok(news)
