feat(control): move services between versions by the operator's rollouts

Orders were kept and read back, and stayed `running` for ever: nothing moved traffic. Now the leader's controller compares the versions by what requests ended with (the comparison of version moves, requests of one rank as one route), and its dispatcher divides requests between them: 6 in 100 to the new version for most of its time, since it may turn bad late; all at the end if nothing speaks against it; completed once nothing runs at old endpoints or its time is nearly over. A version that is shown to be bad, or not known to be good in time, is taken back at once and gets nothing until it is ordered again, also while others are rolled out. Without a leader, entry instances send nothing to a version that is still compared: nobody would see how it does.

Steps are committed with the record's revision, so that one of an earlier leader changes nothing.

--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -3,7 +3,7 @@
 use crate::deployment::{Deployment, FRONT_PORT, Reply, call};
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,19 +15,31 @@
 
 static REQUESTS: AtomicU32 = AtomicU32::new(0);
 
-/// Announces an endpoint.
+/// Announces the first endpoint.
 pub fn announce(
     deployment: &Deployment,
     place: usize,
     endpoint: &Endpoint,
     sequence: u64,
     state: &str,
+) -> Reply {
+    announce_as(deployment, place, ("i-1", "v1"), endpoint, sequence, state)
+}
+
+/// Announces an endpoint of this name and version.
+pub fn announce_as(
+    deployment: &Deployment,
+    place: usize,
+    (name, version): (&str, &str),
+    endpoint: &Endpoint,
+    sequence: u64,
+    state: &str,
 ) -> Reply {
     let body = serde_json::json!({
-        "service": "labels", "address": endpoint.address, "zone": "salto", "version": "v1",
+        "service": "labels", "address": endpoint.address, "zone": "salto", "version": version,
         "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": sequence, "born": 1,
     });
-    deployment.control(place, "PUT", "/-/instances/i-1", &body.to_string())
+    deployment.control(place, "PUT", &format!("/-/instances/{name}"), &body.to_string())
 }
 
 /// Sends a caller's request.
@@ -56,6 +68,9 @@
     last_request: Mutex<String>,
     running: AtomicU32,
     most_at_once: AtomicU32,
+    count: AtomicU32,
+    /// Answers each request with a failure.
+    is_failing: AtomicBool,
 }
 
 /// A stand-in for an endpoint.
@@ -83,6 +98,16 @@
         self.seen.last_request.lock().unwrap().clone()
     }
 
+    /// Returns how many requests it has run.
+    pub fn count(&self) -> u32 {
+        self.seen.count.load(Ordering::Relaxed)
+    }
+
+    /// Lets it fail from now on.
+    pub fn fail(&self) {
+        self.seen.is_failing.store(true, Ordering::Relaxed);
+    }
+
     /// Returns how many requests ran at once, at most.
     pub fn most_at_once(&self) -> u32 {
         self.seen.most_at_once.load(Ordering::Relaxed)
@@ -95,6 +120,17 @@
         let running = seen.running.fetch_add(1, Ordering::Relaxed) + 1;
         seen.most_at_once.fetch_max(running, Ordering::Relaxed);
         let id = field(&head, "request-id").unwrap_or_default();
+        seen.count.fetch_add(1, Ordering::Relaxed);
+        if seen.is_failing.load(Ordering::Relaxed) {
+            seen.running.fetch_sub(1, Ordering::Relaxed);
+            let answer = format!(
+                "HTTP/1.1 500 Internal Server Error\r\nRequest-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            );
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
         let seal = "Response-Seal: seal-1";
         if head.contains(" /print/lost") {
             return;
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -1,6 +1,8 @@
 //! Commands and their replies.
 
-use super::{ClaimKey, ClaimState, Claimant, DecodeError, DocumentRecord, Phase, RolloutOrder};
+use super::{
+    ClaimKey, ClaimState, Claimant, DecodeError, DocumentRecord, Phase, RolloutOrder, RolloutStep,
+};
 use lycheehub_types::SectionName;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -36,6 +38,8 @@
     ReplaceDocument(DocumentRecord),
     /// An operator's order to move a service to a version.
     StartRollout(RolloutOrder),
+    /// A step of a rollout, decided by the leader's controller.
+    StepRollout(RolloutStep),
 }
 
 /// An operator's new text for a section.
@@ -75,7 +79,7 @@
 pub enum Reply {
     /// To [`Command::Submit`].
     Apply(ApplyOutcome),
-    /// To [`Command::StepMove`]: whether the step was taken.
+    /// To [`Command::StepMove`] and [`Command::StepRollout`]: whether the step was taken.
     Stepped(bool),
     /// To [`Command::Claim`].
     Claim(ClaimOutcome),
@@ -177,6 +181,7 @@
             Self::Settle { .. } => "settle claim",
             Self::ReplaceDocument(_) => "replace document",
             Self::StartRollout(_) => "start rollout",
+            Self::StepRollout(_) => "step rollout",
         }
     }
 
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -16,7 +16,7 @@
 pub use document::DocumentRecord;
 pub use feed::Feed;
 pub use moves::{MoveRecord, Phase};
-pub use rollouts::{RolloutOrder, RolloutRecord, RolloutState};
+pub use rollouts::{RolloutOrder, RolloutRecord, RolloutState, RolloutStep};
 pub use sections::{RequestLog, SectionRecord};
 
 use lycheehub_estate::Estate;
@@ -97,6 +97,7 @@
                 self.start_rollout(index, order);
                 Reply::Rollout
             }
+            Command::StepRollout(step) => Reply::Stepped(self.step_rollout(index, &step)),
         }
     }
 
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -8,5 +8,6 @@
 mod moves;
 mod placement;
 mod registry;
+mod rollouts;
 mod slots;
 mod state;
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -88,17 +88,26 @@
 
     fn choose(&self, now_ms: u64, name: &ServiceName, job: &Job) -> Option<EndpointKey> {
         let service = self.services.get(name)?;
-        let usable =
-            service.endpoints.iter().copied().filter(|key| self.endpoints[*key].takes(now_ms, job));
         let count = service.endpoints.len().max(1) as f64;
         let failures: f64 =
             service.endpoints.iter().map(|key| self.endpoints[*key].health.failure_share()).sum();
         let tolerated = failures / count + FAILURE_TOLERANCE;
         let events = service.events_of(job.output_tokens);
-        usable.min_by(|a, b| {
-            let cost = |key: &EndpointKey| self.cost_ms(now_ms, *key, job, events, tolerated);
-            cost(a).total_cmp(&cost(b))
-        })
+        let best = |suits: &dyn Fn(&Endpoint) -> bool| {
+            let usable = service.endpoints.iter().copied().filter(|key| {
+                let endpoint = &self.endpoints[*key];
+                endpoint.takes(now_ms, job) && suits(endpoint)
+            });
+            usable.min_by(|a, b| {
+                let cost = |key: &EndpointKey| self.cost_ms(now_ms, *key, job, events, tolerated);
+                cost(a).total_cmp(&cost(b))
+            })
+        };
+        let Some(division) = &service.division else { return best(&|_| true) };
+        let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+        let side = division.next_side(endpoints);
+        best(&|endpoint| division.suits(side, endpoint))
+            .or_else(|| best(&|endpoint| division.suits_instead(side, endpoint)))
     }
 
     /// Returns what it costs to place `job` at an endpoint, in milliseconds of waiting.
@@ -124,6 +133,9 @@
     fn place(&mut self, now_ms: u64, key: EndpointKey, waiting: Waiting) {
         let job = waiting.job;
         self.waiting.remove(&job.ticket);
+        if let Some(service) = self.services.get_mut(&job.service) {
+            service.note_version_placed(&self.endpoints[key].record.version);
+        }
         let endpoint = &mut self.endpoints[key];
         let first_byte_ms = endpoint.first_byte_ms(now_ms, &job) as u64;
         endpoint.begin(now_ms, &job);
@@ -134,6 +146,6 @@
             first_byte_ms,
         });
         let is_stream = job.output_tokens > 0;
-        self.placed.insert(job.ticket, Placed { endpoint: key, is_stream });
+        self.placed.insert(job.ticket, Placed { endpoint: key, is_stream, rank: job.rank });
     }
 }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -4,6 +4,7 @@
 mod refuse;
 mod share;
 mod update;
+mod versions;
 
 use crate::endpoints::{Endpoint, EndpointKey, Speed, is_failure};
 use crate::job::{Decision, Finished, Job, Outcome, Reason, Ticket};
@@ -15,6 +16,8 @@
 use lycheehub_types::{AccountName, EndpointName, ServiceName};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
+use versions::Division;
+pub use versions::{VersionMode, VersionRule, VersionSample};
 
 /// How many jobs that no free endpoint suits are passed over for those behind them.
 const PASSED_OVER_MAX: usize = 8;
@@ -27,6 +30,8 @@
 struct Placed {
     endpoint: EndpointKey,
     is_stream: bool,
+    /// The rank of its route.
+    rank: u8,
 }
 
 /// A service with what waits for it.
@@ -42,6 +47,8 @@
     /// The highest tier that was shed of late, with until when nothing below it is admitted, in
     /// milliseconds.
     floor: Option<(u8, u64)>,
+    /// How requests are divided between versions, where they are.
+    division: Option<Division>,
 }
 
 impl Service {
@@ -111,6 +118,7 @@
     quotas: Quotas,
     retries: Retries,
     decisions: Vec<Decision>,
+    samples: Vec<VersionSample>,
 }
 
 impl Dispatcher {
@@ -127,6 +135,7 @@
             quotas: Quotas::default(),
             retries: Retries::default(),
             decisions: Vec::new(),
+            samples: Vec::new(),
         }
     }
 
@@ -221,6 +230,10 @@
     /// Takes the end of a request at its endpoint.
     pub fn finish(&mut self, now_ms: u64, finished: Finished) {
         let Some(placed) = self.placed.remove(&finished.ticket) else { return };
+        if let Some(endpoint) = self.endpoints.get(placed.endpoint) {
+            let name = endpoint.name().clone();
+            self.note_sample(&name, placed.rank, &finished);
+        }
         let Some(endpoint) = self.endpoints.get_mut(placed.endpoint) else { return };
         let running = endpoint.end(finished.ticket);
         let since_ms = running.map_or(now_ms, |running| running.since_ms);
@@ -273,7 +286,9 @@
             let Some(key) = self.by_name.get(&request.endpoint) else { continue };
             let ticket = Ticket { instance, number: request.number };
             self.endpoints[*key].adopt(now_ms, ticket, request.memory_tokens);
-            self.placed.insert(ticket, Placed { endpoint: *key, is_stream: request.is_stream });
+            // The rank is not told: what it is compared with is not known either.
+            let placed = Placed { endpoint: *key, is_stream: request.is_stream, rank: 0 };
+            self.placed.insert(ticket, placed);
         }
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,7 +21,7 @@
 pub mod quota;
 pub mod retries;
 
-pub use dispatcher::{Dispatcher, InFlight, ServiceLoad};
+pub use dispatcher::{Dispatcher, InFlight, ServiceLoad, VersionMode, VersionRule, VersionSample};
 pub use job::{Decision, Finished, Job, Outcome, PrefixPart, Reason, Ticket};
 pub use options::Options;
 pub use placement::Placement;
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -6,3 +6,4 @@
 mod placement;
 mod replay;
 mod share;
+mod versions;
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -7,6 +7,7 @@
 
 use super::EntryView;
 use crate::link::{Links, within};
+use crate::rollouts::{Sight, version_rules};
 use crate::settings::Settings;
 use crate::views::Latest;
 use capnp::capability::{FromTypelessPipeline, Request};
@@ -113,6 +114,7 @@
             if document_changed {
                 local.take_document(now_ms, view.table.document());
             }
+            local.set_version_rules(version_rules(&view.rollouts, Sight::Part));
             local.take_endpoints(now_ms, view.endpoints.iter());
         }
         self.deliver_local();
--- a/crates/peer/src/entry/view.rs
+++ b/crates/peer/src/entry/view.rs
@@ -2,9 +2,11 @@
 
 use lycheehub_control::State;
 use lycheehub_control::directory::Directory;
+use lycheehub_control::state::RolloutRecord;
 use lycheehub_routes::RouteTable;
-use lycheehub_types::{EndpointRecord, InstanceName};
+use lycheehub_types::{EndpointRecord, InstanceName, ServiceName};
 use smol_str::SmolStr;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// An immutable view, replaced whole.
@@ -18,6 +20,8 @@
     pub table: Arc<RouteTable>,
     /// The endpoints that are there.
     pub endpoints: Vec<EndpointRecord>,
+    /// The newest rollout of each service.
+    pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
     /// The leader, and where it listens for peers.
     pub leader: Option<(InstanceName, SmolStr)>,
     /// A quorum has confirmed the document since the start.
@@ -43,6 +47,7 @@
             document_revision,
             table,
             endpoints: directory.live().cloned().collect(),
+            rollouts: state.rollouts.clone(),
             leader,
             confirmed,
         }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod entry;
 mod link;
 mod node;
+mod rollouts;
 mod server;
 mod settings;
 mod views;
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -12,6 +12,7 @@
 mod publish;
 mod report;
 mod requests;
+mod rollouts;
 
 use crate::control::{AnswerSource, ControlRequest, OrderSink};
 use crate::link::Links;
@@ -225,6 +226,7 @@
             self.every(directory::DIRECTORY_MS, Self::look_after_directory);
             self.every(placing::PLACING_MS, Self::look_after_placing);
             self.every(placing::PLACING_MS, |node| node.look_after_leader());
+            self.every(rollouts::ROLLOUTS_MS, Self::look_after_rollouts);
         }
         if self.core.borrow().driver.is_some() {
             self.every(REPLICA_TICK_MS, Self::tick_replica);
--- a/crates/peer/src/node/placing.rs
+++ b/crates/peer/src/node/placing.rs
@@ -1,6 +1,8 @@
 //! Places the requests of all instances while this one leads.
 
 use super::Node;
+use crate::rollouts::{Sight, version_rules};
+use lycheehub_control::moves::Rollouts;
 use lycheehub_dispatch::{Decision, Dispatcher, Finished, InFlight, Job, Ticket, Usage};
 use lycheehub_types::{AccountName, InstanceName};
 use smol::channel::{Sender, bounded};
@@ -32,13 +34,15 @@
 
 /// The dispatcher with those that wait for it.
 pub(super) struct Placing {
-    dispatcher: Dispatcher,
+    pub(super) dispatcher: Dispatcher,
     deciding: BTreeMap<Ticket, Sender<Decision>>,
     sessions: BTreeMap<u32, Session>,
     /// The numbers of all instances that ever entered.
     numbers: BTreeMap<InstanceName, u32>,
     last_connection: u64,
     load_noted_ms: u64,
+    /// Compares the versions of services that are rolled out.
+    pub(super) rollouts: Rollouts,
     /// The revision of the route document that the dispatcher has.
     document_revision: u64,
 }
@@ -142,6 +146,7 @@
             numbers: BTreeMap::new(),
             last_connection: 0,
             load_noted_ms: 0,
+            rollouts: Rollouts::default(),
             document_revision: 0,
         });
         spdlog::info!("placing begins with leadership");
@@ -159,6 +164,8 @@
             placing.document_revision = record.revision;
             placing.dispatcher.take_document(now_ms, &record.document);
         }
+        let rules = version_rules(&core.state.rollouts, Sight::Whole);
+        placing.dispatcher.set_version_rules(rules);
         placing.dispatcher.take_endpoints(now_ms, core.directory.live());
         placing.deliver();
     }
