--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -1,4 +1,4 @@
-//! Checks settings files and sections without a daemon.
+//! Checks settings files, sections and route documents without a daemon.
 
 use crate::arguments::Check;
 use crate::exit::{Code, Error};
@@ -16,6 +16,9 @@
 fn check(path: &str) -> Result<(), Error> {
     let text = std::fs::read_to_string(path)
         .map_err(|error| Error::new(Code::Invalid, format!("cannot read {path}: {error}")))?;
+    if let Some(checked) = lycheehub_platform::files::check(&text) {
+        return checked.map_err(|error| Error::new(Code::Invalid, format!("{path}: {error}")));
+    }
     if is_settings(&text) {
         return settings::load(path).map(drop);
     }
--- a/crates/cli/tests/cli/command_line.rs
+++ b/crates/cli/tests/cli/command_line.rs
@@ -55,6 +55,34 @@
     }
 }
 
+#[test]
+fn wrong_files_of_the_platform_are_told_by_line_and_column() {
+    let folder = folder("command_line_platform");
+    std::fs::create_dir_all(&folder).expect("made");
+    let settings = "node_name = \"entry-1\"\nip = \"10.1.0.25\"\nzone = \"salto\"\n\
+                    internal_port_range = [7600, 7615]\n[limits]\nmax_fds = 1000\n";
+    let route = r#"{"hostname": "a", "path_prefix": "/a/", "kind": "safe", "timeout_ms": 0,
+                    "service": "s"}"#;
+    let document = |route: &str| {
+        format!(r#"{{"version": 3, "services": [{{"name": "s"}}], "routes": [{route}]}}"#)
+    };
+    let cases = [
+        ("good.toml", settings.to_owned(), None),
+        ("bad.toml", settings.replace("7615]", "\"x\"]"), Some("line 4, column 30")),
+        ("good.json", document(&route.replace("ms\": 0", "ms\": 900")), None),
+        ("bad.json", document(route), Some("timeout")),
+        ("cut.json", document(route)[..40].to_owned(), Some("line 1 column 40")),
+    ];
+    for (name, text, expected) in cases {
+        let path = folder.join(name);
+        std::fs::write(&path, text).expect("written");
+        let output = run(&["check", &path.to_string_lossy()]);
+        let code = if expected.is_some() { 3 } else { 0 };
+        assert_eq!(output.status.code(), Some(code), "{name}: {}", error(&output));
+        assert!(error(&output).contains(expected.unwrap_or("")), "{name}: {}", error(&output));
+    }
+}
+
 #[test]
 fn a_daemon_that_cannot_start_says_why() {
     let folder = folder("command_line_start");
