--- a/crates/standin/src/bin/lycheehub-measure/main.rs
+++ b/crates/standin/src/bin/lycheehub-measure/main.rs
@@ -1,8 +1,10 @@
-//! Measures instances as separate processes: relaying, tiers under load, and control.
+//! Measures instances as separate processes: relaying, tiers under load, and control; and the
+//! dispatcher by itself.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
 mod control;
+mod place;
 mod relay;
 mod tiers;
 
@@ -27,7 +29,7 @@
     #[options(
         free,
         required,
-        help = "relay, streams, tiers, prefix, faults, commit, idle, claims or failover"
+        help = "relay, streams, tiers, prefix, faults, commit, idle, claims, failover or place"
     )]
     what: String,
     #[options(help = "the folder of the binaries", default = "target/release", no_short)]
@@ -60,6 +62,7 @@
         "idle" => control::idle(&arguments),
         "claims" => control::claims(&arguments),
         "failover" => control::failover(&arguments),
+        "place" => place::place(&arguments),
         other => Err(format!("nothing is named {other:?}").into()),
     };
     match result {
