--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -12,6 +12,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// How long an endpoint works before it answers, at most, in milliseconds.
+const WORK_MAX_MS: u32 = 80;
 /// How often an endpoint announces itself.
 const HEARTBEAT: Duration = Duration::from_millis(600);
 /// How long a control instance may take to answer an announcement.
@@ -216,7 +218,7 @@
             return stream.write_all(format!("{head}{rest}").as_bytes()).ok();
         }
         self.note_run(&id, request);
-        std::thread::sleep(Duration::from_millis(u64::from(self.pick(20))));
+        std::thread::sleep(Duration::from_millis(u64::from(self.pick(WORK_MAX_MS))));
         match course {
             Course::Lose => return None,
             Course::Linger => std::thread::sleep(Duration::from_millis(1_500)),
--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -206,19 +206,25 @@
         });
     }
 
-    /// Stops an entry instance as the platform does, and starts it again.
+    /// Stops an entry instance as the platform does, and starts it again. Until its end all
+    /// promises hold.
     fn stop(&self, place: usize) {
-        self.claim(place, || {
-            self.with_process(place, |process| process.signal("TERM"));
-            let ended = self.ends(place);
-            if !ended {
-                self.record.finding(format!("entry {place} did not stop in {STOP_TIMEOUT:?}"));
-            }
+        if self.busy[place].swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let from = Instant::now();
+        self.with_process(place, |process| process.signal("TERM"));
+        if !self.ends(place) {
+            self.record.finding(format!("entry {place} did not stop in {STOP_TIMEOUT:?}"));
+        }
+        self.during(self.scope_of(place), || {
+            self.record.stopped(place - self.controls, from);
             self.with_process(place, |process| {
                 process.kill();
                 process.start(false);
             });
         });
+        self.busy[place].store(false, Ordering::Relaxed);
     }
 
     fn ends(&self, place: usize) -> bool {
@@ -314,7 +320,7 @@
             Faults { doubled: share, ..Faults::default() },
             Faults { slow: share, ..Faults::default() },
         ];
-        let fault = match pick(20) {
+        let fault = match pick(24) {
             0 => Fault::KillControl(control),
             1 => Fault::KillAllControls,
             2 => Fault::PauseControl(control),
@@ -331,6 +337,8 @@
             15 => Fault::LeaveEndpoint(endpoint),
             16 | 17 => Fault::FailEndpoint(endpoint, faults[pick(faults.len())]),
             18 => Fault::DisturbEndpoint(endpoint, mode),
+            19 | 20 => Fault::FailEndpoint(endpoint, Faults { lost: share, ..Faults::default() }),
+            21 | 22 => Fault::StopEntry(entry),
             _ => Fault::ResetEndpoint(endpoint),
         };
         let lasts = Duration::from_millis(200 + pick(2_800) as u64);
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -31,7 +31,7 @@
 /// A seed that is played each time, for comparison.
 const STANDARD_SEED: u64 = 1;
 /// How many callers there are.
-const CALLERS: usize = 8;
+const CALLERS: usize = 12;
 /// Endpoints of each of the two services.
 const ENDPOINTS: usize = 4;
 /// The time after all faults by which requests are served again.
--- a/crates/cli/tests/soak/record.rs
+++ b/crates/cli/tests/soak/record.rs
@@ -82,6 +82,8 @@
     /// When endpoints had sent their whole answer.
     answered: BTreeMap<String, Instant>,
     disturbances: Vec<(Scope, Instant, Option<Instant>)>,
+    /// When entry instances were told to stop, and when they had ended.
+    stops: Vec<(usize, Instant, Instant)>,
     findings: BTreeSet<String>,
     counts: BTreeMap<&'static str, u64>,
     /// Requests without an answer at their route's timeout.
@@ -173,6 +175,11 @@
         }
     }
 
+    /// Notes a planned stop of an entry instance that began at `from` and has just ended.
+    pub fn stopped(&self, entry: usize, from: Instant) {
+        self.inner().stops.push((entry, from, Instant::now()));
+    }
+
     /// Tells whether rules bounded in time hold for an entry instance since `from`.
     pub fn is_in_touch(&self, entry: usize, from: Instant) -> bool {
         self.inner().is_in_touch(entry, from, Instant::now())
@@ -207,6 +214,10 @@
         if gone.len() > GONE_MAX {
             findings.push(format!("GONE: begun long after their callers left: {gone:?}"));
         }
+        let cut = cut_by_stops(&inner);
+        if !cut.is_empty() {
+            findings.push(format!("LOST: cut by planned stops: {cut:?}"));
+        }
         let lost = lost_answers(&inner);
         if lost.len() > LOST_MAX {
             findings.push(format!("LOST: cut though their endpoints had answered: {lost:?}"));
@@ -254,6 +265,22 @@
     inner.left.iter().filter(is_late).map(|(id, _)| id).collect()
 }
 
+/// Returns the requests that an endpoint ran and a planned stop cut off.
+fn cut_by_stops(inner: &Inner) -> Vec<&String> {
+    let is_cut = |(id, cut): &(&String, &Instant)| {
+        let (Some(sent), Some(runs)) = (inner.sent.get(*id), inner.runs.get(*id)) else {
+            return false;
+        };
+        let by_stop = inner.stops.iter().any(|(entry, from, to)| {
+            *entry == sent.entry && sent.at <= *to && (*from..=*to).contains(*cut)
+        });
+        let is_sound =
+            |run: &Run| !inner.is_disturbed(Scope::Endpoint(run.endpoint), sent.at, **cut);
+        by_stop && runs.iter().all(is_sound)
+    };
+    inner.cut.iter().filter(is_cut).map(|(id, _)| id).collect()
+}
+
 /// Returns the requests that were cut off though a sound endpoint had sent its whole answer.
 fn lost_answers(inner: &Inner) -> Vec<&String> {
     let is_lost = |(id, cut): &(&String, &Instant)| {
