fix(dispatch): look past those that wait for faster endpoints

A request that would be on time at a faster endpoint only waits for a slot there; after eight such the dispatcher stopped looking, so that nothing behind them was placed.

They are now passed over without being weighed again for 20 ms, and up to eight others are weighed at each event. The test puts twenty before one that any endpoint suits: it waits before, and is placed after.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -8,8 +8,11 @@
 //! Load pattern: answers a hundred to one in length. A long one on a slow endpoint takes a slot for
 //! as long as its caller waits, and ends unfinished. So it goes where it is likely to end in time,
 //! or waits for a slot there.
+//!
+//! Load pattern: many that wait for the fastest endpoints, while others have free slots. They are
+//! passed over for those behind them, and looked at again a moment later.
 
-use super::{Dispatcher, PASSED_OVER_MAX, Placed};
+use super::{Dispatcher, LOOK_AGAIN_MS, LOOKED_AT_MAX, PASSED_OVER_MAX, Placed};
 use crate::endpoints::{Endpoint, EndpointKey};
 use crate::job::{Decision, Job};
 use crate::queue::Waiting;
@@ -36,15 +39,27 @@
     pub(super) fn fill(&mut self, now_ms: u64, name: &ServiceName) {
         let slots = self.slots_of(name);
         let mut passed_over = Vec::new();
-        while passed_over.len() < PASSED_OVER_MAX && self.has_room(now_ms, name) {
+        let mut looked_at = 0;
+        while looked_at < LOOKED_AT_MAX
+            && passed_over.len() < PASSED_OVER_MAX
+            && self.has_room(now_ms, name)
+        {
             let service = self.services.get_mut(name);
             let popped = service.and_then(|service| service.queue.pop(now_ms, slots));
-            let Some(waiting) = popped else { break };
+            let Some(mut waiting) = popped else { break };
+            if waiting.looked_at_ms.is_some_and(|at_ms| now_ms < at_ms + LOOK_AGAIN_MS) {
+                passed_over.push(waiting);
+                continue;
+            }
             match self.choose(now_ms, name, &waiting.job) {
                 Some(key) if !self.waits_for_faster(now_ms, key, &waiting) => {
                     self.place(now_ms, key, waiting);
                 }
-                _ => passed_over.push(waiting),
+                _ => {
+                    waiting.looked_at_ms = Some(now_ms);
+                    looked_at += 1;
+                    passed_over.push(waiting);
+                }
             }
         }
         let Some(service) = self.services.get_mut(name) else { return };
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -37,6 +37,8 @@
 pub struct Waiting {
     /// The job.
     pub job: Job,
+    /// When it was last found that no free endpoint suits it.
+    pub looked_at_ms: Option<u64>,
     /// When it came.
     pub since_ms: u64,
     /// The last moment at which its first byte is on time.
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -129,3 +129,39 @@
     let on_time = replay.count(0, 5, 40, |end| end == End::OnTime);
     expect_that!(on_time, ge(short * 9 / 10));
 }
+
+#[gtest]
+fn what_waits_for_a_faster_engine_keeps_nobody_from_the_others() {
+    let mut dispatcher = dispatcher(&[record("fast", 1), record("slow", 9)]);
+    let ticket = |number| Ticket { instance: 1, number };
+    // It is learned how fast they are: the second of two goes to the slow one.
+    for round in 0..40 {
+        let now_ms = 1_000 + round * 1_000;
+        for number in [2 * round, 2 * round + 1] {
+            let ticket = ticket(number);
+            dispatcher.submit(now_ms, Job { ticket, prompt_tokens: 5_000, ..job(0) });
+        }
+        expect_that!(placed(&mut dispatcher).len(), eq(2));
+        for (number, first_byte_ms) in [(2 * round, 30), (2 * round + 1, 150)] {
+            let (ticket, first_byte_ms) = (ticket(number), Some(first_byte_ms));
+            let outcome = Outcome::Answered;
+            let finished = Finished { ticket, outcome, first_byte_ms, rest_ms: 100, events: 5 };
+            dispatcher.finish(now_ms + 90, finished);
+        }
+    }
+    let now_ms = 50_000;
+    dispatcher.submit(now_ms, Job { ticket: ticket(100), prompt_tokens: 100, ..job(0) });
+    expect_that!(placed(&mut dispatcher), elements_are![eq("fast")]);
+    // On time at the fast engine only, of which the slot is taken.
+    for number in 200..220 {
+        let ticket = ticket(number);
+        let long = Job { ticket, prompt_tokens: 35_000, objective_left_ms: 900, ..job(0) };
+        dispatcher.submit(now_ms, long);
+    }
+    expect_that!(placed(&mut dispatcher), is_empty());
+    let other = Job { ticket: ticket(300), rank: 2, ..job(0) };
+    dispatcher.submit(now_ms + 1, other);
+    dispatcher.tick(now_ms + 2);
+    dispatcher.tick(now_ms + 3);
+    expect_that!(placed(&mut dispatcher), elements_are![eq("slow")]);
+}
