perf(peer): gather news where many watch

Each change of the directory was told at once to each instance that watches, by each replica.

A replica now gathers news for as many milliseconds as instances watch it, 400 at most; with 13 instances that is not to be noticed.

Two counters of what is under way were one thing twice, and are one.

--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -9,6 +9,7 @@
 use crate::link::{Links, within};
 use crate::rollouts::{Sight, version_rules};
 use crate::settings::Settings;
+use crate::tally::Tally;
 use crate::views::Latest;
 use capnp::capability::{FromTypelessPipeline, Request};
 use capnp::traits::{Owned, Pipelined};
@@ -220,7 +221,7 @@
             let _ = session.ended.recv().await;
             None
         };
-        let _asking = Counted::new(&self.asking);
+        let _asking = Tally::new(&self.asking);
         smol::future::or(async { asked.await.ok() }, ended).await
     }
 
@@ -366,22 +367,6 @@
     }
 }
 
-/// Counts a request as long as it lives.
-struct Counted<'a>(&'a Cell<usize>);
-
-impl<'a> Counted<'a> {
-    fn new(count: &'a Cell<usize>) -> Self {
-        count.set(count.get() + 1);
-        Self(count)
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 async fn enter_at(
     peer: peer::Client,
     own: &str,
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,6 +19,7 @@
 mod rollouts;
 mod server;
 mod settings;
+mod tally;
 mod views;
 mod watch;
 
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -1,6 +1,7 @@
 //! The directory of endpoints: announcements heard here, and what other replicas pass on.
 
 use super::{Core, Node};
+use crate::tally::Tally;
 use crate::watch::{self, News, Watcher};
 use lycheehub_control::directory::{LEASE_MS, Listing};
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
@@ -16,6 +17,12 @@
 /// know what was accepted since.
 const LEADER_SILENT_MS: u64 = 1_500;
 
+/// How many of those that watch are answered in a millisecond where news come all the time.
+const ANSWERS_PER_MS: u64 = 1;
+/// How long news are gathered at most, in milliseconds: a part of the time in which the word of an
+/// endpoint that leaves must be in force.
+const GATHER_MAX_MS: u64 = 400;
+
 /// What one that watches has been told already.
 #[derive(Clone, Debug)]
 pub(crate) struct Told {
@@ -122,8 +129,10 @@
                 || core.state.revision > told.revision
                 || leader.is_some() && leader != told.leader
         };
+        let _watching = Tally::new(&self.watchers);
         if !has_news(&self.core.borrow()) {
             self.wait_for_news(wait_ms).await;
+            self.gather_news().await;
         }
         let core = self.core.borrow();
         let now_ms = self.clock.now_ms();
@@ -140,6 +149,17 @@
         }
     }
 
+    /// Lets more news come together where many watch.
+    ///
+    /// Load pattern: thousands of endpoints announce themselves within a second, and hundreds of
+    /// instances watch. Were each change told to all at once, replicas would do nothing else.
+    async fn gather_news(&self) {
+        let gather_ms = (self.watchers.get() as u64 / ANSWERS_PER_MS).min(GATHER_MAX_MS);
+        if gather_ms > 0 {
+            Timer::after(Duration::from_millis(gather_ms)).await;
+        }
+    }
+
     /// Waits until a revision or the directory changes, at most `wait_ms`.
     pub(super) async fn wait_for_news(&self, wait_ms: u64) {
         let (sender, receiver) = bounded(1);
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -38,7 +38,7 @@
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender};
 use smol::net::TcpListener;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -72,6 +72,8 @@
     started_ms: u64,
     /// The leader of which those that watch were told last.
     announced_leader: RefCell<Option<InstanceName>>,
+    /// How many watch this instance.
+    watchers: Cell<usize>,
     /// The replicas whose directories are watched.
     watched: RefCell<BTreeSet<InstanceName>>,
     /// Places requests while this instance leads.
@@ -191,6 +193,7 @@
             revised: RefCell::default(),
             started_ms: clock.now_ms(),
             announced_leader: RefCell::default(),
+            watchers: Cell::new(0),
             watched: RefCell::default(),
             placing: RefCell::default(),
         }))
