fix(dispatch): bound the samples of versions that nobody takes

Found reading the diff: an entry instance's own dispatcher noted a sample for each request while a version was rolled out, and nobody took them there.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -236,10 +236,7 @@
     /// Takes the end of a request at its endpoint.
     pub fn finish(&mut self, now_ms: u64, finished: Finished) {
         let Some(placed) = self.placed.remove(&finished.ticket) else { return };
-        if let Some(endpoint) = self.endpoints.get(placed.endpoint) {
-            let name = endpoint.name().clone();
-            self.note_sample(&name, placed.rank, &finished);
-        }
+        self.note_sample(placed.endpoint, placed.rank, &finished);
         let Some(endpoint) = self.endpoints.get_mut(placed.endpoint) else { return };
         let running = endpoint.end(finished.ticket);
         let since_ms = running.map_or(now_ms, |running| running.since_ms);
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -4,7 +4,6 @@
 //! slot of every endpoint, endpoints would get many times what they can run, and nothing would be on
 //! time. So each instance uses whole slots at some endpoints and none at others, drawn by both their
 //! names, so that about as many are used at each endpoint as it has.
-
 //!
 //! Load pattern: short requests above the capacity of a service that is no engine. Between the end of
 //! one and the begin of the next lie the ways to the caller's instance and the dispatcher and back,
--- a/crates/dispatch/src/dispatcher/versions.rs
+++ b/crates/dispatch/src/dispatcher/versions.rs
@@ -1,11 +1,14 @@
 //! Divides the requests of a service between versions of its endpoints.
 
 use super::{Dispatcher, Service};
-use crate::endpoints::Endpoint;
+use crate::endpoints::{Endpoint, EndpointKey};
 use crate::job::{Finished, Outcome};
-use lycheehub_types::{EndpointName, ServiceName, Version};
+use lycheehub_types::{ServiceName, Version};
 use std::collections::BTreeMap;
 
+/// How many samples are kept until they are taken; a dispatcher that compares nothing takes none.
+const SAMPLES_MAX: usize = 4_096;
+
 /// Which versions of a service get requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct VersionRule {
@@ -151,10 +154,11 @@
     }
 
     /// Notes how a request ended at an endpoint.
-    pub(super) fn note_sample(&mut self, name: &EndpointName, rank: u8, finished: &Finished) {
-        let Some(key) = self.by_name.get(name) else { return };
-        let record = &self.endpoints[*key].record;
-        if !self.services.get(&record.service).is_some_and(Service::is_compared) {
+    pub(super) fn note_sample(&mut self, key: EndpointKey, rank: u8, finished: &Finished) {
+        let Some(endpoint) = self.endpoints.get(key) else { return };
+        let record = &endpoint.record;
+        let is_compared = self.services.get(&record.service).is_some_and(Service::is_compared);
+        if !is_compared || self.samples.len() >= SAMPLES_MAX {
             return;
         }
         let pace_ms = match finished.outcome {
--- a/crates/dispatch/tests/dispatch/versions.rs
+++ b/crates/dispatch/tests/dispatch/versions.rs
@@ -79,3 +79,10 @@
     let decision = dispatcher.take_decisions().pop();
     expect_that!(decision, some(matches_pattern!(Decision::Place { .. })));
 }
+
+#[gtest]
+fn what_was_seen_is_bounded_where_nobody_takes_it() {
+    let mut dispatcher = divided(split(0.5));
+    placed_new(&mut dispatcher, 10_000);
+    expect_that!(dispatcher.take_samples().len(), lt(5_000));
+}
