test(soak): what is worked on long after its caller has left

Some streams last for seconds now, and twice as many callers leave; an endpoint that finishes such a request more than half a second later counts.

--- a/crates/cli/tests/soak/caller.rs
+++ b/crates/cli/tests/soak/caller.rs
@@ -25,7 +25,7 @@
 /// How long a connection may take to be made.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// How many of a hundred callers leave before their answer.
-const LEAVE_SHARE: u32 = 4;
+const LEAVE_SHARE: u32 = 8;
 
 /// What came back for a request.
 enum Answer {
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -285,7 +285,7 @@
         let last = events_of(id);
         let cut_at = after + 1 + self.pick(last.saturating_sub(after).max(1));
         for number in after + 1..=last {
-            std::thread::sleep(Duration::from_millis(u64::from(self.pick(15))));
+            std::thread::sleep(Duration::from_millis(u64::from(self.pick(pause_max_ms(id)))));
             let event = chunk(&event(id, number));
             if course == Course::Cut && number == cut_at {
                 // The reader sees the cut either way.
@@ -364,6 +364,12 @@
     u32::from(Sha256::digest(id)[0] % 12) + 1
 }
 
+/// Returns the longest pause before an event of a request's stream, in milliseconds: one stream of
+/// four lasts for seconds.
+fn pause_max_ms(id: &str) -> u32 {
+    if Sha256::digest(id)[1].is_multiple_of(4) { 400 } else { 15 }
+}
+
 /// Returns what proves that an answer is an endpoint's.
 pub fn seal(id: &str, body: &str) -> String {
     hex::encode(&Sha256::digest(format!("{id}/{body}"))[..8])
--- a/crates/cli/tests/soak/record.rs
+++ b/crates/cli/tests/soak/record.rs
@@ -214,6 +214,10 @@
         if gone.len() > GONE_MAX {
             findings.push(format!("GONE: begun long after their callers left: {gone:?}"));
         }
+        let worked_on = worked_on(&inner);
+        if worked_on.len() > GONE_MAX {
+            findings.push(format!("GONE: worked on long after their callers left: {worked_on:?}"));
+        }
         let cut = cut_by_stops(&inner);
         if !cut.is_empty() {
             findings.push(format!("LOST: cut by planned stops: {cut:?}"));
@@ -265,6 +269,17 @@
     inner.left.iter().filter(is_late).map(|(id, _)| id).collect()
 }
 
+/// Returns the requests that endpoints worked on to their end long after their callers had left.
+fn worked_on(inner: &Inner) -> Vec<&String> {
+    let is_worked_on = |(id, left): &(&String, &Instant)| {
+        let (Some(sent), Some(answered)) = (inner.sent.get(*id), inner.answered.get(*id)) else {
+            return false;
+        };
+        *answered > **left + GONE_SLACK && inner.is_in_touch(sent.entry, sent.at, *answered)
+    };
+    inner.left.iter().filter(is_worked_on).map(|(id, _)| id).collect()
+}
+
 /// Returns the requests that an endpoint ran and a planned stop cut off.
 fn cut_by_stops(inner: &Inner) -> Vec<&String> {
     let is_cut = |(id, cut): &(&String, &Instant)| {
