--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -10,9 +10,10 @@
 //! or waits for a slot there.
 //!
 //! Load pattern: many that wait for the fastest endpoints, while others have free slots. They are
-//! passed over for those behind them, and looked at again a moment later.
+//! passed over for those behind them. The first ones are weighed again at each event, so that a slot
+//! that they wait for is theirs; the others a moment later.
 
-use super::{Dispatcher, LOOK_AGAIN_MS, LOOKED_AT_MAX, PASSED_OVER_MAX, Placed};
+use super::{Dispatcher, FIRST_COUNT, PASSED_OVER_MAX, Placed, WEIGH_AGAIN_MS, WEIGHED_MAX};
 use crate::endpoints::{Endpoint, EndpointKey};
 use crate::job::{Decision, Job};
 use crate::queue::Waiting;
@@ -39,15 +40,17 @@
     pub(super) fn fill(&mut self, now_ms: u64, name: &ServiceName) {
         let slots = self.slots_of(name);
         let mut passed_over = Vec::new();
-        let mut looked_at = 0;
-        while looked_at < LOOKED_AT_MAX
+        let mut weighed = 0;
+        while weighed < WEIGHED_MAX
             && passed_over.len() < PASSED_OVER_MAX
             && self.has_room(now_ms, name)
         {
             let service = self.services.get_mut(name);
             let popped = service.and_then(|service| service.queue.pop(now_ms, slots));
             let Some(mut waiting) = popped else { break };
-            if waiting.looked_at_ms.is_some_and(|at_ms| now_ms < at_ms + LOOK_AGAIN_MS) {
+            let is_first = passed_over.len() < FIRST_COUNT;
+            let just_now = |at_ms| now_ms < at_ms + WEIGH_AGAIN_MS;
+            if !is_first && waiting.weighed_ms.is_some_and(just_now) {
                 passed_over.push(waiting);
                 continue;
             }
@@ -56,8 +59,8 @@
                     self.place(now_ms, key, waiting);
                 }
                 _ => {
-                    waiting.looked_at_ms = Some(now_ms);
-                    looked_at += 1;
+                    waiting.weighed_ms = Some(now_ms);
+                    weighed += 1;
                     passed_over.push(waiting);
                 }
             }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -19,13 +19,15 @@
 use versions::Division;
 pub use versions::{VersionMode, VersionRule, VersionSample};
 
-/// How many jobs that no free endpoint suits are looked at for those behind them, at each event.
-const LOOKED_AT_MAX: usize = 8;
-/// How many that were looked at just before are passed over besides.
+/// How many jobs at the head of the queue are weighed at each event.
+const FIRST_COUNT: usize = 8;
+/// How many jobs that no free endpoint suits are weighed in all at an event.
+const WEIGHED_MAX: usize = 16;
+/// How many are passed over in all.
 const PASSED_OVER_MAX: usize = 200;
-/// After how long a job that no free endpoint suited is looked at again, in milliseconds: some slots
+/// After how long a job that no free endpoint suited is weighed again, in milliseconds: some slots
 /// are free again by then.
-const LOOK_AGAIN_MS: u64 = 20;
+const WEIGH_AGAIN_MS: u64 = 20;
 
 /// How many times as long as a short job the mean one holds a slot.
 const SHORT_FACTOR: f64 = 4.0;
@@ -221,7 +223,7 @@
         let is_short = slot_ms * SHORT_FACTOR <= service.note_slot_ms(slot_ms);
         Some(Waiting {
             is_short,
-            looked_at_ms: None,
+            weighed_ms: None,
             since_ms: now_ms,
             objective_ms: now_ms + job.objective_left_ms,
             patience_ms: now_ms + job.patience_left_ms,
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -38,7 +38,7 @@
     /// The job.
     pub job: Job,
     /// When it was last found that no free endpoint suits it.
-    pub looked_at_ms: Option<u64>,
+    pub weighed_ms: Option<u64>,
     /// When it came.
     pub since_ms: u64,
     /// The last moment at which its first byte is on time.
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -164,4 +164,14 @@
     dispatcher.tick(now_ms + 2);
     dispatcher.tick(now_ms + 3);
     expect_that!(placed(&mut dispatcher), elements_are![eq("slow")]);
+    // The slot that they wait for is theirs, also where others have come meanwhile.
+    dispatcher.submit(now_ms + 4, Job { ticket: ticket(301), rank: 2, ..job(0) });
+    expect_that!(placed(&mut dispatcher), elements_are![eq("slow")]);
+    dispatcher.finish(now_ms + 5, finished(ticket(100), Outcome::Answered));
+    let decisions = dispatcher.take_decisions();
+    let is_long = |decision: &Decision| match decision {
+        Decision::Place { ticket, .. } => (200..220).contains(&ticket.number),
+        Decision::Refuse { .. } => false,
+    };
+    expect_that!(decisions.iter().map(is_long).collect::<Vec<_>>(), elements_are![eq(&true)]);
 }
