--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -21,10 +21,11 @@
 
 /// How many jobs at the head of the queue are weighed at each event.
 const FIRST_COUNT: usize = 8;
-/// How many jobs that no free endpoint suits are weighed in all at an event.
-const WEIGHED_MAX: usize = 16;
-/// How many are passed over in all.
-const PASSED_OVER_MAX: usize = 200;
+/// How many jobs that no free endpoint suits are weighed in all at an event: one takes as long as a
+/// look at each endpoint.
+const WEIGHED_MAX: usize = 9;
+/// How many are passed over in all: taking one from the queue and back takes time at each event.
+const PASSED_OVER_MAX: usize = 24;
 /// After how long a job that no free endpoint suited is weighed again, in milliseconds: some slots
 /// are free again by then.
 const WEIGH_AGAIN_MS: u64 = 20;
