refactor(dispatch): estimate the first byte once for each endpoint

Weighing an endpoint worked the same estimate out twice (with a look through its remembered prompts each time), placing a third and fourth time. It is passed on now, and `begin` returns it. The constants of choosing stand beside it; three loops over all services that share slots out are one. Nothing is decided differently: no test or bound changed.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -13,12 +13,22 @@
 //! passed over for those behind them. The first ones are weighed again at each event, so that a slot
 //! that they wait for is theirs; the others a moment later.
 
-use super::{Dispatcher, FIRST_COUNT, PASSED_OVER_MAX, Placed, WEIGH_AGAIN_MS, WEIGHED_MAX};
+use super::{Dispatcher, Placed};
 use crate::endpoints::{Endpoint, EndpointKey};
 use crate::job::{Decision, Job};
 use crate::queue::Waiting;
 use lycheehub_types::ServiceName;
 
+/// How many jobs at the head of the queue are weighed at each event.
+const FIRST_COUNT: usize = 8;
+/// How many jobs that no free endpoint suits are weighed in all at an event: one takes as long as a
+/// look at each endpoint.
+const WEIGHED_MAX: usize = 9;
+/// How many are passed over in all: taking one from the queue and back takes time at each event.
+const PASSED_OVER_MAX: usize = 24;
+/// After how long a job that no free endpoint suited is weighed again, in milliseconds: some slots
+/// are free again by then.
+const WEIGH_AGAIN_MS: u64 = 20;
 /// What an endpoint that fails all requests costs, in milliseconds of waiting.
 const FAILURE_MS: f64 = 2_000.0;
 /// What an endpoint that has not answered since it failed costs, in milliseconds of waiting.
@@ -80,19 +90,21 @@
         let left_ms = waiting.objective_ms.saturating_sub(now_ms) as f64;
         let ends_ms = waiting.deadline_ms.saturating_sub(now_ms);
         let endpoint = &self.endpoints[key];
-        let is_late = left_ms > SLOT_WAIT_MS && endpoint.first_byte_ms(now_ms, job) > left_ms;
-        let overruns = endpoint.overrun_chance(now_ms, job, events, ends_ms) > OVERRUN_MAX;
+        let first_byte_ms = endpoint.first_byte_ms(now_ms, job);
+        let is_late = left_ms > SLOT_WAIT_MS && first_byte_ms > left_ms;
+        let overruns = endpoint.overrun_chance(first_byte_ms, events, ends_ms) > OVERRUN_MAX;
         if !is_late && !overruns {
             return false;
         }
         let mut others = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         others.any(|other| {
-            let is_on_time = || other.first_byte_ms(now_ms, job) + SLOT_WAIT_MS <= left_ms;
-            let ends = || other.overrun_chance(now_ms, job, events, ends_ms) < OVERRUN_LITTLE;
-            !other.record.leaving
-                && other.health.is_open(now_ms)
-                && (!is_late || is_on_time())
-                && (!overruns || ends())
+            if other.record.leaving || !other.health.is_open(now_ms) {
+                return false;
+            }
+            let first_byte_ms = other.first_byte_ms(now_ms, job);
+            let is_on_time = first_byte_ms + SLOT_WAIT_MS <= left_ms;
+            let ends = || other.overrun_chance(first_byte_ms, events, ends_ms) < OVERRUN_LITTLE;
+            (!is_late || is_on_time) && (!overruns || ends())
         })
     }
 
@@ -143,9 +155,10 @@
         let failure_ms = (endpoint.health.failure_share() - tolerated).max(0.0) * FAILURE_MS;
         let doubt_ms = if endpoint.health.is_on_probation(now_ms) { PROBATION_MS } else { 0.0 };
         let load = endpoint.running.len() as f64 / f64::from(endpoint.record.slots.max(1));
-        let overrun = endpoint.overrun_chance(now_ms, job, events, job.deadline_left_ms);
+        let first_byte_ms = endpoint.first_byte_ms(now_ms, job);
+        let overrun = endpoint.overrun_chance(first_byte_ms, events, job.deadline_left_ms);
         let overrun_ms = overrun * OVERRUN_MS;
-        endpoint.first_byte_ms(now_ms, job) + foreign_ms + failure_ms + doubt_ms + overrun_ms + load
+        first_byte_ms + foreign_ms + failure_ms + doubt_ms + overrun_ms + load
     }
 
     fn place(&mut self, now_ms: u64, key: EndpointKey, waiting: Waiting) {
@@ -155,8 +168,7 @@
             service.note_version_placed(&self.endpoints[key].record.version);
         }
         let endpoint = &mut self.endpoints[key];
-        let first_byte_ms = endpoint.first_byte_ms(now_ms, &job) as u64;
-        endpoint.begin(now_ms, &job);
+        let first_byte_ms = endpoint.begin(now_ms, &job) as u64;
         self.decisions.push(Decision::Place {
             ticket: job.ticket,
             endpoint: endpoint.name().clone(),
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -19,17 +19,6 @@
 use versions::Division;
 pub use versions::{VersionMode, VersionRule, VersionSample};
 
-/// How many jobs at the head of the queue are weighed at each event.
-const FIRST_COUNT: usize = 8;
-/// How many jobs that no free endpoint suits are weighed in all at an event: one takes as long as a
-/// look at each endpoint.
-const WEIGHED_MAX: usize = 9;
-/// How many are passed over in all: taking one from the queue and back takes time at each event.
-const PASSED_OVER_MAX: usize = 24;
-/// After how long a job that no free endpoint suited is weighed again, in milliseconds: some slots
-/// are free again by then.
-const WEIGH_AGAIN_MS: u64 = 20;
-
 /// How many times as long as a short job the mean one holds a slot.
 const SHORT_FACTOR: f64 = 4.0;
 
@@ -155,8 +144,7 @@
     /// Replaces the options.
     pub fn set_options(&mut self, options: Options) {
         self.options = options;
-        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
-        names.iter().for_each(|name| self.share_out(name));
+        self.share_out();
     }
 
     /// Takes a request; a decision follows, now or later.
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -10,9 +10,10 @@
 //! some milliseconds in which the slot would be idle. So some more are sent than there are slots;
 //! they wait at the endpoint for a part of a request's time.
 
-use super::Dispatcher;
-use crate::endpoints::EndpointKey;
-use lycheehub_types::{EndpointName, ServiceName};
+use super::{Dispatcher, Service};
+use crate::endpoints::{Endpoint, EndpointKey};
+use lycheehub_types::EndpointName;
+use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// How many more requests than slots are sent to an endpoint that is no engine, as a part of them:
@@ -20,28 +21,39 @@
 const SENT_AHEAD: f64 = 0.25;
 
 impl Dispatcher {
-    /// Works out anew which slots of a service's endpoints fall to this dispatcher.
-    pub(super) fn share_out(&mut self, name: &ServiceName) {
-        let Some(service) = self.services.get(name) else { return };
+    /// Works out anew which slots of endpoints fall to this dispatcher.
+    pub(super) fn share_out(&mut self) {
         let share = self.options.slot_share.min(1.0);
-        let per_slot = if service.engine.is_some() { 1.0 } else { 1.0 + SENT_AHEAD };
-        let mut lowest: Option<(f64, EndpointKey)> = None;
-        let mut slots = 0;
-        for key in &service.endpoints {
-            let endpoint = &mut self.endpoints[*key];
-            let drawn = draw(endpoint.name(), self.options.slot_salt);
-            let exact = (f64::from(endpoint.record.slots) * per_slot).ceil() * share;
-            endpoint.own_slots = whole_slots(exact, drawn);
-            slots += endpoint.own_slots;
-            if lowest.is_none_or(|(other, _)| drawn < other) {
-                lowest = Some((drawn, *key));
-            }
+        let salt = self.options.slot_salt;
+        for service in self.services.values() {
+            share_out_service(service, &mut self.endpoints, share, salt);
         }
-        // Some slot is needed to serve at all.
-        if let Some((_, key)) = lowest.filter(|_| slots == 0) {
-            self.endpoints[key].own_slots = 1;
+    }
+}
+
+fn share_out_service(
+    service: &Service,
+    endpoints: &mut SlotMap<EndpointKey, Endpoint>,
+    share: f64,
+    salt: u64,
+) {
+    let per_slot = if service.engine.is_some() { 1.0 } else { 1.0 + SENT_AHEAD };
+    let mut lowest: Option<(f64, EndpointKey)> = None;
+    let mut slots = 0;
+    for key in &service.endpoints {
+        let endpoint = &mut endpoints[*key];
+        let drawn = draw(endpoint.name(), salt);
+        let exact = (f64::from(endpoint.record.slots) * per_slot).ceil() * share;
+        endpoint.own_slots = whole_slots(exact, drawn);
+        slots += endpoint.own_slots;
+        if lowest.is_none_or(|(other, _)| drawn < other) {
+            lowest = Some((drawn, *key));
         }
     }
+    // Some slot is needed to serve at all.
+    if let Some((_, key)) = lowest.filter(|_| slots == 0) {
+        endpoints[key].own_slots = 1;
+    }
 }
 
 /// Returns whole slots: the fraction of `exact` is rounded up where `drawn`, from 0 to 1, is below
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -27,9 +27,7 @@
         for name in names {
             self.describe(&name);
         }
-        for name in known.into_keys() {
-            self.share_out(name);
-        }
+        self.share_out();
         self.tick(now_ms);
     }
 
@@ -58,8 +56,7 @@
         for name in gone {
             self.drop_endpoint(&name);
         }
-        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
-        names.iter().for_each(|name| self.share_out(name));
+        self.share_out();
         self.tick(now_ms);
     }
 
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -104,15 +104,15 @@
         waits_ms + self.speed.prefill_ms(job.prompt_tokens.saturating_sub(cached)) + self.queue_ms()
     }
 
-    /// Returns how likely it is that an answer of about `events` events is not finished within
-    /// `left_ms`, from 0 to 1.
-    pub fn overrun_chance(&self, now_ms: u64, job: &Job, events: f64, left_ms: u64) -> f64 {
+    /// Returns how likely it is that an answer of about `events` events, the first of them after
+    /// `first_byte_ms`, is not finished within `left_ms`, from 0 to 1.
+    pub fn overrun_chance(&self, first_byte_ms: f64, events: f64, left_ms: u64) -> f64 {
         // Lengths are told to within a factor of 1.8 in nine of ten cases.
         const STEEPNESS: i32 = 4;
         if events == 0.0 {
             return 0.0;
         }
-        let left_ms = left_ms as f64 - self.first_byte_ms(now_ms, job);
+        let left_ms = left_ms as f64 - first_byte_ms;
         let room = left_ms.max(0.0) / self.speed.events_ms(events).max(1.0);
         1.0 / (1.0 + room.powi(STEEPNESS))
     }
@@ -122,8 +122,9 @@
         self.speed.answer_ms() * (self.running.len() as f64 / f64::from(self.record.slots.max(1)))
     }
 
-    /// Notes that `job` was placed here.
-    pub fn begin(&mut self, now_ms: u64, job: &Job) {
+    /// Notes that `job` was placed here; returns when its first byte is expected, in milliseconds
+    /// from now.
+    pub fn begin(&mut self, now_ms: u64, job: &Job) -> f64 {
         let expected_ms = self.first_byte_ms(now_ms, job);
         let cached = self.prefixes.cached_tokens(&job.prefix);
         let prefill_ms = self.speed.prefill_ms(job.prompt_tokens.saturating_sub(cached));
@@ -133,6 +134,7 @@
             job.ticket,
             Running { memory_tokens: tokens_of(job), expected_ms, since_ms: now_ms },
         );
+        expected_ms
     }
 
     /// Notes a request that was placed here by another dispatcher.
