refactor(peer): one piece of code follows and reads the state

The request and the decoding of a feed stood twice, for a replica that follows and for an instance that does. feeds.rs now holds both calls. An instance's orders that leave with it are dropped with retain, not gathered first. Behaviour stays; the tests are as they were.

--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -9,6 +9,7 @@
 pub use placement::LeaderPlacement;
 pub use view::EntryView;
 
+use crate::feeds;
 use crate::link::Links;
 use crate::settings::Settings;
 use crate::views::Latest;
@@ -175,13 +176,7 @@
     /// Fetches what changed in the state from a replica that has it.
     async fn fetch(self: Rc<Self>, from: InstanceName) {
         let revision = self.known.borrow().state.revision;
-        let call = |peer: peer::Client| async move {
-            let mut request = peer.follow_request();
-            request.get().set_revision(revision);
-            request.get().set_wait_ms(0);
-            let reply = request.send().promise.await?;
-            decode_feed(reply.get()?.get_feed()?)
-        };
+        let call = |peer| feeds::follow(peer, revision, 0);
         let fetched = self.call("follow", &from, call).await;
         self.known.borrow_mut().fetching = false;
         match fetched {
@@ -220,16 +215,7 @@
 
     async fn confirm_at(&self, name: &InstanceName) -> bool {
         let revision = self.known.borrow().state.revision;
-        let call = |peer: peer::Client| async move {
-            let mut request = peer.read_request();
-            request.get().set_revision(revision);
-            let reply = request.send().promise.await?;
-            let reply = reply.get()?;
-            if !reply.get_confirmed() {
-                return Ok(None);
-            }
-            decode_feed(reply.get_feed()?).map(Some)
-        };
+        let call = |peer| feeds::read(peer, revision);
         match self.call("read", name, call).await {
             Ok(Some(feed)) => {
                 self.take_feed(feed, name);
@@ -257,10 +243,6 @@
     }
 }
 
-fn decode_feed(bytes: &[u8]) -> Result<Feed, capnp::Error> {
-    Feed::decode(bytes).map_err(|error| capnp::Error::failed(error.to_string()))
-}
-
 /// The control thread as a watcher of replicas.
 struct Watching(Rc<EntryNode>);
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control;
 mod count;
 pub mod entry;
+mod feeds;
 mod link;
 mod node;
 mod rollouts;
--- a/crates/peer/src/node/follow.rs
+++ b/crates/peer/src/node/follow.rs
@@ -2,9 +2,9 @@
 
 use super::Node;
 use super::calls::CALL_TIMEOUT_MS;
+use crate::feeds;
 use lycheehub_control::state::Feed;
 use lycheehub_types::{InstanceName, PeerError};
-use lycheehub_wire::peer_capnp::peer;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
@@ -38,14 +38,7 @@
 
     async fn follow_once(&self, source: &InstanceName) -> Result<(), PeerError> {
         let revision = self.core.borrow().state.revision;
-        let call = |peer: peer::Client| async move {
-            let mut request = peer.follow_request();
-            request.get().set_revision(revision);
-            request.get().set_wait_ms(FOLLOW_WAIT_MS);
-            let reply = request.send().promise.await?;
-            let feed = Feed::decode(reply.get()?.get_feed()?);
-            feed.map_err(|error| capnp::Error::failed(error.to_string()))
-        };
+        let call = |peer| feeds::follow(peer, revision, FOLLOW_WAIT_MS);
         let timeout_ms = u64::from(FOLLOW_WAIT_MS) + CALL_TIMEOUT_MS;
         let feed = self.call("follow", source, timeout_ms, call).await?;
         self.take_feed(feed);
--- a/crates/peer/src/node/placing.rs
+++ b/crates/peer/src/node/placing.rs
@@ -96,13 +96,7 @@
         let Some(gone) = self.sessions.remove(&session) else { return };
         spdlog::info!("instance left", kv: { instance: = gone.instance, session });
         self.dispatcher.forget_instance(now_ms, session);
-        let range = Ticket { instance: session, number: 0 };
-        let waiting = self.deciding.range(range..).map(|(ticket, _)| *ticket);
-        let waiting: Vec<Ticket> =
-            waiting.take_while(|ticket| ticket.instance == session).collect();
-        for ticket in waiting {
-            self.deciding.remove(&ticket);
-        }
+        self.deciding.retain(|ticket, _| ticket.instance != session);
         self.deliver();
     }
 }
--- a/crates/peer/src/node/propose.rs
+++ b/crates/peer/src/node/propose.rs
@@ -1,6 +1,7 @@
 //! Commits commands and reads through the leader, wherever it is.
 
 use super::Node;
+use crate::feeds;
 use crate::link::CONNECT;
 use lycheehub_clock::within;
 use lycheehub_consensus::Position;
@@ -165,17 +166,7 @@
         if *target == self.settings.instance {
             return self.read_here(revision).await;
         }
-        let call = |peer: peer::Client| async move {
-            let mut request = peer.read_request();
-            request.get().set_revision(revision);
-            let reply = request.send().promise.await?;
-            let reply = reply.get()?;
-            if !reply.get_confirmed() {
-                return Ok(None);
-            }
-            let feed = Feed::decode(reply.get_feed()?);
-            feed.map(Some).map_err(|error| capnp::Error::failed(error.to_string()))
-        };
+        let call = |peer| feeds::read(peer, revision);
         self.call("read", target, PROPOSE_TRY_MS, call).await.ok().flatten()
     }
 
