refactor(proxy): a request onward is built whole, once

The head was copied again to put the body behind it; onward now returns both. A stream without a largest pause says so with None, not with a large number; a late head and a late body are one error. Behaviour stays; the tests are as they were.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -167,7 +167,7 @@
         };
         let request = self.onward(identified, placed, stream);
         let can_move = kind.may_repeat() && !last;
-        let exchanged = exchange(&mut upstream, &request, &self.body, |head| {
+        let exchanged = exchange(&mut upstream, &request, |head| {
             let id = self.entry.dialect.read_answer(head).id;
             id.map_or(is_fresh, |id| id == self.fields.id)
         });
@@ -221,7 +221,7 @@
         Ok((pool::connect(&placed.address, timeout_ms).await?, true))
     }
 
-    /// Returns the head that the endpoint is sent.
+    /// Returns the request that the endpoint is sent.
     fn onward(&self, identified: &Identified, placed: &Placed, stream: &StreamState) -> Vec<u8> {
         let dialect = &self.entry.dialect;
         let mut headers = self.head.headers.onward(|name| dialect.is_kept_back(name));
@@ -242,6 +242,7 @@
             format!("{} {} HTTP/1.1\r\n", self.head.method, self.head.target).into_bytes();
         headers.write(&mut bytes);
         bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(&self.body);
         bytes
     }
 
@@ -335,17 +336,14 @@
 /// Sends a request and reads the head of its answer, past answers to other requests.
 async fn exchange(
     upstream: &mut Connection,
-    head: &[u8],
-    body: &[u8],
+    request: &[u8],
     is_own: impl Fn(&ResponseHead) -> bool,
 ) -> Result<Answered, Error> {
     let is_written = Cell::new(false);
     let mut writer = upstream.writer();
     let write = async {
         use futures_lite::AsyncWriteExt;
-        let mut whole = head.to_vec();
-        whole.extend_from_slice(body);
-        if writer.write_all(&whole).await.is_ok() {
+        if writer.write_all(request).await.is_ok() {
             is_written.set(true);
         }
         // A failure shows in what is read.
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -133,14 +133,14 @@
         let mut writer = caller.writer();
         let mut body = Body::new(head.framing);
         let deadline_ms = self.deadline_ms;
-        let pause_ms = if can_move { PAUSE_MAX_MS } else { u64::MAX / 2 };
+        let pause_max_ms = can_move.then_some(PAUSE_MAX_MS);
         let clock = self.entry.clock;
         let relay = async {
             let mut events = Events::default();
             loop {
                 let mut piece = Vec::new();
                 let read = body.next(&mut upstream, &mut piece);
-                let more = match within_pause(pause_ms, read).await {
+                let more = match within_pause(pause_max_ms, read).await {
                     None => return StreamEnd::Stalled,
                     Some(Err(error)) => return StreamEnd::Broken(error),
                     Some(Ok(more)) => more,
@@ -261,9 +261,9 @@
     is_sent
 }
 
-async fn within_pause<T>(pause_ms: u64, work: impl Future<Output = T>) -> Option<T> {
-    if pause_ms >= u64::MAX / 2 {
-        return Some(work.await);
+async fn within_pause<T>(max_ms: Option<u64>, work: impl Future<Output = T>) -> Option<T> {
+    match max_ms {
+        Some(max_ms) => within(max_ms, work).await,
+        None => Some(work.await),
     }
-    within(pause_ms, work).await
 }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -84,15 +84,14 @@
     connection: &mut Connection,
     limits: &ClientLimits,
 ) -> Result<(RequestHead, Vec<u8>), Error> {
-    let late = || Err(Error::Io(std::io::ErrorKind::TimedOut.into()));
+    let late = || Error::Io(std::io::ErrorKind::TimedOut.into());
     let read = connection.read_request_head(limits.head_max_bytes);
-    let head = within(limits.head_timeout_ms, read).await.unwrap_or_else(late)?;
+    let head = within(limits.head_timeout_ms, read).await.ok_or_else(late)??;
     if head.expects_continue() {
         connection.send(CONTINUE).await?;
     }
     let body = Body::new(head.framing);
     let read = body.read_whole(connection, limits.body_max_bytes);
-    let body = within(BODY_TIMEOUT_MS, read).await;
-    let body = body.unwrap_or_else(|| Err(Error::Io(std::io::ErrorKind::TimedOut.into())))?;
+    let body = within(BODY_TIMEOUT_MS, read).await.ok_or_else(late)??;
     Ok((head, body))
 }
