refactor(cli): one start of metrics, one span for a trace

serve and the roles each had the same start_metrics. The texts of causes repeated as a literal the five seconds that trace's constant holds.

--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -5,12 +5,11 @@
 mod http;
 
 use crate::exit::{Code, Error};
-use crate::serve::{listen, log};
+use crate::serve::{listen, log, start_metrics};
 use crate::settings::LogFormat;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use lycheehub_platform::settings::{self, Deployment};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use smol::LocalExecutor;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -88,11 +87,3 @@
     }
     Ok(())
 }
-
-fn start_metrics() -> Result<PrometheusHandle, Error> {
-    let recorder = PrometheusBuilder::new().build_recorder();
-    let handle = recorder.handle();
-    metrics::set_global_recorder(recorder)
-        .map_err(|error| Error::new(Code::Failed, format!("cannot start metrics: {error}")))?;
-    Ok(handle)
-}
--- a/crates/cli/src/serve/mod.rs
+++ b/crates/cli/src/serve/mod.rs
@@ -5,6 +5,8 @@
 mod stop;
 mod wire_up;
 
+pub(crate) use wire_up::start_metrics;
+
 use crate::arguments::Serve;
 use crate::exit::{Code, Error};
 use crate::settings::{self, Loaded};
--- a/crates/cli/src/serve/wire_up.rs
+++ b/crates/cli/src/serve/wire_up.rs
@@ -87,7 +87,8 @@
     Ok(gateway)
 }
 
-fn start_metrics() -> Result<PrometheusHandle, Error> {
+/// Starts to collect metrics.
+pub(crate) fn start_metrics() -> Result<PrometheusHandle, Error> {
     let recorder = PrometheusBuilder::new().build_recorder();
     let handle = recorder.handle();
     metrics::set_global_recorder(recorder)
--- a/crates/cli/src/trace/cause.rs
+++ b/crates/cli/src/trace/cause.rs
@@ -1,7 +1,7 @@
 //! What the end of a request means, by its own line and those that bear on it.
 
-use super::attempts;
 use super::lines::Line;
+use super::{BEFORE_S, attempts};
 
 /// Says why a request ended as it did.
 ///
@@ -32,7 +32,7 @@
     });
     let mut cause = format!(
         "{service} had no room in time: {refused} of {all} other requests for it were refused in \
-         the 5 s before, this one after {} ms of waiting",
+         the {BEFORE_S} s before, this one after {} ms of waiting",
         end.number("waited_ms")
     );
     if attempts(end).any(|(_, outcome)| outcome == "Rejected") {
@@ -53,7 +53,9 @@
     let same = beside.iter().filter(|line| line.text("account") == account);
     let served = same.filter(|line| line.text("end").starts_with('2'));
     let tokens: u64 = served.map(|line| line.number("tokens")).sum();
-    format!("{account} had used its quota: {tokens} tokens in the 5 s before, by these files")
+    format!(
+        "{account} had used its quota: {tokens} tokens in the {BEFORE_S} s before, by these files"
+    )
 }
 
 fn no_endpoint(end: &Line, around: &[&Line]) -> String {
@@ -89,7 +91,7 @@
         });
     format!(
         "endpoint {endpoint} ended it as {outcome}; {failed} of {all} other requests there failed \
-         in the 5 s before"
+         in the {BEFORE_S} s before"
     )
 }
 
--- a/crates/cli/src/trace/mod.rs
+++ b/crates/cli/src/trace/mod.rs
@@ -12,9 +12,9 @@
 use serde_json::json;
 use std::collections::BTreeSet;
 
-/// How long before the request's begin other lines may bear on it, in milliseconds: a lease ends
-/// 4.5 s after an endpoint was last heard.
-const BEFORE_MS: u64 = 5_000;
+/// How long before the request's begin other lines may bear on it, in seconds: a lease ends 4.5 s
+/// after an endpoint was last heard.
+const BEFORE_S: u64 = 5;
 
 /// Prints what the files say of a request, and the cause of its end.
 pub fn run(options: &Trace) -> Result<(), Error> {
@@ -45,7 +45,7 @@
         let end = lines.iter().find(|line| line.is_end_of(id))?;
         let started_ms = end.time_ms.saturating_sub(end.number("total_ms"));
         let endpoints: BTreeSet<&str> = attempts(end).map(|(endpoint, _)| endpoint).collect();
-        let span = started_ms.saturating_sub(BEFORE_MS)..=end.time_ms;
+        let span = started_ms.saturating_sub(BEFORE_S * 1_000)..=end.time_ms;
         let bears = |line: &&Line| {
             line.text("id") == id
                 || span.contains(&line.time_ms)
