test: one reader of requests for the stand-ins, one rollout order

The platform's stand-in and the soak's endpoint each read requests, fields and chunks; deployment/http.rs serves both. The tests of rollouts share one order.

--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -2,6 +2,8 @@
 //! addresses of their own, with a proxy on each path from an instance to a control instance.
 #![allow(dead_code, reason = "each test binary uses a part")]
 
+pub mod http;
+
 use lycheehub_standin::proxy::Proxy;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -1,7 +1,8 @@
 //! A stand-in for an endpoint that speaks the platform's protocol, and its callers.
 
+use crate::deployment::http::{chunk, field, read_request};
 use crate::deployment::{Deployment, FRONT_PORT, Reply, call};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -163,28 +164,3 @@
         }
     }
 }
-
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
-/// Returns a header field's value.
-pub fn field(head: &str, name: &str) -> Option<String> {
-    let mut fields = head.lines().filter_map(|line| line.split_once(':'));
-    let (_, value) = fields.find(|(other, _)| other.eq_ignore_ascii_case(name))?;
-    Some(value.trim().to_owned())
-}
-
-fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
-    let mut head = Vec::new();
-    let mut byte = [0; 1];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let length = field(&head, "content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    Some((head, String::from_utf8_lossy(&body).into_owned()))
-}
--- a/crates/cli/tests/platform/trace.rs
+++ b/crates/cli/tests/platform/trace.rs
@@ -1,8 +1,9 @@
 //! From a failed request's id to its cause, by the logs of real processes.
 
+use crate::deployment::http::field;
 use crate::deployment::{Deployment, Reply};
 use crate::open;
-use crate::support::{ask, field};
+use crate::support::ask;
 use googletest::prelude::*;
 use std::process::Command;
 
--- a/crates/cli/tests/soak/caller.rs
+++ b/crates/cli/tests/soak/caller.rs
@@ -1,6 +1,7 @@
 //! Callers that keep connections, leave early now and then, and weigh each answer.
 
 use crate::deployment::FRONT_PORT;
+use crate::deployment::http::field;
 use crate::endpoint::{event, events_of, plain_body, seal};
 use crate::record::{Kind, Record, Sent};
 use rand::rngs::StdRng;
@@ -293,9 +294,3 @@
 fn closes(head: &str) -> bool {
     field(head, "connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
 }
-
-fn field(head: &str, name: &str) -> Option<String> {
-    let mut fields = head.lines().filter_map(|line| line.split_once(':'));
-    let (_, value) = fields.find(|(other, _)| other.eq_ignore_ascii_case(name))?;
-    Some(value.trim().to_owned())
-}
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -1,12 +1,12 @@
 //! Endpoints that note what they run, and that fail in the ways in which engines fail.
 
-use crate::deployment::control_call;
+use crate::deployment::{control_call, http};
 use crate::record::{Record, Run};
 use lycheehub_standin::proxy::Proxy;
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
 use sha2::{Digest, Sha256};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -197,7 +197,7 @@
     }
 
     fn serve(&self, mut stream: TcpStream) {
-        while let Some(request) = read_request(&mut stream) {
+        while let Some(request) = Request::read(&mut stream) {
             let course = self.course();
             if self.answer(&mut stream, &request, course).is_none() {
                 return;
@@ -286,7 +286,7 @@
         let cut_at = after + 1 + self.pick(last.saturating_sub(after).max(1));
         for number in after + 1..=last {
             std::thread::sleep(Duration::from_millis(u64::from(self.pick(pause_max_ms(id)))));
-            let event = chunk(&event(id, number));
+            let event = http::chunk(&event(id, number));
             if course == Course::Cut && number == cut_at {
                 // The reader sees the cut either way.
                 let _ = stream.write_all(&event.as_bytes()[..event.len() / 2]);
@@ -307,10 +307,16 @@
 }
 
 impl Request {
+    /// Reads the next one of a connection.
+    fn read(stream: &mut TcpStream) -> Option<Self> {
+        let (head, body) = http::read_request(stream)?;
+        let mut words = head.split(' ');
+        let (method, path) = (words.next()?.to_owned(), words.next()?.to_owned());
+        Some(Self { method, path, head, body })
+    }
+
     fn field(&self, name: &str) -> Option<String> {
-        let mut fields = self.head.lines().filter_map(|line| line.split_once(':'));
-        let (_, value) = fields.find(|(other, _)| other.eq_ignore_ascii_case(name))?;
-        Some(value.trim().to_owned())
+        http::field(&self.head, name)
     }
 
     fn is_stream(&self) -> bool {
@@ -318,24 +324,6 @@
     }
 }
 
-fn read_request(stream: &mut TcpStream) -> Option<Request> {
-    let mut head = Vec::new();
-    let mut byte = [0; 1];
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    let head = String::from_utf8_lossy(&head).into_owned();
-    let mut words = head.split(' ');
-    let (method, path) = (words.next()?.to_owned(), words.next()?.to_owned());
-    let mut request = Request { method, path, head, body: String::new() };
-    let length = request.field("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    stream.read_exact(&mut body).ok()?;
-    request.body = String::from_utf8_lossy(&body).into_owned();
-    Some(request)
-}
-
 fn plain_answer(id: &str, body: &str) -> String {
     let text = plain_body(id, body);
     format!(
@@ -345,10 +333,6 @@
     )
 }
 
-fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\r\n", text.len())
-}
-
 /// Returns the body with which a request is answered.
 pub fn plain_body(id: &str, body: &str) -> String {
     format!("printed {body} for {id}")
--- a/crates/cli/tests/soak/operator.rs
+++ b/crates/cli/tests/soak/operator.rs
@@ -48,7 +48,9 @@
             match self.pick(3) {
                 0 => self.change(is_over),
                 1 => self.send_invalid(),
-                _ => self.read(),
+                _ => {
+                    self.read_back();
+                }
             }
             let pause_ms = 50 + self.pick(250);
             std::thread::sleep(Duration::from_millis(u64::from(pause_ms)));
@@ -89,10 +91,6 @@
     }
 
     /// Reads back; tells whether anything was read.
-    fn read(&mut self) {
-        self.read_back();
-    }
-
     fn read_back(&mut self) -> bool {
         let acknowledged = self.acknowledged;
         let reply = self.call("GET", "");
--- a/crates/control/tests/control/rollouts.rs
+++ b/crates/control/tests/control/rollouts.rs
@@ -32,6 +32,15 @@
     exposure: f64,
 }
 
+fn order() -> RolloutOrder {
+    RolloutOrder {
+        service: "writer".into(),
+        target: "v2".into(),
+        duration_ms: DURATION_MS,
+        now_unix_ms: BEGIN_UNIX_MS,
+    }
+}
+
 fn key(version: &str, route: u32) -> ObservationKey {
     let route = Route::new(format!("rank {route}"));
     ObservationKey { service: "writer".into(), version: version.into(), route }
@@ -42,13 +51,7 @@
     const STEP_MS: u64 = 50;
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut state = State::default();
-    let order = RolloutOrder {
-        service: "writer".into(),
-        target: "v2".into(),
-        duration_ms: DURATION_MS,
-        now_unix_ms: BEGIN_UNIX_MS,
-    };
-    state.apply(1, Command::StartRollout(order));
+    state.apply(1, Command::StartRollout(order()));
     let mut rollouts = Rollouts::default();
     let (mut index, mut all, mut new) = (1, 0.0, 0.0);
     let writer: ServiceName = "writer".into();
@@ -125,13 +128,7 @@
 #[gtest]
 fn a_version_without_endpoints_is_taken_back_at_its_time() {
     let mut state = State::default();
-    let order = RolloutOrder {
-        service: "writer".into(),
-        target: "v2".into(),
-        duration_ms: DURATION_MS,
-        now_unix_ms: BEGIN_UNIX_MS,
-    };
-    state.apply(1, Command::StartRollout(order));
+    state.apply(1, Command::StartRollout(order()));
     let mut rollouts = Rollouts::default();
     let none = |_: &_| Versions::default();
     expect_that!(rollouts.tick(BEGIN_UNIX_MS + 6_000, &state, none), is_empty());
@@ -143,13 +140,7 @@
 #[gtest]
 fn a_step_that_was_decided_by_an_older_record_changes_nothing() {
     let mut state = State::default();
-    let order = RolloutOrder {
-        service: "writer".into(),
-        target: "v2".into(),
-        duration_ms: DURATION_MS,
-        now_unix_ms: BEGIN_UNIX_MS,
-    };
-    state.apply(4, Command::StartRollout(order));
+    state.apply(4, Command::StartRollout(order()));
     let step = |after_revision, state| RolloutStep {
         service: "writer".into(),
         after_revision,
@@ -165,10 +156,9 @@
     expect_that!(record.state, eq(RolloutState::RolledBack));
     expect_that!(record.ended_unix_ms, eq(BEGIN_UNIX_MS + 100));
     // What was taken back gets nothing while another version is rolled out.
-    let next = RolloutOrder { target: "v3".into(), ..record.order.clone() };
-    let again = RolloutOrder { target: "v2".into(), ..record.order.clone() };
+    let next = RolloutOrder { target: "v3".into(), ..order() };
     state.apply(8, Command::StartRollout(next));
     expect_that!(state.rollouts[&"writer".into()].barred, elements_are![eq(&"v2".into())]);
-    state.apply(9, Command::StartRollout(again));
+    state.apply(9, Command::StartRollout(order()));
     expect_that!(state.rollouts[&"writer".into()].barred, is_empty());
 }
