--- a/crates/proxy/tests/proxy/callers.rs
+++ b/crates/proxy/tests/proxy/callers.rs
@@ -5,24 +5,11 @@
 use googletest::prelude::*;
 use lycheehub_dispatch::Outcome;
 use lycheehub_proxy::Stop;
-use std::cell::Cell;
-use std::rc::Rc;
 
 #[gtest]
 fn the_endpoint_learns_within_half_a_second_that_the_caller_has_left() {
     run(|world| async move {
-        let closed = Rc::new(Cell::new(false));
-        let note = closed.clone();
-        world
-            .endpoint(move |mut stream, _| {
-                let note = note.clone();
-                async move {
-                    read_request(&mut stream).await;
-                    let ended = !matches!(stream.read(&mut [0; 16]).await, Ok(1..));
-                    note.set(ended);
-                }
-            })
-            .await;
+        let closed = world.seeing_a_close("").await;
         let mut caller = world.connect().await;
         caller.write_all(post("/unsafe/", "pay").as_bytes()).await.unwrap();
         sleep_ms(100).await;
@@ -117,21 +104,9 @@
 #[gtest]
 fn a_caller_that_leaves_its_stream_ends_it() {
     run(|world| async move {
-        let closed = Rc::new(Cell::new(false));
-        let note = closed.clone();
-        world
-            .endpoint(move |mut stream, _| {
-                let note = note.clone();
-                async move {
-                    read_request(&mut stream).await;
-                    let first = "HTTP/1.1 200 OK\r\nid: r1\r\nTransfer-Encoding: chunked\r\n\r\n\
-                                 f\r\nid: 1\ndata: a\n\n\r\n";
-                    stream.write_all(first.as_bytes()).await.unwrap();
-                    let ended = !matches!(stream.read(&mut [0; 16]).await, Ok(1..));
-                    note.set(ended);
-                }
-            })
-            .await;
+        let first = "HTTP/1.1 200 OK\r\nid: r1\r\nTransfer-Encoding: chunked\r\n\r\n\
+                     f\r\nid: 1\ndata: a\n\n\r\n";
+        let closed = world.seeing_a_close(first).await;
         let mut caller = world.connect().await;
         caller.write_all(stream("/stream/").as_bytes()).await.unwrap();
         let mut first = [0; 512];
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -1,6 +1,6 @@
 //! What is passed on of a request, and what may be repeated.
 
-use crate::support::{get, post, read_request, reset, run, stream};
+use crate::support::{get, post, read_request, run, stream};
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
 use lycheehub_dispatch::Outcome;
@@ -84,12 +84,7 @@
 fn an_unsafe_request_is_not_sent_again_after_a_reset() {
     run(|world| async move {
         for _ in 0..2 {
-            world
-                .endpoint(|mut stream, _| async move {
-                    read_request(&mut stream).await;
-                    reset(stream);
-                })
-                .await;
+            world.resetting("").await;
         }
         let answer = world.ask(&post("/unsafe/", "pay")).await;
         expect_that!(answer, starts_with("HTTP/1.1 502 "));
@@ -100,12 +95,7 @@
 #[gtest]
 fn a_safe_request_goes_elsewhere_after_a_reset() {
     run(|world| async move {
-        world
-            .endpoint(|mut stream, _| async move {
-                read_request(&mut stream).await;
-                reset(stream);
-            })
-            .await;
+        world.resetting("").await;
         world.answering("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok").await;
         expect_that!(world.ask(&get("/safe/")).await, starts_with("HTTP/1.1 200 "));
     });
@@ -162,12 +152,7 @@
 #[gtest]
 fn a_stream_that_may_not_be_resumed_is_not_sent_again() {
     run(|world| async move {
-        world
-            .endpoint(|mut stream, _| async move {
-                read_request(&mut stream).await;
-                reset(stream);
-            })
-            .await;
+        world.resetting("").await;
         expect_that!(world.ask(&stream("/stream/")).await, starts_with("HTTP/1.1 502 "));
         expect_that!(world.placement.outcomes.borrow().len(), eq(1));
     });
--- a/crates/proxy/tests/proxy/streams.rs
+++ b/crates/proxy/tests/proxy/streams.rs
@@ -1,6 +1,6 @@
 //! Streams: whole events, resumed only where the route allows it, cut where they break.
 
-use crate::support::{read_request, reset, run, sleep_ms, stream};
+use crate::support::{read_request, run, sleep_ms, stream};
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
 use std::cell::RefCell;
@@ -41,15 +41,7 @@
 #[gtest]
 fn a_stream_that_breaks_off_does_not_look_whole() {
     run(|world| async move {
-        world
-            .endpoint(|mut stream, _| async move {
-                read_request(&mut stream).await;
-                let cut = HEAD.to_owned() + &chunk("id: 1\ndata: a\n\nid: 2\nda");
-                stream.write_all(cut.as_bytes()).await.unwrap();
-                sleep_ms(20).await;
-                reset(stream);
-            })
-            .await;
+        world.resetting(HEAD.to_owned() + &chunk("id: 1\ndata: a\n\nid: 2\nda")).await;
         let answer = world.ask(&stream("/stream/")).await;
         expect_that!(answer, ends_with("id: 1\ndata: a\n\n\r\n"));
         expect_that!(world.placement.outcomes.borrow().len(), eq(1));
@@ -61,15 +53,7 @@
     run(|world| async move {
         let seen = Rc::new(RefCell::new(String::new()));
         let note = seen.clone();
-        world
-            .endpoint(|mut stream, _| async move {
-                read_request(&mut stream).await;
-                let cut = HEAD.to_owned() + &chunk("id: 1\ndata: a\n\nid: 2\nda");
-                stream.write_all(cut.as_bytes()).await.unwrap();
-                sleep_ms(20).await;
-                reset(stream);
-            })
-            .await;
+        world.resetting(HEAD.to_owned() + &chunk("id: 1\ndata: a\n\nid: 2\nda")).await;
         world
             .endpoint(move |mut stream, _| {
                 let note = note.clone();
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -238,6 +238,41 @@
         .await;
     }
 
+    /// Adds an endpoint that reads a request, sends `bytes` and resets the connection.
+    pub async fn resetting(&self, bytes: impl Into<String>) {
+        let bytes = bytes.into();
+        self.endpoint(move |mut stream, _| {
+            let bytes = bytes.clone();
+            async move {
+                read_request(&mut stream).await;
+                if !bytes.is_empty() {
+                    stream.write_all(bytes.as_bytes()).await.unwrap();
+                    sleep_ms(20).await;
+                }
+                reset(stream);
+            }
+        })
+        .await;
+    }
+
+    /// Adds an endpoint that reads a request and sends `bytes`; notes whether its connection was
+    /// closed then.
+    pub async fn seeing_a_close(&self, bytes: &'static str) -> Rc<Cell<bool>> {
+        let closed = Rc::new(Cell::new(false));
+        let note = closed.clone();
+        self.endpoint(move |mut stream, _| {
+            let note = note.clone();
+            async move {
+                read_request(&mut stream).await;
+                stream.write_all(bytes.as_bytes()).await.unwrap();
+                let ended = !matches!(stream.read(&mut [0; 16]).await, Ok(1..));
+                note.set(ended);
+            }
+        })
+        .await;
+        closed
+    }
+
     pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(&self.address).await.unwrap()
     }
