fix(dispatch): tell what is over its quota when there is room

Cause: a request refused for its account's quota was told to come back after the time in which the quota grows by what it lacks, mostly the least that is ever told (150 ms). But a quota holds for a window: there is room only when as much as the request lacks was used a window ago.

Change: what all instances used together is kept by time, and the answer is when enough of it has left the window. What is told is no longer cut at 5 s but where it is drawn for an overload.

Ruled out: keeping room for those that were told to come back. The quota lets through no more by it, and what returns is late.

--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -13,7 +13,8 @@
 
 /// The shortest time after which a refused caller is told to come back, in milliseconds.
 const RETRY_AFTER_MIN_MS: u64 = 150;
-/// The longest time after which a refused caller is told to come back, in milliseconds.
+/// The longest time after which a caller that is refused in an overload is told to come back, in
+/// milliseconds: bursts are over by then.
 const RETRY_AFTER_MAX_MS: u64 = 5_000;
 /// The part of its time left after which a caller comes back at the latest: callers do not wait for
 /// longer than a third of it.
@@ -80,7 +81,7 @@
     }
 
     pub(super) fn refuse(&mut self, ticket: Ticket, reason: Reason, retry_after_ms: u64) {
-        let retry_after_ms = retry_after_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+        let retry_after_ms = retry_after_ms.max(RETRY_AFTER_MIN_MS);
         self.decisions.push(Decision::Refuse { ticket, reason, retry_after_ms });
     }
 
@@ -100,5 +101,5 @@
     let ticket = waiting.job.ticket;
     let drawn =
         (ticket.number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40) + u64::from(ticket.instance);
-    latest_ms - drawn % spread_ms.max(1)
+    (latest_ms - drawn % spread_ms.max(1)).min(RETRY_AFTER_MAX_MS)
 }
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -3,7 +3,8 @@
 //! Load pattern: one account sends many times its usual. What it was let through in the last window
 //! is counted over all instances; what would pass its quota is refused at once, so that it takes
 //! nothing from the others. A burst after a quiet time is let through, since the quota holds for
-//! the whole window.
+//! the whole window. What is refused is told to come back when as much as it needs has left the
+//! window: sooner it would only be refused again.
 
 use crate::Options;
 use lycheehub_routes::Quota;
@@ -64,6 +65,17 @@
         }
     }
 
+    /// Returns the time until which, in milliseconds, at least so many units have been used.
+    fn used_until_ms(&self, units: f64) -> Option<u64> {
+        let mut sum = 0.0;
+        let mut used = self.used.iter();
+        let last = used.find(|(_, used)| {
+            sum += used;
+            sum >= units
+        });
+        last.or(self.used.back()).map(|(at_ms, _)| *at_ms)
+    }
+
     fn add(&mut self, at_ms: u64, units: f64) {
         self.sum += units;
         match self.used.back_mut() {
@@ -80,6 +92,8 @@
     before: Option<(Quota, u64)>,
     /// What each instance used.
     windows: BTreeMap<u32, Window>,
+    /// What all instances used together.
+    all: Window,
 }
 
 impl Account {
@@ -100,7 +114,32 @@
         for window in self.windows.values_mut() {
             window.forget(before_ms);
         }
-        self.windows.values().map(|window| window.sum).sum()
+        self.all.forget(before_ms);
+        self.all.sum
+    }
+
+    fn add(&mut self, at_ms: u64, instance: u32, units: f64) {
+        self.windows.entry(instance).or_default().add(at_ms, units);
+        self.all.add(at_ms, units);
+    }
+
+    fn take_back(&mut self, at_ms: u64, instance: u32, units: f64) {
+        if let Some(window) = self.windows.get_mut(&instance) {
+            window.take_back(at_ms, units);
+            self.all.take_back(at_ms, units);
+        }
+    }
+
+    /// Takes what an instance used by its own word in place of what is known here.
+    fn replace(&mut self, instance: u32, told: Window) {
+        self.windows.insert(instance, told);
+        let mut used: Vec<(u64, f64)> =
+            self.windows.values().flat_map(|window| window.used.iter().copied()).collect();
+        used.sort_by_key(|(at_ms, _)| *at_ms);
+        self.all = Window::default();
+        for (at_ms, units) in used {
+            self.all.add(at_ms, units);
+        }
     }
 }
 
@@ -163,27 +202,26 @@
         let part = self.part_of(options, account);
         let known = self.accounts.entry(account.clone()).or_default();
         let limit = known.limit(now_ms, options, quota) * part;
-        let used = known.used(now_ms.saturating_sub(options.quota_window_ms));
+        let before_ms = now_ms.saturating_sub(options.quota_window_ms);
+        let used = known.used(before_ms);
         if used > 0.0 && used + units > limit {
-            let lacks = (used + units - limit).min(limit);
-            return Err((lacks / quota.units_per_s.max(1.0) * 1e3).ceil() as u64);
+            let used_ms = known.all.used_until_ms(used + units - limit).unwrap_or(now_ms);
+            return Err((used_ms + options.quota_window_ms + 1).saturating_sub(now_ms));
         }
-        known.windows.entry(instance).or_default().add(now_ms, units);
+        known.add(now_ms, instance, units);
         Ok(())
     }
 
     /// Gives back what a request took at `at_ms` that was not sent anywhere.
     pub fn give_back(&mut self, at_ms: u64, instance: u32, account: &AccountName, units: f64) {
-        let known = self.accounts.get_mut(account);
-        if let Some(window) = known.and_then(|known| known.windows.get_mut(&instance)) {
-            window.take_back(at_ms, units);
+        if let Some(known) = self.accounts.get_mut(account) {
+            known.take_back(at_ms, instance, units);
         }
     }
 
     /// Notes what was used by the word of another dispatcher.
     pub fn note(&mut self, now_ms: u64, instance: u32, account: &AccountName, units: f64) {
-        let known = self.accounts.entry(account.clone()).or_default();
-        known.windows.entry(instance).or_default().add(now_ms, units);
+        self.accounts.entry(account.clone()).or_default().add(now_ms, instance, units);
     }
 
     /// Takes over what an instance says that it used, oldest first, where it says more than is known
@@ -196,9 +234,8 @@
         }
         for (account, told) in told {
             let known = self.accounts.entry(account.clone()).or_default();
-            let window = known.windows.entry(instance).or_default();
-            if told.sum > window.sum {
-                *window = told;
+            if told.sum > known.windows.entry(instance).or_default().sum {
+                known.replace(instance, told);
             }
         }
     }
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -15,14 +15,28 @@
     dispatcher
 }
 
+/// Returns a dispatcher that goes on from what the large account has used.
+fn dispatcher_like(before: &mut Dispatcher, now_ms: u64) -> Dispatcher {
+    let mut after = dispatcher(Options::default(), QUOTA);
+    let usage = before.usage(now_ms, 1);
+    after.adopt_usage(now_ms, 1, &usage);
+    after
+}
+
 /// Submits a job of the large account; tells whether it was placed, or why not.
 fn ask(dispatcher: &mut Dispatcher, now_ms: u64, number: u64) -> Result<(), Reason> {
+    ask_in_full(dispatcher, now_ms, number).map_err(|(reason, _)| reason)
+}
+
+/// Submits a job of the large account; tells whether it was placed, or why not and after how many
+/// milliseconds it is to come back.
+fn ask_in_full(dispatcher: &mut Dispatcher, now_ms: u64, number: u64) -> Result<(), (Reason, u64)> {
     let ticket = Ticket { instance: 1, number };
     let large = Job { ticket, account: Some("large".into()), told_tokens: Some(1_000), ..job(0) };
     let large = Job { objective_left_ms: 6_000, patience_left_ms: 9_000, ..large };
     dispatcher.submit(now_ms, Job { prompt_tokens: 1, output_tokens: 0, ..large });
     match dispatcher.take_decisions().pop() {
-        Some(Decision::Refuse { reason, .. }) => Err(reason),
+        Some(Decision::Refuse { reason, retry_after_ms, .. }) => Err((reason, retry_after_ms)),
         _ => Ok(()),
     }
 }
@@ -81,6 +95,21 @@
     expect_that!(largest_window(&mut dispatcher, 5_000, 3_900, 60), le(1));
 }
 
+#[gtest]
+fn what_is_refused_for_its_quota_is_let_through_when_it_returns_as_told() {
+    let mut dispatcher = dispatcher(Options::default(), QUOTA);
+    // The quota of a window of 8 s is used up within one and a half.
+    largest_window(&mut dispatcher, 1_000, 2_000, 60);
+    for (number, now_ms) in [(1, 3_100), (2, 4_500), (3, 8_000)] {
+        let refused = ask_in_full(&mut dispatcher, now_ms, number);
+        let (_, after_ms) = refused.expect_err("the quota is used up");
+        let mut earlier = dispatcher_like(&mut dispatcher, now_ms);
+        expect_that!(ask(&mut earlier, now_ms + after_ms - 200, 8), err(anything()));
+        let mut later = dispatcher_like(&mut dispatcher, now_ms);
+        expect_that!(ask(&mut later, now_ms + after_ms, 9), ok(()));
+    }
+}
+
 #[gtest]
 fn a_lowered_quota_holds_one_window_later() {
     let mut dispatcher = dispatcher(Options::default(), QUOTA);
