perf(peer): tell those that watch in parts, gathered by age

Cause: a replica answered whoever watches it with all that it did not know, in one message. With 300 instances and 3,000 endpoints the first answers are some 450 KB each, 135 MB a replica: 171 MB of memory at the peak, and on links of 10 Mbit/s five such answers take longer than the 1.7 s that an instance waits, so that it asks anew from the beginning. Besides, news were gathered only where the question had to wait: while news come all the time, each question was answered at once.

Change: an answer carries 128 changes at most, oldest first; news are gathered until the oldest that one does not know is as old as there are instances that watch, in milliseconds. The leader and a new state are told at once. An instance that fetches a state no longer asks all replicas in a loop meanwhile.

Ruled out: gathering from the question on.

Tests: control directory::changes_are_told_in_parts_that_add_up_while_more_come, hundreds_that_watch_while_endpoints_come_are_told_some_times_a_second, hundreds_that_start_at_once_are_told_in_parts, few_that_watch_are_told_at_once, what_is_forgotten_is_not_told_any_more. The second failed first; that the others fail with the former code follows from its interface, it was not tried.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory/mod.rs
@@ -4,8 +4,11 @@
 //! new endpoint, one that leaves, one whose lease has ended. Renewals stay where they arrive, so
 //! that what instances are sent does not grow with the number of endpoints.
 
+pub mod pace;
+
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 /// How long an announcement holds where it is heard, in milliseconds: three that are sent each
 /// 1,200 ms, and some delay.
@@ -27,6 +30,15 @@
     pub withdrawn: bool,
 }
 
+/// A part of what changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes {
+    /// The endpoints, as they are now.
+    pub listings: Vec<Listing>,
+    /// The number of the last change that is part of these.
+    pub up_to: u64,
+}
+
 /// Who watches over an endpoint's lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Watcher {
@@ -59,6 +71,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<EndpointName, Entry>,
+    /// The endpoints by the number of their last change.
+    by_change: BTreeMap<u64, EndpointName>,
     change: u64,
     /// When each peer that is no longer heard was heard last, in milliseconds.
     silent_since_ms: BTreeMap<InstanceName, u64>,
@@ -149,8 +163,12 @@
 
     fn insert(&mut self, now_ms: u64, listing: Listing, watcher: Watcher) -> bool {
         self.change += 1;
+        let endpoint = listing.record.endpoint.clone();
         let entry = Entry { listing, watcher, change: self.change, changed_ms: now_ms };
-        self.entries.insert(entry.listing.record.endpoint.clone(), entry);
+        self.by_change.insert(self.change, endpoint.clone());
+        if let Some(before) = self.entries.insert(endpoint, entry) {
+            self.by_change.remove(&before.change);
+        }
         true
     }
 
@@ -184,12 +202,17 @@
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + ORPHAN_MS)
         };
         let old = |entry: &Entry| entry.listing.gone && now_ms >= entry.changed_ms + FORGET_MS;
+        let by_change = &mut self.by_change;
         self.entries.retain(|name, entry| {
-            if is_orphan(entry) && !entry.listing.gone {
+            let is_lost = is_orphan(entry) && !entry.listing.gone;
+            let is_forgotten = is_lost || old(entry);
+            if is_lost {
                 over.push(name.clone());
-                return false;
             }
-            !old(entry)
+            if is_forgotten {
+                by_change.remove(&entry.change);
+            }
+            !is_forgotten
         });
         over
     }
@@ -218,10 +241,25 @@
         self.change
     }
 
-    /// Returns what changed after the change of number `change`.
-    pub fn changes_after(&self, change: u64) -> Vec<Listing> {
-        let changed = self.entries.values().filter(|entry| entry.change > change);
-        changed.map(|entry| entry.listing.clone()).collect()
+    /// Returns when the oldest change after the one of number `change` came, in milliseconds.
+    pub fn oldest_after_ms(&self, change: u64) -> Option<u64> {
+        let later = (Bound::Excluded(change), Bound::Unbounded);
+        let (_, name) = self.by_change.range(later).next()?;
+        self.entries.get(name).map(|entry| entry.changed_ms)
+    }
+
+    /// Returns what changed after the change of number `change`, the oldest changes first, at most
+    /// `most` of them.
+    pub fn changes_after(&self, change: u64, most: usize) -> Changes {
+        let later = self.by_change.range((Bound::Excluded(change), Bound::Unbounded));
+        let changed: Vec<&Entry> =
+            later.take(most).filter_map(|(_, name)| self.entries.get(name)).collect();
+        let up_to = match changed.last() {
+            Some(last) if changed.len() == most => last.change,
+            _ => self.change,
+        };
+        let listings = changed.into_iter().map(|entry| entry.listing.clone()).collect();
+        Changes { listings, up_to }
     }
 
     /// Returns the endpoints that are there, leaving ones included; of two at one address, the one
--- a/crates/control/tests/control/directory.rs
+++ b/crates/control/tests/control/directory.rs
@@ -1,6 +1,7 @@
 //! The directory of endpoints: leases, what is passed on, and what old announcements may not do.
 
 use googletest::prelude::*;
+use lycheehub_control::directory::pace::{ANSWER_CHANGES, Behind, gather_ms};
 use lycheehub_control::directory::{Directory, LEASE_MS, Listing, ORPHAN_MS};
 use lycheehub_types::{EndpointKind, EndpointLoad, EndpointRecord, InstanceName};
 
@@ -29,7 +30,11 @@
 
 /// Passes all that `from` knows on to `to`.
 fn pass_on(now_ms: u64, from: &Directory, name: &InstanceName, to: &mut Directory) {
-    to.take(now_ms, name, from.changes_after(0));
+    to.take(now_ms, name, changes_after(from, 0));
+}
+
+fn changes_after(directory: &Directory, change: u64) -> Vec<Listing> {
+    directory.changes_after(change, usize::MAX).listings
 }
 
 #[gtest]
@@ -38,10 +43,10 @@
     expect_that!(directory.announce(0, record("e", 1, 1)), eq(true));
     let told = directory.change();
     expect_that!(directory.announce(1_000, record("e", 1, 2)), eq(false));
-    expect_that!(directory.changes_after(told), is_empty());
+    expect_that!(changes_after(&directory, told), is_empty());
     let leaving = EndpointRecord { leaving: true, ..record("e", 1, 3) };
     expect_that!(directory.announce(2_000, leaving), eq(true));
-    expect_that!(directory.changes_after(told).len(), eq(1));
+    expect_that!(changes_after(&directory, told).len(), eq(1));
 }
 
 #[gtest]
@@ -76,7 +81,7 @@
     expect_that!(here.expire(1_000 + ORPHAN_MS - 1), is_empty());
     expect_that!(here.expire(1_000 + ORPHAN_MS).len(), eq(1));
     // Others may still be in touch with the replica: they are told nothing.
-    expect_that!(here.changes_after(0), is_empty());
+    expect_that!(changes_after(&here, 0), is_empty());
 }
 
 #[gtest]
@@ -132,6 +137,119 @@
     here.withdraw(60, &"e".into());
     pass_on(70, &here, &"here".into(), &mut there);
     expect_that!(live(&there), is_empty());
-    let listing: Vec<Listing> = there.changes_after(0);
+    let listing: Vec<Listing> = changes_after(&there, 0);
     expect_that!(listing.iter().all(|listing| listing.withdrawn), eq(true));
 }
+
+#[gtest]
+fn changes_are_told_in_parts_that_add_up_while_more_come() {
+    let (mut here, mut there) = (Directory::default(), Directory::default());
+    for number in 0..10 {
+        here.announce(0, record(&format!("e{number}"), 1, 1));
+    }
+    let (mut told, mut parts) = (0, 0);
+    while told < here.change() {
+        let part = here.changes_after(told, 3);
+        expect_that!(part.listings.len(), le(3));
+        expect_that!(part.up_to, gt(told));
+        told = part.up_to;
+        there.take(0, &"here".into(), part.listings);
+        parts += 1;
+        if parts == 2 {
+            here.announce(10, EndpointRecord { leaving: true, ..record("e0", 1, 2) });
+            here.withdraw(10, &"e9".into());
+        }
+    }
+    expect_that!(live(&there), eq(&live(&here)));
+    expect_that!(live(&there).len(), eq(9));
+    expect_that!(there.live().filter(|record| record.leaving).count(), eq(1));
+    expect_that!(parts, eq(4));
+}
+
+#[gtest]
+fn what_is_forgotten_is_not_told_any_more() {
+    let mut directory = Directory::default();
+    directory.announce(0, record("e", 1, 1));
+    directory.withdraw(0, &"e".into());
+    directory.expire(1_000_000);
+    let told = directory.changes_after(0, 9);
+    expect_that!(told.listings, is_empty());
+    expect_that!(told.up_to, eq(directory.change()));
+}
+
+/// What instances that watch a replica cost it, while endpoints come.
+struct Told {
+    answers: usize,
+    /// The most changes on their way to all in one millisecond.
+    most_at_once: usize,
+    /// The longest that a change was not told to all, in milliseconds.
+    latest_ms: u64,
+}
+
+/// Plays `watchers` instances that ask again as soon as they are told, while an endpoint comes each
+/// millisecond for `new_ms`, after `known` that were there before.
+fn play_watchers(watchers: usize, known: usize, new_ms: u64) -> Told {
+    let mut directory = Directory::default();
+    for number in 0..known {
+        directory.announce(0, record(&format!("known{number}"), 1, 1));
+    }
+    let mut cursors = vec![0_u64; watchers];
+    let mut due_ms: Vec<Option<u64>> = vec![None; watchers];
+    let mut told = Told { answers: 0, most_at_once: 0, latest_ms: 0 };
+    let mut came_ms = Vec::new();
+    for now_ms in 0..new_ms + 2_000 {
+        if now_ms < new_ms {
+            directory.announce(now_ms, record(&format!("new{now_ms}"), 1, 1));
+            came_ms.push(now_ms);
+        }
+        let mut at_once = 0;
+        for (cursor, due_ms) in cursors.iter_mut().zip(&mut due_ms) {
+            if *cursor >= directory.change() {
+                continue;
+            }
+            let behind = match *cursor {
+                0 => Behind::AtOnce,
+                cursor => Behind::Changes {
+                    count: directory.change() - cursor,
+                    oldest_ms: now_ms - directory.oldest_after_ms(cursor).unwrap_or(now_ms),
+                },
+            };
+            let due = *due_ms.get_or_insert_with(|| now_ms + gather_ms(behind, watchers));
+            if due > now_ms {
+                continue;
+            }
+            let part = directory.changes_after(*cursor, ANSWER_CHANGES);
+            let first_new = cursor.saturating_sub(known as u64) as usize;
+            let last_new = part.up_to.saturating_sub(known as u64) as usize;
+            let waited_ms = came_ms[first_new..last_new].iter().map(|came_ms| now_ms - came_ms);
+            told.latest_ms = told.latest_ms.max(waited_ms.max().unwrap_or(0));
+            at_once += part.listings.len();
+            told.answers += 1;
+            *cursor = part.up_to;
+            *due_ms = None;
+        }
+        told.most_at_once = told.most_at_once.max(at_once);
+    }
+    told
+}
+
+#[gtest]
+fn hundreds_that_watch_while_endpoints_come_are_told_some_times_a_second() {
+    let told = play_watchers(380, 770, 1_000);
+    // As many parts as the changes fill, and what gathers in three times 380 ms.
+    let parts = (770 + 1_000) / ANSWER_CHANGES + 1 + 3;
+    expect_that!(told.answers, le(380 * parts));
+    expect_that!(told.latest_ms, le(400));
+}
+
+#[gtest]
+fn hundreds_that_start_at_once_are_told_in_parts() {
+    let told = play_watchers(380, 3_000, 0);
+    expect_that!(told.most_at_once, le(380 * ANSWER_CHANGES));
+}
+
+#[gtest]
+fn few_that_watch_are_told_at_once() {
+    let told = play_watchers(8, 18, 1_000);
+    expect_that!(told.latest_ms, le(8));
+}
--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -61,10 +61,16 @@
     leader: Option<InstanceName>,
     /// A quorum has confirmed the state once since the start.
     confirmed: bool,
-    fetching: bool,
+    /// The revision that is being fetched.
+    fetching: Option<u64>,
 }
 
 impl Known {
+    /// Returns the newest revision that is here or on its way.
+    fn newest_revision(&self) -> u64 {
+        self.state.revision.max(self.fetching.unwrap_or(0))
+    }
+
     fn take_seeds(&mut self, seeds: &[crate::Seed]) {
         self.seeds.extend(seeds.iter().map(|seed| seed.instance.clone()));
         let addresses = seeds.iter().map(|seed| (seed.instance.clone(), seed.address.clone()));
@@ -178,7 +184,7 @@
         let revision = self.known.borrow().state.revision;
         let call = |peer| feeds::follow(peer, revision, 0);
         let fetched = self.call("follow", &from, call).await;
-        self.known.borrow_mut().fetching = false;
+        self.known.borrow_mut().fetching = None;
         match fetched {
             Ok(feed) => self.take_feed(feed, &from),
             Err(error) => spdlog::warn!("changes not received", kv: { error: }),
@@ -248,7 +254,7 @@
 
 impl Watcher for Watching {
     fn revision(&self) -> u64 {
-        self.0.known.borrow().state.revision
+        self.0.known.borrow().newest_revision()
     }
 
     fn address_of(&self, peer: &InstanceName) -> Option<SmolStr> {
@@ -271,8 +277,10 @@
             }
             let before = known.addresses.len();
             known.take_replicas(news.replicas);
-            let fetches = news.revision > known.state.revision && !known.fetching;
-            known.fetching |= fetches;
+            let fetches = news.revision > known.state.revision && known.fetching.is_none();
+            if fetches {
+                known.fetching = Some(news.revision);
+            }
             (changed, fetches, known.addresses.len() > before)
         };
         if changed {
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -3,6 +3,7 @@
 use super::{Core, Node};
 use crate::tally::Tally;
 use crate::watch::{self, News, Watcher};
+use lycheehub_control::directory::pace::{self, Behind};
 use lycheehub_control::directory::{LEASE_MS, Listing};
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use smol::Timer;
@@ -17,12 +18,6 @@
 /// know what was accepted since.
 const LEADER_SILENT_MS: u64 = 1_500;
 
-/// How many of those that watch are answered in a millisecond where news come all the time.
-const ANSWERS_PER_MS: u64 = 1;
-/// How long news are gathered at most, in milliseconds: a part of the time in which the word of an
-/// endpoint that leaves must be in force.
-const GATHER_MAX_MS: u64 = 400;
-
 /// What one that watches has been told already.
 #[derive(Clone, Debug)]
 pub(crate) struct Told {
@@ -122,42 +117,44 @@
 
     /// Waits until there is news for one that watches, at most `wait_ms`.
     pub(crate) async fn watched(&self, told: &Told, wait_ms: u64) -> Watched {
-        let has_news = |core: &Core| {
-            let leader = self.recent_leader(core);
-            core.own.incarnation != told.epoch
-                || core.directory.change() > told.change
-                || core.state.revision > told.revision
-                || leader.is_some() && leader != told.leader
-        };
         let _watching = Tally::new(&self.watchers);
-        if !has_news(&self.core.borrow()) {
+        if self.behind(told) == Behind::Nothing {
             self.wait_for_news(wait_ms).await;
-            self.gather_news().await;
+        }
+        let gather_ms = pace::gather_ms(self.behind(told), self.watchers.get());
+        if gather_ms > 0 {
+            Timer::after(Duration::from_millis(gather_ms)).await;
         }
         let core = self.core.borrow();
         let now_ms = self.clock.now_ms();
         let known = if core.own.incarnation == told.epoch { told.change } else { 0 };
-        // Without a leader, what this replica holds may be older than what others have accepted.
-        let is_recent = core.hears_leader(now_ms, LEADER_SILENT_MS);
+        let changes = core.directory.changes_after(known, pace::ANSWER_CHANGES);
         Watched {
             epoch: core.own.incarnation,
-            change: core.directory.change(),
-            listings: core.directory.changes_after(known),
-            revision: if is_recent { core.state.revision } else { 0 },
+            change: changes.up_to,
+            listings: changes.listings,
+            revision: core.recent_revision(now_ms),
             leader: self.recent_leader(&core),
             replicas: self.neighbours(&core),
         }
     }
 
-    /// Lets more news come together where many watch.
-    ///
-    /// Load pattern: thousands of endpoints announce themselves within a second, and hundreds of
-    /// instances watch. Were each change told to all at once, replicas would do nothing else.
-    async fn gather_news(&self) {
-        let gather_ms = (self.watchers.get() as u64 / ANSWERS_PER_MS).min(GATHER_MAX_MS);
-        if gather_ms > 0 {
-            Timer::after(Duration::from_millis(gather_ms)).await;
+    /// Tells what one that watches does not know yet.
+    fn behind(&self, told: &Told) -> Behind {
+        let core = self.core.borrow();
+        let now_ms = self.clock.now_ms();
+        let leader = self.recent_leader(&core);
+        let is_other_leader = leader.is_some() && leader != told.leader;
+        let is_first = core.own.incarnation != told.epoch;
+        if is_first || is_other_leader || core.recent_revision(now_ms) > told.revision {
+            return Behind::AtOnce;
         }
+        let count = core.directory.change().saturating_sub(told.change);
+        if count == 0 {
+            return Behind::Nothing;
+        }
+        let oldest_ms = core.directory.oldest_after_ms(told.change).unwrap_or(now_ms);
+        Behind::Changes { count, oldest_ms: now_ms.saturating_sub(oldest_ms) }
     }
 
     /// Waits until a revision or the directory changes, at most `wait_ms`.
@@ -191,6 +188,11 @@
         self.replica().is_some_and(|replica| replica.hears_leader(now_ms, within_ms))
     }
 
+    /// Returns the revision here, or 0 without a leader: others may have accepted more since.
+    fn recent_revision(&self, now_ms: u64) -> u64 {
+        if self.hears_leader(now_ms, LEADER_SILENT_MS) { self.state.revision } else { 0 }
+    }
+
     /// Returns the leader that the replica here follows.
     fn known_leader(&self, own: &InstanceName) -> Option<InstanceName> {
         if self.is_leader() {
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -36,7 +36,7 @@
 
 /// Whoever watches.
 pub(crate) trait Watcher {
-    /// Returns the revision that the watcher has.
+    /// Returns the revision that the watcher has or is about to have.
     fn revision(&self) -> u64;
     /// Returns where a replica listens for peers.
     fn address_of(&self, peer: &InstanceName) -> Option<SmolStr>;
