refactor(gateway): the filters no longer call what serves

The chain of filters ended by calling serve, which takes its types from the filters: a circle. The path's handler calls one after the other now, and a refusal knows its step and how it is answered.

--- a/crates/gateway/src/filters/exchange.rs
+++ b/crates/gateway/src/filters/exchange.rs
@@ -65,7 +65,8 @@
 }
 
 impl Exchange {
-    pub(super) fn new(gateway: &Gateway, request: &Request) -> Self {
+    /// Makes an exchange from the head of a caller's request.
+    pub fn new(gateway: &Gateway, request: &Request) -> Self {
         let text = |name| header(request, name).map(SmolStr::new);
         let url = request.url();
         let query = url.query().map(|query| format!("?{query}")).unwrap_or_default();
--- a/crates/gateway/src/filters/mod.rs
+++ b/crates/gateway/src/filters/mod.rs
@@ -9,10 +9,8 @@
 
 use crate::Gateway;
 use crate::http::{read_body, refusal_response};
-use crate::serve;
 use http_types::{Request, Response};
 use lycheehub_types::Refusal;
-use std::sync::Arc;
 
 /// A step that looks at a request and may refuse it.
 pub trait Filter: Send + Sync {
@@ -34,41 +32,50 @@
     matches!(path, "/v1/chat/completions" | "/v1/completions") || path.starts_with("/v1/services/")
 }
 
-/// Reads a caller's request; the response is there where it is refused already.
-pub async fn read(gateway: &Gateway, mut request: Request) -> (Exchange, Option<Response>) {
-    let mut exchange = Exchange::new(gateway, &request);
-    match read_body(gateway, &mut request).await {
-        Ok(body) => {
-            exchange.body = body;
-            (exchange, None)
-        }
-        Err(refusal) => {
-            let response = refuse(&exchange, "read", &refusal);
-            (exchange, Some(response))
-        }
-    }
+/// A refusal with the step that refused.
+#[derive(Debug)]
+pub struct Refused {
+    step: &'static str,
+    refusal: Refusal,
 }
 
-/// Passes a request through the chain and serves it.
-pub async fn run(gateway: &Arc<Gateway>, mut exchange: Exchange) -> Response {
-    for filter in CHAIN {
-        if let Err(refusal) = filter.apply(gateway, &mut exchange) {
-            return refuse(&exchange, filter.name(), &refusal);
-        }
+impl Refused {
+    /// Returns the response to a request that is refused.
+    pub fn response(&self, exchange: &Exchange) -> Response {
+        let code = self.refusal.kind().code();
+        spdlog::info!("refused", kv: {
+            request = exchange.request,
+            step = self.step,
+            code,
+            message = self.refusal.message(),
+        });
+        metrics::counter!("lycheehub_refusals_total", "code" => code).increment(1);
+        refusal_response(&self.refusal)
     }
-    let request = exchange.request;
-    let mut response = serve::serve(gateway, exchange).await;
-    response.insert_header("x-request", request.to_string());
-    response
 }
 
-fn refuse(exchange: &Exchange, step: &'static str, refusal: &Refusal) -> Response {
-    spdlog::info!("refused", kv: {
-        request = exchange.request,
-        step,
-        code = refusal.kind().code(),
-        message = refusal.message(),
-    });
-    metrics::counter!("lycheehub_refusals_total", "code" => refusal.kind().code()).increment(1);
-    refusal_response(refusal)
+/// Reads the body of a caller's request.
+///
+/// # Errors
+/// Fails where it is too large or does not come.
+pub async fn read(
+    gateway: &Gateway,
+    request: &mut Request,
+    exchange: &mut Exchange,
+) -> Result<(), Refused> {
+    let body = read_body(gateway, request).await;
+    exchange.body = body.map_err(|refusal| Refused { step: "read", refusal })?;
+    Ok(())
+}
+
+/// Passes a request through the chain.
+///
+/// # Errors
+/// Fails with the first refusal.
+pub fn pass(gateway: &Gateway, exchange: &mut Exchange) -> Result<(), Refused> {
+    for filter in CHAIN {
+        let passed = filter.apply(gateway, exchange);
+        passed.map_err(|refusal| Refused { step: filter.name(), refusal })?;
+    }
+    Ok(())
 }
--- a/crates/gateway/src/http/routes.rs
+++ b/crates/gateway/src/http/routes.rs
@@ -1,7 +1,8 @@
 //! Which call a path stands for.
 
 use super::{json, refusal_response};
-use crate::{Gateway, announce, filters, operators};
+use crate::filters::{self, Exchange};
+use crate::{Gateway, announce, operators, serve};
 use futures_lite::FutureExt;
 use http_types::{Method, Request, Response, StatusCode};
 use lycheehub_types::{Refusal, RefusalKind};
@@ -55,14 +56,14 @@
 /// Answers a caller, unless it leaves before the answer begins.
 async fn callers(
     gateway: &Arc<Gateway>,
-    request: Request,
+    mut request: Request,
     stream: &TcpStream,
 ) -> http_types::Result<Response> {
-    let (exchange, refused) = filters::read(gateway, request).await;
-    if let Some(refused) = refused {
-        return Ok(refused);
+    let mut exchange = Exchange::new(gateway, &request);
+    if let Err(refused) = filters::read(gateway, &mut request, &mut exchange).await {
+        return Ok(refused.response(&exchange));
     }
-    let answered = async { Ok(filters::run(gateway, exchange).await) };
+    let answered = async { Ok(filter_and_serve(gateway, exchange).await) };
     let left = async {
         hung_up(stream).await;
         Err(http_types::Error::from_str(StatusCode::BadRequest, "the caller left"))
@@ -70,6 +71,16 @@
     answered.or(left).await
 }
 
+async fn filter_and_serve(gateway: &Arc<Gateway>, mut exchange: Exchange) -> Response {
+    if let Err(refused) = filters::pass(gateway, &mut exchange) {
+        return refused.response(&exchange);
+    }
+    let request = exchange.request;
+    let mut response = serve::serve(gateway, exchange).await;
+    response.insert_header("x-request", request.to_string());
+    response
+}
+
 /// Ends when the caller closes the connection.
 async fn hung_up(stream: &TcpStream) {
     let mut byte = [0];
