feat(proxy): count refusals for a quota by account

An operator could not tell from metrics whose quota is used up: requests are counted by service, tier and end only. The label is bounded to the first 256 accounts of an instance.

Test: proxy requests::what_is_refused_for_a_quota_is_counted_by_account

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -1,6 +1,7 @@
 //! What all connections of an entry instance share.
 
 use crate::dialect::Dialect;
+use crate::labels::Labels;
 use crate::pool::Pool;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::Placement;
@@ -14,6 +15,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+/// How many client accounts metrics name: with each a line of some 70 bytes.
+const ACCOUNT_LABELS_MAX: usize = 256;
+
 /// Bounds of an entry instance.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -77,6 +81,8 @@
     idle_end: (Sender<()>, Receiver<()>),
     /// The longest deadline that callers of each route came with, in milliseconds.
     deadlines_ms: RefCell<BTreeMap<SmolStr, u64>>,
+    /// The client accounts that metrics name.
+    account_labels: RefCell<Labels>,
 }
 
 impl Entry {
@@ -102,6 +108,7 @@
             stop: Cell::new(None),
             idle_end: bounded(1),
             deadlines_ms: RefCell::default(),
+            account_labels: RefCell::new(Labels::new(ACCOUNT_LABELS_MAX)),
         })
     }
 
@@ -110,6 +117,12 @@
         !self.is_stopping() && self.snapshots.latest().is_ready
     }
 
+    /// Counts a request that was refused for the quota of its account.
+    pub(crate) fn count_over_quota(&self, account: &SmolStr) {
+        let account = self.account_labels.borrow_mut().value(account).to_string();
+        metrics::counter!("lycheehub_quota_refusals_total", "account" => account).increment(1);
+    }
+
     /// Notes the deadline of a request; returns the longest one of its route, in milliseconds.
     pub(crate) fn note_deadline(&self, route: &SmolStr, deadline_ms: u64) -> u64 {
         let mut deadlines_ms = self.deadlines_ms.borrow_mut();
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -73,7 +73,7 @@
         deadline_ms: started_ms + timeout_ms,
     };
     let keeps_alive = exchange.run(connection).await;
-    exchange.trail.log(entry.clock.now_ms(), exchange.snapshot.revision);
+    exchange.trail.log(entry, exchange.snapshot.revision);
     keeps_alive
 }
 
--- a/crates/proxy/src/exchange/trail.rs
+++ b/crates/proxy/src/exchange/trail.rs
@@ -1,8 +1,9 @@
 //! What is logged and counted of a request: one line when it ends.
 
 use super::filters::Identified;
+use crate::Entry;
 use lycheehub_dispatch::{Job, Outcome};
-use lycheehub_types::{EndpointName, Refusal};
+use lycheehub_types::{EndpointName, Refusal, RefusalKind};
 use smol_str::{SmolStr, format_smolstr};
 use std::fmt::Write;
 
@@ -105,8 +106,11 @@
     }
 
     /// Writes the line and counts the request.
-    pub(super) fn log(&self, now_ms: u64, revision: u64) {
-        let total_ms = now_ms - self.started_ms;
+    pub(super) fn log(&self, entry: &Entry, revision: u64) {
+        let total_ms = entry.clock.now_ms() - self.started_ms;
+        if self.end == RefusalKind::QuotaExceeded.code() {
+            entry.count_over_quota(&self.account);
+        }
         let labels = [
             ("service", self.service.to_string()),
             ("tier", self.tier.to_string()),
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`server`] takes the connections of callers.
 //! * [`exchange`] answers one request: identify, classify, place, send, relay, account.
 //! * [`pool`] keeps idle connections to endpoints.
+//! * [`labels`] bounds the values of a metric's label.
 //! * [`entry`] holds what all of them share.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
@@ -13,6 +14,7 @@
 pub mod entry;
 pub mod exchange;
 pub mod http1;
+pub mod labels;
 pub mod pool;
 pub mod server;
 
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -4,6 +4,7 @@
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
 use lycheehub_dispatch::Outcome;
+use metrics_exporter_prometheus::PrometheusBuilder;
 use smol::Timer;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -157,3 +158,17 @@
         expect_that!(world.placement.outcomes.borrow().len(), eq(1));
     });
 }
+
+#[gtest]
+fn what_is_refused_for_a_quota_is_counted_by_account() {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    metrics::with_local_recorder(&recorder, || {
+        run(|world| async move {
+            world.placement.over_quota.set(true);
+            let answer = world.ask(&get("/safe/")).await;
+            expect_that!(answer, starts_with("HTTP/1.1 429 "));
+        });
+    });
+    let counted = "lycheehub_quota_refusals_total{account=\"\"} 1";
+    expect_that!(recorder.handle().render(), contains_substring(counted));
+}
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -73,6 +73,8 @@
     pub holds: Cell<bool>,
     /// Repeats are refused.
     pub no_repeats: Cell<bool>,
+    /// All are refused for the quota of their account.
+    pub over_quota: Cell<bool>,
 }
 
 impl Placement for Turns {
@@ -88,8 +90,11 @@
             if self.holds.get() {
                 smol::future::pending::<()>().await;
             }
-            if job.repeat && self.no_repeats.get() {
-                let reason = Reason::RetriesExhausted;
+            let refused = match job.repeat && self.no_repeats.get() {
+                true => Some(Reason::RetriesExhausted),
+                false => self.over_quota.get().then_some(Reason::QuotaExceeded),
+            };
+            if let Some(reason) = refused {
                 return Decision::Refuse { ticket, reason, retry_after_ms: 700 };
             }
             let addresses = self.addresses.borrow();
