fix(proxy): a request that may have run is not said to have not run

One that had broken off at an endpoint was told that it had not run (503), and into a stream that had begun a second response was written.

Change: such a request ends as any other of which no further endpoint is asked for. A stream is cut, and what may have run is answered 502.

Tests, both failed first: proxy requests::what_may_have_run_is_not_said_to_have_not_run_where_no_other_endpoint_is_reached, streams::a_stream_that_has_begun_is_cut_where_no_other_endpoint_is_reached.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -150,6 +150,9 @@
                     unreached += 1;
                     if unreached >= UNREACHED_MAX {
                         let refusal = self.unreached(&endpoint);
+                        if may_have_run || stream.has_begun() {
+                            return self.give_up(connection, held, &stream, &refusal).await;
+                        }
                         return self.refuse(connection, &refusal).await;
                     }
                 }
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -126,6 +126,15 @@
     });
 }
 
+#[gtest]
+fn what_may_have_run_is_not_said_to_have_not_run_where_no_other_endpoint_is_reached() {
+    run(|world| async move {
+        world.resetting("").await;
+        world.unreachable(4);
+        expect_that!(world.ask(&get("/safe/")).await, starts_with("HTTP/1.1 502 "));
+    });
+}
+
 #[gtest]
 fn a_failure_is_passed_on_where_the_budget_of_repeats_is_used_up() {
     run(|world| async move {
--- a/crates/proxy/tests/proxy/streams.rs
+++ b/crates/proxy/tests/proxy/streams.rs
@@ -76,6 +76,17 @@
     });
 }
 
+#[gtest]
+fn a_stream_that_has_begun_is_cut_where_no_other_endpoint_is_reached() {
+    run(|world| async move {
+        world.resetting(HEAD.to_owned() + &chunk("id: 1\ndata: a\n\n")).await;
+        world.unreachable(4);
+        let answer = world.ask(&stream("/resume/")).await;
+        expect_that!(answer.matches("HTTP/1.1").count(), eq(1));
+        expect_that!(answer, ends_with("id: 1\ndata: a\n\n\r\n"));
+    });
+}
+
 #[gtest]
 fn a_stream_that_pauses_for_long_is_moved() {
     run(|world| async move {
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -233,6 +233,12 @@
         self.executor.spawn(accept).detach();
     }
 
+    /// Adds so many endpoints that cannot be reached.
+    pub fn unreachable(&self, count: usize) {
+        let addresses = &self.placement.addresses;
+        addresses.borrow_mut().extend(vec!["127.0.0.1:1".to_owned(); count]);
+    }
+
     /// Adds an endpoint that reads a request and answers with `bytes`, over and over.
     pub async fn answering(&self, bytes: &'static str) {
         self.endpoint(move |mut stream, _| async move {
