perf(control): endpoints are told first hand, relayed only where unheard

Cause: each replica passed on all that it knew of endpoints, also what others had told it, so that each of 300 instances was told of each of 3,000 endpoints by five replicas: 12.9 MB/s at the busiest control instance, 298 KB/s at an entry instance with a link of 1,250 KB/s.

Change: a replica tells what it has heard itself. Whoever watches says how far each replica has told it, and what others told is passed on only where that does not cover it, once it is older than two gatherings. Who heard an endpoint goes before one that was told, as the one that watches over its lease.

Ruled out: passing on with the next question, however young. Naming the replicas that are not heard: an instance knows that only 1.7 s later, and an endpoint that leaves must be left alone within 2 s.

--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -5,10 +5,12 @@
 //! that what instances are sent does not grow with the number of endpoints.
 
 pub mod pace;
+mod tell;
+
+pub use tell::{Changes, Heard};
 
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use std::collections::BTreeMap;
-use std::ops::Bound;
 
 /// How long an announcement holds where it is heard, in milliseconds: three that are sent each
 /// 1,200 ms, and some delay.
@@ -30,15 +32,6 @@
     pub withdrawn: bool,
 }
 
-/// A part of what changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Changes {
-    /// The endpoints, as they are now.
-    pub listings: Vec<Listing>,
-    /// The number of the last change that is part of these.
-    pub up_to: u64,
-}
-
 /// Who watches over an endpoint's lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Watcher {
@@ -50,10 +43,22 @@
     Lost(u64),
 }
 
+/// Who told of an endpoint's last change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Source {
+    /// The endpoint itself, or the end of its lease here.
+    Own,
+    /// The replica that heard the endpoint, up to a change of its own.
+    Heard(InstanceName, Heard),
+    /// A replica that passed on what another one told.
+    Relayed,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     listing: Listing,
     watcher: Watcher,
+    source: Source,
     change: u64,
     changed_ms: u64,
 }
@@ -71,8 +76,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<EndpointName, Entry>,
-    /// The endpoints by the number of their last change.
-    by_change: BTreeMap<u64, EndpointName>,
+    /// The endpoints of which the last change was heard here, by its number.
+    own_changes: BTreeMap<u64, EndpointName>,
+    /// The endpoints of which another replica told it, by its number.
+    told_changes: BTreeMap<u64, EndpointName>,
     change: u64,
     /// When each peer that is no longer heard was heard last, in milliseconds.
     silent_since_ms: BTreeMap<InstanceName, u64>,
@@ -83,7 +90,7 @@
     pub fn announce(&mut self, now_ms: u64, record: EndpointRecord) -> bool {
         let Some(known) = self.entries.get_mut(&record.endpoint) else {
             let listing = Listing { record, gone: false, withdrawn: false };
-            return self.insert(now_ms, listing, Watcher::Here(now_ms));
+            return self.insert(now_ms, listing, Watcher::Here(now_ms), Source::Own);
         };
         let listing = &known.listing;
         if listing.record.freshness() >= record.freshness() {
@@ -108,7 +115,15 @@
             return false;
         }
         let listing = Listing { record, gone: false, withdrawn: false };
-        self.insert(now_ms, listing, Watcher::Here(now_ms))
+        self.insert(now_ms, listing, Watcher::Here(now_ms), Source::Own)
+    }
+
+    /// Returns the other replica that watches over an endpoint's lease.
+    pub fn watcher_of(&self, name: &EndpointName) -> Option<&InstanceName> {
+        match &self.entries.get(name)?.watcher {
+            Watcher::Peer(peer) => Some(peer),
+            Watcher::Here(_) | Watcher::Lost(_) => None,
+        }
     }
 
     /// Tells whether an endpoint was heard of, also one that is gone.
@@ -126,23 +141,55 @@
         listing.record.leaving = true;
         listing.gone = true;
         listing.withdrawn = true;
-        self.insert(now_ms, listing, Watcher::Here(now_ms))
+        self.insert(now_ms, listing, Watcher::Here(now_ms), Source::Own)
     }
 
-    /// Takes what another replica passes on; tells whether anything changed.
-    pub fn take(&mut self, now_ms: u64, from: &InstanceName, listings: Vec<Listing>) -> bool {
+    /// Takes what another replica has heard itself, up to `heard`; tells whether anything changed.
+    pub fn take(
+        &mut self,
+        now_ms: u64,
+        from: &InstanceName,
+        heard: Heard,
+        listings: Vec<Listing>,
+    ) -> bool {
+        self.take_all(now_ms, from, &Source::Heard(from.clone(), heard), listings)
+    }
+
+    /// Takes what another replica passes on of what others told it; tells whether anything changed.
+    pub fn take_relayed(
+        &mut self,
+        now_ms: u64,
+        from: &InstanceName,
+        listings: Vec<Listing>,
+    ) -> bool {
+        self.take_all(now_ms, from, &Source::Relayed, listings)
+    }
+
+    fn take_all(
+        &mut self,
+        now_ms: u64,
+        from: &InstanceName,
+        source: &Source,
+        listings: Vec<Listing>,
+    ) -> bool {
         self.silent_since_ms.remove(from);
         let mut changed = false;
         for listing in listings {
-            changed |= self.take_one(now_ms, from, listing);
+            changed |= self.take_one(now_ms, from, source, listing);
         }
         changed
     }
 
-    fn take_one(&mut self, now_ms: u64, from: &InstanceName, mut listing: Listing) -> bool {
+    fn take_one(
+        &mut self,
+        now_ms: u64,
+        from: &InstanceName,
+        source: &Source,
+        mut listing: Listing,
+    ) -> bool {
         let watcher = Watcher::Peer(from.clone());
         let Some(known) = self.entries.get_mut(&listing.record.endpoint) else {
-            return self.insert(now_ms, listing, watcher);
+            return self.insert(now_ms, listing, watcher, source.clone());
         };
         let (old, new) = (known.listing.record.freshness(), listing.record.freshness());
         let same = old.0 == new.0;
@@ -153,21 +200,31 @@
         let newer = new > old || (new == old && listing.gone && !known.listing.gone);
         let withdrawn_later = same && listing.withdrawn && !known.listing.withdrawn;
         if !newer && !withdrawn_later {
+            if old == new && known.source == Source::Relayed {
+                // Whoever heard it goes before one that was told.
+                known.watcher = watcher;
+                known.source = source.clone();
+            }
             return false;
         }
         if old > new {
             listing.record.sequence = old.1;
         }
-        self.insert(now_ms, listing, watcher)
+        self.insert(now_ms, listing, watcher, source.clone())
     }
 
-    fn insert(&mut self, now_ms: u64, listing: Listing, watcher: Watcher) -> bool {
+    fn insert(&mut self, now_ms: u64, listing: Listing, watcher: Watcher, source: Source) -> bool {
         self.change += 1;
         let endpoint = listing.record.endpoint.clone();
-        let entry = Entry { listing, watcher, change: self.change, changed_ms: now_ms };
-        self.by_change.insert(self.change, endpoint.clone());
+        let changes = match source {
+            Source::Own => &mut self.own_changes,
+            Source::Heard(..) | Source::Relayed => &mut self.told_changes,
+        };
+        changes.insert(self.change, endpoint.clone());
+        let entry = Entry { listing, watcher, source, change: self.change, changed_ms: now_ms };
         if let Some(before) = self.entries.insert(endpoint, entry) {
-            self.by_change.remove(&before.change);
+            self.own_changes.remove(&before.change);
+            self.told_changes.remove(&before.change);
         }
         true
     }
@@ -202,7 +259,7 @@
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + ORPHAN_MS)
         };
         let old = |entry: &Entry| entry.listing.gone && now_ms >= entry.changed_ms + FORGET_MS;
-        let by_change = &mut self.by_change;
+        let (own_changes, told_changes) = (&mut self.own_changes, &mut self.told_changes);
         self.entries.retain(|name, entry| {
             let is_lost = is_orphan(entry) && !entry.listing.gone;
             let is_forgotten = is_lost || old(entry);
@@ -210,7 +267,8 @@
                 over.push(name.clone());
             }
             if is_forgotten {
-                by_change.remove(&entry.change);
+                own_changes.remove(&entry.change);
+                told_changes.remove(&entry.change);
             }
             !is_forgotten
         });
@@ -231,7 +289,7 @@
             let Some(entry) = self.entries.get(name) else { continue };
             let listing = Listing { gone: true, ..entry.listing.clone() };
             let watcher = entry.watcher.clone();
-            self.insert(now_ms, listing, watcher);
+            self.insert(now_ms, listing, watcher, Source::Own);
         }
         over
     }
@@ -241,27 +299,6 @@
         self.change
     }
 
-    /// Returns when the oldest change after the one of number `change` came, in milliseconds.
-    pub fn oldest_after_ms(&self, change: u64) -> Option<u64> {
-        let later = (Bound::Excluded(change), Bound::Unbounded);
-        let (_, name) = self.by_change.range(later).next()?;
-        self.entries.get(name).map(|entry| entry.changed_ms)
-    }
-
-    /// Returns what changed after the change of number `change`, the oldest changes first, at most
-    /// `most` of them.
-    pub fn changes_after(&self, change: u64, most: usize) -> Changes {
-        let later = self.by_change.range((Bound::Excluded(change), Bound::Unbounded));
-        let changed: Vec<&Entry> =
-            later.take(most).filter_map(|(_, name)| self.entries.get(name)).collect();
-        let up_to = match changed.last() {
-            Some(last) if changed.len() == most => last.change,
-            _ => self.change,
-        };
-        let listings = changed.into_iter().map(|entry| entry.listing.clone()).collect();
-        Changes { listings, up_to }
-    }
-
     /// Returns the endpoints that are there, leaving ones included; of two at one address, the one
     /// that was started last.
     pub fn live(&self) -> impl Iterator<Item = &EndpointRecord> {
--- a/crates/control/src/directory/pace.rs
+++ b/crates/control/src/directory/pace.rs
@@ -12,6 +12,8 @@
 /// How long news are gathered at most, in milliseconds: a part of the time in which the word of an
 /// endpoint that leaves must be in force.
 const GATHER_MAX_MS: u64 = 400;
+/// How long an answer takes to arrive, in milliseconds, with some delay.
+const WAY_MS: u64 = 50;
 
 /// What one that watches does not know yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,7 +25,7 @@
     /// It does not know some changes of endpoints.
     Changes {
         /// How many.
-        count: u64,
+        count: usize,
         /// How long ago the oldest of them came, in milliseconds.
         oldest_ms: u64,
     },
@@ -43,10 +45,22 @@
     match behind {
         Behind::Nothing | Behind::AtOnce => 0,
         // A full answer does not get fuller.
-        Behind::Changes { count, .. } if count >= ANSWER_CHANGES as u64 => 0,
-        Behind::Changes { oldest_ms, .. } => {
-            let gather_ms = (watchers as u64 / ANSWERS_PER_MS).min(GATHER_MAX_MS);
-            gather_ms.saturating_sub(oldest_ms)
-        }
+        Behind::Changes { count, .. } if count >= ANSWER_CHANGES => 0,
+        Behind::Changes { oldest_ms, .. } => longest_gather_ms(watchers).saturating_sub(oldest_ms),
     }
 }
+
+/// Returns how long what another replica told is kept before it is passed on to one that has not
+/// heard it, in milliseconds: the other replica gathers it for as long as for this one.
+///
+/// # Examples
+/// ```
+/// assert_eq!(lycheehub_control::directory::pace::relay_after_ms(67), 184);
+/// ```
+pub fn relay_after_ms(watchers: usize) -> u64 {
+    2 * longest_gather_ms(watchers) + WAY_MS
+}
+
+fn longest_gather_ms(watchers: usize) -> u64 {
+    (watchers as u64 / ANSWERS_PER_MS).min(GATHER_MAX_MS)
+}
--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -13,7 +13,7 @@
 use crate::link::Links;
 use crate::settings::Settings;
 use crate::views::Latest;
-use crate::watch::{self, News, Watcher};
+use crate::watch::{self, HeardFrom, News, Watcher};
 use lycheehub_clock::{Clock, Timers};
 use lycheehub_control::State;
 use lycheehub_control::directory::Directory;
@@ -45,6 +45,7 @@
     links: Links,
     views: Arc<Latest<EntryView>>,
     known: RefCell<Known>,
+    heard_from: HeardFrom,
 }
 
 /// What the control thread has learned.
@@ -100,7 +101,9 @@
         let mut known = Known::default();
         known.take_seeds(&settings.seeds);
         let links = Links::new(settings, clock, executor.clone());
-        Rc::new(Self { clock, timers, executor, links, views, known: RefCell::new(known) })
+        let known = RefCell::new(known);
+        let heard_from = HeardFrom::default();
+        Rc::new(Self { clock, timers, executor, links, views, known, heard_from })
     }
 
     /// Runs until `seeds`, by which new addresses of seeds come, closes, and `beside` on the same
@@ -253,6 +256,10 @@
 struct Watching(Rc<EntryNode>);
 
 impl Watcher for Watching {
+    fn heard_from(&self) -> &HeardFrom {
+        &self.0.heard_from
+    }
+
     fn revision(&self) -> u64 {
         self.0.known.borrow().newest_revision()
     }
@@ -270,7 +277,8 @@
             if news.restarted {
                 known.directory.note_restarted(now_ms, from);
             }
-            changed |= known.directory.take(now_ms, from, news.listings);
+            changed |= known.directory.take(now_ms, from, news.heard, news.listings);
+            changed |= known.directory.take_relayed(now_ms, from, news.relays);
             if news.leader.is_some() && known.leader != news.leader {
                 known.leader = news.leader;
                 changed = true;
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -2,13 +2,14 @@
 
 use super::{Core, Node};
 use crate::tally::Tally;
-use crate::watch::{self, News, Watcher};
+use crate::watch::{self, HeardFrom, News, Watcher};
 use lycheehub_control::directory::pace::{self, Behind};
-use lycheehub_control::directory::{LEASE_MS, Listing};
+use lycheehub_control::directory::{Changes, Heard, LEASE_MS, Listing};
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use smol::Timer;
 use smol::channel::bounded;
 use smol_str::SmolStr;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,18 +22,24 @@
 /// What one that watches has been told already.
 #[derive(Clone, Debug)]
 pub(crate) struct Told {
-    /// The run of this instance of which it knows changes.
-    pub(crate) epoch: u64,
-    pub(crate) change: u64,
+    /// How far it was told what this instance has heard.
+    pub(crate) here: Heard,
+    /// The number of the last change of which it was told what others told this instance.
+    pub(crate) relayed: u64,
+    /// How far replicas have told it what they heard.
+    pub(crate) heard: BTreeMap<InstanceName, Heard>,
     pub(crate) revision: u64,
     pub(crate) leader: Option<InstanceName>,
 }
 
 /// What a replica answers to those that watch it.
 pub(crate) struct Watched {
-    pub(crate) epoch: u64,
-    pub(crate) change: u64,
+    /// How far this tells what the replica has heard.
+    pub(crate) here: Heard,
     pub(crate) listings: Vec<Listing>,
+    /// The number of the last change of which this tells what others told the replica.
+    pub(crate) relayed: u64,
+    pub(crate) relays: Vec<Listing>,
     pub(crate) revision: u64,
     pub(crate) leader: Option<InstanceName>,
     pub(crate) replicas: Vec<(InstanceName, SmolStr)>,
@@ -116,45 +123,62 @@
     }
 
     /// Waits until there is news for one that watches, at most `wait_ms`.
+    ///
+    /// What others told this instance is no news to wait for: they most likely tell it themselves.
+    /// What they have not told by the next question is passed on with its answer.
     pub(crate) async fn watched(&self, told: &Told, wait_ms: u64) -> Watched {
         let _watching = Tally::new(&self.watchers);
-        if self.behind(told) == Behind::Nothing {
+        let relays = self.relays(told);
+        if relays.listings.is_empty() && self.behind(told) == Behind::Nothing {
             self.wait_for_news(wait_ms).await;
         }
         let gather_ms = pace::gather_ms(self.behind(told), self.watchers.get());
-        if gather_ms > 0 {
+        if relays.listings.is_empty() && gather_ms > 0 {
             Timer::after(Duration::from_millis(gather_ms)).await;
         }
         let core = self.core.borrow();
-        let now_ms = self.clock.now_ms();
-        let known = if core.own.incarnation == told.epoch { told.change } else { 0 };
-        let changes = core.directory.changes_after(known, pace::ANSWER_CHANGES);
+        let epoch = core.own.incarnation;
+        let known = if epoch == told.here.epoch { told.here.change } else { 0 };
+        let own = core.directory.own_after(known, pace::ANSWER_CHANGES);
         Watched {
-            epoch: core.own.incarnation,
-            change: changes.up_to,
-            listings: changes.listings,
-            revision: core.recent_revision(now_ms),
+            here: Heard { epoch, change: own.up_to },
+            listings: own.listings,
+            relayed: relays.up_to,
+            relays: relays.listings,
+            revision: core.recent_revision(self.clock.now_ms()),
             leader: self.recent_leader(&core),
             replicas: self.neighbours(&core),
         }
     }
 
+    /// Returns what others told this instance and one that watches has not heard from them.
+    fn relays(&self, told: &Told) -> Changes {
+        let core = self.core.borrow();
+        if core.own.incarnation != told.here.epoch {
+            // It has just begun to ask, others as well.
+            return Changes::default();
+        }
+        let kept_ms = pace::relay_after_ms(self.watchers.get());
+        let before_ms = self.clock.now_ms().saturating_sub(kept_ms);
+        core.directory.relays_after(told.relayed, pace::ANSWER_CHANGES, before_ms, &told.heard)
+    }
+
     /// Tells what one that watches does not know yet.
     fn behind(&self, told: &Told) -> Behind {
         let core = self.core.borrow();
         let now_ms = self.clock.now_ms();
         let leader = self.recent_leader(&core);
         let is_other_leader = leader.is_some() && leader != told.leader;
-        let is_first = core.own.incarnation != told.epoch;
+        let is_first = core.own.incarnation != told.here.epoch;
         if is_first || is_other_leader || core.recent_revision(now_ms) > told.revision {
             return Behind::AtOnce;
         }
-        let count = core.directory.change().saturating_sub(told.change);
-        if count == 0 {
-            return Behind::Nothing;
+        match core.directory.own_news(told.here.change, pace::ANSWER_CHANGES) {
+            Some((count, since_ms)) => {
+                Behind::Changes { count, oldest_ms: now_ms.saturating_sub(since_ms) }
+            }
+            None => Behind::Nothing,
         }
-        let oldest_ms = core.directory.oldest_after_ms(told.change).unwrap_or(now_ms);
-        Behind::Changes { count, oldest_ms: now_ms.saturating_sub(oldest_ms) }
     }
 
     /// Waits until a revision or the directory changes, at most `wait_ms`.
@@ -205,6 +229,10 @@
 }
 
 impl Watcher for Node {
+    fn heard_from(&self) -> &HeardFrom {
+        &self.heard_from
+    }
+
     fn revision(&self) -> u64 {
         // A replica gets changes of the state by the log.
         u64::MAX
@@ -221,10 +249,13 @@
             if news.restarted {
                 core.directory.note_restarted(now_ms, from);
             }
-            core.directory.take(now_ms, from, news.listings)
+            let directory = &mut core.directory;
+            directory.take(now_ms, from, news.heard, news.listings)
+                | directory.take_relayed(now_ms, from, news.relays)
         };
         if changed {
-            self.note_directory();
+            // Those that watch this replica are told by the one that heard it, or as they ask again.
+            self.update_placing();
         }
     }
 
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -19,6 +19,7 @@
 use crate::server;
 use crate::settings::Settings;
 use crate::views::Views;
+use crate::watch::HeardFrom;
 pub(crate) use directory::Told;
 use driver::Driver;
 use lycheehub_clock::{Clock, Timers};
@@ -76,6 +77,8 @@
     watchers: Cell<usize>,
     /// The replicas whose directories are watched.
     watched: RefCell<BTreeSet<InstanceName>>,
+    /// How far those have told what they heard.
+    heard_from: HeardFrom,
     /// Places requests while this instance leads.
     placing: RefCell<Option<Placing>>,
 }
@@ -195,6 +198,7 @@
             announced_leader: RefCell::default(),
             watchers: Cell::new(0),
             watched: RefCell::default(),
+            heard_from: HeardFrom::default(),
             placing: RefCell::default(),
         }))
     }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -7,6 +7,7 @@
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use lycheehub_consensus::{Message, ReplicaId};
+use lycheehub_control::directory::Heard;
 use lycheehub_control::registry::Delta;
 use lycheehub_dispatch::Ticket;
 use lycheehub_types::InstanceName;
@@ -195,19 +196,23 @@
         let params = params.get()?;
         let leader = text(params.get_leader())?;
         let told = Told {
-            epoch: params.get_epoch(),
-            change: params.get_change(),
+            here: Heard { epoch: params.get_epoch(), change: params.get_change() },
+            relayed: params.get_relayed(),
+            heard: lycheehub_wire::read_heard(params.get_heard()?)?,
             revision: params.get_revision(),
             leader: (!leader.is_empty()).then(|| InstanceName::new(leader)),
         };
         let watched = self.node.watched(&told, u64::from(params.get_wait_ms())).await;
         let mut reply = results.get();
-        reply.set_epoch(watched.epoch);
-        reply.set_change(watched.change);
+        reply.set_epoch(watched.here.epoch);
+        reply.set_change(watched.here.change);
+        reply.set_relayed(watched.relayed);
         reply.set_revision(watched.revision);
         reply.set_leader(watched.leader.as_ref().map_or("", InstanceName::as_str));
         let count = watched.listings.len() as u32;
         lycheehub_wire::write_listings(&watched.listings, reply.reborrow().init_listings(count));
+        let count = watched.relays.len() as u32;
+        lycheehub_wire::write_listings(&watched.relays, reply.reborrow().init_relays(count));
         let mut replicas = reply.init_replicas(watched.replicas.len() as u32);
         for (place, (instance, address)) in (0..).zip(&watched.replicas) {
             let mut entry = replicas.reborrow().get(place);
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -2,12 +2,14 @@
 
 use crate::link::Links;
 use lycheehub_clock::Clock;
-use lycheehub_control::directory::{Listing, ORPHAN_MS};
+use lycheehub_control::directory::{Heard, Listing, ORPHAN_MS};
 use lycheehub_types::{InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::peer;
-use lycheehub_wire::{WireError, read_listings};
+use lycheehub_wire::{WireError, read_listings, write_heard};
 use smol::Timer;
 use smol_str::SmolStr;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,8 +24,12 @@
 /// What a replica tells of itself.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct News {
-    /// Endpoints that changed.
+    /// How far it has told what it heard itself.
+    pub(crate) heard: Heard,
+    /// Endpoints of which it heard a change.
     pub(crate) listings: Vec<Listing>,
+    /// Endpoints of which other replicas told it a change.
+    pub(crate) relays: Vec<Listing>,
     /// The revision that the replica has.
     pub(crate) revision: u64,
     /// The leader that it follows.
@@ -34,8 +40,13 @@
     pub(crate) restarted: bool,
 }
 
+/// How far each replica that is watched has told what it heard itself.
+pub(crate) type HeardFrom = RefCell<BTreeMap<InstanceName, Heard>>;
+
 /// Whoever watches.
 pub(crate) trait Watcher {
+    /// Returns what replicas have told.
+    fn heard_from(&self) -> &HeardFrom;
     /// Returns the revision that the watcher has or is about to have.
     fn revision(&self) -> u64;
     /// Returns where a replica listens for peers.
@@ -49,8 +60,10 @@
 /// What a replica has told last.
 #[derive(Clone, Debug, Default)]
 struct Cursor {
-    epoch: u64,
-    change: u64,
+    /// How far it has told what it heard itself.
+    heard: Heard,
+    /// The number of its last change of which it has told what others told it.
+    relayed: u64,
     /// The leader that it follows.
     leader: Option<InstanceName>,
 }
@@ -84,6 +97,7 @@
                 if clock.now_ms() >= heard_ms + ORPHAN_MS {
                     // What the replica watched over is forgotten by now and must be told anew.
                     cursor = Cursor::default();
+                    watcher.heard_from().borrow_mut().remove(&to);
                 }
                 Timer::after(Duration::from_millis(ASK_AGAIN_MS)).await;
             }
@@ -98,29 +112,44 @@
     cursor: &mut Cursor,
 ) -> Result<News, PeerError> {
     const STEP: &str = "watch";
-    let (revision, told) = (watcher.revision(), cursor.clone());
-    let ask = |peer| ask_peer(peer, links.own_name(), &told, revision);
+    let question = Question {
+        sender: links.own_name(),
+        told: cursor,
+        heard: watcher.heard_from().borrow().clone(),
+        revision: watcher.revision(),
+    };
     let timeout_ms = u64::from(WAIT_MS) + ANSWER_MS;
+    let ask = |peer| ask_peer(peer, &question);
     let (now, mut news) = links.call(STEP, to, watcher.address_of(to), timeout_ms, ask).await?;
-    news.restarted = told.epoch != 0 && told.epoch != now.epoch;
+    news.restarted = cursor.heard.epoch != 0 && cursor.heard.epoch != now.heard.epoch;
+    watcher.heard_from().borrow_mut().insert(to.clone(), now.heard);
     *cursor = now;
     Ok(news)
 }
 
+/// What a replica is asked.
+struct Question<'a> {
+    sender: &'a str,
+    told: &'a Cursor,
+    heard: BTreeMap<InstanceName, Heard>,
+    revision: u64,
+}
+
 async fn ask_peer(
     peer: peer::Client,
-    own: &str,
-    told: &Cursor,
-    revision: u64,
+    question: &Question<'_>,
 ) -> Result<(Cursor, News), capnp::Error> {
     let mut request = peer.watch_request();
     let mut params = request.get();
-    params.set_sender(own);
-    params.set_epoch(told.epoch);
-    params.set_change(told.change);
-    params.set_revision(revision);
+    let told = question.told;
+    params.set_sender(question.sender);
+    params.set_epoch(told.heard.epoch);
+    params.set_change(told.heard.change);
+    params.set_relayed(told.relayed);
+    params.set_revision(question.revision);
     params.set_wait_ms(WAIT_MS);
     params.set_leader(told.leader.as_ref().map_or("", InstanceName::as_str));
+    write_heard(&question.heard, params.init_heard(question.heard.len() as u32));
     let reply = request.send().promise.await?;
     let reply = reply.get()?;
     let text = |text: capnp::Result<capnp::text::Reader<'_>>| -> Result<SmolStr, WireError> {
@@ -132,13 +161,16 @@
         replicas.push((name, text(replica.get_address())?));
     }
     let leader = text(reply.get_leader())?;
+    let heard = Heard { epoch: reply.get_epoch(), change: reply.get_change() };
     let news = News {
+        heard,
         listings: read_listings(reply.get_listings()?)?,
+        relays: read_listings(reply.get_relays()?)?,
         revision: reply.get_revision(),
         leader: (!leader.is_empty()).then(|| InstanceName::new(leader)),
         replicas,
         restarted: false,
     };
-    let (epoch, change) = (reply.get_epoch(), reply.get_change());
-    Ok((Cursor { epoch, change, leader: news.leader.clone() }, news))
+    let (relayed, leader) = (reply.get_relayed(), news.leader.clone());
+    Ok((Cursor { heard, relayed, leader }, news))
 }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -184,6 +184,9 @@
 # An endpoint as control replicas pass it on.
 struct Listing { record @0 :EndpointRecord; gone @1 :Bool; withdrawn @2 :Bool; }
 
+# How far the sender has been told by a replica itself, in one run of it.
+struct Heard { replica @0 :Text; epoch @1 :UInt64; change @2 :UInt64; }
+
 struct PrefixPart { id @0 :UInt64; tokens @1 :UInt32; }
 
 # A request that asks for an endpoint.
@@ -271,11 +274,12 @@
   answer @7 (instance :Text, incarnation :UInt64, request :UInt64) -> (answer :KeptAnswer);
   # Answers as soon as the receiver's directory has changed after `change`, or its state after
   # `revision`, or it follows another leader than `leader`, or after `waitMs`. All listings are sent
-  # where `epoch` is not the receiver's.
+  # where `epoch` is not the receiver's. What the receiver was told by other replicas, after its
+  # change `relayed`, is passed on in `relays` where the sender has not `heard` it itself.
   watch @8 (sender :Text, epoch :UInt64, change :UInt64, revision :UInt64, waitMs :UInt32,
-            leader :Text)
+            leader :Text, relayed :UInt64, heard :List(Heard))
     -> (epoch :UInt64, change :UInt64, listings :List(Listing), revision :UInt64,
-        leader :Text, replicas :List(Neighbour));
+        leader :Text, replicas :List(Neighbour), relayed :UInt64, relays :List(Listing));
   # Fails where the receiver does not lead.
   enter @9 (instance :Text, inFlight :List(InFlight), usage :List(Usage))
     -> (placement :Placement);
--- a/crates/wire/src/convert/directory.rs
+++ b/crates/wire/src/convert/directory.rs
@@ -4,7 +4,9 @@
 use super::records::write_endpoint;
 use crate::peer_capnp as schema;
 use capnp::struct_list;
-use lycheehub_control::directory::Listing;
+use lycheehub_control::directory::{Heard, Listing};
+use lycheehub_types::InstanceName;
+use std::collections::BTreeMap;
 
 impl TryFrom<schema::listing::Reader<'_>> for Listing {
     type Error = WireError;
@@ -40,3 +42,30 @@
         write_endpoint(&listing.record, 0, entry.init_record());
     }
 }
+
+/// Reads how far replicas have told what they heard themselves.
+///
+/// # Errors
+/// Fails where a name does not decode.
+pub fn read_heard(
+    reader: struct_list::Reader<'_, schema::heard::Owned>,
+) -> Result<BTreeMap<InstanceName, Heard>, WireError> {
+    let entry = |entry: schema::heard::Reader<'_>| {
+        let heard = Heard { epoch: entry.get_epoch(), change: entry.get_change() };
+        Ok((InstanceName::new(entry.get_replica()?.to_str()?), heard))
+    };
+    reader.iter().map(entry).collect()
+}
+
+/// Writes how far replicas have told what they heard themselves; the builder has room for all.
+pub fn write_heard(
+    heard: &BTreeMap<InstanceName, Heard>,
+    mut builder: struct_list::Builder<'_, schema::heard::Owned>,
+) {
+    for (place, (replica, heard)) in (0..).zip(heard) {
+        let mut entry = builder.reborrow().get(place);
+        entry.set_replica(replica.as_str());
+        entry.set_epoch(heard.epoch);
+        entry.set_change(heard.change);
+    }
+}
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -8,7 +8,7 @@
 mod reports;
 
 pub use consensus::{write_config, write_message};
-pub use directory::{read_listings, write_listings};
+pub use directory::{read_heard, read_listings, write_heard, write_listings};
 pub use placement::{
     read_decision, read_finished, read_in_flight, read_job, read_usage, write_decision,
     write_finished, write_in_flight, write_job, write_usage,
