feat(cli): endpoints and instances are listed on the users' platform

`lycheehub endpoints` and `lycheehub instances` asked calls that only the project's own interface has. A control instance answers them now on the port of its metrics: the endpoints with the instance that heard each, the instances with the revision that each has. Entry instances are known by their polls.

--- a/crates/cli/src/client/lists.rs
+++ b/crates/cli/src/client/lists.rs
@@ -18,9 +18,13 @@
     failure_domain: String,
     address: String,
     slots: u32,
-    granted_slots: u32,
     leaving: bool,
-    lease_left_ms: u64,
+    /// Told by an instance that holds slots of it.
+    granted_slots: Option<u32>,
+    /// Told by an instance that watches over its lease.
+    lease_left_ms: Option<u64>,
+    /// Told by a control instance that takes no requests.
+    heard_by: Option<String>,
 }
 
 #[derive(Deserialize)]
@@ -33,11 +37,18 @@
 #[derive(Deserialize)]
 struct Instance {
     instance: String,
+    revision_in_force: u64,
+    live: bool,
+    /// These are not told of instances that only watch.
+    #[serde(default)]
     failure_domain: String,
+    #[serde(default)]
     http_address: String,
+    #[serde(default)]
     replica_id: u64,
-    revision_in_force: u64,
-    live: bool,
+    #[serde(default)]
+    holds_replica: bool,
+    #[serde(default)]
     stopping: bool,
 }
 
@@ -50,11 +61,13 @@
         println!("{}", String::from_utf8_lossy(&reply.body));
         return Ok(());
     }
-    let head = ["ENDPOINT", "SERVICE", "VERSION", "DOMAIN", "ADDRESS", "SLOTS", "HERE", "STATE"];
+    let head = [
+        "ENDPOINT", "SERVICE", "VERSION", "DOMAIN", "ADDRESS", "SLOTS", "HERE", "HEARD BY", "STATE",
+    ];
     let mut rows = vec![head.map(str::to_owned).to_vec()];
     for entry in found.endpoints {
         let state = match (entry.lease_left_ms, entry.leaving) {
-            (0, _) => "silent",
+            (Some(0), _) => "silent",
             (_, true) => "leaving",
             _ => "live",
         };
@@ -65,7 +78,8 @@
             entry.failure_domain,
             entry.address,
             entry.slots.to_string(),
-            entry.granted_slots.to_string(),
+            entry.granted_slots.map(|slots| slots.to_string()).unwrap_or_default(),
+            entry.heard_by.unwrap_or_default(),
             state.to_owned(),
         ]);
     }
@@ -94,7 +108,7 @@
             entry.instance,
             entry.failure_domain,
             entry.http_address,
-            if entry.replica_id == 0 { "no" } else { "yes" }.to_owned(),
+            if entry.holds_replica || entry.replica_id != 0 { "yes" } else { "no" }.to_owned(),
             entry.revision_in_force.to_string(),
             state.to_owned(),
         ]);
--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -25,9 +25,9 @@
     let address = needed(deployment.control, "endpoints and operators")?;
     let calls = listen("endpoints and operators", address).await?;
     let peers = listen("peers", deployment.peers).await?;
-    serve_metrics(&executor, &deployment).await?;
     let (sender, requests) = unbounded();
     let control = Control::new(sender);
+    serve_metrics(&executor, &deployment, Some(control.clone())).await?;
     start_control(&deployment, peers, requests).await?;
     spdlog::info!("control instance started", kv: {
         machine = deployment.machine,
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -46,7 +46,7 @@
     let callers_address = needed(deployment.callers, "callers")?;
     let callers = listen("callers", callers_address).await?;
     let readiness = listen("readiness", needed(deployment.readiness, "readiness")?).await?;
-    serve_metrics(&executor, &deployment).await?;
+    serve_metrics(&executor, &deployment, None).await?;
     let clock = Clock::new();
     let views = Arc::new(Latest::new(EntryView::default()));
     let (seeds, seed_changes) = bounded(1);
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -3,12 +3,14 @@
 mod control;
 mod entry;
 mod http;
+mod lists;
 
 use crate::exit::{Code, Error};
 use crate::serve::{listen, log, start_metrics};
 use crate::settings::LogFormat;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use lycheehub_peer::Control;
 use lycheehub_platform::settings::{self, Deployment};
 use smol::LocalExecutor;
 use std::net::SocketAddr;
@@ -48,18 +50,26 @@
         .map_err(|error| Error::new(Code::Failed, format!("cannot start a thread: {error}")))
 }
 
-/// Listens for metrics, and serves them.
+/// Listens for operators, and serves metrics and, of a control instance, its lists.
 async fn serve_metrics(
     executor: &Rc<LocalExecutor<'static>>,
     deployment: &Deployment,
+    control: Option<Control>,
 ) -> Result<(), Error> {
     let listener = listen("metrics", SocketAddr::new(deployment.ip, METRICS_PORT)).await?;
     let handle = start_metrics()?;
-    let render = move |request| {
-        let response = http::metrics(&handle, &request);
-        async move { response }
+    let answer = move |request| {
+        let (handle, control) = (handle.clone(), control.clone());
+        async move {
+            if let Some(control) = control
+                && let Some(response) = lists::answer(&control, &request).await
+            {
+                return response;
+            }
+            http::metrics(&handle, &request)
+        }
     };
-    executor.spawn(http::serve(executor.clone(), listener, render)).detach();
+    executor.spawn(http::serve(executor.clone(), listener, answer)).detach();
     Ok(())
 }
 
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -38,6 +38,39 @@
     pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
 }
 
+/// An endpoint as a control instance sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeenEndpoint {
+    /// What it last said of itself.
+    pub record: EndpointRecord,
+    /// The instance that heard it last.
+    pub heard_by: InstanceName,
+}
+
+/// An instance as a control instance sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SeenInstance {
+    /// The instance.
+    pub instance: InstanceName,
+    /// Whether it holds a control replica.
+    pub holds_replica: bool,
+    /// The revision that it has.
+    pub revision_in_force: u64,
+    /// Whether it was heard of late.
+    pub is_live: bool,
+}
+
+/// What a control instance knows of others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Census {
+    /// The revision here.
+    pub revision: u64,
+    /// The endpoints that are there, leaving ones included.
+    pub endpoints: Vec<SeenEndpoint>,
+    /// The instances that were heard within the last minute.
+    pub instances: Vec<SeenInstance>,
+}
+
 /// A request to the control thread; the answer goes to the sender inside.
 #[derive(Debug)]
 pub enum ControlRequest {
@@ -45,6 +78,8 @@
     Propose(Command, Sender<ProposeReply>),
     /// Reads what is committed, nothing without a quorum.
     Read(Sender<Option<Statement>>),
+    /// Tells what is known of endpoints and instances.
+    Census(Sender<Census>),
     /// Takes an endpoint's announcement.
     Announce(EndpointRecord),
     /// Takes an endpoint's announcement into the directory.
@@ -91,6 +126,11 @@
         self.ask(ControlRequest::Read).await.flatten().ok_or(RefusalKind::NoQuorum)
     }
 
+    /// Returns what is known of endpoints and instances; nothing where the control thread has ended.
+    pub async fn census(&self) -> Option<Census> {
+        self.ask(ControlRequest::Census).await
+    }
+
     /// Passes an endpoint's announcement on.
     pub async fn announce(&self, record: EndpointRecord) {
         // The control thread is gone only when the process ends.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,7 +24,9 @@
 mod views;
 mod watch;
 
-pub use control::{AnswerSource, Control, ControlRequest, OrderSink, Statement};
+pub use control::{
+    AnswerSource, Census, Control, ControlRequest, OrderSink, SeenEndpoint, SeenInstance, Statement,
+};
 pub use lycheehub_wire::{Answer, KeptAnswer, ProposeReply};
 pub use node::{Node, Outside};
 pub use settings::{Seed, Settings};
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The control thread: registry, replica or learned state, and controllers.
 
 mod calls;
+mod census;
 mod directory;
 mod driver;
 mod follow;
@@ -75,6 +76,8 @@
     announced_leader: RefCell<Option<InstanceName>>,
     /// How many watch this instance.
     watchers: Cell<usize>,
+    /// The instances without a replica that watch this one.
+    watching: RefCell<census::Watchers>,
     /// The replicas whose directories are watched.
     watched: RefCell<BTreeSet<InstanceName>>,
     /// How far those have told what they heard.
@@ -197,6 +200,7 @@
             started_ms: clock.now_ms(),
             announced_leader: RefCell::default(),
             watchers: Cell::new(0),
+            watching: RefCell::default(),
             watched: RefCell::default(),
             heard_from: HeardFrom::default(),
             placing: RefCell::default(),
--- a/crates/peer/src/node/requests.rs
+++ b/crates/peer/src/node/requests.rs
@@ -14,6 +14,10 @@
         match request {
             ControlRequest::Announce(record) => self.take_announcement(record),
             ControlRequest::Hear(record) => self.hear(record),
+            ControlRequest::Census(sender) => {
+                // One that no longer waits is told nothing.
+                let _ = sender.try_send(self.census());
+            }
             ControlRequest::Withdraw(endpoint, sender) => {
                 // One that no longer waits is told nothing.
                 let _ = sender.try_send(self.withdraw(&endpoint));
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -202,6 +202,11 @@
             revision: params.get_revision(),
             leader: (!leader.is_empty()).then(|| InstanceName::new(leader)),
         };
+        // A replica asks for changes of endpoints only.
+        if told.revision != u64::MAX {
+            let sender = InstanceName::from(text(params.get_sender())?);
+            self.node.note_watching(&sender, told.revision);
+        }
         let watched = self.node.watched(&told, u64::from(params.get_wait_ms())).await;
         let mut reply = results.get();
         reply.set_epoch(watched.here.epoch);
