fix(dispatch): the rest of a stream that broke off is not refused as a new request

Cause: a resumable stream whose endpoint is lost asks for another place with the times of its beginning: the time in which its caller waits for the first byte is long over, and so is its objective. Where anything waits, it is refused at once and its caller's stream cut.

Change: the rest of a stream has until its deadline, is on time until the next event is, goes with the most urgent requests of its tier (it needs less than a new one, and what its caller has is worth nothing without it) and is kept for some time when it is late.

Ruled out: only the times.

--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -56,7 +56,8 @@
         let backlog_ms = service.queue.ahead_ms(u8::MAX, u8::MAX) / slots;
         let mut kept = Vec::new();
         for waiting in service.queue.take_expired(now_ms) {
-            let keep = backlog_ms <= SHORT_BACKLOG_MS || waiting.job.returning;
+            let job = &waiting.job;
+            let keep = backlog_ms <= SHORT_BACKLOG_MS || job.returning || job.goes_on;
             if keep { kept.push(waiting) } else { shed.push(waiting) }
         }
         for waiting in kept {
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -8,6 +8,10 @@
 //!
 //! Load pattern: short requests behind long ones. One that needs a small part of what others need
 //! delays them by little, and is served with the most urgent ones of its tier.
+//!
+//! Load pattern: endpoints are lost in a burst, each in the middle of many streams. The rest of a
+//! stream needs less than a new one, and what its caller has is worth nothing without it. So it is
+//! served with the most urgent ones of its tier as well, and kept for some time when it is late.
 
 use crate::job::{Job, Ticket};
 use std::collections::BTreeMap;
@@ -72,7 +76,7 @@
 
     /// Returns the rank of the line in which the job waits.
     fn line_rank(&self) -> u8 {
-        if self.is_short { 0 } else { self.job.rank }
+        if self.is_short || self.job.goes_on { 0 } else { self.job.rank }
     }
 
     /// Tells whether the job could have been done in time when it came.
--- a/crates/dispatch/tests/dispatch/overload.rs
+++ b/crates/dispatch/tests/dispatch/overload.rs
@@ -1,8 +1,9 @@
 //! Replays of load at its worst.
 
-use crate::replay::{Class, End, Replay, job};
+use crate::replay::{Class, End, Replay, dispatcher, job, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::Job;
+use lycheehub_dispatch::{Decision, Dispatcher, Job, Ticket};
+use lycheehub_types::EndpointRecord;
 
 /// Three speeds, five to one.
 const SPEEDS: [f64; 6] = [0.55, 0.55, 1.0, 1.0, 2.8, 2.8];
@@ -131,3 +132,47 @@
     replay.run(10_000, &classes, 1.0);
     expect_that!(replay.largest_held_part, le(0.5));
 }
+
+/// Returns a dispatcher of one slot, which job 1 has, and for which others wait and, after them, the
+/// rest of a stream as job 9.
+fn with_rest_of_a_stream(others: &Job) -> Dispatcher {
+    let mut dispatcher = dispatcher(&[EndpointRecord { slots: 1, ..record("a", 1) }]);
+    dispatcher.submit(1_000, job(1));
+    for number in 2..6 {
+        let ticket = Ticket { instance: 1, number };
+        dispatcher.submit(1_000 + number, Job { ticket, ..others.clone() });
+    }
+    let rest = Job { goes_on: true, repeat: true, patience_left_ms: 15_000, ..job(9) };
+    dispatcher.submit(1_010, rest);
+    dispatcher.take_decisions();
+    dispatcher
+}
+
+#[gtest]
+fn the_rest_of_a_stream_goes_with_the_most_urgent_requests_of_its_tier() {
+    let placed_next = |others: &Job| {
+        let mut dispatcher = with_rest_of_a_stream(others);
+        dispatcher.withdraw(1_020, Ticket { instance: 1, number: 1 });
+        dispatcher.take_decisions().iter().find_map(|decision| match decision {
+            Decision::Place { ticket, .. } => Some(ticket.number),
+            Decision::Refuse { .. } => None,
+        })
+    };
+    expect_that!(placed_next(&Job { rank: 0, ..job(0) }), some(eq(9)));
+    expect_that!(placed_next(&Job { rank: 0, tier: 0, ..job(0) }), some(not(eq(9))));
+}
+
+#[gtest]
+fn the_rest_of_a_stream_is_kept_where_new_requests_are_refused() {
+    let mut dispatcher = with_rest_of_a_stream(&job(0));
+    let mut refused = Vec::new();
+    for now_ms in (1_050..2_000).step_by(50) {
+        dispatcher.tick(now_ms);
+        for decision in dispatcher.take_decisions() {
+            if let Decision::Refuse { ticket, .. } = decision {
+                refused.push(ticket.number);
+            }
+        }
+    }
+    expect_that!(refused, unordered_elements_are![eq(&2), eq(&3), eq(&4), eq(&5)]);
+}
--- a/crates/dispatch/tests/dispatch/replay.rs
+++ b/crates/dispatch/tests/dispatch/replay.rs
@@ -64,6 +64,7 @@
         patience_left_ms: 2_000,
         deadline_left_ms: 15_000,
         returning: false,
+        goes_on: false,
         failure_domain: "salto".into(),
         tried: vec![],
         repeat: false,
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -128,8 +128,8 @@
         let mut unreached = 0;
         let mut may_have_run = false;
         loop {
-            let repeat = !tried.is_empty();
-            let placed = match self.place(connection, identified, &tried, repeat).await {
+            let goes_on = stream.has_begun();
+            let placed = match self.place(connection, identified, &tried, goes_on).await {
                 Ok(placed) => placed,
                 Err(Stopped::Interrupted(why)) => {
                     return self.interrupted(connection, why, may_have_run, &stream).await;
@@ -196,17 +196,17 @@
         Refusal::new(RefusalKind::OutcomeUnknown, message)
     }
 
-    /// Asks for an endpoint.
+    /// Asks for an endpoint; `goes_on` tells that the caller has a part of a stream already.
     async fn place(
         &mut self,
         connection: &mut Connection,
         identified: &Identified,
         tried: &[EndpointName],
-        repeat: bool,
+        goes_on: bool,
     ) -> Result<Placed, Stopped> {
         let asked_ms = self.entry.clock.now_ms();
         let ticket = self.entry.placement.ticket();
-        let job = self.job(identified, ticket, tried, repeat);
+        let job = self.job(identified, ticket, tried, goes_on);
         self.trail.note_job(&job);
         let asked = guard::Asked::new(self.entry, ticket);
         let deciding = self.entry.placement.place(job);
@@ -229,14 +229,19 @@
         identified: &Identified,
         ticket: Ticket,
         tried: &[EndpointName],
-        repeat: bool,
+        goes_on: bool,
     ) -> Job {
         let now_ms = self.entry.clock.now_ms();
         let route = &identified.route;
         let returning = self.is_returning(identified);
+        // The caller of a stream that has begun waits for the next event, not for the first byte.
+        let (asked_ms, objective_ms, patience_ms) = match goes_on {
+            true => (now_ms, route.gap_objective_ms.unwrap_or(route.objective_ms), None),
+            false => (self.started_ms, route.objective_ms, route.patience_ms),
+        };
         // One that has come back is late, whenever it is answered.
-        let objective_ms = if returning { 0 } else { self.started_ms + route.objective_ms };
-        let patience_ms = route.patience_ms.map_or(self.deadline_ms, |ms| self.started_ms + ms);
+        let objective_ms = if returning { 0 } else { asked_ms + objective_ms };
+        let patience_ms = patience_ms.map_or(self.deadline_ms, |ms| asked_ms + ms);
         let patience_ms = patience_ms.min(self.deadline_ms);
         let output_max = self.fields.output_max_tokens;
         let told_tokens = self
@@ -258,9 +263,10 @@
             patience_left_ms: patience_ms.saturating_sub(now_ms),
             deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
             returning,
+            goes_on,
             failure_domain: self.entry.options.failure_domain.clone(),
             tried: tried.to_vec(),
-            repeat,
+            repeat: !tried.is_empty(),
         }
     }
 }
--- a/crates/proxy/tests/proxy/streams.rs
+++ b/crates/proxy/tests/proxy/streams.rs
@@ -76,6 +76,19 @@
     });
 }
 
+#[gtest]
+fn the_rest_of_a_stream_waits_for_as_long_as_its_caller_does() {
+    run(|world| async move {
+        world.resetting(HEAD.to_owned() + &chunk("id: 1\ndata: a\n\n")).await;
+        world.resetting(HEAD.to_owned() + &chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n").await;
+        let answer = world.ask(&stream("/resume/")).await;
+        expect_that!(answer, ends_with("data: b\n\n\r\n0\r\n\r\n"));
+        let patience_left_ms = world.placement.patience_left_ms.borrow();
+        // Its route's callers wait 10 ms for the first byte, and 2 s in all.
+        expect_that!(*patience_left_ms, elements_are![le(&10), gt(&1_000)]);
+    });
+}
+
 #[gtest]
 fn a_stream_that_has_begun_is_cut_where_no_other_endpoint_is_reached() {
     run(|world| async move {
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -69,6 +69,8 @@
     pub withdrawn: Cell<u32>,
     /// Whether each request is one that came back.
     pub returning: RefCell<Vec<bool>>,
+    /// For how long the caller of each request waits yet for the first byte, in milliseconds.
+    pub patience_left_ms: RefCell<Vec<u64>>,
     /// Requests wait for ever.
     pub holds: Cell<bool>,
     /// Repeats are refused.
@@ -87,6 +89,7 @@
         Box::pin(async move {
             let ticket = job.ticket;
             self.returning.borrow_mut().push(job.returning);
+            self.patience_left_ms.borrow_mut().push(job.patience_left_ms);
             if self.holds.get() {
                 smol::future::pending::<()>().await;
             }
@@ -159,7 +162,7 @@
             route("unsafe", RequestKind::Unsafe, 2),
             route("safe", RequestKind::Idempotent, 2),
             route("stream", stream(false), 2),
-            route("resume", stream(true), 2),
+            RouteSpec { patience_ms: Some(10), ..route("resume", stream(true), 2) },
         ],
         services: vec![ServiceSpec {
             name: "labels".into(),
--- a/crates/standin/src/bin/lycheehub-measure/place.rs
+++ b/crates/standin/src/bin/lycheehub-measure/place.rs
@@ -91,6 +91,7 @@
         patience_left_ms: 2_000,
         deadline_left_ms: 15_000,
         returning: false,
+        goes_on: false,
         failure_domain: DOMAINS[number as usize % DOMAINS.len()].into(),
         tried: vec![],
         repeat: false,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -209,6 +209,7 @@
   tier @13 :UInt8;
   patienceLeftMs @14 :UInt64;
   returning @15 :Bool;
+  goesOn @16 :Bool;
 }
 
 struct Decision {
