--- a/crates/peer/src/node/census.rs
+++ b/crates/peer/src/node/census.rs
@@ -12,42 +12,42 @@
 /// which take a second at most, and some delay.
 const SILENT_MS: u64 = 3_000;
 
-/// An instance that watches here.
+/// The last question of an instance that watches here.
 #[derive(Clone, Copy, Debug)]
-struct Watching {
+struct Poll {
     revision: u64,
     asked_ms: u64,
 }
 
-/// The instances that watch here and hold no replica.
+/// The last questions of instances that watch here and hold no replica.
 #[derive(Debug, Default)]
-pub(super) struct Watchers {
-    by_name: BTreeMap<InstanceName, Watching>,
+pub(super) struct Polls {
+    by_instance: BTreeMap<InstanceName, Poll>,
 }
 
-impl Watchers {
+impl Polls {
     /// Notes that an instance asked, and the revision that it has.
     pub(super) fn note(&mut self, now_ms: u64, instance: &InstanceName, revision: u64) {
-        let watching = Watching { revision, asked_ms: now_ms };
-        if self.by_name.insert(instance.clone(), watching).is_none() {
-            self.by_name.retain(|_, watching| now_ms < watching.asked_ms + REMEMBER_MS);
+        let poll = Poll { revision, asked_ms: now_ms };
+        if self.by_instance.insert(instance.clone(), poll).is_none() {
+            self.by_instance.retain(|_, poll| now_ms < poll.asked_ms + REMEMBER_MS);
         }
     }
 
     fn seen(&self, now_ms: u64) -> impl Iterator<Item = SeenInstance> {
-        self.by_name.iter().map(move |(name, watching)| SeenInstance {
-            instance: name.clone(),
+        self.by_instance.iter().map(move |(instance, poll)| SeenInstance {
+            instance: instance.clone(),
             holds_replica: false,
-            revision_in_force: watching.revision,
-            is_live: now_ms < watching.asked_ms + SILENT_MS,
+            revision_in_force: poll.revision,
+            is_live: now_ms < poll.asked_ms + SILENT_MS,
         })
     }
 }
 
 impl Node {
-    /// Notes that an instance without a replica watches here.
-    pub(crate) fn note_watching(&self, instance: &InstanceName, revision: u64) {
-        self.watching.borrow_mut().note(self.clock.now_ms(), instance, revision);
+    /// Notes that an instance without a replica asked, and the revision that it has.
+    pub(crate) fn note_poll(&self, instance: &InstanceName, revision: u64) {
+        self.polls.borrow_mut().note(self.clock.now_ms(), instance, revision);
     }
 
     /// Returns what is known here.
@@ -60,7 +60,7 @@
             heard_by: core.directory.watcher_of(&record.endpoint).unwrap_or(own).clone(),
         });
         let mut instances = replicas(&core, now_ms);
-        instances.extend(self.watching.borrow().seen(now_ms));
+        instances.extend(self.polls.borrow().seen(now_ms));
         Census { revision: core.state.revision, endpoints: endpoints.collect(), instances }
     }
 }
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -2,7 +2,7 @@
 
 use super::{Core, Node};
 use crate::tally::Tally;
-use crate::watch::{self, HeardFrom, News, Watcher};
+use crate::watch::{self, HeardFrom, News, REVISION_BY_LOG, Watcher};
 use lycheehub_control::directory::pace::{self, Behind};
 use lycheehub_control::directory::{Changes, Heard, LEASE_MS, Listing};
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
@@ -234,8 +234,7 @@
     }
 
     fn revision(&self) -> u64 {
-        // A replica gets changes of the state by the log.
-        u64::MAX
+        REVISION_BY_LOG
     }
 
     fn address_of(&self, peer: &InstanceName) -> Option<SmolStr> {
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -76,8 +76,8 @@
     announced_leader: RefCell<Option<InstanceName>>,
     /// How many watch this instance.
     watchers: Cell<usize>,
-    /// The instances without a replica that watch this one.
-    watching: RefCell<census::Watchers>,
+    /// The last questions of instances without a replica that watch this one.
+    polls: RefCell<census::Polls>,
     /// The replicas whose directories are watched.
     watched: RefCell<BTreeSet<InstanceName>>,
     /// How far those have told what they heard.
@@ -200,7 +200,7 @@
             started_ms: clock.now_ms(),
             announced_leader: RefCell::default(),
             watchers: Cell::new(0),
-            watching: RefCell::default(),
+            polls: RefCell::default(),
             watched: RefCell::default(),
             heard_from: HeardFrom::default(),
             placing: RefCell::default(),
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -4,6 +4,7 @@
 use crate::count::Counted;
 use crate::link::MESSAGE_MAX_WORDS;
 use crate::node::{Node, SessionKey, Told};
+use crate::watch::REVISION_BY_LOG;
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use lycheehub_consensus::{Message, ReplicaId};
@@ -202,10 +203,9 @@
             revision: params.get_revision(),
             leader: (!leader.is_empty()).then(|| InstanceName::new(leader)),
         };
-        // A replica asks for changes of endpoints only.
-        if told.revision != u64::MAX {
+        if told.revision != REVISION_BY_LOG {
             let sender = InstanceName::from(text(params.get_sender())?);
-            self.node.note_watching(&sender, told.revision);
+            self.node.note_poll(&sender, told.revision);
         }
         let watched = self.node.watched(&told, u64::from(params.get_wait_ms())).await;
         let mut reply = results.get();
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -21,6 +21,9 @@
 /// How long to wait before a replica that did not answer is asked again, in milliseconds.
 const ASK_AGAIN_MS: u64 = 150;
 
+/// The revision that a replica says it has: it gets changes of the state by the log.
+pub(crate) const REVISION_BY_LOG: u64 = u64::MAX;
+
 /// What a replica tells of itself.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct News {
