refactor(proxy): one place decides how a request without an endpoint ends

The loop over endpoints now breaks with the refusal, and `give_up` decides once: cut, the kept answer, outcome unknown, or the refusal itself. Three copies of sending a last answer are one. No behaviour changes, but for the words of one debug line.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -85,9 +85,7 @@
         Error::Io(_) | Error::Closed | Error::Cut => return,
     };
     let refusal = Refusal::new(kind, error.to_string());
-    if let Err(error) = connection.send(&own::refusal(entry, "", &refusal, false)).await {
-        spdlog::debug!("caller left before its refusal", kv: { error: });
-    }
+    own::send_last(connection, &own::refusal(entry, "", &refusal, false), false).await;
 }
 
 impl Exchange<'_> {
@@ -127,17 +125,14 @@
         let mut held: Option<Held> = None;
         let mut unreached = 0;
         let mut may_have_run = false;
-        loop {
+        let refusal = loop {
             let goes_on = stream.has_begun();
             let placed = match self.place(connection, identified, &tried, goes_on).await {
                 Ok(placed) => placed,
                 Err(Stopped::Interrupted(why)) => {
                     return self.interrupted(connection, why, may_have_run, &stream).await;
                 }
-                Err(Stopped::Refused(refusal)) if may_have_run || stream.has_begun() => {
-                    return self.give_up(connection, held, &stream, &refusal).await;
-                }
-                Err(Stopped::Refused(refusal)) => return self.refuse(connection, &refusal).await,
+                Err(Stopped::Refused(refusal)) => break refusal,
             };
             let last = tried.len() as u32 + 1 >= identified.route.attempts_max;
             let end = self.attempt(connection, identified, placed, &mut stream, last).await;
@@ -149,11 +144,7 @@
                 AttemptEnd::NotSent(endpoint) => {
                     unreached += 1;
                     if unreached >= UNREACHED_MAX {
-                        let refusal = self.unreached(&endpoint);
-                        if may_have_run || stream.has_begun() {
-                            return self.give_up(connection, held, &stream, &refusal).await;
-                        }
-                        return self.refuse(connection, &refusal).await;
+                        break self.unreached(&endpoint);
                     }
                 }
                 AttemptEnd::NotRun { endpoint, retry_after_ms } => {
@@ -161,11 +152,7 @@
                     if last {
                         let kind = RefusalKind::Overloaded;
                         let message = "the endpoint did not take the request";
-                        let refusal = Refusal::retry(kind, message, retry_after_ms);
-                        if may_have_run || stream.has_begun() {
-                            return self.give_up(connection, held, &stream, &refusal).await;
-                        }
-                        return self.refuse(connection, &refusal).await;
+                        break Refusal::retry(kind, message, retry_after_ms);
                     }
                 }
                 AttemptEnd::Failed { endpoint, answer } => {
@@ -173,12 +160,12 @@
                     may_have_run = true;
                     held = answer.or(held);
                     if last || !identified.route.kind.may_repeat() {
-                        let refusal = self.outcome_unknown(identified.route.kind);
-                        return self.give_up(connection, held, &stream, &refusal).await;
+                        break self.outcome_unknown(identified.route.kind);
                     }
                 }
             }
-        }
+        };
+        self.give_up(connection, held, may_have_run, &stream, &refusal).await
     }
 
     fn unreached(&self, endpoint: &EndpointName) -> Refusal {
--- a/crates/proxy/src/exchange/own.rs
+++ b/crates/proxy/src/exchange/own.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// Sends a whole answer; tells whether the connection can be used for another request.
+pub(super) async fn send_last(caller: &mut Connection, bytes: &[u8], keeps_alive: bool) -> bool {
+    match caller.send(bytes).await {
+        Ok(()) => keeps_alive,
+        Err(error) => {
+            spdlog::debug!("caller left before its answer", kv: { error: });
+            false
+        }
+    }
+}
+
 impl Exchange<'_> {
     /// Whether the caller's connection can be used after this answer.
     pub(super) fn keeps_alive(&self) -> bool {
@@ -53,21 +64,17 @@
         self.trail.note_refusal(refused);
         let keeps_alive = self.keeps_alive();
         let bytes = refusal(self.entry, &self.fields.id, refused, keeps_alive);
-        match connection.send(&bytes).await {
-            Ok(()) => keeps_alive,
-            Err(error) => {
-                spdlog::debug!("caller left before its refusal", kv: { error: });
-                false
-            }
-        }
+        send_last(connection, &bytes, keeps_alive).await
     }
 
-    /// Ends a request that no further endpoint is asked for: by the last whole answer that an
-    /// endpoint gave, if there is one. A stream that has begun is cut off.
+    /// Ends a request that no further endpoint is asked for, since it was `refused` another one. A
+    /// stream that has begun is cut off. What may have run is answered by the last whole answer that
+    /// an endpoint gave, if there is one; only what has not run is told to come back.
     pub(super) async fn give_up(
         &mut self,
         connection: &mut Connection,
         held: Option<Held>,
+        may_have_run: bool,
         stream: &StreamState,
         refused: &Refusal,
     ) -> bool {
@@ -75,15 +82,14 @@
             self.trail.note_end("cut");
             return false;
         }
-        match held {
-            Some(held) => self.relay_held(connection, &held).await,
-            None => {
-                // An endpoint may have run it, whatever kept it from being sent to another one.
-                let kind = RefusalKind::OutcomeUnknown;
-                let unknown = Refusal::new(kind, refused.message());
-                self.refuse(connection, &unknown).await
-            }
+        if let Some(held) = held {
+            return self.relay_held(connection, &held).await;
+        }
+        if may_have_run {
+            let unknown = Refusal::new(RefusalKind::OutcomeUnknown, refused.message());
+            return self.refuse(connection, &unknown).await;
         }
+        self.refuse(connection, refused).await
     }
 
     /// Ends a request whose caller has left or whose time is over.
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -3,6 +3,7 @@
 use super::Exchange;
 use super::attempt::{Attempt, AttemptEnd, Held};
 use super::guard::guard;
+use super::own::send_last;
 use crate::http1::{Body, Connection, Error, Event, Events, Framing, ResponseHead};
 use futures_lite::AsyncWriteExt;
 use lycheehub_clock::within;
@@ -59,13 +60,7 @@
         bytes.extend_from_slice(&held.body);
         self.trail.note_status(held.head.status);
         self.trail.note_first_byte(self.entry.clock.now_ms());
-        match caller.send(&bytes).await {
-            Ok(()) => keeps_alive,
-            Err(error) => {
-                spdlog::debug!("caller left before its answer", kv: { error: });
-                false
-            }
-        }
+        send_last(caller, &bytes, keeps_alive).await
     }
 
     /// Passes on a long answer that is no stream; where it breaks off, so does the caller's.
