refactor(control,peer): derive what stood twice in telling changes

* Where a replica stands was kept in the watcher's cursor and beside it in the map of all replicas; the map is enough.
* An instance's lease was looked up in three ways; `Known::is_live` serves all.
* Both lists of changes are kept by one type that adds and forgets.
* What one that watches does not know is worked out only where it waits.
No behaviour changes.

--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -7,6 +7,7 @@
 pub mod pace;
 mod tell;
 
+use tell::Order;
 pub use tell::{Changes, Heard};
 
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
@@ -76,10 +77,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     entries: BTreeMap<EndpointName, Entry>,
-    /// The endpoints of which the last change was heard here, by its number.
-    own_changes: BTreeMap<u64, EndpointName>,
-    /// The endpoints of which another replica told it, by its number.
-    told_changes: BTreeMap<u64, EndpointName>,
+    order: Order,
     change: u64,
     /// When each peer that is no longer heard was heard last, in milliseconds.
     silent_since_ms: BTreeMap<InstanceName, u64>,
@@ -201,7 +199,7 @@
         let withdrawn_later = same && listing.withdrawn && !known.listing.withdrawn;
         if !newer && !withdrawn_later {
             if old == new && known.source == Source::Relayed {
-                // Whoever heard it goes before one that was told.
+                // Whoever heard it goes before one that was told, and of those the last one does.
                 known.watcher = watcher;
                 known.source = source.clone();
             }
@@ -216,15 +214,10 @@
     fn insert(&mut self, now_ms: u64, listing: Listing, watcher: Watcher, source: Source) -> bool {
         self.change += 1;
         let endpoint = listing.record.endpoint.clone();
-        let changes = match source {
-            Source::Own => &mut self.own_changes,
-            Source::Heard(..) | Source::Relayed => &mut self.told_changes,
-        };
-        changes.insert(self.change, endpoint.clone());
+        self.order.add(self.change, endpoint.clone(), &source);
         let entry = Entry { listing, watcher, source, change: self.change, changed_ms: now_ms };
         if let Some(before) = self.entries.insert(endpoint, entry) {
-            self.own_changes.remove(&before.change);
-            self.told_changes.remove(&before.change);
+            self.order.forget(before.change);
         }
         true
     }
@@ -259,7 +252,7 @@
             since_ms.is_some_and(|since_ms| now_ms >= since_ms + ORPHAN_MS)
         };
         let old = |entry: &Entry| entry.listing.gone && now_ms >= entry.changed_ms + FORGET_MS;
-        let (own_changes, told_changes) = (&mut self.own_changes, &mut self.told_changes);
+        let order = &mut self.order;
         self.entries.retain(|name, entry| {
             let is_lost = is_orphan(entry) && !entry.listing.gone;
             let is_forgotten = is_lost || old(entry);
@@ -267,8 +260,7 @@
                 over.push(name.clone());
             }
             if is_forgotten {
-                own_changes.remove(&entry.change);
-                told_changes.remove(&entry.change);
+                order.forget(entry.change);
             }
             !is_forgotten
         });
--- a/crates/control/src/directory/tell.rs
+++ b/crates/control/src/directory/tell.rs
@@ -7,7 +7,7 @@
 //! some time after it came.
 
 use super::{Directory, Entry, Listing, Source};
-use lycheehub_types::InstanceName;
+use lycheehub_types::{EndpointName, InstanceName};
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
@@ -35,13 +35,38 @@
     pub up_to: u64,
 }
 
+/// The endpoints by the numbers of their last changes.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Order {
+    /// Of those changes that were heard here.
+    own: BTreeMap<u64, EndpointName>,
+    /// Of those that other replicas told.
+    told: BTreeMap<u64, EndpointName>,
+}
+
+impl Order {
+    pub(super) fn add(&mut self, change: u64, endpoint: EndpointName, source: &Source) {
+        let changes = match source {
+            Source::Own => &mut self.own,
+            Source::Heard(..) | Source::Relayed => &mut self.told,
+        };
+        changes.insert(change, endpoint);
+    }
+
+    pub(super) fn forget(&mut self, change: u64) {
+        self.own.remove(&change);
+        self.told.remove(&change);
+    }
+}
+
 impl Directory {
     /// Returns what was heard here after the change of number `change`, the oldest changes first, at
     /// most `most` of them.
     pub fn own_after(&self, change: u64, most: usize) -> Changes {
-        let changed: Vec<&Entry> = self.own_later(change).take(most).collect();
+        let changed: Vec<&Entry> = self.later(&self.order.own, change).take(most).collect();
         let up_to = changed.last().map_or(change, |entry| entry.change);
-        Changes { listings: listings(changed), up_to }
+        let listings = changed.into_iter().map(|entry| entry.listing.clone()).collect();
+        Changes { listings, up_to }
     }
 
     /// Returns what other replicas told after the change of number `change`, at most `most` of it,
@@ -60,8 +85,7 @@
                 !heard.get(replica).is_some_and(|heard| heard.covers(*up_to))
             }
         };
-        let later = self.told_changes.range((Bound::Excluded(change), Bound::Unbounded));
-        let told = later.filter_map(|(_, name)| self.entries.get(name));
+        let told = self.later(&self.order.told, change);
         let mut changes = Changes { listings: Vec::new(), up_to: change };
         for entry in told.take_while(|entry| entry.changed_ms <= before_ms) {
             if changes.listings.len() == most {
@@ -78,17 +102,17 @@
     /// Returns how many changes were heard here after the one of number `change`, up to `most`, and
     /// when the oldest of them came, in milliseconds.
     pub fn own_news(&self, change: u64, most: usize) -> Option<(usize, u64)> {
-        let mut own = self.own_later(change).take(most);
+        let mut own = self.later(&self.order.own, change).take(most);
         let oldest_ms = own.next()?.changed_ms;
         Some((1 + own.count(), oldest_ms))
     }
 
-    fn own_later(&self, change: u64) -> impl Iterator<Item = &Entry> {
-        let later = self.own_changes.range((Bound::Excluded(change), Bound::Unbounded));
+    fn later<'a>(
+        &'a self,
+        changes: &'a BTreeMap<u64, EndpointName>,
+        change: u64,
+    ) -> impl Iterator<Item = &'a Entry> {
+        let later = changes.range((Bound::Excluded(change), Bound::Unbounded));
         later.filter_map(|(_, name)| self.entries.get(name))
     }
 }
-
-fn listings(changed: Vec<&Entry>) -> Vec<Listing> {
-    changed.into_iter().map(|entry| entry.listing.clone()).collect()
-}
--- a/crates/control/src/registry/mod.rs
+++ b/crates/control/src/registry/mod.rs
@@ -30,6 +30,13 @@
     described: u64,
 }
 
+impl Known<InstanceRecord> {
+    /// Tells whether the instance's lease holds.
+    pub fn is_live(&self, now_ms: u64) -> bool {
+        now_ms < self.made_ms + INSTANCE_LEASE_MS
+    }
+}
+
 /// All instances and endpoints that an instance has heard of.
 ///
 /// # Examples
@@ -108,8 +115,7 @@
 
     /// Returns the instances whose lease holds.
     pub fn live_instances(&self, now_ms: u64) -> impl Iterator<Item = &Known<InstanceRecord>> {
-        let live = move |known: &&Known<InstanceRecord>| now_ms < known.made_ms + INSTANCE_LEASE_MS;
-        self.instances.values().filter(live)
+        self.instances.values().filter(move |known| known.is_live(now_ms))
     }
 
     /// Returns all instances that are remembered.
--- a/crates/peer/src/node/census.rs
+++ b/crates/peer/src/node/census.rs
@@ -59,23 +59,22 @@
             record: record.clone(),
             heard_by: core.directory.watcher_of(&record.endpoint).unwrap_or(own).clone(),
         });
-        let mut instances = replicas(&core, now_ms);
-        instances.extend(self.polls.borrow().seen(now_ms));
-        Census { revision: core.state.revision, endpoints: endpoints.collect(), instances }
+        let polls = self.polls.borrow();
+        let instances = replicas(&core, now_ms).chain(polls.seen(now_ms));
+        Census {
+            revision: core.state.revision,
+            endpoints: endpoints.collect(),
+            instances: instances.collect(),
+        }
     }
 }
 
-fn replicas(core: &Core, now_ms: u64) -> Vec<SeenInstance> {
-    let live: Vec<&InstanceName> =
-        core.registry.live_instances(now_ms).map(|known| &known.record.instance).collect();
-    let seen = core.registry.instances().map(|known| &known.record);
-    let replicas = seen.filter(|record| record.replica_id != 0);
-    replicas
-        .map(|record| SeenInstance {
-            instance: record.instance.clone(),
-            holds_replica: true,
-            revision_in_force: record.revision_in_force,
-            is_live: live.contains(&&record.instance),
-        })
-        .collect()
+fn replicas(core: &Core, now_ms: u64) -> impl Iterator<Item = SeenInstance> {
+    let replicas = core.registry.instances().filter(|known| known.record.replica_id != 0);
+    replicas.map(move |known| SeenInstance {
+        instance: known.record.instance.clone(),
+        holds_replica: true,
+        revision_in_force: known.record.revision_in_force,
+        is_live: known.is_live(now_ms),
+    })
 }
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -129,12 +129,8 @@
     pub(crate) async fn watched(&self, told: &Told, wait_ms: u64) -> Watched {
         let _watching = Tally::new(&self.watchers);
         let relays = self.relays(told);
-        if relays.listings.is_empty() && self.behind(told) == Behind::Nothing {
-            self.wait_for_news(wait_ms).await;
-        }
-        let gather_ms = pace::gather_ms(self.behind(told), self.watchers.get());
-        if relays.listings.is_empty() && gather_ms > 0 {
-            Timer::after(Duration::from_millis(gather_ms)).await;
+        if relays.listings.is_empty() {
+            self.gather_news(told, wait_ms).await;
         }
         let core = self.core.borrow();
         let epoch = core.own.incarnation;
@@ -151,6 +147,17 @@
         }
     }
 
+    /// Waits until there is news, and until more has come together.
+    async fn gather_news(&self, told: &Told, wait_ms: u64) {
+        if self.behind(told) == Behind::Nothing {
+            self.wait_for_news(wait_ms).await;
+        }
+        let gather_ms = pace::gather_ms(self.behind(told), self.watchers.get());
+        if gather_ms > 0 {
+            Timer::after(Duration::from_millis(gather_ms)).await;
+        }
+    }
+
     /// Returns what others told this instance and one that watches has not heard from them.
     fn relays(&self, told: &Told) -> Changes {
         let core = self.core.borrow();
--- a/crates/peer/src/node/publish.rs
+++ b/crates/peer/src/node/publish.rs
@@ -24,10 +24,8 @@
 }
 
 pub(super) fn view_of(core: &Core, now_ms: u64) -> View {
-    let instances = core.registry.instances().map(|known| {
-        let live = now_ms < known.made_ms + lycheehub_control::registry::INSTANCE_LEASE_MS;
-        (known.record.clone(), live)
-    });
+    let instances =
+        core.registry.instances().map(|known| (known.record.clone(), known.is_live(now_ms)));
     let mut view = View {
         revision: core.state.revision,
         estate: core.state.estate.clone(),
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -60,11 +60,9 @@
     fn silent(&self, peer: &InstanceName);
 }
 
-/// What a replica has told last.
+/// What a replica has told last, but for what it heard itself.
 #[derive(Clone, Debug, Default)]
 struct Cursor {
-    /// How far it has told what it heard itself.
-    heard: Heard,
     /// The number of its last change of which it has told what others told it.
     relayed: u64,
     /// The leader that it follows.
@@ -115,17 +113,15 @@
     cursor: &mut Cursor,
 ) -> Result<News, PeerError> {
     const STEP: &str = "watch";
-    let question = Question {
-        sender: links.own_name(),
-        told: cursor,
-        heard: watcher.heard_from().borrow().clone(),
-        revision: watcher.revision(),
-    };
+    let heard = watcher.heard_from().borrow().clone();
+    let before = heard.get(to).copied().unwrap_or_default();
+    let sender = links.own_name();
+    let question = Question { sender, told: cursor, before, heard, revision: watcher.revision() };
     let timeout_ms = u64::from(WAIT_MS) + ANSWER_MS;
     let ask = |peer| ask_peer(peer, &question);
     let (now, mut news) = links.call(STEP, to, watcher.address_of(to), timeout_ms, ask).await?;
-    news.restarted = cursor.heard.epoch != 0 && cursor.heard.epoch != now.heard.epoch;
-    watcher.heard_from().borrow_mut().insert(to.clone(), now.heard);
+    news.restarted = before.epoch != 0 && before.epoch != news.heard.epoch;
+    watcher.heard_from().borrow_mut().insert(to.clone(), news.heard);
     *cursor = now;
     Ok(news)
 }
@@ -134,6 +130,9 @@
 struct Question<'a> {
     sender: &'a str,
     told: &'a Cursor,
+    /// How far this replica has told what it heard itself.
+    before: Heard,
+    /// How far all replicas have.
     heard: BTreeMap<InstanceName, Heard>,
     revision: u64,
 }
@@ -146,8 +145,8 @@
     let mut params = request.get();
     let told = question.told;
     params.set_sender(question.sender);
-    params.set_epoch(told.heard.epoch);
-    params.set_change(told.heard.change);
+    params.set_epoch(question.before.epoch);
+    params.set_change(question.before.change);
     params.set_relayed(told.relayed);
     params.set_revision(question.revision);
     params.set_wait_ms(WAIT_MS);
@@ -164,9 +163,8 @@
         replicas.push((name, text(replica.get_address())?));
     }
     let leader = text(reply.get_leader())?;
-    let heard = Heard { epoch: reply.get_epoch(), change: reply.get_change() };
     let news = News {
-        heard,
+        heard: Heard { epoch: reply.get_epoch(), change: reply.get_change() },
         listings: read_listings(reply.get_listings()?)?,
         relays: read_listings(reply.get_relays()?)?,
         revision: reply.get_revision(),
@@ -174,6 +172,5 @@
         replicas,
         restarted: false,
     };
-    let (relayed, leader) = (reply.get_relayed(), news.leader.clone());
-    Ok((Cursor { heard, relayed, leader }, news))
+    Ok((Cursor { relayed: reply.get_relayed(), leader: news.leader.clone() }, news))
 }
