refactor(cli): lists answer by the gateway's JSON response

`gateway::http::json` makes such a response already. What does not encode is now an empty answer of status 200, as for the project's own calls; none of these types can fail to.

--- a/crates/cli/src/roles/lists.rs
+++ b/crates/cli/src/roles/lists.rs
@@ -1,6 +1,7 @@
 //! What operators read of a control instance: endpoints and instances.
 
-use http_types::{Body, Method, Request, Response, StatusCode};
+use http_types::{Method, Request, Response, StatusCode};
+use lycheehub_gateway::http::json;
 use lycheehub_peer::{Census, Control, SeenEndpoint, SeenInstance};
 use lycheehub_types::{EndpointRecord, InstanceName};
 use serde::Serialize;
@@ -71,22 +72,11 @@
     let Some(census) = control.census().await else {
         return Some(Response::new(StatusCode::ServiceUnavailable));
     };
-    let body = match path {
+    Some(match path {
         "endpoints" => {
             let endpoints = census.endpoints.iter().map(Endpoint::from).collect();
-            Body::from_json(&Endpoints { endpoints })
-        }
-        _ => Body::from_json(&Instances::from(&census)),
-    };
-    Some(match body {
-        Ok(body) => {
-            let mut response = Response::new(StatusCode::Ok);
-            response.set_body(body);
-            response
-        }
-        Err(error) => {
-            spdlog::warn!("list not written", kv: { path, error: });
-            Response::new(StatusCode::InternalServerError)
+            json(200, &Endpoints { endpoints })
         }
+        _ => json(200, &Instances::from(&census)),
     })
 }
