--- a/crates/consensus/tests/consensus/world/mod.rs
+++ b/crates/consensus/tests/consensus/world/mod.rs
@@ -4,6 +4,11 @@
 //! term has two leaders, no two replicas hold a lease at once, and no read misses what was
 //! committed before it began.
 
+mod checks;
+mod steps;
+
+pub use steps::{Planted, Step};
+
 use lycheehub_consensus::{
     Action, Config, Entry, Message, Options, Payload, Persisted, Position, Replica, ReplicaId,
     Role, Snapshot, Vote,
@@ -11,73 +16,6 @@
 use lycheehub_types::InstanceName;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A fault that is built in on purpose, to show that the checks catch it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Planted {
-    None,
-    /// The vote is not stored.
-    VoteNotStored,
-    /// Entries are acknowledged before they are stored.
-    AckBeforeStore,
-    /// A replica that lost its disk keeps its identity and so its vote.
-    LostDiskVotes,
-    /// A restarted replica votes at once, though it may have promised a leader not to.
-    RestartVotesAtOnce,
-    /// A leader acts without looking at its lease.
-    LeaseIgnored,
-    /// A read is answered without asking a quorum.
-    ReadWithoutQuorum,
-    /// The clock does not count the time for which a process is frozen.
-    FrozenClock,
-}
-
-/// A step of a schedule.
-#[derive(Clone, Copy, Debug)]
-pub enum Step {
-    /// Time passes and all replicas tick.
-    Pass(u16),
-    /// Time passes while messages are delivered soon.
-    Run(u16),
-    /// A message is delivered.
-    Deliver(u16),
-    /// All messages under way are delivered, with the answers to them.
-    DeliverAll,
-    /// A message is lost.
-    Lose(u16),
-    /// A message is delivered and stays under way.
-    Repeat(u16),
-    /// The next step of a replica is cut short by a crash after this many actions.
-    CrashAfter(u8, u8),
-    /// A replica crashes.
-    Crash(u8),
-    /// A crashed replica starts again.
-    Restart(u8),
-    /// A replica loses its disk.
-    LoseDisk(u8),
-    /// An operator's command comes in.
-    Propose(u8),
-    /// A read comes in.
-    Read(u8),
-    /// Messages from one replica to another are cut off.
-    Cut(u8, u8),
-    /// Two replicas are cut off from each other.
-    Part(u8, u8),
-    /// A replica is cut off from all others.
-    Isolate(u8),
-    /// A process is frozen.
-    Freeze(u8),
-    /// All frozen processes go on.
-    Thaw,
-    /// A replica crashes and starts again at once.
-    Bounce(u8),
-    /// All cuts end.
-    Heal,
-    /// The applied log is compacted.
-    Compact(u8),
-    /// The leader hands over.
-    HandOver(u8),
-}
-
 struct Node {
     id: ReplicaId,
     name: InstanceName,
@@ -420,49 +358,6 @@
         }
     }
 
-    fn note_applied(&mut self, at: usize, entry: Entry) {
-        let index = entry.position.index;
-        if let Payload::Command(command) = &entry.payload {
-            self.nodes[at].applied.push((index, command.clone()));
-        }
-        match self.committed.get(&index) {
-            Some(other) if *other != entry => {
-                self.violations.push(format!("index {index} was committed twice, differently"));
-            }
-            Some(_) => {}
-            None => {
-                self.committed.insert(index, entry);
-            }
-        }
-    }
-
-    fn check_read(&mut self, token: u64, index: u64) {
-        let Some(before) = self.reads.remove(&token) else { return };
-        if index < before {
-            self.violations
-                .push(format!("a read saw {index}, though {before} was committed before"));
-        }
-    }
-
-    fn check_leases(&mut self) {
-        let holds = |at: &usize| {
-            let local_ms = self.local_ms(*at);
-            let replica = self.nodes[*at].replica.as_ref().filter(|_| !self.nodes[*at].frozen);
-            replica.is_some_and(|replica| match self.planted {
-                Planted::LeaseIgnored => replica.is_established(),
-                _ => replica.holds_lease(local_ms),
-            })
-        };
-        let holders: Vec<usize> = (0..SIZE).filter(holds).collect();
-        if holders.len() > 1 {
-            self.violations.push(format!(
-                "{} replicas hold the lease at {} ms",
-                holders.len(),
-                self.now_ms
-            ));
-        }
-    }
-
     /// Ends all faults and lets the replicas run; tells whether a command is then committed.
     pub fn settles(&mut self) -> bool {
         const ROUNDS: usize = 400;
