--- a/crates/gateway/src/http/error.rs
+++ b/crates/gateway/src/http/error.rs
@@ -22,8 +22,12 @@
 /// Makes a JSON response.
 pub fn json(status: u16, body: &impl Serialize) -> Response {
     let code = StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError);
+    let body = serde_json::to_vec(body).unwrap_or_else(|error| {
+        spdlog::warn!("answer not encoded: sent without a body", kv: { status, error: });
+        Vec::new()
+    });
     let mut response = Response::new(code);
-    response.set_body(serde_json::to_vec(body).unwrap_or_default());
+    response.set_body(body);
     response.set_content_type(mime::JSON);
     response
 }
