fix(peer): a log line says when a change of the voters is committed

Cause, traced on the disks that were left: neither surviving log holds the entry that adds the first replica's new identity. The test takes `voters change` for the end of the repair, and so did OPERATORS.md; the leader writes that line when it proposes the change. Here it was killed and its disk wiped, as the second one, before anything was sent. Two of three copies were lost before the repair was done, which is not promised to be borne.

Change: `voters in force` is logged where the change is applied, on every replica. The test's assertions are as they were.

Ruled out: load alone. The read waited for an election that no replica could win; it would have failed as well after any time.

The window is some milliseconds; the one failure above is the only one seen.

--- a/crates/cli/tests/cli/control.rs
+++ b/crates/cli/tests/cli/control.rs
@@ -93,7 +93,7 @@
         let others: Vec<usize> = (0..3).filter(|other| *other != at).collect();
         eventually(PATIENCE, || {
             let log = site.cluster.log(leader(&site.cluster, &others));
-            log.matches("voters change { voters=3").count() > 0
+            log.matches("voters in force { voters=3").count() > 0
         })
     };
     assert!(repaired(&site, 0));
--- a/crates/peer/src/node/driver.rs
+++ b/crates/peer/src/node/driver.rs
@@ -143,7 +143,12 @@
                 self.applied_bytes += bytes.len();
                 apply_command(position.index, &bytes, state)
             }
-            Payload::Noop | Payload::Config(_) => None,
+            Payload::Config(config) => {
+                let voters = config.voters.len() as u64;
+                spdlog::info!("voters in force", kv: { voters, index = position.index });
+                None
+            }
+            Payload::Noop => None,
         };
         self.answer(position, reply);
         state.revision != before
