--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -92,7 +92,9 @@
         let endpoint = &self.endpoints[key];
         let first_byte_ms = endpoint.first_byte_ms(now_ms, job);
         let is_late = left_ms > SLOT_WAIT_MS && first_byte_ms > left_ms;
-        let overruns = endpoint.overrun_chance(first_byte_ms, events, ends_ms) > OVERRUN_MAX;
+        let overrun = endpoint.overrun_chance(first_byte_ms, events, ends_ms);
+        let overruns = overrun > OVERRUN_MAX;
+        let little = OVERRUN_LITTLE.max(overrun / 2.0);
         if !is_late && !overruns {
             return false;
         }
@@ -103,7 +105,7 @@
             }
             let first_byte_ms = other.first_byte_ms(now_ms, job);
             let is_on_time = first_byte_ms + SLOT_WAIT_MS <= left_ms;
-            let ends = || other.overrun_chance(first_byte_ms, events, ends_ms) < OVERRUN_LITTLE;
+            let ends = || other.overrun_chance(first_byte_ms, events, ends_ms) < little;
             (!is_late || is_on_time) && (!overruns || ends())
         })
     }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -39,6 +39,8 @@
     engine: Option<EngineSpec>,
     /// The mean speed of its endpoints.
     speed: Speed,
+    /// The speed of the fastest of them.
+    fastest: Speed,
     /// How long a job is likely to hold a slot, as a mean, in milliseconds; 0 until one came.
     slot_ms: f64,
     /// The highest tier that was shed of late, with until when nothing below it is admitted, in
@@ -58,6 +60,21 @@
         self.slot_ms
     }
 
+    /// Returns for how long so many slots are needed by all that waits, in milliseconds.
+    fn backlog_ms(&self, slots: usize) -> u64 {
+        self.queue.ahead_ms(u8::MAX, u8::MAX) / slots.max(1) as u64
+    }
+
+    /// Returns how long `job` holds a slot of an endpoint that is so fast, in milliseconds.
+    fn slot_ms_at(&self, speed: Speed, job: &Job) -> f64 {
+        let first_byte_ms = speed.prefill_ms(job.prompt_tokens) + speed.answer_ms();
+        let rest_ms = match job.output_tokens {
+            0 => 0.0,
+            tokens => speed.events_ms(self.events_of(tokens)),
+        };
+        (first_byte_ms + rest_ms).max(1.0)
+    }
+
     /// Returns how many events an answer of `output_tokens` has.
     fn events_of(&self, output_tokens: u32) -> f64 {
         let per_event = self.engine.map_or(1, |engine| engine.tokens_per_event.max(1));
@@ -203,12 +220,8 @@
             return None;
         };
         let first_byte_ms = service.speed.prefill_ms(job.prompt_tokens) + service.speed.answer_ms();
-        let rest_ms = if job.output_tokens == 0 {
-            0.0
-        } else {
-            service.speed.events_ms(service.events_of(job.output_tokens))
-        };
-        let slot_ms = (first_byte_ms + rest_ms).max(1.0);
+        let slot_ms = service.slot_ms_at(service.speed, &job);
+        let least_slot_ms = service.slot_ms_at(service.fastest, &job);
         let is_short = slot_ms * SHORT_FACTOR <= service.note_slot_ms(slot_ms);
         Some(Waiting {
             is_short,
@@ -219,6 +232,7 @@
             deadline_ms: now_ms + job.deadline_left_ms,
             first_byte_ms: first_byte_ms as u64,
             slot_ms: slot_ms as u64,
+            least_slot_ms: least_slot_ms as u64,
             units,
             job,
         })
@@ -339,7 +353,8 @@
     fn learn_mean(&mut self, name: &ServiceName) {
         let Some(service) = self.services.get_mut(name) else { return };
         let speeds = service.endpoints.iter().map(|key| &self.endpoints[*key].speed);
-        service.speed = Speed::mean(speeds);
+        service.speed = Speed::mean(speeds.clone());
+        service.fastest = Speed::fastest(speeds);
     }
 
     /// Returns the decisions made since the last call.
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -3,8 +3,12 @@
 //! Load pattern: a burst of several seconds above capacity. What can no longer be on time is refused
 //! as soon as that is certain, unless the backlog is short, so that its caller knows at once when to
 //! come back and takes no slot from one that can be on time. Callers are told to come back spread
-//! over some seconds, after the time in which bursts end. One that has come back is kept for as long
-//! as it waits itself. While a tier is shed, nothing of a lower one is admitted.
+//! over some seconds, after the time in which bursts end. One that has come back is kept for a moment,
+//! though it is late. While a tier is shed, nothing of a lower one is admitted.
+//!
+//! Load pattern: answers a hundred to one in length, endpoints five to one in speed. An answer that
+//! only the fastest endpoints can end in time waits for one of them; where many wait, for whom those
+//! endpoints are as good, it is refused.
 
 use super::Dispatcher;
 use crate::job::{Decision, Job, Reason, Ticket};
@@ -32,11 +36,13 @@
     pub(super) fn overload_of(&mut self, now_ms: u64, waiting: &Waiting) -> Option<u64> {
         let job = &waiting.job;
         let queue_max = self.options.queue_max;
+        let slots = self.slots_of(&job.service);
         let service = self.services.get_mut(&job.service)?;
         service.floor = service.floor.filter(|(_, until_ms)| now_ms < *until_ms);
         let below_floor = service.floor.is_some_and(|(tier, _)| job.tier > tier);
         let full = service.queue.len() >= queue_max;
-        let hopeless = waiting.is_hopeless(now_ms) && !service.queue.is_empty();
+        let many_wait = service.backlog_ms(slots) > SHORT_BACKLOG_MS;
+        let hopeless = waiting.is_hopeless(now_ms, many_wait) && !service.queue.is_empty();
         (below_floor || full || hopeless).then(|| return_after_ms(waiting))
     }
 
@@ -49,15 +55,16 @@
 
     /// Refuses what can no longer be done in time.
     pub(super) fn shed(&mut self, now_ms: u64, name: &ServiceName) {
-        let slots = self.slots_of(name).max(1) as u64;
+        let slots = self.slots_of(name);
         let Some(service) = self.services.get_mut(name) else { return };
-        let mut shed = service.queue.take_if(|waiting| waiting.is_hopeless(now_ms));
+        let backlog_ms = service.backlog_ms(slots);
+        let many_wait = backlog_ms > SHORT_BACKLOG_MS;
+        let mut shed = service.queue.take_if(|waiting| waiting.is_hopeless(now_ms, many_wait));
         shed.extend(service.queue.take_overdue(now_ms));
-        let backlog_ms = service.queue.ahead_ms(u8::MAX, u8::MAX) / slots;
         let mut kept = Vec::new();
         for waiting in service.queue.take_expired(now_ms) {
             let job = &waiting.job;
-            let keep = backlog_ms <= SHORT_BACKLOG_MS || job.returning || job.goes_on;
+            let keep = !many_wait || job.returning || job.goes_on;
             if keep { kept.push(waiting) } else { shed.push(waiting) }
         }
         for waiting in kept {
--- a/crates/dispatch/src/endpoints/speed.rs
+++ b/crates/dispatch/src/endpoints/speed.rs
@@ -70,6 +70,22 @@
         self.answer_ms += weight * (seen_ms - self.answer_ms);
     }
 
+    /// Returns the times of the fastest of several endpoints: the least of each.
+    ///
+    /// # Examples
+    /// ```
+    /// use lycheehub_dispatch::endpoints::Speed;
+    /// assert_eq!(Speed::fastest([].into_iter()), Speed::default());
+    /// ```
+    pub fn fastest<'a>(known: impl Iterator<Item = &'a Self>) -> Self {
+        let least = |a: Self, b: Self| Self {
+            prefill_ms_per_token: a.prefill_ms_per_token.min(b.prefill_ms_per_token),
+            event_ms: a.event_ms.min(b.event_ms),
+            answer_ms: a.answer_ms.min(b.answer_ms),
+        };
+        known.copied().reduce(least).unwrap_or_default()
+    }
+
     /// Returns the mean of several endpoints' times, for one of which nothing is known.
     ///
     /// # Examples
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -6,6 +6,10 @@
 //! longer than the newest of them can wait, or jobs already run out of time, the newest goes first,
 //! so that what is served is served well on time and only what is left over runs out of time.
 //!
+//! Load pattern: bursts in which urgent requests are late themselves. They are served after urgent ones
+//! that can still be on time, and before all that is less urgent, which would otherwise be served more
+//! often than they are.
+//!
 //! Load pattern: short requests behind long ones. One that needs a small part of what others need
 //! delays them by little, and is served with the most urgent ones of its tier.
 //!
@@ -14,7 +18,7 @@
 //! served with the most urgent ones of its tier as well, and kept for some time when it is late.
 
 use crate::job::{Job, Ticket};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The part of the newest job's time within which a backlog must be done to be served by arrival.
 const BACKLOG_SHARE: f64 = 0.8;
@@ -55,6 +59,8 @@
     pub first_byte_ms: u64,
     /// How long it is likely to hold a slot, in milliseconds.
     pub slot_ms: u64,
+    /// How long it is likely to hold a slot of the fastest endpoint, in milliseconds.
+    pub least_slot_ms: u64,
     /// It needs little of what others need: it goes with the most urgent ones of its tier.
     pub is_short: bool,
     /// What it took of its account's quota.
@@ -67,11 +73,12 @@
         self.objective_ms.saturating_sub(self.first_byte_ms + self.reserve_ms())
     }
 
-    /// Tells whether the caller will have left, or the deadline will be over, before the answer.
-    pub fn is_hopeless(&self, now_ms: u64) -> bool {
+    /// Tells whether the caller will have left, or the deadline will be over, before the answer:
+    /// at any endpoint, or where many wait for the fastest ones, at the mean one.
+    pub fn is_hopeless(&self, now_ms: u64, many_wait: bool) -> bool {
         let first_ms = now_ms + 2 * self.first_byte_ms + LEAVE_RESERVE_MS;
-        first_ms >= self.patience_ms.min(self.deadline_ms)
-            || now_ms + self.slot_ms >= self.deadline_ms
+        let slot_ms = if many_wait { self.slot_ms } else { self.least_slot_ms };
+        first_ms >= self.patience_ms.min(self.deadline_ms) || now_ms + slot_ms >= self.deadline_ms
     }
 
     /// Returns the rank of the line in which the job waits.
@@ -82,7 +89,7 @@
     /// Tells whether the job could have been done in time when it came.
     pub fn had_time(&self) -> bool {
         const SOON_MS: u64 = 100;
-        !self.is_hopeless(self.since_ms + SOON_MS)
+        !self.is_hopeless(self.since_ms + SOON_MS, false)
     }
 
     fn reserve_ms(&self) -> u64 {
@@ -177,7 +184,11 @@
     }
 
     fn pop(&mut self, now_ms: u64, slots: usize) -> Option<Waiting> {
-        self.lines_mut().find_map(|line| line.pop(now_ms, slots))
+        let ranks: BTreeSet<u8> = self.on_time.keys().chain(self.late.keys()).copied().collect();
+        ranks.into_iter().find_map(|rank| {
+            let lines = [self.on_time.get_mut(&rank), self.late.get_mut(&rank)];
+            lines.into_iter().flatten().find_map(|line| line.pop(now_ms, slots))
+        })
     }
 }
 
--- a/crates/dispatch/tests/dispatch/overload.rs
+++ b/crates/dispatch/tests/dispatch/overload.rs
@@ -106,6 +106,33 @@
     expect_that!(served, gt(CAPACITY_PER_S * 0.75));
 }
 
+/// Returns the numbers of the jobs in the order in which one endpoint of one slot gets them.
+fn order_of(jobs: &[Job]) -> Vec<u64> {
+    let mut dispatcher = dispatcher(&[EndpointRecord { slots: 1, ..record("a", 1) }]);
+    dispatcher.submit(1_000, Job { rank: 0, ..job(0) });
+    for job in jobs {
+        dispatcher.submit(1_001, job.clone());
+    }
+    dispatcher.take_decisions();
+    let mut order = vec![0];
+    while order.len() <= jobs.len() {
+        let number = *order.last().unwrap();
+        dispatcher.withdraw(1_002, Ticket { instance: 1, number });
+        let decisions = dispatcher.take_decisions();
+        let [Decision::Place { ticket, .. }] = &decisions[..] else { panic!("{decisions:?}") };
+        order.push(ticket.number);
+    }
+    order.split_off(1)
+}
+
+#[gtest]
+fn urgent_requests_that_are_late_go_before_less_urgent_ones() {
+    let late = |number, rank| Job { rank, objective_left_ms: 0, returning: true, ..job(number) };
+    let in_time = |number, rank| Job { rank, ..job(number) };
+    let jobs = [in_time(1, 2), in_time(2, 1), late(3, 0), late(4, 1), in_time(5, 0)];
+    expect_that!(order_of(&jobs), elements_are![eq(&5), eq(&3), eq(&2), eq(&4), eq(&1)]);
+}
+
 #[gtest]
 fn long_prompts_are_not_starved_by_short_ones() {
     let short = Class { job: job(0), per_s: CAPACITY_PER_S * 0.9 };
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -5,6 +5,7 @@
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, InFlight, Job, Outcome, PrefixPart, Ticket,
 };
+use std::collections::BTreeMap;
 
 fn placed(dispatcher: &mut Dispatcher) -> Vec<String> {
     let decisions = dispatcher.take_decisions().into_iter();
@@ -130,6 +131,45 @@
     expect_that!(on_time, ge(short * 9 / 10));
 }
 
+#[gtest]
+fn a_long_answer_is_not_refused_where_one_endpoint_can_end_it() {
+    let mut dispatcher = dispatcher(&[record("fast", 1), record("slow", 1)]);
+    let ticket = |number| Ticket { instance: 1, number };
+    // It is learned that an event takes 10 ms at one and 100 ms at the other.
+    for round in 0..40 {
+        let now_ms = 1_000 + round * 10_000;
+        for number in [2 * round, 2 * round + 1] {
+            dispatcher.submit(now_ms, Job { ticket: ticket(number), ..job(0) });
+        }
+        for (decision, number) in dispatcher.take_decisions().iter().zip(2 * round..) {
+            let Decision::Place { endpoint, .. } = decision else { panic!("not placed") };
+            let rest_ms = if endpoint.as_str() == "fast" { 600 } else { 6_000 };
+            let (ticket, outcome) = (ticket(number), Outcome::Answered);
+            let finished = Finished { ticket, outcome, first_byte_ms: None, rest_ms, events: 60 };
+            dispatcher.finish(now_ms + 7_000, Finished { first_byte_ms: Some(20), ..finished });
+        }
+        dispatcher.tick(now_ms + 7_050);
+    }
+    let now_ms = 500_000;
+    for number in 100..102 {
+        dispatcher.submit(now_ms, Job { ticket: ticket(number), ..job(0) });
+    }
+    let placed_at = |decision: &Decision| match decision {
+        Decision::Place { ticket, endpoint, .. } => (endpoint.to_string(), *ticket),
+        Decision::Refuse { .. } => ("refused".to_owned(), ticket(0)),
+    };
+    let running: BTreeMap<String, Ticket> =
+        dispatcher.take_decisions().iter().map(placed_at).collect();
+    // A short one waits, and one of 300 events: 16.5 s at the mean endpoint, 3 s at the fast one.
+    dispatcher.submit(now_ms + 1, Job { ticket: ticket(102), output_tokens: 5, ..job(0) });
+    dispatcher.submit(now_ms + 2, Job { ticket: ticket(103), output_tokens: 1_500, ..job(0) });
+    expect_that!(placed(&mut dispatcher), is_empty());
+    dispatcher.finish(now_ms + 3, finished(running["slow"], Outcome::Answered));
+    expect_that!(placed(&mut dispatcher), elements_are![eq("slow")]);
+    dispatcher.finish(now_ms + 4, finished(running["fast"], Outcome::Answered));
+    expect_that!(placed(&mut dispatcher), elements_are![eq("fast")]);
+}
+
 #[gtest]
 fn what_waits_for_a_faster_engine_keeps_nobody_from_the_others() {
     let mut dispatcher = dispatcher(&[record("fast", 1), record("slow", 9)]);
