fix(proxy): a stream of which only bytes come, and no events, is moved

Cause: the longest pause was counted from the last byte, so an endpoint that sent a byte or a comment now and then held a resumable stream until its route's time.

--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -13,8 +13,9 @@
 
 /// The end of a body in chunks.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
-/// How long a stream that can go on elsewhere may pause, in milliseconds: well within the two
-/// seconds after which callers give it up.
+/// How long a stream that can go on elsewhere may take until its next event with an id, in
+/// milliseconds: well within the two seconds after which callers give it up. Bytes and comments that
+/// an endpoint sends meanwhile do not bring it on.
 const PAUSE_MAX_MS: u64 = 1_100;
 
 /// How far the answer to a request for a stream has come.
@@ -128,14 +129,16 @@
         let mut writer = caller.writer();
         let mut body = Body::new(head.framing);
         let deadline_ms = self.deadline_ms;
-        let pause_max_ms = can_move.then_some(PAUSE_MAX_MS);
         let clock = self.entry.clock;
         let relay = async {
             let mut events = Events::default();
+            let mut advanced_ms = clock.now_ms();
             loop {
                 let mut piece = Vec::new();
                 let read = body.next(&mut upstream, &mut piece);
-                let more = match within_pause(pause_max_ms, read).await {
+                let paused_ms = clock.now_ms() - advanced_ms;
+                let left_ms = can_move.then(|| PAUSE_MAX_MS.saturating_sub(paused_ms));
+                let more = match within_pause(left_ms, read).await {
                     None => return StreamEnd::Stalled,
                     Some(Err(error)) => return StreamEnd::Broken(error),
                     Some(Ok(more)) => more,
@@ -143,7 +146,11 @@
                 let more = more && !body.is_at_end();
                 events.push(&piece);
                 while let Some(event) = events.next_event() {
-                    attempt.note_event(clock.now_ms());
+                    let now_ms = clock.now_ms();
+                    attempt.note_event(now_ms);
+                    if event.id.is_some() {
+                        advanced_ms = now_ms;
+                    }
                     take_event(&mut pending, framing, stream, event);
                 }
                 if !more {
@@ -152,9 +159,12 @@
                         pending.extend_from_slice(LAST_CHUNK);
                     }
                 }
+                let sending_ms = clock.now_ms();
                 if (!more || stream.has_begun()) && !send(&mut writer, &mut pending).await {
                     return StreamEnd::CallerLeft;
                 }
+                // A caller that reads slowly is no pause of the endpoint.
+                advanced_ms += clock.now_ms() - sending_ms;
                 if !more {
                     return StreamEnd::Whole;
                 }
@@ -256,9 +266,9 @@
     is_sent
 }
 
-async fn within_pause<T>(max_ms: Option<u64>, work: impl Future<Output = T>) -> Option<T> {
-    match max_ms {
-        Some(max_ms) => within(max_ms, work).await,
+async fn within_pause<T>(left_ms: Option<u64>, work: impl Future<Output = T>) -> Option<T> {
+    match left_ms {
+        Some(left_ms) => within(left_ms, work).await,
         None => Some(work.await),
     }
 }
--- a/crates/proxy/tests/proxy/streams.rs
+++ b/crates/proxy/tests/proxy/streams.rs
@@ -122,3 +122,72 @@
         expect_that!(answer, ends_with("data: b\n\n\r\n0\r\n\r\n"));
     });
 }
+
+/// Has an endpoint send an event, and then `bytes` every 400 ms for 6 s.
+async fn dripping(world: &crate::support::World, bytes: &'static str) {
+    let drip = move |mut stream: smol::net::TcpStream, _| async move {
+        read_request(&mut stream).await;
+        let first = HEAD.to_owned() + &chunk("id: 1\ndata: a\n\n");
+        stream.write_all(first.as_bytes()).await.unwrap();
+        for _ in 0..15 {
+            sleep_ms(400).await;
+            if stream.write_all(chunk(bytes).as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    };
+    world.endpoint(drip).await;
+}
+
+#[gtest]
+fn a_stream_of_which_bytes_come_but_no_events_is_moved() {
+    for bytes in ["x", ": waiting\n\n"] {
+        run(|world| async move {
+            dripping(&world, bytes).await;
+            world
+                .endpoint(|mut stream, _| async move {
+                    read_request(&mut stream).await;
+                    let rest = HEAD.to_owned() + &chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+                    stream.write_all(rest.as_bytes()).await.unwrap();
+                })
+                .await;
+            let answer = world.ask(&stream("/resume/")).await;
+            expect_that!(answer, ends_with("data: b\n\n\r\n0\r\n\r\n"), "{bytes:?}");
+        });
+    }
+}
+
+#[gtest]
+fn a_stream_of_which_bytes_come_but_no_events_ends_with_its_routes_time() {
+    run(|world| async move {
+        dripping(&world, "x").await;
+        let answer = lycheehub_clock::within(3_500, world.ask(&stream("/stream/"))).await;
+        // Its route's timeout is 2 s.
+        let answer = answer.expect("the stream does not end");
+        expect_that!(answer, not(ends_with("0\r\n\r\n")));
+    });
+}
+
+#[gtest]
+fn a_slow_stream_of_which_every_event_comes_is_whole() {
+    for path in ["/stream/", "/resume/"] {
+        run(|world| async move {
+            world
+                .endpoint(|mut stream, _| async move {
+                    read_request(&mut stream).await;
+                    stream.write_all(HEAD.as_bytes()).await.unwrap();
+                    for id in ["1", "2"] {
+                        sleep_ms(700).await;
+                        let event = chunk(&format!("id: {id}\ndata: a\n\n"));
+                        stream.write_all(event.as_bytes()).await.unwrap();
+                    }
+                    stream.write_all(b"0\r\n\r\n").await.unwrap();
+                })
+                .await;
+            let answer = world.ask(&stream(path)).await;
+            expect_that!(answer.matches("data: a").count(), eq(2), "{path}");
+            expect_that!(answer, ends_with("\r\n0\r\n\r\n"), "{path}");
+            expect_that!(world.placement.outcomes.borrow().len(), eq(1), "{path}");
+        });
+    }
+}
