feat(peer): a leader that does not answer is given up by the times that it answered in of late

Ruled out: a shorter fixed time (a leader that pauses for its share of a core would be given up in every tenth of a second).

The request line also says how long a request took to be read and the longest write to its caller, and the time of the first byte as a number; a panic leaves a line and ends the process.

--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -36,6 +36,7 @@
 {
     let deployment = load()?;
     log::start_bounded(LogFormat::Json, false)?;
+    log::end_on_panic();
     let executor = Rc::new(LocalExecutor::new());
     let result = smol::block_on(executor.run(serve(executor.clone(), deployment)));
     log::flush();
--- a/crates/cli/src/serve/log.rs
+++ b/crates/cli/src/serve/log.rs
@@ -8,6 +8,9 @@
 use spdlog::{Level, LevelFilter, Logger};
 use std::sync::Arc;
 
+/// The exit code of a process that ended by a panic, as the runtime's own handler has it.
+const PANIC_EXIT_CODE: i32 = 101;
+
 fn fail(error: impl std::fmt::Display) -> Error {
     Error::new(Code::Failed, format!("cannot start the log: {error}"))
 }
@@ -22,6 +25,20 @@
     set_logger(BoundedSink::start(prop).map_err(fail)?, debug)
 }
 
+/// Has a panic of any thread leave a line in the log and end the process: an instance of which one
+/// thread is gone would go on taking requests that nobody answers.
+pub(crate) fn end_on_panic() {
+    std::panic::set_hook(Box::new(|panic| {
+        let place = panic.location().map(ToString::to_string).unwrap_or_default();
+        let message = panic.payload_as_str().unwrap_or("no message");
+        let thread = std::thread::current().name().unwrap_or("unnamed").to_owned();
+        spdlog::critical!("panic: the process ends", kv: { message, place: = place, thread: = thread });
+        flush();
+        eprintln!("lycheehub: panic in thread {thread} at {place}: {message}");
+        std::process::exit(PANIC_EXIT_CODE);
+    }));
+}
+
 /// Writes what waits in the buffer.
 pub(crate) fn flush() {
     spdlog::default_logger().flush();
--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -3,9 +3,11 @@
 //! It watches all replicas that it can reach, so that what any of them knows of endpoints and of
 //! the route document is known here, whichever of them are lost.
 
+mod answer_times;
 mod placement;
 mod view;
 
+pub use answer_times::AnswerTimes;
 pub use placement::LeaderPlacement;
 pub use view::EntryView;
 
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -5,11 +5,10 @@
 //! that come until another one leads, are placed here by what this instance has in flight itself
 //! and by its part of the slots.
 
-use super::EntryView;
+use super::{AnswerTimes, EntryView};
 use crate::link::{Links, within};
 use crate::rollouts::{Sight, version_rules};
 use crate::settings::Settings;
-use crate::tally::Tally;
 use crate::views::Latest;
 use capnp::capability::{FromTypelessPipeline, Request};
 use capnp::traits::{Owned, Pipelined};
@@ -26,17 +25,21 @@
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// How long the leader may take to answer, in milliseconds: some round trips between failure
-/// domains and a short pause of the leader.
-const ANSWER_MS: u64 = 250;
-/// How often the leader is asked whether it is there while requests wait for it, in milliseconds.
+/// How long the leader may take until requests are placed by it, in milliseconds: some round trips
+/// between failure domains and a short pause of the leader.
+const ENTER_MS: u64 = 250;
+/// How long a request waits until the leader is asked whether it is there, in milliseconds: several
+/// times as long as a decision takes where there is room.
+const DOUBT_MS: u64 = 30;
+/// How often the leader is asked that at most, in milliseconds.
 const ASK_BUSY_MS: u64 = 100;
-/// How often it is asked while none does, in milliseconds.
+/// How often it is asked where no request waits for it, in milliseconds.
 const ASK_IDLE_MS: u64 = 500;
 /// How long to wait before the leader is looked for again, in milliseconds.
 const LOOK_AGAIN_MS: u64 = 100;
@@ -68,8 +71,9 @@
     /// Those that wait for the own dispatcher.
     deciding: RefCell<BTreeMap<u64, Sender<Decision>>>,
     placed: RefCell<BTreeMap<u64, InFlight>>,
-    /// How many requests wait for the leader's word.
-    asking: Cell<usize>,
+    /// Told where a request waits for the leader's word for long.
+    doubts: (Sender<()>, Receiver<()>),
+    answer_times: RefCell<AnswerTimes>,
     instances: Cell<u32>,
     last_number: Cell<u64>,
 }
@@ -95,7 +99,8 @@
             local,
             deciding: RefCell::default(),
             placed: RefCell::default(),
-            asking: Cell::new(0),
+            doubts: bounded(1),
+            answer_times: RefCell::default(),
             instances: Cell::new(INSTANCES_GUESS),
             last_number: Cell::new(0),
         })
@@ -153,7 +158,7 @@
             let client = enter_at(peer, self.settings.instance.as_str(), &in_flight, &usage).await;
             client.map_err(|error| PeerError::failed(STEP, name.as_str(), error))
         };
-        let client = within(STEP, name, ANSWER_MS, entered).await;
+        let client = within(STEP, name, ENTER_MS, entered).await;
         if client.is_err() {
             self.links.drop_peer(name);
         }
@@ -169,8 +174,7 @@
     /// Asks the leader whether it is there until it does not answer, or another one leads.
     async fn keep_session(&self, session: Rc<Session>) {
         loop {
-            let wait_ms = if self.asking.get() > 0 { ASK_BUSY_MS } else { ASK_IDLE_MS };
-            Timer::after(Duration::from_millis(wait_ms)).await;
+            self.await_doubt().await;
             let leader = self.views.get().leader.clone();
             let moved = leader.is_some_and(|(name, _)| name != session.leader);
             let answer = if moved { None } else { self.ask_alive(&session).await };
@@ -184,6 +188,16 @@
         self.links.drop_peer(&session.leader);
     }
 
+    /// Waits until the leader is to be asked whether it is there.
+    async fn await_doubt(&self) {
+        Timer::after(Duration::from_millis(ASK_BUSY_MS)).await;
+        let doubted = async {
+            // The channel is never closed: this placement holds both ends.
+            let _ = self.doubts.1.recv().await;
+        };
+        lycheehub_clock::within(ASK_IDLE_MS - ASK_BUSY_MS, doubted).await;
+    }
+
     /// Returns how many instances the leader serves, and which client accounts have used up most of
     /// their quota.
     async fn ask_alive(&self, session: &Session) -> Option<(u32, BTreeSet<AccountName>)> {
@@ -198,7 +212,11 @@
             }
             Ok::<_, capnp::Error>((reply.get_instances(), tight))
         };
-        lycheehub_clock::within(ANSWER_MS, asked).await?.ok()
+        let asked_ms = self.clock.now_ms();
+        let bound_ms = self.answer_times.borrow().bound_ms();
+        let answer = within_own_time(bound_ms, asked).await;
+        self.answer_times.borrow_mut().note(self.clock.now_ms() - asked_ms);
+        answer?.ok()
     }
 
     fn note_instances(&self, instances: u32) {
@@ -221,8 +239,14 @@
             let _ = session.ended.recv().await;
             None
         };
-        let _asking = Tally::new(&self.asking);
-        smol::future::or(async { asked.await.ok() }, ended).await
+        let doubted = async {
+            Timer::after(Duration::from_millis(DOUBT_MS)).await;
+            // A full channel says the same.
+            let _ = self.doubts.0.try_send(());
+            smol::future::pending().await
+        };
+        let given_up = smol::future::or(ended, doubted);
+        smol::future::or(async { asked.await.ok() }, given_up).await
     }
 
     /// Asks the own dispatcher; nothing where the request is handed over to a leader meanwhile.
@@ -367,6 +391,18 @@
     }
 }
 
+/// Does `work` for at most `bound_ms` in which this process runs: one that was paused itself takes the
+/// answers that came meanwhile before it gives anybody up.
+async fn within_own_time<T>(bound_ms: u64, work: impl Future<Output = T>) -> Option<T> {
+    let mut work = pin!(work);
+    for part_ms in [bound_ms / 2, bound_ms - bound_ms / 2] {
+        if let Some(done) = lycheehub_clock::within(part_ms, &mut work).await {
+            return Some(done);
+        }
+    }
+    None
+}
+
 async fn enter_at(
     peer: peer::Client,
     own: &str,
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -39,6 +39,16 @@
 /// How many endpoints that cannot be reached are tried one after the other.
 const UNREACHED_MAX: u32 = 4;
 
+/// A request as it was received.
+pub struct Received {
+    /// Its head.
+    pub head: RequestHead,
+    /// Its whole body.
+    pub body: Vec<u8>,
+    /// How long it took from its first byte to its last, in milliseconds.
+    pub read_ms: u64,
+}
+
 /// A request that is being answered.
 struct Exchange<'a> {
     entry: &'a Rc<Entry>,
@@ -53,19 +63,15 @@
 }
 
 /// Answers a request; tells whether the connection can be used for another one.
-pub async fn answer(
-    entry: &Rc<Entry>,
-    connection: &mut Connection,
-    head: RequestHead,
-    body: Vec<u8>,
-) -> bool {
+pub async fn answer(entry: &Rc<Entry>, connection: &mut Connection, request: Received) -> bool {
+    let Received { head, body, read_ms } = request;
     let started_ms = entry.clock.now_ms();
     let fields = entry.dialect.read_request(&head);
     let timeout_ms = fields.deadline_ms.unwrap_or(NO_ROUTE_TIMEOUT_MS);
     let mut exchange = Exchange {
         entry,
         snapshot: entry.snapshots.latest(),
-        trail: Trail::new(&fields.id, started_ms),
+        trail: Trail::new(&fields.id, started_ms, read_ms),
         head,
         body,
         fields,
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -10,6 +10,7 @@
 use lycheehub_dispatch::Outcome;
 use smol::net::TcpStream;
 use smol_str::SmolStr;
+use std::cell::Cell;
 
 /// The end of a body in chunks.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
@@ -60,8 +61,11 @@
         let mut bytes = self.answer_head(&held.head, framing, keeps_alive);
         bytes.extend_from_slice(&held.body);
         self.trail.note_status(held.head.status);
-        self.trail.note_first_byte(self.entry.clock.now_ms());
-        send_last(caller, &bytes, keeps_alive).await
+        let sending_ms = self.entry.clock.now_ms();
+        self.trail.note_first_byte(sending_ms);
+        let is_kept = send_last(caller, &bytes, keeps_alive).await;
+        self.trail.note_write(self.entry.clock.now_ms() - sending_ms);
+        is_kept
     }
 
     /// Passes on a long answer that is no stream; where it breaks off, so does the caller's.
@@ -130,6 +134,7 @@
         let mut body = Body::new(head.framing);
         let deadline_ms = self.deadline_ms;
         let clock = self.entry.clock;
+        let longest_write_ms = Cell::new(0);
         let relay = async {
             let mut events = Events::default();
             let mut advanced_ms = clock.now_ms();
@@ -164,7 +169,9 @@
                     return StreamEnd::CallerLeft;
                 }
                 // A caller that reads slowly is no pause of the endpoint.
-                advanced_ms += clock.now_ms() - sending_ms;
+                let write_ms = clock.now_ms() - sending_ms;
+                advanced_ms += write_ms;
+                longest_write_ms.set(write_ms.max(longest_write_ms.get()));
                 if !more {
                     return StreamEnd::Whole;
                 }
@@ -174,6 +181,7 @@
         if let Some(first_ms) = attempt.first_byte_ms.get() {
             self.trail.note_first_byte(first_ms);
         }
+        self.trail.note_write(longest_write_ms.get());
         self.trail.note_events(attempt.events.get(), attempt.pause_ms.get());
         let endpoint = attempt.endpoint.clone();
         match end {
--- a/crates/proxy/src/exchange/trail.rs
+++ b/crates/proxy/src/exchange/trail.rs
@@ -19,6 +19,10 @@
     rank: u8,
     waited_ms: u64,
     first_byte_ms: Option<u64>,
+    /// How long the request took to be read.
+    read_ms: u64,
+    /// The longest write to the caller.
+    write_ms: u64,
     /// The longest pause between events of a stream.
     pause_ms: u64,
     attempts: String,
@@ -35,7 +39,7 @@
 }
 
 impl Trail {
-    pub(super) fn new(id: &SmolStr, started_ms: u64) -> Self {
+    pub(super) fn new(id: &SmolStr, started_ms: u64, read_ms: u64) -> Self {
         Self {
             id: id.clone(),
             started_ms,
@@ -46,6 +50,8 @@
             rank: 0,
             waited_ms: 0,
             first_byte_ms: None,
+            read_ms,
+            write_ms: 0,
             pause_ms: 0,
             attempts: String::new(),
             end: SmolStr::new("unanswered"),
@@ -92,6 +98,10 @@
         self.pause_ms = self.pause_ms.max(pause_ms);
     }
 
+    pub(super) fn note_write(&mut self, took_ms: u64) {
+        self.write_ms = self.write_ms.max(took_ms);
+    }
+
     pub(super) fn note_refusal(&mut self, refusal: &Refusal) {
         self.end = SmolStr::new(refusal.kind().code());
         self.retry_after_ms = refusal.retry_after_ms().unwrap_or_default();
@@ -129,9 +139,11 @@
             account: = self.account,
             tier = u64::from(self.tier),
             rank = u64::from(self.rank),
+            read_ms = self.read_ms,
             waited_ms = self.waited_ms,
-            first_byte_ms:? = self.first_byte_ms,
+            first_byte_ms:serde = self.first_byte_ms,
             pause_ms = self.pause_ms,
+            write_ms = self.write_ms,
             total_ms,
             attempts: = self.attempts.trim_end(),
             retry_after_ms = self.retry_after_ms,
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -1,7 +1,7 @@
 //! Takes the connections of callers, and the requests that come over each, one after the other.
 
 use crate::entry::{Counted, Entry};
-use crate::exchange;
+use crate::exchange::{self, Received};
 use crate::http1::{Body, Connection, Error, RequestHead};
 use lycheehub_clock::within;
 use lycheehub_routes::ClientLimits;
@@ -50,9 +50,12 @@
     while wait_for_request(entry, &mut connection).await {
         let _exchange = Counted::new(&entry.exchanges);
         let limits = entry.snapshots.latest().table.document().limits;
+        let begun_ms = entry.clock.now_ms();
         match read_request(&mut connection, &limits).await {
             Ok((head, body)) => {
-                if !exchange::answer(entry, &mut connection, head, body).await {
+                let read_ms = entry.clock.now_ms() - begun_ms;
+                let request = Received { head, body, read_ms };
+                if !exchange::answer(entry, &mut connection, request).await {
                     return;
                 }
             }
