fix(peer): an instance that was paused sends nothing by what it knew before

Now it notices the gap by the clock that counts suspension, hands over what waits, and asks only the leader for a second. The tests of the guard were written with it.

--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -4,10 +4,12 @@
 //! the route document is known here, whichever of them are lost.
 
 mod answer_times;
+mod pause;
 mod placement;
 mod view;
 
 pub use answer_times::AnswerTimes;
+pub use pause::PauseGuard;
 pub use placement::LeaderPlacement;
 pub use view::EntryView;
 
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -5,7 +5,7 @@
 //! that come until another one leads, are placed here by what this instance has in flight itself
 //! and by its part of the slots.
 
-use super::{AnswerTimes, EntryView};
+use super::{AnswerTimes, EntryView, PauseGuard};
 use crate::link::{Links, within};
 use crate::rollouts::{Sight, version_rules};
 use crate::settings::Settings;
@@ -45,6 +45,8 @@
 const LOOK_AGAIN_MS: u64 = 100;
 /// How often the own dispatcher's time is moved on while requests wait, in milliseconds.
 const LOCAL_TICK_MS: u64 = 50;
+/// How often a request that must wait for the leader looks for it, in milliseconds.
+const LOOK_FOR_LEADER_MS: u64 = 20;
 /// The number of this instance at its own dispatcher.
 const OWN_NUMBER: u32 = 0;
 /// How many instances there are where no leader has told it yet.
@@ -74,6 +76,7 @@
     /// Told where a request waits for the leader's word for long.
     doubts: (Sender<()>, Receiver<()>),
     answer_times: RefCell<AnswerTimes>,
+    pause_guard: RefCell<PauseGuard>,
     instances: Cell<u32>,
     last_number: Cell<u64>,
 }
@@ -101,6 +104,7 @@
             placed: RefCell::default(),
             doubts: bounded(1),
             answer_times: RefCell::default(),
+            pause_guard: RefCell::new(PauseGuard::new(clock.now_ms())),
             instances: Cell::new(INSTANCES_GUESS),
             last_number: Cell::new(0),
         })
@@ -114,6 +118,7 @@
 
     /// Takes a new view.
     pub fn take_view(&self, view: &EntryView, document_changed: bool) {
+        self.notice_pause();
         let now_ms = self.clock.now_ms();
         {
             let mut local = self.local.borrow_mut();
@@ -258,6 +263,14 @@
         receiver.recv().await.ok()
     }
 
+    /// Looks whether this process was paused; what waits here by what it knew before is handed over.
+    fn notice_pause(&self) {
+        if self.pause_guard.borrow_mut().note_running(self.clock.now_ms()) {
+            spdlog::warn!("paused: requests wait for the leader");
+            self.hand_over();
+        }
+    }
+
     /// Hands all that waits here over to the leader, which has all slots to give.
     fn hand_over(&self) {
         let waiting = std::mem::take(&mut *self.deciding.borrow_mut());
@@ -286,6 +299,7 @@
     async fn tick_local(self: Rc<Self>) {
         loop {
             Timer::after(Duration::from_millis(LOCAL_TICK_MS)).await;
+            self.notice_pause();
             if !self.deciding.borrow().is_empty() {
                 self.local.borrow_mut().tick(self.clock.now_ms());
                 self.deliver_local();
@@ -350,6 +364,11 @@
                     self.note_placed(&job, &decision, true);
                     return decision;
                 }
+                self.notice_pause();
+                if self.pause_guard.borrow_mut().must_wait(self.clock.now_ms()) {
+                    Timer::after(Duration::from_millis(LOOK_FOR_LEADER_MS)).await;
+                    continue;
+                }
                 if let Some(decision) = self.place_here(job_now()).await {
                     self.note_placed(&job, &decision, false);
                     return decision;
@@ -359,6 +378,7 @@
     }
 
     fn finish(&self, finished: Finished) {
+        self.notice_pause();
         self.placed.borrow_mut().remove(&finished.ticket.number);
         self.local.borrow_mut().finish(self.clock.now_ms(), finished);
         self.deliver_local();
--- a/crates/peer/tests/peer/main.rs
+++ b/crates/peer/tests/peer/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the parts of this crate that decide without a connection.
 
 mod answer_times;
+mod pause;
