--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 #[path = "../deployment/mod.rs"]
 mod deployment;
+mod handover;
 mod lists;
 mod rollouts;
 mod support;
--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -2,6 +2,7 @@
 
 use crate::deployment::http::{chunk, field, read_request};
 use crate::deployment::{Deployment, FRONT_PORT, Reply, call};
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
@@ -51,12 +52,29 @@
     path: &str,
     key: &str,
     body: &str,
+) -> Reply {
+    ask_as(deployment, place, &next_id(), method, path, key, body)
+}
+
+/// Returns an identifier that no request has had.
+pub fn next_id() -> String {
+    format!("r-{}", REQUESTS.fetch_add(1, Ordering::Relaxed))
+}
+
+/// Sends a caller's request under this identifier.
+pub fn ask_as(
+    deployment: &Deployment,
+    place: usize,
+    id: &str,
+    method: &str,
+    path: &str,
+    key: &str,
+    body: &str,
 ) -> Reply {
     let address = format!("{}:{FRONT_PORT}", deployment.entries[place].ip);
-    let number = REQUESTS.fetch_add(1, Ordering::Relaxed);
     let length = body.len();
     let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: crates.example\r\nRequest-Id: r-{number}\r\n\
+        "{method} {path} HTTP/1.1\r\nHost: crates.example\r\nRequest-Id: {id}\r\n\
          Deadline-Ms: 5000\r\nX-Api-Key: {key}\r\nTenant: forged\r\nConnection: close\r\n\
          Content-Length: {length}\r\n\r\n{body}"
     );
@@ -70,6 +88,8 @@
     running: AtomicU32,
     most_at_once: AtomicU32,
     count: AtomicU32,
+    /// How often each request was run, by its identifier.
+    runs: Mutex<BTreeMap<String, u32>>,
     /// Answers each request with a failure.
     is_failing: AtomicBool,
 }
@@ -104,6 +124,11 @@
         self.seen.count.load(Ordering::Relaxed)
     }
 
+    /// Returns how often it has run a request.
+    pub fn runs_of(&self, id: &str) -> u32 {
+        self.seen.runs.lock().unwrap().get(id).copied().unwrap_or(0)
+    }
+
     /// Lets it fail from now on.
     pub fn fail(&self) {
         self.seen.is_failing.store(true, Ordering::Relaxed);
@@ -122,6 +147,7 @@
         seen.most_at_once.fetch_max(running, Ordering::Relaxed);
         let id = field(&head, "request-id").unwrap_or_default();
         seen.count.fetch_add(1, Ordering::Relaxed);
+        *seen.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
         if seen.is_failing.load(Ordering::Relaxed) {
             seen.running.fetch_sub(1, Ordering::Relaxed);
             let answer = format!(
