--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -206,25 +206,37 @@
     /// asks a replica of its own, which has it a heartbeat later, and `from` only where that fails.
     async fn fetch(self: Rc<Self>, from: InstanceName) {
         let revision = self.known.borrow().state.revision;
-        let source = self.known.borrow().own_source(self.links.own_name());
-        let mut fetched =
-            Err(PeerError::failed("follow", from.as_str(), "no other replica is heard"));
-        if let Some(source) = source.filter(|source| *source != from) {
-            let call = |peer| feeds::follow(peer, revision, SOURCE_WAIT_MS);
-            let address = self.known.borrow().addresses.get(&source).cloned();
-            let timeout_ms = u64::from(SOURCE_WAIT_MS) + SOURCE_ANSWER_MS;
-            fetched = self.links.call("follow", &source, address, timeout_ms, call).await;
-        }
-        if !fetched.as_ref().is_ok_and(|feed| feed.revision > revision) {
-            fetched = self.call("follow", &from, |peer| feeds::follow(peer, revision, 0)).await;
+        let own_source = self.known.borrow().own_source(self.links.own_name());
+        let mut source = own_source.unwrap_or_else(|| from.clone());
+        let mut fetched = self.follow(&source, revision, SOURCE_WAIT_MS).await;
+        let has_changes = fetched.as_ref().is_ok_and(|feed| feed.revision > revision);
+        if !has_changes && source != from {
+            source = from;
+            fetched = self.follow(&source, revision, 0).await;
         }
         self.known.borrow_mut().fetching = None;
         match fetched {
-            Ok(feed) => self.take_feed(feed, &from),
+            Ok(feed) => self.take_feed(feed, &source),
             Err(error) => spdlog::warn!("changes not received", kv: { error: }),
         }
     }
 
+    /// Asks a replica for what changed after `revision`, which it may not have for `wait_ms` yet.
+    async fn follow(
+        &self,
+        source: &InstanceName,
+        revision: u64,
+        wait_ms: u32,
+    ) -> Result<Feed, PeerError> {
+        let address = self.known.borrow().addresses.get(source).cloned();
+        let timeout_ms = match wait_ms {
+            0 => FETCH_MS,
+            wait_ms => u64::from(wait_ms) + SOURCE_ANSWER_MS,
+        };
+        let call = |peer| feeds::follow(peer, revision, wait_ms);
+        self.links.call("follow", source, address, timeout_ms, call).await
+    }
+
     fn take_feed(&self, feed: Feed, from: &InstanceName) {
         let (taken, revision, version) = {
             let mut known = self.known.borrow_mut();
