--- a/crates/cli/tests/platform/handover.rs
+++ b/crates/cli/tests/platform/handover.rs
@@ -1,13 +1,15 @@
 //! Leaders and entry instances that stop, or stand still, while requests run.
 
-use crate::deployment::{Deployment, PATIENCE, Process, eventually};
-use crate::open;
+use crate::deployment::{Deployment, PATIENCE, eventually};
 use crate::support::{Endpoint, announce, announce_as, ask_as, next_id};
+use crate::{open, times_logged_ms};
 use googletest::prelude::*;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, RwLock};
 use std::time::{Duration, Instant};
 
+/// What a process logs last.
+const STOPPED: &str = "\"stopped\"";
 /// Callers that ask one after the other, half of them at each entry instance.
 const CALLERS: usize = 6;
 /// How often endpoints announce themselves.
@@ -95,10 +97,9 @@
     eventually("requests are answered", || answers.count(200) >= before + MORE);
 }
 
-/// Returns how often a process has logged a line.
-fn times_logged(process: &Process, text: &str) -> usize {
-    let log = std::fs::read_to_string(process.log()).unwrap_or_default();
-    log.lines().filter(|line| line.contains(text)).count()
+/// Waits until a process has said that it stopped.
+fn await_stop(times_logged_ms: impl Fn() -> Vec<u64>) {
+    eventually("it stops", || !times_logged_ms().is_empty());
 }
 
 #[gtest]
@@ -109,9 +110,7 @@
         for place in 0..3 {
             more_answered(answers);
             deployment.read().unwrap().controls[place].signal("TERM");
-            eventually("it stops", || {
-                times_logged(&deployment.read().unwrap().controls[place], "\"stopped\"") > 0
-            });
+            await_stop(|| times_logged_ms(&deployment.read().unwrap().controls[place], STOPPED));
             more_answered(answers);
             let control = &mut deployment.write().unwrap().controls[place];
             expect_that!(control.ends_within(PATIENCE).is_some(), eq(true));
@@ -146,9 +145,7 @@
     let answers = under_load(&deployment, &endpoint, |answers| {
         more_answered(answers);
         deployment.read().unwrap().entries[0].signal("TERM");
-        eventually("it stops", || {
-            times_logged(&deployment.read().unwrap().entries[0], "\"stopped\"") > 0
-        });
+        await_stop(|| times_logged_ms(&deployment.read().unwrap().entries[0], STOPPED));
         more_answered(answers);
     });
     // What meets the closed listener has not run: it is no answer, and no harm.
--- a/crates/proxy/tests/proxy/streams.rs
+++ b/crates/proxy/tests/proxy/streams.rs
@@ -111,18 +111,22 @@
                 sleep_ms(4_000).await;
             })
             .await;
-        world
-            .endpoint(|mut stream, _| async move {
-                read_request(&mut stream).await;
-                let rest = HEAD.to_owned() + &chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
-                stream.write_all(rest.as_bytes()).await.unwrap();
-            })
-            .await;
+        giving_the_rest(&world).await;
         let answer = world.ask(&stream("/resume/")).await;
         expect_that!(answer, ends_with("data: b\n\n\r\n0\r\n\r\n"));
     });
 }
 
+/// Has an endpoint send the last of two events.
+async fn giving_the_rest(world: &crate::support::World) {
+    let script = |mut stream: smol::net::TcpStream, _| async move {
+        read_request(&mut stream).await;
+        let rest = HEAD.to_owned() + &chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
+        stream.write_all(rest.as_bytes()).await.unwrap();
+    };
+    world.endpoint(script).await;
+}
+
 /// Has an endpoint send an event, and then `bytes` every 400 ms for 6 s.
 async fn dripping(world: &crate::support::World, bytes: &'static str) {
     let drip = move |mut stream: smol::net::TcpStream, _| async move {
@@ -144,13 +148,7 @@
     for bytes in ["x", ": waiting\n\n"] {
         run(|world| async move {
             dripping(&world, bytes).await;
-            world
-                .endpoint(|mut stream, _| async move {
-                    read_request(&mut stream).await;
-                    let rest = HEAD.to_owned() + &chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n";
-                    stream.write_all(rest.as_bytes()).await.unwrap();
-                })
-                .await;
+            giving_the_rest(&world).await;
             let answer = world.ask(&stream("/resume/")).await;
             expect_that!(answer, ends_with("data: b\n\n\r\n0\r\n\r\n"), "{bytes:?}");
         });
