--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -42,6 +42,8 @@
 const OVERRUN_MAX: f64 = 0.5;
 /// Below which chance an endpoint is worth waiting for.
 const OVERRUN_LITTLE: f64 = 0.2;
+/// What part of the chance at a free endpoint another one must have at most, where that is not little.
+const OVERRUN_PART: f64 = 0.5;
 /// How much further an endpoint may fail than the mean of its service, as a share of requests.
 const FAILURE_TOLERANCE: f64 = 0.1;
 
@@ -94,7 +96,7 @@
         let is_late = left_ms > SLOT_WAIT_MS && first_byte_ms > left_ms;
         let overrun = endpoint.overrun_chance(first_byte_ms, events, ends_ms);
         let overruns = overrun > OVERRUN_MAX;
-        let little = OVERRUN_LITTLE.max(overrun / 2.0);
+        let little = OVERRUN_LITTLE.max(overrun * OVERRUN_PART);
         if !is_late && !overruns {
             return false;
         }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -60,19 +60,10 @@
         self.slot_ms
     }
 
-    /// Returns for how long so many slots are needed by all that waits, in milliseconds.
-    fn backlog_ms(&self, slots: usize) -> u64 {
-        self.queue.ahead_ms(u8::MAX, u8::MAX) / slots.max(1) as u64
-    }
-
     /// Returns how long `job` holds a slot of an endpoint that is so fast, in milliseconds.
     fn slot_ms_at(&self, speed: Speed, job: &Job) -> f64 {
-        let first_byte_ms = speed.prefill_ms(job.prompt_tokens) + speed.answer_ms();
-        let rest_ms = match job.output_tokens {
-            0 => 0.0,
-            tokens => speed.events_ms(self.events_of(tokens)),
-        };
-        (first_byte_ms + rest_ms).max(1.0)
+        let rest_ms = speed.events_ms(self.events_of(job.output_tokens));
+        (first_byte_ms_at(speed, job) + rest_ms).max(1.0)
     }
 
     /// Returns how many events an answer of `output_tokens` has.
@@ -82,6 +73,11 @@
     }
 }
 
+/// Returns how long an endpoint that is so fast takes to the first byte of `job`, in milliseconds.
+fn first_byte_ms_at(speed: Speed, job: &Job) -> f64 {
+    speed.prefill_ms(job.prompt_tokens) + speed.answer_ms()
+}
+
 /// How much a service has to do, and what is left of its endpoints' slots.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceLoad {
@@ -219,7 +215,7 @@
             self.refuse(job.ticket, Reason::NoEndpoint, RETRY_AFTER_MS);
             return None;
         };
-        let first_byte_ms = service.speed.prefill_ms(job.prompt_tokens) + service.speed.answer_ms();
+        let first_byte_ms = first_byte_ms_at(service.speed, &job);
         let slot_ms = service.slot_ms_at(service.speed, &job);
         let least_slot_ms = service.slot_ms_at(service.fastest, &job);
         let is_short = slot_ms * SHORT_FACTOR <= service.note_slot_ms(slot_ms);
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -10,7 +10,7 @@
 //! only the fastest endpoints can end in time waits for one of them; where many wait, for whom those
 //! endpoints are as good, it is refused.
 
-use super::Dispatcher;
+use super::{Dispatcher, Service};
 use crate::job::{Decision, Job, Reason, Ticket};
 use crate::queue::Waiting;
 use lycheehub_types::ServiceName;
@@ -31,21 +31,35 @@
 /// How long nothing of a lower tier is admitted after a higher one was shed, in milliseconds.
 const FLOOR_MS: u64 = 250;
 
+impl Service {
+    /// Tells whether so many slots are needed for long by all that waits.
+    fn many_wait(&self, slots: usize) -> bool {
+        self.queue.ahead_ms(u8::MAX, u8::MAX) / slots.max(1) as u64 > SHORT_BACKLOG_MS
+    }
+}
+
 impl Dispatcher {
     /// Returns why a new job is refused at once, if it is, with when there will be room.
     pub(super) fn overload_of(&mut self, now_ms: u64, waiting: &Waiting) -> Option<u64> {
         let job = &waiting.job;
         let queue_max = self.options.queue_max;
-        let slots = self.slots_of(&job.service);
+        let hopeless = self.is_hopeless(now_ms, waiting);
         let service = self.services.get_mut(&job.service)?;
         service.floor = service.floor.filter(|(_, until_ms)| now_ms < *until_ms);
         let below_floor = service.floor.is_some_and(|(tier, _)| job.tier > tier);
         let full = service.queue.len() >= queue_max;
-        let many_wait = service.backlog_ms(slots) > SHORT_BACKLOG_MS;
-        let hopeless = waiting.is_hopeless(now_ms, many_wait) && !service.queue.is_empty();
         (below_floor || full || hopeless).then(|| return_after_ms(waiting))
     }
 
+    /// Tells whether a new job cannot be done in time behind those that wait.
+    fn is_hopeless(&self, now_ms: u64, waiting: &Waiting) -> bool {
+        let name = &waiting.job.service;
+        self.services.get(name).is_some_and(|service| {
+            !service.queue.is_empty()
+                && waiting.is_hopeless(now_ms, service.many_wait(self.slots_of(name)))
+        })
+    }
+
     pub(super) fn slots_of(&self, name: &ServiceName) -> usize {
         let Some(service) = self.services.get(name) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
@@ -57,8 +71,7 @@
     pub(super) fn shed(&mut self, now_ms: u64, name: &ServiceName) {
         let slots = self.slots_of(name);
         let Some(service) = self.services.get_mut(name) else { return };
-        let backlog_ms = service.backlog_ms(slots);
-        let many_wait = backlog_ms > SHORT_BACKLOG_MS;
+        let many_wait = service.many_wait(slots);
         let mut shed = service.queue.take_if(|waiting| waiting.is_hopeless(now_ms, many_wait));
         shed.extend(service.queue.take_overdue(now_ms));
         let mut kept = Vec::new();
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -18,7 +18,7 @@
 //! served with the most urgent ones of its tier as well, and kept for some time when it is late.
 
 use crate::job::{Job, Ticket};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// The part of the newest job's time within which a backlog must be done to be served by arrival.
 const BACKLOG_SHARE: f64 = 0.8;
@@ -154,41 +154,52 @@
     }
 }
 
-/// The jobs of one tier, by rank.
+/// The jobs of one rank.
 #[derive(Clone, Debug, Default)]
-struct Tier {
+struct Rank {
     /// Those that may still be on time, by the moment until which they can be.
-    on_time: BTreeMap<u8, Line>,
+    on_time: Line,
     /// Those that will be late, by the moment until which they are kept.
-    late: BTreeMap<u8, Line>,
+    late: Line,
+}
+
+impl Rank {
+    fn lines(&self) -> [&Line; 2] {
+        [&self.on_time, &self.late]
+    }
+
+    fn lines_mut(&mut self) -> [&mut Line; 2] {
+        [&mut self.on_time, &mut self.late]
+    }
+}
+
+/// The jobs of one tier, by rank.
+#[derive(Clone, Debug, Default)]
+struct Tier {
+    ranks: BTreeMap<u8, Rank>,
 }
 
 impl Tier {
     fn push(&mut self, now_ms: u64, waiting: Waiting) {
-        let rank = waiting.line_rank();
+        let rank = self.ranks.entry(waiting.line_rank()).or_default();
         let until_ms = waiting.on_time_until_ms();
         if until_ms > now_ms {
-            self.on_time.entry(rank).or_default().push(until_ms, waiting);
+            rank.on_time.push(until_ms, waiting);
         } else {
-            let until_ms = waiting.late_until_ms();
-            self.late.entry(rank).or_default().push(until_ms, waiting);
+            rank.late.push(waiting.late_until_ms(), waiting);
         }
     }
 
     fn lines(&self) -> impl Iterator<Item = &Line> {
-        self.on_time.values().chain(self.late.values())
+        self.ranks.values().flat_map(Rank::lines)
     }
 
     fn lines_mut(&mut self) -> impl Iterator<Item = &mut Line> {
-        self.on_time.values_mut().chain(self.late.values_mut())
+        self.ranks.values_mut().flat_map(Rank::lines_mut)
     }
 
     fn pop(&mut self, now_ms: u64, slots: usize) -> Option<Waiting> {
-        let ranks: BTreeSet<u8> = self.on_time.keys().chain(self.late.keys()).copied().collect();
-        ranks.into_iter().find_map(|rank| {
-            let lines = [self.on_time.get_mut(&rank), self.late.get_mut(&rank)];
-            lines.into_iter().flatten().find_map(|line| line.pop(now_ms, slots))
-        })
+        self.lines_mut().find_map(|line| line.pop(now_ms, slots))
     }
 }
 
@@ -220,14 +231,16 @@
 
     /// Takes the jobs that can no longer be on time, and were not known to be late.
     pub fn take_expired(&mut self, now_ms: u64) -> Vec<Waiting> {
-        let lines = self.tiers.values_mut().flat_map(|tier| tier.on_time.values_mut());
-        lines.flat_map(|line| line.take_expired(now_ms)).collect()
+        self.ranks_mut().flat_map(|rank| rank.on_time.take_expired(now_ms)).collect()
     }
 
     /// Takes the late jobs that have been kept for as long as they are.
     pub fn take_overdue(&mut self, now_ms: u64) -> Vec<Waiting> {
-        let lines = self.tiers.values_mut().flat_map(|tier| tier.late.values_mut());
-        lines.flat_map(|line| line.take_expired(now_ms)).collect()
+        self.ranks_mut().flat_map(|rank| rank.late.take_expired(now_ms)).collect()
+    }
+
+    fn ranks_mut(&mut self) -> impl Iterator<Item = &mut Rank> {
+        self.tiers.values_mut().flat_map(|tier| tier.ranks.values_mut())
     }
 
     /// Takes all jobs that are `wanted`.
@@ -244,7 +257,7 @@
             .tiers
             .get(&tier)
             .into_iter()
-            .flat_map(|tier| tier.on_time.range(..=rank).map(|(_, line)| sum(line)));
+            .flat_map(|tier| tier.ranks.range(..=rank).map(|(_, rank)| sum(&rank.on_time)));
         above.chain(beside).sum()
     }
 
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -144,9 +144,8 @@
         for (decision, number) in dispatcher.take_decisions().iter().zip(2 * round..) {
             let Decision::Place { endpoint, .. } = decision else { panic!("not placed") };
             let rest_ms = if endpoint.as_str() == "fast" { 600 } else { 6_000 };
-            let (ticket, outcome) = (ticket(number), Outcome::Answered);
-            let finished = Finished { ticket, outcome, first_byte_ms: None, rest_ms, events: 60 };
-            dispatcher.finish(now_ms + 7_000, Finished { first_byte_ms: Some(20), ..finished });
+            let finished = finished(ticket(number), Outcome::Answered);
+            dispatcher.finish(now_ms + 7_000, Finished { rest_ms, events: 60, ..finished });
         }
         dispatcher.tick(now_ms + 7_050);
     }
--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -83,9 +83,8 @@
     /// Returns the replica that the instance `own` fetches changes from: another one for each, so that
     /// all have about as many.
     fn own_source(&self, own: &str) -> Option<InstanceName> {
-        let draw = |replica: &InstanceName| {
-            xxh3_64_with_seed(replica.as_str().as_bytes(), xxh3_64(own.as_bytes()))
-        };
+        let seed = xxh3_64(own.as_bytes());
+        let draw = |replica: &InstanceName| xxh3_64_with_seed(replica.as_str().as_bytes(), seed);
         self.heard.iter().max_by_key(|replica| draw(replica)).cloned()
     }
 
@@ -228,13 +227,12 @@
         revision: u64,
         wait_ms: u32,
     ) -> Result<Feed, PeerError> {
-        let address = self.known.borrow().addresses.get(source).cloned();
         let timeout_ms = match wait_ms {
             0 => FETCH_MS,
             wait_ms => u64::from(wait_ms) + SOURCE_ANSWER_MS,
         };
         let call = |peer| feeds::follow(peer, revision, wait_ms);
-        self.links.call("follow", source, address, timeout_ms, call).await
+        self.call("follow", source, timeout_ms, call).await
     }
 
     fn take_feed(&self, feed: Feed, from: &InstanceName) {
@@ -268,7 +266,7 @@
     async fn confirm_at(&self, name: &InstanceName) -> bool {
         let revision = self.known.borrow().state.revision;
         let call = |peer| feeds::read(peer, revision);
-        match self.call("read", name, call).await {
+        match self.call("read", name, FETCH_MS, call).await {
             Ok(Some(feed)) => {
                 self.take_feed(feed, name);
                 true
@@ -285,13 +283,14 @@
         &self,
         step: &'static str,
         to: &InstanceName,
+        timeout_ms: u64,
         call: impl FnOnce(peer::Client) -> F,
     ) -> Result<T, PeerError>
     where
         F: Future<Output = Result<T, capnp::Error>>,
     {
         let address = self.known.borrow().addresses.get(to).cloned();
-        self.links.call(step, to, address, FETCH_MS, call).await
+        self.links.call(step, to, address, timeout_ms, call).await
     }
 }
 
--- a/crates/peer/src/entry/pause.rs
+++ b/crates/peer/src/entry/pause.rs
@@ -19,7 +19,9 @@
 /// use lycheehub_peer::entry::PauseGuard;
 ///
 /// let mut guard = PauseGuard::new(1_000);
+/// assert!(!guard.note_running(1_050));
 /// assert!(!guard.must_wait(1_050));
+/// assert!(guard.note_running(6_000));
 /// assert!(guard.must_wait(6_000));
 /// assert!(guard.must_wait(6_900));
 /// assert!(!guard.must_wait(7_100));
@@ -48,9 +50,8 @@
         was_paused
     }
 
-    /// Tells whether a request must wait for the leader's word.
-    pub fn must_wait(&mut self, now_ms: u64) -> bool {
-        self.note_running(now_ms);
+    /// Tells whether a request must wait for the leader's word, after the last pause that was noted.
+    pub fn must_wait(&self, now_ms: u64) -> bool {
         now_ms < self.waits_until_ms
     }
 }
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -359,7 +359,7 @@
                     return decision;
                 }
                 self.notice_pause();
-                if self.pause_guard.borrow_mut().must_wait(self.clock.now_ms()) {
+                if self.pause_guard.borrow().must_wait(self.clock.now_ms()) {
                     Timer::after(Duration::from_millis(LOOK_FOR_LEADER_MS)).await;
                     continue;
                 }
