feat(dispatch,proxy,peer): heed endpoints that leave or want a pause; bytes without end are bounded

Both were read nowhere. Now the platform's dialect reads the first and the proxy the second; the instance's own dispatcher keeps them by incarnation, bars its own placing and that of a leader which has not heard (whose placement is given back), and tells the leader, a new one too. A second instance that is told to stay away stops all. After a pause an endpoint gets one request at a time until it answers.

Bounded now: trailers as a whole, events, interim and stray answers, empty lines; a peer that floods gives others their turn after eight reads; a whole answer whose body drips is moved like one whose head does.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod handover;
 mod lists;
+mod notices;
 mod rollouts;
 mod support;
 mod trace;
--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -158,7 +158,22 @@
             }
             continue;
         }
-        let seal = "Response-Seal: seal-1";
+        if head.contains(" /print/full") {
+            seen.running.fetch_sub(1, Ordering::Relaxed);
+            let answer = format!(
+                "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n\
+                 Retry-After: 2\r\nContent-Length: 0\r\n\r\n"
+            );
+            if stream.write_all(answer.as_bytes()).is_err() {
+                return;
+            }
+            continue;
+        }
+        let seal = if head.contains(" /print/leaving") {
+            "Response-Seal: seal-1\r\nServer-Leaving: 1"
+        } else {
+            "Response-Seal: seal-1"
+        };
         if head.contains(" /print/lost") {
             return;
         }
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -102,7 +102,7 @@
         }
         let mut others = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         others.any(|other| {
-            if other.record.leaving || !other.health.is_open(now_ms) {
+            if other.is_leaving() || !other.health.is_open(now_ms) {
                 return false;
             }
             let first_byte_ms = other.first_byte_ms(now_ms, job);
@@ -114,7 +114,7 @@
 
     fn has_room(&self, now_ms: u64, name: &ServiceName) -> bool {
         let has_room = |endpoint: &Endpoint| {
-            !endpoint.record.leaving && endpoint.running.len() < endpoint.usable_slots(now_ms)
+            !endpoint.is_leaving() && endpoint.running.len() < endpoint.usable_slots(now_ms)
         };
         let Some(service) = self.services.get(name) else { return false };
         service.endpoints.iter().any(|key| has_room(&self.endpoints[*key]))
@@ -130,7 +130,9 @@
         let best = |suits: &dyn Fn(&Endpoint) -> bool| {
             let usable = service.endpoints.iter().copied().filter(|key| {
                 let endpoint = &self.endpoints[*key];
-                endpoint.takes(now_ms, job) && suits(endpoint)
+                endpoint.takes(now_ms, job)
+                    && !self.is_barred(now_ms, job.ticket.instance, endpoint.name())
+                    && suits(endpoint)
             });
             usable.min_by(|a, b| {
                 let cost = |key: &EndpointKey| self.cost_ms(now_ms, *key, job, events, tolerated);
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -6,7 +6,7 @@
 mod update;
 mod versions;
 
-use crate::endpoints::{Endpoint, EndpointKey, Speed, is_failure};
+use crate::endpoints::{Endpoint, EndpointKey, Notice, Notices, Speed, is_failure};
 use crate::job::{Decision, Finished, Job, Outcome, Reason, Ticket};
 use crate::options::Options;
 use crate::queue::{Queue, Waiting};
@@ -124,6 +124,7 @@
     by_name: BTreeMap<EndpointName, EndpointKey>,
     placed: BTreeMap<Ticket, Placed>,
     waiting: BTreeMap<Ticket, ServiceName>,
+    notices: Notices,
     accounts: BTreeMap<AccountName, Quota>,
     quotas: Quotas,
     retries: Retries,
@@ -141,6 +142,7 @@
             by_name: BTreeMap::new(),
             placed: BTreeMap::new(),
             waiting: BTreeMap::new(),
+            notices: Notices::default(),
             accounts: BTreeMap::new(),
             quotas: Quotas::default(),
             retries: Retries::default(),
@@ -209,13 +211,21 @@
         let usable = self
             .services
             .get_mut(&job.service)
-            .filter(|service| service.endpoints.iter().any(|key| !endpoints[*key].record.leaving));
+            .filter(|service| service.endpoints.iter().any(|key| !endpoints[*key].is_leaving()));
         let Some(service) = usable else {
             self.give_back(now_ms, &job, units);
             self.refuse(job.ticket, Reason::NoEndpoint, RETRY_AFTER_MS);
             return None;
         };
         let first_byte_ms = first_byte_ms_at(service.speed, &job);
+        let paused_ms = self.paused_ms(now_ms, &job);
+        let patience_ms = job.patience_left_ms.min(job.deadline_left_ms);
+        if paused_ms > 0 && paused_ms + first_byte_ms as u64 >= patience_ms {
+            self.give_back(now_ms, &job, units);
+            self.refuse(job.ticket, Reason::Overloaded, paused_ms);
+            return None;
+        }
+        let service = self.services.get_mut(&job.service)?;
         let slot_ms = service.slot_ms_at(service.speed, &job);
         let least_slot_ms = service.slot_ms_at(service.fastest, &job);
         let is_short = slot_ms * SHORT_FACTOR <= service.note_slot_ms(slot_ms);
@@ -268,6 +278,31 @@
         endpoint.health.pause(now_ms, since_ms);
     }
 
+    /// Takes what an endpoint said of itself in an answer to an instance.
+    pub fn heed(&mut self, now_ms: u64, instance: u32, name: &EndpointName, notice: Notice) {
+        let notice = notice.bounded();
+        let endpoint = self.by_name.get(name).and_then(|key| self.endpoints.get_mut(*key));
+        let incarnation = endpoint.as_ref().map(|endpoint| endpoint.record.incarnation);
+        self.notices.take(now_ms, instance, (name, incarnation), notice);
+        let Some(endpoint) = endpoint else { return };
+        endpoint.said_leaving |= notice.leaving;
+        if let Some(pause_ms) = notice.pause_ms {
+            endpoint.health.put_on_probation(now_ms + pause_ms);
+        }
+    }
+
+    /// Tells whether an endpoint has said that it wants nothing new from an instance now.
+    pub fn is_barred(&self, now_ms: u64, instance: u32, name: &EndpointName) -> bool {
+        self.notices.is_leaving(name)
+            || self.notices.paused_until_ms(now_ms, instance, name).is_some()
+    }
+
+    /// Returns what endpoints have said to an instance and still holds.
+    pub fn notices(&self, now_ms: u64, instance: u32) -> Vec<(EndpointName, Notice)> {
+        let in_force = self.notices.in_force(now_ms, instance);
+        in_force.map(|(name, notice)| (name.clone(), notice)).collect()
+    }
+
     /// Takes back a request that waits or runs, since its caller has left.
     pub fn withdraw(&mut self, now_ms: u64, ticket: Ticket) {
         if let Some(name) = self.waiting.remove(&ticket) {
@@ -344,6 +379,8 @@
             self.fill(now_ms, &name);
             self.learn_mean(&name);
         }
+        let by_name = &self.by_name;
+        self.notices.forget_old(now_ms, |name| by_name.contains_key(name));
     }
 
     fn learn_mean(&mut self, name: &ServiceName) {
@@ -377,7 +414,7 @@
                 closed_slots: 0,
             };
             let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-            for endpoint in endpoints.filter(|endpoint| !endpoint.record.leaving) {
+            for endpoint in endpoints.filter(|endpoint| !endpoint.is_leaving()) {
                 load.running += endpoint.running.len();
                 let usable = endpoint.usable_slots(now_ms);
                 load.closed_slots += endpoint.own_slots - usable;
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -60,10 +60,24 @@
         })
     }
 
+    /// Returns for how long all endpoints have told the instance of `job` to stay away, in
+    /// milliseconds; 0 where one has not.
+    pub(super) fn paused_ms(&self, now_ms: u64, job: &Job) -> u64 {
+        let Some(service) = self.services.get(&job.service) else { return 0 };
+        let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
+        let left_ms = usable.map(|endpoint| {
+            let instance = job.ticket.instance;
+            let until_ms = self.notices.paused_until_ms(now_ms, instance, endpoint.name());
+            until_ms.map_or(0, |until_ms| until_ms - now_ms)
+        });
+        left_ms.min().unwrap_or(0)
+    }
+
     pub(super) fn slots_of(&self, name: &ServiceName) -> usize {
         let Some(service) = self.services.get(name) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-        let usable = endpoints.filter(|endpoint| !endpoint.record.leaving);
+        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
         usable.map(|endpoint| endpoint.own_slots).sum()
     }
 
@@ -91,7 +105,7 @@
         }
         for waiting in shed {
             self.waiting.remove(&waiting.job.ticket);
-            let after_ms = return_after_ms(&waiting);
+            let after_ms = return_after_ms(&waiting).max(self.paused_ms(now_ms, &waiting.job));
             self.refuse_waiting(waiting, Reason::Overloaded, after_ms);
         }
     }
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -71,7 +71,9 @@
             }
             _ => {
                 self.drop_endpoint(&record.endpoint);
-                let endpoint = Endpoint::new(record.clone(), None, self.speed_of_new(record));
+                self.notices.take_incarnation(&record.endpoint, record.incarnation);
+                let mut endpoint = Endpoint::new(record.clone(), None, self.speed_of_new(record));
+                endpoint.said_leaving = self.notices.is_leaving(&record.endpoint);
                 let key = self.endpoints.insert(endpoint);
                 self.by_name.insert(record.endpoint.clone(), key);
                 self.describe(&record.endpoint);
--- a/crates/dispatch/src/dispatcher/versions.rs
+++ b/crates/dispatch/src/dispatcher/versions.rs
@@ -73,7 +73,7 @@
     pub(super) fn next_side<'a>(&self, endpoints: impl Iterator<Item = &'a Endpoint>) -> Side {
         let VersionMode::Split { target, share } = &self.rule.mode else { return Side::New };
         let wants_new = (self.placed_new + 1) as f64 <= (self.placed + 1) as f64 * share;
-        let mut live = endpoints.filter(|endpoint| !endpoint.record.leaving);
+        let mut live = endpoints.filter(|endpoint| !endpoint.is_leaving());
         if wants_new || !live.any(|endpoint| self.is_old(endpoint, target)) {
             return Side::New;
         }
--- a/crates/dispatch/src/endpoints/health.rs
+++ b/crates/dispatch/src/endpoints/health.rs
@@ -23,6 +23,8 @@
     answered_ms: u64,
     closed_until_ms: u64,
     pauses: u32,
+    /// When a probation ends where nothing is sent to the endpoint, in milliseconds.
+    probation_until_ms: u64,
     /// How many more answers the endpoint owes before it gets its full load again.
     owes_answers: u32,
 }
@@ -35,7 +37,7 @@
 
     /// Tells whether it gets one request at a time.
     pub fn is_on_probation(&self, now_ms: u64) -> bool {
-        self.owes_answers > 0 && now_ms < self.closed_until_ms + PROBATION_MS
+        self.owes_answers > 0 && now_ms < self.probation_until_ms
     }
 
     /// Returns the share of requests that failed of late.
@@ -90,6 +92,13 @@
         let pause_ms = (FIRST_PAUSE_MS << self.pauses.min(8)).min(LONGEST_PAUSE_MS);
         self.pauses += 1;
         self.closed_until_ms = now_ms + pause_ms;
+        self.put_on_probation(self.closed_until_ms);
+    }
+
+    /// Lets the endpoint show that it answers again, from `from_ms` on at the latest, before it gets
+    /// its full load.
+    pub fn put_on_probation(&mut self, from_ms: u64) {
         self.owes_answers = PROBATION_ANSWERS;
+        self.probation_until_ms = from_ms + PROBATION_MS;
     }
 }
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -2,10 +2,12 @@
 
 mod health;
 mod memory;
+mod notices;
 mod speed;
 
 pub use health::Health;
 pub use memory::PrefixMemory;
+pub use notices::{Notice, Notices};
 pub use speed::Speed;
 
 use crate::job::{Job, Outcome, Ticket};
@@ -31,8 +33,10 @@
 /// An endpoint with all that is known of it.
 #[derive(Clone, Debug)]
 pub struct Endpoint {
-    /// What it says of itself.
+    /// What it says of itself when it announces itself.
     pub record: EndpointRecord,
+    /// It said in an answer that it leaves.
+    pub said_leaving: bool,
     /// How many requests of this dispatcher may run there.
     pub own_slots: usize,
     /// How much memory it has for prompts and answers, in tokens; unbounded where it is not known.
@@ -57,6 +61,7 @@
         Self {
             own_slots: record.slots as usize,
             record,
+            said_leaving: false,
             memory_tokens,
             running: BTreeMap::new(),
             used_tokens: 0,
@@ -72,6 +77,11 @@
         &self.record.endpoint
     }
 
+    /// Tells whether it takes no new requests for good.
+    pub fn is_leaving(&self) -> bool {
+        self.record.leaving || self.said_leaving
+    }
+
     /// Returns how many requests of this dispatcher may run there now, by its health.
     pub fn usable_slots(&self, now_ms: u64) -> usize {
         if !self.health.is_open(now_ms) {
@@ -85,7 +95,7 @@
 
     /// Tells whether the endpoint takes `job` now.
     pub fn takes(&self, now_ms: u64, job: &Job) -> bool {
-        !self.record.leaving
+        !self.is_leaving()
             && self.running.len() < self.usable_slots(now_ms)
             && self.has_memory_for(job)
             && !job.tried.contains(&self.record.endpoint)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod retries;
 
 pub use dispatcher::{Dispatcher, InFlight, ServiceLoad, VersionMode, VersionRule, VersionSample};
+pub use endpoints::Notice;
 pub use job::{Decision, Finished, Job, Outcome, PrefixPart, Reason, Ticket};
 pub use options::Options;
 pub use placement::Placement;
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -1,6 +1,7 @@
 //! The border between those that have requests and whoever places them.
 
-use crate::{Decision, Finished, Job, Ticket};
+use crate::{Decision, Finished, Job, Notice, Ticket};
+use lycheehub_types::EndpointName;
 use std::future::Future;
 use std::pin::Pin;
 
@@ -23,4 +24,10 @@
 
     /// Takes the news that the caller of a request that waits has left.
     fn withdraw(&self, ticket: Ticket);
+
+    /// Takes what an endpoint said of itself in an answer to this instance.
+    fn heed(&self, endpoint: &EndpointName, notice: Notice);
+
+    /// Tells whether an endpoint has said that it wants nothing new from this instance now.
+    fn is_barred(&self, endpoint: &EndpointName) -> bool;
 }
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -15,11 +15,13 @@
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::placement::Deciding;
 use lycheehub_dispatch::{
-    Decision, Dispatcher, Finished, InFlight, Job, Options, Placement, Ticket, Usage,
+    Decision, Dispatcher, Finished, InFlight, Job, Notice, Options, Placement, Ticket, Usage,
 };
-use lycheehub_types::{AccountName, InstanceName, PeerError};
+use lycheehub_types::{AccountName, EndpointName, InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::{peer, placement};
-use lycheehub_wire::{read_decision, write_finished, write_in_flight, write_job, write_usage};
+use lycheehub_wire::{
+    read_decision, write_finished, write_in_flight, write_job, write_notice, write_usage,
+};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{LocalExecutor, Timer};
 use smol_str::SmolStr;
@@ -170,6 +172,7 @@
         let session = Rc::new(session);
         spdlog::info!("requests are placed by the leader", kv: { leader: = name });
         *self.session.borrow_mut() = Some(session.clone());
+        self.tell_notices();
         self.hand_over();
         Ok(session)
     }
@@ -279,6 +282,32 @@
         }
     }
 
+    /// Tells the leader what endpoints have said to this instance.
+    fn tell_notices(&self) {
+        let notices = self.local.borrow().notices(self.clock.now_ms(), OWN_NUMBER);
+        for (endpoint, notice) in notices {
+            self.tell_notice(&endpoint, notice);
+        }
+    }
+
+    fn tell_notice(&self, endpoint: &EndpointName, notice: Notice) {
+        self.tell(|client| {
+            let mut request = client.heed_request();
+            request.get().set_endpoint(endpoint.as_str());
+            write_notice(notice, request.get());
+            request
+        });
+    }
+
+    /// Tells whether a decision is for an endpoint that wants nothing from this instance, which its
+    /// leader has not heard.
+    ///
+    /// Load pattern: a leader has just begun, or decided before the endpoint's word reached it.
+    fn goes_astray(&self, decision: &Decision) -> Option<EndpointName> {
+        let Decision::Place { endpoint, .. } = decision else { return None };
+        self.is_barred(endpoint).then(|| endpoint.clone())
+    }
+
     fn deliver_local(&self) {
         let decisions = self.local.borrow_mut().take_decisions();
         for decision in decisions {
@@ -346,15 +375,22 @@
         Ticket { instance: OWN_NUMBER, number }
     }
 
-    fn place(&self, job: Job) -> Deciding<'_> {
+    fn place(&self, mut job: Job) -> Deciding<'_> {
         Box::pin(async move {
             let asked_ms = self.clock.now_ms();
-            let job_now = || job.after(self.clock.now_ms() - asked_ms);
             loop {
+                let job_now = || job.after(self.clock.now_ms() - asked_ms);
                 let session = self.session.borrow().clone();
                 if let Some(session) = session
                     && let Some(decision) = self.place_at_leader(&session, &job_now()).await
                 {
+                    if let Some(endpoint) = self.goes_astray(&decision) {
+                        spdlog::info!("endpoint not used: it wants nothing", kv: { endpoint: });
+                        self.withdraw(job.ticket);
+                        self.tell_notices();
+                        job.tried.push(endpoint);
+                        continue;
+                    }
                     self.note_placed(&job, &decision, true);
                     return decision;
                 }
@@ -392,6 +428,15 @@
         });
     }
 
+    fn heed(&self, endpoint: &EndpointName, notice: Notice) {
+        self.local.borrow_mut().heed(self.clock.now_ms(), OWN_NUMBER, endpoint, notice);
+        self.tell_notice(endpoint, notice);
+    }
+
+    fn is_barred(&self, endpoint: &EndpointName) -> bool {
+        self.local.borrow().is_barred(self.clock.now_ms(), OWN_NUMBER, endpoint)
+    }
+
     fn withdraw(&self, ticket: Ticket) {
         self.deciding.borrow_mut().remove(&ticket.number);
         self.placed.borrow_mut().remove(&ticket.number);
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -11,7 +11,7 @@
 use lycheehub_control::directory::Heard;
 use lycheehub_control::registry::Delta;
 use lycheehub_dispatch::Ticket;
-use lycheehub_types::InstanceName;
+use lycheehub_types::{EndpointName, InstanceName};
 use lycheehub_wire::peer_capnp::placement;
 use lycheehub_wire::peer_capnp::{greeter, peer};
 use lycheehub_wire::{Report, WireError};
@@ -309,6 +309,21 @@
         self.node.withdraw_job(self.session, params.get()?.get_number());
         Ok(())
     }
+
+    async fn heed(
+        self: Rc<Self>,
+        params: placement::HeedParams,
+        _: placement::HeedResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let endpoint = EndpointName::from(text(params.get_endpoint())?);
+        let notice = lycheehub_wire::read_notice(params);
+        let instance = self.session.instance;
+        self.node.with_dispatcher(self.session, |dispatcher, now_ms| {
+            dispatcher.heed(now_ms, instance, &endpoint, notice);
+        });
+        Ok(())
+    }
 }
 
 fn not_leading() -> capnp::Error {
--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -48,6 +48,8 @@
     pub not_run: bool,
     /// Another endpoint than the one that was meant has answered.
     pub misdirected: bool,
+    /// The endpoint leaves, and wants no new requests.
+    pub leaving: bool,
 }
 
 /// The names of a deployment.
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -8,7 +8,7 @@
 use crate::entry::Entry;
 use crate::http1::{Body, Connection, Error, ResponseHead};
 use crate::pool;
-use lycheehub_dispatch::{Finished, Outcome, Ticket};
+use lycheehub_dispatch::{Finished, Notice, Outcome, Ticket};
 use lycheehub_types::EndpointName;
 use smol::Timer;
 use std::cell::Cell;
@@ -19,6 +19,14 @@
 const WHOLE_MAX_BYTES: usize = 256 * 1024;
 /// How many answers to other requests are passed over on one connection.
 const STRAY_ANSWERS_MAX: u32 = 3;
+/// How long they may be together, in bytes.
+const STRAY_MAX_BYTES: usize = 256 * 1024;
+/// How many interim answers there may be before the final one.
+const INTERIM_ANSWERS_MAX: u32 = 16;
+/// When a caller comes back whose request no endpoint took, where none says it, in milliseconds.
+const RETRY_AFTER_MS: u64 = 500;
+/// The latest that it is told, in milliseconds: endpoints may be gone by then, and others there.
+const RETRY_AFTER_MAX_MS: u64 = 30_000;
 /// How much longer than expected an answer may take before it counts as stalled, as a factor.
 const STALL_FACTOR: u64 = 3;
 /// How much longer it may take besides, in milliseconds, for a whole answer and for a first event.
@@ -38,8 +46,10 @@
     Answered { keeps_alive: bool },
     /// The caller left, or its time was over.
     Interrupted(Interrupted),
-    /// Nothing was sent to the endpoint.
+    /// No connection could be made to the endpoint.
     NotSent(EndpointName),
+    /// The endpoint has said meanwhile that it wants nothing; nothing was sent.
+    Barred,
     /// The endpoint says that it did not run the request.
     NotRun { endpoint: EndpointName, retry_after_ms: u64 },
     /// The endpoint failed, and may have run the request.
@@ -117,6 +127,14 @@
     }
 }
 
+/// When an attempt counts as stalled, and what follows.
+#[derive(Clone, Copy)]
+struct StallWatch {
+    stall_ms: u64,
+    /// The request can move to another endpoint then.
+    can_move: bool,
+}
+
 /// The head of an answer, and what was found on the way to it.
 struct Answered {
     head: ResponseHead,
@@ -165,6 +183,9 @@
             }
             Ok(Ok(connected)) => connected,
         };
+        if self.entry.placement.is_barred(&endpoint) {
+            return AttemptEnd::Barred;
+        }
         let request = self.onward(identified, placed, stream);
         let can_move = kind.may_repeat() && !last;
         let exchanged = exchange(&mut upstream, &request, |head| {
@@ -172,7 +193,8 @@
             id.map_or(is_fresh, |id| id == self.fields.id)
         });
         let stall_ms = stall_ms(placed.first_byte_ms, kind.is_stream());
-        let watched = self.watch_stall(attempt, stall_ms, can_move, exchanged);
+        let watch = StallWatch { stall_ms, can_move };
+        let watched = self.watch_stall(attempt, watch, exchanged);
         let answered = match guard(self.entry, caller, self.deadline_ms, watched).await {
             Err(why) => return AttemptEnd::Interrupted(why),
             Ok(Some(Ok(answered))) => answered,
@@ -187,10 +209,12 @@
             }
         };
         let fields = self.entry.dialect.read_answer(&answered.head);
+        self.heed(&endpoint, &answered.head, fields.leaving);
         if fields.not_run || fields.misdirected {
             let misdirected = Outcome::Misdirected;
             attempt.report(if fields.misdirected { misdirected } else { Outcome::Rejected });
-            let retry_after_ms = retry_after_ms(&answered.head);
+            let retry_after_ms = answered.head.retry_after_ms().unwrap_or(RETRY_AFTER_MS);
+            let retry_after_ms = retry_after_ms.min(RETRY_AFTER_MAX_MS);
             self.put_back(attempt, upstream, answered).await;
             return AttemptEnd::NotRun { endpoint, retry_after_ms };
         }
@@ -203,7 +227,21 @@
             attempt.report(Outcome::Failed);
             return AttemptEnd::Failed { endpoint, answer: None };
         }
-        self.relay_whole(caller, upstream, answered, attempt, kind.may_repeat()).await
+        self.relay_whole(caller, upstream, answered, attempt, watch, kind.may_repeat()).await
+    }
+
+    /// Passes on what the endpoint says of itself.
+    fn heed(&self, endpoint: &EndpointName, head: &ResponseHead, leaving: bool) {
+        const UNAVAILABLE: u16 = 503;
+        let pause_ms = head.retry_after_ms().filter(|_| head.status == UNAVAILABLE);
+        let notice = Notice { leaving, pause_ms };
+        if notice.is_empty() {
+            return;
+        }
+        spdlog::info!("endpoint wants nothing new", kv: {
+            id: = self.fields.id, endpoint: = endpoint, leaving, pause_ms:serde = pause_ms,
+        });
+        self.entry.placement.heed(endpoint, notice);
     }
 
     /// Takes an idle connection, or makes one; tells whether it is a new one.
@@ -251,8 +289,7 @@
     async fn watch_stall<T>(
         &self,
         attempt: &Attempt,
-        stall_ms: u64,
-        can_move: bool,
+        StallWatch { stall_ms, can_move }: StallWatch,
         work: impl Future<Output = T>,
     ) -> Option<T> {
         let done = async { Some(work.await) };
@@ -276,6 +313,7 @@
         mut upstream: Connection,
         answered: Answered,
         attempt: &Attempt,
+        watch: StallWatch,
         may_repeat: bool,
     ) -> AttemptEnd {
         let endpoint = attempt.endpoint.clone();
@@ -290,14 +328,19 @@
             while body.len() <= WHOLE_MAX_BYTES && reading.next(&mut upstream, &mut body).await? {}
             Ok::<(), Error>(())
         };
-        match guard(self.entry, caller, self.deadline_ms, read).await {
+        let watched = self.watch_stall(attempt, watch, read);
+        match guard(self.entry, caller, self.deadline_ms, watched).await {
             Err(why) => return AttemptEnd::Interrupted(why),
-            Ok(Err(error)) => {
+            Ok(None) => {
+                attempt.report(Outcome::Broken);
+                return AttemptEnd::Failed { endpoint, answer: None };
+            }
+            Ok(Some(Err(error))) => {
                 spdlog::info!("answer not whole", kv: { id: = self.fields.id, error: = error });
                 attempt.report(Outcome::Broken);
                 return AttemptEnd::Failed { endpoint, answer: None };
             }
-            Ok(Ok(())) => {}
+            Ok(Some(Ok(()))) => {}
         }
         if !reading.is_at_end() {
             return self.relay_long(caller, upstream, answered.head, reading, body, attempt).await;
@@ -350,10 +393,14 @@
         smol::future::pending().await
     };
     let read = async {
-        let mut strays = 0;
+        let (mut strays, mut stray_bytes, mut interim) = (0, 0, 0);
         loop {
             let head = upstream.read_response_head().await?;
             if head.status < 200 {
+                interim += 1;
+                if interim > INTERIM_ANSWERS_MAX {
+                    return Err(Error::Malformed("interim answers without end"));
+                }
                 continue;
             }
             if is_own(&head) {
@@ -366,6 +413,10 @@
             let mut ignored = Vec::new();
             let mut stray = Body::new(head.framing);
             while stray.next(upstream, &mut ignored).await? {
+                stray_bytes += ignored.len();
+                if stray_bytes > STRAY_MAX_BYTES {
+                    return Err(Error::BodyTooLong);
+                }
                 ignored.clear();
             }
         }
@@ -379,16 +430,10 @@
     STALL_FACTOR * expected_ms + besides_ms
 }
 
-fn retry_after_ms(head: &ResponseHead) -> u64 {
-    const RETRY_AFTER_MS: u64 = 500;
-    let seconds = head.headers.text("retry-after").and_then(|text| text.parse::<f64>().ok());
-    seconds.map_or(RETRY_AFTER_MS, |seconds| (seconds * 1e3) as u64)
-}
-
 fn outcome_of(end: &AttemptEnd) -> Outcome {
     match end {
         AttemptEnd::Answered { .. } => Outcome::Answered,
-        AttemptEnd::Interrupted(_) => Outcome::Abandoned,
+        AttemptEnd::Interrupted(_) | AttemptEnd::Barred => Outcome::Abandoned,
         AttemptEnd::NotSent(_) => Outcome::NotConnected,
         AttemptEnd::NotRun { .. } => Outcome::Rejected,
         AttemptEnd::Failed { answer: Some(_), .. } => Outcome::Failed,
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -153,6 +153,7 @@
                         break self.unreached(&endpoint);
                     }
                 }
+                AttemptEnd::Barred => {}
                 AttemptEnd::NotRun { endpoint, retry_after_ms } => {
                     tried.push(endpoint);
                     if last {
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -158,6 +158,9 @@
                     }
                     take_event(&mut pending, framing, stream, event);
                 }
+                if let Err(error) = events.check_rest() {
+                    return StreamEnd::Broken(error);
+                }
                 if !more {
                     append_piece(&mut pending, framing, &events.take_rest());
                     if framing == Framing::Chunked {
--- a/crates/proxy/src/http1/body.rs
+++ b/crates/proxy/src/http1/body.rs
@@ -28,8 +28,8 @@
     Chunk(u64),
     /// The line end after a chunk follows.
     ChunkEnd,
-    /// The trailer follows.
-    Trailer,
+    /// The trailer follows, of which so many bytes were read.
+    Trailer(usize),
     /// All up to the end of the connection.
     UntilClose,
     /// Nothing.
@@ -130,7 +130,7 @@
             }
             Place::ChunkLine => self.chunk_line(connection),
             Place::ChunkEnd => self.chunk_end(connection),
-            Place::Trailer => self.trailer(connection),
+            Place::Trailer(read) => self.trailer(connection, read),
         }
     }
 
@@ -144,7 +144,7 @@
         let length = length.ok_or(Error::Malformed("chunk length"))?;
         let used = line.len() + 2;
         connection.consume(used);
-        self.place = if length == 0 { Place::Trailer } else { Place::Chunk(length) };
+        self.place = if length == 0 { Place::Trailer(0) } else { Place::Chunk(length) };
         Ok(true)
     }
 
@@ -158,14 +158,13 @@
         Ok(true)
     }
 
-    fn trailer(&mut self, connection: &mut Connection) -> Result<bool, Error> {
-        let Some(line) = line(connection.unused(), TRAILER_MAX_BYTES)? else { return Ok(false) };
+    fn trailer(&mut self, connection: &mut Connection, read: usize) -> Result<bool, Error> {
+        let max_bytes = TRAILER_MAX_BYTES - read;
+        let Some(line) = line(connection.unused(), max_bytes)? else { return Ok(false) };
         let is_last = line.is_empty();
         let used = line.len() + 2;
         connection.consume(used);
-        if is_last {
-            self.place = Place::End;
-        }
+        self.place = if is_last { Place::End } else { Place::Trailer(read + used) };
         Ok(!is_last)
     }
 }
--- a/crates/proxy/src/http1/connection.rs
+++ b/crates/proxy/src/http1/connection.rs
@@ -13,6 +13,9 @@
 const KEPT_BYTES: usize = 1_024;
 /// How many header fields a head may have.
 const FIELDS_MAX: usize = 96;
+/// After how many reads that had something at once others get their turn: a peer that sends faster
+/// than its bytes are used would keep the thread from all others, and from its own time limits.
+const READS_IN_A_ROW: u32 = 8;
 /// The longest head of an answer, in bytes.
 const ANSWER_HEAD_MAX_BYTES: usize = 32 * 1024;
 
@@ -29,12 +32,14 @@
     received: Vec<u8>,
     /// How many of the received bytes are used.
     used: usize,
+    /// How many reads in a row had something at once.
+    reads_in_a_row: u32,
 }
 
 impl Connection {
     /// Wraps a stream of which nothing was read.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, received: Vec::new(), used: 0 }
+        Self { stream, received: Vec::new(), used: 0, reads_in_a_row: 0 }
     }
 
     /// Returns another handle of the stream, for writing.
@@ -62,12 +67,18 @@
     /// # Errors
     /// Fails where the connection does.
     pub async fn fill(&mut self) -> Result<usize, Error> {
+        if self.reads_in_a_row >= READS_IN_A_ROW {
+            self.reads_in_a_row = 0;
+            future::yield_now().await;
+        }
         Ok(future::poll_fn(|context| self.poll_fill(context)).await?)
     }
 
     fn poll_fill(&mut self, context: &mut Context<'_>) -> Poll<std::io::Result<usize>> {
         SCRATCH.with_borrow_mut(|scratch| {
-            let count = ready!(Pin::new(&mut self.stream).poll_read(context, scratch))?;
+            let read = Pin::new(&mut self.stream).poll_read(context, scratch);
+            self.reads_in_a_row = if read.is_ready() { self.reads_in_a_row + 1 } else { 0 };
+            let count = ready!(read)?;
             self.received.drain(..self.used);
             self.used = 0;
             self.received.extend_from_slice(&scratch[..count]);
@@ -88,7 +99,11 @@
 
     /// Tells whether the peer has sent nothing, nor closed, since the last message.
     pub async fn is_quiet(&mut self) -> bool {
-        self.unused().is_empty() && future::poll_once(self.fill()).await.is_none()
+        if !self.unused().is_empty() {
+            return false;
+        }
+        let read = future::poll_fn(|context| self.poll_fill(context));
+        future::poll_once(read).await.is_none()
     }
 
     /// Sends bytes.
@@ -104,8 +119,9 @@
     /// # Errors
     /// Fails where it is malformed or longer than `max_bytes`, and at the end of the connection.
     pub async fn read_request_head(&mut self, max_bytes: usize) -> Result<RequestHead, Error> {
+        let mut skipped = 0;
         loop {
-            self.skip_empty_lines();
+            skipped += self.skip_empty_lines();
             let mut fields = [httparse::EMPTY_HEADER; FIELDS_MAX];
             let mut parsed = httparse::Request::new(&mut fields);
             let status = parsed.parse(self.unused()).map_err(|error| match error {
@@ -120,7 +136,7 @@
                 self.consume(length);
                 return Ok(head);
             }
-            if self.unused().len() > max_bytes {
+            if skipped + self.unused().len() > max_bytes {
                 return Err(Error::HeadTooLong);
             }
             self.more().await?;
@@ -159,8 +175,10 @@
         }
     }
 
-    fn skip_empty_lines(&mut self) {
+    /// Skips empty lines; returns how many bytes they had.
+    fn skip_empty_lines(&mut self) -> usize {
         let empty = self.unused().iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
         self.consume(empty);
+        empty
     }
 }
--- a/crates/proxy/src/http1/events.rs
+++ b/crates/proxy/src/http1/events.rs
@@ -1,7 +1,11 @@
 //! Events of a stream, cut out of the bytes of its body.
 
+use super::Error;
 use smol_str::SmolStr;
 
+/// The longest event, in bytes: what is longer is none, or would fill the memory.
+const EVENT_MAX_BYTES: usize = 256 * 1024;
+
 /// An event.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -42,6 +46,15 @@
         Some(Event { bytes, id })
     }
 
+    /// Tells whether what is left can still become an event.
+    ///
+    /// # Errors
+    /// Fails where it is longer than any event.
+    pub fn check_rest(&self) -> Result<(), Error> {
+        let is_event = self.pending.len() <= EVENT_MAX_BYTES;
+        is_event.then_some(()).ok_or(Error::Malformed("event too long"))
+    }
+
     /// Takes what is left and is no whole event.
     pub fn take_rest(&mut self) -> Vec<u8> {
         std::mem::take(&mut self.pending)
--- a/crates/proxy/src/http1/head.rs
+++ b/crates/proxy/src/http1/head.rs
@@ -215,6 +215,13 @@
         Ok(Self { status, reason, framing, keeps_alive, headers })
     }
 
+    /// Returns after how long the endpoint wants the next request, in milliseconds, if it says so in
+    /// a way that makes sense: fractions of seconds do, less than nothing does not.
+    pub fn retry_after_ms(&self) -> Option<u64> {
+        let seconds: f64 = self.headers.text("retry-after")?.parse().ok()?;
+        (seconds.is_finite() && seconds >= 0.0).then_some((seconds * 1e3) as u64)
+    }
+
     /// Returns for how long the endpoint keeps an idle connection, in milliseconds, if it says so.
     pub fn idle_timeout_ms(&self) -> Option<u64> {
         let value = self.headers.text("keep-alive")?;
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -2,7 +2,9 @@
 
 mod answers;
 mod callers;
+mod endless;
 mod framing;
+mod notices;
 mod requests;
 mod streams;
 mod support;
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -3,11 +3,12 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::placement::Deciding;
-use lycheehub_dispatch::{Decision, Finished, Job, Outcome, Placement, Reason, Ticket};
+use lycheehub_dispatch::{Decision, Finished, Job, Notice, Outcome, Placement, Reason, Ticket};
 use lycheehub_proxy::dialect::{AnswerFields, Dialect, OnwardFields, RequestFields};
 use lycheehub_proxy::http1::{Headers, RequestHead, ResponseHead};
 use lycheehub_proxy::{Entry, Options, Snapshot, Snapshots, server};
 use lycheehub_routes::{Document, RequestKind, RouteSpec, RouteTable, ServiceSpec, Target};
+use lycheehub_types::EndpointName;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use std::cell::{Cell, RefCell};
@@ -51,6 +52,7 @@
             id: head.headers.text("id").map(Into::into),
             not_run: head.headers.text("not-run").is_some(),
             misdirected: head.status == 421,
+            leaving: head.headers.text("leaving").is_some(),
         }
     }
 
@@ -77,6 +79,10 @@
     pub no_repeats: Cell<bool>,
     /// All are refused for the quota of their account.
     pub over_quota: Cell<bool>,
+    /// What endpoints said of themselves.
+    pub notices: RefCell<Vec<(String, Notice)>>,
+    /// The endpoints that want nothing.
+    pub barred: RefCell<Vec<String>>,
 }
 
 impl Placement for Turns {
@@ -123,6 +129,14 @@
     fn withdraw(&self, _: Ticket) {
         self.withdrawn.set(self.withdrawn.get() + 1);
     }
+
+    fn heed(&self, endpoint: &EndpointName, notice: Notice) {
+        self.notices.borrow_mut().push((endpoint.to_string(), notice));
+    }
+
+    fn is_barred(&self, endpoint: &EndpointName) -> bool {
+        self.barred.borrow().iter().any(|barred| barred == endpoint.as_str())
+    }
 }
 
 /// A document that is there from the begin, and is known to be recent when the test says so.
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -4,7 +4,7 @@
 use crate::peer_capnp as schema;
 use capnp::struct_list;
 use lycheehub_dispatch::{
-    Decision, Finished, InFlight, Job, Outcome, PrefixPart, Reason, Ticket, Usage,
+    Decision, Finished, InFlight, Job, Notice, Outcome, PrefixPart, Reason, Ticket, Usage,
 };
 use lycheehub_types::{AccountName, EndpointName};
 
@@ -263,3 +263,15 @@
         }
     }
 }
+
+/// Reads what an endpoint said of itself.
+pub fn read_notice(reader: schema::placement::heed_params::Reader<'_>) -> Notice {
+    let pause_ms = reader.get_pause_ms();
+    Notice { leaving: reader.get_leaving(), pause_ms: (pause_ms > 0).then_some(pause_ms) }
+}
+
+/// Writes what an endpoint said of itself.
+pub fn write_notice(notice: Notice, mut builder: schema::placement::heed_params::Builder<'_>) {
+    builder.set_leaving(notice.leaving);
+    builder.set_pause_ms(notice.pause_ms.unwrap_or_default());
+}
