--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -49,6 +49,11 @@
     /// Follows a request through log files.
     #[options(help = "follow a request's id through log files: lycheehub trace ID FILE...")]
     Trace(Trace),
+    /// Adds up what became of all requests in log files.
+    #[options(
+        help = "what became of all requests in log files, by cause, rank, account and second"
+    )]
+    Summary(Summary),
 }
 
 /// Options of `trace`.
@@ -68,6 +73,20 @@
     pub files: Vec<String>,
 }
 
+/// Options of `summary`.
+#[derive(Debug, Options)]
+pub struct Summary {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// Prints JSON.
+    #[options(help = "print JSON", no_short)]
+    pub json: bool,
+    /// The log files.
+    #[options(free, required, help = "log files of entry instances")]
+    pub files: Vec<String>,
+}
+
 /// Options of `serve`.
 #[derive(Debug, Default, Options)]
 pub struct Serve {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -39,6 +39,7 @@
         Some(Command::Endpoints(options)) => client::lists::endpoints(&options),
         Some(Command::Instances(options)) => client::lists::instances(&options),
         Some(Command::Trace(options)) => trace::run(&options),
+        Some(Command::Summary(options)) => trace::summary::run(&options),
         None => {
             println!("{}", arguments::help());
             return exit::Code::Usage.into();
--- a/crates/cli/src/trace/lines.rs
+++ b/crates/cli/src/trace/lines.rs
@@ -77,6 +77,15 @@
 /// Names the first file that cannot be read.
 pub(super) fn read(paths: &[String]) -> Result<Vec<Line>, Error> {
     let mut lines = Vec::new();
+    for_each(paths, |line| lines.push(line))?;
+    Ok(lines)
+}
+
+/// Reads log files line by line; what is no line of ours is passed over.
+///
+/// # Errors
+/// Names the first file that cannot be read.
+pub(super) fn for_each(paths: &[String], mut take: impl FnMut(Line)) -> Result<(), Error> {
     for path in paths {
         let fail = |error| Error::new(Code::Invalid, format!("cannot read {path}: {error}"));
         let file = std::fs::File::open(path).map_err(fail)?;
@@ -87,7 +96,7 @@
             // Some tools write the time and the machine before what a process wrote.
             let begin = text.iter().position(|byte| *byte == b'{').unwrap_or(0);
             let Ok(line) = serde_json::from_slice::<WireLine>(&text[begin..]) else { continue };
-            lines.push(Line {
+            take(Line {
                 time_ms: line.timestamp,
                 source: source.clone(),
                 message: line.payload,
@@ -95,5 +104,5 @@
             });
         }
     }
-    Ok(lines)
+    Ok(())
 }
--- a/crates/cli/src/trace/mod.rs
+++ b/crates/cli/src/trace/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! * [`lines`] reads log files.
 //! * [`cause`] says what the end of a request means.
+//! * [`summary`] adds up what became of all of them.
 
 mod cause;
 mod lines;
+pub mod summary;
 
 use crate::arguments::Trace;
 use crate::exit::{Code, Error};
@@ -82,9 +84,15 @@
 
 /// Returns the endpoints that a request was sent to, each with the outcome.
 fn attempts(end: &Line) -> impl Iterator<Item = (&str, &str)> {
+    attempts_timed(end).map(|(endpoint, outcome, _)| (endpoint, outcome))
+}
+
+/// Returns the same with how long each took, in milliseconds.
+fn attempts_timed(end: &Line) -> impl Iterator<Item = (&str, &str, u64)> {
     let attempts = end.text("attempts").split(' ');
     attempts.filter_map(|attempt| {
         let (endpoint, outcome) = attempt.split_once('=')?;
-        Some((endpoint, outcome.split('@').next()?))
+        let (outcome, took) = outcome.split_once('@')?;
+        Some((endpoint, outcome, took.strip_suffix("ms")?.parse().ok()?))
     })
 }
