feat(dispatch): a quota leaves room for the urgent requests that are foreseen

Now a less urgent request leaves as much as urgent ones asked for in the last 2.5 s, less what leaves the window in the next 2.5 s; small requests count as urgent.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -197,7 +197,8 @@
             let units = quota.units_of(job.told_tokens);
             let instance = job.ticket.instance;
             let limited = (name, quota);
-            let result = self.quotas.take(now_ms, &self.options, instance, limited, units);
+            let result =
+                self.quotas.take(now_ms, &self.options, instance, limited, (job.rank, units));
             result.map_err(|wait_ms| (Reason::QuotaExceeded, wait_ms))?;
             taken = units;
         }
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -5,6 +5,12 @@
 //! nothing from the others. A burst after a quiet time is let through, since the quota holds for
 //! the whole window. What is refused is told to come back when as much as it needs has left the
 //! window: sooner it would only be refused again.
+//!
+//! Load pattern: the same account sends requests of all ranks. Taken as they come, the first seconds
+//! would use up the quota, and its urgent requests be refused with all others until these have left
+//! the window. So a less urgent request leaves as much as the urgent ones are going to need: for the
+//! next seconds, as much as they asked for in the same time before, less what leaves the window by
+//! then.
 
 use crate::Options;
 use lycheehub_routes::Quota;
@@ -22,6 +28,14 @@
 /// What it lets through of any other account's equal part: requests come unevenly, and there is
 /// room.
 const LOOSE_PART: f64 = 1.4;
+/// How far ahead room is left for urgent requests, in milliseconds: longer than that nobody knows what
+/// an account will ask for.
+const URGENT_AHEAD_MS: u64 = 2_500;
+/// How many times as many units as a small request the mean one takes: refused, it would leave room
+/// for a small part of another one.
+const SMALL_FACTOR: f64 = 4.0;
+/// The weight of a request in the mean.
+const MEAN_WEIGHT: f64 = 0.02;
 /// For how long units are counted together, in milliseconds.
 const GRAIN_MS: u64 = 100;
 
@@ -94,6 +108,10 @@
     windows: BTreeMap<u32, Window>,
     /// What all instances used together.
     all: Window,
+    /// How many units a request takes, as a mean.
+    mean_units: f64,
+    /// What was asked for, by rank.
+    asked: BTreeMap<u8, Window>,
 }
 
 impl Account {
@@ -118,6 +136,37 @@
         self.all.sum
     }
 
+    /// Notes that units were asked for; returns how many are to be left for requests of more urgent
+    /// ranks.
+    fn ask(&mut self, now_ms: u64, window_ms: u64, rank: u8, units: f64) -> f64 {
+        let weight = if self.mean_units == 0.0 { 1.0 } else { MEAN_WEIGHT };
+        self.mean_units += weight * (units - self.mean_units);
+        let rank = if units * SMALL_FACTOR <= self.mean_units { 0 } else { rank };
+        for window in self.asked.values_mut() {
+            window.forget(now_ms.saturating_sub(window_ms));
+        }
+        self.asked.entry(rank).or_default().add(now_ms, units);
+        let urgent = self.asked.range(..rank).flat_map(|(_, window)| &window.used);
+        let mut urgent: Vec<(u64, f64)> = urgent.copied().collect();
+        urgent.sort_by_key(|(at_ms, _)| std::cmp::Reverse(*at_ms));
+        let mut leaving = self.all.used.iter().peekable();
+        let (mut needed, mut freed, mut most) = (0.0, 0.0, 0.0_f64);
+        for (at_ms, asked) in
+            urgent.into_iter().filter(|(at_ms, _)| now_ms <= at_ms + URGENT_AHEAD_MS)
+        {
+            // What was asked so long ago is asked again as long from now.
+            let ahead_ms = now_ms + (now_ms - at_ms);
+            while let Some((_, units)) =
+                leaving.next_if(|(used_ms, _)| used_ms + window_ms <= ahead_ms)
+            {
+                freed += units;
+            }
+            needed += asked;
+            most = most.max(needed - freed);
+        }
+        most
+    }
+
     fn add(&mut self, at_ms: u64, instance: u32, units: f64) {
         self.windows.entry(instance).or_default().add(at_ms, units);
         self.all.add(at_ms, units);
@@ -186,7 +235,7 @@
         }
     }
 
-    /// Takes `units` of an account for a request of an instance; otherwise returns after how many
+    /// Takes `units` of an account for a request of a rank of an instance; otherwise returns after how many
     /// milliseconds there are as many.
     ///
     /// # Errors
@@ -197,15 +246,17 @@
         options: &Options,
         instance: u32,
         (account, quota): (&AccountName, &Quota),
-        units: f64,
+        (rank, units): (u8, f64),
     ) -> Result<(), u64> {
         let part = self.part_of(options, account);
         let known = self.accounts.entry(account.clone()).or_default();
         let limit = known.limit(now_ms, options, quota) * part;
         let before_ms = now_ms.saturating_sub(options.quota_window_ms);
         let used = known.used(before_ms);
-        if used > 0.0 && used + units > limit {
-            let used_ms = known.all.used_until_ms(used + units - limit).unwrap_or(now_ms);
+        let kept = known.ask(now_ms, options.quota_window_ms, rank, units);
+        let over = used + kept + units - limit;
+        if used > 0.0 && over > 0.0 {
+            let used_ms = known.all.used_until_ms(over).unwrap_or(now_ms);
             return Err((used_ms + options.quota_window_ms + 1).saturating_sub(now_ms));
         }
         known.add(now_ms, instance, units);
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -174,3 +174,57 @@
     // 0.2 of 200 requests, and 20 besides.
     expect_that!(repeats, all![gt(30), le(60)]);
 }
+
+/// Submits a job of a rank of the large account; tells whether it was let through.
+fn ask_of_rank(dispatcher: &mut Dispatcher, now_ms: u64, rank: u8, number: u64) -> bool {
+    let ticket = Ticket { instance: 1, number };
+    let large = Job { ticket, account: Some("large".into()), told_tokens: Some(1_000), ..job(0) };
+    let large = Job { objective_left_ms: 6_000, patience_left_ms: 9_000, rank, ..large };
+    dispatcher.submit(now_ms, Job { prompt_tokens: 1, output_tokens: 0, ..large });
+    !matches!(dispatcher.take_decisions().pop(), Some(Decision::Refuse { .. }))
+}
+
+/// Lets requests of three ranks come, the same number of each, `per_s` in all, `for_ms` long; returns
+/// how many of each rank came and were let through.
+fn ask_of_all_ranks(
+    dispatcher: &mut Dispatcher,
+    from_ms: u64,
+    for_ms: u64,
+    per_s: u64,
+) -> [(u32, u32); 3] {
+    let mut ranks = [(0, 0); 3];
+    for number in 0..per_s * for_ms / 1_000 {
+        let rank = (number % 3) as u8;
+        let now_ms = from_ms + number * 1_000 / per_s;
+        let passed = ask_of_rank(dispatcher, now_ms, rank, from_ms * 1_000 + number);
+        let counts = &mut ranks[usize::from(rank)];
+        *counts = (counts.0 + 1, counts.1 + u32::from(passed));
+    }
+    ranks
+}
+
+#[gtest]
+fn an_account_beyond_its_quota_is_refused_its_least_urgent_requests_first() {
+    let mut dispatcher = dispatcher(Options::default(), QUOTA);
+    let usual = ask_of_all_ranks(&mut dispatcher, 1_000, 10_000, 9);
+    expect_that!(usual.iter().all(|(came, passed)| came == passed), eq(true));
+    // 24 a second of which 8 are urgent: its quota of 11 bears these, and few of the others.
+    let [urgent, middle, least] = ask_of_all_ranks(&mut dispatcher, 11_000, 10_000, 24);
+    let share = |(came, passed): (u32, u32)| f64::from(passed) / f64::from(came);
+    expect_that!(share(urgent), ge(0.95));
+    expect_that!(share(middle), all![gt(share(least)), lt(0.7)]);
+    // What the quota bears is let through: 88 in 8 s and 11 at the most beside.
+    let passed = urgent.1 + middle.1 + least.1;
+    expect_that!(passed, ge(95));
+}
+
+#[gtest]
+fn a_short_burst_that_the_quota_bears_is_let_through_whole() {
+    let mut dispatcher = dispatcher(Options::default(), QUOTA);
+    ask_of_all_ranks(&mut dispatcher, 1_000, 10_000, 3);
+    // 24 were used of 90; 60 more come within a second.
+    let burst = ask_of_all_ranks(&mut dispatcher, 11_000, 1_000, 60);
+    let least = burst[2];
+    expect_that!(f64::from(least.1) / f64::from(least.0), ge(0.7));
+    expect_that!(burst[0].0, eq(burst[0].1));
+}
