feat(dispatch): requests that cannot move go where answers are not lost

Now the measure is the best quarter of the endpoints, a request that cannot be sent elsewhere pays four times as much, and waits for an endpoint that does not fail as long as it can be on time there.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -9,6 +9,11 @@
 //! as long as its caller waits, and ends unfinished. So it goes where it is likely to end in time,
 //! or waits for a slot there.
 //!
+//! Load pattern: half of the endpoints lose some of their answers, the others none. Those that cannot be
+//! sent elsewhere after a failure go to the others as long as these have room. Requests that fail
+//! anywhere say nothing: what counts is how much more an endpoint fails than the better ones do. Where
+//! these are full for the moment, such a request waits for one as long as it can be on time.
+//!
 //! Load pattern: many that wait for the fastest endpoints, while others have free slots. They are
 //! passed over for those behind them. The first ones are weighed again at each event, so that a slot
 //! that they wait for is theirs; the others a moment later.
@@ -29,8 +34,13 @@
 /// After how long a job that no free endpoint suited is weighed again, in milliseconds: some slots
 /// are free again by then.
 const WEIGH_AGAIN_MS: u64 = 20;
-/// What an endpoint that fails all requests costs, in milliseconds of waiting.
+/// What a new connection costs, in milliseconds: a round trip and the endpoint's work.
+const CONNECT_MS: f64 = 6.0;
+/// What an endpoint that fails all requests costs, in milliseconds of waiting: a request that can
+/// move begins anew elsewhere.
 const FAILURE_MS: f64 = 2_000.0;
+/// The same for a request that cannot: its caller gets nothing.
+const FINAL_FAILURE_MS: f64 = 8_000.0;
 /// What an endpoint that has not answered since it failed costs, in milliseconds of waiting.
 const PROBATION_MS: f64 = 300.0;
 /// How long it takes until a slot of a full endpoint is free, in milliseconds.
@@ -44,8 +54,13 @@
 const OVERRUN_LITTLE: f64 = 0.2;
 /// What part of the chance at a free endpoint another one must have at most, where that is not little.
 const OVERRUN_PART: f64 = 0.5;
-/// How much further an endpoint may fail than the mean of its service, as a share of requests.
-const FAILURE_TOLERANCE: f64 = 0.1;
+/// How much further an endpoint may fail than the better ones of its service, as a share of
+/// requests: the last few answers tell no more.
+const FAILURE_TOLERANCE: f64 = 0.05;
+
+/// How much further than usual an endpoint fails where a request that cannot move waits for a better
+/// one, as a share of requests.
+const FAILING_MUCH: f64 = 0.15;
 
 impl Dispatcher {
     /// Places what waits for a service while an endpoint takes it.
@@ -97,7 +112,11 @@
         let overrun = endpoint.overrun_chance(first_byte_ms, events, ends_ms);
         let overruns = overrun > OVERRUN_MAX;
         let little = OVERRUN_LITTLE.max(overrun * OVERRUN_PART);
-        if !is_late && !overruns {
+        let fails_much = |endpoint: &Endpoint| {
+            endpoint.health.failure_share() > service.usual_failures + FAILING_MUCH
+        };
+        let fails = job.is_final && fails_much(endpoint);
+        if !is_late && !overruns && !fails {
             return false;
         }
         let mut others = service.endpoints.iter().map(|key| &self.endpoints[*key]);
@@ -108,7 +127,9 @@
             let first_byte_ms = other.first_byte_ms(now_ms, job);
             let is_on_time = first_byte_ms + SLOT_WAIT_MS <= left_ms;
             let ends = || other.overrun_chance(first_byte_ms, events, ends_ms) < little;
-            (!is_late || is_on_time) && (!overruns || ends())
+            (!is_late || is_on_time)
+                && (!overruns || ends())
+                && (!fails || is_on_time && !fails_much(other))
         })
     }
 
@@ -122,10 +143,7 @@
 
     fn choose(&self, now_ms: u64, name: &ServiceName, job: &Job) -> Option<EndpointKey> {
         let service = self.services.get(name)?;
-        let count = service.endpoints.len().max(1) as f64;
-        let failures: f64 =
-            service.endpoints.iter().map(|key| self.endpoints[*key].health.failure_share()).sum();
-        let tolerated = failures / count + FAILURE_TOLERANCE;
+        let tolerated = service.usual_failures + FAILURE_TOLERANCE;
         let events = service.events_of(job.output_tokens);
         let best = |suits: &dyn Fn(&Endpoint) -> bool| {
             let usable = service.endpoints.iter().copied().filter(|key| {
@@ -158,13 +176,16 @@
         let endpoint = &self.endpoints[key];
         let foreign = endpoint.record.failure_domain != job.failure_domain;
         let foreign_ms = if foreign { self.options.foreign_domain_ms } else { 0.0 };
-        let failure_ms = (endpoint.health.failure_share() - tolerated).max(0.0) * FAILURE_MS;
+        let is_connected = endpoint.idle.is_kept(now_ms, job.ticket.instance);
+        let connect_ms = if is_connected { 0.0 } else { CONNECT_MS };
+        let failure_ms = if job.is_final { FINAL_FAILURE_MS } else { FAILURE_MS };
+        let failure_ms = (endpoint.health.failure_share() - tolerated).max(0.0) * failure_ms;
         let doubt_ms = if endpoint.health.is_on_probation(now_ms) { PROBATION_MS } else { 0.0 };
         let load = endpoint.running.len() as f64 / f64::from(endpoint.record.slots.max(1));
         let first_byte_ms = endpoint.first_byte_ms(now_ms, job);
         let overrun = endpoint.overrun_chance(first_byte_ms, events, job.deadline_left_ms);
         let overrun_ms = overrun * OVERRUN_MS;
-        first_byte_ms + foreign_ms + failure_ms + doubt_ms + overrun_ms + load
+        first_byte_ms + foreign_ms + connect_ms + failure_ms + doubt_ms + overrun_ms + load
     }
 
     fn place(&mut self, now_ms: u64, key: EndpointKey, waiting: Waiting) {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -26,6 +26,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Placed {
     endpoint: EndpointKey,
+/// Which part of a service's endpoints tells what is usual: the best quarter.
+const BETTER_PART: usize = 4;
+
     is_stream: bool,
     /// The rank of its route.
     rank: u8,
@@ -45,6 +48,8 @@
     slot_ms: f64,
     /// The highest tier that was shed of late, with until when nothing below it is admitted, in
     /// milliseconds.
+    /// The share of requests that fail at its better endpoints: what fails there fails anywhere.
+    usual_failures: f64,
     floor: Option<(u8, u64)>,
     /// How requests are divided between versions, where they are.
     division: Option<Division>,
@@ -408,6 +413,12 @@
     pub fn loads(&self, now_ms: u64) -> impl Iterator<Item = ServiceLoad> {
         self.services.iter().map(move |(name, service)| {
             let mut load = ServiceLoad {
+        let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
+        let mut failures: Vec<f64> =
+            usable.map(|endpoint| endpoint.health.failure_share()).collect();
+        failures.sort_by(f64::total_cmp);
+        service.usual_failures = failures.get(failures.len() / BETTER_PART).copied().unwrap_or(0.0);
                 service: name.clone(),
                 waiting: service.queue.len(),
                 running: 0,
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -53,6 +53,8 @@
     pub returning: bool,
     /// The caller has a part of its stream already, which broke off at another endpoint.
     pub goes_on: bool,
+    /// It is sent to no further endpoint if this one fails.
+    pub is_final: bool,
     /// Where the request was taken.
     pub failure_domain: FailureDomain,
     /// The endpoints that it was sent to before.
@@ -73,7 +75,8 @@
     /// #     ticket, service: "labels".into(), tier: 0, rank: 0, account: None, told_tokens: None,
     /// #     prompt_tokens: 0, output_tokens: 0, prefix: vec![], objective_left_ms: 100,
     /// #     patience_left_ms: 500, deadline_left_ms: 500, returning: false,
-    /// #     goes_on: false, failure_domain: "salto".into(), tried: vec![], repeat: false,
+    /// #     goes_on: false, is_final: false, failure_domain: "salto".into(), tried: vec![],
+    /// #     repeat: false,
     /// # };
     /// let later = job.after(200);
     /// assert_eq!((later.objective_left_ms, later.deadline_left_ms), (0, 300));
--- a/crates/dispatch/tests/dispatch/health.rs
+++ b/crates/dispatch/tests/dispatch/health.rs
@@ -2,7 +2,8 @@
 
 use crate::replay::{dispatcher, finished, job, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::{Decision, Dispatcher, Outcome, Ticket};
+use lycheehub_dispatch::{Decision, Dispatcher, Job, Outcome, Ticket};
+use std::collections::VecDeque;
 
 /// Submits a job and returns where it goes.
 fn place(dispatcher: &mut Dispatcher, now_ms: u64, number: u64) -> Option<String> {
@@ -64,3 +65,53 @@
     }
     expect_that!(placed, eq(200));
 }
+
+/// Places requests of which every third that `fails` tells of fails; returns how many of each kind
+/// failed.
+fn failures(names: &[&str], fails: impl Fn(&str) -> bool) -> [u32; 2] {
+    let records: Vec<_> = names.iter().map(|name| record(name, 9)).collect();
+    let mut dispatcher = dispatcher(&records);
+    let mut failed = [0; 2];
+    let mut running = VecDeque::new();
+    for number in 0..2_000_u64 {
+        let now_ms = 1_000 + number * 5;
+        dispatcher.tick(now_ms);
+        let is_final = number % 2 == 0;
+        dispatcher.submit(now_ms, Job { is_final, ..job(number) });
+        for decision in dispatcher.take_decisions() {
+            if let Decision::Place { ticket, endpoint, .. } = decision {
+                running.push_back((now_ms + 200, ticket, endpoint.to_string()));
+            }
+        }
+        while let Some((ends_ms, ticket, endpoint)) = running.pop_front() {
+            if now_ms < ends_ms {
+                running.push_front((ends_ms, ticket, endpoint));
+                break;
+            }
+            let is_failure = fails(&endpoint) && ticket.number % 3 == 0;
+            if is_failure && number > 300 {
+                failed[usize::from(ticket.number % 2 == 0)] += 1;
+            }
+            let outcome = if is_failure { Outcome::Broken } else { Outcome::Answered };
+            dispatcher.finish(now_ms, finished(ticket, outcome));
+        }
+    }
+    failed
+}
+
+#[gtest]
+fn what_cannot_be_sent_elsewhere_goes_where_answers_are_not_lost() {
+    // Two thirds of the slots are used; four of eight endpoints lose a third of their answers.
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let [movable, last] = failures(&names, |name| name < "e");
+    // Placed evenly, one in six would fail: some 140 of each kind.
+    expect_that!(last, lt(30));
+    expect_that!(movable, lt(140));
+}
+
+#[gtest]
+fn failures_that_come_anywhere_keep_no_endpoint_from_its_part() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let all: u32 = failures(&names, |_| true).iter().sum();
+    expect_that!(all, all![gt(500), lt(620)]);
+}
--- a/crates/dispatch/tests/dispatch/replay.rs
+++ b/crates/dispatch/tests/dispatch/replay.rs
@@ -65,6 +65,7 @@
         deadline_left_ms: 15_000,
         returning: false,
         goes_on: false,
+        is_final: false,
         failure_domain: "salto".into(),
         tried: vec![],
         repeat: false,
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -262,6 +262,7 @@
             tried: tried.to_vec(),
             repeat: !tried.is_empty(),
         }
+            is_final: !route.kind.may_repeat() || tried.len() as u32 + 1 >= route.attempts_max,
     }
 }
 
--- a/crates/standin/src/bin/lycheehub-measure/place.rs
+++ b/crates/standin/src/bin/lycheehub-measure/place.rs
@@ -92,6 +92,7 @@
         deadline_left_ms: 15_000,
         returning: false,
         goes_on: false,
+        is_final: false,
         failure_domain: DOMAINS[number as usize % DOMAINS.len()].into(),
         tried: vec![],
         repeat: false,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -210,6 +210,7 @@
   patienceLeftMs @14 :UInt64;
   returning @15 :Bool;
   goesOn @16 :Bool;
+  isFinal @17 :Bool;
 }
 
 struct Decision {
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -37,6 +37,7 @@
         deadline_left_ms: reader.get_deadline_left_ms(),
         returning: reader.get_returning(),
         goes_on: reader.get_goes_on(),
+        is_final: reader.get_is_final(),
         failure_domain: text(reader.get_failure_domain())?.into(),
         tried,
         repeat: reader.get_repeat(),
@@ -58,6 +59,7 @@
     builder.set_deadline_left_ms(job.deadline_left_ms);
     builder.set_returning(job.returning);
     builder.set_goes_on(job.goes_on);
+    builder.set_is_final(job.is_final);
     builder.set_failure_domain(job.failure_domain.as_str());
     builder.set_repeat(job.repeat);
     let mut prefix = builder.reborrow().init_prefix(job.prefix.len() as u32);
