feat(dispatch,proxy): requests wait for endpoints and routes that may not have been heard yet

Now requests wait 800 ms or three quarters of their time for the routes, and a dispatcher that is younger than 1.5 s holds what has no endpoint as long as its caller waits.

The search for an endpoint's own answer has a module of its own, as has what endpoints say.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -34,8 +34,6 @@
 /// After how long a job that no free endpoint suited is weighed again, in milliseconds: some slots
 /// are free again by then.
 const WEIGH_AGAIN_MS: u64 = 20;
-/// What a new connection costs, in milliseconds: a round trip and the endpoint's work.
-const CONNECT_MS: f64 = 6.0;
 /// What an endpoint that fails all requests costs, in milliseconds of waiting: a request that can
 /// move begins anew elsewhere.
 const FAILURE_MS: f64 = 2_000.0;
@@ -82,7 +80,7 @@
                 continue;
             }
             match self.choose(now_ms, name, &waiting.job) {
-                Some(key) if !self.waits_for_faster(now_ms, key, &waiting) => {
+                Some(key) if !self.waits_for_better(now_ms, key, &waiting) => {
                     self.place(now_ms, key, waiting);
                 }
                 _ => {
@@ -98,9 +96,9 @@
         }
     }
 
-    /// Tells whether a job that is too late at a free endpoint would be on time at a faster one
-    /// that is full at the moment.
-    fn waits_for_faster(&self, now_ms: u64, key: EndpointKey, waiting: &Waiting) -> bool {
+    /// Tells whether a job that is too late at a free endpoint, or likely to be lost there, would be
+    /// better off at another one that is full at the moment.
+    fn waits_for_better(&self, now_ms: u64, key: EndpointKey, waiting: &Waiting) -> bool {
         let job = &waiting.job;
         let Some(service) = self.services.get(&job.service) else { return false };
         let events = service.events_of(job.output_tokens);
@@ -176,8 +174,6 @@
         let endpoint = &self.endpoints[key];
         let foreign = endpoint.record.failure_domain != job.failure_domain;
         let foreign_ms = if foreign { self.options.foreign_domain_ms } else { 0.0 };
-        let is_connected = endpoint.idle.is_kept(now_ms, job.ticket.instance);
-        let connect_ms = if is_connected { 0.0 } else { CONNECT_MS };
         let failure_ms = if job.is_final { FINAL_FAILURE_MS } else { FAILURE_MS };
         let failure_ms = (endpoint.health.failure_share() - tolerated).max(0.0) * failure_ms;
         let doubt_ms = if endpoint.health.is_on_probation(now_ms) { PROBATION_MS } else { 0.0 };
@@ -185,7 +181,7 @@
         let first_byte_ms = endpoint.first_byte_ms(now_ms, job);
         let overrun = endpoint.overrun_chance(first_byte_ms, events, job.deadline_left_ms);
         let overrun_ms = overrun * OVERRUN_MS;
-        first_byte_ms + foreign_ms + connect_ms + failure_ms + doubt_ms + overrun_ms + load
+        first_byte_ms + foreign_ms + failure_ms + doubt_ms + overrun_ms + load
     }
 
     fn place(&mut self, now_ms: u64, key: EndpointKey, waiting: Waiting) {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -1,12 +1,13 @@
 //! The dispatcher: takes events, returns decisions.
 
 mod choose;
+mod notices;
 mod refuse;
 mod share;
 mod update;
 mod versions;
 
-use crate::endpoints::{Endpoint, EndpointKey, Notice, Notices, Speed, is_failure};
+use crate::endpoints::{Endpoint, EndpointKey, Notices, Speed, is_failure};
 use crate::job::{Decision, Finished, Job, Outcome, Reason, Ticket};
 use crate::options::Options;
 use crate::queue::{Queue, Waiting};
@@ -19,16 +20,20 @@
 use versions::Division;
 pub use versions::{VersionMode, VersionRule, VersionSample};
 
+/// How long after the first news of endpoints others may not have been heard, in milliseconds: they
+/// announce themselves about once a second.
+const LEARNING_MS: u64 = 1_500;
+
 /// How many times as long as a short job the mean one holds a slot.
 const SHORT_FACTOR: f64 = 4.0;
 
+/// Which part of a service's endpoints tells what is usual: the best quarter.
+const BETTER_PART: usize = 4;
+
 /// A request at an endpoint.
 #[derive(Clone, Copy, Debug)]
 struct Placed {
     endpoint: EndpointKey,
-/// Which part of a service's endpoints tells what is usual: the best quarter.
-const BETTER_PART: usize = 4;
-
     is_stream: bool,
     /// The rank of its route.
     rank: u8,
@@ -44,12 +49,12 @@
     speed: Speed,
     /// The speed of the fastest of them.
     fastest: Speed,
+    /// The share of requests that fail at its better endpoints: what fails there fails anywhere.
+    usual_failures: f64,
     /// How long a job is likely to hold a slot, as a mean, in milliseconds; 0 until one came.
     slot_ms: f64,
     /// The highest tier that was shed of late, with until when nothing below it is admitted, in
     /// milliseconds.
-    /// The share of requests that fail at its better endpoints: what fails there fails anywhere.
-    usual_failures: f64,
     floor: Option<(u8, u64)>,
     /// How requests are divided between versions, where they are.
     division: Option<Division>,
@@ -83,6 +88,12 @@
     speed.prefill_ms(job.prompt_tokens) + speed.answer_ms()
 }
 
+/// Returns the share of failures that the better endpoints of a service have.
+fn usual_of(mut failures: Vec<f64>) -> f64 {
+    failures.sort_by(f64::total_cmp);
+    failures.get(failures.len() / BETTER_PART).copied().unwrap_or(0.0)
+}
+
 /// How much a service has to do, and what is left of its endpoints' slots.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceLoad {
@@ -133,6 +144,9 @@
     accounts: BTreeMap<AccountName, Quota>,
     quotas: Quotas,
     retries: Retries,
+    /// Until when endpoints may not have been heard that are there, in milliseconds; nothing before
+    /// the first news of them.
+    learns_until_ms: Option<u64>,
     decisions: Vec<Decision>,
     samples: Vec<VersionSample>,
 }
@@ -151,6 +165,7 @@
             accounts: BTreeMap::new(),
             quotas: Quotas::default(),
             retries: Retries::default(),
+            learns_until_ms: None,
             decisions: Vec::new(),
             samples: Vec::new(),
         }
@@ -211,13 +226,21 @@
         Ok(taken)
     }
 
+    /// Tells whether there may be endpoints that have not been heard yet.
+    ///
+    /// Load pattern: all instances have started again. Endpoints announce themselves to one after the
+    /// other, while all callers come back at once.
+    pub(super) fn learns(&self, now_ms: u64) -> bool {
+        self.learns_until_ms.is_none_or(|until_ms| now_ms < until_ms)
+    }
+
     fn waiting_of(&mut self, now_ms: u64, job: Job, units: f64) -> Option<Waiting> {
         const RETRY_AFTER_MS: u64 = 1_000;
+        let learns = self.learns(now_ms);
         let endpoints = &self.endpoints;
-        let usable = self
-            .services
-            .get_mut(&job.service)
-            .filter(|service| service.endpoints.iter().any(|key| !endpoints[*key].is_leaving()));
+        let usable = self.services.get_mut(&job.service).filter(|service| {
+            learns || service.endpoints.iter().any(|key| !endpoints[*key].is_leaving())
+        });
         let Some(service) = usable else {
             self.give_back(now_ms, &job, units);
             self.refuse(job.ticket, Reason::NoEndpoint, RETRY_AFTER_MS);
@@ -284,31 +307,6 @@
         endpoint.health.pause(now_ms, since_ms);
     }
 
-    /// Takes what an endpoint said of itself in an answer to an instance.
-    pub fn heed(&mut self, now_ms: u64, instance: u32, name: &EndpointName, notice: Notice) {
-        let notice = notice.bounded();
-        let endpoint = self.by_name.get(name).and_then(|key| self.endpoints.get_mut(*key));
-        let incarnation = endpoint.as_ref().map(|endpoint| endpoint.record.incarnation);
-        self.notices.take(now_ms, instance, (name, incarnation), notice);
-        let Some(endpoint) = endpoint else { return };
-        endpoint.said_leaving |= notice.leaving;
-        if let Some(pause_ms) = notice.pause_ms {
-            endpoint.health.put_on_probation(now_ms + pause_ms);
-        }
-    }
-
-    /// Tells whether an endpoint has said that it wants nothing new from an instance now.
-    pub fn is_barred(&self, now_ms: u64, instance: u32, name: &EndpointName) -> bool {
-        self.notices.is_leaving(name)
-            || self.notices.paused_until_ms(now_ms, instance, name).is_some()
-    }
-
-    /// Returns what endpoints have said to an instance and still holds.
-    pub fn notices(&self, now_ms: u64, instance: u32) -> Vec<(EndpointName, Notice)> {
-        let in_force = self.notices.in_force(now_ms, instance);
-        in_force.map(|(name, notice)| (name.clone(), notice)).collect()
-    }
-
     /// Takes back a request that waits or runs, since its caller has left.
     pub fn withdraw(&mut self, now_ms: u64, ticket: Ticket) {
         if let Some(name) = self.waiting.remove(&ticket) {
@@ -394,6 +392,10 @@
         let speeds = service.endpoints.iter().map(|key| &self.endpoints[*key].speed);
         service.speed = Speed::mean(speeds.clone());
         service.fastest = Speed::fastest(speeds);
+        let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
+        let failures = usable.map(|endpoint| endpoint.health.failure_share()).collect();
+        service.usual_failures = usual_of(failures);
     }
 
     /// Returns the decisions made since the last call.
@@ -413,12 +415,6 @@
     pub fn loads(&self, now_ms: u64) -> impl Iterator<Item = ServiceLoad> {
         self.services.iter().map(move |(name, service)| {
             let mut load = ServiceLoad {
-        let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
-        let mut failures: Vec<f64> =
-            usable.map(|endpoint| endpoint.health.failure_share()).collect();
-        failures.sort_by(f64::total_cmp);
-        service.usual_failures = failures.get(failures.len() / BETTER_PART).copied().unwrap_or(0.0);
                 service: name.clone(),
                 waiting: service.queue.len(),
                 running: 0,
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/notices.rs
@@ -0,0 +1,47 @@
+//! Heeds what endpoints say of themselves in their answers.
+
+use super::Dispatcher;
+use crate::endpoints::Notice;
+use crate::job::Job;
+use lycheehub_types::EndpointName;
+
+impl Dispatcher {
+    /// Takes what an endpoint said of itself in an answer to an instance.
+    pub fn heed(&mut self, now_ms: u64, instance: u32, name: &EndpointName, notice: Notice) {
+        let notice = notice.bounded();
+        let endpoint = self.by_name.get(name).and_then(|key| self.endpoints.get_mut(*key));
+        let incarnation = endpoint.as_ref().map(|endpoint| endpoint.record.incarnation);
+        self.notices.take(now_ms, instance, (name, incarnation), notice);
+        let Some(endpoint) = endpoint else { return };
+        endpoint.said_leaving |= notice.leaving;
+        if let Some(pause_ms) = notice.pause_ms {
+            endpoint.health.put_on_probation(now_ms + pause_ms);
+        }
+    }
+
+    /// Tells whether an endpoint has said that it wants nothing new from an instance now.
+    pub fn is_barred(&self, now_ms: u64, instance: u32, name: &EndpointName) -> bool {
+        self.notices.is_leaving(name)
+            || self.notices.paused_until_ms(now_ms, instance, name).is_some()
+    }
+
+    /// Returns what endpoints have said to an instance and still holds.
+    pub fn notices(&self, now_ms: u64, instance: u32) -> Vec<(EndpointName, Notice)> {
+        let in_force = self.notices.in_force(now_ms, instance);
+        in_force.map(|(name, notice)| (name.clone(), notice)).collect()
+    }
+
+    /// Returns for how long all endpoints have told the instance of `job` to stay away, in
+    /// milliseconds; 0 where one has not.
+    pub(super) fn paused_ms(&self, now_ms: u64, job: &Job) -> u64 {
+        let Some(service) = self.services.get(&job.service) else { return 0 };
+        let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
+        let left_ms = usable.map(|endpoint| {
+            let instance = job.ticket.instance;
+            let until_ms = self.notices.paused_until_ms(now_ms, instance, endpoint.name());
+            until_ms.map_or(0, |until_ms| until_ms - now_ms)
+        });
+        left_ms.min().unwrap_or(0)
+    }
+}
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -32,6 +32,18 @@
 const FLOOR_MS: u64 = 250;
 
 impl Service {
+    /// Takes what can no longer be on time and is not kept all the same.
+    fn take_expired(&mut self, now_ms: u64, many_wait: bool) -> Vec<Waiting> {
+        let is_kept =
+            |waiting: &Waiting| !many_wait || waiting.job.returning || waiting.job.goes_on;
+        let expired = self.queue.take_expired(now_ms);
+        let (kept, shed): (Vec<_>, Vec<_>) = expired.into_iter().partition(is_kept);
+        for waiting in kept {
+            self.queue.push(now_ms, waiting);
+        }
+        shed
+    }
+
     /// Tells whether so many slots are needed for long by all that waits.
     fn many_wait(&self, slots: usize) -> bool {
         self.queue.ahead_ms(u8::MAX, u8::MAX) / slots.max(1) as u64 > SHORT_BACKLOG_MS
@@ -60,20 +72,6 @@
         })
     }
 
-    /// Returns for how long all endpoints have told the instance of `job` to stay away, in
-    /// milliseconds; 0 where one has not.
-    pub(super) fn paused_ms(&self, now_ms: u64, job: &Job) -> u64 {
-        let Some(service) = self.services.get(&job.service) else { return 0 };
-        let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
-        let left_ms = usable.map(|endpoint| {
-            let instance = job.ticket.instance;
-            let until_ms = self.notices.paused_until_ms(now_ms, instance, endpoint.name());
-            until_ms.map_or(0, |until_ms| until_ms - now_ms)
-        });
-        left_ms.min().unwrap_or(0)
-    }
-
     pub(super) fn slots_of(&self, name: &ServiceName) -> usize {
         let Some(service) = self.services.get(name) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
@@ -84,18 +82,13 @@
     /// Refuses what can no longer be done in time.
     pub(super) fn shed(&mut self, now_ms: u64, name: &ServiceName) {
         let slots = self.slots_of(name);
+        let awaits_endpoints = slots == 0 && self.learns(now_ms);
         let Some(service) = self.services.get_mut(name) else { return };
         let many_wait = service.many_wait(slots);
         let mut shed = service.queue.take_if(|waiting| waiting.is_hopeless(now_ms, many_wait));
-        shed.extend(service.queue.take_overdue(now_ms));
-        let mut kept = Vec::new();
-        for waiting in service.queue.take_expired(now_ms) {
-            let job = &waiting.job;
-            let keep = !many_wait || job.returning || job.goes_on;
-            if keep { kept.push(waiting) } else { shed.push(waiting) }
-        }
-        for waiting in kept {
-            service.queue.push(now_ms, waiting);
+        if !awaits_endpoints {
+            shed.extend(service.queue.take_overdue(now_ms));
+            shed.extend(service.take_expired(now_ms, many_wait));
         }
         // One that came without the time that it needs says nothing of the load.
         let overloads = shed.iter().filter(|waiting| waiting.had_time());
@@ -105,8 +98,9 @@
         }
         for waiting in shed {
             self.waiting.remove(&waiting.job.ticket);
+            let reason = if slots == 0 { Reason::NoEndpoint } else { Reason::Overloaded };
             let after_ms = return_after_ms(&waiting).max(self.paused_ms(now_ms, &waiting.job));
-            self.refuse_waiting(waiting, Reason::Overloaded, after_ms);
+            self.refuse_waiting(waiting, reason, after_ms);
         }
     }
 
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -1,6 +1,6 @@
 //! Takes what is known of services, accounts and endpoints.
 
-use super::Dispatcher;
+use super::{Dispatcher, LEARNING_MS};
 use crate::endpoints::{Endpoint, EndpointKey, Speed};
 use crate::job::{Reason, Ticket};
 use lycheehub_routes::{Document, EngineSpec};
@@ -46,6 +46,7 @@
         now_ms: u64,
         records: impl Iterator<Item = &'a EndpointRecord>,
     ) {
+        self.learns_until_ms.get_or_insert(now_ms + LEARNING_MS);
         let mut present = BTreeSet::new();
         for record in records {
             present.insert(record.endpoint.clone());
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -1,9 +1,9 @@
 //! Which endpoint a job goes to.
 
-use crate::replay::{Class, End, Replay, dispatcher, finished, job, record};
+use crate::replay::{Class, End, Replay, dispatcher, document, finished, job, record};
 use googletest::prelude::*;
 use lycheehub_dispatch::{
-    Decision, Dispatcher, Finished, InFlight, Job, Outcome, PrefixPart, Ticket,
+    Decision, Dispatcher, Finished, InFlight, Job, Options, Outcome, PrefixPart, Reason, Ticket,
 };
 use std::collections::BTreeMap;
 
@@ -214,3 +214,40 @@
     };
     expect_that!(decisions.iter().map(is_long).collect::<Vec<_>>(), elements_are![eq(&true)]);
 }
+
+#[gtest]
+fn what_comes_before_its_endpoints_are_heard_waits_for_them() {
+    let mut dispatcher = Dispatcher::new(Options::default());
+    dispatcher.take_document(1_000, &document(None));
+    dispatcher.take_endpoints(1_000, [].iter());
+    let short = Job { objective_left_ms: 100, patience_left_ms: 900, ..job(1) };
+    dispatcher.submit(1_050, Job { deadline_left_ms: 900, output_tokens: 0, ..short });
+    for now_ms in (1_050..1_600).step_by(50) {
+        dispatcher.tick(now_ms);
+        expect_that!(dispatcher.take_decisions(), is_empty(), "{now_ms}");
+    }
+    dispatcher.take_endpoints(1_600, [record("a", 9)].iter());
+    let decisions = dispatcher.take_decisions();
+    expect_that!(decisions, elements_are![matches_pattern!(Decision::Place { .. })]);
+}
+
+#[gtest]
+fn what_waits_for_endpoints_in_vain_is_told_so_before_its_caller_leaves() {
+    let mut dispatcher = Dispatcher::new(Options::default());
+    dispatcher.take_document(1_000, &document(None));
+    dispatcher.take_endpoints(1_000, [].iter());
+    dispatcher.submit(1_050, Job { patience_left_ms: 1_000, ..job(1) });
+    let mut refused_ms = None;
+    for now_ms in (1_050..3_000).step_by(50) {
+        dispatcher.tick(now_ms);
+        if let Some(Decision::Refuse { reason, .. }) = dispatcher.take_decisions().pop() {
+            expect_that!(reason, eq(Reason::NoEndpoint));
+            refused_ms.get_or_insert(now_ms);
+        }
+    }
+    expect_that!(refused_ms, some(all![gt(1_800), lt(2_050)]));
+    // Endpoints have had their time: it is said at once.
+    dispatcher.submit(3_000, job(2));
+    let decisions = dispatcher.take_decisions();
+    expect_that!(decisions, elements_are![matches_pattern!(Decision::Refuse { .. })]);
+}
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -3,6 +3,7 @@
 use super::filters::Identified;
 use super::guard::{Interrupted, guard};
 use super::relay::StreamState;
+use super::send::{Answered, send};
 use super::{Exchange, Placed};
 use crate::dialect::OnwardFields;
 use crate::entry::Entry;
@@ -17,12 +18,6 @@
 
 /// The longest answer that is read whole before it is passed on, in bytes.
 const WHOLE_MAX_BYTES: usize = 256 * 1024;
-/// How many answers to other requests are passed over on one connection.
-const STRAY_ANSWERS_MAX: u32 = 3;
-/// How long they may be together, in bytes.
-const STRAY_MAX_BYTES: usize = 256 * 1024;
-/// How many interim answers there may be before the final one.
-const INTERIM_ANSWERS_MAX: u32 = 16;
 /// When a caller comes back whose request no endpoint took, where none says it, in milliseconds.
 const RETRY_AFTER_MS: u64 = 500;
 /// The latest that it is told, in milliseconds: endpoints may be gone by then, and others there.
@@ -135,13 +130,6 @@
     can_move: bool,
 }
 
-/// The head of an answer, and what was found on the way to it.
-struct Answered {
-    head: ResponseHead,
-    /// It came before the request was sent whole.
-    is_early: bool,
-}
-
 impl Exchange<'_> {
     /// Sends the request to an endpoint and relays its answer; `last` tells that there is no
     /// further attempt.
@@ -188,7 +176,7 @@
         }
         let request = self.onward(identified, placed, stream);
         let can_move = kind.may_repeat() && !last;
-        let exchanged = exchange(&mut upstream, &request, |head| {
+        let exchanged = send(&mut upstream, &request, |head| {
             let id = self.entry.dialect.read_answer(head).id;
             id.map_or(is_fresh, |id| id == self.fields.id)
         });
@@ -376,55 +364,6 @@
     }
 }
 
-/// Sends a request and reads the head of its answer, past answers to other requests.
-async fn exchange(
-    upstream: &mut Connection,
-    request: &[u8],
-    is_own: impl Fn(&ResponseHead) -> bool,
-) -> Result<Answered, Error> {
-    let is_written = Cell::new(false);
-    let mut writer = upstream.writer();
-    let write = async {
-        use futures_lite::AsyncWriteExt;
-        if writer.write_all(request).await.is_ok() {
-            is_written.set(true);
-        }
-        // A failure shows in what is read.
-        smol::future::pending().await
-    };
-    let read = async {
-        let (mut strays, mut stray_bytes, mut interim) = (0, 0, 0);
-        loop {
-            let head = upstream.read_response_head().await?;
-            if head.status < 200 {
-                interim += 1;
-                if interim > INTERIM_ANSWERS_MAX {
-                    return Err(Error::Malformed("interim answers without end"));
-                }
-                continue;
-            }
-            if is_own(&head) {
-                return Ok(head);
-            }
-            strays += 1;
-            if strays > STRAY_ANSWERS_MAX {
-                return Err(Error::Malformed("answers to other requests"));
-            }
-            let mut ignored = Vec::new();
-            let mut stray = Body::new(head.framing);
-            while stray.next(upstream, &mut ignored).await? {
-                stray_bytes += ignored.len();
-                if stray_bytes > STRAY_MAX_BYTES {
-                    return Err(Error::BodyTooLong);
-                }
-                ignored.clear();
-            }
-        }
-    };
-    let head = smol::future::or(read, write).await?;
-    Ok(Answered { head, is_early: !is_written.get() })
-}
-
 fn stall_ms(expected_ms: u64, is_stream: bool) -> u64 {
     let besides_ms = if is_stream { STALL_EVENT_MS } else { STALL_ANSWER_MS };
     STALL_FACTOR * expected_ms + besides_ms
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -10,6 +10,7 @@
 mod guard;
 mod own;
 mod relay;
+mod send;
 mod trail;
 
 use crate::dialect::RequestFields;
@@ -31,9 +32,11 @@
 const NO_ROUTE_TIMEOUT_MS: u64 = 30_000;
 /// The least part of the longest deadline of a route that callers begin with.
 const FIRST_DEADLINE_SHARE: f64 = 0.8;
-/// How long a request waits until the routes are known, in milliseconds: what an election takes
-/// after all control instances have started again.
-const ROUTES_WAIT_MS: u64 = 600;
+/// How long a request waits until the routes are known, in milliseconds: what an election takes after
+/// all control instances have started again.
+const ROUTES_WAIT_MS: u64 = 800;
+/// The part of its time for which it waits at most: the rest is for its answer.
+const ROUTES_WAIT_SHARE: f64 = 0.75;
 /// How often it is looked whether they are, in milliseconds.
 const ROUTES_LOOK_MS: u64 = 20;
 /// How many endpoints that cannot be reached are tried one after the other.
@@ -114,7 +117,9 @@
     /// Load pattern: all instances have started again, and callers come before a leader is elected.
     /// Those that wait for it are answered sooner than those that are told to come back.
     async fn await_routes(&mut self, connection: &mut Connection) -> Result<(), Interrupted> {
-        let until_ms = self.deadline_ms.min(self.started_ms + ROUTES_WAIT_MS);
+        let left_ms = self.deadline_ms.saturating_sub(self.started_ms) as f64;
+        let wait_ms = ROUTES_WAIT_MS.min((left_ms * ROUTES_WAIT_SHARE) as u64);
+        let until_ms = self.started_ms + wait_ms;
         while !self.snapshot.is_ready && self.entry.clock.now_ms() < until_ms {
             let look = Timer::after(Duration::from_millis(ROUTES_LOOK_MS));
             guard::guard(self.entry, connection, self.deadline_ms, look).await?;
@@ -258,11 +263,11 @@
             deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
             returning,
             goes_on,
+            is_final: !route.kind.may_repeat() || tried.len() as u32 + 1 >= route.attempts_max,
             failure_domain: self.entry.options.failure_domain.clone(),
             tried: tried.to_vec(),
             repeat: !tried.is_empty(),
         }
-            is_final: !route.kind.may_repeat() || tried.len() as u32 + 1 >= route.attempts_max,
     }
 }
 
