fix(control): one slow request does not take a good version back

Cause: the evidence of a window for a slow version is a sum of logarithms of times; while the new version has one or two requests in a window, one that met a pause of a process (60 times as long) gives 20, and the alarm is at 16. The known red test saw this: 0 of 43 failed, time per token x0.94, taken back. Ruled out: the whole comparison (x0.94 was faster), failures (none).

--- a/crates/control/src/moves/sequential.rs
+++ b/crates/control/src/moves/sequential.rs
@@ -33,6 +33,9 @@
 const LOG_SPREAD_REQUESTS: f64 = 20.0;
 /// How much the variance is raised, since requests that run together share their load.
 const DEPENDENCE: f64 = 2.0;
+/// How much one request's time may speak for a slow version, as a logarithm: a pause of a process or
+/// of a machine makes single requests any number of times slower, whatever their version.
+const SLOW_EVIDENCE_MAX: f64 = 2.0;
 /// The share of the new version's requests above which a route must be cleared by itself.
 const ROUTE_SHARE_MIN: f64 = 0.05;
 
@@ -235,7 +238,8 @@
         for (rank, slowdown) in SLOWDOWNS.iter().enumerate() {
             let shift = slowdown.ln();
             let excess = new.log_time_sum - new.timed as f64 * (usual + shift / 2.0);
-            let ratio = shift / variance * excess;
+            let most = SLOW_EVIDENCE_MAX * new.timed as f64;
+            let ratio = (shift / variance * excess).min(most);
             self.slow_alarm[rank] = (self.slow_alarm[rank] + ratio).max(0.0);
             if rank == CLEARED {
                 self.slow_clear += ratio;
