--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -7,5 +7,6 @@
 mod operators;
 mod requests;
 mod security;
+mod summary;
 mod support;
 mod whole_path;
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -18,6 +18,10 @@
 const HEARTBEAT: Duration = Duration::from_millis(600);
 /// How long a control instance may take to answer an announcement.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
+/// For how long an endpoint wants nothing from an instance that it turns away.
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// How often an answer without end goes on.
+const DRIP: Duration = Duration::from_millis(20);
 /// How long an endpoint goes on after it was heard that it leaves.
 pub const DRAIN: Duration = Duration::from_secs(2);
 
@@ -36,6 +40,10 @@
     pub doubled: u32,
     /// Answered after a long time.
     pub slow: u32,
+    /// Turned away, with the word that nothing more is wanted for a while.
+    pub paused: u32,
+    /// Answered with a body that is whole, and then a trailer without end.
+    pub endless: u32,
 }
 
 /// What an endpoint does at a request.
@@ -48,6 +56,8 @@
     Cut,
     Double,
     Linger,
+    Pause,
+    Endless,
 }
 
 /// A stand-in for an endpoint.
@@ -121,6 +131,7 @@
             self.sequence.store(0, Ordering::Relaxed);
             *self.leave_heard.lock().unwrap_or_else(PoisonError::into_inner) = None;
         }
+        self.record.forget_told(self.number);
         self.is_silent.store(is_crashed, Ordering::Relaxed);
     }
 
@@ -186,6 +197,8 @@
             (faults.cut, Course::Cut),
             (faults.doubled, Course::Double),
             (faults.slow, Course::Linger),
+            (faults.paused, Course::Pause),
+            (faults.endless, Course::Endless),
         ];
         for (share, course) in courses {
             if drawn < share {
@@ -212,14 +225,26 @@
             let head = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
             return stream.write_all(head.as_bytes()).ok();
         }
-        if course == Course::Reject {
+        self.record.arrived(self.number, &id);
+        if matches!(course, Course::Reject | Course::Pause) {
             let head = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n";
-            let rest = format!("Request-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            let pause = match course {
+                Course::Pause => format!("Retry-After: {}\r\n", PAUSE.as_secs_f64()),
+                _ => String::new(),
+            };
+            let rest = format!("Request-Id: {id}\r\n{pause}Content-Length: 0\r\n\r\n");
+            if course == Course::Pause {
+                self.record.told(self.number, &id, Some(PAUSE));
+            }
             return stream.write_all(format!("{head}{rest}").as_bytes()).ok();
         }
         self.note_run(&id, request);
         std::thread::sleep(Duration::from_millis(u64::from(self.pick(WORK_MAX_MS))));
         match course {
+            Course::Endless => {
+                send_without_end(stream, &id);
+                return None;
+            }
             Course::Lose => return None,
             Course::Linger => std::thread::sleep(Duration::from_millis(1_500)),
             Course::Fail => {
@@ -232,7 +257,8 @@
         if request.is_stream() {
             self.stream_events(stream, request, &id, course)?;
         } else {
-            let answer = plain_answer(&id, &request.body);
+            let leaving = self.leaving_field();
+            let answer = plain_answer(&id, &request.body, leaving);
             if course == Course::Cut {
                 // The reader sees the cut either way.
                 let _ = stream.write_all(&answer.as_bytes()[..answer.len() - 3]);
@@ -246,9 +272,17 @@
         if course != Course::Double {
             self.record.answered(&id);
         }
+        if self.is_leaving.load(Ordering::Relaxed) {
+            self.record.told(self.number, &id, None);
+        }
         Some(())
     }
 
+    /// Returns the header field by which an endpoint that leaves says so in its answers.
+    fn leaving_field(&self) -> &'static str {
+        if self.is_leaving.load(Ordering::Relaxed) { "Server-Leaving: 1\r\n" } else { "" }
+    }
+
     fn note_run(&self, id: &str, request: &Request) {
         let now = Instant::now();
         let heard = *self.leave_heard.lock().unwrap_or_else(PoisonError::into_inner);
@@ -277,9 +311,10 @@
     ) -> Option<()> {
         let after = request.field("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\n\
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\n{}\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            seal(id, "")
+            seal(id, ""),
+            self.leaving_field(),
         );
         stream.write_all(head.as_bytes()).ok()?;
         let last = events_of(id);
@@ -324,10 +359,22 @@
     }
 }
 
-fn plain_answer(id: &str, body: &str) -> String {
+/// Sends an answer of which the trailer goes on until the reader closes.
+fn send_without_end(stream: &mut TcpStream, id: &str) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+    );
+    let mut sent = stream.write_all(head.as_bytes());
+    while sent.is_ok() {
+        std::thread::sleep(DRIP);
+        sent = stream.write_all(b"x: y\r\n");
+    }
+}
+
+fn plain_answer(id: &str, body: &str, leaving: &str) -> String {
     let text = plain_body(id, body);
     format!(
-        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\nContent-Length: {}\r\n\r\n{text}",
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\n{leaving}Content-Length: {}\r\n\r\n{text}",
         seal(id, body),
         text.len()
     )
--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -346,5 +346,30 @@
         // Short gaps make series of faults that overlap.
         at_ms += (pick(2 * MEAN_GAP_MS as usize)) as u64;
     }
+    planned.extend(plan_words(seed, length, endpoints));
+    planned
+}
+
+/// Draws when endpoints ask for pauses, leave, or answer without end: apart from the other faults, so that
+/// a seed keeps those that it had before.
+fn plan_words(seed: u64, length: Duration, endpoints: usize) -> Vec<Planned> {
+    const SALT: u64 = 0x5eed;
+    const MEAN_GAP_MS: u64 = 2_500;
+    let mut random = StdRng::seed_from_u64(seed ^ SALT);
+    let mut pick = |below: u64| random.next_u64() % below.max(1);
+    let mut planned = Vec::new();
+    let mut at_ms = pick(MEAN_GAP_MS);
+    while u128::from(at_ms) < length.as_millis() {
+        let endpoint = pick(endpoints as u64) as usize;
+        let share = 10 + pick(50) as u32;
+        let fault = match pick(3) {
+            0 => Fault::LeaveEndpoint(endpoint),
+            1 => Fault::FailEndpoint(endpoint, Faults { paused: share, ..Faults::default() }),
+            _ => Fault::FailEndpoint(endpoint, Faults { endless: share, ..Faults::default() }),
+        };
+        let lasts = Duration::from_millis(200 + pick(2_800));
+        planned.push(Planned { at: Duration::from_millis(at_ms), lasts, fault });
+        at_ms += pick(2 * MEAN_GAP_MS);
+    }
     planned
 }
--- a/crates/cli/tests/soak/record.rs
+++ b/crates/cli/tests/soak/record.rs
@@ -1,5 +1,6 @@
 //! What callers, endpoints and the operator have seen, and what of it breaks a promise.
 
+use crate::endpoint::DRAIN;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -10,6 +11,10 @@
 const GONE_SLACK: Duration = Duration::from_millis(500);
 /// How many requests may go on longer than that.
 const GONE_MAX: usize = 3;
+/// How long after an endpoint's word requests that are on their way may reach it.
+const ON_THE_WAY: Duration = Duration::from_millis(500);
+/// How many requests may reach an endpoint that has asked for a pause.
+const PAUSED_MAX: usize = 2;
 /// How many answers that an endpoint had made may be cut off.
 const LOST_MAX: usize = 3;
 
@@ -69,8 +74,21 @@
     pub at: Instant,
 }
 
+/// What an endpoint has told an entry instance.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    endpoint: usize,
+    entry: usize,
+    at: Instant,
+    /// For how long it wants nothing; nothing where it leaves.
+    pause: Option<Duration>,
+    /// How many requests reached it nonetheless.
+    arrivals: usize,
+}
+
 #[derive(Default)]
 struct Inner {
+    told: Vec<Told>,
     sent: BTreeMap<String, Sent>,
     runs: BTreeMap<String, Vec<Run>>,
     /// Requests that were answered that they have not run and will not, with the status.
@@ -151,6 +169,45 @@
         self.inner().answered.insert(id.to_owned(), Instant::now());
     }
 
+    /// Notes what an endpoint has told the entry instance of a request: that it leaves, or that it wants
+    /// nothing for a while.
+    pub fn told(&self, endpoint: usize, id: &str, pause: Option<Duration>) {
+        let mut inner = self.inner();
+        let Some(entry) = inner.sent.get(id).map(|sent| sent.entry) else { return };
+        inner.told.push(Told { endpoint, entry, at: Instant::now(), pause, arrivals: 0 });
+    }
+
+    /// Forgets what an endpoint has told, since it is a new one.
+    pub fn forget_told(&self, endpoint: usize) {
+        self.inner().told.retain(|told| told.endpoint != endpoint);
+    }
+
+    /// Notes that a request has reached an endpoint, and checks it against what that has told.
+    pub fn arrived(&self, endpoint: usize, id: &str) {
+        let now = Instant::now();
+        let mut inner = self.inner();
+        let Some((entry, sent_at)) = inner.sent.get(id).map(|sent| (sent.entry, sent.at)) else {
+            return;
+        };
+        let mut told = std::mem::take(&mut inner.told);
+        for told in told.iter_mut().filter(|t| (t.endpoint, t.entry) == (endpoint, entry)) {
+            let is_late = match told.pause {
+                Some(pause) => now > told.at + ON_THE_WAY && now < told.at + pause,
+                None => sent_at > told.at + DRAIN,
+            };
+            if !is_late || inner.is_disturbed(Scope::Entry(entry), told.at, now) {
+                continue;
+            }
+            told.arrivals += 1;
+            if told.pause.is_none() || told.arrivals > PAUSED_MAX {
+                let word =
+                    told.pause.map_or("it leaves".to_owned(), |p| format!("a pause of {p:?}"));
+                inner.findings.insert(format!("{id}: reached endpoint {endpoint} after {word}"));
+            }
+        }
+        inner.told = told;
+    }
+
     /// Notes that an endpoint was sent a request after the time for its leaving was over.
     pub fn late_after_leave(&self, endpoint: usize, id: &str, at: Instant) {
         let mut inner = self.inner();
