fix(dispatch,peer): a notice is of one incarnation of an endpoint

Found reading the diff: an instance that had not heard of an endpoint's restart under its old id gave back the leader's placement and told it that the endpoint leaves, and the leader held that against the new incarnation for good. Now the incarnation goes with the notice; what an earlier one said is passed over, what a later one said waits for its announcement.

--- a/crates/dispatch/src/dispatcher/notices.rs
+++ b/crates/dispatch/src/dispatcher/notices.rs
@@ -6,13 +6,25 @@
 use lycheehub_types::EndpointName;
 
 impl Dispatcher {
-    /// Takes what an endpoint said of itself in an answer to an instance.
-    pub fn heed(&mut self, now_ms: u64, instance: u32, name: &EndpointName, notice: Notice) {
+    /// Takes what an endpoint, in this incarnation of it or the one that is known, said of itself in an
+    /// answer to an instance.
+    pub fn heed(
+        &mut self,
+        now_ms: u64,
+        instance: u32,
+        (name, incarnation): (&EndpointName, Option<u64>),
+        notice: Notice,
+    ) {
         let notice = notice.bounded();
         let endpoint = self.by_name.get(name).and_then(|key| self.endpoints.get_mut(*key));
-        let incarnation = endpoint.as_ref().map(|endpoint| endpoint.record.incarnation);
+        let known = endpoint.as_ref().map(|endpoint| endpoint.record.incarnation);
+        let incarnation = incarnation.or(known);
+        if incarnation < known {
+            // One that is gone said it.
+            return;
+        }
         self.notices.take(now_ms, instance, (name, incarnation), notice);
-        let Some(endpoint) = endpoint else { return };
+        let Some(endpoint) = endpoint.filter(|_| incarnation == known) else { return };
         endpoint.said_leaving |= notice.leaving;
         if let Some(pause_ms) = notice.pause_ms {
             endpoint.health.put_on_probation(now_ms + pause_ms);
@@ -25,10 +37,11 @@
             || self.notices.paused_until_ms(now_ms, instance, name).is_some()
     }
 
-    /// Returns what endpoints have said to an instance and still holds.
-    pub fn notices(&self, now_ms: u64, instance: u32) -> Vec<(EndpointName, Notice)> {
+    /// Returns what endpoints have said to an instance and still holds, with the incarnation that said
+    /// it, if that is known.
+    pub fn notices(&self, now_ms: u64, instance: u32) -> Vec<(EndpointName, Option<u64>, Notice)> {
         let in_force = self.notices.in_force(now_ms, instance);
-        in_force.map(|(name, notice)| (name.clone(), notice)).collect()
+        in_force.map(|(name, by, notice)| (name.clone(), by, notice)).collect()
     }
 
     /// Returns for how long all endpoints have told the instance of `job` to stay away, in
--- a/crates/dispatch/src/endpoints/notices.rs
+++ b/crates/dispatch/src/endpoints/notices.rs
@@ -122,18 +122,18 @@
         if all.clone().count() >= TOLD_ALL { all.min() } else { None }
     }
 
-    /// Returns what is in force for an instance, by endpoint.
+    /// Returns what is in force for an instance, by endpoint and the incarnation that said it.
     pub fn in_force(
         &self,
         now_ms: u64,
         instance: u32,
-    ) -> impl Iterator<Item = (&EndpointName, Notice)> {
+    ) -> impl Iterator<Item = (&EndpointName, Option<u64>, Notice)> {
         self.said.iter().filter_map(move |(name, said)| {
             let until_ms = said.pauses.get(&instance).copied().unwrap_or_default();
             let left_ms = until_ms.saturating_sub(now_ms);
             let pause_ms = (left_ms > 0).then_some(left_ms);
             let notice = Notice { leaving: said.leaving, pause_ms };
-            (!notice.is_empty()).then_some((name, notice))
+            (!notice.is_empty()).then_some((name, said.incarnation, notice))
         })
     }
 
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -285,20 +285,16 @@
     /// Tells the leader what endpoints have said to this instance.
     fn tell_notices(&self) {
         let notices = self.local.borrow().notices(self.clock.now_ms(), OWN_NUMBER);
-        for (endpoint, notice) in notices {
-            self.tell_notice(&endpoint, notice);
+        for (endpoint, incarnation, notice) in notices {
+            self.tell(|client| {
+                let mut request = client.heed_request();
+                request.get().set_endpoint(endpoint.as_str());
+                write_notice(notice, incarnation, request.get());
+                request
+            });
         }
     }
 
-    fn tell_notice(&self, endpoint: &EndpointName, notice: Notice) {
-        self.tell(|client| {
-            let mut request = client.heed_request();
-            request.get().set_endpoint(endpoint.as_str());
-            write_notice(notice, request.get());
-            request
-        });
-    }
-
     /// Tells whether a decision is for an endpoint that wants nothing from this instance, which its
     /// leader has not heard.
     ///
@@ -429,8 +425,9 @@
     }
 
     fn heed(&self, endpoint: &EndpointName, notice: Notice) {
-        self.local.borrow_mut().heed(self.clock.now_ms(), OWN_NUMBER, endpoint, notice);
-        self.tell_notice(endpoint, notice);
+        let now_ms = self.clock.now_ms();
+        self.local.borrow_mut().heed(now_ms, OWN_NUMBER, (endpoint, None), notice);
+        self.tell_notices();
     }
 
     fn is_barred(&self, endpoint: &EndpointName) -> bool {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -317,10 +317,10 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let endpoint = EndpointName::from(text(params.get_endpoint())?);
-        let notice = lycheehub_wire::read_notice(params);
+        let (notice, incarnation) = lycheehub_wire::read_notice(params);
         let instance = self.session.instance;
         self.node.with_dispatcher(self.session, |dispatcher, now_ms| {
-            dispatcher.heed(now_ms, instance, &endpoint, notice);
+            dispatcher.heed(now_ms, instance, (&endpoint, incarnation), notice);
         });
         Ok(())
     }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -255,8 +255,8 @@
   # The caller of a request that waits has left.
   withdraw @3 (number :UInt64) -> ();
   # What an endpoint said of itself in an answer to this instance: that it leaves, or that it wants
-  # nothing from this instance for so long.
-  heed @4 (endpoint :Text, leaving :Bool, pauseMs :UInt64) -> ();
+  # nothing from this instance for so long; 0 where the incarnation that said it is not known.
+  heed @4 (endpoint :Text, leaving :Bool, pauseMs :UInt64, incarnation :UInt64) -> ();
 }
 
 # What a connection offers before the caller has proved that it holds the peer key.
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -266,14 +266,21 @@
     }
 }
 
-/// Reads what an endpoint said of itself.
-pub fn read_notice(reader: schema::placement::heed_params::Reader<'_>) -> Notice {
-    let pause_ms = reader.get_pause_ms();
-    Notice { leaving: reader.get_leaving(), pause_ms: (pause_ms > 0).then_some(pause_ms) }
+/// Reads what an endpoint said of itself, and which incarnation of it, if that is known.
+pub fn read_notice(reader: schema::placement::heed_params::Reader<'_>) -> (Notice, Option<u64>) {
+    let (pause_ms, incarnation) = (reader.get_pause_ms(), reader.get_incarnation());
+    let pause_ms = (pause_ms > 0).then_some(pause_ms);
+    let notice = Notice { leaving: reader.get_leaving(), pause_ms };
+    (notice, (incarnation > 0).then_some(incarnation))
 }
 
-/// Writes what an endpoint said of itself.
-pub fn write_notice(notice: Notice, mut builder: schema::placement::heed_params::Builder<'_>) {
+/// Writes what an endpoint said of itself, and which incarnation of it, if that is known.
+pub fn write_notice(
+    notice: Notice,
+    incarnation: Option<u64>,
+    mut builder: schema::placement::heed_params::Builder<'_>,
+) {
+    builder.set_incarnation(incarnation.unwrap_or_default());
     builder.set_leaving(notice.leaving);
     builder.set_pause_ms(notice.pause_ms.unwrap_or_default());
 }
