refactor(dispatch,peer,proxy): one place says why a job has no endpoint, one whether a try is the last

Reading the change once more; behaviour is meant to be the same. - waiting_of looked its service up twice and refused in two ways: closed_to says why no endpoint will take a job.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -55,7 +55,6 @@
 /// How much further an endpoint may fail than the better ones of its service, as a share of
 /// requests: the last few answers tell no more.
 const FAILURE_TOLERANCE: f64 = 0.05;
-
 /// How much further than usual an endpoint fails where a request that cannot move waits for a better
 /// one, as a share of requests.
 const FAILING_MUCH: f64 = 0.15;
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -234,27 +234,31 @@
         self.learns_until_ms.is_none_or(|until_ms| now_ms < until_ms)
     }
 
-    fn waiting_of(&mut self, now_ms: u64, job: Job, units: f64) -> Option<Waiting> {
+    /// Returns why no endpoint will take a job while its caller waits, if that is certain, with when one
+    /// may.
+    fn closed_to(&self, now_ms: u64, job: &Job) -> Option<(Reason, u64)> {
         const RETRY_AFTER_MS: u64 = 1_000;
-        let learns = self.learns(now_ms);
-        let endpoints = &self.endpoints;
-        let usable = self.services.get_mut(&job.service).filter(|service| {
-            learns || service.endpoints.iter().any(|key| !endpoints[*key].is_leaving())
-        });
-        let Some(service) = usable else {
-            self.give_back(now_ms, &job, units);
-            self.refuse(job.ticket, Reason::NoEndpoint, RETRY_AFTER_MS);
-            return None;
-        };
-        let first_byte_ms = first_byte_ms_at(service.speed, &job);
-        let paused_ms = self.paused_ms(now_ms, &job);
+        let no_endpoint = Some((Reason::NoEndpoint, RETRY_AFTER_MS));
+        let Some(service) = self.services.get(&job.service) else { return no_endpoint };
+        let mut endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+        if !self.learns(now_ms) && endpoints.all(Endpoint::is_leaving) {
+            return no_endpoint;
+        }
+        let paused_ms = self.paused_ms(now_ms, job);
+        let first_byte_ms = first_byte_ms_at(service.speed, job) as u64;
         let patience_ms = job.patience_left_ms.min(job.deadline_left_ms);
-        if paused_ms > 0 && paused_ms + first_byte_ms as u64 >= patience_ms {
+        let is_closed = paused_ms > 0 && paused_ms + first_byte_ms >= patience_ms;
+        is_closed.then_some((Reason::Overloaded, paused_ms))
+    }
+
+    fn waiting_of(&mut self, now_ms: u64, job: Job, units: f64) -> Option<Waiting> {
+        if let Some((reason, retry_after_ms)) = self.closed_to(now_ms, &job) {
             self.give_back(now_ms, &job, units);
-            self.refuse(job.ticket, Reason::Overloaded, paused_ms);
+            self.refuse(job.ticket, reason, retry_after_ms);
             return None;
         }
         let service = self.services.get_mut(&job.service)?;
+        let first_byte_ms = first_byte_ms_at(service.speed, &job);
         let slot_ms = service.slot_ms_at(service.speed, &job);
         let least_slot_ms = service.slot_ms_at(service.fastest, &job);
         let is_short = slot_ms * SHORT_FACTOR <= service.note_slot_ms(slot_ms);
--- a/crates/dispatch/src/dispatcher/notices.rs
+++ b/crates/dispatch/src/dispatcher/notices.rs
@@ -50,11 +50,11 @@
         let Some(service) = self.services.get(&job.service) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
-        let left_ms = usable.map(|endpoint| {
-            let instance = job.ticket.instance;
-            let until_ms = self.notices.paused_until_ms(now_ms, instance, endpoint.name());
-            until_ms.map_or(0, |until_ms| until_ms - now_ms)
+        let until_ms = usable.map(|endpoint| {
+            self.notices.paused_until_ms(now_ms, job.ticket.instance, endpoint.name())
         });
-        left_ms.min().unwrap_or(0)
+        let until_ms: Option<Vec<u64>> = until_ms.collect();
+        let earliest_ms = until_ms.and_then(|until_ms| until_ms.into_iter().min());
+        earliest_ms.map_or(0, |until_ms| until_ms - now_ms)
     }
 }
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -46,7 +46,7 @@
 
     /// Tells whether so many slots are needed for long by all that waits.
     fn many_wait(&self, slots: usize) -> bool {
-        self.queue.ahead_ms(u8::MAX, u8::MAX) / slots.max(1) as u64 > SHORT_BACKLOG_MS
+        self.queue.needed_ms() / slots.max(1) as u64 > SHORT_BACKLOG_MS
     }
 }
 
--- a/crates/dispatch/src/endpoints/notices.rs
+++ b/crates/dispatch/src/endpoints/notices.rs
@@ -64,7 +64,8 @@
 }
 
 impl Notices {
-    /// Takes what an endpoint, of that incarnation if it is known, said to an instance.
+    /// Takes what an endpoint, of that incarnation if it is known, said to an instance; its pause is
+    /// bounded.
     ///
     /// # Examples
     /// ```
@@ -83,7 +84,6 @@
         (name, incarnation): (&EndpointName, Option<u64>),
         notice: Notice,
     ) {
-        let notice = notice.bounded();
         let said = self.said.entry(name.clone()).or_default();
         if said.incarnation != incarnation && said.incarnation.is_some() {
             *said = Said::default();
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -249,16 +249,9 @@
         lines.flat_map(|line| line.take_if(&mut wanted)).collect()
     }
 
-    /// Returns for how long slots are needed by what is served before a new job, in milliseconds.
-    pub fn ahead_ms(&self, tier: u8, rank: u8) -> u64 {
-        let sum = |line: &Line| line.slot_ms;
-        let above = self.tiers.range(..tier).flat_map(|(_, tier)| tier.lines().map(sum));
-        let beside = self
-            .tiers
-            .get(&tier)
-            .into_iter()
-            .flat_map(|tier| tier.ranks.range(..=rank).map(|(_, rank)| sum(&rank.on_time)));
-        above.chain(beside).sum()
+    /// Returns for how long slots are needed by all that waits, in milliseconds.
+    pub fn needed_ms(&self) -> u64 {
+        self.tiers.values().flat_map(Tier::lines).map(|line| line.slot_ms).sum()
     }
 
     /// Returns how many jobs wait.
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -110,7 +110,7 @@
     all: Window,
     /// How many units a request takes, as a mean.
     mean_units: f64,
-    /// What was asked for, by rank.
+    /// What was asked for of late, by rank.
     asked: BTreeMap<u8, Window>,
 }
 
@@ -143,7 +143,7 @@
         self.mean_units += weight * (units - self.mean_units);
         let rank = if units * SMALL_FACTOR <= self.mean_units { 0 } else { rank };
         for window in self.asked.values_mut() {
-            window.forget(now_ms.saturating_sub(window_ms));
+            window.forget(now_ms.saturating_sub(URGENT_AHEAD_MS.min(window_ms)));
         }
         self.asked.entry(rank).or_default().add(now_ms, units);
         let urgent = self.asked.range(..rank).flat_map(|(_, window)| &window.used);
@@ -151,9 +151,7 @@
         urgent.sort_by_key(|(at_ms, _)| std::cmp::Reverse(*at_ms));
         let mut leaving = self.all.used.iter().peekable();
         let (mut needed, mut freed, mut most) = (0.0, 0.0, 0.0_f64);
-        for (at_ms, asked) in
-            urgent.into_iter().filter(|(at_ms, _)| now_ms <= at_ms + URGENT_AHEAD_MS)
-        {
+        for (at_ms, asked) in urgent {
             // What was asked so long ago is asked again as long from now.
             let ahead_ms = now_ms + (now_ms - at_ms);
             while let Some((_, units)) =
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -172,7 +172,7 @@
         let session = Rc::new(session);
         spdlog::info!("requests are placed by the leader", kv: { leader: = name });
         *self.session.borrow_mut() = Some(session.clone());
-        self.tell_notices();
+        self.tell_notices(|_| true);
         self.hand_over();
         Ok(session)
     }
@@ -282,10 +282,11 @@
         }
     }
 
-    /// Tells the leader what endpoints have said to this instance.
-    fn tell_notices(&self) {
+    /// Tells the leader what the `wanted` endpoints have said to this instance.
+    fn tell_notices(&self, wanted: impl Fn(&EndpointName) -> bool) {
         let notices = self.local.borrow().notices(self.clock.now_ms(), OWN_NUMBER);
-        for (endpoint, incarnation, notice) in notices {
+        for (endpoint, incarnation, notice) in notices.into_iter().filter(|(name, ..)| wanted(name))
+        {
             self.tell(|client| {
                 let mut request = client.heed_request();
                 request.get().set_endpoint(endpoint.as_str());
@@ -383,7 +384,7 @@
                     if let Some(endpoint) = self.goes_astray(&decision) {
                         spdlog::info!("endpoint not used: it wants nothing", kv: { endpoint: });
                         self.withdraw(job.ticket);
-                        self.tell_notices();
+                        self.tell_notices(|name| *name == endpoint);
                         job.tried.push(endpoint);
                         continue;
                     }
@@ -427,7 +428,7 @@
     fn heed(&self, endpoint: &EndpointName, notice: Notice) {
         let now_ms = self.clock.now_ms();
         self.local.borrow_mut().heed(now_ms, OWN_NUMBER, (endpoint, None), notice);
-        self.tell_notices();
+        self.tell_notices(|name| name == endpoint);
     }
 
     fn is_barred(&self, endpoint: &EndpointName) -> bool {
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -20,7 +20,7 @@
 use filters::Identified;
 use guard::Interrupted;
 use lycheehub_dispatch::{Decision, Job, Reason, Ticket};
-use lycheehub_routes::RequestKind;
+use lycheehub_routes::{RequestKind, RouteSpec};
 use lycheehub_types::{EndpointName, Refusal, RefusalKind};
 use relay::StreamState;
 use smol::Timer;
@@ -145,7 +145,7 @@
                 }
                 Err(Stopped::Refused(refusal)) => break refusal,
             };
-            let last = tried.len() as u32 + 1 >= identified.route.attempts_max;
+            let last = is_last(&identified.route, &tried);
             let end = self.attempt(connection, identified, placed, &mut stream, last).await;
             match end {
                 AttemptEnd::Answered { keeps_alive } => return keeps_alive,
@@ -263,7 +263,7 @@
             deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
             returning,
             goes_on,
-            is_final: !route.kind.may_repeat() || tried.len() as u32 + 1 >= route.attempts_max,
+            is_final: !route.kind.may_repeat() || is_last(route, tried),
             failure_domain: self.entry.options.failure_domain.clone(),
             tried: tried.to_vec(),
             repeat: !tried.is_empty(),
@@ -295,6 +295,11 @@
     Refused(Refusal),
 }
 
+/// Tells whether the next endpoint is the last one that a request may be sent to.
+fn is_last(route: &RouteSpec, tried: &[EndpointName]) -> bool {
+    tried.len() as u32 + 1 >= route.attempts_max
+}
+
 fn refusal_of(reason: Reason, retry_after_ms: u64) -> Refusal {
     let (kind, message) = match reason {
         Reason::Overloaded => (RefusalKind::Overloaded, "too much waits before this request"),
--- a/crates/proxy/tests/proxy/endless.rs
+++ b/crates/proxy/tests/proxy/endless.rs
@@ -56,6 +56,19 @@
 const NO_ANSWERS: [Endless; 9] =
     [STATUS_LINE, FIELD, FIELDS, NO_HTTP, INTERIM, CHUNK_LINE, CHUNK_LENGTH, TRAILER, STRAY_BODY];
 
+/// Sends bytes without end until the other end closes the connection.
+async fn send_until_closed(stream: &mut TcpStream, bytes: Endless, pace: Pace) {
+    let again = if pace == Pace::Flood { 4_096 / bytes.over.len() } else { 1 };
+    let part = bytes.over.repeat(again);
+    let mut sent = stream.write_all(bytes.begin.as_bytes()).await;
+    while sent.is_ok() {
+        sent = stream.write_all(part.as_bytes()).await;
+        if pace == Pace::Drip {
+            sleep_ms(100).await;
+        }
+    }
+}
+
 /// Adds an endpoint that never ends; the number tells how many of its connections were closed.
 async fn add(world: &World, bytes: Endless, pace: Pace) -> Rc<Cell<u32>> {
     let closed = Rc::new(Cell::new(0));
@@ -64,15 +77,7 @@
         let note = note.clone();
         async move {
             read_request(&mut stream).await;
-            let again = if pace == Pace::Flood { 4_096 / bytes.over.len() } else { 1 };
-            let part = bytes.over.repeat(again);
-            let mut sent = stream.write_all(bytes.begin.as_bytes()).await;
-            while sent.is_ok() {
-                sent = stream.write_all(part.as_bytes()).await;
-                if pace == Pace::Drip {
-                    sleep_ms(100).await;
-                }
-            }
+            send_until_closed(&mut stream, bytes, pace).await;
             note.set(note.get() + 1);
         }
     };
@@ -219,15 +224,7 @@
 async fn press(world: &World, bytes: Endless, pace: Pace) -> Duration {
     let began = Instant::now();
     let mut caller = world.connect().await;
-    let again = if pace == Pace::Flood { 4_096 / bytes.over.len() } else { 1 };
-    let part = bytes.over.repeat(again);
-    let mut sent = caller.write_all(bytes.begin.as_bytes()).await;
-    while sent.is_ok() {
-        sent = caller.write_all(part.as_bytes()).await;
-        if pace == Pace::Drip {
-            sleep_ms(100).await;
-        }
-    }
+    send_until_closed(&mut caller, bytes, pace).await;
     began.elapsed()
 }
 
