feat(proxy): log and count the limits that endpoints name

The line of a request now has limit_per_s (null where no answer named one), and lycheehub_limited_requests_total counts such requests by service. Nothing acts on the field yet.

--- a/crates/proxy/src/dialect.rs
+++ b/crates/proxy/src/dialect.rs
@@ -40,7 +40,7 @@
 }
 
 /// Metadata in the header fields of an endpoint's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseFields {
     /// The id of the request that this is the response to.
     pub id: Option<SmolStr>,
@@ -50,6 +50,9 @@
     pub misdirected: bool,
     /// The endpoint is shutting down and accepts no new requests.
     pub leaving: bool,
+    /// The requests per second that the endpoint accepts from all instances together, if it states a
+    /// limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// Reads and writes the header fields of a deployment.
--- a/crates/proxy/src/exchange/access_log.rs
+++ b/crates/proxy/src/exchange/access_log.rs
@@ -26,6 +26,8 @@
     /// The longest time between two events of a stream.
     pause_ms: u64,
     attempts: String,
+    /// The last limit that an endpoint stated, in requests per second.
+    limit_per_s: Option<f64>,
     end: SmolStr,
     retry_after_ms: u64,
     /// Number of stream events relayed.
@@ -54,6 +56,7 @@
             write_ms: 0,
             pause_ms: 0,
             attempts: String::new(),
+            limit_per_s: None,
             end: SmolStr::new("unanswered"),
             retry_after_ms: 0,
             events: 0,
@@ -94,6 +97,11 @@
         let _ = write!(self.attempts, "{endpoint}={outcome:?}@{took_ms}ms ");
     }
 
+    /// Records the limit that an endpoint stated in its response.
+    pub(super) fn record_limit(&mut self, limit_per_s: f64) {
+        self.limit_per_s = Some(limit_per_s);
+    }
+
     pub(super) fn record_first_byte(&mut self, now_ms: u64) {
         self.first_byte_ms.get_or_insert(now_ms - self.started_ms);
     }
@@ -135,6 +143,10 @@
         metrics::counter!("lycheehub_requests_total", &labels).increment(1);
         let service_labels =
             [("service", self.service.to_string()), ("rank", self.rank.to_string())];
+        if self.limit_per_s.is_some() {
+            let service = [("service", self.service.to_string())];
+            metrics::counter!("lycheehub_limited_requests_total", &service).increment(1);
+        }
         metrics::histogram!("lycheehub_request_ms", &service_labels).record(total_ms as f64);
         metrics::histogram!("lycheehub_request_wait_ms", &service_labels)
             .record(self.waited_ms as f64);
@@ -153,6 +165,7 @@
             write_ms = self.write_ms,
             total_ms,
             attempts: = self.attempts.trim_end(),
+            limit_per_s:serde = self.limit_per_s,
             retry_after_ms = self.retry_after_ms,
             events = u64::from(self.events),
             tokens = self.tokens,
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -200,6 +200,9 @@
             }
         };
         let fields = self.entry.dialect.read_response(&response.head);
+        if let Some(limit_per_s) = fields.limit_per_s {
+            self.access_log.record_limit(limit_per_s);
+        }
         self.record_notice(&endpoint, &response.head, fields.leaving);
         if fields.not_run || fields.misdirected {
             let misdirected = Outcome::Misdirected;
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -54,6 +54,7 @@
             not_run: head.headers.text("not-run").is_some(),
             misdirected: head.status == 421,
             leaving: head.headers.text("leaving").is_some(),
+            limit_per_s: head.headers.text("limit").and_then(|text| text.parse().ok()),
         }
     }
 
