--- /dev/null
+++ b/crates/cli/tests/platform/limits.rs
@@ -0,0 +1,104 @@
+//! An endpoint that names a limit in its replies gets no more than that from all entry instances
+//! together.
+
+use crate::deployment::{Deployment, Process, eventually};
+use crate::support::{Endpoint, announce_as, send_request};
+use crate::{has_logged, start_deployment, times_logged_ms};
+use googletest::prelude::*;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// How long after it was first named a limit must be obeyed.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// The window in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// How much more than the limit may arrive in a window: a factor, and a number of requests.
+const FACTOR: f64 = 1.5;
+const SLACK: f64 = 5.0;
+/// How many callers send requests to each entry instance.
+const CALLERS: usize = 4;
+
+static SEQUENCE: AtomicU64 = AtomicU64::new(2);
+
+/// Sends requests through all entry instances for `duration`, while `act` runs.
+fn send_load(deployment: &Deployment, endpoint: &Endpoint, duration: Duration, act: impl FnOnce()) {
+    let is_stopped = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !is_stopped.load(Ordering::Relaxed) {
+                let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
+                for control in 0..deployment.controls.len() {
+                    if announce_as(deployment, control, ("i-1", "v1"), endpoint, sequence, "ready")
+                        .status
+                        == 200
+                    {
+                        break;
+                    }
+                }
+                std::thread::sleep(Duration::from_millis(500));
+            }
+        });
+        for caller in 0..CALLERS * deployment.entries.len() {
+            let (entry, is_stopped) = (caller % deployment.entries.len(), &is_stopped);
+            scope.spawn(move || {
+                while !is_stopped.load(Ordering::Relaxed) {
+                    send_request(deployment, entry, "GET", "/print/1", "key-1", "");
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        let started = Instant::now();
+        act();
+        std::thread::sleep(duration.saturating_sub(started.elapsed()));
+        is_stopped.store(true, Ordering::Relaxed);
+    });
+}
+
+/// Returns the most requests that reached the endpoint in any window that begins after `from`.
+fn most_in_window(endpoint: &Endpoint, from: Instant) -> usize {
+    let arrivals: Vec<Instant> =
+        endpoint.arrivals().into_iter().filter(|arrival| *arrival >= from).collect();
+    let in_window = |first: &Instant| {
+        let window = *first..*first + WINDOW;
+        arrivals.iter().filter(|arrival| window.contains(*arrival)).count()
+    };
+    arrivals.iter().map(in_window).max().unwrap_or(0)
+}
+
+fn allowed(limit_per_s: f64) -> usize {
+    (limit_per_s * FACTOR * WINDOW.as_secs_f64() + SLACK) as usize
+}
+
+#[gtest]
+fn an_endpoint_gets_no_more_than_the_limit_that_it_names_to_all_instances() {
+    const LIMIT_PER_S: f64 = 2.0;
+    let (deployment, endpoint) = start_deployment();
+    eventually("the leader places requests", || has_logged(&deployment, "placed by the leader"));
+    endpoint.set_limit(Some(LIMIT_PER_S));
+    let named = Instant::now();
+    send_load(&deployment, &endpoint, CONTACT_TIME + WINDOW * 2, || ());
+    let most = most_in_window(&endpoint, named + CONTACT_TIME);
+    expect_that!(most, le(allowed(LIMIT_PER_S)));
+    // The limit is used, not only kept.
+    expect_that!(most, ge((LIMIT_PER_S * WINDOW.as_secs_f64() / 2.0) as usize));
+}
+
+#[gtest]
+fn an_endpoint_gets_no_more_than_its_limit_through_a_change_of_leader_and_without_one() {
+    const LIMIT_PER_S: f64 = 2.0;
+    let (mut deployment, endpoint) = start_deployment();
+    eventually("the leader places requests", || has_logged(&deployment, "placed by the leader"));
+    endpoint.set_limit(Some(LIMIT_PER_S));
+    let named = Instant::now();
+    send_load(&deployment, &endpoint, CONTACT_TIME, || ());
+    let is_leader = |process: &Process| !times_logged_ms(process, "became the leader").is_empty();
+    let leader = deployment.controls.iter().position(is_leader).expect("a leader");
+    deployment.controls[leader].kill();
+    send_load(&deployment, &endpoint, WINDOW, || ());
+    let after_change = most_in_window(&endpoint, named + CONTACT_TIME);
+    expect_that!(after_change, le(allowed(LIMIT_PER_S)));
+    deployment.controls.iter().for_each(|control| control.signal("STOP"));
+    send_load(&deployment, &endpoint, WINDOW * 2, || ());
+    deployment.controls.iter().for_each(|control| control.signal("CONT"));
+    expect_that!(most_in_window(&endpoint, named + CONTACT_TIME), le(allowed(LIMIT_PER_S)));
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -4,6 +4,7 @@
 #[path = "../deployment/mod.rs"]
 mod deployment;
 mod handover;
+mod limits;
 mod lists;
 mod notices;
 mod rollouts;
--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -8,7 +8,7 @@
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a caller waits for a reply.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -93,6 +93,10 @@
     runs: Mutex<BTreeMap<String, u32>>,
     /// Whether the endpoint fails all requests with status 500.
     is_failing: AtomicBool,
+    /// The limit that the endpoint names in its replies, in requests per second.
+    limit_per_s: Mutex<Option<f64>>,
+    /// When each request arrived.
+    arrivals: Mutex<Vec<Instant>>,
 }
 
 /// A stand-in endpoint.
@@ -135,6 +139,16 @@
         self.state.is_failing.store(true, Ordering::Relaxed);
     }
 
+    /// Makes it name this limit in its replies from now on, or none.
+    pub fn set_limit(&self, limit_per_s: Option<f64>) {
+        *self.state.limit_per_s.lock().unwrap() = limit_per_s;
+    }
+
+    /// Returns when its requests arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.arrivals.lock().unwrap().clone()
+    }
+
     /// Returns the highest number of requests that ran concurrently.
     pub fn max_concurrent(&self) -> u32 {
         self.state.max_concurrent.load(Ordering::Relaxed)
@@ -149,6 +163,7 @@
         let id = field(&head, "request-id").unwrap_or_default();
         state.count.fetch_add(1, Ordering::Relaxed);
         *state.runs.lock().unwrap().entry(id.clone()).or_default() += 1;
+        state.arrivals.lock().unwrap().push(Instant::now());
         if state.is_failing.load(Ordering::Relaxed) {
             state.running.fetch_sub(1, Ordering::Relaxed);
             let reply = format!(
@@ -170,11 +185,13 @@
             }
             continue;
         }
-        let seal = if head.contains(" /print/leaving") {
-            "Response-Seal: seal-1\r\nServer-Leaving: 1"
-        } else {
-            "Response-Seal: seal-1"
-        };
+        let mut fields = "Response-Seal: seal-1".to_owned();
+        if head.contains(" /print/leaving") {
+            fields.push_str("\r\nServer-Leaving: 1");
+        }
+        if let Some(limit_per_s) = *state.limit_per_s.lock().unwrap() {
+            fields.push_str(&format!("\r\nServer-Limit: {limit_per_s}"));
+        }
         if head.contains(" /print/lost") {
             return;
         }
@@ -189,7 +206,7 @@
             let events: String =
                 (1..=3).map(|n| chunk(&format!("id: {n}\ndata: word\n\n"))).collect();
             format!(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{seal}\r\n\
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{fields}\r\n\
                  Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n\
                  {events}0\r\n\r\n"
             )
@@ -197,7 +214,7 @@
             let body = format!("printed {body}");
             let length = body.len();
             format!(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{seal}\r\nContent-Length: {length}\r\n\r\n\
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{fields}\r\nContent-Length: {length}\r\n\r\n\
                  {body}"
             )
         };
