--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -121,7 +121,9 @@
         }
         let mut others = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         others.any(|other| {
-            if other.is_leaving() || !other.health.is_available(now_ms) {
+            let is_open = other.health.is_available(now_ms)
+                && self.limit_wait_ms(now_ms, other) as f64 <= SLOT_WAIT_MS;
+            if other.is_leaving() || !is_open {
                 return false;
             }
             let first_byte_ms = other.first_byte_ms(now_ms, job);
@@ -135,7 +137,7 @@
 
     fn has_free_slot(&self, now_ms: u64, name: &ServiceName) -> bool {
         let has_free_slot = |endpoint: &Endpoint| {
-            !endpoint.is_leaving() && endpoint.running.len() < endpoint.usable_slots(now_ms)
+            !endpoint.is_leaving() && endpoint.running.len() < self.usable_slots(now_ms, endpoint)
         };
         let Some(service) = self.services.get(name) else { return false };
         service.endpoints.iter().any(|key| has_free_slot(&self.endpoints[*key]))
@@ -149,6 +151,7 @@
             let usable = service.endpoints.iter().copied().filter(|key| {
                 let endpoint = &self.endpoints[*key];
                 endpoint.accepts(now_ms, job)
+                    && self.limit_wait_ms(now_ms, endpoint) == 0
                     && !self.is_excluded(now_ms, job.job_id.instance, endpoint.name())
                     && is_candidate(endpoint)
             });
@@ -197,6 +200,7 @@
         }
         let endpoint = &mut self.endpoints[key];
         let first_byte_ms = endpoint.begin(now_ms, &job) as u64;
+        self.notices.take_permission(now_ms, endpoint.name());
         self.decisions.push(Decision::Place {
             job_id: job.job_id,
             endpoint: endpoint.name().clone(),
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -110,6 +110,8 @@
     pub free_slots: usize,
     /// The number of slots that are unavailable because their endpoints are paused or on probation.
     pub closed_slots: usize,
+    /// The number of endpoints that have stated a limit.
+    pub limited_endpoints: usize,
 }
 
 /// A request running on an endpoint, as an instance reports it to a new dispatcher.
@@ -123,6 +125,8 @@
     pub memory_tokens: u64,
     /// Whether the response is a stream of events.
     pub is_stream: bool,
+    /// How long ago the request was placed, in milliseconds.
+    pub age_ms: u64,
 }
 
 /// Schedules the requests of one instance or, at the leader, of all instances.
@@ -180,8 +184,9 @@
     }
 
     /// Replaces the options.
-    pub fn set_options(&mut self, options: Options) {
+    pub fn set_options(&mut self, now_ms: u64, options: Options) {
         self.options = options;
+        self.notices.set_limit_share(now_ms, options.rate_share);
         self.assign_slots();
     }
 
@@ -254,11 +259,11 @@
         if !self.is_discovering(now_ms) && endpoints.all(Endpoint::is_leaving) {
             return no_endpoint;
         }
-        let all_paused_ms = self.all_paused_ms(now_ms, job);
+        let all_closed_ms = self.all_closed_ms(now_ms, job);
         let first_byte_ms = first_byte_ms_at(service.speed, job) as u64;
         let patience_ms = job.patience_left_ms.min(job.deadline_left_ms);
-        let is_unavailable = all_paused_ms > 0 && all_paused_ms + first_byte_ms >= patience_ms;
-        is_unavailable.then_some((Reason::Overloaded, all_paused_ms))
+        let is_unavailable = all_closed_ms > 0 && all_closed_ms + first_byte_ms >= patience_ms;
+        is_unavailable.then_some((Reason::Overloaded, all_closed_ms))
     }
 
     fn prepare_job(&mut self, now_ms: u64, job: Job, units: f64) -> Option<QueuedJob> {
@@ -343,7 +348,8 @@
         for request in in_flight {
             let Some(key) = self.by_name.get(&request.endpoint) else { continue };
             let job_id = JobId { instance, number: request.number };
-            self.endpoints[*key].add_external(now_ms, job_id, request.memory_tokens);
+            let since_ms = now_ms.saturating_sub(request.age_ms);
+            self.endpoints[*key].add_external(since_ms, job_id, request.memory_tokens);
             // The rank is not reported; the earlier samples that it would be compared with are
             // unknown as well.
             let placed = PlacedJob { endpoint: *key, is_stream: request.is_stream, rank: 0 };
@@ -437,11 +443,14 @@
                 running: 0,
                 free_slots: 0,
                 closed_slots: 0,
+                limited_endpoints: 0,
             };
             let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
             for endpoint in endpoints.filter(|endpoint| !endpoint.is_leaving()) {
                 load.running += endpoint.running.len();
                 let usable = endpoint.usable_slots(now_ms);
+                let is_limited = self.notices.limit(endpoint.name()).is_some();
+                load.limited_endpoints += usize::from(is_limited);
                 load.closed_slots += endpoint.slot_limit - usable;
                 load.free_slots += usable.saturating_sub(endpoint.running.len());
             }
--- a/crates/dispatch/src/dispatcher/notices.rs
+++ b/crates/dispatch/src/dispatcher/notices.rs
@@ -1,10 +1,14 @@
 //! Applies the notices that endpoints send in their responses.
 
 use super::Dispatcher;
-use crate::endpoints::Notice;
-use crate::job::Job;
+use super::share::draw;
+use crate::endpoints::{Endpoint, Limit, Notice, Pace, StatedLimit};
+use crate::job::{Job, JobId};
 use lycheehub_types::EndpointName;
 
+/// The instance that is recorded for limits passed on by the leader; limits apply to all instances.
+const OWN_INSTANCE: u32 = 0;
+
 impl Dispatcher {
     /// Records a notice that an instance received in a response of an endpoint. Without an
     /// incarnation, the notice applies to the known one.
@@ -16,14 +20,16 @@
         notice: Notice,
     ) {
         let notice = notice.bounded();
-        let endpoint = self.by_name.get(name).and_then(|key| self.endpoints.get_mut(*key));
-        let known = endpoint.as_ref().map(|endpoint| endpoint.record.incarnation);
+        let key = self.by_name.get(name);
+        let known = key.map(|key| self.endpoints[*key].record.incarnation);
         let incarnation = incarnation.or(known);
         if incarnation < known {
             // The notice is from an earlier incarnation of the endpoint.
             return;
         }
-        self.notices.record(now_ms, instance, (name, incarnation), notice);
+        let pace = self.pace(name);
+        self.notices.record(now_ms, instance, (name, incarnation), notice, pace);
+        let endpoint = self.by_name.get(name).and_then(|key| self.endpoints.get_mut(*key));
         let Some(endpoint) = endpoint.filter(|_| incarnation == known) else { return };
         endpoint.announced_leaving |= notice.leaving;
         if let Some(pause_ms) = notice.pause_ms {
@@ -44,17 +50,84 @@
         active.map(|(name, by, notice)| (name.clone(), by, notice)).collect()
     }
 
-    /// Returns for how long all endpoints of the service have paused the instance of `job`, in
-    /// milliseconds; 0 if at least one has not.
-    pub(super) fn all_paused_ms(&self, now_ms: u64, job: &Job) -> u64 {
+    /// Records a response to a job that states no limit for its endpoint. Returns the endpoint if its
+    /// limit has ended by that.
+    pub fn record_unlimited(&mut self, job_id: JobId) -> Option<EndpointName> {
+        let placed = self.placed.get(&job_id)?;
+        let endpoint = self.endpoints.get(placed.endpoint)?;
+        self.notices.limit(endpoint.name())?;
+        let since_ms = endpoint.running.get(&job_id)?.since_ms;
+        self.notices.record_unlimited(since_ms, endpoint.name());
+        let has_ended = self.notices.limit(endpoint.name()).is_none();
+        has_ended.then(|| endpoint.name().clone())
+    }
+
+    /// Returns the limit of an endpoint as it was last stated, if it has one.
+    pub fn limit(&self, now_ms: u64, name: &EndpointName) -> Option<StatedLimit> {
+        self.notices.limit(name).map(|limit| limit.stated(now_ms))
+    }
+
+    /// Returns the limit of the endpoint that a job is placed on, if it has one.
+    pub fn limit_of_job(&self, now_ms: u64, job_id: JobId) -> Option<StatedLimit> {
+        let endpoint = self.endpoints.get(self.placed.get(&job_id)?.endpoint)?;
+        self.limit(now_ms, endpoint.name())
+    }
+
+    /// Returns the limits of all endpoints.
+    pub fn limits(&self, now_ms: u64) -> Vec<Limit> {
+        self.notices.limits(now_ms).collect()
+    }
+
+    /// Replaces the limits by those that the leader has passed on, except limits that an endpoint has
+    /// stated since the leader was asked for them at `asked_ms`.
+    pub fn set_limits(&mut self, now_ms: u64, asked_ms: u64, limits: &[Limit]) {
+        self.notices.retain_limits(asked_ms, |name, incarnation| {
+            let is_same =
+                |limit: &Limit| limit.endpoint == *name && limit.incarnation == incarnation;
+            limits.iter().any(is_same)
+        });
+        for limit in limits {
+            let notice = Notice { limit: Some(limit.stated), ..Notice::default() };
+            let sender = (&limit.endpoint, limit.incarnation);
+            self.record_notice(now_ms, OWN_INSTANCE, sender, notice);
+        }
+    }
+
+    /// Returns how this dispatcher paces its requests to an endpoint with a limit.
+    fn pace(&self, name: &EndpointName) -> Pace {
+        Pace { share: self.options.rate_share, phase: draw(name, self.options.slot_salt) }
+    }
+
+    /// Returns how long the limit of an endpoint delays the next request, in milliseconds.
+    pub(super) fn limit_wait_ms(&self, now_ms: u64, endpoint: &Endpoint) -> u64 {
+        self.notices.limit(endpoint.name()).map_or(0, |limit| limit.wait_ms(now_ms))
+    }
+
+    /// Returns the number of requests that this dispatcher may run on an endpoint now.
+    pub(super) fn usable_slots(&self, now_ms: u64, endpoint: &Endpoint) -> usize {
+        let is_permitted = self.limit_wait_ms(now_ms, endpoint) == 0;
+        if is_permitted { endpoint.usable_slots(now_ms) } else { 0 }
+    }
+
+    /// Returns how many slots of an endpoint this dispatcher can fill with jobs of `slot_ms`.
+    pub(super) fn fillable_slots(&self, endpoint: &Endpoint, slot_ms: f64) -> usize {
+        let limit = self.notices.limit(endpoint.name());
+        let filled = limit.map(|limit| (limit.concurrency(slot_ms).ceil() as usize).max(1));
+        filled.map_or(endpoint.slot_limit, |filled| filled.min(endpoint.slot_limit))
+    }
+
+    /// Returns for how long no endpoint of the service accepts requests of the instance of `job`,
+    /// because of pauses and limits, in milliseconds; 0 if at least one does.
+    pub(super) fn all_closed_ms(&self, now_ms: u64, job: &Job) -> u64 {
         let Some(service) = self.services.get(&job.service) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
-        let until_ms = usable.map(|endpoint| {
-            self.notices.paused_until_ms(now_ms, job.job_id.instance, endpoint.name())
+        let closed_ms = usable.map(|endpoint| {
+            let instance = job.job_id.instance;
+            let until_ms = self.notices.paused_until_ms(now_ms, instance, endpoint.name());
+            let paused_ms = until_ms.map_or(0, |until_ms| until_ms - now_ms);
+            paused_ms.max(self.limit_wait_ms(now_ms, endpoint))
         });
-        let until_ms: Option<Vec<u64>> = until_ms.collect();
-        let earliest_ms = until_ms.and_then(|until_ms| until_ms.into_iter().min());
-        earliest_ms.map_or(0, |until_ms| until_ms - now_ms)
+        closed_ms.min().unwrap_or(0)
     }
 }
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -84,7 +84,7 @@
         let Some(service) = self.services.get(name) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
-        usable.map(|endpoint| endpoint.slot_limit).sum()
+        usable.map(|endpoint| self.fillable_slots(endpoint, service.slot_ms)).sum()
     }
 
     /// Refuses the jobs of a service that can no longer finish in time.
@@ -109,7 +109,7 @@
             self.waiting.remove(&queued.job.job_id);
             let reason = if slots == 0 { Reason::NoEndpoint } else { Reason::Overloaded };
             let after_ms =
-                spread_retry_after_ms(&queued).max(self.all_paused_ms(now_ms, &queued.job));
+                spread_retry_after_ms(&queued).max(self.all_closed_ms(now_ms, &queued.job));
             self.refuse_queued(queued, reason, after_ms);
         }
     }
--- a/crates/dispatch/src/dispatcher/share.rs
+++ b/crates/dispatch/src/dispatcher/share.rs
@@ -64,7 +64,7 @@
 }
 
 /// Returns a pseudo-random number between 0 and 1 that is constant for an endpoint and a salt.
-fn draw(name: &EndpointName, salt: u64) -> f64 {
+pub(super) fn draw(name: &EndpointName, salt: u64) -> f64 {
     const BITS: u32 = 53;
     let hash = xxh3_64_with_seed(name.as_str().as_bytes(), salt);
     (hash >> (u64::BITS - BITS)) as f64 / (1_u64 << BITS) as f64
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -3,11 +3,13 @@
 mod health;
 mod notices;
 mod prefix_cache;
+mod rate_limit;
 mod speed;
 
 pub use health::Health;
-pub use notices::{Notice, Notices};
+pub use notices::{Limit, Notice, Notices};
 pub use prefix_cache::PrefixCache;
+pub use rate_limit::{Pace, RateLimit, StatedLimit};
 pub use speed::Speed;
 
 use crate::job::{Job, JobId, Outcome};
@@ -148,9 +150,9 @@
         expected_ms
     }
 
-    /// Records a request that was placed on the endpoint by another dispatcher.
-    pub fn add_external(&mut self, now_ms: u64, job_id: JobId, memory_tokens: u64) {
-        self.add(job_id, Running { memory_tokens, expected_ms: 0.0, since_ms: now_ms });
+    /// Records a request that another dispatcher placed on the endpoint at `since_ms`.
+    pub fn add_external(&mut self, since_ms: u64, job_id: JobId, memory_tokens: u64) {
+        self.add(job_id, Running { memory_tokens, expected_ms: 0.0, since_ms });
     }
 
     fn add(&mut self, job_id: JobId, running: Running) {
--- a/crates/dispatch/src/endpoints/notices.rs
+++ b/crates/dispatch/src/endpoints/notices.rs
@@ -7,7 +7,12 @@
 //!
 //! Load pattern: an endpoint starts to leave, and its announcement arrives late or not at all at an
 //! instance that is cut off. Its responses carry the information first.
+//!
+//! Load pattern: an endpoint limits the rate of requests from all instances together, and tells so
+//! only those instances whose requests it answers. The leader's dispatcher collects the limits and
+//! passes them on, so that each instance has its share of them when there is no leader.
 
+use super::{Pace, RateLimit, StatedLimit};
 use lycheehub_types::EndpointName;
 use std::collections::BTreeMap;
 
@@ -19,12 +24,25 @@
 const SHARED_PAUSE_MIN: usize = 2;
 
 /// A notice that an endpoint sent to an instance in a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// The endpoint is leaving and accepts no new requests.
     pub leaving: bool,
     /// How long the instance should send no requests, in milliseconds.
     pub pause_ms: Option<u64>,
+    /// The limit of the requests from all instances together.
+    pub limit: Option<StatedLimit>,
+}
+
+/// The limit of an endpoint as dispatchers pass it on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Limit {
+    /// The endpoint.
+    pub endpoint: EndpointName,
+    /// The incarnation that stated the limit, if known.
+    pub incarnation: Option<u64>,
+    /// The limit as the endpoint last stated it.
+    pub stated: StatedLimit,
 }
 
 impl Notice {
@@ -56,6 +74,7 @@
     leaving: bool,
     /// The end of the pause of each instance, in milliseconds.
     pauses: BTreeMap<u32, u64>,
+    limit: Option<RateLimit>,
 }
 
 /// The notices of all endpoints.
@@ -66,15 +85,16 @@
 
 impl Notices {
     /// Records a notice that an endpoint, in the given incarnation if known, sent to an instance.
-    /// The caller limits the pause.
+    /// The caller limits the pause. A limit applies to all instances, with the given pace.
     ///
     /// # Examples
     /// ```
-    /// use lycheehub_dispatch::{Notice, endpoints::Notices};
+    /// use lycheehub_dispatch::{Notice, endpoints::{Notices, Pace}};
     ///
     /// let mut notices = Notices::default();
     /// let notice = Notice { pause_ms: Some(2_000), ..Notice::default() };
-    /// notices.record(1_000, 1, (&"a".into(), None), notice);
+    /// let pace = Pace { share: 1.0, phase: 0.0 };
+    /// notices.record(1_000, 1, (&"a".into(), None), notice, pace);
     /// assert_eq!(notices.paused_until_ms(1_500, 1, &"a".into()), Some(3_000));
     /// assert_eq!(notices.paused_until_ms(1_500, 2, &"a".into()), None);
     /// ```
@@ -84,6 +104,7 @@
         instance: u32,
         (name, incarnation): (&EndpointName, Option<u64>),
         notice: Notice,
+        pace: Pace,
     ) {
         let state = self.by_endpoint.entry(name.clone()).or_default();
         if state.incarnation != incarnation && state.incarnation.is_some() {
@@ -97,6 +118,61 @@
             let known_ms = state.pauses.entry(instance).or_default();
             *known_ms = until_ms.max(*known_ms);
         }
+        if let Some(stated) = notice.limit {
+            match &mut state.limit {
+                Some(limit) => limit.restate(now_ms, stated, pace.share),
+                None => state.limit = Some(RateLimit::new(now_ms, stated, pace)),
+            }
+        }
+    }
+
+    /// Records a response without a limit to a request that was sent at `since_ms`.
+    pub fn record_unlimited(&mut self, since_ms: u64, name: &EndpointName) {
+        let Some(state) = self.by_endpoint.get_mut(name) else { return };
+        if state.limit.as_mut().is_some_and(|limit| limit.record_unlimited(since_ms)) {
+            state.limit = None;
+        }
+    }
+
+    /// Returns the limit of an endpoint, if it has one.
+    pub fn limit(&self, name: &EndpointName) -> Option<&RateLimit> {
+        self.by_endpoint.get(name)?.limit.as_ref()
+    }
+
+    /// Uses a permission to send a request to an endpoint, if the endpoint has a limit.
+    pub fn take_permission(&mut self, now_ms: u64, name: &EndpointName) {
+        let limit = self.by_endpoint.get_mut(name).and_then(|state| state.limit.as_mut());
+        if let Some(limit) = limit {
+            limit.take(now_ms);
+        }
+    }
+
+    /// Returns the limits of all endpoints.
+    pub fn limits(&self, now_ms: u64) -> impl Iterator<Item = Limit> {
+        self.by_endpoint.iter().filter_map(move |(name, state)| {
+            let stated = state.limit?.stated(now_ms);
+            Some(Limit { endpoint: name.clone(), incarnation: state.incarnation, stated })
+        })
+    }
+
+    /// Removes the limits that were last stated before `stated_from_ms`, except those that `is_kept`.
+    pub fn retain_limits(
+        &mut self,
+        stated_from_ms: u64,
+        is_kept: impl Fn(&EndpointName, Option<u64>) -> bool,
+    ) {
+        for (name, state) in &mut self.by_endpoint {
+            state.limit = state.limit.filter(|limit| {
+                limit.stated_ms() >= stated_from_ms || is_kept(name, state.incarnation)
+            });
+        }
+    }
+
+    /// Changes the share of all limits that this dispatcher may use.
+    pub fn set_limit_share(&mut self, now_ms: u64, share: f64) {
+        for limit in self.by_endpoint.values_mut().filter_map(|state| state.limit.as_mut()) {
+            limit.set_share(now_ms, share);
+        }
     }
 
     /// Sets the current incarnation of an endpoint and discards notices of other incarnations.
@@ -133,7 +209,8 @@
             let until_ms = state.pauses.get(&instance).copied().unwrap_or_default();
             let left_ms = until_ms.saturating_sub(now_ms);
             let pause_ms = (left_ms > 0).then_some(left_ms);
-            let notice = Notice { leaving: state.leaving, pause_ms };
+            let limit = state.limit.map(|limit| limit.stated(now_ms));
+            let notice = Notice { leaving: state.leaving, pause_ms, limit };
             (!notice.is_empty()).then_some((name, state.incarnation, notice))
         })
     }
@@ -142,7 +219,7 @@
     pub fn expire(&mut self, now_ms: u64, is_known: impl Fn(&EndpointName) -> bool) {
         self.by_endpoint.retain(|name, state| {
             state.pauses.retain(|_, until_ms| now_ms < *until_ms);
-            let is_relevant = state.leaving || !state.pauses.is_empty();
+            let is_relevant = state.leaving || !state.pauses.is_empty() || state.limit.is_some();
             is_relevant && (is_known(name) || now_ms < state.received_ms + UNKNOWN_ENDPOINT_KEPT_MS)
         });
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod retries;
 
 pub use dispatcher::{Dispatcher, InFlight, ServiceLoad, VersionMode, VersionRule, VersionSample};
-pub use endpoints::Notice;
+pub use endpoints::{Limit, Notice, StatedLimit};
 pub use job::{Decision, Finished, Job, JobId, Outcome, PrefixPart, Reason};
 pub use options::Options;
 pub use placement::Placement;
--- a/crates/dispatch/src/options.rs
+++ b/crates/dispatch/src/options.rs
@@ -1,5 +1,9 @@
 //! Weights and limits of the dispatcher.
 
+/// The part of an endpoint's limit that instances without a leader use: they do not know of each
+/// other when they send, so their requests coincide at times.
+const LEADERLESS_RATE_FACTOR: f64 = 0.75;
+
 /// Weights and limits.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
@@ -10,6 +14,9 @@
     pub slot_salt: u64,
     /// The fraction of the quotas and of the retry budget that this dispatcher may use.
     pub budget_share: f64,
+    /// The fraction of the rates to which endpoints limit all instances together that this dispatcher
+    /// may use.
+    pub rate_share: f64,
     /// The length of the quota window, in milliseconds.
     pub quota_window_ms: u64,
     /// How far the usage in a window may exceed a quota, as a fraction of it.
@@ -34,6 +41,7 @@
             slot_share: 1.0,
             slot_salt: 0,
             budget_share: 1.0,
+            rate_share: 1.0,
             quota_window_ms: 8_000,
             quota_overshoot: 0.0,
             quota_slack_units: 0.0,
@@ -45,3 +53,26 @@
         }
     }
 }
+
+impl Options {
+    /// Returns the options of one of `instances` dispatchers that do not communicate: each has an
+    /// equal share of all limits, and `salt` tells them apart.
+    ///
+    /// # Examples
+    /// ```
+    /// use lycheehub_dispatch::Options;
+    ///
+    /// let options = Options::default().for_one_of(4, 7);
+    /// assert_eq!((options.slot_share, options.slot_salt), (0.25, 7));
+    /// ```
+    pub fn for_one_of(self, instances: u32, salt: u64) -> Self {
+        let share = 1.0 / f64::from(instances.max(1));
+        Self {
+            slot_share: share,
+            slot_salt: salt,
+            budget_share: share,
+            rate_share: share * LEADERLESS_RATE_FACTOR,
+            ..self
+        }
+    }
+}
--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -28,6 +28,9 @@
     /// Records a notice that this instance received in a response of an endpoint.
     fn record_notice(&self, endpoint: &EndpointName, notice: Notice);
 
+    /// Records a response to the job that states no limit for its endpoint.
+    fn record_unlimited(&self, job_id: JobId);
+
     /// Returns whether an endpoint is leaving or has paused requests of this instance.
     fn is_excluded(&self, endpoint: &EndpointName) -> bool;
 }
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod health;
+mod limits;
 mod notices;
 mod overload;
 mod placement;
--- a/crates/dispatch/tests/dispatch/notices.rs
+++ b/crates/dispatch/tests/dispatch/notices.rs
@@ -5,10 +5,10 @@
 use lycheehub_dispatch::{Decision, Dispatcher, Job, JobId, Notice, Options, Outcome, Reason};
 use lycheehub_types::EndpointRecord;
 
-const LEAVES: Notice = Notice { leaving: true, pause_ms: None };
+const LEAVES: Notice = Notice { leaving: true, pause_ms: None, limit: None };
 
 fn pause(pause_ms: u64) -> Notice {
-    Notice { leaving: false, pause_ms: Some(pause_ms) }
+    Notice { pause_ms: Some(pause_ms), ..Notice::default() }
 }
 
 /// Returns the endpoint that a job of an instance is placed on, if any; the job ends at once.
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -44,8 +44,13 @@
 #[gtest]
 fn a_request_placed_by_an_earlier_dispatcher_holds_its_slot() {
     let mut dispatcher = dispatcher(&[record("a", 1)]);
-    let running =
-        InFlight { number: 9, endpoint: "a".into(), memory_tokens: 1_000, is_stream: true };
+    let running = InFlight {
+        number: 9,
+        endpoint: "a".into(),
+        memory_tokens: 1_000,
+        is_stream: true,
+        age_ms: 0,
+    };
     dispatcher.record_in_flight(5, 1, &[running]);
     dispatcher.submit(10, job(1));
     expect_that!(placed(&mut dispatcher), is_empty());
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -14,12 +14,13 @@
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::placement::DecisionFuture;
 use lycheehub_dispatch::{
-    Decision, Dispatcher, Finished, InFlight, Job, JobId, Notice, Options, Placement, Usage,
+    Decision, Dispatcher, Finished, InFlight, Job, JobId, Limit, Notice, Options, Placement, Usage,
 };
 use lycheehub_types::{AccountName, EndpointName, InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::{peer, placement};
 use lycheehub_wire::{
-    read_decision, write_finished, write_in_flight, write_job, write_notice, write_usage,
+    read_decision, read_limits, write_finished, write_in_flight, write_job, write_notice,
+    write_usage,
 };
 use smol::channel::{Receiver, Sender, bounded};
 use smol::{LocalExecutor, Timer};
@@ -44,6 +45,8 @@
 const PROBE_INTERVAL_MS: u64 = 500;
 /// The delay between attempts to open a session with the leader, in milliseconds.
 const SESSION_RETRY_MS: u64 = 100;
+/// How long the leader is not told again of an unchanged limit of an endpoint, in milliseconds.
+const LIMIT_RESEND_MS: u64 = 500;
 /// The tick interval of the local dispatcher while requests wait there, in milliseconds.
 const LOCAL_TICK_MS: u64 = 50;
 /// How often a request that must wait for the leader checks for a session, in milliseconds.
@@ -60,6 +63,25 @@
     /// Closed when the session ends.
     ended: Receiver<()>,
     _alive: Sender<()>,
+    /// The revision of the endpoints' limits that the leader has passed on; 0 before the first.
+    limits_revision: Cell<u64>,
+}
+
+/// What the leader replies to a heartbeat.
+struct HeartbeatReply {
+    /// The number of instances.
+    instances: u32,
+    /// The client accounts that are near their quota.
+    near_quota: BTreeSet<AccountName>,
+    limits_revision: u64,
+    /// The limits of endpoints; empty if the revision is the one already known.
+    limits: Vec<Limit>,
+}
+
+/// A request that is placed on an endpoint.
+struct PlacedRequest {
+    in_flight: InFlight,
+    placed_ms: u64,
 }
 
 /// Places the requests of this instance, with the leader if possible and locally otherwise.
@@ -75,7 +97,7 @@
     /// The requests that wait for a decision of the local dispatcher, by number.
     pending_decisions: RefCell<BTreeMap<u64, Sender<Decision>>>,
     /// The requests that are placed and not finished, by number.
-    placed: RefCell<BTreeMap<u64, InFlight>>,
+    placed: RefCell<BTreeMap<u64, PlacedRequest>>,
     /// Signalled when a request waits long for the leader's decision.
     probe_requests: (Sender<()>, Receiver<()>),
     pause_guard: RefCell<PauseGuard>,
@@ -158,8 +180,9 @@
     ) -> Result<Rc<Session>, PeerError> {
         const STEP: &str = "enter";
         let peer = self.links.peer(name, address).await?;
-        let in_flight: Vec<InFlight> = self.placed.borrow().values().cloned().collect();
-        let usage = self.local.borrow().usage(self.clock.now_ms(), OWN_NUMBER);
+        let now_ms = self.clock.now_ms();
+        let in_flight = self.requests_in_flight(now_ms);
+        let usage = self.local.borrow().usage(now_ms, OWN_NUMBER);
         let call = async {
             let client =
                 request_placement(peer, self.settings.instance.as_str(), &in_flight, &usage).await;
@@ -170,7 +193,13 @@
             self.links.drop_peer(name);
         }
         let (alive, ended) = bounded(1);
-        let session = Session { leader: name.clone(), client: client?, ended, _alive: alive };
+        let session = Session {
+            leader: name.clone(),
+            client: client?,
+            ended,
+            _alive: alive,
+            limits_revision: Cell::new(0),
+        };
         let session = Rc::new(session);
         spdlog::info!("requests are placed by the leader", kv: { leader: = name });
         *self.session.borrow_mut() = Some(session.clone());
@@ -179,16 +208,25 @@
         Ok(session)
     }
 
+    fn requests_in_flight(&self, now_ms: u64) -> Vec<InFlight> {
+        let placed = self.placed.borrow();
+        let with_age = |request: &PlacedRequest| {
+            let age_ms = now_ms - request.placed_ms;
+            InFlight { age_ms, ..request.in_flight.clone() }
+        };
+        placed.values().map(with_age).collect()
+    }
+
     /// Probes the leader until it stops answering or another leader is known, then ends the session.
     async fn probe_session(&self, session: Rc<Session>) {
         loop {
             self.wait_for_probe().await;
             let leader = self.views.get().leader.clone();
             let leader_changed = leader.is_some_and(|(name, _)| name != session.leader);
+            let asked_ms = self.clock.now_ms();
             let reply = if leader_changed { None } else { self.probe_leader(&session).await };
-            let Some((instances, near_quota)) = reply else { break };
-            self.update_instances(instances);
-            self.local.borrow_mut().set_accounts_near_quota(near_quota);
+            let Some(reply) = reply else { break };
+            self.apply_heartbeat_reply(&session, asked_ms, reply);
         }
         spdlog::warn!("leader lost: requests are placed here", kv: { leader: = session.leader });
         self.session.borrow_mut().take();
@@ -206,11 +244,21 @@
         lycheehub_clock::within(PROBE_INTERVAL_MS - PROBE_INTERVAL_MIN_MS, slow_decision).await;
     }
 
-    /// Sends a heartbeat to the leader. Returns the number of instances that the leader serves and the
-    /// client accounts that are near their quota, or `None` if the leader does not answer.
-    async fn probe_leader(&self, session: &Session) -> Option<(u32, BTreeSet<AccountName>)> {
+    /// Applies a reply of the leader to a heartbeat sent at `asked_ms`.
+    fn apply_heartbeat_reply(&self, session: &Session, asked_ms: u64, reply: HeartbeatReply) {
+        self.update_instances(reply.instances);
+        let mut local = self.local.borrow_mut();
+        local.set_accounts_near_quota(reply.near_quota);
+        if session.limits_revision.replace(reply.limits_revision) != reply.limits_revision {
+            local.set_limits(self.clock.now_ms(), asked_ms, &reply.limits);
+        }
+    }
+
+    /// Sends a heartbeat to the leader. Returns `None` if the leader does not answer.
+    async fn probe_leader(&self, session: &Session) -> Option<HeartbeatReply> {
         let call = async {
             let mut request = session.client.finish_request();
+            request.get().set_limits_revision(session.limits_revision.get());
             request.get().init_finished(0);
             let reply = request.send().promise.await?;
             let reply = reply.get()?;
@@ -218,7 +266,12 @@
             for account in reply.get_tight()? {
                 near_quota.insert(AccountName::from(account?.to_str()?));
             }
-            Ok::<_, capnp::Error>((reply.get_instances(), near_quota))
+            Ok::<_, capnp::Error>(HeartbeatReply {
+                instances: reply.get_instances(),
+                near_quota,
+                limits_revision: reply.get_limits_revision(),
+                limits: read_limits(reply.get_limits()?)?,
+            })
         };
         within_running_time(REPLY_TIMEOUT_MS, call).await?.ok()
     }
@@ -226,7 +279,7 @@
     fn update_instances(&self, instances: u32) {
         if instances > 0 && instances != self.instances.replace(instances) {
             let options = local_options(&self.settings, instances);
-            self.local.borrow_mut().set_options(options);
+            self.local.borrow_mut().set_options(self.clock.now_ms(), options);
         }
     }
 
@@ -340,15 +393,17 @@
             endpoint: endpoint.clone(),
             memory_tokens,
             is_stream: job.output_tokens > 0,
+            age_ms: 0,
         };
+        let now_ms = self.clock.now_ms();
         if by_leader {
             let own = std::slice::from_ref(&in_flight);
-            let now_ms = self.clock.now_ms();
             let mut local = self.local.borrow_mut();
             local.record_in_flight(now_ms, job.job_id.instance, own);
             local.record_usage(now_ms, job);
         }
-        self.placed.borrow_mut().insert(job.job_id.number, in_flight);
+        let placed = PlacedRequest { in_flight, placed_ms: now_ms };
+        self.placed.borrow_mut().insert(job.job_id.number, placed);
     }
 
     /// Sends a request to the leader, if there is a session, without waiting for the reply.
@@ -432,8 +487,27 @@
 
     fn record_notice(&self, endpoint: &EndpointName, notice: Notice) {
         let now_ms = self.clock.now_ms();
+        let known = self.local.borrow().limit(now_ms, endpoint);
         self.local.borrow_mut().record_notice(now_ms, OWN_NUMBER, (endpoint, None), notice);
-        self.send_notices(|name| name == endpoint);
+        let is_known = notice.limit.zip(known).is_some_and(|(stated, known)| {
+            stated.per_s == known.per_s && known.age_ms < LIMIT_RESEND_MS
+        });
+        if !is_known || notice != (Notice { limit: notice.limit, ..Notice::default() }) {
+            self.send_notices(|name| name == endpoint);
+        }
+    }
+
+    fn record_unlimited(&self, job_id: JobId) {
+        let now_ms = self.clock.now_ms();
+        if self.local.borrow().limit_of_job(now_ms, job_id).is_none() {
+            return;
+        }
+        self.local.borrow_mut().record_unlimited(job_id);
+        self.send_to_leader(|client| {
+            let mut request = client.unlimited_request();
+            request.get().set_number(job_id.number);
+            request
+        });
     }
 
     fn is_excluded(&self, endpoint: &EndpointName) -> bool {
@@ -481,7 +555,6 @@
 
 /// Returns the options of the local dispatcher of one of `instances` instances.
 fn local_options(settings: &Settings, instances: u32) -> Options {
-    let share = 1.0 / f64::from(instances.max(1));
-    let slot_salt = xxh3_64(settings.instance.as_str().as_bytes());
-    Options { slot_share: share, slot_salt, budget_share: share, ..settings.dispatch }
+    let salt = xxh3_64(settings.instance.as_str().as_bytes());
+    settings.dispatch.for_one_of(instances, salt)
 }
--- a/crates/peer/src/node/cluster_status.rs
+++ b/crates/peer/src/node/cluster_status.rs
@@ -34,6 +34,12 @@
         }
     }
 
+    /// Returns the instances that have polled within the retention time.
+    pub(super) fn recent(&self, now_ms: u64) -> impl Iterator<Item = &InstanceName> {
+        let is_recent = move |poll: &Poll| now_ms < poll.polled_ms + POLL_RETENTION_MS;
+        self.by_instance.iter().filter(move |(_, poll)| is_recent(poll)).map(|(name, _)| name)
+    }
+
     fn instances(&self, now_ms: u64) -> impl Iterator<Item = InstanceStatus> {
         self.by_instance.iter().map(move |(instance, poll)| InstanceStatus {
             instance: instance.clone(),
--- a/crates/peer/src/node/dispatch.rs
+++ b/crates/peer/src/node/dispatch.rs
@@ -3,10 +3,12 @@
 use super::Node;
 use crate::rollouts::{TrafficScope, version_rules};
 use lycheehub_control::moves::RolloutController;
-use lycheehub_dispatch::{Decision, Dispatcher, Finished, InFlight, Job, JobId, Usage};
-use lycheehub_types::{AccountName, InstanceName};
+use lycheehub_dispatch::{
+    Decision, Dispatcher, Finished, InFlight, Job, JobId, Limit, Options, Usage,
+};
+use lycheehub_types::{AccountName, EndpointName, InstanceName};
 use smol::channel::{Sender, bounded};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 /// Interval between ticks of the dispatcher, in milliseconds.
@@ -45,6 +47,12 @@
     pub(super) rollouts: RolloutController,
     /// The revision of the route document set in the dispatcher.
     document_revision: u64,
+    /// The number of instances that may place requests, with a session here or without.
+    instances: u32,
+    /// The limits of endpoints as instances are told of them, by endpoint and its incarnation.
+    limits: BTreeMap<(EndpointName, Option<u64>), f64>,
+    /// Incremented when `limits` changes.
+    limits_revision: u64,
 }
 
 impl LeaderDispatch {
@@ -71,6 +79,8 @@
             metrics::gauge!("lycheehub_running_requests", &service).set(load.running as f64);
             metrics::gauge!("lycheehub_free_slots", &service).set(load.free_slots as f64);
             metrics::gauge!("lycheehub_closed_slots", &service).set(load.closed_slots as f64);
+            metrics::gauge!("lycheehub_limited_endpoints", &service)
+                .set(load.limited_endpoints as f64);
             if load.waiting > 0 {
                 spdlog::info!("requests wait", kv: {
                     service: = load.service,
@@ -83,6 +93,39 @@
         }
     }
 
+    /// Adapts this dispatcher's share of the endpoints' limits to the number of instances. Those
+    /// without a session here may place requests themselves, each with an equal share.
+    fn set_instances(&mut self, now_ms: u64, instances: u32) {
+        self.instances = instances;
+        let share = self.sessions.len().max(1) as f64 / f64::from(instances.max(1));
+        let options = Options { rate_share: share.min(1.0), ..*self.dispatcher.options() };
+        if options != *self.dispatcher.options() {
+            self.dispatcher.set_options(now_ms, options);
+        }
+    }
+
+    /// Notes and logs changed limits of endpoints.
+    fn update_limits(&mut self, now_ms: u64) {
+        let limits = self.dispatcher.limits(now_ms).into_iter();
+        let limits: BTreeMap<_, _> =
+            limits.map(|limit| ((limit.endpoint, limit.incarnation), limit.stated.per_s)).collect();
+        if limits == self.limits {
+            return;
+        }
+        for (key, limit_per_s) in &limits {
+            if self.limits.get(key) != Some(limit_per_s) {
+                spdlog::info!("endpoint limit stated", kv: {
+                    endpoint: = key.0, limit_per_s = *limit_per_s,
+                });
+            }
+        }
+        for key in self.limits.keys().filter(|key| !limits.contains_key(key)) {
+            spdlog::info!("endpoint limit ended", kv: { endpoint: = key.0 });
+        }
+        self.limits = limits;
+        self.limits_revision += 1;
+    }
+
     fn is_current(&self, key: SessionKey) -> bool {
         let session = self.sessions.get(&key.instance);
         session.is_some_and(|session| session.connection == key.connection)
@@ -119,6 +162,8 @@
         }
         let mut dispatch = self.dispatch.borrow_mut();
         let Some(dispatch) = dispatch.as_mut() else { return };
+        let instances = self.count_instances(now_ms, dispatch);
+        dispatch.set_instances(now_ms, instances);
         let expired: Vec<u32> = dispatch
             .sessions
             .iter()
@@ -130,9 +175,19 @@
         }
         dispatch.dispatcher.tick(now_ms);
         dispatch.deliver_decisions();
+        dispatch.update_limits(now_ms);
         dispatch.record_load(now_ms);
     }
 
+    /// Returns the number of instances that have a session here or watched this one lately.
+    fn count_instances(&self, now_ms: u64, dispatch: &LeaderDispatch) -> u32 {
+        let entered: BTreeSet<&InstanceName> =
+            dispatch.sessions.values().map(|session| &session.instance).collect();
+        let polls = self.polls.borrow();
+        let others = polls.recent(now_ms).filter(|instance| !entered.contains(instance)).count();
+        u32::try_from(entered.len() + others).unwrap_or(u32::MAX)
+    }
+
     fn start_dispatch(&self) {
         let dispatcher = Dispatcher::new(self.settings.dispatch);
         *self.dispatch.borrow_mut() = Some(LeaderDispatch {
@@ -144,6 +199,9 @@
             load_recorded_ms: 0,
             rollouts: RolloutController::default(),
             document_revision: 0,
+            instances: 0,
+            limits: BTreeMap::new(),
+            limits_revision: 1,
         });
         spdlog::info!("leadership gained: dispatching started");
         self.update_dispatcher();
@@ -191,6 +249,8 @@
         spdlog::info!("instance entered", kv: { instance: = instance, number, in_flight = count });
         let connection = key.connection;
         dispatch.sessions.insert(number, Session { instance, connection, last_seen_ms: now_ms });
+        let instances = self.count_instances(now_ms, dispatch);
+        dispatch.set_instances(now_ms, instances);
         dispatch.dispatcher.record_in_flight(now_ms, number, in_flight);
         dispatch.dispatcher.restore_usage(now_ms, number, usage);
         Some(key)
@@ -213,7 +273,7 @@
         receiver.recv().await.ok()
     }
 
-    /// Runs a step of the dispatcher for a session; returns the number of open sessions.
+    /// Runs a step of the dispatcher for a session; returns the number of instances.
     pub(crate) fn with_dispatcher(
         &self,
         session: SessionKey,
@@ -225,7 +285,7 @@
         dispatch.session(session)?.last_seen_ms = now_ms;
         step(&mut dispatch.dispatcher, now_ms);
         dispatch.deliver_decisions();
-        u32::try_from(dispatch.sessions.len()).ok()
+        Some(dispatch.instances)
     }
 
     /// Passes finished requests to the dispatcher.
@@ -245,6 +305,18 @@
         dispatch.map_or_else(Vec::new, |dispatch| dispatch.dispatcher.accounts_near_quota(now_ms))
     }
 
+    /// Returns the revision of the limits of endpoints, and the limits if it is not `known_revision`.
+    pub(crate) fn limits(&self, known_revision: u64) -> (u64, Vec<Limit>) {
+        let now_ms = self.clock.now_ms();
+        let dispatch = self.dispatch.borrow();
+        match dispatch.as_ref() {
+            Some(dispatch) if dispatch.limits_revision != known_revision => {
+                (dispatch.limits_revision, dispatch.dispatcher.limits(now_ms))
+            }
+            _ => (known_revision, Vec::new()),
+        }
+    }
+
     /// Withdraws a waiting request whose caller has disconnected.
     pub(crate) fn withdraw_job(&self, session: SessionKey, number: u64) -> Option<u32> {
         let job_id = JobId { instance: session.instance, number };
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -276,8 +276,9 @@
         params: placement::FinishParams,
         mut results: placement::FinishResults,
     ) -> Result<(), capnp::Error> {
-        let finished = params.get()?.get_finished()?;
-        let finished = lycheehub_wire::read_finished(self.session.instance, finished)?;
+        let params = params.get()?;
+        let finished =
+            lycheehub_wire::read_finished(self.session.instance, params.get_finished()?)?;
         let is_heartbeat = finished.is_empty();
         let instances = self.node.finish(self.session, finished).ok_or_else(not_leading)?;
         results.get().set_instances(instances);
@@ -287,6 +288,9 @@
             for (index, account) in (0..).zip(&accounts) {
                 near_quota.set(index, account.as_str());
             }
+            let (revision, limits) = self.node.limits(params.get_limits_revision());
+            results.get().set_limits_revision(revision);
+            lycheehub_wire::write_limits(&limits, results.get().init_limits(limits.len() as u32));
         }
         Ok(())
     }
@@ -319,13 +323,25 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let endpoint = EndpointName::from(read_text(params.get_endpoint())?);
-        let (notice, incarnation) = lycheehub_wire::read_notice(params);
+        let (notice, incarnation) = lycheehub_wire::read_notice(params)?;
         let instance = self.session.instance;
         self.node.with_dispatcher(self.session, |dispatcher, now_ms| {
             dispatcher.record_notice(now_ms, instance, (&endpoint, incarnation), notice);
         });
         Ok(())
     }
+
+    async fn unlimited(
+        self: Rc<Self>,
+        params: placement::UnlimitedParams,
+        _: placement::UnlimitedResults,
+    ) -> Result<(), capnp::Error> {
+        let job_id = JobId { instance: self.session.instance, number: params.get()?.get_number() };
+        self.node.with_dispatcher(self.session, |dispatcher, _| {
+            dispatcher.record_unlimited(job_id);
+        });
+        Ok(())
+    }
 }
 
 fn not_leading() -> capnp::Error {
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -5,11 +5,11 @@
 use super::relay::StreamState;
 use super::send::{ResponseStart, send};
 use super::{Exchange, Placed};
-use crate::dialect::ForwardedFields;
+use crate::dialect::{ForwardedFields, ResponseFields};
 use crate::entry::Entry;
 use crate::http1::{Body, Connection, Error, ResponseHead};
 use crate::pool;
-use lycheehub_dispatch::{Finished, JobId, Notice, Outcome};
+use lycheehub_dispatch::{Finished, JobId, Notice, Outcome, StatedLimit};
 use lycheehub_types::EndpointName;
 use smol::Timer;
 use std::cell::Cell;
@@ -200,10 +200,7 @@
             }
         };
         let fields = self.entry.dialect.read_response(&response.head);
-        if let Some(limit_per_s) = fields.limit_per_s {
-            self.access_log.record_limit(limit_per_s);
-        }
-        self.record_notice(&endpoint, &response.head, fields.leaving);
+        self.record_notice(attempt, &response.head, &fields);
         if fields.not_run || fields.misdirected {
             let misdirected = Outcome::Misdirected;
             attempt.report(if fields.misdirected { misdirected } else { Outcome::Rejected });
@@ -224,18 +221,31 @@
         self.buffer_and_relay(caller, upstream, response, attempt, watch, kind.may_repeat()).await
     }
 
-    /// Reports to the placement that the endpoint is leaving or asks for a pause.
-    fn record_notice(&self, endpoint: &EndpointName, head: &ResponseHead, leaving: bool) {
+    /// Reports to the placement that the endpoint is leaving, asks for a pause, or states a limit or
+    /// none.
+    fn record_notice(&mut self, attempt: &Attempt, head: &ResponseHead, fields: &ResponseFields) {
         const UNAVAILABLE: u16 = 503;
-        let pause_ms = head.retry_after_ms().filter(|_| head.status == UNAVAILABLE);
-        let notice = Notice { leaving, pause_ms };
-        if notice.is_empty() {
+        if fields.misdirected {
             return;
         }
-        spdlog::info!("endpoint wants nothing new", kv: {
-            id: = self.fields.id, endpoint: = endpoint, leaving, pause_ms:serde = pause_ms,
-        });
-        self.entry.placement.record_notice(endpoint, notice);
+        let (endpoint, leaving) = (&attempt.endpoint, fields.leaving);
+        let pause_ms = head.retry_after_ms().filter(|_| head.status == UNAVAILABLE);
+        if leaving || pause_ms.is_some() {
+            spdlog::info!("endpoint wants nothing new", kv: {
+                id: = self.fields.id, endpoint: = endpoint, leaving, pause_ms:serde = pause_ms,
+            });
+        }
+        let limit = fields.limit_per_s.map(|per_s| StatedLimit { per_s, age_ms: 0 });
+        match limit {
+            Some(limit) => self.access_log.record_limit(limit.per_s),
+            // Only a success is sure to have all fields of the endpoint.
+            None if head.is_success() => self.entry.placement.record_unlimited(attempt.job_id),
+            None => {}
+        }
+        let notice = Notice { leaving, pause_ms, limit };
+        if !notice.is_empty() {
+            self.entry.placement.record_notice(endpoint, notice);
+        }
     }
 
     /// Takes an idle connection or opens one; returns whether it is new.
--- a/crates/proxy/src/http1/head.rs
+++ b/crates/proxy/src/http1/head.rs
@@ -216,6 +216,11 @@
         Ok(Self { status, reason, framing, keeps_alive, headers })
     }
 
+    /// Returns whether the status is a success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+
     /// Returns the value of `Retry-After` in milliseconds, if it is a valid number of seconds. Fractions
     /// are accepted, negative values are not.
     pub fn retry_after_ms(&self) -> Option<u64> {
--- a/crates/proxy/tests/proxy/notices.rs
+++ b/crates/proxy/tests/proxy/notices.rs
@@ -9,7 +9,7 @@
 const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
 
 fn paused(pause_ms: u64) -> Notice {
-    Notice { leaving: false, pause_ms: Some(pause_ms) }
+    Notice { pause_ms: Some(pause_ms), ..Notice::default() }
 }
 
 /// Returns the notices reported for a response to a repeatable request.
@@ -27,7 +27,7 @@
 
 #[gtest]
 fn a_leaving_notice_is_read_from_any_response() {
-    let expected = ("endpoint-0".to_owned(), Notice { leaving: true, pause_ms: None });
+    let expected = ("endpoint-0".to_owned(), Notice { leaving: true, ..Notice::default() });
     for response in [
         "HTTP/1.1 200 OK\r\nid: r1\r\nleaving: 1\r\nContent-Length: 2\r\n\r\nok",
         "HTTP/1.1 500 Failed\r\nid: r1\r\nleaving: 1\r\nContent-Length: 0\r\n\r\n",
@@ -85,3 +85,46 @@
         expect_that!(*fixture.placement.outcomes.borrow(), eq(&expected));
     });
 }
+
+/// Returns the limits reported for a response, and how many responses were reported without one.
+fn reported_limits(response: &'static str) -> (Vec<(String, Option<f64>)>, usize) {
+    let reported = Rc::new(RefCell::new(Default::default()));
+    let recorder = reported.clone();
+    run(|fixture| async move {
+        fixture.add_responding_endpoint(response).await;
+        fixture.request(&post("/unsafe/", "pay")).await;
+        let notices = fixture.placement.notices.take().into_iter();
+        let mut limits: Vec<_> = notices
+            .map(|(endpoint, notice)| (endpoint, notice.limit.map(|limit| limit.per_s)))
+            .collect();
+        // A request that was not run is sent to the only endpoint again.
+        limits.dedup();
+        recorder.replace((limits, fixture.placement.unlimited.borrow().len()));
+    });
+    reported.take()
+}
+
+#[gtest]
+fn a_limit_is_reported_from_any_response_of_the_endpoint() {
+    let stated = vec![("endpoint-0".to_owned(), Some(2.5))];
+    for response in [
+        "HTTP/1.1 200 OK\r\nid: r1\r\nlimit: 2.5\r\nContent-Length: 2\r\n\r\nok",
+        "HTTP/1.1 500 Failed\r\nid: r1\r\nlimit: 2.5\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\nlimit: 2.5\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        expect_that!(reported_limits(response), eq(&(stated.clone(), 0)), "{response:?}");
+    }
+}
+
+#[gtest]
+fn only_a_success_without_a_limit_is_reported_to_state_none() {
+    expect_that!(reported_limits(OK_RESPONSE), eq(&(vec![], 1)));
+    for response in [
+        "HTTP/1.1 500 Failed\r\nid: r1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n",
+        // Another endpoint listens at the address.
+        "HTTP/1.1 421 Misdirected\r\nid: r1\r\nlimit: 9\r\nContent-Length: 0\r\n\r\n",
+    ] {
+        expect_that!(reported_limits(response), eq(&(vec![], 0)), "{response:?}");
+    }
+}
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -83,6 +83,8 @@
     pub over_quota: Cell<bool>,
     /// The reported notices, by endpoint.
     pub notices: RefCell<Vec<(String, Notice)>>,
+    /// The requests whose responses were reported to state no limit, by number.
+    pub unlimited: RefCell<Vec<u64>>,
     /// The endpoints reported as excluded.
     pub excluded: RefCell<Vec<String>>,
 }
@@ -136,6 +138,10 @@
         self.notices.borrow_mut().push((endpoint.to_string(), notice));
     }
 
+    fn record_unlimited(&self, job_id: JobId) {
+        self.unlimited.borrow_mut().push(job_id.number);
+    }
+
     fn is_excluded(&self, endpoint: &EndpointName) -> bool {
         self.excluded.borrow().iter().any(|excluded| excluded == endpoint.as_str())
     }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -239,24 +239,44 @@
   events @5 :UInt32;
 }
 
-struct InFlight { number @0 :UInt64; endpoint @1 :Text; memoryTokens @2 :UInt64; stream @3 :Bool; }
+struct InFlight {
+  number @0 :UInt64;
+  endpoint @1 :Text;
+  memoryTokens @2 :UInt64;
+  stream @3 :Bool;
+  # How long ago it was placed.
+  ageMs @4 :UInt64;
+}
 
 struct Usage { account @0 :Text; agoMs @1 :UInt64; units @2 :Float64; }
 
+# The requests per second that an endpoint takes from all instances together, and how long ago it
+# said so.
+struct StatedLimit { perS @0 :Float64; ageMs @1 :UInt64; }
+
+# The limit of an endpoint; the incarnation is 0 where it is not known.
+struct Limit { endpoint @0 :Text; incarnation @1 :UInt64; stated @2 :StatedLimit; }
+
 # What an instance asks of the dispatcher at the leader; the end of the connection ends it.
 interface Placement {
   # Answers when there is room, or as soon as it is certain that there will be none in time.
   place @0 (job :Job) -> (decision :Decision);
-  # Also serves as a heartbeat; answers how many instances are served, and which client accounts
-  # have used up most of their quota.
-  finish @1 (finished :List(Finished)) -> (instances :UInt32, tight :List(Text));
+  # Also serves as a heartbeat; answers how many instances there are, and which client accounts
+  # have used up most of their quota. A heartbeat is also answered with the limits of all endpoints
+  # where `limitsRevision` is not the newest.
+  finish @1 (finished :List(Finished), limitsRevision :UInt64)
+    -> (instances :UInt32, tight :List(Text), limitsRevision :UInt64, limits :List(Limit));
   # The request has had no answer for much longer than expected.
   stalled @2 (number :UInt64) -> ();
   # The caller of a request that waits has left.
   withdraw @3 (number :UInt64) -> ();
-  # What an endpoint said of itself in an answer to this instance: that it leaves, or that it wants
-  # nothing from this instance for so long; 0 where the incarnation that said it is not known.
-  heed @4 (endpoint :Text, leaving :Bool, pauseMs :UInt64, incarnation :UInt64) -> ();
+  # What an endpoint said of itself in an answer to this instance: that it leaves, that it wants
+  # nothing from this instance for so long, or its limit, null where it said none; 0 where the
+  # incarnation that said it is not known.
+  heed @4 (endpoint :Text, leaving :Bool, pauseMs :UInt64, incarnation :UInt64, limit :StatedLimit)
+    -> ();
+  # The answer to the request named no limit.
+  unlimited @5 (number :UInt64) -> ();
 }
 
 # What a connection offers before the caller has proved that it holds the peer key.
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -10,8 +10,9 @@
 pub use consensus::{write_config, write_message};
 pub use directory::{read_heard, read_listings, write_heard, write_listings};
 pub use placement::{
-    read_decision, read_finished, read_in_flight, read_job, read_notice, read_usage,
-    write_decision, write_finished, write_in_flight, write_job, write_notice, write_usage,
+    read_decision, read_finished, read_in_flight, read_job, read_limits, read_notice, read_usage,
+    write_decision, write_finished, write_in_flight, write_job, write_limits, write_notice,
+    write_usage,
 };
 pub use records::write_delta;
 pub use replies::{write_kept_answer, write_propose_reply};
@@ -40,6 +41,10 @@
             display("unknown kind {}", number)
             from(kind: capnp::NotInSchema) -> (kind.0)
         }
+        /// A rate is negative or not finite.
+        Rate(per_s: f64) {
+            display("not a rate: {}", per_s)
+        }
     }
 }
 
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -4,7 +4,8 @@
 use crate::peer_capnp as schema;
 use capnp::struct_list;
 use lycheehub_dispatch::{
-    Decision, Finished, InFlight, Job, JobId, Notice, Outcome, PrefixPart, Reason, Usage,
+    Decision, Finished, InFlight, Job, JobId, Limit, Notice, Outcome, PrefixPart, Reason,
+    StatedLimit, Usage,
 };
 use lycheehub_types::{AccountName, EndpointName};
 
@@ -170,6 +171,7 @@
             endpoint: text(entry.get_endpoint())?.into(),
             memory_tokens: entry.get_memory_tokens(),
             is_stream: entry.get_stream(),
+            age_ms: entry.get_age_ms(),
         })
     };
     reader.iter().map(read).collect()
@@ -186,6 +188,7 @@
         entry.set_endpoint(request.endpoint.as_str());
         entry.set_memory_tokens(request.memory_tokens);
         entry.set_stream(request.is_stream);
+        entry.set_age_ms(request.age_ms);
     }
 }
 
@@ -267,11 +270,17 @@
 }
 
 /// Reads the notice of an endpoint about itself, and the incarnation that sent it, if known.
-pub fn read_notice(reader: schema::placement::heed_params::Reader<'_>) -> (Notice, Option<u64>) {
+///
+/// # Errors
+/// Fails if the message cannot be decoded.
+pub fn read_notice(
+    reader: schema::placement::heed_params::Reader<'_>,
+) -> Result<(Notice, Option<u64>), WireError> {
     let (pause_ms, incarnation) = (reader.get_pause_ms(), reader.get_incarnation());
     let pause_ms = (pause_ms > 0).then_some(pause_ms);
-    let notice = Notice { leaving: reader.get_leaving(), pause_ms };
-    (notice, (incarnation > 0).then_some(incarnation))
+    let limit = if reader.has_limit() { Some(read_stated(reader.get_limit()?)?) } else { None };
+    let notice = Notice { leaving: reader.get_leaving(), pause_ms, limit };
+    Ok((notice, (incarnation > 0).then_some(incarnation)))
 }
 
 /// Writes the notice of an endpoint about itself, and the incarnation that sent it, if known.
@@ -283,4 +292,48 @@
     builder.set_incarnation(incarnation.unwrap_or_default());
     builder.set_leaving(notice.leaving);
     builder.set_pause_ms(notice.pause_ms.unwrap_or_default());
+    if let Some(limit) = notice.limit {
+        write_stated(limit, builder.init_limit());
+    }
+}
+
+/// Reads the limits of endpoints.
+///
+/// # Errors
+/// Fails if the message cannot be decoded.
+pub fn read_limits(
+    reader: struct_list::Reader<'_, schema::limit::Owned>,
+) -> Result<Vec<Limit>, WireError> {
+    let read = |entry: schema::limit::Reader<'_>| {
+        let incarnation = entry.get_incarnation();
+        Ok(Limit {
+            endpoint: text(entry.get_endpoint())?.into(),
+            incarnation: (incarnation > 0).then_some(incarnation),
+            stated: read_stated(entry.get_stated()?)?,
+        })
+    };
+    reader.iter().map(read).collect()
+}
+
+/// Writes the limits of endpoints; the builder has the length of `limits`.
+pub fn write_limits(limits: &[Limit], mut builder: struct_list::Builder<'_, schema::limit::Owned>) {
+    for (index, limit) in (0..).zip(limits) {
+        let mut entry = builder.reborrow().get(index);
+        entry.set_endpoint(limit.endpoint.as_str());
+        entry.set_incarnation(limit.incarnation.unwrap_or_default());
+        write_stated(limit.stated, entry.init_stated());
+    }
+}
+
+fn read_stated(reader: schema::stated_limit::Reader<'_>) -> Result<StatedLimit, WireError> {
+    let per_s = reader.get_per_s();
+    if !per_s.is_finite() || per_s < 0.0 {
+        return Err(WireError::Rate(per_s));
+    }
+    Ok(StatedLimit { per_s, age_ms: reader.get_age_ms() })
+}
+
+fn write_stated(stated: StatedLimit, mut builder: schema::stated_limit::Builder<'_>) {
+    builder.set_per_s(stated.per_s);
+    builder.set_age_ms(stated.age_ms);
 }
