fix(dispatch,peer): instances without the leader have their part of quotas, and the leader leaves it to them

Cause: an instance that is cut off admits an equal share of each quota by itself, 1.4 times of it where the account was not near its quota, while the leader goes on to admit the whole. The same class as the limits of endpoints: a bound for all instances together, kept by shares whose sum is not right in some state. Fix: the leader knows which instances polled within a minute and which of them it has not heard for 1.5 s; it leaves their shares to them, first out of the part of the allowed overshoot that it does not use. Limits of endpoints follow the same share. The factor 1.4 is gone. In the first 1.5 s of a leader nobody counts as absent, since the instances enter within moments.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -186,7 +186,7 @@
     /// Replaces the options.
     pub fn set_options(&mut self, now_ms: u64, options: Options) {
         self.options = options;
-        self.notices.set_limit_share(now_ms, options.rate_share);
+        self.notices.set_limit_share(now_ms, options.present_rate_share());
         self.assign_slots();
     }
 
--- a/crates/dispatch/src/dispatcher/notices.rs
+++ b/crates/dispatch/src/dispatcher/notices.rs
@@ -95,7 +95,7 @@
 
     /// Returns how this dispatcher paces its requests to an endpoint with a limit.
     fn pace(&self, name: &EndpointName) -> Pace {
-        Pace { share: self.options.rate_share, phase: draw(name, self.options.slot_salt) }
+        Pace { share: self.options.present_rate_share(), phase: draw(name, self.options.slot_salt) }
     }
 
     /// Returns how long the limit of an endpoint delays the next request, in milliseconds.
--- a/crates/dispatch/src/options.rs
+++ b/crates/dispatch/src/options.rs
@@ -17,6 +17,9 @@
     /// The fraction of the rates to which endpoints limit all instances together that this dispatcher
     /// may use.
     pub rate_share: f64,
+    /// The fraction of all instances whose requests should be submitted here but are not, because
+    /// they are cut off or gone. They may place requests themselves, each with an equal share.
+    pub absent_share: f64,
     /// The length of the quota window, in milliseconds.
     pub quota_window_ms: u64,
     /// How far the usage in a window may exceed a quota, as a fraction of it.
@@ -42,6 +45,7 @@
             slot_salt: 0,
             budget_share: 1.0,
             rate_share: 1.0,
+            absent_share: 0.0,
             quota_window_ms: 8_000,
             quota_overshoot: 0.0,
             quota_slack_units: 0.0,
@@ -75,4 +79,12 @@
             ..self
         }
     }
+
+    /// Returns the fraction of the endpoints' limits that this dispatcher may use, without that of
+    /// absent instances.
+    pub(crate) fn present_rate_share(&self) -> f64 {
+        // An endpoint may be sent a request at some time even if all instances are absent.
+        const PRESENT_MIN: f64 = 0.01;
+        self.rate_share * (1.0 - self.absent_share).max(PRESENT_MIN)
+    }
 }
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -11,6 +11,10 @@
 //! leave the window. A less urgent request therefore leaves units for the expected urgent ones: the
 //! units that they requested in the last seconds, minus those that leave the window in the next
 //! seconds.
+//!
+//! Load pattern: some instances are cut off from the leader while an account sends far beyond its
+//! quota. Each of them admits an equal share of the quota itself. The leader's dispatcher leaves
+//! their shares to them, as far as these do not fit into the allowed overshoot.
 
 use crate::Options;
 use lycheehub_routes::Quota;
@@ -20,14 +24,15 @@
 /// The fraction of the allowed overshoot that is used; usage admitted by instances without a leader
 /// must fit into the rest.
 const OVERSHOOT_FACTOR: f64 = 0.5;
+/// The fraction of the allowed overshoot that is used while instances are absent, with what these may
+/// admit themselves.
+const ABSENT_OVERSHOOT_FACTOR: f64 = 0.9;
 /// The fraction of its quota above which an account is close to it.
 const NEAR_QUOTA_SHARE: f64 = 0.7;
 /// The factor that an instance without a leader applies to its equal share of an account close to
 /// its quota. The usage admitted by the other instances is unknown, and instances receive uneven
 /// shares of it.
 const NEAR_QUOTA_FACTOR: f64 = 0.25;
-/// The factor for all other accounts: requests arrive unevenly, and there is spare quota.
-const BELOW_QUOTA_FACTOR: f64 = 1.4;
 /// How far ahead units are reserved for urgent requests, in milliseconds; the demand of an account
 /// cannot be predicted for longer.
 const URGENT_HORIZON_MS: u64 = 2_500;
@@ -193,7 +198,10 @@
     let window_s = options.quota_window_ms as f64 / 1e3;
     let units = quota.units_per_s * window_s + quota.burst_units;
     let overshoot = units * options.quota_overshoot + options.quota_slack_units;
-    (units + overshoot * OVERSHOOT_FACTOR) * options.budget_share
+    let all_instances = units + overshoot * OVERSHOOT_FACTOR;
+    let absent = all_instances * options.absent_share;
+    let present = units + overshoot * ABSENT_OVERSHOOT_FACTOR - absent;
+    (all_instances * options.budget_share).min(present.max(0.0))
 }
 
 /// The usage of all accounts in the last window.
@@ -225,11 +233,8 @@
 
     /// Returns the factor by which this dispatcher scales its share of an account's quota.
     fn leaderless_factor(&self, options: &Options, account: &AccountName) -> f64 {
-        match options.budget_share < 1.0 {
-            true if self.near_quota.contains(account) => NEAR_QUOTA_FACTOR,
-            true => BELOW_QUOTA_FACTOR,
-            false => 1.0,
-        }
+        let is_leaderless = options.budget_share < 1.0;
+        if is_leaderless && self.near_quota.contains(account) { NEAR_QUOTA_FACTOR } else { 1.0 }
     }
 
     /// Charges `units` to an account for a request of the given rank from an instance. On failure,
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -234,3 +234,47 @@
     expect_that!(f64::from(least.1) / f64::from(least.0), ge(0.7));
     expect_that!(burst[0].0, eq(burst[0].1));
 }
+
+/// The number of instances in the tests of their shares.
+const INSTANCES: u32 = 8;
+/// What the large account may use in a window at most: 90 requests and a tenth more.
+const WITH_OVERSHOOT: usize = 99;
+
+/// Lets the large account send far beyond its quota through dispatchers that do not communicate.
+/// Returns the largest number of requests that they admit together in a window.
+fn largest_window_together(options: impl Iterator<Item = Options>) -> usize {
+    let mut admitted_ms = Vec::new();
+    for options in options {
+        let mut dispatcher = dispatcher(options, QUOTA);
+        for number in 0..20 * 60 {
+            let now_ms = 1_000 + number * 1_000 / 60;
+            if submit_large(&mut dispatcher, now_ms, number).is_ok() {
+                admitted_ms.push(now_ms);
+            }
+        }
+    }
+    let in_window = |first: &u64| {
+        let window = *first..*first + 8_000;
+        admitted_ms.iter().filter(|at_ms| window.contains(at_ms)).count()
+    };
+    admitted_ms.iter().map(in_window).max().unwrap_or(0)
+}
+
+#[gtest]
+fn instances_without_a_leader_keep_a_quota_together() {
+    let options = Options { quota_overshoot: 0.1, ..Options::default() };
+    let locals = (0..INSTANCES).map(|instance| options.for_one_of(INSTANCES, instance.into()));
+    expect_that!(largest_window_together(locals), all![ge(80), le(WITH_OVERSHOOT)]);
+}
+
+#[gtest]
+fn a_leader_and_instances_that_are_cut_off_from_it_keep_a_quota_together() {
+    let options = Options { quota_overshoot: 0.1, ..Options::default() };
+    for cut_off in [1_u32, 2, 4, 7, 8] {
+        let absent_share = f64::from(cut_off) / f64::from(INSTANCES);
+        let leader = Options { absent_share, ..options };
+        let locals = (0..cut_off).map(|instance| options.for_one_of(INSTANCES, instance.into()));
+        let most = largest_window_together(std::iter::once(leader).chain(locals));
+        expect_that!(most, all![ge(80), le(WITH_OVERSHOOT)], "{cut_off}");
+    }
+}
--- a/crates/dispatch/tests/dispatch/limits.rs
+++ b/crates/dispatch/tests/dispatch/limits.rs
@@ -270,10 +270,10 @@
 }
 
 #[gtest]
-fn a_changed_share_of_a_limit_is_used_at_once() {
+fn a_leader_leaves_absent_instances_their_share_of_a_limit() {
     let mut leader = Instance::new(Options::default(), &[record("a", 9)]);
     leader.dispatcher.record_notice(1_000, 1, (&"a".into(), None), states(8.0));
-    let half = Options { rate_share: 0.5, ..Options::default() };
+    let half = Options { absent_share: 0.5, ..Options::default() };
     leader.dispatcher.set_options(1_000, half);
     leader.run(1_000, 11_000, 8.0);
     expect_that!(leader.sent_ms.len(), all![ge(36), le(44)]);
--- a/crates/peer/src/node/dispatch.rs
+++ b/crates/peer/src/node/dispatch.rs
@@ -17,6 +17,9 @@
 const LOAD_INTERVAL_MS: u64 = 500;
 /// Time without a call after which the session of an instance ends, in milliseconds.
 const SESSION_TIMEOUT_MS: u64 = 3_000;
+/// Time without a call after which an instance counts as absent, in milliseconds: it may place its
+/// requests itself. Instances send heartbeats more than twice as often.
+const ABSENT_AFTER_MS: u64 = 1_500;
 
 /// Identifies a connection of an instance whose requests are dispatched here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,6 +50,7 @@
     pub(super) rollouts: RolloutController,
     /// The revision of the route document set in the dispatcher.
     document_revision: u64,
+    started_ms: u64,
     /// The number of instances that may place requests, with a session here or without.
     instances: u32,
     /// The limits of endpoints as instances are told of them, by endpoint and its incarnation.
@@ -93,13 +97,19 @@
         }
     }
 
-    /// Adapts this dispatcher's share of the endpoints' limits to the number of instances. Those
-    /// without a session here may place requests themselves, each with an equal share.
+    /// Sets the number of instances, and leaves the shares of those that are absent to them. For a
+    /// moment after the start, instances that have not entered yet do not count as absent.
     fn set_instances(&mut self, now_ms: u64, instances: u32) {
         self.instances = instances;
-        let share = self.sessions.len().max(1) as f64 / f64::from(instances.max(1));
-        let options = Options { rate_share: share.min(1.0), ..*self.dispatcher.options() };
+        let is_present = |session: &&Session| now_ms < session.last_seen_ms + ABSENT_AFTER_MS;
+        let present = self.sessions.values().filter(is_present).count() as f64;
+        let absent_share = match now_ms < self.started_ms + ABSENT_AFTER_MS || instances == 0 {
+            true => 0.0,
+            false => (1.0 - present / f64::from(instances)).max(0.0),
+        };
+        let options = Options { absent_share, ..*self.dispatcher.options() };
         if options != *self.dispatcher.options() {
+            spdlog::info!("absent instances", kv: { instances = u64::from(instances), absent_share });
             self.dispatcher.set_options(now_ms, options);
         }
     }
@@ -199,6 +209,7 @@
             load_recorded_ms: 0,
             rollouts: RolloutController::default(),
             document_revision: 0,
+            started_ms: self.clock.now_ms(),
             instances: 0,
             limits: BTreeMap::new(),
             limits_revision: 1,
