fix(dispatch,peer): retries count at the next leader, and at instances without one

Cause: a new leader began with an empty window, and an instance did not count the retries that a leader had placed for it, so each of them granted the whole budget again within the same 10 s. Why it works: an instance records each request that is placed for it, as it does for quotas, reports first attempts and retries of the window when it enters a leader's session, and counts them while it places itself. Windows are kept by instance, so that an instance that reports again is not counted twice.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -12,7 +12,7 @@
 use crate::options::Options;
 use crate::queue::{Queue, QueuedJob};
 use crate::quota::{Quotas, Usage};
-use crate::retries::Retries;
+use crate::retries::{Retries, RetryUsage};
 use lycheehub_routes::{EngineSpec, Quota};
 use lycheehub_types::{AccountName, EndpointName, ServiceName};
 use slotmap::SlotMap;
@@ -114,6 +114,15 @@
     pub limited_endpoints: usize,
 }
 
+/// What an instance has used of the bounds for all instances, as it reports to a new dispatcher.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct UsageReport {
+    /// The use of the quotas of client accounts.
+    pub quotas: Vec<Usage>,
+    /// The requests and retries, by service.
+    pub retries: Vec<RetryUsage>,
+}
+
 /// A request running on an endpoint, as an instance reports it to a new dispatcher.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct InFlight {
@@ -215,7 +224,8 @@
     fn charge(&mut self, now_ms: u64, job: &Job) -> Result<f64, (Reason, u64)> {
         const RETRY_AFTER_MS: u64 = 1_000;
         if job.repeat {
-            if !self.retries.try_acquire(now_ms, &self.options, &job.service) {
+            let request = (&job.service, job.job_id.instance);
+            if !self.retries.try_acquire(now_ms, &self.options, request) {
                 return Err((Reason::RetriesExhausted, RETRY_AFTER_MS));
             }
             return Ok(0.0);
@@ -237,7 +247,7 @@
             result.map_err(|wait_ms| (Reason::QuotaExceeded, wait_ms))?;
             charged = units;
         }
-        self.retries.record_request(now_ms, &self.options, &job.service);
+        self.record_attempt(now_ms, job);
         Ok(charged)
     }
 
@@ -357,13 +367,15 @@
         }
     }
 
-    /// Restores the quota usage that an instance reports for its client accounts.
-    pub fn restore_usage(&mut self, now_ms: u64, instance: u32, usage: &[Usage]) {
-        self.quotas.restore(now_ms, instance, usage);
+    /// Restores the usage that an instance reports.
+    pub fn restore_usage(&mut self, now_ms: u64, instance: u32, usage: &UsageReport) {
+        self.quotas.restore(now_ms, instance, &usage.quotas);
+        self.retries.restore(now_ms, instance, &usage.retries);
     }
 
-    /// Records the quota usage of a job that was placed by another dispatcher.
+    /// Records the usage of a job that was placed by another dispatcher.
     pub fn record_usage(&mut self, now_ms: u64, job: &Job) {
+        self.record_attempt(now_ms, job);
         let account_quota =
             job.account.as_ref().and_then(|name| Some((name, self.accounts.get(name)?)));
         if let Some((name, quota)) = account_quota.filter(|_| !job.repeat) {
@@ -372,6 +384,11 @@
         }
     }
 
+    fn record_attempt(&mut self, now_ms: u64, job: &Job) {
+        let request = (&job.service, job.job_id.instance);
+        self.retries.record(now_ms, &self.options, request, job.repeat);
+    }
+
     /// Returns the client accounts that are close to their quota.
     pub fn accounts_near_quota(&mut self, now_ms: u64) -> Vec<AccountName> {
         self.quotas.near_quota(now_ms, &self.options)
@@ -382,9 +399,12 @@
         self.quotas.set_near_quota(near_quota);
     }
 
-    /// Returns the recent quota usage of the client accounts at an instance.
-    pub fn usage(&self, now_ms: u64, instance: u32) -> Vec<Usage> {
-        self.quotas.usage(now_ms, &self.options, instance)
+    /// Returns the recent usage of an instance: of quotas by its client accounts, and of retries.
+    pub fn usage(&self, now_ms: u64, instance: u32) -> UsageReport {
+        UsageReport {
+            quotas: self.quotas.usage(now_ms, &self.options, instance),
+            retries: self.retries.usage(now_ms, &self.options, instance),
+        }
     }
 
     /// Removes all jobs of an instance that is gone.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,9 +21,12 @@
 pub mod quota;
 pub mod retries;
 
-pub use dispatcher::{Dispatcher, InFlight, ServiceLoad, VersionMode, VersionRule, VersionSample};
+pub use dispatcher::{
+    Dispatcher, InFlight, ServiceLoad, UsageReport, VersionMode, VersionRule, VersionSample,
+};
 pub use endpoints::{Limit, Notice, StatedLimit};
 pub use job::{Decision, Finished, Job, JobId, Outcome, PrefixPart, Reason};
 pub use options::Options;
 pub use placement::Placement;
 pub use quota::Usage;
+pub use retries::RetryUsage;
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -2,7 +2,7 @@
 
 use crate::replay::{document, job, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::{Decision, Dispatcher, Job, JobId, Options, Reason, Usage};
+use lycheehub_dispatch::{Decision, Dispatcher, Job, JobId, Options, Reason, UsageReport};
 use lycheehub_routes::Quota;
 
 const QUOTA: Quota =
@@ -84,7 +84,7 @@
     let options = Options::default();
     let mut before = dispatcher(options, QUOTA);
     expect_that!(largest_window(&mut before, 1_000, 4_000, 60), ge(88));
-    let usage: Vec<Usage> = before.usage(5_000, 1);
+    let usage: UsageReport = before.usage(5_000, 1);
     let mut after = dispatcher(options, QUOTA);
     after.restore_usage(5_000, 1, &usage);
     // The quota of this window is used up: nothing is admitted until the usage is 8 s old.
@@ -96,7 +96,7 @@
     let mut dispatcher = dispatcher(Options::default(), QUOTA);
     expect_that!(largest_window(&mut dispatcher, 1_000, 4_000, 60), ge(88));
     dispatcher.forget_instance(5_000, 1);
-    dispatcher.restore_usage(5_000, 1, &[]);
+    dispatcher.restore_usage(5_000, 1, &UsageReport::default());
     expect_that!(largest_window(&mut dispatcher, 5_000, 3_900, 60), le(1));
 }
 
@@ -278,3 +278,52 @@
         expect_that!(most, all![ge(80), le(WITH_OVERSHOOT)], "{cut_off}");
     }
 }
+
+/// The retries that are allowed in a window, without requests.
+const RETRIES: u32 = 50;
+
+fn retry_options() -> Options {
+    Options { retry_ratio: 0.0, retry_slack: f64::from(RETRIES), ..Options::default() }
+}
+
+/// Submits retries to a dispatcher for 2 s. Each that it places is recorded at `local`, as an instance
+/// does. Returns the number of those placed.
+fn submit_retries(dispatcher: &mut Dispatcher, local: &mut Dispatcher, from_ms: u64) -> u32 {
+    let mut placed = 0;
+    for number in 0..200 {
+        let now_ms = from_ms + number * 10;
+        let job_id = JobId { instance: 1, number: now_ms };
+        let retry = Job { job_id, repeat: true, ..job(0) };
+        dispatcher.submit(now_ms, retry.clone());
+        if dispatcher.take_decisions().iter().any(|d| matches!(d, Decision::Place { .. })) {
+            placed += 1;
+            let own = Job { job_id: JobId { instance: 0, ..job_id }, ..retry };
+            local.record_usage(now_ms, &own);
+        }
+    }
+    placed
+}
+
+#[gtest]
+fn retries_placed_by_a_lost_leader_count_at_the_next_one() {
+    let mut local = dispatcher(retry_options(), QUOTA);
+    let mut placed = 0;
+    for leader in 0..3 {
+        let from_ms = 1_000 + leader * 2_500;
+        let mut next = dispatcher(retry_options(), QUOTA);
+        let usage = local.usage(from_ms, 0);
+        next.restore_usage(from_ms, 1, &usage);
+        placed += submit_retries(&mut next, &mut local, from_ms);
+    }
+    expect_that!(placed, all![ge(RETRIES / 2), le(RETRIES)]);
+}
+
+#[gtest]
+fn retries_placed_by_a_lost_leader_count_without_one() {
+    let mut leader = dispatcher(retry_options(), QUOTA);
+    let mut local = dispatcher(retry_options(), QUOTA);
+    let mut placed = submit_retries(&mut leader, &mut local, 1_000);
+    let mut nobody = dispatcher(retry_options(), QUOTA);
+    placed += submit_retries(&mut local, &mut nobody, 3_500);
+    expect_that!(placed, all![ge(RETRIES / 2), le(RETRIES)]);
+}
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -14,7 +14,8 @@
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::placement::DecisionFuture;
 use lycheehub_dispatch::{
-    Decision, Dispatcher, Finished, InFlight, Job, JobId, Limit, Notice, Options, Placement, Usage,
+    Decision, Dispatcher, Finished, InFlight, Job, JobId, Limit, Notice, Options, Placement,
+    UsageReport,
 };
 use lycheehub_types::{AccountName, EndpointName, InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::{peer, placement};
@@ -543,12 +544,12 @@
     peer: peer::Client,
     own: &str,
     in_flight: &[InFlight],
-    usage: &[Usage],
+    usage: &UsageReport,
 ) -> Result<placement::Client, capnp::Error> {
     let mut request = peer.enter_request();
     request.get().set_instance(own);
     write_in_flight(in_flight, request.get().init_in_flight(in_flight.len() as u32));
-    write_usage(usage, request.get().init_usage(usage.len() as u32));
+    write_usage(usage, request.get());
     let reply = request.send().promise.await?;
     reply.get()?.get_placement()
 }
--- a/crates/peer/src/node/dispatch.rs
+++ b/crates/peer/src/node/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::rollouts::{TrafficScope, version_rules};
 use lycheehub_control::moves::RolloutController;
 use lycheehub_dispatch::{
-    Decision, Dispatcher, Finished, InFlight, Job, JobId, Limit, Options, Usage,
+    Decision, Dispatcher, Finished, InFlight, Job, JobId, Limit, Options, UsageReport,
 };
 use lycheehub_types::{AccountName, EndpointName, InstanceName};
 use smol::channel::{Sender, bounded};
@@ -240,7 +240,7 @@
         &self,
         instance: InstanceName,
         in_flight: &[InFlight],
-        usage: &[Usage],
+        usage: &UsageReport,
     ) -> Option<SessionKey> {
         if !self.core.borrow().is_leader() {
             return None;
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -237,7 +237,7 @@
         let params = params.get()?;
         let instance = InstanceName::from(read_text(params.get_instance())?);
         let in_flight = lycheehub_wire::read_in_flight(params.get_in_flight()?)?;
-        let usage = lycheehub_wire::read_usage(params.get_usage()?)?;
+        let usage = lycheehub_wire::read_usage(params)?;
         let Some(session) = self.node.open_session(instance, &in_flight, &usage) else {
             return Err(not_leading());
         };
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -250,6 +250,14 @@
 
 struct Usage { account @0 :Text; agoMs @1 :UInt64; units @2 :Float64; }
 
+# The first attempts and the retries of an instance for a service in a span that ended so long ago.
+struct RetryUsage {
+  service @0 :Text;
+  agoMs @1 :UInt64;
+  requests @2 :UInt32;
+  retries @3 :UInt32;
+}
+
 # The requests per second that an endpoint takes from all instances together, and how long ago it
 # said so.
 struct StatedLimit { perS @0 :Float64; ageMs @1 :UInt64; }
@@ -306,6 +314,6 @@
     -> (epoch :UInt64, change :UInt64, listings :List(Listing), revision :UInt64,
         leader :Text, replicas :List(Neighbour), relayed :UInt64, relays :List(Listing));
   # Fails where the receiver does not lead.
-  enter @9 (instance :Text, inFlight :List(InFlight), usage :List(Usage))
+  enter @9 (instance :Text, inFlight :List(InFlight), usage :List(Usage), retries :List(RetryUsage))
     -> (placement :Placement);
 }
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -5,7 +5,7 @@
 use capnp::struct_list;
 use lycheehub_dispatch::{
     Decision, Finished, InFlight, Job, JobId, Limit, Notice, Outcome, PrefixPart, Reason,
-    StatedLimit, Usage,
+    RetryUsage, StatedLimit, Usage, UsageReport,
 };
 use lycheehub_types::{AccountName, EndpointName};
 
@@ -192,31 +192,50 @@
     }
 }
 
-/// Reads the quota usage of client accounts at an instance.
+/// Reads the usage that an instance reports when it enters.
 ///
 /// # Errors
 /// Fails if the message cannot be decoded.
 pub fn read_usage(
-    reader: struct_list::Reader<'_, schema::usage::Owned>,
-) -> Result<Vec<Usage>, WireError> {
-    let read = |entry: schema::usage::Reader<'_>| {
+    reader: schema::peer::enter_params::Reader<'_>,
+) -> Result<UsageReport, WireError> {
+    let read_quota = |entry: schema::usage::Reader<'_>| {
         Ok(Usage {
             account: text(entry.get_account())?.into(),
             ago_ms: entry.get_ago_ms(),
             units: entry.get_units(),
         })
     };
-    reader.iter().map(read).collect()
+    let read_retries = |entry: schema::retry_usage::Reader<'_>| {
+        Ok(RetryUsage {
+            service: text(entry.get_service())?.into(),
+            ago_ms: entry.get_ago_ms(),
+            requests: entry.get_requests(),
+            retries: entry.get_retries(),
+        })
+    };
+    let quotas: Result<_, WireError> = reader.get_usage()?.iter().map(read_quota).collect();
+    let retries: Result<_, WireError> = reader.get_retries()?.iter().map(read_retries).collect();
+    Ok(UsageReport { quotas: quotas?, retries: retries? })
 }
 
-/// Writes the quota usage of client accounts at an instance; the builder has the length of `usage`.
-pub fn write_usage(usage: &[Usage], mut builder: struct_list::Builder<'_, schema::usage::Owned>) {
-    for (index, usage) in (0..).zip(usage) {
-        let mut entry = builder.reborrow().get(index);
+/// Writes the usage that an instance reports when it enters.
+pub fn write_usage(usage: &UsageReport, mut builder: schema::peer::enter_params::Builder<'_>) {
+    let mut quotas = builder.reborrow().init_usage(usage.quotas.len() as u32);
+    for (index, usage) in (0..).zip(&usage.quotas) {
+        let mut entry = quotas.reborrow().get(index);
         entry.set_account(usage.account.as_str());
         entry.set_ago_ms(usage.ago_ms);
         entry.set_units(usage.units);
     }
+    let mut retries = builder.init_retries(usage.retries.len() as u32);
+    for (index, usage) in (0..).zip(&usage.retries) {
+        let mut entry = retries.reborrow().get(index);
+        entry.set_service(usage.service.as_str());
+        entry.set_ago_ms(usage.ago_ms);
+        entry.set_requests(usage.requests);
+        entry.set_retries(usage.retries);
+    }
 }
 
 impl From<schema::Reason> for Reason {
