fix(proxy): idle connections of all instances fit into what an endpoint accepts

What callers saw: nothing on the deployments of today; with 380 instances an endpoint that accepts 1,300 connections from all of them (the document names it) would have had up to 2,280 idle ones, and have reset those of requests. Cause: connections_max of a service was read from the document and used nowhere; each instance kept up to six idle connections by itself. Evidence: requests::idle_connections_of_all_instances_fit_into_what_an_endpoint_accepts fails with the old bound (one kept connection at 380 instances and 100 accepted ones; none fits). Why it works: an instance keeps at most its equal share of three quarters of connections_max, by the number of instances that the leader tells; the rest is left for requests.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -31,6 +31,9 @@
     /// Records a response to the job that states no limit for its endpoint.
     fn record_unlimited(&self, job_id: JobId);
 
+    /// Returns the number of instances that send requests to endpoints, as far as it is known.
+    fn instances(&self) -> u32;
+
     /// Returns whether an endpoint is leaving or has paused requests of this instance.
     fn is_excluded(&self, endpoint: &EndpointName) -> bool;
 }
--- a/crates/peer/src/entry/placement.rs
+++ b/crates/peer/src/entry/placement.rs
@@ -511,6 +511,10 @@
         });
     }
 
+    fn instances(&self) -> u32 {
+        self.instances.get()
+    }
+
     fn is_excluded(&self, endpoint: &EndpointName) -> bool {
         self.local.borrow().is_excluded(self.clock.now_ms(), OWN_NUMBER, endpoint)
     }
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -389,7 +389,8 @@
         if is_clean && response.head.keeps_alive {
             let now_ms = self.entry.clock.now_ms();
             let timeout_ms = response.head.idle_timeout_ms();
-            self.entry.pool.put(now_ms, &attempt.endpoint, upstream, timeout_ms);
+            let idle = (timeout_ms, self.idle_max);
+            self.entry.pool.put(now_ms, &attempt.endpoint, upstream, idle);
         }
     }
 }
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -16,13 +16,14 @@
 use crate::dialect::RequestFields;
 use crate::entry::{Entry, Snapshot};
 use crate::http1::{Connection, Error, RequestHead};
+use crate::pool;
 use access_log::AccessLog;
 use attempt::{AttemptEnd, BufferedResponse};
 use filters::ResolvedRequest;
 use guard::Interrupted;
 use lycheehub_dispatch::{Decision, Job, JobId, Reason};
 use lycheehub_routes::{RequestKind, RouteSpec};
-use lycheehub_types::{EndpointName, Refusal, RefusalKind};
+use lycheehub_types::{EndpointName, Refusal, RefusalKind, ServiceName};
 use relay::StreamState;
 use smol::Timer;
 use std::rc::Rc;
@@ -63,6 +64,8 @@
     started_ms: u64,
     /// The earlier of the caller's deadline and the route's timeout.
     deadline_ms: u64,
+    /// How many idle connections to an endpoint of the service may be kept.
+    idle_max: usize,
     access_log: AccessLog,
 }
 
@@ -85,6 +88,7 @@
         fields,
         started_ms,
         deadline_ms: started_ms + timeout_ms,
+        idle_max: 0,
     };
     let keeps_alive = exchange.run(connection).await;
     exchange.access_log.log(entry, exchange.snapshot.revision);
@@ -118,10 +122,18 @@
         };
         let route_ends_ms = self.started_ms + resolved.route.timeout_ms;
         self.deadline_ms = self.deadline_ms.min(route_ends_ms);
+        self.idle_max = self.idle_max_of(&resolved.service);
         self.access_log.record_route(&resolved);
         self.serve(connection, &resolved).await
     }
 
+    fn idle_max_of(&self, service: &ServiceName) -> usize {
+        let services = &self.snapshot.table.document().services;
+        let spec = services.iter().find(|spec| spec.name == *service);
+        let connections_max = spec.and_then(|spec| spec.connections_max);
+        pool::idle_max(connections_max, self.entry.placement.instances())
+    }
+
     /// Waits until the routes are known, for a limited time.
     ///
     /// Load pattern: all instances have restarted, and requests arrive before a leader is elected.
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -204,8 +204,8 @@
                 attempt.report(Outcome::Answered);
                 let is_clean = upstream.buffered().is_empty() && head.keeps_alive;
                 if is_clean {
-                    let timeout_ms = head.idle_timeout_ms();
-                    self.entry.pool.put(clock.now_ms(), &endpoint, upstream, timeout_ms);
+                    let idle = (head.idle_timeout_ms(), self.idle_max);
+                    self.entry.pool.put(clock.now_ms(), &endpoint, upstream, idle);
                 }
                 AttemptEnd::Answered { keeps_alive }
             }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -3,6 +3,10 @@
 //! An endpoint may close an idle connection while a request is being written to it; it is then
 //! unknown whether the request ran. A request that may not be repeated therefore only uses a
 //! connection that became idle very recently.
+//!
+//! Load pattern: hundreds of instances send to an endpoint in turn. If each kept several idle
+//! connections, these alone would be more than the endpoint accepts from all of them, and it would
+//! reset new ones. Each instance therefore keeps no more than its share.
 
 use crate::http1::{Connection, Error};
 use lycheehub_clock::within;
@@ -13,6 +17,8 @@
 
 /// Maximum number of idle connections per endpoint.
 const IDLE_PER_ENDPOINT_MAX: usize = 6;
+/// Part of the connections accepted by an endpoint that may be idle; the rest is left for requests.
+const IDLE_SHARE: f64 = 0.75;
 /// Idle timeout in milliseconds for endpoints that do not announce one.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 1_500;
 /// Time in milliseconds by which the pool closes a connection before the endpoint's idle timeout; it
@@ -28,6 +34,22 @@
     expires_ms: u64,
 }
 
+/// Returns how many idle connections one of `instances` instances may keep to an endpoint that accepts
+/// `connections_max` from all of them together.
+///
+/// # Examples
+/// ```
+/// use lycheehub_proxy::pool::idle_max;
+///
+/// assert_eq!(idle_max(Some(1_200), 380), 2);
+/// assert!(idle_max(Some(1_200), 8) > 2);
+/// ```
+pub fn idle_max(connections_max: Option<u32>, instances: u32) -> usize {
+    let share = connections_max
+        .map(|connections| f64::from(connections) * IDLE_SHARE / f64::from(instances.max(1)));
+    share.map_or(IDLE_PER_ENDPOINT_MAX, |share| (share as usize).min(IDLE_PER_ENDPOINT_MAX))
+}
+
 /// Idle connections by endpoint.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -64,20 +86,21 @@
         }
     }
 
-    /// Returns a connection to the pool after its response was read completely.
+    /// Returns a connection to the pool after its response was read completely, unless `idle_max` are
+    /// idle already.
     pub fn put(
         &self,
         now_ms: u64,
         endpoint: &EndpointName,
         connection: Connection,
-        idle_timeout_ms: Option<u64>,
+        (idle_timeout_ms, idle_max): (Option<u64>, usize),
     ) {
         let timeout_ms =
             idle_timeout_ms.map_or(DEFAULT_IDLE_TIMEOUT_MS, |ms| ms.saturating_sub(IDLE_MARGIN_MS));
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(endpoint.clone()).or_default();
         connections.retain(|other| now_ms < other.expires_ms);
-        if connections.len() < IDLE_PER_ENDPOINT_MAX && timeout_ms > 0 {
+        if connections.len() < idle_max && timeout_ms > 0 {
             connections.push(IdleConnection {
                 connection,
                 since_ms: now_ms,
--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -4,9 +4,10 @@
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
 use lycheehub_dispatch::Outcome;
+use lycheehub_proxy::pool::idle_max;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use smol::Timer;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -198,3 +199,41 @@
     let counted = "lycheehub_quota_refusals_total{account=\"\"} 1";
     expect_that!(recorder.handle().render(), contains_substring(counted));
 }
+
+/// Returns how many connections an endpoint gets for three requests in a row.
+fn connections_for_three_requests(instances: u32) -> u32 {
+    let count = Rc::new(Cell::new(0));
+    let recorder = count.clone();
+    run(|fixture| async move {
+        fixture.placement.instances.set(instances);
+        let accepted = recorder.clone();
+        fixture
+            .add_endpoint(move |mut stream, number| {
+                accepted.set(number);
+                async move {
+                    while read_request(&mut stream).await.is_some() {
+                        let response = b"HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
+                        stream.write_all(response).await.unwrap();
+                    }
+                }
+            })
+            .await;
+        for _ in 0..3 {
+            expect_that!(fixture.request(&get("/safe/")).await, ends_with("ok"));
+        }
+    });
+    count.get()
+}
+
+#[gtest]
+fn idle_connections_of_all_instances_fit_into_what_an_endpoint_accepts() {
+    // The endpoints of the service accept 100 connections from all instances.
+    expect_that!(connections_for_three_requests(8), eq(1));
+    expect_that!(connections_for_three_requests(380), eq(3));
+    for instances in [1, 8, 67, 195, 380] {
+        for connections_max in [96, 110, 460, 1_200] {
+            let idle = idle_max(Some(connections_max), instances) * instances as usize;
+            expect_that!(idle, lt(connections_max as usize), "{instances} {connections_max}");
+        }
+    }
+}
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -85,6 +85,8 @@
     pub notices: RefCell<Vec<(String, Notice)>>,
     /// The requests whose responses were reported to state no limit, by number.
     pub unlimited: RefCell<Vec<u64>>,
+    /// The number of instances; 0 stands for one.
+    pub instances: Cell<u32>,
     /// The endpoints reported as excluded.
     pub excluded: RefCell<Vec<String>>,
 }
@@ -142,6 +144,10 @@
         self.unlimited.borrow_mut().push(job_id.number);
     }
 
+    fn instances(&self) -> u32 {
+        self.instances.get().max(1)
+    }
+
     fn is_excluded(&self, endpoint: &EndpointName) -> bool {
         self.excluded.borrow().iter().any(|excluded| excluded == endpoint.as_str())
     }
@@ -189,7 +195,7 @@
         services: vec![ServiceSpec {
             name: "labels".into(),
             health_path: "/health".into(),
-            connections_max: None,
+            connections_max: Some(100),
             engine: None,
         }],
         ..Document::default()
