test(soak): endpoints name limits, alone and with all other faults

Up to four endpoints, at most two of a service, name a limit of 0 to 15 requests a second, change it after some seconds and no longer name it; entry instances that were told half a second before and were not disturbed since may send no more than the rule allows in any 4 s. Limits last longer than the other faults, whose recovery is checked as before, while limits are still in force.

--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -74,6 +74,8 @@
     rng: Mutex<StdRng>,
     started_unix_ms: AtomicU64,
     sequence: AtomicU64,
+    /// The limit that it names in its replies, in requests per second.
+    limit_per_s: Mutex<Option<f64>>,
     is_draining: AtomicBool,
     is_silent: AtomicBool,
     is_stopped: AtomicBool,
@@ -104,6 +106,7 @@
             rng: Mutex::new(StdRng::seed_from_u64(seed)),
             started_unix_ms: AtomicU64::new(unix_ms()),
             sequence: AtomicU64::new(0),
+            limit_per_s: Mutex::default(),
             is_draining: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
             is_stopped: AtomicBool::new(false),
@@ -125,6 +128,23 @@
         *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
     }
 
+    /// Names this limit in its replies from now on, or none.
+    pub fn set_limit(&self, per_s: Option<f64>) {
+        let mut limit_per_s = self.limit_per_s.lock().unwrap_or_else(PoisonError::into_inner);
+        if *limit_per_s != per_s {
+            *limit_per_s = per_s;
+            self.history.set_limit(self.number, per_s);
+        }
+    }
+
+    /// Returns the header field that names its limit in the reply to a request.
+    fn limit_field(&self, id: &str) -> String {
+        let limit_per_s = *self.limit_per_s.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(per_s) = limit_per_s else { return String::new() };
+        self.history.add_limit_told(self.number, id);
+        format!("Server-Limit: {per_s}\r\n")
+    }
+
     /// Stops its announcements, as a crash does, or resumes them as a restarted endpoint.
     pub fn set_crashed(&self, is_crashed: bool) {
         if !is_crashed {
@@ -133,6 +153,7 @@
             *self.drain_acknowledged.lock().unwrap_or_else(PoisonError::into_inner) = None;
         }
         self.history.forget_notices(self.number);
+        self.set_limit(None);
         self.is_silent.store(is_crashed, Ordering::Relaxed);
     }
 
@@ -234,7 +255,8 @@
                 Behavior::Pause => format!("Retry-After: {}\r\n", PAUSE.as_secs_f64()),
                 _ => String::new(),
             };
-            let rest = format!("Request-Id: {id}\r\n{pause}Content-Length: 0\r\n\r\n");
+            let limit = self.limit_field(&id);
+            let rest = format!("Request-Id: {id}\r\n{pause}{limit}Content-Length: 0\r\n\r\n");
             if behavior == Behavior::Pause {
                 self.history.add_notice(self.number, &id, Some(PAUSE));
             }
@@ -251,7 +273,8 @@
             Behavior::Delay => std::thread::sleep(Duration::from_millis(1_500)),
             Behavior::Fail => {
                 let head = "HTTP/1.1 500 Internal Server Error\r\n";
-                let rest = format!("Request-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+                let limit = self.limit_field(&id);
+                let rest = format!("Request-Id: {id}\r\n{limit}Content-Length: 0\r\n\r\n");
                 return stream.write_all(format!("{head}{rest}").as_bytes()).ok();
             }
             _ => {}
@@ -259,8 +282,8 @@
         if request.is_stream() {
             self.stream_events(stream, request, &id, behavior)?;
         } else {
-            let draining_field = self.draining_field();
-            let reply = plain_reply(&id, &request.body, draining_field);
+            let fields = format!("{}{}", self.draining_field(), self.limit_field(&id));
+            let reply = plain_reply(&id, &request.body, &fields);
             if behavior == Behavior::Interrupt {
                 // A failed write interrupts the reply as well.
                 let _ = stream.write_all(&reply.as_bytes()[..reply.len() - 3]);
@@ -314,10 +337,11 @@
     ) -> Option<()> {
         let after = request.field("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\n{}\
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\n{}{}\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             seal(id, ""),
             self.draining_field(),
+            self.limit_field(id),
         );
         stream.write_all(head.as_bytes()).ok()?;
         let last = events_of(id);
@@ -376,10 +400,10 @@
     }
 }
 
-fn plain_reply(id: &str, body: &str, draining_field: &str) -> String {
+fn plain_reply(id: &str, body: &str, fields: &str) -> String {
     let text = plain_body(id, body);
     format!(
-        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\n{draining_field}Content-Length: {}\r\n\r\n{text}",
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: {}\r\n{fields}Content-Length: {}\r\n\r\n{text}",
         seal(id, body),
         text.len()
     )
--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -36,6 +36,8 @@
     FailEndpoint(usize, Faults),
     DisturbEndpoint(usize, Mode),
     ResetEndpoint(usize),
+    /// Names a limit for half of the duration and another one for the rest, in requests per second.
+    LimitEndpoint(usize, f64, f64),
 }
 
 /// A fault with its start time and duration.
@@ -80,6 +82,21 @@
     /// Injects the faults of a seed for about `run_duration`; returns the plan once all faults are over.
     pub fn inject_faults(self: &Arc<Self>, seed: u64, run_duration: Duration) -> String {
         let plan = plan(seed, run_duration, self.controls, self.entries, self.endpoints.len());
+        self.inject_all(&plan);
+        let lines = plan.iter().map(|planned| format!("\n  {planned:?}"));
+        lines.collect()
+    }
+
+    /// Lets endpoints name the limits of a seed. They last longer than the other faults; returns their
+    /// plan once all are over.
+    pub fn name_limits(self: &Arc<Self>, seed: u64) -> String {
+        let plan = plan_limits(seed, self.endpoints.len());
+        self.inject_all(&plan);
+        let lines = plan.iter().map(|planned| format!("\n  {planned:?}"));
+        lines.collect()
+    }
+
+    fn inject_all(self: &Arc<Self>, plan: &[PlannedFault]) {
         let began = Instant::now();
         let threads: Vec<_> = plan
             .iter()
@@ -95,8 +112,6 @@
         for thread in threads {
             thread.join().expect("fault threads do not panic");
         }
-        let lines = plan.iter().map(|planned| format!("\n  {planned:?}"));
-        lines.collect()
     }
 
     fn inject(&self, planned: PlannedFault) {
@@ -134,14 +149,21 @@
             }
             Fault::DisturbEndpoint(place, mode) => {
                 let endpoint = &self.endpoints[place];
-                self.disturb(Scope::Endpoint(place), || {
+                self.disturb_endpoint_path(place, || {
                     endpoint.path.set_mode(mode);
                     std::thread::sleep(duration);
                     endpoint.path.set_mode(Mode::Open);
                 });
             }
             Fault::ResetEndpoint(place) => {
-                self.disturb(Scope::Endpoint(place), || self.endpoints[place].path.reset());
+                self.disturb_endpoint_path(place, || self.endpoints[place].path.reset());
+            }
+            Fault::LimitEndpoint(place, first_per_s, second_per_s) => {
+                for per_s in [first_per_s, second_per_s] {
+                    self.endpoints[place].set_limit(Some(per_s));
+                    std::thread::sleep(duration / 2);
+                }
+                self.endpoints[place].set_limit(None);
             }
         }
     }
@@ -152,6 +174,10 @@
         self.history.disturbance_ended(scope);
     }
 
+    fn disturb_endpoint_path(&self, place: usize, act: impl FnOnce()) {
+        self.disturb(Scope::EndpointPath(place), || self.disturb(Scope::Endpoint(place), act));
+    }
+
     fn scope_of(&self, place: usize) -> Scope {
         if place < self.controls { Scope::Control } else { Scope::Entry(place - self.controls) }
     }
@@ -259,7 +285,7 @@
 
     fn crash_endpoint(&self, place: usize, duration: Duration) {
         let endpoint = &self.endpoints[place];
-        self.disturb(Scope::Endpoint(place), || {
+        self.disturb_endpoint_path(place, || {
             endpoint.set_crashed(true);
             endpoint.path.set_mode(Mode::Refused);
             endpoint.path.reset();
@@ -354,6 +380,30 @@
     planned
 }
 
+/// Draws the limits that endpoints name, with a random generator of their own for the same reason as
+/// [`plan_notices`]. They last long enough to be checked while other faults come. Each service keeps
+/// endpoints without a limit, so that requests can be served.
+fn plan_limits(seed: u64, endpoints: usize) -> Vec<PlannedFault> {
+    const SALT: u64 = 0x11417;
+    const LIMITED_MAX: u64 = 4;
+    const START_MAX_MS: u64 = 1_500;
+    const DURATION_MIN_MS: u64 = 10_000;
+    const DURATION_SPREAD_MS: u64 = 6_000;
+    const LIMITS_PER_S: [f64; 6] = [0.0, 0.5, 1.0, 2.6, 6.0, 15.0];
+    let mut rng = StdRng::seed_from_u64(seed ^ SALT);
+    let mut random_below = |below: u64| rng.next_u64() % below.max(1);
+    let count = 1 + random_below(LIMITED_MAX);
+    let mut plan_limit = || {
+        let place = 2 * random_below(endpoints as u64 / 2) as usize;
+        let mut limit = || LIMITS_PER_S[random_below(LIMITS_PER_S.len() as u64) as usize];
+        let fault = Fault::LimitEndpoint(place, limit(), limit());
+        let at = Duration::from_millis(random_below(START_MAX_MS));
+        let duration = Duration::from_millis(DURATION_MIN_MS + random_below(DURATION_SPREAD_MS));
+        PlannedFault { at, duration, fault }
+    };
+    (0..count).map(|_| plan_limit()).collect()
+}
+
 /// Draws the faults in which endpoints ask for pauses, drain, or send endless trailers. They have a
 /// random generator of their own, so that a seed still gives the same faults in [`plan`].
 fn plan_notices(seed: u64, run_duration: Duration, endpoints: usize) -> Vec<PlannedFault> {
--- a/crates/cli/tests/soak/history.rs
+++ b/crates/cli/tests/soak/history.rs
@@ -2,6 +2,7 @@
 //! find violated guarantees in it.
 
 use crate::endpoint::DRAIN_TIME;
+use crate::limits::Limits;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -47,6 +48,8 @@
 pub enum Scope {
     Entry(usize),
     Endpoint(usize),
+    /// The network path to an endpoint.
+    EndpointPath(usize),
     /// Control instances, or the network paths between them.
     Control,
 }
@@ -89,6 +92,7 @@
 
 #[derive(Default)]
 struct Inner {
+    limits: Limits,
     notices: Vec<Notice>,
     sent: BTreeMap<String, SentRequest>,
     runs: BTreeMap<String, Vec<Run>>,
@@ -178,6 +182,21 @@
         inner.notices.push(Notice { endpoint, entry, at: Instant::now(), pause, arrivals: 0 });
     }
 
+    /// Records that an endpoint names this limit in its replies from now on, or none.
+    pub fn set_limit(&self, endpoint: usize, per_s: Option<f64>) {
+        self.inner().limits.set(endpoint, per_s);
+    }
+
+    /// Records that an endpoint names its limit in the reply to a request.
+    pub fn add_limit_told(&self, endpoint: usize, id: &str) {
+        let now = Instant::now();
+        let mut inner = self.inner();
+        let Some(entry) = inner.sent.get(id).map(|sent| sent.entry) else { return };
+        let mut limits = std::mem::take(&mut inner.limits);
+        limits.add_told(endpoint, entry, |from| inner.is_disturbed(Scope::Entry(entry), from, now));
+        inner.limits = limits;
+    }
+
     /// Forgets an endpoint's notices once the endpoint has restarted.
     pub fn forget_notices(&self, endpoint: usize) {
         self.inner().notices.retain(|notice| notice.endpoint != endpoint);
@@ -190,6 +209,11 @@
         let Some((entry, sent_at)) = inner.sent.get(id).map(|sent| (sent.entry, sent.at)) else {
             return;
         };
+        let mut limits = std::mem::take(&mut inner.limits);
+        limits.add_arrival(endpoint, entry, |from| {
+            inner.is_disturbed(Scope::Entry(entry), from, now)
+        });
+        inner.limits = limits;
         let mut notices = std::mem::take(&mut inner.notices);
         for notice in notices.iter_mut().filter(|n| (n.endpoint, n.entry) == (endpoint, entry)) {
             let is_late = match notice.pause {
@@ -260,8 +284,9 @@
     /// Returns the counts as text for the test's output.
     pub fn summary(&self) -> String {
         let inner = self.inner();
+        let limited = format!("with a limit {}", inner.limits.counted());
         let counts = inner.counts.iter().map(|(what, count)| format!("{what} {count}"));
-        counts.collect::<Vec<_>>().join(", ")
+        counts.chain([limited]).collect::<Vec<_>>().join(", ")
     }
 
     /// Checks the whole history; returns each violated guarantee with its evidence.
@@ -271,6 +296,9 @@
         for (id, runs) in &inner.runs {
             check_runs(&inner, id, runs, &mut violations);
         }
+        violations.extend(inner.limits.check(|endpoint, from, to| {
+            inner.is_disturbed(Scope::EndpointPath(endpoint), from, to)
+        }));
         if inner.overdue_late >= OVERDUE_MIN && inner.overdue_late * 4 > inner.overdue {
             let (late, all) = (inner.overdue_late, inner.overdue);
             violations.push(format!("CONFIG: {late} of {all} without a reply after their timeout"));
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod endpoint;
 mod faults;
 mod history;
+mod limits;
 mod operator;
 
 use caller::Caller;
@@ -115,9 +116,14 @@
         std::thread::spawn(move || operator.run(&is_stopped))
     };
     let duration = Duration::from_secs(env_number("LYCHEEHUB_SOAK_SECONDS", 8));
+    let limits = {
+        let target = target.clone();
+        std::thread::spawn(move || target.name_limits(seed))
+    };
     let plan = target.inject_faults(seed, duration);
     let last_fault_ended = Instant::now();
     await_recovery(&mut probe, layout.entries, &history, last_fault_ended);
+    let limits = limits.join().expect("the thread of the limits does not panic");
     is_stopped.store(true, Ordering::Relaxed);
     let mut operator = operator_thread.join().expect("the operator thread does not panic");
     for caller in callers {
@@ -129,7 +135,7 @@
     let violations = history.check();
     println!("seed {seed}: {}", history.summary());
     if !violations.is_empty() {
-        println!("seed {seed}: logs in {}; faults:{plan}", folder.display());
+        println!("seed {seed}: logs in {}; faults:{plan}{limits}", folder.display());
     }
     violations
 }
