refactor(dispatch): the retry budget counts in spans of half a second

An instance reported its requests in spans but kept one entry each, and a report with a large count would have filled memory at its receiver. Both are now the same spans; one stays until all of it has left the window. Checked: dispatch tests pass.

--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -14,15 +14,15 @@
 /// The fraction of the retry budget that is used, so that retries sent by instances without a
 /// leader fit into the rest.
 const BUDGET_FACTOR: f64 = 0.7;
-/// The length of the spans in which an instance reports its requests, in milliseconds.
-const REPORT_SPAN_MS: u64 = 500;
+/// The length of the spans in which requests are counted, in milliseconds.
+const SPAN_MS: u64 = 500;
 
 /// The requests and retries of an instance for a service in a short span.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RetryUsage {
     /// The name of the service.
     pub service: ServiceName,
-    /// How long ago the span ended, in milliseconds.
+    /// How long ago the span began, in milliseconds.
     pub ago_ms: u64,
     /// The number of first attempts.
     pub requests: u32,
@@ -30,43 +30,43 @@
     pub retries: u32,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    from_ms: u64,
+    requests: u32,
+    retries: u32,
+}
+
 /// The requests of an instance for a service.
 #[derive(Clone, Debug, Default)]
 struct Window {
-    /// The time of each request, and whether it was a retry.
-    entries: VecDeque<(u64, bool)>,
-    repeats: usize,
+    spans: VecDeque<Span>,
+    requests: u32,
+    retries: u32,
 }
 
 impl Window {
-    fn add(&mut self, at_ms: u64, is_retry: bool) {
-        self.entries.push_back((at_ms, is_retry));
-        self.repeats += usize::from(is_retry);
-    }
-
-    fn prune(&mut self, before_ms: u64) {
-        while self.entries.front().is_some_and(|(at_ms, _)| *at_ms < before_ms) {
-            if let Some((_, true)) = self.entries.pop_front() {
-                self.repeats -= 1;
+    fn add(&mut self, at_ms: u64, requests: u32, retries: u32) {
+        self.requests += requests;
+        self.retries += retries;
+        match self.spans.back_mut() {
+            Some(last) if at_ms < last.from_ms + SPAN_MS => {
+                last.requests += requests;
+                last.retries += retries;
             }
+            _ => self.spans.push_back(Span { from_ms: at_ms, requests, retries }),
         }
     }
 
-    /// Returns the entries since `from_ms` in spans, oldest first.
-    fn usage(&self, now_ms: u64, from_ms: u64, service: &ServiceName) -> Vec<RetryUsage> {
-        let mut spans: Vec<RetryUsage> = Vec::new();
-        for (at_ms, is_retry) in self.entries.iter().filter(|(at_ms, _)| *at_ms >= from_ms) {
-            let ago_ms = (now_ms - at_ms) / REPORT_SPAN_MS * REPORT_SPAN_MS;
-            if spans.last().is_none_or(|last| last.ago_ms != ago_ms) {
-                let service = service.clone();
-                spans.push(RetryUsage { service, ago_ms, requests: 0, retries: 0 });
-            }
-            if let Some(span) = spans.last_mut() {
-                span.requests += u32::from(!is_retry);
-                span.retries += u32::from(*is_retry);
-            }
+    /// Removes the spans that ended before `before_ms`.
+    fn prune(&mut self, before_ms: u64) {
+        while let Some(span) = self.spans.front().copied()
+            && span.from_ms + SPAN_MS <= before_ms
+        {
+            self.spans.pop_front();
+            self.requests -= span.requests;
+            self.retries -= span.retries;
         }
-        spans
     }
 }
 
@@ -88,7 +88,7 @@
     ) {
         let window = self.window(service, instance);
         window.prune(now_ms.saturating_sub(options.retry_window_ms));
-        window.add(now_ms, is_retry);
+        window.add(now_ms, u32::from(!is_retry), u32::from(is_retry));
     }
 
     /// Takes a retry from the budget of a service. Returns false if the budget is used up.
@@ -112,43 +112,48 @@
         for window in windows.values_mut() {
             window.prune(now_ms.saturating_sub(options.retry_window_ms));
         }
-        windows.retain(|_, window| !window.entries.is_empty());
-        let repeats: usize = windows.values().map(|window| window.repeats).sum();
-        let entries: usize = windows.values().map(|window| window.entries.len()).sum();
+        windows.retain(|_, window| !window.spans.is_empty());
+        let requests: u32 = windows.values().map(|window| window.requests).sum();
+        let retries: u32 = windows.values().map(|window| window.retries).sum();
         let slack = options.retry_slack * options.budget_share;
-        let allowed = (options.retry_ratio * (entries - repeats) as f64 + slack) * BUDGET_FACTOR;
-        if (repeats + 1) as f64 > allowed {
+        let allowed = (options.retry_ratio * f64::from(requests) + slack) * BUDGET_FACTOR;
+        if f64::from(retries + 1) > allowed {
             return false;
         }
-        windows.entry(instance).or_default().add(now_ms, true);
+        windows.entry(instance).or_default().add(now_ms, 0, 1);
         true
     }
 
     /// Returns the requests of an instance within the last window, oldest first for each service.
     pub fn usage(&self, now_ms: u64, options: &Options, instance: u32) -> Vec<RetryUsage> {
-        let from_ms = now_ms.saturating_sub(options.retry_window_ms);
-        let of_instance = |windows: &'_ BTreeMap<u32, Window>, service| {
-            let window = windows.get(&instance)?;
-            Some(window.usage(now_ms, from_ms, service))
-        };
-        let usage =
-            self.windows.iter().filter_map(|(service, windows)| of_instance(windows, service));
-        usage.flatten().collect()
+        let before_ms = now_ms.saturating_sub(options.retry_window_ms);
+        let mut usage = Vec::new();
+        for (service, windows) in &self.windows {
+            let spans = windows.get(&instance).into_iter().flat_map(|window| &window.spans);
+            for span in spans.filter(|span| span.from_ms + SPAN_MS > before_ms) {
+                usage.push(RetryUsage {
+                    service: service.clone(),
+                    ago_ms: now_ms - span.from_ms,
+                    requests: span.requests,
+                    retries: span.retries,
+                });
+            }
+        }
+        usage
     }
 
-    /// Restores the requests that an instance reports, if they are more than those known: a restarted
-    /// instance has lost its own count.
+    /// Restores the requests that an instance reports, oldest first, if they are more than those known:
+    /// a restarted instance has lost its own count.
     pub fn restore(&mut self, now_ms: u64, instance: u32, usage: &[RetryUsage]) {
         let mut reported: BTreeMap<&ServiceName, Window> = BTreeMap::new();
         for span in usage {
             let at_ms = now_ms.saturating_sub(span.ago_ms);
             let window = reported.entry(&span.service).or_default();
-            (0..span.requests).for_each(|_| window.add(at_ms, false));
-            (0..span.retries).for_each(|_| window.add(at_ms, true));
+            window.add(at_ms, span.requests, span.retries);
         }
         for (service, reported) in reported {
             let known = self.window(service, instance);
-            if reported.entries.len() > known.entries.len() {
+            if reported.requests + reported.retries > known.requests + known.retries {
                 *known = reported;
             }
         }
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -250,7 +250,7 @@
 
 struct Usage { account @0 :Text; agoMs @1 :UInt64; units @2 :Float64; }
 
-# The first attempts and the retries of an instance for a service in a span that ended so long ago.
+# The first attempts and the retries of an instance for a service in a span that began so long ago.
 struct RetryUsage {
   service @0 :Text;
   agoMs @1 :UInt64;
