fix(peer): a leader that was paused itself does not count its instances as absent

After a pause of the leader's own process no instance has called for as long, and until they did it would have left nearly all of each quota to them and refused callers for moments (found reading; no test of its own). The moment without absent instances now also begins after such a pause. Also: record_unlimited returns nothing, since nobody used it.

--- a/crates/dispatch/src/dispatcher/notices.rs
+++ b/crates/dispatch/src/dispatcher/notices.rs
@@ -50,16 +50,12 @@
         active.map(|(name, by, notice)| (name.clone(), by, notice)).collect()
     }
 
-    /// Records a response to a job that states no limit for its endpoint. Returns the endpoint if its
-    /// limit has ended by that.
-    pub fn record_unlimited(&mut self, job_id: JobId) -> Option<EndpointName> {
-        let placed = self.placed.get(&job_id)?;
-        let endpoint = self.endpoints.get(placed.endpoint)?;
-        self.notices.limit(endpoint.name())?;
-        let since_ms = endpoint.running.get(&job_id)?.since_ms;
-        self.notices.record_unlimited(since_ms, endpoint.name());
-        let has_ended = self.notices.limit(endpoint.name()).is_none();
-        has_ended.then(|| endpoint.name().clone())
+    /// Records a response to a job that states no limit for its endpoint.
+    pub fn record_unlimited(&mut self, job_id: JobId) {
+        let Some(placed) = self.placed.get(&job_id) else { return };
+        let Some(endpoint) = self.endpoints.get(placed.endpoint) else { return };
+        let Some(running) = endpoint.running.get(&job_id) else { return };
+        self.notices.record_unlimited(running.since_ms, endpoint.name());
     }
 
     /// Returns the limit of an endpoint as it was last stated, if it has one.
--- a/crates/peer/src/node/dispatch.rs
+++ b/crates/peer/src/node/dispatch.rs
@@ -50,7 +50,9 @@
     pub(super) rollouts: RolloutController,
     /// The revision of the route document set in the dispatcher.
     document_revision: u64,
+    /// When this dispatcher began, or its process went on after a pause, in milliseconds.
     started_ms: u64,
+    ticked_ms: u64,
     /// The number of instances that may place requests, with a session here or without.
     instances: u32,
     /// The limits of endpoints as instances are told of them, by endpoint and its incarnation.
@@ -97,8 +99,16 @@
         }
     }
 
+    /// Records that the process runs.
+    fn record_tick(&mut self, now_ms: u64) {
+        if now_ms >= self.ticked_ms + ABSENT_AFTER_MS {
+            self.started_ms = now_ms;
+        }
+        self.ticked_ms = now_ms;
+    }
+
     /// Sets the number of instances, and leaves the shares of those that are absent to them. For a
-    /// moment after the start, instances that have not entered yet do not count as absent.
+    /// moment after the start, or a pause, instances that have not entered yet do not count as absent.
     fn set_instances(&mut self, now_ms: u64, instances: u32) {
         self.instances = instances;
         let is_present = |session: &&Session| now_ms < session.last_seen_ms + ABSENT_AFTER_MS;
@@ -172,6 +182,7 @@
         }
         let mut dispatch = self.dispatch.borrow_mut();
         let Some(dispatch) = dispatch.as_mut() else { return };
+        dispatch.record_tick(now_ms);
         let instances = self.count_instances(now_ms, dispatch);
         dispatch.set_instances(now_ms, instances);
         let expired: Vec<u32> = dispatch
@@ -210,6 +221,7 @@
             rollouts: RolloutController::default(),
             document_revision: 0,
             started_ms: self.clock.now_ms(),
+            ticked_ms: self.clock.now_ms(),
             instances: 0,
             limits: BTreeMap::new(),
             limits_revision: 1,
