fix(dispatch): instances without a leader keep the memory of an endpoint together

Cause: the document names the memory of an endpoint for all requests; without a leader each instance used its part of the slots but the whole memory. Evidence: share::instances_without_a_leader_keep_the_memory_of_an_endpoint_together placed 8 prompts where 5 fit, on the code before. Why it works: a dispatcher uses the part of the memory that it has of the slots; the leader has all slots. Checked: dispatch tests pass (78).

--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -104,9 +104,15 @@
             && !job.tried.contains(&self.record.endpoint)
     }
 
+    /// Returns how much of the memory this dispatcher may use: the part of the slots that it may use.
+    fn memory_limit(&self) -> Option<u64> {
+        let slots = u64::from(self.record.slots.max(1));
+        self.memory_tokens.map(|tokens| tokens * slots.min(self.slot_limit as u64) / slots)
+    }
+
     /// Returns whether a job fits into the free memory; an idle endpoint accepts any job.
     fn has_memory_for(&self, job: &Job) -> bool {
-        let Some(memory_tokens) = self.memory_tokens else { return true };
+        let Some(memory_tokens) = self.memory_limit() else { return true };
         self.running.is_empty() || self.used_tokens + memory_tokens_of(job) <= memory_tokens
     }
 
--- a/crates/dispatch/tests/dispatch/share.rs
+++ b/crates/dispatch/tests/dispatch/share.rs
@@ -59,3 +59,26 @@
     let placed = dispatcher.take_decisions().into_iter();
     expect_that!(placed.filter(|it| matches!(it, Decision::Place { .. })).count(), eq(8));
 }
+
+#[gtest]
+fn instances_without_a_leader_keep_the_memory_of_an_endpoint_together() {
+    const INSTANCES: u32 = 2;
+    const PROMPT_TOKENS: u32 = 100_000;
+    let mut placed = 0;
+    for instance in 0..INSTANCES {
+        let options = Options::default().for_one_of(INSTANCES, instance.into());
+        let mut dispatcher = Dispatcher::new(options);
+        dispatcher.set_document(1, &document(None));
+        dispatcher.set_endpoints(1, [record("a", 8)].iter());
+        for number in 0..20 {
+            let job_id = JobId { instance, number };
+            let large = Job { job_id, prompt_tokens: PROMPT_TOKENS, ..job(0) };
+            let late = Job { objective_left_ms: 60_000, patience_left_ms: 60_000, ..large };
+            dispatcher.submit(1_000, Job { deadline_left_ms: 120_000, ..late });
+        }
+        let decisions = dispatcher.take_decisions().into_iter();
+        placed += decisions.filter(|it| matches!(it, Decision::Place { .. })).count();
+    }
+    // The endpoint has memory for five such prompts.
+    expect_that!(placed, all![ge(2), le(5)]);
+}
