fix(dispatch): a leader leaves absent instances their part of the retry budget

Cause: the leader granted the whole budget's fixed part, and each instance without it its own part of it besides. Why it works: the leader uses the part of the instances that are present.

--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -5,7 +5,7 @@
 //!
 //! Load pattern: the leader is lost at the same time. The budget is that of all instances together,
 //! so each instance keeps count of its own requests, whoever placed them, and reports them to the
-//! next leader.
+//! next leader. A leader leaves their part of the budget to instances that are absent.
 
 use crate::Options;
 use lycheehub_types::ServiceName;
@@ -115,7 +115,7 @@
         windows.retain(|_, window| !window.spans.is_empty());
         let requests: u32 = windows.values().map(|window| window.requests).sum();
         let retries: u32 = windows.values().map(|window| window.retries).sum();
-        let slack = options.retry_slack * options.budget_share;
+        let slack = options.retry_slack * options.budget_share * (1.0 - options.absent_share);
         let allowed = (options.retry_ratio * f64::from(requests) + slack) * BUDGET_FACTOR;
         if f64::from(retries + 1) > allowed {
             return false;
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -327,3 +327,20 @@
     placed += submit_retries(&mut local, &mut nobody, 3_500);
     expect_that!(placed, all![ge(RETRIES / 2), le(RETRIES)]);
 }
+
+#[gtest]
+fn a_leader_and_instances_that_are_cut_off_from_it_keep_a_retry_budget_together() {
+    for cut_off in [1_u32, 4, 7, 8] {
+        let absent_share = f64::from(cut_off) / f64::from(INSTANCES);
+        let leader = Options { absent_share, ..retry_options() };
+        let locals =
+            (0..cut_off).map(|instance| retry_options().for_one_of(INSTANCES, instance.into()));
+        let mut placed = 0;
+        for options in std::iter::once(leader).chain(locals) {
+            let mut dispatcher = dispatcher(options, QUOTA);
+            let mut nobody = Dispatcher::new(retry_options());
+            placed += submit_retries(&mut dispatcher, &mut nobody, 1_000);
+        }
+        expect_that!(placed, all![ge(RETRIES / 2), le(RETRIES)], "{cut_off}");
+    }
+}
