--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -200,7 +200,7 @@
         }
         let endpoint = &mut self.endpoints[key];
         let first_byte_ms = endpoint.begin(now_ms, &job) as u64;
-        self.notices.take_permission(now_ms, endpoint.name());
+        self.notices.take_permit(now_ms, endpoint.name());
         self.decisions.push(Decision::Place {
             job_id: job.job_id,
             endpoint: endpoint.name().clone(),
--- a/crates/dispatch/src/endpoints/notices.rs
+++ b/crates/dispatch/src/endpoints/notices.rs
@@ -139,8 +139,8 @@
         self.by_endpoint.get(name)?.limit.as_ref()
     }
 
-    /// Uses a permission to send a request to an endpoint, if the endpoint has a limit.
-    pub fn take_permission(&mut self, now_ms: u64, name: &EndpointName) {
+    /// Uses a permit to send a request to an endpoint, if the endpoint has a limit.
+    pub fn take_permit(&mut self, now_ms: u64, name: &EndpointName) {
         let limit = self.by_endpoint.get_mut(name).and_then(|state| state.limit.as_mut());
         if let Some(limit) = limit {
             limit.take(now_ms);
--- a/crates/dispatch/src/endpoints/rate_limit.rs
+++ b/crates/dispatch/src/endpoints/rate_limit.rs
@@ -2,12 +2,12 @@
 //!
 //! Load pattern: an endpoint in need states how many requests per second it accepts from all
 //! instances together. Each dispatcher paces its requests by its share of that rate. Requests are
-//! permitted at regular times whose first one differs between dispatchers, and a permission that is
+//! permitted at regular times whose first one differs between dispatchers, and a permit that is
 //! not used soon is lost. So the dispatchers of many instances that do not communicate keep the rate
 //! together, even if all of them were idle before.
 
-/// How long an unused permission is kept, in milliseconds; several dispatcher ticks.
-const PERMISSION_KEPT_MS: f64 = 500.0;
+/// How long an unused permit is kept, in milliseconds; several dispatcher ticks.
+const PERMIT_KEPT_MS: f64 = 500.0;
 /// The lowest rate, in requests per second, so that a response can tell that the limit has ended.
 const RATE_MIN_PER_S: f64 = 0.1;
 /// The number of consecutive responses without a limit after which it has ended; a single one may
@@ -37,9 +37,9 @@
 pub struct RateLimit {
     /// The limit that the endpoint stated, in requests per second from all instances.
     per_s: f64,
-    /// The time between two permissions of this dispatcher, in milliseconds.
+    /// The time between two permits of this dispatcher, in milliseconds.
     interval_ms: f64,
-    /// The time of the next permission, in milliseconds.
+    /// The time of the next permit, in milliseconds.
     next_ms: f64,
     /// When a response last stated the limit, in milliseconds.
     stated_ms: u64,
@@ -96,7 +96,7 @@
     }
 
     /// Changes the share of the limit that this dispatcher may use. The part of the time to the next
-    /// permission that has passed is kept.
+    /// permit that has passed is kept.
     pub fn set_share(&mut self, now_ms: u64, share: f64) {
         let interval_ms = interval_ms(self.per_s, share);
         let left = (self.due_ms(now_ms) - now_ms as f64) / self.interval_ms;
@@ -119,7 +119,7 @@
         (self.due_ms(now_ms) - now_ms as f64).ceil().max(0.0) as u64
     }
 
-    /// Uses a permission.
+    /// Uses a permit.
     pub fn take(&mut self, now_ms: u64) {
         self.next_ms = self.due_ms(now_ms) + self.interval_ms;
     }
@@ -129,9 +129,9 @@
         slot_ms / self.interval_ms
     }
 
-    /// Returns the time of the earliest permission that is not lost, in milliseconds.
+    /// Returns the time of the earliest permit that is not lost, in milliseconds.
     fn due_ms(&self, now_ms: u64) -> f64 {
-        let overdue_ms = now_ms as f64 - PERMISSION_KEPT_MS - self.next_ms;
+        let overdue_ms = now_ms as f64 - PERMIT_KEPT_MS - self.next_ms;
         let lost = (overdue_ms / self.interval_ms).ceil().max(0.0);
         self.next_ms + lost * self.interval_ms
     }
