--- a/crates/cli/tests/platform/limits.rs
+++ b/crates/cli/tests/platform/limits.rs
@@ -102,3 +102,15 @@
     deployment.controls.iter().for_each(|control| control.signal("CONT"));
     expect_that!(most_in_window(&endpoint, named + CONTACT_TIME), le(allowed(LIMIT_PER_S)));
 }
+
+#[gtest]
+fn an_endpoint_gets_all_requests_again_once_it_names_no_limit() {
+    let (deployment, endpoint) = start_deployment();
+    eventually("the leader places requests", || has_logged(&deployment, "placed by the leader"));
+    endpoint.set_limit(Some(1.0));
+    send_load(&deployment, &endpoint, CONTACT_TIME, || ());
+    let before = endpoint.count();
+    send_load(&deployment, &endpoint, WINDOW, || endpoint.set_limit(None));
+    // A limit of one request a second would allow a tenth of these.
+    expect_that!(endpoint.count() - before, gt(10 * allowed(1.0) as u32));
+}
--- a/crates/dispatch/tests/dispatch/limits.rs
+++ b/crates/dispatch/tests/dispatch/limits.rs
@@ -278,3 +278,31 @@
     leader.run(1_000, 11_000, 8.0);
     expect_that!(leader.sent_ms.len(), all![ge(36), le(44)]);
 }
+
+#[gtest]
+fn retries_and_moved_streams_count_towards_a_limit() {
+    const PER_S: f64 = 2.6;
+    let options = Options { retry_slack: 10_000.0, ..Options::default() };
+    let mut leader = Instance::new(options, &[record("a", 9)]);
+    leader.dispatcher.record_notice(1_000, 1, (&"a".into(), None), states(PER_S));
+    let mut sent_ms = Vec::new();
+    for number in 0..1_000 {
+        let now_ms = 1_000 + number * TICK_MS;
+        let sent = Job { job_id: JobId { instance: 1, number }, ..job(number) };
+        let sent = match number % 3 {
+            0 => sent,
+            1 => Job { repeat: true, tried: vec!["b".into()], ..sent },
+            _ => Job { repeat: true, resumes_stream: true, is_last_attempt: true, ..sent },
+        };
+        leader.dispatcher.submit(now_ms, sent);
+        leader.dispatcher.tick(now_ms);
+        for decision in leader.dispatcher.take_decisions() {
+            if let Decision::Place { job_id, .. } = decision {
+                sent_ms.push(now_ms);
+                leader.dispatcher.finish(now_ms, finished(job_id, Outcome::Answered));
+            }
+        }
+    }
+    expect_that!(most_in_window(sent_ms.clone()), le(allowed(PER_S)));
+    expect_that!(sent_ms.len() as f64, ge(20.0 * PER_S * 0.8));
+}
