fix(peer): an instance tells the leader of a limit again by when it told it last

An endpoint whose limit is named often got up to 223 requests in 4 s where 125 are allowed. Cause: an instance skipped telling the leader of an unchanged limit that it had heard within half a second, instead of one that it had told of. With answers more often than that the leader was told once, so that two answers without the field (lost, or spoilt), seconds apart, counted as two in a row and ended the limit. Evidence: limits::single_replies_without_a_limit_do_not_end_it, real processes, 20 requests a second and four answers without the field a second apart: 223 of 125 before, and the leader's log shows the limit ended twice; holds now. Why it works: the session keeps what the leader was told and when; a new session begins with nothing told.

--- a/crates/cli/tests/platform/limits.rs
+++ b/crates/cli/tests/platform/limits.rs
@@ -114,3 +114,22 @@
     // A limit of one request a second would allow a tenth of these.
     expect_that!(endpoint.count() - before, gt(10 * allowed(1.0) as u32));
 }
+
+#[gtest]
+fn single_replies_without_a_limit_do_not_end_it() {
+    const LIMIT_PER_S: f64 = 20.0;
+    let (deployment, endpoint) = start_deployment();
+    eventually("the leader places requests", || has_logged(&deployment, "placed by the leader"));
+    endpoint.set_limit(Some(LIMIT_PER_S));
+    let named = Instant::now();
+    send_load(&deployment, &endpoint, CONTACT_TIME + WINDOW * 2, || {
+        for _ in 0..4 {
+            std::thread::sleep(Duration::from_secs(1));
+            eventually("a reply names no limit", || {
+                send_request(&deployment, 0, "GET", "/print/unnamed", "key-1", "").status == 200
+            });
+        }
+    });
+    let most = most_in_window(&endpoint, named + CONTACT_TIME);
+    expect_that!(most, le(allowed(LIMIT_PER_S)));
+}
--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -189,7 +189,8 @@
         if head.contains(" /print/leaving") {
             fields.push_str("\r\nServer-Leaving: 1");
         }
-        if let Some(limit_per_s) = *state.limit_per_s.lock().unwrap() {
+        let names_limit = !head.contains(" /print/unnamed");
+        if let Some(limit_per_s) = state.limit_per_s.lock().unwrap().filter(|_| names_limit) {
             fields.push_str(&format!("\r\nServer-Limit: {limit_per_s}"));
         }
         if head.contains(" /print/lost") {
--- a/crates/peer/src/entry/placement/mod.rs
+++ b/crates/peer/src/entry/placement/mod.rs
@@ -31,8 +31,6 @@
 /// How long a request waits for the leader's decision before it triggers a probe of the leader, in
 /// milliseconds: several times the duration of a decision while slots are free.
 const SLOW_DECISION_MS: u64 = 30;
-/// How long the leader is not told again of an unchanged limit of an endpoint, in milliseconds.
-const LIMIT_RESEND_MS: u64 = 500;
 /// The tick interval of the local dispatcher while requests wait there, in milliseconds.
 const LOCAL_TICK_MS: u64 = 50;
 /// How often a request that must wait for the leader checks for a session, in milliseconds.
@@ -309,12 +307,11 @@
 
     fn record_notice(&self, endpoint: &EndpointName, notice: Notice) {
         let now_ms = self.clock.now_ms();
-        let known = self.local.borrow().limit(now_ms, endpoint);
         self.local.borrow_mut().record_notice(now_ms, OWN_NUMBER, (endpoint, None), notice);
-        let is_known = notice.limit.zip(known).is_some_and(|(stated, known)| {
-            stated.per_s == known.per_s && known.age_ms < LIMIT_RESEND_MS
-        });
-        if !is_known || notice != (Notice { limit: notice.limit, ..Notice::default() }) {
+        let Some(session) = self.session.borrow().clone() else { return };
+        let is_only_limit = !notice.leaving && notice.pause_ms.is_none();
+        let must_send = |limit| session.must_send_limit(now_ms, endpoint, limit);
+        if notice.limit.is_some_and(must_send) || !is_only_limit {
             self.send_notices(|name| name == endpoint);
         }
     }
--- a/crates/peer/src/entry/placement/session.rs
+++ b/crates/peer/src/entry/placement/session.rs
@@ -4,15 +4,15 @@
 use crate::link::within;
 use capnp::capability::{FromTypelessPipeline, Request};
 use capnp::traits::{Owned, Pipelined};
-use lycheehub_dispatch::{InFlight, Limit, UsageReport};
-use lycheehub_types::{AccountName, InstanceName, PeerError};
+use lycheehub_dispatch::{InFlight, Limit, StatedLimit, UsageReport};
+use lycheehub_types::{AccountName, EndpointName, InstanceName, PeerError};
 use lycheehub_wire::peer_capnp::{peer, placement};
 use lycheehub_wire::{read_limits, write_in_flight, write_usage};
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 use smol_str::SmolStr;
-use std::cell::Cell;
-use std::collections::BTreeSet;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -24,6 +24,8 @@
 const PROBE_INTERVAL_MIN_MS: u64 = 100;
 /// The interval between probes of the leader while no request waits long for it, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 500;
+/// How long the leader is not told again of an unchanged limit of an endpoint, in milliseconds.
+const LIMIT_RESEND_MS: u64 = 500;
 /// The delay between attempts to open a session with the leader, in milliseconds.
 const SESSION_RETRY_MS: u64 = 100;
 
@@ -36,6 +38,27 @@
     _alive: Sender<()>,
     /// The revision of the endpoints' limits that the leader has passed on; 0 before the first.
     limits_revision: Cell<u64>,
+    /// The limits that the leader was last told of by this instance, and when, in milliseconds.
+    limits_sent: RefCell<BTreeMap<EndpointName, (f64, u64)>>,
+}
+
+impl Session {
+    /// Returns whether the leader must be told of a limit: it has not been, or not lately.
+    pub(super) fn must_send_limit(
+        &self,
+        now_ms: u64,
+        endpoint: &EndpointName,
+        limit: StatedLimit,
+    ) -> bool {
+        let mut limits_sent = self.limits_sent.borrow_mut();
+        let is_known = limits_sent.get(endpoint).is_some_and(|(per_s, sent_ms)| {
+            *per_s == limit.per_s && now_ms < sent_ms + LIMIT_RESEND_MS
+        });
+        if !is_known {
+            limits_sent.insert(endpoint.clone(), (limit.per_s, now_ms));
+        }
+        !is_known
+    }
 }
 
 /// What the leader replies to a heartbeat.
@@ -90,6 +113,7 @@
             ended,
             _alive: alive,
             limits_revision: Cell::new(0),
+            limits_sent: RefCell::default(),
         };
         let session = Rc::new(session);
         spdlog::info!("requests are placed by the leader", kv: { leader: = name });
