--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -82,21 +82,18 @@
     /// Injects the faults of a seed for about `run_duration`; returns the plan once all faults are over.
     pub fn inject_faults(self: &Arc<Self>, seed: u64, run_duration: Duration) -> String {
         let plan = plan(seed, run_duration, self.controls, self.entries, self.endpoints.len());
-        self.inject_all(&plan);
-        let lines = plan.iter().map(|planned| format!("\n  {planned:?}"));
-        lines.collect()
+        self.inject_all(&plan)
     }
 
     /// Lets endpoints name the limits of a seed. They last longer than the other faults; returns their
     /// plan once all are over.
     pub fn name_limits(self: &Arc<Self>, seed: u64) -> String {
         let plan = plan_limits(seed, self.endpoints.len());
-        self.inject_all(&plan);
-        let lines = plan.iter().map(|planned| format!("\n  {planned:?}"));
-        lines.collect()
+        self.inject_all(&plan)
     }
 
-    fn inject_all(self: &Arc<Self>, plan: &[PlannedFault]) {
+    /// Injects all faults of a plan; returns it as text once they are over.
+    fn inject_all(self: &Arc<Self>, plan: &[PlannedFault]) -> String {
         let began = Instant::now();
         let threads: Vec<_> = plan
             .iter()
@@ -112,6 +109,7 @@
         for thread in threads {
             thread.join().expect("fault threads do not panic");
         }
+        plan.iter().map(|planned| format!("\n  {planned:?}")).collect()
     }
 
     fn inject(&self, planned: PlannedFault) {
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -137,7 +137,9 @@
 
     fn has_free_slot(&self, now_ms: u64, name: &ServiceName) -> bool {
         let has_free_slot = |endpoint: &Endpoint| {
-            !endpoint.is_leaving() && endpoint.running.len() < self.usable_slots(now_ms, endpoint)
+            !endpoint.is_leaving()
+                && endpoint.running.len() < endpoint.usable_slots(now_ms)
+                && self.is_permitted(now_ms, endpoint)
         };
         let Some(service) = self.services.get(name) else { return false };
         service.endpoints.iter().any(|key| has_free_slot(&self.endpoints[*key]))
@@ -151,7 +153,7 @@
             let usable = service.endpoints.iter().copied().filter(|key| {
                 let endpoint = &self.endpoints[*key];
                 endpoint.accepts(now_ms, job)
-                    && self.limit_wait_ms(now_ms, endpoint) == 0
+                    && self.is_permitted(now_ms, endpoint)
                     && !self.is_excluded(now_ms, job.job_id.instance, endpoint.name())
                     && is_candidate(endpoint)
             });
--- a/crates/dispatch/src/dispatcher/notices.rs
+++ b/crates/dispatch/src/dispatcher/notices.rs
@@ -20,16 +20,15 @@
         notice: Notice,
     ) {
         let notice = notice.bounded();
-        let key = self.by_name.get(name);
-        let known = key.map(|key| self.endpoints[*key].record.incarnation);
+        let pace = self.pace(name);
+        let endpoint = self.by_name.get(name).and_then(|key| self.endpoints.get_mut(*key));
+        let known = endpoint.as_ref().map(|endpoint| endpoint.record.incarnation);
         let incarnation = incarnation.or(known);
         if incarnation < known {
             // The notice is from an earlier incarnation of the endpoint.
             return;
         }
-        let pace = self.pace(name);
         self.notices.record(now_ms, instance, (name, incarnation), notice, pace);
-        let endpoint = self.by_name.get(name).and_then(|key| self.endpoints.get_mut(*key));
         let Some(endpoint) = endpoint.filter(|_| incarnation == known) else { return };
         endpoint.announced_leaving |= notice.leaving;
         if let Some(pause_ms) = notice.pause_ms {
@@ -50,12 +49,15 @@
         active.map(|(name, by, notice)| (name.clone(), by, notice)).collect()
     }
 
-    /// Records a response to a job that states no limit for its endpoint.
-    pub fn record_unlimited(&mut self, job_id: JobId) {
-        let Some(placed) = self.placed.get(&job_id) else { return };
-        let Some(endpoint) = self.endpoints.get(placed.endpoint) else { return };
-        let Some(running) = endpoint.running.get(&job_id) else { return };
+    /// Records a response to a job that states no limit for its endpoint. Returns whether the endpoint
+    /// had one.
+    pub fn record_unlimited(&mut self, job_id: JobId) -> bool {
+        let Some(placed) = self.placed.get(&job_id) else { return false };
+        let Some(endpoint) = self.endpoints.get(placed.endpoint) else { return false };
+        let Some(running) = endpoint.running.get(&job_id) else { return false };
+        let had_limit = self.notices.limit(endpoint.name()).is_some();
         self.notices.record_unlimited(running.since_ms, endpoint.name());
+        had_limit
     }
 
     /// Returns the limit of an endpoint as it was last stated, if it has one.
@@ -63,12 +65,6 @@
         self.notices.limit(name).map(|limit| limit.stated(now_ms))
     }
 
-    /// Returns the limit of the endpoint that a job is placed on, if it has one.
-    pub fn limit_of_job(&self, now_ms: u64, job_id: JobId) -> Option<StatedLimit> {
-        let endpoint = self.endpoints.get(self.placed.get(&job_id)?.endpoint)?;
-        self.limit(now_ms, endpoint.name())
-    }
-
     /// Returns the limits of all endpoints.
     pub fn limits(&self, now_ms: u64) -> Vec<Limit> {
         self.notices.limits(now_ms).collect()
@@ -99,10 +95,9 @@
         self.notices.limit(endpoint.name()).map_or(0, |limit| limit.wait_ms(now_ms))
     }
 
-    /// Returns the number of requests that this dispatcher may run on an endpoint now.
-    pub(super) fn usable_slots(&self, now_ms: u64, endpoint: &Endpoint) -> usize {
-        let is_permitted = self.limit_wait_ms(now_ms, endpoint) == 0;
-        if is_permitted { endpoint.usable_slots(now_ms) } else { 0 }
+    /// Returns whether the limit of an endpoint permits a request now.
+    pub(super) fn is_permitted(&self, now_ms: u64, endpoint: &Endpoint) -> bool {
+        self.limit_wait_ms(now_ms, endpoint) == 0
     }
 
     /// Returns how many slots of an endpoint this dispatcher can fill with jobs of `slot_ms`.
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -1,6 +1,6 @@
 //! Tests of account quotas and of the retry budget.
 
-use crate::replay::{document, job, record};
+use crate::replay::{document, job, most_in_window, record};
 use googletest::prelude::*;
 use lycheehub_dispatch::{Decision, Dispatcher, Job, JobId, Options, Reason, UsageReport};
 use lycheehub_routes::Quota;
@@ -253,11 +253,7 @@
             }
         }
     }
-    let in_window = |first: &u64| {
-        let window = *first..*first + 8_000;
-        admitted_ms.iter().filter(|at_ms| window.contains(at_ms)).count()
-    };
-    admitted_ms.iter().map(in_window).max().unwrap_or(0)
+    most_in_window(&admitted_ms, 8_000)
 }
 
 #[gtest]
--- a/crates/dispatch/tests/dispatch/limits.rs
+++ b/crates/dispatch/tests/dispatch/limits.rs
@@ -1,6 +1,6 @@
 //! Tests of the limits that endpoints state for all instances together.
 
-use crate::replay::{document, finished, job, record};
+use crate::replay::{document, finished, job, most_in_window, record};
 use googletest::prelude::*;
 use lycheehub_dispatch::{
     Decision, Dispatcher, InFlight, Job, JobId, Limit, Notice, Options, Outcome, StatedLimit,
@@ -80,22 +80,13 @@
     }
 }
 
-fn most_in_window(mut sent_ms: Vec<u64>) -> usize {
-    sent_ms.sort_unstable();
-    let in_window = |first: &u64| {
-        let window = *first..*first + WINDOW_MS;
-        sent_ms.iter().filter(|at_ms| window.contains(at_ms)).count()
-    };
-    sent_ms.iter().map(in_window).max().unwrap_or(0)
-}
-
 #[gtest]
 fn one_dispatcher_keeps_and_uses_the_limit() {
     for per_s in [0.3, 1.0, 2.6, 12.0, 60.0] {
         let mut leader = Instance::new(Options::default(), &[record("a", 9)]);
         leader.dispatcher.record_notice(1_000, 1, (&"a".into(), None), states(per_s));
         leader.run(1_000, 41_000, per_s);
-        expect_that!(most_in_window(leader.sent_ms.clone()), le(allowed(per_s)), "{per_s}");
+        expect_that!(most_in_window(&leader.sent_ms, WINDOW_MS), le(allowed(per_s)), "{per_s}");
         expect_that!(leader.sent_ms.len() as f64, ge(40.0 * per_s * 0.9 - 1.0), "{per_s}");
     }
 }
@@ -105,7 +96,7 @@
     let mut leader = Instance::new(Options::default(), &[record("a", 90)]);
     leader.dispatcher.record_notice(1_000, 1, (&"a".into(), None), states(20.0));
     leader.run(60_000, 70_000, 20.0);
-    expect_that!(most_in_window(leader.sent_ms), le(allowed(20.0)));
+    expect_that!(most_in_window(&leader.sent_ms, WINDOW_MS), le(allowed(20.0)));
 }
 
 #[gtest]
@@ -123,7 +114,7 @@
                 local.run(60_000, 72_000, per_s);
                 sent_ms.extend(local.sent_ms);
             }
-            let most = most_in_window(sent_ms.clone());
+            let most = most_in_window(&sent_ms, WINDOW_MS);
             expect_that!(most, le(allowed(per_s)), "{instances} {per_s}");
             let expected = 12.0 * per_s;
             expect_that!(sent_ms.len() as f64, ge(expected * 0.6 - 1.0), "{instances} {per_s}");
@@ -141,8 +132,8 @@
         after.dispatcher.record_notice(11_000, 1, (&name, incarnation), notice);
     }
     after.run(11_000, 21_000, 2.0);
-    let sent_ms = before.sent_ms.into_iter().chain(after.sent_ms).collect();
-    expect_that!(most_in_window(sent_ms), le(allowed(2.0)));
+    let sent_ms = [before.sent_ms, after.sent_ms].concat();
+    expect_that!(most_in_window(&sent_ms, WINDOW_MS), le(allowed(2.0)));
 }
 
 #[gtest]
@@ -303,6 +294,6 @@
             }
         }
     }
-    expect_that!(most_in_window(sent_ms.clone()), le(allowed(PER_S)));
+    expect_that!(most_in_window(&sent_ms, WINDOW_MS), le(allowed(PER_S)));
     expect_that!(sent_ms.len() as f64, ge(20.0 * PER_S * 0.8));
 }
--- a/crates/dispatch/tests/dispatch/replay.rs
+++ b/crates/dispatch/tests/dispatch/replay.rs
@@ -83,6 +83,15 @@
     Finished { job_id, outcome, first_byte_ms: Some(20), rest_ms: 100, events: 5 }
 }
 
+/// Returns the largest number of these times, in milliseconds, within any window.
+pub fn most_in_window(at_ms: &[u64], window_ms: u64) -> usize {
+    let in_window = |first: &u64| {
+        let window = *first..*first + window_ms;
+        at_ms.iter().filter(|at_ms| window.contains(at_ms)).count()
+    };
+    at_ms.iter().map(in_window).max().unwrap_or(0)
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum End {
     OnTime,
--- a/crates/peer/src/entry/placement/mod.rs
+++ b/crates/peer/src/entry/placement/mod.rs
@@ -317,11 +317,9 @@
     }
 
     fn record_unlimited(&self, job_id: JobId) {
-        let now_ms = self.clock.now_ms();
-        if self.local.borrow().limit_of_job(now_ms, job_id).is_none() {
+        if !self.local.borrow_mut().record_unlimited(job_id) {
             return;
         }
-        self.local.borrow_mut().record_unlimited(job_id);
         self.send_to_leader(|client| {
             let mut request = client.unlimited_request();
             request.get().set_number(job_id.number);
--- a/crates/peer/src/node/dispatch/bounds.rs
+++ b/crates/peer/src/node/dispatch/bounds.rs
@@ -21,7 +21,7 @@
 
     /// Sets the number of instances, and leaves the shares of those that are absent to them. For a
     /// moment after the start, or a pause, instances that have not entered yet do not count as absent.
-    pub(super) fn set_instances(&mut self, now_ms: u64, instances: u32) {
+    fn set_instances(&mut self, now_ms: u64, instances: u32) {
         self.instances = instances;
         let is_present = |session: &&Session| now_ms < session.last_seen_ms + ABSENT_AFTER_MS;
         let present = self.sessions.values().filter(is_present).count() as f64;
@@ -60,8 +60,14 @@
 }
 
 impl Node {
+    /// Counts the instances, and leaves the shares of those that are absent to them.
+    pub(super) fn update_instances(&self, now_ms: u64, dispatch: &mut LeaderDispatch) {
+        let instances = self.count_instances(now_ms, dispatch);
+        dispatch.set_instances(now_ms, instances);
+    }
+
     /// Returns the number of instances that have a session here or watched this one lately.
-    pub(super) fn count_instances(&self, now_ms: u64, dispatch: &LeaderDispatch) -> u32 {
+    fn count_instances(&self, now_ms: u64, dispatch: &LeaderDispatch) -> u32 {
         let entered: BTreeSet<&InstanceName> =
             dispatch.sessions.values().map(|session| &session.instance).collect();
         let polls = self.polls.borrow();
--- a/crates/peer/src/node/dispatch/mod.rs
+++ b/crates/peer/src/node/dispatch/mod.rs
@@ -132,8 +132,7 @@
         let mut dispatch = self.dispatch.borrow_mut();
         let Some(dispatch) = dispatch.as_mut() else { return };
         dispatch.record_tick(now_ms);
-        let instances = self.count_instances(now_ms, dispatch);
-        dispatch.set_instances(now_ms, instances);
+        self.update_instances(now_ms, dispatch);
         let expired: Vec<u32> = dispatch
             .sessions
             .iter()
@@ -212,8 +211,7 @@
         spdlog::info!("instance entered", kv: { instance: = instance, number, in_flight = count });
         let connection = key.connection;
         dispatch.sessions.insert(number, Session { instance, connection, last_seen_ms: now_ms });
-        let instances = self.count_instances(now_ms, dispatch);
-        dispatch.set_instances(now_ms, instances);
+        self.update_instances(now_ms, dispatch);
         dispatch.dispatcher.record_in_flight(now_ms, number, in_flight);
         dispatch.dispatcher.restore_usage(now_ms, number, usage);
         Some(key)
