fix(dispatch): a pause of a start that was not announced yet is kept

Cause: notices are kept with the endpoint's incarnation, and all were discarded when another was announced.

Why it works: what arrived at most 2 s before the announcement may be the new start's, so pauses and both kinds of limits of that time are kept for it; of a pause only what was asked for in that time. A notice of leaving is forgotten as before, as is everything older.

The new tests hold both sides of the bound.

--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -50,7 +50,7 @@
         let mut present = BTreeSet::new();
         for record in records {
             present.insert(record.endpoint.clone());
-            self.set_endpoint(record);
+            self.set_endpoint(now_ms, record);
         }
         let gone: Vec<EndpointName> =
             self.by_name.keys().filter(|name| !present.contains(*name)).cloned().collect();
@@ -61,7 +61,7 @@
         self.tick(now_ms);
     }
 
-    fn set_endpoint(&mut self, record: &EndpointRecord) {
+    fn set_endpoint(&mut self, now_ms: u64, record: &EndpointRecord) {
         let known = self.by_name.get(&record.endpoint).map(|key| &mut self.endpoints[*key]);
         match known {
             Some(known)
@@ -72,7 +72,7 @@
             }
             _ => {
                 self.remove_endpoint(&record.endpoint);
-                self.notices.set_incarnation(&record.endpoint, record.incarnation);
+                self.notices.set_incarnation(now_ms, &record.endpoint, record.incarnation);
                 let mut endpoint = Endpoint::new(record.clone(), None, self.initial_speed(record));
                 endpoint.announced_leaving = self.notices.is_leaving(&record.endpoint);
                 let key = self.endpoints.insert(endpoint);
--- a/crates/dispatch/src/endpoints/notices.rs
+++ b/crates/dispatch/src/endpoints/notices.rs
@@ -5,6 +5,9 @@
 //! instances may still send to the endpoint until a second one is asked to pause; then all
 //! instances pause.
 //!
+//! Load pattern: an endpoint starts again under its name and answers before it announces itself. Its
+//! notices are taken for those of its earlier incarnation until then, so recent ones are kept.
+//!
 //! Load pattern: an endpoint starts to leave, and its announcement arrives late or not at all at an
 //! instance that is cut off. Its responses carry the information first.
 //!
@@ -22,6 +25,8 @@
 const UNKNOWN_ENDPOINT_KEPT_MS: u64 = 60_000;
 /// The number of paused instances from which a pause applies to all instances.
 const SHARED_PAUSE_MIN: usize = 2;
+/// How long an endpoint may answer requests before its announcement is known, in milliseconds.
+const UNANNOUNCED_MAX_MS: u64 = 2_000;
 
 /// A notice that an endpoint sent to an instance in a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -67,6 +72,35 @@
     }
 }
 
+/// The pause of an endpoint for an instance.
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    /// When it ends, in milliseconds.
+    until_ms: u64,
+    /// When the endpoint last requested it, in milliseconds.
+    requested_ms: u64,
+    /// When the pause ends that was last requested, in milliseconds.
+    last_until_ms: u64,
+}
+
+impl Pause {
+    fn new(now_ms: u64, pause_ms: u64) -> Self {
+        let until_ms = now_ms + pause_ms;
+        Self { until_ms, requested_ms: now_ms, last_until_ms: until_ms }
+    }
+
+    /// Returns this pause and one that was requested later.
+    fn extended_by(self, later: Self) -> Self {
+        Self { until_ms: self.until_ms.max(later.until_ms), ..later }
+    }
+
+    /// Returns the pause that was requested from `from_ms` on.
+    fn requested_from(self, from_ms: u64) -> Option<Self> {
+        let recent = Self { until_ms: self.last_until_ms, ..self };
+        (self.requested_ms >= from_ms).then_some(recent)
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct NoticeState {
     /// The incarnation that sent the notices, if known.
@@ -74,12 +108,36 @@
     /// When the last notice was received, in milliseconds.
     received_ms: u64,
     leaving: bool,
-    /// The end of the pause of each instance, in milliseconds.
-    pauses: BTreeMap<u32, u64>,
+    /// The pause of each instance.
+    pauses: BTreeMap<u32, Pause>,
     limit: Option<RateLimit>,
     rejections: Option<Statement>,
 }
 
+impl NoticeState {
+    /// Returns the notices that may be of another incarnation, which was not known when they arrived.
+    fn of_other_incarnation(self, now_ms: u64, incarnation: Option<u64>) -> Self {
+        let from_ms = now_ms.saturating_sub(UNANNOUNCED_MAX_MS);
+        let recent = |(instance, pause): (u32, Pause)| {
+            pause.requested_from(from_ms).map(|pause| (instance, pause))
+        };
+        Self {
+            incarnation,
+            received_ms: self.received_ms,
+            leaving: false,
+            pauses: self.pauses.into_iter().filter_map(recent).collect(),
+            limit: self.limit.filter(|limit| limit.statement.stated_ms() >= from_ms),
+            rejections: self.rejections.filter(|limit| limit.stated_ms() >= from_ms),
+        }
+    }
+
+    /// Returns the ends of the pauses that have not ended, in milliseconds.
+    fn paused_until_ms(&self, now_ms: u64) -> impl Iterator<Item = (u32, u64)> + Clone {
+        let ends = self.pauses.iter().map(|(instance, pause)| (*instance, pause.until_ms));
+        ends.filter(move |(_, until_ms)| now_ms < *until_ms)
+    }
+}
+
 /// The notices of all endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Notices {
@@ -111,15 +169,16 @@
     ) {
         let state = self.by_endpoint.entry(name.clone()).or_default();
         if state.incarnation != incarnation && state.incarnation.is_some() {
-            *state = NoticeState::default();
+            *state = std::mem::take(state).of_other_incarnation(now_ms, incarnation);
         }
         state.incarnation = incarnation;
         state.received_ms = now_ms;
         state.leaving |= notice.leaving;
         if let Some(pause_ms) = notice.pause_ms {
-            let until_ms = now_ms + pause_ms;
-            let known_ms = state.pauses.entry(instance).or_default();
-            *known_ms = until_ms.max(*known_ms);
+            let pause = Pause::new(now_ms, pause_ms);
+            let known = state.pauses.get(&instance);
+            let pause = known.map_or(pause, |known| known.extended_by(pause));
+            state.pauses.insert(instance, pause);
         }
         if let Some(stated) = notice.limit {
             match &mut state.limit {
@@ -207,11 +266,13 @@
         }
     }
 
-    /// Sets the current incarnation of an endpoint and discards notices of other incarnations.
-    pub fn set_incarnation(&mut self, name: &EndpointName, incarnation: u64) {
+    /// Sets the current incarnation of an endpoint and discards notices of other incarnations. Pauses
+    /// and limits that arrived shortly before are kept: an endpoint may answer before it announces
+    /// itself.
+    pub fn set_incarnation(&mut self, now_ms: u64, name: &EndpointName, incarnation: u64) {
         let Some(state) = self.by_endpoint.get_mut(name) else { return };
         if *state.incarnation.get_or_insert(incarnation) != incarnation {
-            self.by_endpoint.remove(name);
+            *state = std::mem::take(state).of_other_incarnation(now_ms, Some(incarnation));
         }
     }
 
@@ -223,12 +284,13 @@
     /// Returns when the pause of an endpoint for an instance ends, in milliseconds.
     pub fn paused_until_ms(&self, now_ms: u64, instance: u32, name: &EndpointName) -> Option<u64> {
         let state = self.by_endpoint.get(name)?;
-        let own = state.pauses.get(&instance).copied().filter(|until_ms| now_ms < *until_ms);
-        if own.is_some() {
-            return own;
+        let all = state.paused_until_ms(now_ms);
+        let own = all.clone().find(|(paused, _)| *paused == instance);
+        if let Some((_, until_ms)) = own {
+            return Some(until_ms);
         }
-        let all = state.pauses.values().copied().filter(|until_ms| now_ms < *until_ms);
-        if all.clone().count() >= SHARED_PAUSE_MIN { all.min() } else { None }
+        let is_shared = all.clone().count() >= SHARED_PAUSE_MIN;
+        if is_shared { all.map(|(_, until_ms)| until_ms).min() } else { None }
     }
 
     /// Returns the active notices for an instance, by endpoint and the incarnation that sent them.
@@ -238,7 +300,7 @@
         instance: u32,
     ) -> impl Iterator<Item = (&EndpointName, Option<u64>, Notice)> {
         self.by_endpoint.iter().filter_map(move |(name, state)| {
-            let until_ms = state.pauses.get(&instance).copied().unwrap_or_default();
+            let until_ms = state.pauses.get(&instance).map_or(0, |pause| pause.until_ms);
             let left_ms = until_ms.saturating_sub(now_ms);
             let pause_ms = (left_ms > 0).then_some(left_ms);
             let limit = state.limit.map(|limit| limit.stated(now_ms));
@@ -252,7 +314,7 @@
     /// Removes expired pauses and notices of endpoints that are gone.
     pub fn expire(&mut self, now_ms: u64, is_known: impl Fn(&EndpointName) -> bool) {
         self.by_endpoint.retain(|name, state| {
-            state.pauses.retain(|_, until_ms| now_ms < *until_ms);
+            state.pauses.retain(|_, pause| now_ms < pause.until_ms);
             state.rejections = state.rejections.filter(|limit| is_current(now_ms, limit));
             let is_relevant = state.leaving
                 || !state.pauses.is_empty()
--- a/crates/dispatch/tests/dispatch/notices.rs
+++ b/crates/dispatch/tests/dispatch/notices.rs
@@ -2,6 +2,7 @@
 
 use crate::replay::{dispatcher, document, finished, job, record};
 use googletest::prelude::*;
+use lycheehub_dispatch::endpoints::StatedLimit;
 use lycheehub_dispatch::{Decision, Dispatcher, Job, JobId, Notice, Options, Outcome, Reason};
 use lycheehub_types::EndpointRecord;
 
@@ -156,3 +157,72 @@
     dispatcher.set_endpoints(1_100, [restarted].iter());
     expect_that!(place(&mut dispatcher, 1_200, 1, 1), none());
 }
+
+/// Returns a dispatcher that gets a notice of `a` at 1,000 ms and its next incarnation at
+/// `announced_ms`.
+fn restarted_after(notice: Notice, announced_ms: u64) -> Dispatcher {
+    let (a, b) = (record("a", 9), record("b", 9));
+    let mut dispatcher = dispatcher(&[a.clone(), b.clone()]);
+    dispatcher.record_notice(1_000, 1, (&"a".into(), None), notice);
+    let restarted = EndpointRecord { incarnation: 2, ..a };
+    dispatcher.set_endpoints(announced_ms, [&restarted, &b].into_iter());
+    dispatcher
+}
+
+/// Soak seeds 440 and 449: an endpoint that had started again answered before it announced itself.
+#[gtest]
+fn a_pause_that_was_received_before_its_incarnation_was_announced_holds() {
+    let mut dispatcher = restarted_after(pause(1_500), 1_237);
+    for number in 0..9 {
+        let now_ms = 1_240 + 140 * number;
+        expect_that!(place(&mut dispatcher, now_ms, 1, number), some(eq("b")), "{now_ms}");
+    }
+    expect_that!(dispatcher.is_excluded(2_500, 1, &"a".into()), eq(false));
+}
+
+#[gtest]
+fn a_pause_of_an_earlier_incarnation_is_forgotten() {
+    let dispatcher = restarted_after(pause(60_000), 3_001);
+    expect_that!(dispatcher.is_excluded(3_001, 1, &"a".into()), eq(false));
+}
+
+#[gtest]
+fn a_long_pause_of_an_earlier_incarnation_is_forgotten_despite_a_recent_one() {
+    let (a, b) = (record("a", 9), record("b", 9));
+    let mut dispatcher = dispatcher(&[a.clone(), b.clone()]);
+    dispatcher.record_notice(1_000, 1, (&"a".into(), None), pause(60_000));
+    dispatcher.record_notice(5_000, 1, (&"a".into(), None), pause(1_500));
+    expect_that!(dispatcher.is_excluded(20_000, 1, &"a".into()), eq(true));
+    let restarted = EndpointRecord { incarnation: 2, ..a };
+    dispatcher.set_endpoints(5_300, [&restarted, &b].into_iter());
+    expect_that!(dispatcher.is_excluded(6_499, 1, &"a".into()), eq(true));
+    expect_that!(dispatcher.is_excluded(6_500, 1, &"a".into()), eq(false));
+}
+
+#[gtest]
+fn limits_that_were_stated_before_their_incarnation_was_announced_hold() {
+    let stated = |per_s| Some(StatedLimit { per_s, age_ms: 0 });
+    let notice = Notice { limit: stated(2.0), rejections: stated(9.0), ..LEAVES };
+    let known = |dispatcher: &Dispatcher, now_ms| {
+        let notices = dispatcher.notices(now_ms, 1);
+        let of_a = notices.into_iter().find(|(name, ..)| name.as_str() == "a");
+        of_a.map(|(_, incarnation, Notice { limit, rejections, leaving, .. })| {
+            let per_s = |limit: Option<StatedLimit>| limit.map(|limit| limit.per_s);
+            (incarnation, per_s(limit), per_s(rejections), leaving)
+        })
+    };
+    let dispatcher = restarted_after(notice, 1_300);
+    expect_that!(known(&dispatcher, 1_300), some(eq((Some(2), Some(2.0), Some(9.0), false))));
+    let dispatcher = restarted_after(notice, 3_001);
+    expect_that!(known(&dispatcher, 3_001), none());
+}
+
+#[gtest]
+fn a_notice_of_a_later_incarnation_keeps_a_pause_received_shortly_before() {
+    let mut dispatcher = dispatcher(&[record("a", 9)]);
+    dispatcher.record_notice(1_000, 1, (&"a".into(), None), pause(1_500));
+    dispatcher.record_notice(1_100, 2, (&"a".into(), Some(2)), LEAVES);
+    expect_that!(dispatcher.notices(1_100, 1), len(eq(1)));
+    let paused = &dispatcher.notices(1_100, 1)[0].2;
+    expect_that!(paused.pause_ms, some(eq(1_400)));
+}
