observability: each end of a caller's connection without a response has a line

A connection that this instance closed between requests, and one whose request was not received, could not be told from one that its caller closed. Now `idle connection closed` names the cause (idle limit, stopping), the idle time and the caller's address, at most once a connection; `failed to read a request` has the id (if the head came), the step and the time; a connection beyond the maximum has the caller's address; a response that could not be sent is logged at info. The accept loop, the wait and the receiving of a request are modules of their own; nothing else changes.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -6,7 +6,7 @@
 use crate::pool::Pool;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::Placement;
-use lycheehub_routes::RouteTable;
+use lycheehub_routes::{ClientLimits, RouteTable};
 use lycheehub_types::{FailureDomain, InstanceName};
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender, bounded};
@@ -126,6 +126,11 @@
         !self.is_stopping() && self.snapshots.latest().is_ready
     }
 
+    /// Returns the limits on callers' connections and requests.
+    pub(crate) fn client_limits(&self) -> ClientLimits {
+        self.snapshots.latest().table.document().limits
+    }
+
     /// Counts a request that was refused because its account exceeded its quota.
     pub(crate) fn count_quota_refusal(&self, account: &SmolStr) {
         let account = self.account_labels.borrow_mut().value(account).to_string();
--- a/crates/proxy/src/exchange/local_response.rs
+++ b/crates/proxy/src/exchange/local_response.rs
@@ -51,7 +51,7 @@
     match caller.send(bytes).await {
         Ok(()) => keeps_alive,
         Err(error) => {
-            spdlog::debug!("caller disconnected before the response was sent", kv: { error: });
+            spdlog::info!("caller disconnected before the response was sent", kv: { error: });
             false
         }
     }
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -96,7 +96,12 @@
 }
 
 /// Responds to a request that could not be read.
-pub async fn refuse_unreadable(entry: &Entry, connection: &mut Connection, error: &Error) {
+pub async fn refuse_unreadable(
+    entry: &Entry,
+    connection: &mut Connection,
+    id: &str,
+    error: &Error,
+) {
     let kind = match error {
         Error::HeadTooLong | Error::BodyTooLong => RefusalKind::TooLarge,
         Error::Malformed(_) => RefusalKind::BadRequest,
@@ -105,7 +110,7 @@
     let refusal = Refusal::new(kind, error.to_string());
     local_response::send_response(
         connection,
-        &local_response::refusal(entry, "", &refusal, false),
+        &local_response::refusal(entry, id, &refusal, false),
         false,
     )
     .await;
--- /dev/null
+++ b/crates/proxy/src/server/mod.rs
@@ -0,0 +1,87 @@
+//! Accepts callers' connections and handles the requests of each connection in order.
+
+mod closing;
+mod idle;
+mod receive;
+
+use crate::entry::Entry;
+use crate::exchange::{self, ReceivedRequest};
+use crate::http1::Connection;
+use idle::WaitEnd;
+use lycheehub_types::CountGuard;
+use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Delay before the next `accept` after a failed one, in milliseconds.
+const ACCEPT_RETRY_MS: u64 = 50;
+
+/// Accepts connections and spawns a task for each; never returns.
+pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, caller)) => accept(&entry, stream, caller),
+            Err(error) => {
+                spdlog::warn!("failed to accept a connection", kv: { error: });
+                Timer::after(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+fn accept(entry: &Rc<Entry>, stream: TcpStream, caller: SocketAddr) {
+    if entry.connections.get() >= entry.options.connections_max {
+        metrics::counter!("lycheehub_connections_refused_total").increment(1);
+        return spdlog::warn!("connection refused: connections_max reached", kv: { caller: });
+    }
+    let (entry, executor) = (entry.clone(), entry.executor.clone());
+    let task = async move {
+        let _open_connection = CountGuard::new(&entry.connections);
+        if let Err(error) = stream.set_nodelay(true) {
+            return spdlog::info!("failed to set TCP_NODELAY on a new connection", kv: {
+                error:, caller:,
+            });
+        }
+        serve_connection(&entry, Connection::new(stream), caller).await;
+    };
+    executor.spawn(task).detach();
+}
+
+async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: SocketAddr) {
+    loop {
+        let waited_from_ms = entry.clock.now_ms();
+        match idle::wait_for_request(entry, &mut connection).await {
+            WaitEnd::Received => {}
+            WaitEnd::CallerClosed => return,
+            end => return closing::log_idle_close(entry, end, waited_from_ms, caller),
+        }
+        if !serve_request(entry, &mut connection, caller).await {
+            return;
+        }
+    }
+}
+
+/// Receives and handles a request; returns whether the connection can be used for another one.
+async fn serve_request(entry: &Rc<Entry>, connection: &mut Connection, caller: SocketAddr) -> bool {
+    let _active_exchange = CountGuard::new(&entry.exchanges);
+    // The limits of the moment at which the request begins hold until it is received.
+    let limits = entry.client_limits();
+    let started_ms = entry.clock.now_ms();
+    match receive::read_request(entry, connection, &limits).await {
+        Ok((head, body)) => {
+            let read_ms = entry.clock.now_ms() - started_ms;
+            let request = ReceivedRequest { head, body, read_ms };
+            exchange::handle_request(entry, connection, request).await
+        }
+        Err(receive::Unread { step, id, error }) => {
+            let read_ms = entry.clock.now_ms() - started_ms;
+            spdlog::info!("failed to read a request", kv: {
+                error: = error, id: = id, step, read_ms, caller:,
+            });
+            exchange::refuse_unreadable(entry, connection, &id, &error).await;
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/server/receive.rs
@@ -0,0 +1,61 @@
+//! Receives a complete request within the limits of the document.
+
+use crate::entry::Entry;
+use crate::http1::{Body, Connection, Error, RequestHead};
+use lycheehub_clock::within;
+use lycheehub_routes::ClientLimits;
+use smol_str::SmolStr;
+
+/// Time limit for receiving a request body, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 10_000;
+/// Interim response for a caller that sent `Expect: 100-continue`.
+const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A request that was not received completely.
+pub(super) struct Unread {
+    /// What was being received.
+    pub(super) step: &'static str,
+    /// The request's id, if its head was received; empty otherwise.
+    pub(super) id: SmolStr,
+    /// The cause.
+    pub(super) error: Error,
+}
+
+/// Receives a request.
+pub(super) async fn read_request(
+    entry: &Entry,
+    connection: &mut Connection,
+    limits: &ClientLimits,
+) -> Result<(RequestHead, Vec<u8>), Unread> {
+    let head = read_head(connection, limits).await;
+    let head = head.map_err(|error| Unread { step: "head", id: SmolStr::default(), error })?;
+    let body = read_body(connection, limits, &head).await;
+    let id = || entry.dialect.read_request(&head).id;
+    let body = body.map_err(|error| Unread { step: "body", id: id(), error })?;
+    Ok((head, body))
+}
+
+/// Receives the head of a request.
+pub(super) async fn read_head(
+    connection: &mut Connection,
+    limits: &ClientLimits,
+) -> Result<RequestHead, Error> {
+    let read = connection.read_request_head(limits.head_max_bytes);
+    within(limits.head_timeout_ms, read).await.ok_or_else(timed_out)?
+}
+
+async fn read_body(
+    connection: &mut Connection,
+    limits: &ClientLimits,
+    head: &RequestHead,
+) -> Result<Vec<u8>, Error> {
+    if head.expects_continue() {
+        connection.send(CONTINUE_RESPONSE).await?;
+    }
+    let read = Body::new(head.framing).read_whole(connection, limits.body_max_bytes);
+    within(BODY_TIMEOUT_MS, read).await.ok_or_else(timed_out)?
+}
+
+fn timed_out() -> Error {
+    Error::Io(std::io::ErrorKind::TimedOut.into())
+}
