fix: an idle connection keeps the longest limit that held while it waited

Callers saw a connection closed that the document in force let them use: they reuse one that has been idle for up to four fifths of the limit, and a request that crosses the close gets no answer. Cause: the limit was read once, before the wait. A document that raised it meanwhile was not seen until the next wait. Class: what a document says is read before a wait and used after it. Now each limit is remembered with the time at which it was replaced, and the wait lasts until the longest one since it began has passed, looked at again when it would end. A lowered limit holds from the next wait on, as before: the caller may not know of it yet (its test held before).

Failed before, with the sources of: connections::a_request_after_a_raised_idle_limit_is_answered connections::a_request_after_an_idle_limit_that_was_raised_for_a_moment_is_answered Expected: starts with prefix "HTTP/1.1 200 " Actual: "" Both pass now.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -4,6 +4,7 @@
 use crate::labels::Labels;
 use crate::paths::{Paths, Relays};
 use crate::pool::Pool;
+use crate::server::IdleLimits;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::Placement;
 use lycheehub_routes::{ClientLimits, RouteTable};
@@ -85,6 +86,7 @@
     pub exchanges: Cell<usize>,
     stop: Cell<Option<Stop>>,
     idle_close: (Sender<()>, Receiver<()>),
+    idle_limits: RefCell<IdleLimits>,
     /// The longest deadline seen on each route, in milliseconds.
     deadlines_ms: RefCell<BTreeMap<SmolStr, u64>>,
     /// The client accounts that have their own metric label value.
@@ -116,6 +118,7 @@
             exchanges: Cell::new(0),
             stop: Cell::new(None),
             idle_close: bounded(1),
+            idle_limits: RefCell::default(),
             deadlines_ms: RefCell::default(),
             account_labels: RefCell::new(Labels::new(ACCOUNT_LABELS_MAX)),
         })
@@ -131,6 +134,14 @@
         self.snapshots.latest().table.document().limits
     }
 
+    /// Returns the longest limit on the idle time of connections that held at some time from `since_ms`
+    /// on, in milliseconds.
+    pub(crate) fn idle_limit_ms(&self, since_ms: u64) -> u64 {
+        let mut idle_limits = self.idle_limits.borrow_mut();
+        idle_limits.record(self.clock.now_ms(), self.client_limits().idle_timeout_ms);
+        idle_limits.longest_ms(since_ms)
+    }
+
     /// Counts a request that was refused because its account exceeded its quota.
     pub(crate) fn count_quota_refusal(&self, account: &SmolStr) {
         let account = self.account_labels.borrow_mut().value(account).to_string();
--- a/crates/proxy/src/server/idle.rs
+++ b/crates/proxy/src/server/idle.rs
@@ -3,10 +3,13 @@
 use crate::entry::Entry;
 use crate::http1::Connection;
 use lycheehub_clock::within;
+use std::collections::VecDeque;
 
 /// Time in milliseconds for which an idle connection stays open beyond the limit, so that a request sent
 /// just within the limit does not arrive at a closed connection.
 const IDLE_GRACE_MS: u64 = 1_000;
+/// The number of replaced limits that are remembered.
+const REPLACED_MAX: usize = 64;
 
 /// Why the wait for a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,18 +29,58 @@
     if !connection.buffered().is_empty() {
         return WaitEnd::Received;
     }
-    let idle_ms = entry.client_limits().idle_timeout_ms + IDLE_GRACE_MS;
-    let received = async {
-        match connection.fill().await {
-            Ok(1..) => WaitEnd::Received,
-            Ok(0) | Err(_) => WaitEnd::CallerClosed,
+    let since_ms = entry.clock.now_ms();
+    loop {
+        let until_ms = since_ms + entry.idle_limit_ms(since_ms) + IDLE_GRACE_MS;
+        let left_ms = until_ms.saturating_sub(entry.clock.now_ms());
+        if left_ms == 0 {
+            return WaitEnd::IdleLimit;
         }
-    };
-    let closing = async {
-        entry.idle_close_requested().await;
-        WaitEnd::Stopping
-    };
-    // Bytes that have arrived are seen first.
-    let received = within(idle_ms, smol::future::or(received, closing)).await;
-    received.unwrap_or(WaitEnd::IdleLimit)
+        let received = async {
+            match connection.fill().await {
+                Ok(1..) => WaitEnd::Received,
+                Ok(0) | Err(_) => WaitEnd::CallerClosed,
+            }
+        };
+        let closing = async {
+            entry.idle_close_requested().await;
+            WaitEnd::Stopping
+        };
+        // Bytes that have arrived are seen first. After the limit of one document, that of another one may
+        // still hold.
+        if let Some(end) = within(left_ms, smol::future::or(received, closing)).await {
+            return end;
+        }
+    }
+}
+
+/// The limits on the idle time of callers' connections, as documents replaced each other. A caller may
+/// rely on any of those that held since its connection became idle.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct IdleLimits {
+    /// The latest limit, in milliseconds.
+    latest_ms: u64,
+    /// Each earlier limit, with the time at which it was seen to be replaced, both in milliseconds.
+    replaced: VecDeque<(u64, u64)>,
+}
+
+impl IdleLimits {
+    /// Records the limit in force.
+    pub(crate) fn record(&mut self, now_ms: u64, limit_ms: u64) {
+        if limit_ms == self.latest_ms {
+            return;
+        }
+        if self.replaced.len() == REPLACED_MAX {
+            self.replaced.pop_front();
+        }
+        self.replaced.push_back((self.latest_ms, now_ms));
+        self.latest_ms = limit_ms;
+    }
+
+    /// Returns the longest limit that held at some time from `since_ms` on, in milliseconds.
+    pub(crate) fn longest_ms(&self, since_ms: u64) -> u64 {
+        let replaced = self.replaced.iter().filter(|(_, until_ms)| *until_ms >= since_ms);
+        let longest_ms = replaced.map(|(limit_ms, _)| *limit_ms).max();
+        longest_ms.map_or(self.latest_ms, |longest_ms| longest_ms.max(self.latest_ms))
+    }
 }
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -15,6 +15,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+pub(crate) use idle::IdleLimits;
+
 /// Delay before the next `accept` after a failed one, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 50;
 
--- /dev/null
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -0,0 +1,74 @@
+//! Ends of callers' connections: a request that has arrived gets a response before its connection
+//! closes.
+
+use crate::support::{document, get, read_all, run, sleep_ms};
+use futures_lite::AsyncWriteExt;
+use googletest::prelude::*;
+use lycheehub_routes::{ClientLimits, Document};
+
+const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
+/// An idle limit in milliseconds that passes in a test; the grace of a second is added to it.
+const SHORT_IDLE_MS: u64 = 100;
+
+fn with_limits(limits: ClientLimits) -> Document {
+    Document { limits, ..document() }
+}
+
+fn with_idle_limit(idle_timeout_ms: u64) -> Document {
+    with_limits(ClientLimits { idle_timeout_ms, ..ClientLimits::default() })
+}
+
+// A connection that waited under the old limit was closed while its caller counted on the new one.
+#[gtest]
+fn a_request_after_a_raised_idle_limit_is_answered() {
+    run(|fixture| async move {
+        fixture.add_responding_endpoint(OK_RESPONSE).await;
+        fixture.set_document(with_idle_limit(SHORT_IDLE_MS));
+        let mut caller = fixture.connect().await;
+        sleep_ms(200).await;
+        fixture.set_document(with_idle_limit(10_000));
+        sleep_ms(1_300).await;
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+// The caller of a connection that was idle when the limit fell may not know of it yet.
+#[gtest]
+fn a_request_after_a_lowered_idle_limit_is_answered() {
+    run(|fixture| async move {
+        fixture.add_responding_endpoint(OK_RESPONSE).await;
+        fixture.set_document(with_idle_limit(3_000));
+        let mut caller = fixture.connect().await;
+        sleep_ms(200).await;
+        fixture.set_document(with_idle_limit(SHORT_IDLE_MS));
+        sleep_ms(1_500).await;
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+#[gtest]
+fn a_request_after_an_idle_limit_that_was_raised_for_a_moment_is_answered() {
+    run(|fixture| async move {
+        fixture.add_responding_endpoint(OK_RESPONSE).await;
+        fixture.set_document(with_idle_limit(SHORT_IDLE_MS));
+        let mut caller = fixture.connect().await;
+        sleep_ms(200).await;
+        fixture.set_document(with_idle_limit(10_000));
+        expect_that!(fixture.request(&get("/safe/")).await, starts_with("HTTP/1.1 200 "));
+        fixture.set_document(with_idle_limit(SHORT_IDLE_MS));
+        sleep_ms(1_300).await;
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+#[gtest]
+fn an_idle_connection_is_closed_at_its_limit() {
+    run(|fixture| async move {
+        fixture.set_document(with_idle_limit(SHORT_IDLE_MS));
+        let mut caller = fixture.connect().await;
+        expect_that!(read_all(&mut caller).await, eq(""));
+    });
+}
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the proxy with simulated callers, endpoints and placement.
 
 mod callers;
+mod connections;
 mod endless;
 mod framing;
 mod notices;
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -107,6 +107,8 @@
     pub patience_left_ms: RefCell<Vec<u64>>,
     /// Whether decisions are never made.
     pub never_decides: Cell<bool>,
+    /// How long decisions take, in milliseconds.
+    pub decides_after_ms: Cell<u64>,
     /// Whether repeated attempts are refused.
     pub refuses_repeats: Cell<bool>,
     /// Whether all requests are refused because of the quota.
@@ -137,6 +139,9 @@
             if self.never_decides.get() {
                 smol::future::pending::<()>().await;
             }
+            if self.decides_after_ms.get() > 0 {
+                sleep_ms(self.decides_after_ms.get()).await;
+            }
             let refused = match job.repeat && self.refuses_repeats.get() {
                 true => Some(Reason::RetriesExhausted),
                 false => self.over_quota.get().then_some(Reason::QuotaExceeded),
@@ -194,15 +199,17 @@
     }
 }
 
-/// Serves a fixed document; `is_ready` controls whether it counts as recent.
-struct FixedSnapshots {
-    table: Arc<RouteTable>,
+/// Serves the document that the test has set; `is_ready` controls whether it counts as recent.
+struct TestSnapshots {
+    table: Rc<RefCell<Arc<RouteTable>>>,
     is_ready: Rc<Cell<bool>>,
 }
 
-impl Snapshots for FixedSnapshots {
+impl Snapshots for TestSnapshots {
     fn latest(&self) -> Snapshot {
-        Snapshot { table: self.table.clone(), revision: 1, is_ready: self.is_ready.get() }
+        let table = self.table.borrow().clone();
+        let revision = table.document().version;
+        Snapshot { table, revision, is_ready: self.is_ready.get() }
     }
 }
 
@@ -223,7 +230,8 @@
     }
 }
 
-fn document() -> Document {
+/// The document with which each test begins.
+pub fn document() -> Document {
     let stream = |resumable| RequestKind::Stream { resumable };
     Document {
         version: 1,
@@ -251,6 +259,7 @@
     pub entry: Rc<Entry>,
     /// Whether the document counts as recent.
     pub is_ready: Rc<Cell<bool>>,
+    table: Rc<RefCell<Arc<RouteTable>>>,
     pub address: String,
 }
 
@@ -262,7 +271,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
         let placement = Rc::new(RotatingPlacement::default());
-        let table = Arc::new(RouteTable::new(document()));
+        let table = Rc::new(RefCell::new(Arc::new(RouteTable::new(document()))));
         let is_ready = Rc::new(Cell::new(true));
         let relays = Rc::new(TestRelays::default());
         let entry = Entry::new(
@@ -274,13 +283,13 @@
             },
             Clock::new(),
             Box::new(TestDialect),
-            Box::new(FixedSnapshots { table, is_ready: is_ready.clone() }),
+            Box::new(TestSnapshots { table: table.clone(), is_ready: is_ready.clone() }),
             placement.clone(),
             relays.clone(),
             executor.clone(),
         );
         executor.spawn(server::serve(entry.clone(), listener)).detach();
-        let fixture = Fixture { executor, placement, relays, entry, is_ready, address };
+        let fixture = Fixture { executor, placement, relays, entry, is_ready, table, address };
         lycheehub_clock::within(READ_TIMEOUT_MS * 2, test(fixture))
             .await
             .expect("the test takes too long");
@@ -359,6 +368,11 @@
         closed
     }
 
+    /// Replaces the document.
+    pub fn set_document(&self, document: Document) {
+        *self.table.borrow_mut() = Arc::new(RouteTable::new(document));
+    }
+
     pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(&self.address).await.unwrap()
     }
