test: requests in progress when a document drops or changes what they use

A request that waits for its endpoint or is there keeps the route, service, account, limits and timeout under which it was received: proved for documents without routes and services, with timeouts of 1 ms, with keys, and with limits that nothing meets, for plain, unsafe and streamed requests, and for two documents in a row. Limits hold from the first byte to the last; the routes are those of the newest document when the request is whole.

--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -2,6 +2,7 @@
 
 mod callers;
 mod connections;
+mod documents;
 mod endless;
 mod framing;
 mod notices;
