fix: the last response of a connection arrives although its caller has sent more

Callers saw a reset instead of a response: a refusal given before a long body was received, or a last response (Connection: close, or while stopping) after which more had been sent. Cause: closing a connection with unread bytes resets it, and what the peer has not read by then may be lost. Now the sending side is closed first, and what still arrives is discarded until the caller closes, for at most a second and a megabyte. A connection that is closed idle is not read any more: a request that crosses that close is not read, as its caller must be able to tell.

--- a/crates/proxy/src/http1/connection.rs
+++ b/crates/proxy/src/http1/connection.rs
@@ -6,6 +6,7 @@
 use smol::net::TcpStream;
 use std::cell::RefCell;
 use std::io::ErrorKind;
+use std::net::Shutdown;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
@@ -130,6 +131,25 @@
         future::pending().await
     }
 
+    /// Closes the sending side; what the peer still sends can be received.
+    ///
+    /// # Errors
+    /// Fails on an I/O error.
+    pub fn close_sending(&self) -> Result<(), Error> {
+        Ok(self.stream.shutdown(Shutdown::Write)?)
+    }
+
+    /// Discards what the peer still sends until it closes its side, up to `max_bytes`.
+    pub async fn discard_until_closed(&mut self, max_bytes: usize) {
+        let mut discarded = self.buffered().len();
+        self.consume(discarded);
+        while discarded <= max_bytes {
+            let Ok(received @ 1..) = self.fill().await else { return };
+            self.consume(received);
+            discarded += received;
+        }
+    }
+
     /// Returns whether the connection is open and nothing was received since the last message.
     pub async fn is_idle(&mut self) -> bool {
         if !self.buffered().is_empty() {
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -65,13 +65,14 @@
     }
 }
 
-/// Receives and handles a request; returns whether the connection can be used for another one.
+/// Receives and handles a request, and closes the connection unless it can be used for another one; returns
+/// whether it can.
 async fn serve_request(entry: &Rc<Entry>, connection: &mut Connection, caller: SocketAddr) -> bool {
     let _active_exchange = CountGuard::new(&entry.exchanges);
     // The limits of the moment at which the request begins hold until it is received.
     let limits = entry.client_limits();
     let started_ms = entry.clock.now_ms();
-    match receive::read_request(entry, connection, &limits).await {
+    let keeps_alive = match receive::read_request(entry, connection, &limits).await {
         Ok((head, body)) => {
             let read_ms = entry.clock.now_ms() - started_ms;
             let request = ReceivedRequest { head, body, read_ms };
@@ -85,5 +86,9 @@
             exchange::refuse_unreadable(entry, connection, &id, &error).await;
             false
         }
+    };
+    if !keeps_alive {
+        closing::close_gracefully(connection).await;
     }
+    keeps_alive
 }
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -2,9 +2,10 @@
 //! closes.
 
 use crate::support::{document, get, read_all, run, sleep_ms};
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
 use lycheehub_routes::{ClientLimits, Document};
+use smol::net::TcpStream;
 
 const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
 /// An idle limit in milliseconds that passes in a test; the grace of a second is added to it.
@@ -72,3 +73,44 @@
         expect_that!(read_all(&mut caller).await, eq(""));
     });
 }
+
+/// Sends bytes until the peer no longer takes them; returns the bytes received until the end of the
+/// connection, or `None` if it was reset.
+async fn send_and_read(mut caller: TcpStream, head: &str, body_bytes: usize) -> Option<String> {
+    caller.write_all(head.as_bytes()).await.unwrap();
+    let mut writer = caller.clone();
+    let write = async move {
+        // The peer may stop reading; what counts is what it responds.
+        let _ = writer.write_all(&vec![b'x'; body_bytes]).await;
+        smol::future::pending().await
+    };
+    let read = async {
+        let mut received = Vec::new();
+        sleep_ms(300).await;
+        caller.read_to_end(&mut received).await.ok()?;
+        Some(String::from_utf8_lossy(&received).into_owned())
+    };
+    smol::future::or(read, write).await
+}
+
+// Closing a connection with unread bytes resets it, and the caller may lose the response.
+#[gtest]
+fn a_refusal_is_received_although_the_caller_still_sends_its_body() {
+    run(|fixture| async move {
+        let limits = ClientLimits { body_max_bytes: 1_000, ..ClientLimits::default() };
+        fixture.set_document(with_limits(limits));
+        let head =
+            "POST /unsafe/ HTTP/1.1\r\nHost: salto.example\r\nContent-Length: 300000\r\n\r\n";
+        let response = send_and_read(fixture.connect().await, head, 300_000).await;
+        expect_that!(response, some(starts_with("HTTP/1.1 413 ")));
+    });
+}
+
+#[gtest]
+fn a_last_response_is_received_although_the_caller_has_sent_more() {
+    run(|fixture| async move {
+        fixture.add_responding_endpoint(OK_RESPONSE).await;
+        let response = send_and_read(fixture.connect().await, &get("/safe/"), 100_000).await;
+        expect_that!(response, some(starts_with("HTTP/1.1 200 ")));
+    });
+}
