fix: a request that does not arrive in time or whole is refused as not run (408)

Callers saw their connection close without a byte when a head or body took longer than its limit, or when they had closed their sending side in the middle of it. Cause: a timeout was an I/O error, and I/O errors and truncated messages got no response since the connection was taken for lost; a timeout says that it is open. Timeouts are an error of their own now, and both are refused as `incomplete`, 408, which is true: nothing of the request was passed on. A connection that is reset still gets nothing. The body's timeout is an option of the instance (10 s as before), so that a test can reach it.

--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -23,6 +23,8 @@
 
 /// The timeout for connecting to an endpoint, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 200;
+/// The timeout for receiving a request body, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 10_000;
 /// How long the load balancer takes to stop using an instance that is not ready, in milliseconds:
 /// two readiness checks, one per second, and some delay.
 const BALANCER_DELAY_MS: u64 = 2_700;
@@ -115,6 +117,7 @@
         failure_domain: deployment.peer.failure_domain.clone(),
         connections_max: deployment.connections_max,
         connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        body_timeout_ms: BODY_TIMEOUT_MS,
     };
     let entry = Entry::new(
         options,
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -32,6 +32,8 @@
     pub connections_max: usize,
     /// Time limit for connecting to an endpoint, in milliseconds.
     pub connect_timeout_ms: u64,
+    /// Time limit for receiving a request body, in milliseconds.
+    pub body_timeout_ms: u64,
 }
 
 /// The routing state at one point in time.
--- a/crates/proxy/src/exchange/local_response.rs
+++ b/crates/proxy/src/exchange/local_response.rs
@@ -33,6 +33,7 @@
         400 => "Bad Request",
         401 => "Unauthorized",
         404 => "Not Found",
+        408 => "Request Timeout",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         502 => "Bad Gateway",
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -95,7 +95,7 @@
     keeps_alive
 }
 
-/// Responds to a request that could not be read.
+/// Responds to a request that was not received, unless its caller is gone.
 pub async fn refuse_unreadable(
     entry: &Entry,
     connection: &mut Connection,
@@ -105,7 +105,8 @@
     let kind = match error {
         Error::HeadTooLong | Error::BodyTooLong => RefusalKind::TooLarge,
         Error::Malformed(_) => RefusalKind::BadRequest,
-        Error::Io(_) | Error::Closed | Error::Truncated => return,
+        Error::TimedOut | Error::Truncated => RefusalKind::Incomplete,
+        Error::Io(_) | Error::Closed => return,
     };
     let refusal = Refusal::new(kind, error.to_string());
     local_response::send_response(
--- a/crates/proxy/src/http1/mod.rs
+++ b/crates/proxy/src/http1/mod.rs
@@ -23,6 +23,10 @@
             source(cause)
             from()
         }
+        /// The message did not arrive in time.
+        TimedOut {
+            display("the message did not arrive in time")
+        }
         /// The connection was closed between messages.
         Closed {
             display("the connection was closed")
@@ -58,7 +62,7 @@
                     | ErrorKind::BrokenPipe
                     | ErrorKind::UnexpectedEof
             ),
-            Self::Malformed(_) | Self::HeadTooLong | Self::BodyTooLong => false,
+            Self::TimedOut | Self::Malformed(_) | Self::HeadTooLong | Self::BodyTooLong => false,
         }
     }
 }
--- a/crates/proxy/src/server/receive.rs
+++ b/crates/proxy/src/server/receive.rs
@@ -6,8 +6,6 @@
 use lycheehub_routes::ClientLimits;
 use smol_str::SmolStr;
 
-/// Time limit for receiving a request body, in milliseconds.
-const BODY_TIMEOUT_MS: u64 = 10_000;
 /// Interim response for a caller that sent `Expect: 100-continue`.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -29,7 +27,7 @@
 ) -> Result<(RequestHead, Vec<u8>), Unread> {
     let head = read_head(connection, limits).await;
     let head = head.map_err(|error| Unread { step: "head", id: SmolStr::default(), error })?;
-    let body = read_body(connection, limits, &head).await;
+    let body = read_body(connection, limits, &head, entry.options.body_timeout_ms).await;
     let id = || entry.dialect.read_request(&head).id;
     let body = body.map_err(|error| Unread { step: "body", id: id(), error })?;
     Ok((head, body))
@@ -41,21 +39,18 @@
     limits: &ClientLimits,
 ) -> Result<RequestHead, Error> {
     let read = connection.read_request_head(limits.head_max_bytes);
-    within(limits.head_timeout_ms, read).await.ok_or_else(timed_out)?
+    within(limits.head_timeout_ms, read).await.ok_or(Error::TimedOut)?
 }
 
 async fn read_body(
     connection: &mut Connection,
     limits: &ClientLimits,
     head: &RequestHead,
+    timeout_ms: u64,
 ) -> Result<Vec<u8>, Error> {
     if head.expects_continue() {
         connection.send(CONTINUE_RESPONSE).await?;
     }
     let read = Body::new(head.framing).read_whole(connection, limits.body_max_bytes);
-    within(BODY_TIMEOUT_MS, read).await.ok_or_else(timed_out)?
-}
-
-fn timed_out() -> Error {
-    Error::Io(std::io::ErrorKind::TimedOut.into())
+    within(timeout_ms, read).await.ok_or(Error::TimedOut)?
 }
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -1,11 +1,12 @@
 //! Ends of callers' connections: a request that has arrived gets a response before its connection
 //! closes.
 
-use crate::support::{document, get, read_all, run, sleep_ms};
+use crate::support::{document, get, post, read_all, run, sleep_ms};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
 use lycheehub_routes::{ClientLimits, Document};
 use smol::net::TcpStream;
+use std::net::Shutdown;
 
 const OK_RESPONSE: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
 /// An idle limit in milliseconds that passes in a test; the grace of a second is added to it.
@@ -74,6 +75,40 @@
     });
 }
 
+#[gtest]
+fn a_head_that_does_not_arrive_in_time_is_refused_as_not_run() {
+    run(|fixture| async move {
+        let limits = ClientLimits { head_timeout_ms: 200, ..ClientLimits::default() };
+        fixture.set_document(with_limits(limits));
+        let response = fixture.request("GET /safe/ HTTP/1.1\r\nHost: salto").await;
+        expect_that!(response, starts_with("HTTP/1.1 408 "));
+        expect_that!(response, contains_substring("Connection: close\r\n"));
+    });
+}
+
+#[gtest]
+fn a_body_that_does_not_arrive_in_time_is_refused_as_not_run() {
+    run(|fixture| async move {
+        let request = post("/unsafe/", "pay").replace("Content-Length: 3", "Content-Length: 9");
+        expect_that!(fixture.request(&request).await, starts_with("HTTP/1.1 408 "));
+    });
+}
+
+#[gtest]
+fn a_request_whose_caller_stops_sending_in_the_middle_is_refused_as_not_run() {
+    run(|fixture| async move {
+        for request in [
+            "GET /safe/ HTTP/1.1\r\nHost: salto",
+            "POST /unsafe/ HTTP/1.1\r\nHost: salto.example\r\nContent-Length: 9\r\n\r\npay",
+        ] {
+            let mut caller = fixture.connect().await;
+            caller.write_all(request.as_bytes()).await.unwrap();
+            caller.shutdown(Shutdown::Write).unwrap();
+            expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 408 "));
+        }
+    });
+}
+
 /// Sends bytes until the peer no longer takes them; returns the bytes received until the end of the
 /// connection, or `None` if it was reset.
 async fn send_and_read(mut caller: TcpStream, head: &str, body_bytes: usize) -> Option<String> {
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -280,6 +280,7 @@
                 failure_domain: "salto".into(),
                 connections_max: 100,
                 connect_timeout_ms: 300,
+                body_timeout_ms: 500,
             },
             Clock::new(),
             Box::new(TestDialect),
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -15,6 +15,8 @@
     Unauthorized,
     /// The request body exceeds the limit in the settings.
     TooLarge,
+    /// The request did not arrive completely, or not in time.
+    Incomplete,
     /// The service is in no section of the operators' document.
     UnknownService,
     /// The path or resource does not exist.
@@ -58,6 +60,7 @@
             Self::BadRequest => "bad_request",
             Self::Unauthorized => "unauthorized",
             Self::TooLarge => "too_large",
+            Self::Incomplete => "incomplete",
             Self::UnknownService => "unknown_service",
             Self::NotFound => "not_found",
             Self::Overloaded => "overloaded",
@@ -84,6 +87,7 @@
             Self::BadRequest => 400,
             Self::Unauthorized => 401,
             Self::UnknownService | Self::NotFound => 404,
+            Self::Incomplete => 408,
             Self::Conflict | Self::AlreadyRun => 409,
             Self::TooLarge => 413,
             Self::KeyReused => 422,
