fix: a request on a connection beyond the maximum is refused as not run (503)

Callers saw their connection accepted and closed without a byte once connections_max was reached. Cause: the stream was dropped at accept. Now up to 64 connections beyond the maximum wait a second for one request, which is refused as `too_many_connections` with its id and a retry delay; further ones are closed as before, with the line that said so.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -108,13 +108,13 @@
         Error::TimedOut | Error::Truncated => RefusalKind::Incomplete,
         Error::Io(_) | Error::Closed => return,
     };
-    let refusal = Refusal::new(kind, error.to_string());
-    local_response::send_response(
-        connection,
-        &local_response::refusal(entry, id, &refusal, false),
-        false,
-    )
-    .await;
+    refuse(entry, connection, id, &Refusal::new(kind, error.to_string())).await;
+}
+
+/// Refuses the last request of a connection.
+pub async fn refuse(entry: &Entry, connection: &mut Connection, id: &str, refusal: &Refusal) {
+    let response = local_response::refusal(entry, id, refusal, false);
+    local_response::send_response(connection, &response, false).await;
 }
 
 impl Exchange<'_> {
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -1,4 +1,7 @@
 //! Accepts callers' connections and handles the requests of each connection in order.
+//!
+//! Once bytes of a request have arrived, its connection does not end without a response: a request that
+//! cannot be served is refused, and the response is left time to arrive before the connection closes.
 
 mod closing;
 mod idle;
@@ -8,7 +11,8 @@
 use crate::exchange::{self, ReceivedRequest};
 use crate::http1::Connection;
 use idle::WaitEnd;
-use lycheehub_types::CountGuard;
+use lycheehub_routes::ClientLimits;
+use lycheehub_types::{CountGuard, Refusal, RefusalKind};
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::net::SocketAddr;
@@ -20,6 +24,14 @@
 /// Delay before the next `accept` after a failed one, in milliseconds.
 const ACCEPT_RETRY_MS: u64 = 50;
 
+/// Number of connections beyond the maximum that are accepted to refuse one request each. Descriptors
+/// reserved for other uses are enough for them.
+const EXCESS_CONNECTIONS_MAX: usize = 64;
+/// Time for which such a connection may stay open without a request, in milliseconds.
+const EXCESS_IDLE_MS: u64 = 1_000;
+/// Retry delay sent on such a connection, in milliseconds.
+const EXCESS_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Accepts connections and spawns a task for each; never returns.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
     loop {
@@ -34,9 +46,13 @@
 }
 
 fn accept(entry: &Rc<Entry>, stream: TcpStream, caller: SocketAddr) {
-    if entry.connections.get() >= entry.options.connections_max {
+    let excess = (entry.connections.get() + 1).saturating_sub(entry.options.connections_max);
+    if excess > 0 {
         metrics::counter!("lycheehub_connections_refused_total").increment(1);
-        return spdlog::warn!("connection refused: connections_max reached", kv: { caller: });
+        spdlog::warn!("connection refused: connections_max reached", kv: { caller: });
+    }
+    if excess > EXCESS_CONNECTIONS_MAX {
+        return;
     }
     let (entry, executor) = (entry.clone(), entry.executor.clone());
     let task = async move {
@@ -46,7 +62,12 @@
                 error:, caller:,
             });
         }
-        serve_connection(&entry, Connection::new(stream), caller).await;
+        let connection = Connection::new(stream);
+        if excess > 0 {
+            refuse_excess(&entry, connection).await;
+        } else {
+            serve_connection(&entry, connection, caller).await;
+        }
     };
     executor.spawn(task).detach();
 }
@@ -92,3 +113,15 @@
     }
     keeps_alive
 }
+
+/// Refuses the first request of a connection beyond the maximum.
+async fn refuse_excess(entry: &Entry, mut connection: Connection) {
+    let limits = ClientLimits { head_timeout_ms: EXCESS_IDLE_MS, ..entry.client_limits() };
+    let Ok(head) = receive::read_head(&mut connection, &limits).await else { return };
+    let message = "this instance has too many connections";
+    let kind = RefusalKind::TooManyConnections;
+    let refusal = Refusal::retry(kind, message, EXCESS_RETRY_AFTER_MS);
+    let id = entry.dialect.read_request(&head).id;
+    exchange::refuse(entry, &mut connection, &id, &refusal).await;
+    closing::close_gracefully(&mut connection).await;
+}
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -109,6 +109,20 @@
     });
 }
 
+#[gtest]
+fn a_request_on_a_connection_beyond_the_maximum_is_refused_with_a_retry_delay() {
+    run(|fixture| async move {
+        let mut open = Vec::new();
+        while fixture.entry.connections.get() < fixture.entry.options.connections_max {
+            open.push(fixture.connect().await);
+            smol::future::yield_now().await;
+        }
+        let response = fixture.request(&get("/safe/")).await;
+        expect_that!(response, starts_with("HTTP/1.1 503 "));
+        expect_that!(response, contains_substring("Retry-After: "));
+    });
+}
+
 /// Sends bytes until the peer no longer takes them; returns the bytes received until the end of the
 /// connection, or `None` if it was reset.
 async fn send_and_read(mut caller: TcpStream, head: &str, body_bytes: usize) -> Option<String> {
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -29,6 +29,8 @@
     NoEndpoint,
     /// The instance is shutting down.
     Stopping,
+    /// The instance has as many connections as it may.
+    TooManyConnections,
     /// The idempotency key could not be claimed, since no quorum replied.
     ClaimUnavailable,
     /// The idempotency key was already used for a different request.
@@ -67,6 +69,7 @@
             Self::DeadlineUnreachable => "deadline_unreachable",
             Self::NoEndpoint => "no_endpoint",
             Self::Stopping => "stopping",
+            Self::TooManyConnections => "too_many_connections",
             Self::ClaimUnavailable => "claim_unavailable",
             Self::KeyReused => "key_reused",
             Self::AlreadyRun => "already_run",
@@ -95,6 +98,7 @@
             Self::OutcomeUnknown | Self::EndpointFailed => 502,
             Self::NoEndpoint
             | Self::Stopping
+            | Self::TooManyConnections
             | Self::ClaimUnavailable
             | Self::NoQuorum
             | Self::NotReady
