fix: a request on a new connection to a stopping instance is refused as not run

Callers whose load balancer had no better instance saw a new connection close without a byte. Cause: the promise that a stopping instance answers 503 was kept for requests on open connections, and lost for connections accepted after the idle ones had been closed: the wait for their first request ended at once. Such a connection now waits for one request, which the usual filter refuses as `stopping` (or serves, if it ends in time), and closes.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -182,6 +182,11 @@
         self.idle_close.0.close();
     }
 
+    /// Returns whether `close_idle` was called.
+    pub(crate) fn is_closing_idle(&self) -> bool {
+        self.idle_close.1.is_closed()
+    }
+
     /// Waits until `close_idle` is called.
     pub(crate) async fn idle_close_requested(&self) {
         // No value is ever sent; `recv` returns once the channel is closed.
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -54,6 +54,7 @@
     if excess > EXCESS_CONNECTIONS_MAX {
         return;
     }
+    let is_late = entry.is_closing_idle();
     let (entry, executor) = (entry.clone(), entry.executor.clone());
     let task = async move {
         let _open_connection = CountGuard::new(&entry.connections);
@@ -66,16 +67,22 @@
         if excess > 0 {
             refuse_excess(&entry, connection).await;
         } else {
-            serve_connection(&entry, connection, caller).await;
+            serve_connection(&entry, connection, caller, is_late).await;
         }
     };
     executor.spawn(task).detach();
 }
 
-async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: SocketAddr) {
+/// Serves a connection; one that `is_late` was accepted after idle ones had been closed.
+async fn serve_connection(
+    entry: &Rc<Entry>,
+    mut connection: Connection,
+    caller: SocketAddr,
+    is_late: bool,
+) {
     loop {
         let waited_from_ms = entry.clock.now_ms();
-        match idle::wait_for_request(entry, &mut connection).await {
+        match idle::wait_for_request(entry, &mut connection, is_late).await {
             WaitEnd::Received => {}
             WaitEnd::CallerClosed => return,
             end => return closing::log_idle_close(entry, end, waited_from_ms, caller),
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -4,6 +4,7 @@
 use crate::support::{document, get, post, read_all, run, sleep_ms};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
+use lycheehub_proxy::Stop;
 use lycheehub_routes::{ClientLimits, Document};
 use smol::net::TcpStream;
 use std::net::Shutdown;
@@ -163,3 +164,49 @@
         expect_that!(response, some(starts_with("HTTP/1.1 200 ")));
     });
 }
+
+#[gtest]
+fn a_request_that_has_arrived_when_idle_connections_are_closed_is_answered() {
+    run(|fixture| async move {
+        fixture.add_responding_endpoint(OK_RESPONSE).await;
+        let mut caller = fixture.connect().await;
+        sleep_ms(50).await;
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        // The instance's task has not run since the bytes arrived.
+        fixture.entry.close_idle();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+#[gtest]
+fn a_first_half_of_a_head_that_has_arrived_when_idle_connections_are_closed_is_completed() {
+    run(|fixture| async move {
+        fixture.add_responding_endpoint(OK_RESPONSE).await;
+        let mut caller = fixture.connect().await;
+        let request = get("/safe/");
+        let (first, second) = request.split_at(20);
+        caller.write_all(first.as_bytes()).await.unwrap();
+        sleep_ms(50).await;
+        fixture.entry.close_idle();
+        sleep_ms(50).await;
+        caller.write_all(second.as_bytes()).await.unwrap();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
+    });
+}
+
+// The load balancer uses a stopping instance if it has no better one; connections that were opened after
+// the idle ones had been closed ended without a byte.
+#[gtest]
+fn a_request_on_a_new_connection_to_a_stopping_instance_is_refused_as_not_run() {
+    run(|fixture| async move {
+        let now_ms = fixture.entry.clock.now_ms();
+        fixture.entry.begin_stop(Stop { refuses_from_ms: now_ms, ends_ms: now_ms + 1_000 });
+        fixture.entry.close_idle();
+        let mut caller = fixture.connect().await;
+        sleep_ms(100).await;
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        let response = read_all(&mut caller).await;
+        expect_that!(response, starts_with("HTTP/1.1 503 "));
+        expect_that!(response, contains_substring("Retry-After: "));
+    });
+}
