fix: a caller that closes its sending side learns whether its request may have run

Such a caller saw its connection close without a byte. Decision: the end of its input still cancels the request. But it may still read, so it gets a response: 503 `cancelled` if nothing was sent to an endpoint, else 502 `outcome_unknown`. The endpoint's connection is closed before; the log's end stays `caller left`. A stream of which events were sent is cut, as before.

--- a/crates/proxy/src/exchange/local_response.rs
+++ b/crates/proxy/src/exchange/local_response.rs
@@ -43,6 +43,12 @@
     }
 }
 
+/// Returns the refusal of a request that was cancelled because its caller closed the connection.
+fn cancelled(may_have_run: bool) -> Refusal {
+    let kind = if may_have_run { RefusalKind::OutcomeUnknown } else { RefusalKind::Cancelled };
+    Refusal::new(kind, "the caller closed its side of the connection")
+}
+
 /// Sends a complete response; returns whether the connection can be used for another request.
 pub(super) async fn send_response(
     caller: &mut Connection,
@@ -107,14 +113,19 @@
         stream: &StreamState,
     ) -> bool {
         const RETRY_AFTER_MS: u64 = 1_000;
-        if cause == Interrupted::CallerDisconnected {
-            self.access_log.record_end("caller left");
-            return false;
+        let is_caller_gone = cause == Interrupted::CallerDisconnected;
+        if is_caller_gone || stream.has_started() {
+            let end = if is_caller_gone { "caller left" } else { "timed out in its stream" };
+            self.access_log.record_end(end);
         }
         if stream.has_started() {
-            self.access_log.record_end("timed out in its stream");
             return false;
         }
+        if is_caller_gone {
+            // It may have closed its sending side only.
+            let bytes = refusal(self.entry, &self.fields.id, &cancelled(may_have_run), false);
+            return send_response(connection, &bytes, false).await;
+        }
         let refused = if may_have_run {
             Refusal::new(RefusalKind::TimedOut, "no answer within the request's time")
         } else {
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -1,7 +1,7 @@
 //! Ends of callers' connections: a request that has arrived gets a response before its connection
 //! closes.
 
-use crate::support::{document, get, post, read_all, run, sleep_ms};
+use crate::support::{document, get, post, read_all, read_request, run, sleep_ms};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
 use lycheehub_proxy::Stop;
@@ -110,6 +110,31 @@
     });
 }
 
+// A caller that has only closed its sending side cannot be told from one that has left, so its request
+// is cancelled; it learns whether the request may have run.
+#[gtest]
+fn a_caller_that_closes_its_sending_side_is_told_whether_its_request_may_have_run() {
+    run(|fixture| async move {
+        fixture
+            .add_endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                sleep_ms(3_000).await;
+            })
+            .await;
+        let mut caller = fixture.connect().await;
+        caller.write_all(post("/unsafe/", "pay").as_bytes()).await.unwrap();
+        sleep_ms(100).await;
+        caller.shutdown(Shutdown::Write).unwrap();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 502 "));
+        fixture.placement.never_decides.set(true);
+        let mut caller = fixture.connect().await;
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        sleep_ms(100).await;
+        caller.shutdown(Shutdown::Write).unwrap();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 503 "));
+    });
+}
+
 #[gtest]
 fn a_request_on_a_connection_beyond_the_maximum_is_refused_with_a_retry_delay() {
     run(|fixture| async move {
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -29,6 +29,8 @@
     NoEndpoint,
     /// The instance is shutting down.
     Stopping,
+    /// The caller closed its side of the connection before the request was sent to an endpoint.
+    Cancelled,
     /// The instance has as many connections as it may.
     TooManyConnections,
     /// The idempotency key could not be claimed, since no quorum replied.
@@ -69,6 +71,7 @@
             Self::DeadlineUnreachable => "deadline_unreachable",
             Self::NoEndpoint => "no_endpoint",
             Self::Stopping => "stopping",
+            Self::Cancelled => "cancelled",
             Self::TooManyConnections => "too_many_connections",
             Self::ClaimUnavailable => "claim_unavailable",
             Self::KeyReused => "key_reused",
@@ -98,6 +101,7 @@
             Self::OutcomeUnknown | Self::EndpointFailed => 502,
             Self::NoEndpoint
             | Self::Stopping
+            | Self::Cancelled
             | Self::TooManyConnections
             | Self::ClaimUnavailable
             | Self::NoQuorum
