--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -4,9 +4,10 @@
 use crate::labels::Labels;
 use crate::paths::{Paths, Relays};
 use crate::pool::Pool;
+use crate::server::IdleLimits;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::Placement;
-use lycheehub_routes::RouteTable;
+use lycheehub_routes::{ClientLimits, RouteTable};
 use lycheehub_types::{FailureDomain, InstanceName};
 use smol::LocalExecutor;
 use smol::channel::{Receiver, Sender, bounded};
@@ -31,6 +32,8 @@
     pub connections_max: usize,
     /// Time limit for connecting to an endpoint, in milliseconds.
     pub connect_timeout_ms: u64,
+    /// Time limit for receiving a request body, in milliseconds.
+    pub body_timeout_ms: u64,
 }
 
 /// The routing state at one point in time.
@@ -85,6 +88,7 @@
     pub exchanges: Cell<usize>,
     stop: Cell<Option<Stop>>,
     idle_close: (Sender<()>, Receiver<()>),
+    idle_limits: RefCell<IdleLimits>,
     /// The longest deadline seen on each route, in milliseconds.
     deadlines_ms: RefCell<BTreeMap<SmolStr, u64>>,
     /// The client accounts that have their own metric label value.
@@ -116,6 +120,7 @@
             exchanges: Cell::new(0),
             stop: Cell::new(None),
             idle_close: bounded(1),
+            idle_limits: RefCell::default(),
             deadlines_ms: RefCell::default(),
             account_labels: RefCell::new(Labels::new(ACCOUNT_LABELS_MAX)),
         })
@@ -126,6 +131,19 @@
         !self.is_stopping() && self.snapshots.latest().is_ready
     }
 
+    /// Returns the limits on callers' connections and requests.
+    pub(crate) fn client_limits(&self) -> ClientLimits {
+        self.snapshots.latest().table.document().limits
+    }
+
+    /// Returns the longest limit on the idle time of connections that held at some time from `since_ms`
+    /// on, in milliseconds.
+    pub(crate) fn idle_limit_ms(&self, since_ms: u64) -> u64 {
+        let mut idle_limits = self.idle_limits.borrow_mut();
+        idle_limits.record(self.clock.now_ms(), self.client_limits().idle_timeout_ms);
+        idle_limits.longest_ms(since_ms)
+    }
+
     /// Counts a request that was refused because its account exceeded its quota.
     pub(crate) fn count_quota_refusal(&self, account: &SmolStr) {
         let account = self.account_labels.borrow_mut().value(account).to_string();
@@ -164,6 +182,11 @@
         self.idle_close.0.close();
     }
 
+    /// Returns whether `close_idle` was called.
+    pub(crate) fn is_closing_idle(&self) -> bool {
+        self.idle_close.1.is_closed()
+    }
+
     /// Waits until `close_idle` is called.
     pub(crate) async fn idle_close_requested(&self) {
         // No value is ever sent; `recv` returns once the channel is closed.
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -95,20 +95,26 @@
     keeps_alive
 }
 
-/// Responds to a request that could not be read.
-pub async fn refuse_unreadable(entry: &Entry, connection: &mut Connection, error: &Error) {
+/// Responds to a request that was not received, unless its caller is gone.
+pub async fn refuse_unreadable(
+    entry: &Entry,
+    connection: &mut Connection,
+    id: &str,
+    error: &Error,
+) {
     let kind = match error {
         Error::HeadTooLong | Error::BodyTooLong => RefusalKind::TooLarge,
         Error::Malformed(_) => RefusalKind::BadRequest,
-        Error::Io(_) | Error::Closed | Error::Truncated => return,
+        Error::TimedOut | Error::Truncated => RefusalKind::Incomplete,
+        Error::Io(_) | Error::Closed => return,
     };
-    let refusal = Refusal::new(kind, error.to_string());
-    local_response::send_response(
-        connection,
-        &local_response::refusal(entry, "", &refusal, false),
-        false,
-    )
-    .await;
+    refuse(entry, connection, id, &Refusal::new(kind, error.to_string())).await;
+}
+
+/// Refuses the last request of a connection.
+pub async fn refuse(entry: &Entry, connection: &mut Connection, id: &str, refusal: &Refusal) {
+    let response = local_response::refusal(entry, id, refusal, false);
+    local_response::send_response(connection, &response, false).await;
 }
 
 impl Exchange<'_> {
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the proxy with simulated callers, endpoints and placement.
 
 mod callers;
+mod connections;
+mod documents;
 mod endless;
 mod framing;
 mod notices;
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -15,6 +15,8 @@
     Unauthorized,
     /// The request body exceeds the limit in the settings.
     TooLarge,
+    /// The request did not arrive completely, or not in time.
+    Incomplete,
     /// The service is in no section of the operators' document.
     UnknownService,
     /// The path or resource does not exist.
@@ -27,6 +29,10 @@
     NoEndpoint,
     /// The instance is shutting down.
     Stopping,
+    /// The caller closed its side of the connection before the request was sent to an endpoint.
+    Cancelled,
+    /// The instance has as many connections as it may.
+    TooManyConnections,
     /// The idempotency key could not be claimed, since no quorum replied.
     ClaimUnavailable,
     /// The idempotency key was already used for a different request.
@@ -58,12 +64,15 @@
             Self::BadRequest => "bad_request",
             Self::Unauthorized => "unauthorized",
             Self::TooLarge => "too_large",
+            Self::Incomplete => "incomplete",
             Self::UnknownService => "unknown_service",
             Self::NotFound => "not_found",
             Self::Overloaded => "overloaded",
             Self::DeadlineUnreachable => "deadline_unreachable",
             Self::NoEndpoint => "no_endpoint",
             Self::Stopping => "stopping",
+            Self::Cancelled => "cancelled",
+            Self::TooManyConnections => "too_many_connections",
             Self::ClaimUnavailable => "claim_unavailable",
             Self::KeyReused => "key_reused",
             Self::AlreadyRun => "already_run",
@@ -84,6 +93,7 @@
             Self::BadRequest => 400,
             Self::Unauthorized => 401,
             Self::UnknownService | Self::NotFound => 404,
+            Self::Incomplete => 408,
             Self::Conflict | Self::AlreadyRun => 409,
             Self::TooLarge => 413,
             Self::KeyReused => 422,
@@ -91,6 +101,8 @@
             Self::OutcomeUnknown | Self::EndpointFailed => 502,
             Self::NoEndpoint
             | Self::Stopping
+            | Self::Cancelled
+            | Self::TooManyConnections
             | Self::ClaimUnavailable
             | Self::NoQuorum
             | Self::NotReady
