fix(platform, types): an odd announcement of another writer is refused as a whole

An announcement with port 0, 0.0.0.0, 4,294,967,295 slots, a `sequence` or `born` of 2^64-1, a zone of a megabyte or a value nested 100,000 levels deep in a field that isn't read was taken. No process ended: known fields are typed, and unknown ones are skipped without recursion. But such an entry names an endpoint that attracts all requests of its service, and its `born` or `sequence` makes every announcement of the true endpoint look outdated.

Cause: only the fields' types were checked, and what was skipped was not checked at all.

`sequence` ends at 2^53-1, the last number that all JSON writers state exactly.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -66,10 +66,8 @@
     if !names.into_iter().all(name::is_valid) {
         return Err(bad_request("endpoint, service and version must be names"));
     }
-    if record.address.parse::<std::net::SocketAddr>().is_err() {
-        return Err(bad_request("the address must be an IP number and a port"));
-    }
-    if record.slots == 0 || record.slots > SLOTS_MAX {
+    record.validate().map_err(|error| bad_request(error.to_string()))?;
+    if record.slots > SLOTS_MAX {
         return Err(bad_request(format!("slots must be 1 to {SLOTS_MAX}")));
     }
     gateway.control.announce(record).await;
--- a/crates/types/src/endpoint.rs
+++ b/crates/types/src/endpoint.rs
@@ -1,8 +1,39 @@
 //! The records that endpoints announce.
 
-use crate::{EndpointName, FailureDomain, ServiceName, Version};
+use crate::{EndpointName, FailureDomain, ServiceName, Version, name};
+use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use std::net::SocketAddr;
+
+/// The most slots that an endpoint may have. A larger number would attract all requests.
+pub const SLOTS_MAX: u32 = 65_536;
+/// The highest incarnation and sequence. Every writer of JSON can state numbers up to here exactly, and
+/// a difference or a sum of two does not overflow.
+pub const COUNT_MAX: u64 = (1 << 53) - 1;
+
+quick_error! {
+    /// A field of a record has a value that no endpoint has.
+    #[derive(Clone, Debug, PartialEq, Eq)]
+    pub enum InvalidRecord {
+        /// The text is not a valid identifier.
+        Name(field: &'static str) {
+            display("{} is no name", field)
+        }
+        /// The text is too long or contains control characters.
+        Text(field: &'static str) {
+            display("{} is too long or has control characters", field)
+        }
+        /// No request can be sent to the address.
+        Address {
+            display("address is no IP number with a port")
+        }
+        /// The number is too low or too high.
+        Number(field: &'static str, value: u64) {
+            display("{}: {} is out of range", field, value)
+        }
+    }
+}
 
 /// The kind of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,4 +98,37 @@
     pub fn freshness(&self) -> (u64, u64) {
         (self.incarnation, self.sequence)
     }
+
+    /// Checks the values that an announcement from outside may have.
+    ///
+    /// # Errors
+    /// Fails at the first field with a value that no endpoint has. One odd record could otherwise
+    /// attract all requests of its service, or make every later record of the endpoint look outdated.
+    pub fn validate(&self) -> Result<(), InvalidRecord> {
+        let names = [("endpoint", self.endpoint.as_str()), ("service", self.service.as_str())];
+        if let Some((field, _)) = names.into_iter().find(|(_, text)| !name::is_valid(text)) {
+            return Err(InvalidRecord::Name(field));
+        }
+        let texts = [
+            ("version", self.version.as_str()),
+            ("failure domain", self.failure_domain.as_str()),
+            ("hardware", self.hardware.as_str()),
+        ];
+        if let Some((field, _)) = texts.into_iter().find(|(_, text)| !name::is_label(text)) {
+            return Err(InvalidRecord::Text(field));
+        }
+        let address = self.address.parse::<SocketAddr>();
+        if !address.is_ok_and(|address| address.port() > 0 && !address.ip().is_unspecified()) {
+            return Err(InvalidRecord::Address);
+        }
+        let numbers = [
+            ("slots", u64::from(self.slots), 1..=u64::from(SLOTS_MAX)),
+            ("incarnation", self.incarnation, 0..=COUNT_MAX),
+            ("sequence", self.sequence, 0..=COUNT_MAX),
+        ];
+        match numbers.into_iter().find(|(_, value, range)| !range.contains(value)) {
+            Some((field, value, _)) => Err(InvalidRecord::Number(field, value)),
+            None => Ok(()),
+        }
+    }
 }
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod tier;
 
 pub use count_guard::CountGuard;
-pub use endpoint::{EndpointKind, EndpointLoad, EndpointRecord};
+pub use endpoint::{EndpointKind, EndpointLoad, EndpointRecord, InvalidRecord};
 pub use error::PeerError;
 pub use instance::InstanceRecord;
 pub use name::{
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -78,3 +78,19 @@
     let allowed = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'_' | b'.');
     !text.is_empty() && text.len() <= NAME_MAX_BYTES && text.bytes().all(allowed)
 }
+
+/// The maximum length of a text received from outside the process that need not be an identifier, in
+/// bytes.
+pub const LABEL_MAX_BYTES: usize = 256;
+
+/// Returns true if `text` is short and contains no control characters.
+///
+/// # Examples
+/// ```
+/// use lycheehub_types::name::is_label;
+/// assert!(is_label("v1 (beta)"));
+/// assert!(!is_label("v1\0"));
+/// ```
+pub fn is_label(text: &str) -> bool {
+    text.len() <= LABEL_MAX_BYTES && !text.chars().any(char::is_control)
+}
