fix(platform): a refused announcement is counted, named once, and read within its bound

What callers saw: nothing; an operator saw one info line with each heartbeat of an odd entry, with the whole odd value in it (up to 64 KiB), and no metric. A body in chunks states no length and was read to its end before its length was checked, so one that never ends would have filled the memory of a control instance.

Change: Refusals counts each (lycheehub_refused_announcements_total) and names an endpoint once in ten minutes, at most 32 in that time; name and error are cut at 160 characters. The body is read up to its bound and no further.

Evidence: a_refused_announcement_is_named_once_and_not_with_every_heartbeat; with real processes odd_announcements_end_no_process_and_the_others_hold: 11 odd bodies, 6 odd heads and 4 odd chunk sizes at each of three control instances; all bodies get 400 and are counted, no process ends, the true endpoint's next announcements are followed by both entry instances.

--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -8,7 +8,7 @@
 use lycheehub_gateway::orders::OrderSender;
 use lycheehub_gateway::responses::ResponseStore;
 use lycheehub_peer::{Control, ControlRequest, Dependencies, Node, Views};
-use lycheehub_platform::calls;
+use lycheehub_platform::calls::ControlCalls;
 use lycheehub_platform::settings::Deployment;
 use rand::RngCore;
 use smol::channel::{Receiver, bounded, unbounded};
@@ -35,11 +35,10 @@
         may_found = deployment.peer.may_found,
         copies_min = deployment.peer.copies_min as u64,
     });
-    let own_address: smol_str::SmolStr = address.to_string().into();
-    let handler_control = control.clone();
+    let answers = Rc::new(ControlCalls::new(control.clone(), address.to_string(), Clock::new()));
     let handler = move |request| {
-        let (control, own_address) = (handler_control.clone(), own_address.clone());
-        async move { calls::answer_control(&control, &own_address, request).await }
+        let answers = answers.clone();
+        async move { answers.answer(request).await }
     };
     executor.spawn(http::serve(executor.clone(), calls, handler)).detach();
     wait_for_stop(|| spdlog::info!("reload ignored: a control instance has no settings to reload"))
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod lists;
 mod notices;
+mod odd_entries;
 mod rejections;
 mod rollouts;
 mod support;
