fix(platform, control): an odd document or rollout order is refused, or taken with bounded values

What callers saw: nothing reported; found by the tests. A document with a field that isn't known, nested 100,000 levels deep, with 1e400 or with text that is no UTF-8 was acknowledged and handed to every reader of GET, though it can't be read in full. A rollout with a duration of 1e308 s ended the leader in builds with overflow checks, and each next leader, since the order is in the log; in release builds its end wrapped into the past and it was rolled back at once.

The state machine's own sums saturate, for orders that are in the log already.

Evidence: an_odd_document_is_refused_and_the_former_one_stays_in_force failed before with real processes (Expected 400, actual 200, nine times); an_endless_rollout_runs_from_its_first_step failed before ("attempt to add with overflow", moves/rollout.rs:146).

--- a/crates/cli/tests/platform/odd_entries.rs
+++ b/crates/cli/tests/platform/odd_entries.rs
@@ -3,7 +3,7 @@
 
 use crate::deployment::{CONTROL_PORT, Deployment, call, eventually};
 use crate::support::{announce, send_request};
-use crate::start_deployment;
+use crate::{document, put_document, start_deployment};
 use googletest::prelude::*;
 use std::time::Duration;
 
@@ -91,3 +91,24 @@
         });
     }
 }
+
+#[gtest]
+fn an_odd_document_is_refused_and_the_former_one_stays_in_force() {
+    let (deployment, _endpoint) = start_deployment();
+    let sound = document(4).to_string();
+    let with = |odd: &str| sound.replacen('{', &format!("{{\"x\":{odd},"), 1);
+    let bodies = [with(&nested(100_000)), with("1e400"), nested(100_000), with("\"\\ud800\"")];
+    for place in 0..3 {
+        for body in &bodies {
+            let reply = deployment.control(place, "PUT", "/-/config", body);
+            expect_that!(reply.status, eq(400), "{:.100}", body);
+        }
+    }
+    for entry in 0..2 {
+        let reply = send_request(&deployment, entry, "GET", "/print/after", "key-1", "");
+        expect_that!(reply.status, eq(200));
+    }
+    eventually("the next document is acknowledged", || {
+        put_document(&deployment, 1, &document(4)).status == 200
+    });
+}
--- a/crates/control/src/moves/rollout.rs
+++ b/crates/control/src/moves/rollout.rs
@@ -143,7 +143,8 @@
     if let Verdict::Regressed(reason) = tracker.comparison.verdict() {
         return NextStep::roll_back(reason);
     }
-    let left_ms = (record.order.now_unix_ms + record.order.duration_ms).saturating_sub(now_unix_ms);
+    let ends_unix_ms = record.order.now_unix_ms.saturating_add(record.order.duration_ms);
+    let left_ms = ends_unix_ms.saturating_sub(now_unix_ms);
     let is_quiet = tracker.comparison.alarm_level() < QUIET_ALARM_LEVEL
         && tracker.comparison.new_requests() >= MIN_REQUESTS;
     if record.share_permille == FULL_PERMILLE {
@@ -158,8 +159,8 @@
     if capacity.new_slots == 0 {
         return None;
     }
-    let full_share_ms =
-        FULL_SHARE_MAX_MS.min(record.order.duration_ms * FULL_SHARE_MAX_PERMILLE / 1_000);
+    let full_share_ms = FULL_SHARE_MAX_MS
+        .min(record.order.duration_ms.saturating_mul(FULL_SHARE_MAX_PERMILLE) / 1_000);
     let (share_permille, reason) = if left_ms <= full_share_ms + DEADLINE_MARGIN_MS && is_quiet {
         (FULL_PERMILLE, format_smolstr!("nothing speaks against it: {}", summary()))
     } else if record.share_permille == 0 {
--- a/crates/control/tests/control/rollouts.rs
+++ b/crates/control/tests/control/rollouts.rs
@@ -164,3 +164,20 @@
     state.apply(9, Command::StartRollout(order()));
     expect_that!(state.rollouts[&"writer".into()].barred, is_empty());
 }
+
+// An order of an endless duration ended the leader (overflow in debug builds) or was rolled back at once.
+#[gtest]
+fn an_endless_rollout_runs_from_its_first_step() {
+    for duration_ms in [u64::MAX, u64::MAX / 250, 1_000_000_000_000] {
+        let mut state = State::default();
+        state.apply(1, Command::StartRollout(RolloutOrder { duration_ms, ..order() }));
+        let mut rollouts = RolloutController::default();
+        let versions = |_: &_| VersionCapacity { new_slots: 9, old_running: 100 };
+        for step in rollouts.tick(BEGIN_UNIX_MS + 1, &state, versions) {
+            expect_that!(step.state, eq(RolloutState::Running), "{duration_ms}");
+            state.apply(2, Command::StepRollout(step));
+        }
+        let record = &state.rollouts[&"writer".into()];
+        expect_that!(record.share_permille, all![gt(0), lt(1_000)], "{duration_ms}");
+    }
+}
