fix(proxy): an odd Keep-Alive of an endpoint overflows no time

What callers saw: an endpoint's `Keep-Alive: timeout=` ended the entry instance in builds with overflow checks, after the response; in release builds the product wraps, and the connection's idle timeout is any time.

Cause: seconds x 1,000, and now + timeout, without bounds. Both saturate now; a connection that the endpoint has closed is found when it is taken.

--- a/crates/proxy/src/http1/head.rs
+++ b/crates/proxy/src/http1/head.rs
@@ -233,6 +233,6 @@
         let value = self.headers.text("keep-alive")?;
         let mut parameters = value.split(',').filter_map(|part| part.trim().split_once('='));
         let (_, seconds) = parameters.find(|(name, _)| name.eq_ignore_ascii_case("timeout"))?;
-        seconds.trim().parse::<u64>().ok().map(|seconds| seconds * 1_000)
+        seconds.trim().parse::<u64>().ok().map(|seconds| seconds.saturating_mul(1_000))
     }
 }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -104,7 +104,7 @@
             connections.push(IdleConnection {
                 connection,
                 since_ms: now_ms,
-                expires_ms: now_ms + timeout_ms,
+                expires_ms: now_ms.saturating_add(timeout_ms),
             });
         }
     }
