fix(proxy): an endless deadline ends no process and marks no other request as a retry

Retries have missed their objective, so they get what the others leave.

Cause: now + deadline without a bound; the longest deadline was any caller's. Now sums saturate, and deadlines are compared up to the route's timeout, beyond which nobody waits.

Evidence: both tests of odd_deadlines.rs failed before ("attempt to add with overflow", exchange/mod.rs:90). What remains: among callers who all wait for less than the route's timeout, one that waits longer still marks the others; that is a matter of how retries are known, not of odd numbers.

--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -156,7 +156,7 @@
     pub(crate) fn would_outlast_stop(&self, duration_ms: u64) -> bool {
         let now_ms = self.clock.now_ms();
         let stop = self.stop.get().filter(|stop| now_ms >= stop.refuses_from_ms);
-        stop.is_some_and(|stop| now_ms + duration_ms > stop.ends_ms)
+        stop.is_some_and(|stop| now_ms.saturating_add(duration_ms) > stop.ends_ms)
     }
 
     /// Closes idle connections from callers, now and whenever one becomes idle.
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -449,7 +449,7 @@
 
 fn stall_ms(expected_ms: u64, is_stream: bool) -> u64 {
     let margin_ms = if is_stream { STALL_EVENT_MARGIN_MS } else { STALL_RESPONSE_MARGIN_MS };
-    STALL_FACTOR * expected_ms + margin_ms
+    expected_ms.saturating_mul(STALL_FACTOR).saturating_add(margin_ms)
 }
 
 fn outcome_of(end: &AttemptEnd) -> Outcome {
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -87,7 +87,7 @@
         body,
         fields,
         started_ms,
-        deadline_ms: started_ms + timeout_ms,
+        deadline_ms: started_ms.saturating_add(timeout_ms),
         idle_max: 0,
     };
     let keeps_alive = exchange.run(connection).await;
@@ -120,7 +120,7 @@
             Ok(resolved) => resolved,
             Err(refusal) => return self.refuse(connection, &refusal).await,
         };
-        let route_ends_ms = self.started_ms + resolved.route.timeout_ms;
+        let route_ends_ms = self.started_ms.saturating_add(resolved.route.timeout_ms);
         self.deadline_ms = self.deadline_ms.min(route_ends_ms);
         self.idle_max = self.idle_max_of(&resolved.service);
         self.access_log.record_route(&resolved);
@@ -267,8 +267,8 @@
             false => (self.started_ms, route.objective_ms, route.patience_ms),
         };
         // A request that was refused before has missed its objective already.
-        let objective_ms = if returning { 0 } else { start_ms + objective_ms };
-        let patience_ms = patience_ms.map_or(self.deadline_ms, |ms| start_ms + ms);
+        let objective_ms = if returning { 0 } else { start_ms.saturating_add(objective_ms) };
+        let patience_ms = patience_ms.map_or(self.deadline_ms, |ms| start_ms.saturating_add(ms));
         let patience_ms = patience_ms.min(self.deadline_ms);
         let output_max = self.fields.output_max_tokens;
         let declared_tokens = self
@@ -304,6 +304,9 @@
     /// than the longest one seen on the route.
     fn is_returning(&self, resolved: &ResolvedRequest) -> bool {
         let Some(deadline_ms) = self.fields.deadline_ms else { return false };
+        // The rest of a longer deadline is not waited for, and one caller with an endless deadline must
+        // not make all others of the route look like retries.
+        let deadline_ms = deadline_ms.min(resolved.route.timeout_ms);
         let longest_ms = self.entry.record_deadline(&resolved.route.name, deadline_ms);
         (deadline_ms as f64) < longest_ms as f64 * FIRST_REQUEST_DEADLINE_SHARE
     }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -74,7 +74,7 @@
         return true;
     }
     let limits = entry.snapshots.latest().table.document().limits;
-    let idle_ms = limits.idle_timeout_ms + IDLE_GRACE_MS;
+    let idle_ms = limits.idle_timeout_ms.saturating_add(IDLE_GRACE_MS);
     let received = async { matches!(connection.fill().await, Ok(1..)) };
     let closing = async {
         entry.idle_close_requested().await;
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -4,6 +4,7 @@
 mod endless;
 mod framing;
 mod notices;
+mod odd_deadlines;
 mod odd_numbers;
 mod paths;
 mod requests;
