--- a/crates/proxy/src/server/idle.rs
+++ b/crates/proxy/src/server/idle.rs
@@ -36,7 +36,8 @@
     }
     let since_ms = entry.clock.now_ms();
     loop {
-        let until_ms = since_ms + entry.idle_limit_ms(since_ms) + IDLE_GRACE_MS;
+        let open_ms = entry.idle_limit_ms(since_ms).saturating_add(IDLE_GRACE_MS);
+        let until_ms = since_ms.saturating_add(open_ms);
         let left_ms = until_ms.saturating_sub(entry.clock.now_ms());
         if left_ms == 0 {
             return WaitEnd::IdleLimit;
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -6,6 +6,8 @@
 mod endless;
 mod framing;
 mod notices;
+mod odd_deadlines;
+mod odd_numbers;
 mod paths;
 mod requests;
 mod responses;
