fix(proxy): a connection with a response too many, or with an early stream, is not used again

Callers could get a 504 for a request that was sent into the unread rest of another one's body, and a connection on which an endpoint had written an earlier refusal once more went on being used.

Cause: two places decided whether a connection goes back to the pool. Streams looked only at the bytes left over, not at whether the answer had come before the request was sent; neither looked at responses to other requests that had been discarded before the answer. Now the start of a response tells, for both.

Each discarded response has a log line with its status and id.

Before: strays::a_connection_is_not_reused_after_a_stream_that_came_before_the_request_was_sent got "HTTP/1.1 504 Gateway Timeout" instead of "data: 2"; strays::an_earlier_refusal_sent_again_before_the_answer_ is_not_taken_for_it saw [("r1", 1), ("r2", 1), ("r4", 1)], where r4 belongs on connection 2. After: both hold. The other six tests of the file held before: refusals written again before, after and between requests (503, 429, 421, 400; earlier, unknown and no id; sealed and not), second answers, interim responses, too many.

The tests' document accepts bodies of 16 MB: the system takes 3 MB for an endpoint that has read one byte, so a request of that size is never seen as sent in part.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -216,10 +216,7 @@
         }
         let request = self.request_bytes(resolved, placed, stream);
         let can_move = kind.may_repeat() && !is_last_attempt;
-        let response = send(&mut upstream, &request, |head| {
-            let id = self.entry.dialect.read_response(head).id;
-            id.map_or(is_new, |id| id == self.fields.id)
-        });
+        let response = send(&mut upstream, &request, |head, _| self.is_own_response(head, is_new));
         let stall_ms = stall_ms(placed.first_byte_ms, kind.is_stream());
         let watch = StallWatch { stall_ms, can_move };
         let work = self.watch_stall(attempt, watch, response);
@@ -250,9 +247,7 @@
             return AttemptEnd::NotRun { endpoint, retry_after_ms };
         }
         if kind.is_stream() && response.head.status == 200 {
-            return self
-                .relay_stream(caller, upstream, response.head, attempt, stream, can_move)
-                .await;
+            return self.relay_stream(caller, upstream, response, attempt, stream, can_move).await;
         }
         if stream.has_started() {
             attempt.report(Outcome::Failed);
@@ -261,6 +256,19 @@
         self.buffer_and_relay(caller, upstream, response, attempt, watch, kind.may_repeat()).await
     }
 
+    /// Returns whether a response is the one to this request. One without id is taken only if it `must_be`,
+    /// because nothing else was ever asked or answered on its connection.
+    fn is_own_response(&self, head: &ResponseHead, must_be: bool) -> bool {
+        let response_id = self.entry.dialect.read_response(head).id;
+        let is_own = response_id.as_ref().map_or(must_be, |id| *id == self.fields.id);
+        if !is_own {
+            spdlog::info!("response to another request discarded", kv: {
+                id: = self.fields.id, status = head.status, response_id:serde = response_id,
+            });
+        }
+        is_own
+    }
+
     /// Reports to the placement that the endpoint is leaving, asks for a pause, or states a limit or
     /// none.
     fn record_notice(&mut self, attempt: &Attempt, head: &ResponseHead, fields: &ResponseFields) {
@@ -435,10 +443,15 @@
     }
 
     /// Returns a connection to the pool after its response was read completely, unless further bytes
-    /// arrived on it or the endpoint responded before it had the complete request.
-    fn release(&self, attempt: &Attempt, upstream: Connection, response: &ResponseStart) {
-        let is_clean = upstream.buffered().is_empty() && !response.is_early;
-        if is_clean && response.head.keeps_alive {
+    /// arrived on it, responses to other requests did, or the endpoint responded before it had the
+    /// complete request.
+    pub(super) fn release(
+        &self,
+        attempt: &Attempt,
+        upstream: Connection,
+        response: &ResponseStart,
+    ) {
+        if upstream.buffered().is_empty() && response.keeps_alive() {
             let now_ms = self.entry.clock.now_ms();
             let timeout_ms = response.head.idle_timeout_ms();
             let idle = (timeout_ms, self.idle_max);
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -4,6 +4,7 @@
 use super::attempt::{Attempt, AttemptEnd, BufferedResponse};
 use super::guard::run_interruptible;
 use super::local_response::send_response;
+use super::send::ResponseStart;
 use crate::http1::{Body, Connection, Error, Event, EventParser, Framing, ResponseHead};
 use futures_lite::AsyncWriteExt;
 use lycheehub_clock::within;
@@ -123,16 +124,17 @@
         &mut self,
         caller: &mut Connection,
         mut upstream: Connection,
-        head: ResponseHead,
+        response: ResponseStart,
         attempt: &Attempt,
         stream: &mut StreamState,
         can_move: bool,
     ) -> AttemptEnd {
         let keeps_alive = self.keeps_alive();
+        let head = &response.head;
         let framing = caller_framing(head.framing);
         let mut pending = Vec::new();
         if stream.framing.is_none() {
-            pending = self.response_head(&head, framing, keeps_alive);
+            pending = self.response_head(head, framing, keeps_alive);
         }
         let framing = stream.framing.unwrap_or(framing);
         let mut writer = caller.writer();
@@ -206,11 +208,7 @@
             Ok(StreamEnd::Complete) => {
                 self.access_log.record_status(head.status);
                 attempt.report(Outcome::Answered);
-                let is_clean = upstream.buffered().is_empty() && head.keeps_alive;
-                if is_clean {
-                    let idle = (head.idle_timeout_ms(), self.idle_max);
-                    self.entry.pool.put(clock.now_ms(), &endpoint, upstream, idle);
-                }
+                self.release(attempt, upstream, &response);
                 AttemptEnd::Answered { keeps_alive }
             }
             Ok(StreamEnd::Broken(error)) => {
--- a/crates/proxy/src/exchange/send.rs
+++ b/crates/proxy/src/exchange/send.rs
@@ -12,18 +12,30 @@
 /// Lowest status code of a final response.
 const FINAL_STATUS_MIN: u16 = 200;
 
-/// The head of a response, and whether it arrived early.
+/// The head of a response, and how it arrived.
 pub(super) struct ResponseStart {
     pub(super) head: ResponseHead,
     /// The response arrived before the request was sent completely.
     pub(super) is_early: bool,
+    /// Responses to other requests arrived before it.
+    pub(super) is_after_strays: bool,
+}
+
+impl ResponseStart {
+    /// Returns whether the connection can be used for another request after the response.
+    pub(super) fn keeps_alive(&self) -> bool {
+        self.head.keeps_alive && !self.is_early && !self.is_after_strays
+    }
 }
 
 /// Sends a request and reads the head of its response; discards responses to other requests.
+///
+/// `is_expected` states whether a response belongs to the request; its second argument tells whether it
+/// is the first one to arrive.
 pub(super) async fn send(
     upstream: &mut Connection,
     request: &[u8],
-    is_expected: impl Fn(&ResponseHead) -> bool,
+    is_expected: impl Fn(&ResponseHead, bool) -> bool,
 ) -> Result<ResponseStart, Error> {
     let is_written = Cell::new(false);
     let mut writer = upstream.writer();
@@ -36,15 +48,16 @@
         smol::future::pending().await
     };
     let read = read_expected_head(upstream, is_expected);
-    let head = smol::future::or(read, write).await?;
-    Ok(ResponseStart { head, is_early: !is_written.get() })
+    let (head, is_after_strays) = smol::future::or(read, write).await?;
+    Ok(ResponseStart { head, is_early: !is_written.get(), is_after_strays })
 }
 
-/// Reads response heads until one for which `is_expected` holds.
+/// Reads response heads until one for which `is_expected` holds; returns whether there were others
+/// before it.
 async fn read_expected_head(
     upstream: &mut Connection,
-    is_expected: impl Fn(&ResponseHead) -> bool,
-) -> Result<ResponseHead, Error> {
+    is_expected: impl Fn(&ResponseHead, bool) -> bool,
+) -> Result<(ResponseHead, bool), Error> {
     let (mut stray_count, mut stray_bytes, mut interim_count) = (0, 0, 0);
     loop {
         let head = upstream.read_response_head().await?;
@@ -55,8 +68,8 @@
             }
             continue;
         }
-        if is_expected(&head) {
-            return Ok(head);
+        if is_expected(&head, stray_count == 0) {
+            return Ok((head, stray_count > 0));
         }
         stray_count += 1;
         if stray_count > STRAY_RESPONSES_MAX {
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -7,5 +7,6 @@
 mod paths;
 mod requests;
 mod responses;
+mod strays;
 mod streams;
 mod support;
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -11,7 +11,9 @@
 use lycheehub_proxy::{
     Entry, Options, RelayError, RelayFuture, Relays, Snapshot, Snapshots, server,
 };
-use lycheehub_routes::{Document, RequestKind, RouteSpec, RouteTable, ServiceSpec, Target};
+use lycheehub_routes::{
+    ClientLimits, Document, RequestKind, RouteSpec, RouteTable, ServiceSpec, Target,
+};
 use lycheehub_types::EndpointName;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
@@ -227,6 +229,7 @@
     let stream = |resumable| RequestKind::Stream { resumable };
     Document {
         version: 1,
+        limits: ClientLimits { body_max_bytes: 16 * 1024 * 1024, ..ClientLimits::default() },
         routes: vec![
             route("unsafe", RequestKind::Unsafe, 2),
             route("safe", RequestKind::Idempotent, 2),
