fix(proxy): a refusal without id after a stray response is not taken for the request's

A request that an endpoint was running could be told not run, or run at a second endpoint (REFUSED, TWICE): on a new connection, any response without id was taken for the request's, also after one with another id had shown that the endpoint writes responses where they don't belong.

Now one without id is taken only as the first response of a new connection. Otherwise it is discarded, and if no response with the id follows, the request counts as possibly run.

Before: strays::a_refusal_without_id_after_a_stray_on_a_new_connection_is_not_taken got "HTTP/1.1 200 OK" from the second endpoint instead of 504; now it holds.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -216,7 +216,9 @@
         }
         let request = self.request_bytes(resolved, placed, stream);
         let can_move = kind.may_repeat() && !is_last_attempt;
-        let response = send(&mut upstream, &request, |head, _| self.is_own_response(head, is_new));
+        let response = send(&mut upstream, &request, |head, is_first| {
+            self.is_own_response(head, is_new && is_first)
+        });
         let stall_ms = stall_ms(placed.first_byte_ms, kind.is_stream());
         let watch = StallWatch { stall_ms, can_move };
         let work = self.watch_stall(attempt, watch, response);
--- a/crates/proxy/tests/proxy/strays.rs
+++ b/crates/proxy/tests/proxy/strays.rs
@@ -172,6 +172,22 @@
     received
 }
 
+// A response to another request shows that the endpoint sends responses where they don't belong: one
+// without id may then be to another request as well, even on a new connection.
+#[gtest]
+fn a_refusal_without_id_after_a_stray_on_a_new_connection_is_not_taken() {
+    run(|fixture| async move {
+        add(&fixture, |_| {
+            refusal("503 Full", Some("r0"), false) + &refusal("503 Full", None, true)
+        })
+        .await;
+        let second = add_running(&fixture).await;
+        let answer = fixture.request(&unsafe_request("r1", 150)).await;
+        expect_that!(answer, starts_with("HTTP/1.1 504 "));
+        expect_that!(ids(&second).len(), eq(0));
+    });
+}
+
 #[gtest]
 fn a_refusal_without_id_on_a_new_connection_is_taken() {
     run(|fixture| async move {
