fix(proxy): a success that states that it was not run leaves the request unknown

A response with status 200 and the statement that the request was not run was taken as a refusal, and the request ran at a second endpoint (TWICE). The two contradict each other, so nothing is known: the attempt now counts as broken, the caller of a request that may not be repeated gets 502.

Before: strays::a_success_that_states_that_the_request_was_not_run_leaves_it_unknown got "HTTP/1.1 200 OK" from the second endpoint instead of 502; now it holds.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -240,6 +240,11 @@
         }
         let fields = self.entry.dialect.read_response(&response.head);
         self.record_notice(attempt, &response.head, &fields);
+        if fields.not_run && response.head.is_success() {
+            spdlog::warn!("success that claims not to have run", kv: { id: = self.fields.id, endpoint: = endpoint });
+            attempt.report(Outcome::Broken);
+            return AttemptEnd::Failed { endpoint, response: None };
+        }
         if fields.not_run || fields.misdirected {
             let misdirected = Outcome::Misdirected;
             attempt.report(if fields.misdirected { misdirected } else { Outcome::Rejected });
--- a/crates/proxy/tests/proxy/strays.rs
+++ b/crates/proxy/tests/proxy/strays.rs
@@ -197,6 +197,17 @@
     });
 }
 
+#[gtest]
+fn a_success_that_states_that_the_request_was_not_run_leaves_it_unknown() {
+    run(|fixture| async move {
+        add(&fixture, |id| response("200 OK", Some(id), "not-run: 1\r\nseal: s\r\n", "ok")).await;
+        let second = add_running(&fixture).await;
+        let answer = fixture.request(&unsafe_request("r1", 1_500)).await;
+        expect_that!(answer, starts_with("HTTP/1.1 502 "));
+        expect_that!(ids(&second).len(), eq(0));
+    });
+}
+
 #[gtest]
 fn a_second_answer_to_the_same_request_is_not_relayed() {
     let not_run = refusal("503 Full", Some("r1"), false);
