fix(proxy): a request without id is sent on a connection of its own

On a connection that had been used, the response to a request without id could not be told from one to an earlier request and was discarded: the caller got 504 at its deadline for a request that had been answered. Such a request now opens a connection, on which the first response is its own.

Before: strays::a_request_without_id_gets_its_answer_from_a_connection_of_its_own got "HTTP/1.1 504 Gateway Timeout" for the second request; now both are answered, on connections 1 and 2.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -309,7 +309,8 @@
         }
     }
 
-    /// Takes an idle connection or opens one; returns whether it is new.
+    /// Takes an idle connection or opens one; returns whether it is new. A request without id gets a new
+    /// one: on another, the response to it could not be told from one to an earlier request.
     async fn connect(
         &self,
         placed: &Placed,
@@ -317,7 +318,8 @@
     ) -> Result<(Connection, bool), paths::Unreached> {
         let now_ms = self.entry.clock.now_ms();
         let endpoint = &placed.endpoint;
-        if !self.entry.paths.is_lost(endpoint)
+        if !self.fields.id.is_empty()
+            && !self.entry.paths.is_lost(endpoint)
             && let Some(connection) = self.entry.pool.take(now_ms, endpoint, may_repeat).await
         {
             return Ok((connection, false));
--- a/crates/proxy/tests/proxy/strays.rs
+++ b/crates/proxy/tests/proxy/strays.rs
@@ -208,6 +208,19 @@
     });
 }
 
+#[gtest]
+fn a_request_without_id_gets_its_answer_from_a_connection_of_its_own() {
+    run(|fixture| async move {
+        let received = add(&fixture, |_| response("200 OK", None, "seal: s\r\n", "ok")).await;
+        let request = unsafe_request("r1", 1_500).replace("id: r1\r\n", "");
+        for _ in 0..2 {
+            expect_that!(fixture.request(&request).await, ends_with("\r\n\r\nok"));
+        }
+        let connections: Vec<_> = received.borrow().iter().map(|(_, number)| *number).collect();
+        expect_that!(connections, eq(&[1, 2]));
+    });
+}
+
 #[gtest]
 fn a_second_answer_to_the_same_request_is_not_relayed() {
     let not_run = refusal("503 Full", Some("r1"), false);
