fix(proxy): what arrives before a request is sent is not taken for its response

On a new connection a response without id, or with the request's own, was taken also if it had arrived before a byte of the request was sent: a caller could be given the answer to another request (MIXED), and an endpoint's early refusal counted as one of this request.

Nothing that arrives so early can be about the request. The connection is closed, and the request, of which nothing was sent, goes elsewhere like after a failed connect. Between that check and the first byte lies no wait.

Before: strays::an_answer_that_arrives_before_the_request_was_sent_is_not_taken_for_it got the body "wrong" from an endpoint that had got no request, where the other endpoint's "r1" is due; now it holds.

responses::a_connection_is_not_reused_after_a_response_before_the_request_was_sent is replaced by one as strict: its endpoint answered at accept, before any byte (with this change it got "3" for "1", as two connections were given up). It means an answer before the whole request: its endpoint now reads a byte first, and the body has 12 MB, since the system takes 3 MB at once. What it expects is unchanged.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -325,8 +325,13 @@
             return Ok((connection, false));
         }
         let (stream, is_relayed) = paths::connect(self.entry, endpoint, &placed.address).await?;
-        let connection =
+        let mut connection =
             if is_relayed { Connection::relayed(stream) } else { Connection::new(stream) };
+        // What arrives before the request is sent is no response to it.
+        if !connection.is_idle().await && !connection.buffered().is_empty() {
+            let error = Error::Malformed("a response before the request");
+            return Err(paths::Unreached { error, is_confirmed: false });
+        }
         Ok((connection, true))
     }
 
--- a/crates/proxy/tests/proxy/responses.rs
+++ b/crates/proxy/tests/proxy/responses.rs
@@ -1,7 +1,7 @@
 //! Responses of endpoints: truncation is passed on, and responses are matched to their requests.
 
 use crate::support::{get, post, read_request, reset, run, sleep_ms};
-use futures_lite::AsyncWriteExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
 
 #[gtest]
@@ -94,6 +94,7 @@
     run(|fixture| async move {
         fixture
             .add_endpoint(|mut stream, count| async move {
+                stream.read_exact(&mut [0; 1]).await.unwrap();
                 let early =
                     format!("HTTP/1.1 413 Long\r\nid: r1\r\nContent-Length: 1\r\n\r\n{count}");
                 stream.write_all(early.as_bytes()).await.unwrap();
@@ -101,7 +102,8 @@
                 while read_request(&mut stream).await.is_some() {}
             })
             .await;
-        let long = "x".repeat(3 * 1024 * 1024);
+        // More than the system takes for an endpoint that does not read.
+        let long = "x".repeat(12 * 1024 * 1024);
         expect_that!(fixture.request(&post("/safe/", &long)).await, ends_with("1"));
         expect_that!(fixture.request(&post("/safe/", "short")).await, ends_with("2"));
     });
--- a/crates/proxy/tests/proxy/strays.rs
+++ b/crates/proxy/tests/proxy/strays.rs
@@ -4,9 +4,10 @@
 use crate::support::{Fixture, post, read_request, run};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
+use lycheehub_relay::frames::header;
 use smol::channel::Receiver;
-use smol::net::TcpStream;
-use std::cell::RefCell;
+use smol::net::{TcpListener, TcpStream};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// Statuses with which endpoints state that they have not run a request.
@@ -197,6 +198,42 @@
     });
 }
 
+/// Waits for connections to the relay, and sends `bytes` on each before it gets a request.
+async fn relay_early(fixture: &Fixture, bytes: String) -> Rc<Cell<bool>> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    *fixture.relays.early_address.borrow_mut() = Some(address);
+    let is_sent = Rc::new(Cell::new(false));
+    let recorder = is_sent.clone();
+    let accept = async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.write_all(&header(bytes.len())).await.unwrap();
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        recorder.set(read_request(&mut stream).await.is_some());
+    };
+    fixture.executor.spawn(accept).detach();
+    is_sent
+}
+
+#[gtest]
+fn an_answer_that_arrives_before_the_request_was_sent_is_not_taken_for_it() {
+    for id in [None, Some("r0"), Some("r1")] {
+        for early in
+            [response("200 OK", id, "seal: s\r\n", "wrong"), refusal("503 Full", id, false)]
+        {
+            run(|fixture| async move {
+                fixture.add_unreachable_endpoints(1);
+                let second = add_running(&fixture).await;
+                let is_sent = relay_early(&fixture, early.clone()).await;
+                let answer = fixture.request(&unsafe_request("r1", 1_500)).await;
+                expect_that!(answer, ends_with("\r\n\r\nr1"), "{early}");
+                expect_that!(ids(&second), eq(&["r1"]), "{early}");
+                expect_that!(is_sent.get(), eq(false), "{early}");
+            });
+        }
+    }
+}
+
 #[gtest]
 fn a_success_that_states_that_the_request_was_not_run_leaves_it_unknown() {
     run(|fixture| async move {
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -74,6 +74,8 @@
 #[derive(Default)]
 pub struct TestRelays {
     pub address: RefCell<Option<String>>,
+    /// Where connections lead on which bytes arrive before the request is sent, if anywhere.
+    pub early_address: RefCell<Option<String>>,
     /// How many connections were asked for.
     pub asked: Cell<u32>,
 }
@@ -82,7 +84,13 @@
     fn connect<'a>(&'a self, endpoint: &'a EndpointName) -> RelayFuture<'a> {
         self.asked.set(self.asked.get() + 1);
         let address = self.address.borrow().clone();
+        let early_address = self.early_address.borrow().clone();
         Box::pin(async move {
+            if let Some(address) = early_address {
+                let stream = TcpStream::connect(address).await.unwrap();
+                stream.peek(&mut [0; 1]).await.unwrap();
+                return Ok(stream);
+            }
             let Some(address) = address else { return Err(RelayError::Unable) };
             let connected = lycheehub_relay::connect(&address, b"key", "entry-1", endpoint).await;
             connected.map_err(|error| match error {
