--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -11,5 +11,6 @@
 mod paths;
 mod requests;
 mod responses;
+mod strays;
 mod streams;
 mod support;
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -11,7 +11,9 @@
 use lycheehub_proxy::{
     Entry, Options, RelayError, RelayFuture, Relays, Snapshot, Snapshots, server,
 };
-use lycheehub_routes::{Document, RequestKind, RouteSpec, RouteTable, ServiceSpec, Target};
+use lycheehub_routes::{
+    ClientLimits, Document, RequestKind, RouteSpec, RouteTable, ServiceSpec, Target,
+};
 use lycheehub_types::EndpointName;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
@@ -72,6 +74,8 @@
 #[derive(Default)]
 pub struct TestRelays {
     pub address: RefCell<Option<String>>,
+    /// Where connections lead on which bytes arrive before the request is sent, if anywhere.
+    pub early_address: RefCell<Option<String>>,
     /// How many connections were asked for.
     pub asked: Cell<u32>,
 }
@@ -80,7 +84,13 @@
     fn connect<'a>(&'a self, endpoint: &'a EndpointName) -> RelayFuture<'a> {
         self.asked.set(self.asked.get() + 1);
         let address = self.address.borrow().clone();
+        let early_address = self.early_address.borrow().clone();
         Box::pin(async move {
+            if let Some(address) = early_address {
+                let stream = TcpStream::connect(address).await.unwrap();
+                stream.peek(&mut [0; 1]).await.unwrap();
+                return Ok(stream);
+            }
             let Some(address) = address else { return Err(RelayError::Unable) };
             let connected = lycheehub_relay::connect(&address, b"key", "entry-1", endpoint).await;
             connected.map_err(|error| match error {
@@ -235,6 +245,7 @@
     let stream = |resumable| RequestKind::Stream { resumable };
     Document {
         version: 1,
+        limits: ClientLimits { body_max_bytes: 16 * 1024 * 1024, ..ClientLimits::default() },
         routes: vec![
             route("unsafe", RequestKind::Unsafe, 2),
             route("safe", RequestKind::Idempotent, 2),
