fix(wire,peer): a value that only a newer build knows costs neither the message nor the connection

What callers would see beside a newer build: a refusal for a reason that this build does not know was an error, and the request was placed here as if no leader had decided; one unreadable result, limit or notice failed the whole message, a heartbeat so lost ended the session with the leader ("leader lost"); an unknown consensus message or reply to a proposal was an error too, and Links::call ends the connection, with all calls under way on it, after any error.

Cause: the readers of messages passed a value that is not in their schema on as an error of the whole message.

What is read now: an unknown reason or kind of decision as a plain refusal (not run; the request was not sent), an unknown outcome as abandoned (says nothing of the endpoint, frees its slot), an unknown state of a claim as unknown, an unknown reply as unknown (the command may be committed), an unknown kept answer as none; unknown consensus messages are ignored (losing one is allowed), an Append with an unknown entry as a whole; the end of an unknown limit is ignored. Of a list, elements that cannot be read are skipped, with one line, and the others are kept. A command that the leader does not know is refused with a line; it was without.

--- a/crates/peer/src/entry/placement/session.rs
+++ b/crates/peer/src/entry/placement/session.rs
@@ -210,9 +210,9 @@
                 instances: reply.get_instances(),
                 near_quota,
                 limits_revision: reply.get_limits_revision(),
-                limits: read_limits(reply.get_limits()?)?,
+                limits: read_limits(reply.get_limits()?),
                 quarantines_revision: reply.get_quarantines_revision(),
-                quarantines: read_quarantines(reply.get_quarantines()?)?,
+                quarantines: read_quarantines(reply.get_quarantines()?),
             })
         };
         within_running_time(REPLY_TIMEOUT_MS, call).await?.ok()
--- a/crates/peer/src/node/propose.rs
+++ b/crates/peer/src/node/propose.rs
@@ -87,7 +87,14 @@
         if !self.core.borrow().is_leader() {
             return ProposeReply::NotLeader;
         }
-        let Ok(command) = Command::decode(&command) else { return ProposeReply::NotLeader };
+        let command = match Command::decode(&command) {
+            Ok(command) => command,
+            // A newer build sent it: this one would not know how to apply it.
+            Err(error) => {
+                spdlog::warn!("command not taken: not known to this build", kv: { error: });
+                return ProposeReply::NotLeader;
+            }
+        };
         if !self.has_enough_replicas(&command) {
             return ProposeReply::NotLeader;
         }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -7,7 +7,7 @@
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, new_client, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use lycheehub_auth::{self as auth, Role};
-use lycheehub_consensus::{Message, ReplicaId};
+use lycheehub_consensus::ReplicaId;
 use lycheehub_control::directory::ChangePosition;
 use lycheehub_control::registry::Delta;
 use lycheehub_dispatch::JobId;
@@ -103,9 +103,10 @@
         _: peer::ConsensusResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let message = Message::try_from(params.get_message()?)?;
         let (from, to) = (ReplicaId(params.get_sender()), ReplicaId(params.get_receiver()));
-        self.node.on_consensus(from, to, message);
+        if let Some(message) = lycheehub_wire::read_message(params.get_message()?)? {
+            self.node.on_consensus(from, to, message);
+        }
         Ok(())
     }
 
@@ -202,7 +203,7 @@
         let position = WatchPosition {
             local: ChangePosition { epoch: params.get_epoch(), change: params.get_change() },
             relayed: params.get_relayed(),
-            replica_positions: lycheehub_wire::read_heard(params.get_heard()?)?,
+            replica_positions: lycheehub_wire::read_heard(params.get_heard()?),
             revision: params.get_revision(),
             leader: (!leader.is_empty()).then(|| InstanceName::new(leader)),
         };
@@ -237,7 +238,7 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let instance = InstanceName::from(read_text(params.get_instance())?);
-        let in_flight = lycheehub_wire::read_in_flight(params.get_in_flight()?)?;
+        let in_flight = lycheehub_wire::read_in_flight(params.get_in_flight()?);
         let usage = lycheehub_wire::read_usage(params)?;
         let relay_address = SmolStr::new(read_text(params.get_relay_address())?);
         let entered = Entered { instance, relay_address };
@@ -280,8 +281,7 @@
         mut results: placement::FinishResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let finished =
-            lycheehub_wire::read_finished(self.session.instance, params.get_finished()?)?;
+        let finished = lycheehub_wire::read_finished(self.session.instance, params.get_finished()?);
         let is_heartbeat = finished.is_empty();
         let begun = lycheehub_wire::read_begun(self.session.instance, params.get_begun()?);
         self.node.record_answers_begun(self.session, &begun);
@@ -355,7 +355,7 @@
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
         let job_id = JobId { instance: self.session.instance, number: params.get_number() };
-        let kind = params.get_kind()?.into();
+        let Some(kind) = lycheehub_wire::read_limit_kind(params) else { return Ok(()) };
         self.node.with_dispatcher(self.session, |dispatcher, _| {
             dispatcher.record_unlimited(job_id, kind);
         });
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -177,8 +177,8 @@
     let leader = text(reply.get_leader())?;
     let update = WatchUpdate {
         position: ChangePosition { epoch: reply.get_epoch(), change: reply.get_change() },
-        listings: read_listings(reply.get_listings()?)?,
-        relays: read_listings(reply.get_relays()?)?,
+        listings: read_listings(reply.get_listings()?),
+        relays: read_listings(reply.get_relays()?),
         revision: reply.get_revision(),
         leader: (!leader.is_empty()).then(|| InstanceName::new(leader)),
         replicas,
--- a/crates/wire/src/convert/consensus.rs
+++ b/crates/wire/src/convert/consensus.rs
@@ -93,6 +93,24 @@
     }
 }
 
+/// Reads a message of the consensus protocol. Returns `None`, logged, for one that only a newer build
+/// knows: the protocol allows messages to be lost, while an error would end the connection.
+///
+/// # Errors
+/// Fails if the message cannot be decoded.
+pub fn read_message(
+    reader: schema::consensus_message::Reader<'_>,
+) -> Result<Option<Message>, WireError> {
+    match Message::try_from(reader) {
+        Ok(message) => Ok(Some(message)),
+        Err(error @ WireError::Unknown(_)) => {
+            spdlog::warn!("consensus message ignored", kv: { error: });
+            Ok(None)
+        }
+        Err(error) => Err(error),
+    }
+}
+
 fn read_append(append: schema::append::Reader<'_>) -> Result<Message, WireError> {
     let entries = append.get_entries()?.iter().map(Entry::try_from);
     Ok(Message::Append {
--- a/crates/wire/src/convert/crashes.rs
+++ b/crates/wire/src/convert/crashes.rs
@@ -1,6 +1,6 @@
 //! Conversions of what instances know of crashes, and of quarantines.
 
-use super::{WireError, text};
+use super::{WireError, read_each, text};
 use crate::peer_capnp as schema;
 use capnp::{primitive_list, struct_list};
 use lycheehub_dispatch::JobId;
@@ -18,7 +18,6 @@
 pub(super) fn read_report(
     reader: schema::crash_report::Reader<'_>,
 ) -> Result<CrashReport, WireError> {
-    let crashes: Result<_, WireError> = reader.get_crashes()?.iter().map(read_crash).collect();
     let read_answer = |entry: schema::part_answer::Reader<'_>| {
         Ok(PartAnswer {
             service: text(entry.get_service())?.into(),
@@ -26,9 +25,11 @@
             ago_ms: entry.get_ago_ms(),
         })
     };
-    let answers: Result<_, WireError> = reader.get_answers()?.iter().map(read_answer).collect();
-    let quarantines = read_quarantines(reader.get_quarantines()?)?;
-    Ok(CrashReport { crashes: crashes?, answers: answers?, quarantines })
+    Ok(CrashReport {
+        crashes: read_each("crashes", reader.get_crashes()?, read_crash),
+        answers: read_each("answers", reader.get_answers()?, read_answer),
+        quarantines: read_quarantines(reader.get_quarantines()?),
+    })
 }
 
 fn read_crash(entry: schema::crash::Reader<'_>) -> Result<Crash, WireError> {
@@ -76,13 +77,10 @@
     }
 }
 
-/// Reads quarantines.
-///
-/// # Errors
-/// Fails if the message cannot be decoded.
+/// Reads quarantines; those that cannot be read are skipped.
 pub fn read_quarantines(
     reader: struct_list::Reader<'_, schema::quarantine::Owned>,
-) -> Result<Vec<Quarantine>, WireError> {
+) -> Vec<Quarantine> {
     let read = |entry: schema::quarantine::Reader<'_>| {
         Ok(Quarantine {
             service: text(entry.get_service())?.into(),
@@ -92,7 +90,7 @@
             trials: entry.get_trials(),
         })
     };
-    reader.iter().map(read).collect()
+    read_each("quarantines", reader, read)
 }
 
 /// Writes quarantines; the builder has the length of `quarantines`.
--- a/crates/wire/src/convert/directory.rs
+++ b/crates/wire/src/convert/directory.rs
@@ -1,7 +1,7 @@
 //! Conversions of endpoint listings, which control replicas send to each other and to watchers.
 
-use super::WireError;
 use super::records::write_endpoint;
+use super::{WireError, read_each};
 use crate::peer_capnp as schema;
 use capnp::struct_list;
 use lycheehub_control::directory::{ChangePosition, Listing};
@@ -20,14 +20,9 @@
     }
 }
 
-/// Reads a list of endpoints.
-///
-/// # Errors
-/// Fails if a listing cannot be decoded.
-pub fn read_listings(
-    reader: struct_list::Reader<'_, schema::listing::Owned>,
-) -> Result<Vec<Listing>, WireError> {
-    reader.iter().map(Listing::try_from).collect()
+/// Reads a list of endpoints; those that cannot be read are skipped.
+pub fn read_listings(reader: struct_list::Reader<'_, schema::listing::Owned>) -> Vec<Listing> {
+    read_each("listings", reader, Listing::try_from)
 }
 
 /// Writes a list of endpoints; the builder has the length of `listings`.
@@ -43,18 +38,16 @@
     }
 }
 
-/// Reads the positions up to which the sender has received the changes of each replica.
-///
-/// # Errors
-/// Fails if a name cannot be decoded.
+/// Reads the positions up to which the sender has received the changes of each replica; those that cannot
+/// be read are skipped.
 pub fn read_heard(
     reader: struct_list::Reader<'_, schema::heard::Owned>,
-) -> Result<BTreeMap<InstanceName, ChangePosition>, WireError> {
+) -> BTreeMap<InstanceName, ChangePosition> {
     let entry = |entry: schema::heard::Reader<'_>| {
         let heard = ChangePosition { epoch: entry.get_epoch(), change: entry.get_change() };
         Ok((InstanceName::new(entry.get_replica()?.to_str()?), heard))
     };
-    reader.iter().map(entry).collect()
+    read_each("positions", reader, entry).into_iter().collect()
 }
 
 /// Writes the positions up to which the sender has received the changes of each replica; the builder
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -8,13 +8,13 @@
 mod replies;
 mod reports;
 
-pub use consensus::{write_config, write_message};
+pub use consensus::{read_message, write_config, write_message};
 pub use crashes::{read_begun, read_quarantines, write_begun, write_quarantines};
 pub use directory::{read_heard, read_listings, write_heard, write_listings};
 pub use placement::{
-    read_decision, read_finished, read_in_flight, read_job, read_limits, read_notice, read_usage,
-    write_decision, write_finished, write_in_flight, write_job, write_limits, write_notice,
-    write_usage,
+    read_decision, read_finished, read_in_flight, read_job, read_limit_kind, read_limits,
+    read_notice, read_usage, write_decision, write_finished, write_in_flight, write_job,
+    write_limits, write_notice, write_usage,
 };
 pub use records::write_delta;
 pub use replies::{write_kept_answer, write_propose_reply};
@@ -56,6 +56,43 @@
     }
 }
 
+/// Reads each element of a list that holds `what`. Those that cannot be read, as from a newer build, are
+/// skipped and logged; the others are kept.
+fn read_each<E, T>(
+    what: &'static str,
+    elements: impl IntoIterator<Item = E>,
+    read: impl Fn(E) -> Result<T, WireError>,
+) -> Vec<T> {
+    let (mut read_elements, mut skipped) = (Vec::new(), 0_u64);
+    let mut first_error = None;
+    for element in elements {
+        match read(element) {
+            Ok(element) => read_elements.push(element),
+            Err(error) => {
+                skipped += 1;
+                first_error.get_or_insert(error);
+            }
+        }
+    }
+    if let Some(error) = first_error {
+        spdlog::warn!("elements of a peer's message skipped", kv: { what, skipped, error: });
+    }
+    read_elements
+}
+
+/// Returns a value that a peer sent, or `default`, logged, where the peer's build knows more values of
+/// this kind than this one.
+fn known_or<V, T: From<V>>(
+    what: &'static str,
+    value: Result<V, capnp::NotInSchema>,
+    default: T,
+) -> T {
+    value.map(T::from).unwrap_or_else(|unknown| {
+        spdlog::warn!("unknown value in a peer's message", kv: { what, number = unknown.0 });
+        default
+    })
+}
+
 fn text(reader: capnp::Result<capnp::text::Reader<'_>>) -> Result<&str, WireError> {
     Ok(reader?.to_str()?)
 }
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -1,6 +1,6 @@
 //! Conversions of jobs that ask for an endpoint, of decisions, and of reported results.
 
-use super::{WireError, text};
+use super::{WireError, known_or, read_each, text};
 use crate::peer_capnp as schema;
 use capnp::struct_list;
 use lycheehub_dispatch::crashes::Prompt;
@@ -76,7 +76,11 @@
     }
 }
 
-/// Reads a decision on the job `job_id`.
+/// The delay after a decision that this build does not know, in milliseconds.
+const UNKNOWN_DECISION_RETRY_MS: u64 = 1_000;
+
+/// Reads a decision on the job `job_id`. One of a kind or for a reason that only a newer build knows is
+/// a refusal as overloaded: the request was not sent to an endpoint.
 ///
 /// # Errors
 /// Fails if the message cannot be decoded.
@@ -85,8 +89,11 @@
     reader: schema::decision::Reader<'_>,
 ) -> Result<Decision, WireError> {
     use schema::decision::Which;
-    Ok(match reader.which()? {
-        Which::Place(place) => {
+    let decision = reader.which().inspect_err(|unknown| {
+        spdlog::warn!("unknown decision of the leader", kv: { number = unknown.0 });
+    });
+    Ok(match decision {
+        Ok(Which::Place(place)) => {
             let place = place?;
             Decision::Place {
                 job_id,
@@ -95,14 +102,19 @@
                 first_byte_ms: place.get_first_byte_ms(),
             }
         }
-        Which::Refuse(refuse) => {
+        Ok(Which::Refuse(refuse)) => {
             let refuse = refuse?;
             Decision::Refuse {
                 job_id,
-                reason: refuse.get_reason()?.into(),
+                reason: known_or("reason", refuse.get_reason(), Reason::Overloaded),
                 retry_after_ms: refuse.get_retry_after_ms(),
             }
         }
+        Err(_) => Decision::Refuse {
+            job_id,
+            reason: Reason::Overloaded,
+            retry_after_ms: UNKNOWN_DECISION_RETRY_MS,
+        },
     })
 }
 
@@ -123,24 +135,20 @@
     }
 }
 
-/// Reads the results of finished jobs of the instance with the number `instance`.
-///
-/// # Errors
-/// Fails if the message cannot be decoded.
+/// Reads the results of finished jobs of the instance with the number `instance`. An outcome that only a
+/// newer build knows is [`Outcome::Abandoned`], which says nothing about the endpoint.
 pub fn read_finished(
     instance: u32,
     reader: struct_list::Reader<'_, schema::finished::Owned>,
-) -> Result<Vec<Finished>, WireError> {
-    let read = |entry: schema::finished::Reader<'_>| {
-        Ok(Finished {
-            job_id: JobId { instance, number: entry.get_number() },
-            outcome: entry.get_outcome()?.into(),
-            first_byte_ms: entry.get_has_first_byte().then(|| entry.get_first_byte_ms()),
-            rest_ms: entry.get_rest_ms(),
-            events: entry.get_events(),
-            is_connection_lost: entry.get_connection_lost(),
-            is_confirmed: entry.get_confirmed(),
-        })
+) -> Vec<Finished> {
+    let read = |entry: schema::finished::Reader<'_>| Finished {
+        job_id: JobId { instance, number: entry.get_number() },
+        outcome: known_or("outcome", entry.get_outcome(), Outcome::Abandoned),
+        first_byte_ms: entry.get_has_first_byte().then(|| entry.get_first_byte_ms()),
+        rest_ms: entry.get_rest_ms(),
+        events: entry.get_events(),
+        is_connection_lost: entry.get_connection_lost(),
+        is_confirmed: entry.get_confirmed(),
     };
     reader.iter().map(read).collect()
 }
@@ -163,13 +171,8 @@
     }
 }
 
-/// Reads the requests that an instance has in flight.
-///
-/// # Errors
-/// Fails if the message cannot be decoded.
-pub fn read_in_flight(
-    reader: struct_list::Reader<'_, schema::in_flight::Owned>,
-) -> Result<Vec<InFlight>, WireError> {
+/// Reads the requests that an instance has in flight; those that cannot be read are skipped.
+pub fn read_in_flight(reader: struct_list::Reader<'_, schema::in_flight::Owned>) -> Vec<InFlight> {
     let read = |entry: schema::in_flight::Reader<'_>| {
         Ok(InFlight {
             number: entry.get_number(),
@@ -180,7 +183,7 @@
             prompt: Prompt::new(entry.get_parts()?),
         })
     };
-    reader.iter().map(read).collect()
+    read_each("requests in flight", reader, read)
 }
 
 /// Writes the requests that an instance has in flight; the builder has the length of `in_flight`.
@@ -200,7 +203,7 @@
     }
 }
 
-/// Reads the usage that an instance reports when it enters.
+/// Reads the usage that an instance reports when it enters; elements that cannot be read are skipped.
 ///
 /// # Errors
 /// Fails if the message cannot be decoded.
@@ -222,10 +225,11 @@
             retries: entry.get_retries(),
         })
     };
-    let quotas: Result<_, WireError> = reader.get_usage()?.iter().map(read_quota).collect();
-    let retries: Result<_, WireError> = reader.get_retries()?.iter().map(read_retries).collect();
-    let crashes = super::crashes::read_report(reader.get_crashes()?)?;
-    Ok(UsageReport { quotas: quotas?, retries: retries?, crashes })
+    Ok(UsageReport {
+        quotas: read_each("usage", reader.get_usage()?, read_quota),
+        retries: read_each("retries", reader.get_retries()?, read_retries),
+        crashes: super::crashes::read_report(reader.get_crashes()?)?,
+    })
 }
 
 /// Writes the usage that an instance reports when it enters.
@@ -318,7 +322,8 @@
     }
 }
 
-/// Reads the notice of an endpoint about itself, and the incarnation that sent it, if known.
+/// Reads the notice of an endpoint about itself, and the incarnation that sent it, if known. A limit that
+/// cannot be read is left out.
 ///
 /// # Errors
 /// Fails if the message cannot be decoded.
@@ -327,12 +332,14 @@
 ) -> Result<(Notice, Option<u64>), WireError> {
     let (pause_ms, incarnation) = (reader.get_pause_ms(), reader.get_incarnation());
     let pause_ms = (pause_ms > 0).then_some(pause_ms);
-    let limit = if reader.has_limit() { Some(read_stated(reader.get_limit()?)?) } else { None };
-    let rejections = match reader.has_rejections() {
-        true => Some(read_stated(reader.get_rejections()?)?),
-        false => None,
+    let limit = reader.has_limit().then(|| reader.get_limit()).transpose()?;
+    let rejections = reader.has_rejections().then(|| reader.get_rejections()).transpose()?;
+    let notice = Notice {
+        leaving: reader.get_leaving(),
+        pause_ms,
+        limit: read_each("limit", limit, read_stated).pop(),
+        rejections: read_each("limit of rejections", rejections, read_stated).pop(),
     };
-    let notice = Notice { leaving: reader.get_leaving(), pause_ms, limit, rejections };
     Ok((notice, (incarnation > 0).then_some(incarnation)))
 }
 
@@ -353,13 +360,18 @@
     }
 }
 
-/// Reads the limits of endpoints.
-///
-/// # Errors
-/// Fails if the message cannot be decoded.
-pub fn read_limits(
-    reader: struct_list::Reader<'_, schema::limit::Owned>,
-) -> Result<Vec<Limit>, WireError> {
+/// Reads what an endpoint limits. Returns `None`, logged, for a kind that only a newer build knows.
+pub fn read_limit_kind(
+    reader: schema::placement::unlimited_params::Reader<'_>,
+) -> Option<LimitKind> {
+    let kind = reader.get_kind().inspect_err(|unknown| {
+        spdlog::warn!("end of an unknown limit ignored", kv: { number = unknown.0 });
+    });
+    kind.ok().map(LimitKind::from)
+}
+
+/// Reads the limits of endpoints; those that cannot be read are skipped.
+pub fn read_limits(reader: struct_list::Reader<'_, schema::limit::Owned>) -> Vec<Limit> {
     let read = |entry: schema::limit::Reader<'_>| {
         let incarnation = entry.get_incarnation();
         Ok(Limit {
@@ -368,7 +380,7 @@
             stated: read_stated(entry.get_stated()?)?,
         })
     };
-    reader.iter().map(read).collect()
+    read_each("limits", reader, read)
 }
 
 /// Writes the limits of endpoints; the builder has the length of `limits`.
--- a/crates/wire/src/convert/records.rs
+++ b/crates/wire/src/convert/records.rs
@@ -1,6 +1,6 @@
 //! Conversions of the records of instances and endpoints.
 
-use super::{WireError, text};
+use super::{WireError, read_each, text};
 use crate::peer_capnp as schema;
 use lycheehub_control::registry::{Delta, InstanceRenewal, Renewal};
 use lycheehub_types::{
@@ -57,13 +57,17 @@
     type Error = WireError;
 
     fn try_from(reader: schema::delta::Reader<'_>) -> Result<Self, WireError> {
-        let mut delta = Self::default();
-        for record in reader.get_instances()? {
-            delta.instances.push((record.try_into()?, record.get_age_ms()));
-        }
-        for record in reader.get_endpoints()? {
-            delta.endpoints.push((record.try_into()?, record.get_age_ms()));
-        }
+        let instance = |record: schema::instance_record::Reader<'_>| {
+            Ok((record.try_into()?, record.get_age_ms()))
+        };
+        let endpoint = |record: schema::endpoint_record::Reader<'_>| {
+            Ok((record.try_into()?, record.get_age_ms()))
+        };
+        let mut delta = Self {
+            instances: read_each("instances", reader.get_instances()?, instance),
+            endpoints: read_each("endpoints", reader.get_endpoints()?, endpoint),
+            ..Self::default()
+        };
         for renewal in reader.get_renewals()? {
             delta.renewals.push((renewal.into(), u64::from(renewal.get_age_ms())));
         }
--- a/crates/wire/src/convert/replies.rs
+++ b/crates/wire/src/convert/replies.rs
@@ -1,6 +1,6 @@
 //! Conversions of replies to proposals and of responses kept for resends.
 
-use super::{WireError, text};
+use super::{WireError, known_or, text};
 use crate::peer_capnp as schema;
 use crate::{Answer, KeptAnswer, ProposeReply};
 use lycheehub_control::state::{ApplyOutcome, ClaimOutcome, ClaimState, Claimant, Reply};
@@ -30,11 +30,20 @@
 impl TryFrom<schema::propose_reply::Reader<'_>> for ProposeReply {
     type Error = WireError;
 
+    /// Reads a reply. One of a kind that only a newer build knows is [`ProposeReply::Unknown`]: the
+    /// command may be committed.
     fn try_from(reader: schema::propose_reply::Reader<'_>) -> Result<Self, WireError> {
         use schema::propose_reply::Which;
+        let which = match reader.which() {
+            Ok(which) => which,
+            Err(unknown) => {
+                spdlog::warn!("unknown reply to a proposal", kv: { number = unknown.0 });
+                return Ok(Self::Unknown);
+            }
+        };
         let apply = |outcome| Self::Done(Reply::Apply(outcome));
         let claim = |outcome| Self::Done(Reply::Claim(outcome));
-        Ok(match reader.which()? {
+        Ok(match which {
             Which::NotLeader(()) => Self::NotLeader,
             Which::Unknown(()) => Self::Unknown,
             Which::Accepted(revision) => apply(ApplyOutcome::Accepted { revision }),
@@ -58,7 +67,8 @@
                     incarnation: taken.get_incarnation(),
                     request: taken.get_request(),
                 };
-                claim(ClaimOutcome::Taken { claimant, state: taken.get_state()?.into() })
+                let state = known_or("state of a claim", taken.get_state(), ClaimState::Unknown);
+                claim(ClaimOutcome::Taken { claimant, state })
             }
             Which::ClaimOtherRequest(()) => claim(ClaimOutcome::OtherRequest),
             Which::ClaimsFull(()) => claim(ClaimOutcome::Full),
@@ -114,12 +124,16 @@
 impl TryFrom<schema::kept_answer::Reader<'_>> for KeptAnswer {
     type Error = WireError;
 
+    /// Reads what is known about a response; of a kind that only a newer build knows, it is none.
     fn try_from(reader: schema::kept_answer::Reader<'_>) -> Result<Self, WireError> {
         use schema::kept_answer::Which;
-        Ok(match reader.which()? {
-            Which::Gone(()) => Self::Gone,
-            Which::Running(()) => Self::Running,
-            Which::Answered(answer) => {
+        let which = reader.which().inspect_err(|unknown| {
+            spdlog::warn!("unknown kind of kept response", kv: { number = unknown.0 });
+        });
+        Ok(match which {
+            Ok(Which::Gone(())) | Err(_) => Self::Gone,
+            Ok(Which::Running(())) => Self::Running,
+            Ok(Which::Answered(answer)) => {
                 let answer = answer?;
                 Self::Answered(Answer {
                     status: answer.get_status(),
--- a/crates/wire/src/convert/reports.rs
+++ b/crates/wire/src/convert/reports.rs
@@ -1,6 +1,6 @@
 //! Conversions of reports to the leader and of the replies to them.
 
-use super::{WireError, text};
+use super::{WireError, read_each, text};
 use crate::peer_capnp as schema;
 use crate::{Report, ReportReply};
 use lycheehub_control::moves::{Observation, ObservationKey};
@@ -16,18 +16,17 @@
             grants_digest: reader.get_grants_digest(),
             ..Self::default()
         };
-        for demand in reader.get_demands()? {
-            let endpoint = text(demand.get_endpoint())?.into();
-            report.demands.insert(endpoint, demand.try_into()?);
-        }
-        for observation in reader.get_observations()? {
-            let (key, observation) = read_observation(observation)?;
-            report.observations.insert(key, observation);
-        }
-        for trip in reader.get_trips()? {
-            let move_id = SmolStr::new(text(trip.get_move_id())?);
-            report.trips.insert(move_id, text(trip.get_reason())?.into());
-        }
+        let demand = |demand: schema::demand::Reader<'_>| {
+            Ok((text(demand.get_endpoint())?.into(), demand.try_into()?))
+        };
+        let trip = |trip: schema::trip::Reader<'_>| {
+            let reason = text(trip.get_reason())?.into();
+            Ok((SmolStr::new(text(trip.get_move_id())?), reason))
+        };
+        report.demands.extend(read_each("demands", reader.get_demands()?, demand));
+        let observations = read_each("observations", reader.get_observations()?, read_observation);
+        report.observations.extend(observations);
+        report.trips.extend(read_each("trips", reader.get_trips()?, trip));
         Ok(report)
     }
 }
@@ -68,9 +67,10 @@
     fn try_from(reader: schema::report_reply::Reader<'_>) -> Result<Self, WireError> {
         let mut reply =
             Self { taken: reader.get_taken(), same: reader.get_same(), ..Self::default() };
-        for grant in reader.get_grants()? {
-            reply.grants.insert(text(grant.get_endpoint())?.into(), grant.get_slots());
-        }
+        let grant = |grant: schema::grant::Reader<'_>| {
+            Ok((text(grant.get_endpoint())?.into(), grant.get_slots()))
+        };
+        reply.grants.extend(read_each("grants", reader.get_grants()?, grant));
         Ok(reply)
     }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,9 +14,10 @@
 
 pub use convert::{
     WireError, read_begun, read_decision, read_finished, read_heard, read_in_flight, read_job,
-    read_limits, read_listings, read_notice, read_quarantines, read_usage, write_begun,
-    write_config, write_decision, write_delta, write_finished, write_heard, write_in_flight,
-    write_job, write_kept_answer, write_limits, write_listings, write_message, write_notice,
-    write_propose_reply, write_quarantines, write_report, write_report_reply, write_usage,
+    read_limit_kind, read_limits, read_listings, read_message, read_notice, read_quarantines,
+    read_usage, write_begun, write_config, write_decision, write_delta, write_finished,
+    write_heard, write_in_flight, write_job, write_kept_answer, write_limits, write_listings,
+    write_message, write_notice, write_propose_reply, write_quarantines, write_report,
+    write_report_reply, write_usage,
 };
 pub use types::{Answer, KeptAnswer, ProposeReply, Report, ReportReply};
