--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
+use lycheehub_auth::{Role, prove};
 use lycheehub_relay::frames::header;
 use lycheehub_relay::{Endpoints, Error, Server, connect};
 use lycheehub_types::EndpointName;
@@ -161,3 +162,53 @@
         expect_that!(connect_to(&fixture, KEY, "a").await.is_ok(), eq(true));
     });
 }
+
+/// An earlier build beside this one: a request as build 3b461ea lays it out.
+#[gtest]
+fn a_request_as_an_earlier_build_sends_it_is_accepted() {
+    run(|fixture| async move {
+        let mut stream = TcpStream::connect(&fixture.relay).await.unwrap();
+        let mut server_nonce = [0; 32];
+        stream.read_exact(&mut server_nonce).await.unwrap();
+        let nonce = [2; 32];
+        let mut request = nonce.to_vec();
+        request.extend(prove(KEY, Role::Initiator, &server_nonce, &nonce, "entry-1"));
+        request.extend(b"\x00\x07entry-1\x00\x01a");
+        stream.write_all(&request).await.unwrap();
+        stream.write_all(b"end").await.unwrap();
+        let mut received = [0xff; 12];
+        stream.read_exact(&mut received).await.unwrap();
+        expect_that!(&received, eq(b"\x00\x00\x00\x00\x03end\x00\x00\x00\x00"));
+    });
+}
+
+/// The proofs that build 4f1d2c8 computes for these nonces; peers and relays of all builds check them.
+#[gtest]
+fn proofs_are_those_of_earlier_builds() {
+    let hex = |role| -> String {
+        let proof = prove(KEY, role, &[1; 32], &[2; 32], "entry-1");
+        proof.iter().map(|byte| format!("{byte:02x}")).collect()
+    };
+    let initiator = "025cfd2fad174ca45a90ad8d02b7cb86ab40a407d4405f3bceb65a99475136d5";
+    let responder = "b844be40191e8fe932b46b272b2076bc76032afc06b1aa5b9f84665de6d77525";
+    expect_that!(hex(Role::Initiator), eq(initiator));
+    expect_that!(hex(Role::Responder), eq(responder));
+}
+
+#[gtest]
+fn a_status_that_only_a_newer_build_knows_is_that_of_a_relay_that_cannot_tell() {
+    run(|fixture| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let relay = listener.local_addr().unwrap().to_string();
+        let answer = async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.write_all(&[1; 32]).await.unwrap();
+            let mut request = [0; 32 + 32 + 9 + 3];
+            stream.read_exact(&mut request).await.unwrap();
+            stream.write_all(&[99]).await.unwrap();
+        };
+        fixture.executor.spawn(answer).detach();
+        let result = connect(&relay, KEY, "entry-1", &"a".into()).await;
+        expect_that!(matches!(result, Err(Error::Unable(_))), eq(true));
+    });
+}
