test(cli): instances are replaced by another build one after the other, under load

Real processes: three control and two entry instances of an earlier build are stopped and started as this build, one after the other, while callers send requests that may run only once; a document is put and read back at each control instance between the steps.

--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -27,6 +27,9 @@
 /// How long a call to an instance may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// The program of this build.
+pub const THIS_BUILD: &str = env!("CARGO_BIN_EXE_lycheehub");
+
 /// Numbers the deployments of this test process, so that parallel tests use different addresses.
 static DEPLOYMENTS: AtomicU32 = AtomicU32::new(0);
 
@@ -76,6 +79,8 @@
 pub struct Process {
     pub role: &'static str,
     pub ip: String,
+    /// The program that the next start runs.
+    pub binary: PathBuf,
     folder: PathBuf,
     peer_port: u16,
     settings: String,
@@ -102,7 +107,7 @@
         let settings = format!("bootstrap = {is_first}\n{}", self.settings);
         std::fs::write(self.settings_path(), settings).unwrap();
         let log = std::fs::File::options().create(true).append(true).open(self.log()).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_lycheehub"))
+        let child = Command::new(&self.binary)
             .arg(self.role)
             .env("LYCHEEHUB_BOOT", self.settings_path())
             .stdout(log.try_clone().unwrap())
@@ -167,9 +172,17 @@
 impl Deployment {
     /// Lays out a new deployment and starts all its processes.
     pub fn start(layout: Layout) -> Self {
+        Self::start_build(layout, Path::new(THIS_BUILD))
+    }
+
+    /// Lays out a new deployment and starts all its processes with the program of a build.
+    pub fn start_build(layout: Layout, binary: &Path) -> Self {
         let mut deployment = Self::lay_out(layout);
         let processes = deployment.controls.iter_mut().chain(&mut deployment.entries);
-        processes.for_each(|process| process.start(true));
+        processes.for_each(|process| {
+            process.binary = binary.to_owned();
+            process.start(true);
+        });
         deployment
     }
 
@@ -202,7 +215,8 @@
                  retry_budget_ratio = 0.2\nbudget_min_retries = 50\n",
                 layout.losses
             );
-            Process { role, ip, folder: folder.clone(), peer_port, settings, child: None }
+            let (binary, folder) = (PathBuf::from(THIS_BUILD), folder.clone());
+            Process { role, ip, binary, folder, peer_port, settings, child: None }
         };
         let controls: Vec<Process> = (0..layout.controls)
             .map(|place| process("control", format!("{prefix}.{}", 10 + place), place))
--- a/crates/cli/tests/platform/handover.rs
+++ b/crates/cli/tests/platform/handover.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 /// The last log message of a process.
-const STOPPED: &str = "\"stopped\"";
+pub const STOPPED: &str = "\"stopped\"";
 /// The number of concurrent callers, half of them at each entry instance.
 const CALLERS: usize = 6;
 /// The interval between announcements of an endpoint.
@@ -19,19 +19,19 @@
 
 /// The identifier and reply status of each request.
 #[derive(Default)]
-struct Replies(Mutex<Vec<(String, u16)>>);
+pub struct Replies(Mutex<Vec<(String, u16)>>);
 
 impl Replies {
     fn add(&self, id: String, status: u16) {
         self.0.lock().unwrap().push((id, status));
     }
 
-    fn count(&self, status: u16) -> usize {
+    pub fn count(&self, status: u16) -> usize {
         self.0.lock().unwrap().iter().filter(|(_, other)| *other == status).count()
     }
 
     /// Checks that each request ran as often as its status guarantees.
-    fn check(&self, endpoint: &Endpoint) {
+    pub fn check(&self, endpoint: &Endpoint) {
         for (id, status) in self.0.lock().unwrap().iter() {
             let runs = endpoint.runs_of(id);
             expect_that!(runs, le(1), "{id} ran more than once");
@@ -49,7 +49,7 @@
 
 /// Runs `disturb` while callers send requests that may run only once and the endpoint announces
 /// itself; returns the replies.
-fn run_under_load(
+pub fn run_under_load(
     deployment: &RwLock<Deployment>,
     endpoint: &Endpoint,
     disturb: impl FnOnce(&Replies),
@@ -98,14 +98,14 @@
 }
 
 /// Waits until 40 more requests are served.
-fn await_more_served(replies: &Replies) {
+pub fn await_more_served(replies: &Replies) {
     const MORE: usize = 40;
     let before = replies.count(200);
     eventually("more requests are served", || replies.count(200) >= before + MORE);
 }
 
 /// Waits until a process has logged that it has stopped.
-fn await_stop(times_logged_ms: impl Fn() -> Vec<u64>) {
+pub fn await_stop(times_logged_ms: impl Fn() -> Vec<u64>) {
     eventually("the process stops", || !times_logged_ms().is_empty());
 }
 
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests over the platform's protocol with real processes: three control instances, two
 //! entry instances, a stand-in endpoint, an operator and callers.
 
+mod builds;
 mod crashing_prompts;
 #[path = "../deployment/mod.rs"]
 mod deployment;
@@ -13,9 +14,10 @@
 mod support;
 mod trace;
 
-use deployment::{Deployment, FRONT_PORT, Layout, Process, Reply, eventually};
+use deployment::{Deployment, FRONT_PORT, Layout, Process, Reply, THIS_BUILD, eventually};
 use googletest::prelude::*;
 use serde_json::{Value, json};
+use std::path::Path;
 use support::{Endpoint, announce, send_request};
 
 fn document(version: u64) -> Value {
@@ -45,8 +47,13 @@
 
 /// Starts a deployment with one endpoint and waits until both entry instances serve requests.
 fn start_deployment() -> (Deployment, Endpoint) {
-    let deployment =
-        Deployment::start(Layout { controls: 3, entries: 2, losses: 1, proxied: false });
+    start_deployment_of(Path::new(THIS_BUILD))
+}
+
+/// Starts such a deployment with the program of a build.
+fn start_deployment_of(binary: &Path) -> (Deployment, Endpoint) {
+    let layout = Layout { controls: 3, entries: 2, losses: 1, proxied: false };
+    let deployment = Deployment::start_build(layout, binary);
     eventually("the document is acknowledged", || {
         put_document(&deployment, 0, &document(3)).status == 200
     });
