fix: an endpoint's reset at a relay is not passed on as the end of its response

Callers behind a relayed connection could get the part of a response without length as a whole one, or lose a response. An endpoint may respond before it has read a long body, and reset its connection. Cause: the relay's failed write took the report of the reset, its read then saw an end, and the relay marked that as the endpoint's. And where the read did report it, the relay closed the instance's connection with bytes of the body unread, which resets it. Class: the end of a connection is told on one path (reading) and used up on another (writing). Now an end after a failed write is passed on as a loss; and the sending side is closed and the rest discarded after a loss as after an end.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -10,6 +10,7 @@
 use smol_str::SmolStr;
 use std::cell::Cell;
 use std::io;
+use std::net::Shutdown;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -117,21 +118,29 @@
     if endpoint.set_nodelay(true).is_err() {
         return;
     }
-    let requests = pass_requests(instance.clone(), endpoint.clone());
+    let is_write_failed = Cell::new(false);
+    let requests = pass_requests(instance.clone(), endpoint.clone(), &is_write_failed);
     let responses = async {
-        if pass_responses(instance.clone(), endpoint).await.is_ok() {
-            drain(instance.clone()).await;
+        let passed = pass_responses(instance.clone(), endpoint, &is_write_failed).await;
+        if let Err(error) = passed {
+            spdlog::debug!("relayed connection lost", kv: { error: });
         }
+        drain(instance.clone()).await;
     };
     smol::future::or(requests, responses).await;
 }
 
 /// Passes on what the instance sends; ends when it closes its connection.
-async fn pass_requests(mut instance: TcpStream, mut endpoint: TcpStream) {
+async fn pass_requests(
+    mut instance: TcpStream,
+    mut endpoint: TcpStream,
+    is_write_failed: &Cell<bool>,
+) {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
         let Ok(count @ 1..) = instance.read(&mut buffer).await else { return };
         if endpoint.write_all(&buffer[..count]).await.is_err() {
+            is_write_failed.set(true);
             // The endpoint may have answered before it closed; its response decides.
             smol::future::pending::<()>().await;
         }
@@ -139,10 +148,18 @@
 }
 
 /// Passes on what the endpoint sends, in frames.
-async fn pass_responses(mut instance: TcpStream, mut endpoint: TcpStream) -> io::Result<()> {
+async fn pass_responses(
+    mut instance: TcpStream,
+    mut endpoint: TcpStream,
+    is_write_failed: &Cell<bool>,
+) -> io::Result<()> {
     let mut buffer = vec![0; frames::HEADER_BYTES + BUFFER_BYTES];
     loop {
         let count = endpoint.read(&mut buffer[frames::HEADER_BYTES..]).await?;
+        if count == 0 && is_write_failed.get() {
+            // A write reports the loss of a connection instead of the read, which then sees an end.
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         buffer[..frames::HEADER_BYTES].copy_from_slice(&frames::header(count));
         instance.write_all(&buffer[..frames::HEADER_BYTES + count]).await?;
         if count == 0 {
@@ -151,10 +168,14 @@
     }
 }
 
-/// Waits until the instance has read the end and closes its connection: closing it first could lose
-/// what is under way.
+/// Closes the sending side and waits until the instance has read the end and closes its connection: closing
+/// it first, while more is being sent, could lose what is under way.
 async fn drain(mut instance: TcpStream) {
-    let mut buffer = [0; 256];
+    if instance.shutdown(Shutdown::Write).is_err() {
+        // The instance has closed or lost the connection.
+        return;
+    }
+    let mut buffer = [0; BUFFER_BYTES];
     let closed = async { while matches!(instance.read(&mut buffer).await, Ok(1..)) {} };
     // An instance that does not close it in time has left.
     let _ = within(DRAIN_MS, closed).await;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -161,3 +161,51 @@
         expect_that!(connect_to(&fixture, KEY, "a").await.is_ok(), eq(true));
     });
 }
+
+/// Serves as an endpoint that responds to the first bytes and resets its connection.
+async fn respond_and_reset(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        let mut received = [0; 64];
+        stream.read(&mut received).await.unwrap();
+        stream.write_all(b"early").await.unwrap();
+        sleep_ms(50).await;
+        rustix::net::sockopt::set_socket_linger(&stream, Some(Duration::ZERO)).unwrap();
+    }
+}
+
+// Closing the connection with unread bytes reset it, and the instance could lose the response.
+#[gtest]
+fn a_response_is_received_although_the_endpoint_resets_its_connection_while_more_is_sent() {
+    run(|fixture| async move {
+        let endpoint = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = endpoint.local_addr().unwrap().to_string().into();
+        fixture.executor.spawn(respond_and_reset(endpoint)).detach();
+        let known = Known { address, ..fixture.known };
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let relay = listener.local_addr().unwrap().to_string();
+        let server = Server::new(KEY.to_vec(), Box::new(known));
+        fixture.executor.spawn(server.clone().serve(fixture.executor.clone(), listener)).detach();
+        let mut stream = connect(&relay, KEY, "entry-1", &"a".into()).await.unwrap();
+        let mut writer = stream.clone();
+        let was_reset = Rc::new(Cell::new(false));
+        let recorder = was_reset.clone();
+        let send = async move {
+            recorder.set(writer.write_all(&vec![b'x'; 16_000_000]).await.is_err());
+            smol::future::pending().await
+        };
+        let receive = async {
+            sleep_ms(200).await;
+            let mut received = Vec::new();
+            let ended = stream.read_to_end(&mut received).await;
+            (received, ended.is_ok())
+        };
+        let (received, has_ended) = smol::future::or(receive, send).await;
+        let mut expected = header(5).to_vec();
+        expected.extend_from_slice(b"early");
+        expect_that!(received, eq(&expected));
+        expect_that!((has_ended, was_reset.get()), eq((true, false)));
+        drop(stream);
+        sleep_ms(50).await;
+        expect_that!(server.connections(), eq(0));
+    });
+}
