--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod paths;
 mod requests;
+mod resets;
 mod responses;
 mod streams;
 mod support;
