fix: the own interface ends no connection without a response once bytes of a request have come

Now 408 `incomplete`, 400, and 503 `too_many_connections` for up to 64 connections beyond the maximum, each with a line. An idle connection is closed without a response, as before.

First tests of this crate: an instance without a cluster, real sockets. Failed before, 6 of 7: a_head_that_does_not_arrive_in_time_*, a_head_that_ends_too_soon_* Expected: 408 Actual: Some("") a_head_that_does_not_decode_is_refused Expected: 400 Actual: Some("") a_body_that_does_not_arrive_in_time_*, a_body_that_ends_too_soon_* Expected: 408 Actual: 400 a_request_on_a_connection_beyond_the_maximum_* Expected: 503 Actual: "" All 7 pass.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -1,15 +1,26 @@
 //! Accepts connections up to a limit, each with a timeout for the head of a request.
+//!
+//! Once bytes of a request have arrived, its connection does not end without a response.
 
-use super::routes;
+use super::caller_stream::CallerStream;
+use super::{refusal_response, routes};
 use crate::Gateway;
-use async_h1::server::{ConnectionStatus, Server};
+use async_h1::server::{ConnectionStatus, Encoder, Server};
 use futures_lite::FutureExt;
+use http_types::Method;
+use lycheehub_clock::within;
+use lycheehub_types::{Refusal, RefusalKind};
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
+/// The number of connections beyond the maximum that are accepted to refuse one request each.
+const EXCESS_CONNECTIONS_MAX: usize = 64;
+/// How long such a connection may take for its request, in milliseconds.
+const EXCESS_TIMEOUT_MS: u64 = 1_000;
+
 /// Counts an open connection until it is dropped.
 struct ConnectionGuard<'a>(&'a AtomicUsize);
 
@@ -39,10 +50,14 @@
         }
     }
 
+    fn has_started(&self) -> bool {
+        self.started.load(Ordering::Relaxed)
+    }
+
     /// Completes if no request has started within the header timeout; otherwise never.
     async fn header_timeout(&self) {
         Timer::after(Duration::from_millis(self.gateway.settings.header_timeout_ms)).await;
-        if self.started.load(Ordering::Relaxed) {
+        if self.has_started() {
             std::future::pending::<()>().await;
         }
     }
@@ -61,15 +76,7 @@
     const ACCEPT_RETRY_MS: u64 = 50;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let open = gateway.connections.load(Ordering::Relaxed);
-                if open >= gateway.settings.connections_max {
-                    metrics::counter!("lycheehub_connections_refused_total").increment(1);
-                    continue;
-                }
-                let task = serve_connection(gateway.clone(), stream);
-                gateway.executor.spawn(task).detach();
-            }
+            Ok((stream, _)) => accept(&gateway, stream),
             Err(error) => {
                 spdlog::warn!("failed to accept a connection", kv: { error: });
                 Timer::after(Duration::from_millis(ACCEPT_RETRY_MS)).await;
@@ -78,18 +85,35 @@
     }
 }
 
-async fn serve_connection(gateway: Arc<Gateway>, stream: TcpStream) {
-    let _guard = ConnectionGuard::new(&gateway.connections);
-    if stream.set_nodelay(true).is_err() {
-        return;
+fn accept(gateway: &Arc<Gateway>, stream: TcpStream) {
+    let open = gateway.connections.load(Ordering::Relaxed);
+    let excess = (open + 1).saturating_sub(gateway.settings.connections_max);
+    if excess > 0 {
+        metrics::counter!("lycheehub_connections_refused_total").increment(1);
+    }
+    if excess > EXCESS_CONNECTIONS_MAX {
+        return spdlog::warn!("connection closed unread: too many are refused");
     }
-    while let Some(ConnectionStatus::KeepAlive) = serve_request(&gateway, &stream).await {}
+    let accepted = gateway.clone();
+    let task = async move {
+        let gateway = accepted;
+        let _guard = ConnectionGuard::new(&gateway.connections);
+        if let Err(error) = stream.set_nodelay(true) {
+            return spdlog::info!("failed to set TCP_NODELAY on a new connection", kv: { error: });
+        }
+        if excess > 0 {
+            return refuse_excess(stream).await;
+        }
+        while serve_request(&gateway, &stream).await {}
+    };
+    gateway.executor.spawn(task).detach();
 }
 
-/// Serves one request; returns `None` if the connection failed or timed out.
-async fn serve_request(gateway: &Arc<Gateway>, stream: &TcpStream) -> Option<ConnectionStatus> {
+/// Serves one request; returns whether the connection can be used for another one.
+async fn serve_request(gateway: &Arc<Gateway>, stream: &TcpStream) -> bool {
     let guard = ExchangeGuard { gateway, started: AtomicBool::new(false) };
-    let mut server = Server::new(stream.clone(), |request| {
+    let caller = CallerStream::new(stream.clone());
+    let mut server = Server::new(caller.clone(), |request| {
         guard.start();
         let gateway = gateway.clone();
         let stream = stream.clone();
@@ -100,11 +124,48 @@
         guard.header_timeout().await;
         None
     };
-    match served.or(timed_out).await? {
-        Ok(status) => Some(status),
-        Err(error) => {
+    let refusal = match served.or(timed_out).await {
+        Some(Ok(ConnectionStatus::KeepAlive)) => return true,
+        Some(Ok(ConnectionStatus::Close)) => {
+            Refusal::new(RefusalKind::Incomplete, "the head ends too soon")
+        }
+        Some(Err(error)) => {
             spdlog::debug!("connection ended", kv: { error: });
-            None
+            Refusal::new(RefusalKind::BadRequest, "the head does not decode")
         }
+        None => Refusal::new(RefusalKind::Incomplete, "the head did not come in time"),
+    };
+    if caller.has_received() && !guard.has_started() {
+        refuse_unread(stream.clone(), &refusal).await;
+    }
+    false
+}
+
+/// Refuses a request whose head was not received, as the last one of its connection.
+async fn refuse_unread(mut stream: TcpStream, refusal: &Refusal) {
+    spdlog::info!("refused", kv: {
+        step = "head", code = refusal.kind().code(), message = refusal.message(),
+    });
+    let mut response = refusal_response(refusal);
+    response.insert_header("connection", "close");
+    let encoder = Encoder::new(response, Method::Get);
+    if let Err(error) = futures_lite::io::copy(encoder, &mut stream).await {
+        spdlog::debug!("the caller left before its refusal was sent", kv: { error: });
+    }
+}
+
+/// Refuses the first request of a connection beyond the maximum.
+async fn refuse_excess(stream: TcpStream) {
+    const RETRY_AFTER_MS: u64 = 1_000;
+    spdlog::warn!("request refused: connections_max reached");
+    let mut server = Server::new(stream, |_| async {
+        let message = "this instance has too many connections";
+        let kind = RefusalKind::TooManyConnections;
+        let mut response = refusal_response(&Refusal::retry(kind, message, RETRY_AFTER_MS));
+        response.insert_header("connection", "close");
+        Ok(response)
+    });
+    if !matches!(within(EXCESS_TIMEOUT_MS, server.accept_one()).await, Some(Ok(_))) {
+        spdlog::debug!("no request came on a connection beyond the maximum");
     }
 }
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP: connections, routes and error responses.
 
+mod caller_stream;
 mod connection;
 mod error;
 mod read;
--- a/crates/gateway/src/http/read.rs
+++ b/crates/gateway/src/http/read.rs
@@ -35,14 +35,14 @@
         read.map_err(|_| Refusal::new(RefusalKind::BadRequest, "the body does not decode"))?;
         Ok(bytes)
     };
-    let timed_out = || Err(Refusal::new(RefusalKind::BadRequest, "the body did not come in time"));
+    let timed_out = || Err(Refusal::new(RefusalKind::Incomplete, "the body did not come in time"));
     let read = within(gateway.settings.body_timeout_ms, read).await;
     let bytes: Vec<u8> = read.unwrap_or_else(timed_out)?;
     if bytes.len() > max_bytes {
         return Err(too_large());
     }
     if expected_length.is_some_and(|length| length != bytes.len()) {
-        return Err(Refusal::new(RefusalKind::BadRequest, "the body ends too soon"));
+        return Err(Refusal::new(RefusalKind::Incomplete, "the body ends too soon"));
     }
     Ok(bytes)
 }
--- /dev/null
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -0,0 +1,84 @@
+//! Ends of connections: a request that has arrived gets a response before its connection closes.
+
+use crate::support::{CONNECTIONS_MAX, read_all, run};
+use futures_lite::AsyncWriteExt;
+use googletest::prelude::*;
+use smol::net::TcpStream;
+use std::net::Shutdown;
+use std::sync::atomic::Ordering;
+
+const BODY_TOO_SHORT: &str = "POST /v1/services/invoices/1 HTTP/1.1\r\nHost: salto.example\r\n\
+                              Content-Length: 9\r\n\r\npay";
+
+#[gtest]
+fn a_head_that_does_not_arrive_in_time_is_refused_as_not_run() {
+    run(|_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(b"GET /healthz HTTP/1.1\r\nHost: salto").await.unwrap();
+        expect_that!(read_all(caller).await, some(starts_with("HTTP/1.1 408 ")));
+    });
+}
+
+#[gtest]
+fn a_head_that_ends_too_soon_is_refused_as_not_run() {
+    run(|_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(b"GET /healthz HTTP/1.1\r\nHost: salto").await.unwrap();
+        caller.shutdown(Shutdown::Write).unwrap();
+        expect_that!(read_all(caller).await, some(starts_with("HTTP/1.1 408 ")));
+    });
+}
+
+#[gtest]
+fn a_head_that_does_not_decode_is_refused() {
+    run(|_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(b"GET\r\n\r\n").await.unwrap();
+        expect_that!(read_all(caller).await, some(starts_with("HTTP/1.1 400 ")));
+    });
+}
+
+#[gtest]
+fn a_body_that_does_not_arrive_in_time_is_refused_as_not_run() {
+    run(|_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(BODY_TOO_SHORT.as_bytes()).await.unwrap();
+        let mut response = [0; 13];
+        futures_lite::AsyncReadExt::read_exact(&mut caller, &mut response).await.unwrap();
+        expect_that!(&response[..], eq(b"HTTP/1.1 408 "));
+    });
+}
+
+#[gtest]
+fn a_body_that_ends_too_soon_is_refused_as_not_run() {
+    run(|_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(BODY_TOO_SHORT.as_bytes()).await.unwrap();
+        caller.shutdown(Shutdown::Write).unwrap();
+        expect_that!(read_all(caller).await, some(starts_with("HTTP/1.1 408 ")));
+    });
+}
+
+#[gtest]
+fn a_request_on_a_connection_beyond_the_maximum_is_refused_with_a_retry_delay() {
+    run(|gateway, address| async move {
+        let mut open = Vec::new();
+        while gateway.connections.load(Ordering::Relaxed) < CONNECTIONS_MAX {
+            open.push(TcpStream::connect(&address).await.unwrap());
+            smol::future::yield_now().await;
+        }
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        let response = read_all(caller).await.unwrap_or_default();
+        expect_that!(response, starts_with("HTTP/1.1 503 "));
+        expect_that!(response, contains_substring("retry-after: "));
+    });
+}
+
+#[gtest]
+fn an_idle_connection_is_closed_without_a_response() {
+    run(|_, address| async move {
+        let caller = TcpStream::connect(&address).await.unwrap();
+        expect_that!(read_all(caller).await, some(eq("")));
+    });
+}
--- /dev/null
+++ b/crates/gateway/tests/gateway/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the HTTP side with real sockets and without a control thread.
+
+mod connections;
+mod support;
