test: each job gets one decision while documents and endpoints come and go

A job that waits for a service that a document drops is refused as not run at once, one at its endpoint ends there; a job that waits when its account's quota falls to nothing keeps its place; 200 jobs under documents that drop and restore the service, and endpoints that go and come, get one decision each.

--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod crashes;
+mod documents;
 mod health;
 mod limits;
 mod notices;
