--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -10,6 +10,7 @@
 mod odd_numbers;
 mod paths;
 mod requests;
+mod resets;
 mod responses;
 mod strays;
 mod streams;
