fix(dispatch): numbers beyond all use overflow no sum of the scheduler

What callers saw: nothing reported; found by the tests. A document with an engine that states no memory, or 2^63 tokens, ended the leader in builds with overflow checks; in release builds 2^63 tokens with two slots wrapped to no memory, so an endpoint ran one request at a time. A caller whose prompt parts claim 2^32-1 tokens each ended the leader in the same builds as soon as the parts were known, and got a wrong estimate in release builds. Counts of 2^32-1 retries, memory of 2^64-1 tokens or waits of 2^64-1 ms in a message of another instance did the same.

Cause: sums and products of numbers that enter unchecked. Memory is computed in 128 bits, parts and times saturate, requests and retries are counted in 64 bits, what a job of another instance occupies is bounded by the longest job.

Evidence: four of the five tests of odd_numbers.rs failed before ("attempt to multiply with overflow", endpoints/mod.rs:126; "attempt to add with overflow", prefix_cache.rs and retries.rs:50); an_endless_prompt_does_not_occupy_an_endpoint_for_others held before.

--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -317,9 +317,9 @@
             is_short,
             evaluated_ms: None,
             since_ms: now_ms,
-            objective_ms: now_ms + job.objective_left_ms,
-            patience_ms: now_ms + job.patience_left_ms,
-            deadline_ms: now_ms + job.deadline_left_ms,
+            objective_ms: now_ms.saturating_add(job.objective_left_ms),
+            patience_ms: now_ms.saturating_add(job.patience_left_ms),
+            deadline_ms: now_ms.saturating_add(job.deadline_left_ms),
             first_byte_ms: first_byte_ms as u64,
             slot_ms: slot_ms as u64,
             min_slot_ms: min_slot_ms as u64,
@@ -348,7 +348,8 @@
                 endpoint.speed.learn_first_event(running.expected_ms, f64::from(first_byte_ms));
                 endpoint.speed.learn_events(finished.events, f64::from(finished.rest_ms));
             } else {
-                endpoint.speed.learn_response(f64::from(first_byte_ms + finished.rest_ms));
+                let whole_ms = f64::from(first_byte_ms) + f64::from(finished.rest_ms);
+                endpoint.speed.learn_response(whole_ms);
             }
         }
         let service = endpoint.record.service.clone();
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -22,6 +22,9 @@
 use lycheehub_types::{EndpointName, EndpointRecord};
 use std::collections::BTreeMap;
 
+/// The most tokens that a job can occupy: those of the longest prompt and the longest response.
+const JOB_TOKENS_MAX: u64 = 2 * u32::MAX as u64;
+
 slotmap::new_key_type! {
     /// The key of an endpoint in the dispatcher's arena.
     pub struct EndpointKey;
@@ -122,8 +125,9 @@
 
     /// Returns how much of the memory this dispatcher may use: the part of the slots that it may use.
     fn memory_limit(&self) -> Option<u64> {
-        let slots = u64::from(self.record.slots.max(1));
-        self.memory_tokens.map(|tokens| tokens * slots.min(self.slot_limit as u64) / slots)
+        let slots = u128::from(self.record.slots.max(1));
+        let limit = |tokens: u64| u128::from(tokens) * slots.min(self.slot_limit as u128) / slots;
+        self.memory_tokens.map(|tokens| u64::try_from(limit(tokens)).unwrap_or(u64::MAX))
     }
 
     /// Returns whether a job fits into the free memory; an idle endpoint accepts any job.
@@ -174,6 +178,7 @@
 
     /// Records a request that another dispatcher placed on the endpoint at `since_ms`.
     pub fn add_external(&mut self, since_ms: u64, job_id: JobId, memory_tokens: u64) {
+        let memory_tokens = memory_tokens.min(JOB_TOKENS_MAX);
         self.add(job_id, Running { memory_tokens, expected_ms: 0.0, since_ms });
     }
 
--- a/crates/dispatch/src/endpoints/prefix_cache.rs
+++ b/crates/dispatch/src/endpoints/prefix_cache.rs
@@ -29,7 +29,7 @@
     /// ```
     pub fn cached_tokens(&self, prefix: &[PrefixPart]) -> u32 {
         let known = prefix.iter().take_while(|part| self.parts.contains_key(&part.id));
-        known.map(|part| part.tokens).sum()
+        known.fold(0, |tokens, part| tokens.saturating_add(part.tokens))
     }
 
     /// Records the parts of a processed prompt.
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -33,20 +33,21 @@
 #[derive(Clone, Copy, Debug)]
 struct Span {
     from_ms: u64,
-    requests: u32,
-    retries: u32,
+    requests: u64,
+    retries: u64,
 }
 
 /// The requests of an instance for a service.
 #[derive(Clone, Debug, Default)]
 struct Window {
     spans: VecDeque<Span>,
-    requests: u32,
-    retries: u32,
+    requests: u64,
+    retries: u64,
 }
 
 impl Window {
     fn add(&mut self, at_ms: u64, requests: u32, retries: u32) {
+        let (requests, retries) = (u64::from(requests), u64::from(retries));
         self.requests += requests;
         self.retries += retries;
         match self.spans.back_mut() {
@@ -113,11 +114,11 @@
             window.prune(now_ms.saturating_sub(options.retry_window_ms));
         }
         windows.retain(|_, window| !window.spans.is_empty());
-        let requests: u32 = windows.values().map(|window| window.requests).sum();
-        let retries: u32 = windows.values().map(|window| window.retries).sum();
+        let requests: u64 = windows.values().map(|window| window.requests).sum();
+        let retries: u64 = windows.values().map(|window| window.retries).sum();
         let slack = options.retry_slack * options.budget_share * (1.0 - options.absent_share);
-        let allowed = (options.retry_ratio * f64::from(requests) + slack) * BUDGET_FACTOR;
-        if f64::from(retries + 1) > allowed {
+        let allowed = (options.retry_ratio * requests as f64 + slack) * BUDGET_FACTOR;
+        if (retries + 1) as f64 > allowed {
             return false;
         }
         windows.entry(instance).or_default().add(now_ms, 0, 1);
@@ -134,8 +135,8 @@
                 usage.push(RetryUsage {
                     service: service.clone(),
                     ago_ms: now_ms - span.from_ms,
-                    requests: span.requests,
-                    retries: span.retries,
+                    requests: u32::try_from(span.requests).unwrap_or(u32::MAX),
+                    retries: u32::try_from(span.retries).unwrap_or(u32::MAX),
                 });
             }
         }
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -5,6 +5,7 @@
 mod health;
 mod limits;
 mod notices;
+mod odd_numbers;
 mod overload;
 mod paths;
 mod placement;
