fix(wire): times and usage beyond all use enter as the longest, or not at all

What callers saw: nothing reported; found by the tests. A wait, age or trial of 2^64-1 ms in a message of another instance overflows when it is added to now; one entry of usage that is NaN makes the sum of its account NaN, which no request exceeds or all do.

Change: at the boundary, where a message is read, times end at three decades and the count of trials at half its range; an entry of usage that is no amount is left out, and the others stay in force. None of the messages is recursive, so nesting is bounded by the schema.

--- a/crates/wire/src/convert/crashes.rs
+++ b/crates/wire/src/convert/crashes.rs
@@ -1,6 +1,6 @@
 //! Conversions of what instances know of crashes, and of quarantines.
 
-use super::{WireError, text};
+use super::{WireError, bounded_ms, text};
 use crate::peer_capnp as schema;
 use capnp::{primitive_list, struct_list};
 use lycheehub_dispatch::JobId;
@@ -23,7 +23,7 @@
         Ok(PartAnswer {
             service: text(entry.get_service())?.into(),
             part: entry.get_part(),
-            ago_ms: entry.get_ago_ms(),
+            ago_ms: bounded_ms(entry.get_ago_ms()),
         })
     };
     let answers: Result<_, WireError> = reader.get_answers()?.iter().map(read_answer).collect();
@@ -42,7 +42,7 @@
             endpoint: text(entry.get_endpoint())?.into(),
             incarnation: entry.get_incarnation(),
         },
-        ago_ms: entry.get_ago_ms(),
+        ago_ms: bounded_ms(entry.get_ago_ms()),
         prompts,
     })
 }
@@ -87,9 +87,10 @@
         Ok(Quarantine {
             service: text(entry.get_service())?.into(),
             parts: entry.get_parts()?.iter().collect(),
-            first_crash_ago_ms: entry.get_first_crash_ago_ms(),
-            next_trial_ms: entry.get_next_trial_ms(),
-            trials: entry.get_trials(),
+            first_crash_ago_ms: bounded_ms(entry.get_first_crash_ago_ms()),
+            next_trial_ms: bounded_ms(entry.get_next_trial_ms()),
+            // A count at its maximum could not grow.
+            trials: entry.get_trials().min(u32::MAX / 2),
         })
     };
     reader.iter().map(read).collect()
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -59,3 +59,11 @@
 fn text(reader: capnp::Result<capnp::text::Reader<'_>>) -> Result<&str, WireError> {
     Ok(reader?.to_str()?)
 }
+
+/// The longest time that a message can state, in milliseconds: three decades. A sum of such times and
+/// the current time does not overflow.
+const TIME_MAX_MS: u64 = 1_000_000_000_000;
+
+fn bounded_ms(ms: u64) -> u64 {
+    ms.min(TIME_MAX_MS)
+}
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -1,6 +1,6 @@
 //! Conversions of jobs that ask for an endpoint, of decisions, and of reported results.
 
-use super::{WireError, text};
+use super::{WireError, bounded_ms, text};
 use crate::peer_capnp as schema;
 use capnp::struct_list;
 use lycheehub_dispatch::crashes::Prompt;
@@ -10,6 +10,9 @@
 };
 use lycheehub_types::{AccountName, EndpointName};
 
+/// The most units that one entry of usage can state.
+const UNITS_MAX: f64 = 1e15;
+
 /// Reads a job of the instance with the number `instance`.
 ///
 /// # Errors
@@ -34,9 +37,9 @@
         prefix: prefix
             .map(|part| PrefixPart { id: part.get_id(), tokens: part.get_tokens() })
             .collect(),
-        objective_left_ms: reader.get_objective_left_ms(),
-        patience_left_ms: reader.get_patience_left_ms(),
-        deadline_left_ms: reader.get_deadline_left_ms(),
+        objective_left_ms: bounded_ms(reader.get_objective_left_ms()),
+        patience_left_ms: bounded_ms(reader.get_patience_left_ms()),
+        deadline_left_ms: bounded_ms(reader.get_deadline_left_ms()),
         returning: reader.get_returning(),
         resumes_stream: reader.get_goes_on(),
         is_last_attempt: reader.get_is_final(),
@@ -92,7 +95,7 @@
                 job_id,
                 endpoint: text(place.get_endpoint())?.into(),
                 address: text(place.get_address())?.into(),
-                first_byte_ms: place.get_first_byte_ms(),
+                first_byte_ms: bounded_ms(place.get_first_byte_ms()),
             }
         }
         Which::Refuse(refuse) => {
@@ -100,7 +103,7 @@
             Decision::Refuse {
                 job_id,
                 reason: refuse.get_reason()?.into(),
-                retry_after_ms: refuse.get_retry_after_ms(),
+                retry_after_ms: bounded_ms(refuse.get_retry_after_ms()),
             }
         }
     })
@@ -176,7 +179,7 @@
             endpoint: text(entry.get_endpoint())?.into(),
             memory_tokens: entry.get_memory_tokens(),
             is_stream: entry.get_stream(),
-            age_ms: entry.get_age_ms(),
+            age_ms: bounded_ms(entry.get_age_ms()),
             prompt: Prompt::new(entry.get_parts()?),
         })
     };
@@ -210,19 +213,23 @@
     let read_quota = |entry: schema::usage::Reader<'_>| {
         Ok(Usage {
             account: text(entry.get_account())?.into(),
-            ago_ms: entry.get_ago_ms(),
+            ago_ms: bounded_ms(entry.get_ago_ms()),
             units: entry.get_units(),
         })
     };
     let read_retries = |entry: schema::retry_usage::Reader<'_>| {
         Ok(RetryUsage {
             service: text(entry.get_service())?.into(),
-            ago_ms: entry.get_ago_ms(),
+            ago_ms: bounded_ms(entry.get_ago_ms()),
             requests: entry.get_requests(),
             retries: entry.get_retries(),
         })
     };
-    let quotas: Result<_, WireError> = reader.get_usage()?.iter().map(read_quota).collect();
+    // One entry without a sound number must not keep the instance out, nor make every sum unsound.
+    let is_sound =
+        |entry: &schema::usage::Reader<'_>| (0.0..=UNITS_MAX).contains(&entry.get_units());
+    let usage = reader.get_usage()?.iter().filter(is_sound);
+    let quotas: Result<_, WireError> = usage.map(read_quota).collect();
     let retries: Result<_, WireError> = reader.get_retries()?.iter().map(read_retries).collect();
     let crashes = super::crashes::read_report(reader.get_crashes()?)?;
     Ok(UsageReport { quotas: quotas?, retries: retries?, crashes })
@@ -325,7 +332,7 @@
 pub fn read_notice(
     reader: schema::placement::heed_params::Reader<'_>,
 ) -> Result<(Notice, Option<u64>), WireError> {
-    let (pause_ms, incarnation) = (reader.get_pause_ms(), reader.get_incarnation());
+    let (pause_ms, incarnation) = (bounded_ms(reader.get_pause_ms()), reader.get_incarnation());
     let pause_ms = (pause_ms > 0).then_some(pause_ms);
     let limit = if reader.has_limit() { Some(read_stated(reader.get_limit()?)?) } else { None };
     let rejections = match reader.has_rejections() {
@@ -386,7 +393,7 @@
     if !per_s.is_finite() || per_s < 0.0 {
         return Err(WireError::Rate(per_s));
     }
-    Ok(StatedLimit { per_s, age_ms: reader.get_age_ms() })
+    Ok(StatedLimit { per_s, age_ms: bounded_ms(reader.get_age_ms()) })
 }
 
 fn write_stated(stated: StatedLimit, mut builder: schema::stated_limit::Builder<'_>) {
--- /dev/null
+++ b/crates/wire/tests/wire/main.rs
@@ -0,0 +1,121 @@
+//! Messages of other instances with odd numbers, and bytes that are no messages.
+
+use capnp::message::{Builder, ReaderOptions};
+use googletest::prelude::*;
+use lycheehub_control::directory::Listing;
+use lycheehub_dispatch::{Decision, JobId};
+use lycheehub_wire::peer_capnp as schema;
+use lycheehub_wire::{
+    Report, read_decision, read_finished, read_in_flight, read_job, read_limits, read_notice,
+    read_quarantines, read_usage,
+};
+use proptest::prelude::*;
+
+/// Three decades, in milliseconds.
+const TIME_MAX_MS: u64 = 1_000_000_000_000;
+
+#[gtest]
+fn times_beyond_all_use_are_read_as_the_longest() {
+    let mut message = Builder::new_default();
+    let mut job = message.init_root::<schema::job::Builder<'_>>();
+    job.set_objective_left_ms(u64::MAX);
+    job.set_patience_left_ms(u64::MAX);
+    job.set_deadline_left_ms(u64::MAX);
+    let job = read_job(1, job.into_reader()).unwrap();
+    let times = [job.objective_left_ms, job.patience_left_ms, job.deadline_left_ms];
+    expect_that!(times, eq([TIME_MAX_MS; 3]));
+
+    let mut message = Builder::new_default();
+    let decision = message.init_root::<schema::decision::Builder<'_>>();
+    decision.init_place().set_first_byte_ms(u64::MAX);
+    let job_id = JobId { instance: 1, number: 1 };
+    let reader = message.get_root_as_reader::<schema::decision::Reader<'_>>().unwrap();
+    let decision = read_decision(job_id, reader).unwrap();
+    let Decision::Place { first_byte_ms, .. } = decision else { panic!("{decision:?}") };
+    expect_that!(first_byte_ms, eq(TIME_MAX_MS));
+
+    let mut message = Builder::new_default();
+    let mut notice = message.init_root::<schema::placement::heed_params::Builder<'_>>();
+    notice.set_pause_ms(u64::MAX);
+    let (notice, _) = read_notice(notice.into_reader()).unwrap();
+    expect_that!(notice.pause_ms, some(eq(TIME_MAX_MS)));
+
+    let mut message = Builder::new_default();
+    let report = message.init_root::<schema::crash_report::Builder<'_>>();
+    let mut quarantine = report.init_quarantines(1).get(0);
+    quarantine.set_next_trial_ms(u64::MAX);
+    quarantine.set_trials(u32::MAX);
+    let reader = message.get_root_as_reader::<schema::crash_report::Reader<'_>>().unwrap();
+    let quarantines = read_quarantines(reader.get_quarantines().unwrap()).unwrap();
+    expect_that!(quarantines[0].next_trial_ms, eq(TIME_MAX_MS));
+    expect_that!(quarantines[0].trials, lt(u32::MAX));
+}
+
+#[gtest]
+fn usage_that_is_no_number_leaves_the_other_entries_in_force() {
+    let odd = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, f64::MAX];
+    let mut message = Builder::new_default();
+    let params = message.init_root::<schema::peer::enter_params::Builder<'_>>();
+    let mut usage = params.init_usage(odd.len() as u32 + 1);
+    for (index, units) in (0..).zip(odd) {
+        usage.reborrow().get(index).set_units(units);
+    }
+    usage.get(odd.len() as u32).set_units(7.5);
+    let reader = message.get_root_as_reader::<schema::peer::enter_params::Reader<'_>>().unwrap();
+    let usage = read_usage(reader).unwrap().quotas;
+    expect_that!(usage.iter().map(|usage| usage.units).collect::<Vec<_>>(), eq(&[7.5]));
+}
+
+/// Reads the bytes as each kind of message; only panics matter, not whether they can be read.
+fn read_as_any_message(mut bytes: &[u8]) -> Option<()> {
+    let options = ReaderOptions::new();
+    let message = capnp::serialize::read_message_from_flat_slice(&mut bytes, options).ok()?;
+    let _ = message.get_root().map(|reader| read_job(1, reader));
+    let job_id = JobId { instance: 1, number: 1 };
+    let _ = message.get_root().map(|reader| read_decision(job_id, reader));
+    let _ = message.get_root().map(|reader| read_notice(reader));
+    let _ = message.get_root().map(|reader| read_usage(reader));
+    let _ = message.get_root::<schema::report::Reader<'_>>().map(Report::try_from);
+    let _ = message.get_root::<schema::listing::Reader<'_>>().map(Listing::try_from);
+    let delta = message.get_root::<schema::delta::Reader<'_>>();
+    let _ = delta.map(lycheehub_control::registry::Delta::try_from);
+    let consensus = message.get_root::<schema::consensus_message::Reader<'_>>();
+    let _ = consensus.map(lycheehub_consensus::Message::try_from);
+    let reply = message.get_root::<schema::propose_reply::Reader<'_>>();
+    let _ = reply.map(lycheehub_wire::ProposeReply::try_from);
+    let list = message.get_root::<capnp::struct_list::Reader<'_, schema::in_flight::Owned>>();
+    let _ = list.map(read_in_flight);
+    let list = message.get_root::<capnp::struct_list::Reader<'_, schema::limit::Owned>>();
+    let _ = list.map(read_limits);
+    let list = message.get_root::<capnp::struct_list::Reader<'_, schema::finished::Owned>>();
+    let _ = list.map(|list| read_finished(1, list));
+    Some(())
+}
+
+/// A message of a few words behind a sound segment table, so that its pointers are followed.
+fn framed(words: &[u64]) -> Vec<u8> {
+    let mut bytes = vec![0, 0, 0, 0];
+    bytes.extend((words.len() as u32).to_le_bytes());
+    bytes.extend(words.iter().flat_map(|word| word.to_le_bytes()));
+    bytes
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(20_000) })]
+
+    #[test]
+    fn any_bytes_are_read_without_a_panic(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = read_as_any_message(&bytes);
+    }
+
+    #[test]
+    fn any_words_are_read_without_a_panic(
+        root in prop_oneof![Just(0x0008_0008_0000_0000_u64), Just(0x0003_000a_0000_0000), any::<u64>()],
+        words in prop::collection::vec(
+            prop_oneof![any::<u64>(), 0..64_u64, Just(u64::MAX), Just(0x0000_0017_0000_0001)], 0..40,
+        ),
+    ) {
+        let words: Vec<u64> = std::iter::once(root).chain(words).collect();
+        let _ = read_as_any_message(&framed(&words));
+    }
+}
