fix(control): another writer's higher numbers silence an endpoint for a lease, not for two minutes

What callers saw: nothing reported; found by the test. One announcement under an endpoint's name with a higher `sequence` or `born`, within the bounds of the reader, made all later announcements of the true endpoint outdated. Its lease ended after 4.5 s, and the endpoint was missing until the gone entry was dropped, 120 s later.

Design: if the known numbers are not renewed until their lease ends, and at least three announcements with lower numbers have arrived in order over half a lease, the lower ones are the true ones. The endpoint is listed again under the known numbers, continued, so that replicas and watchers take the listing for a newer one and need no change. Announcements that a broken path held back arrive together and prove nothing; a withdrawal is final as before; a draining notice holds within the incarnation that the endpoint states.

Evidence: high_numbers_of_another_writer_silence_the_endpoint_for_about_a_lease failed before (Actual: 20400 ms missing, the whole of the test; expected at most 4500). What remains: a writer that keeps sending higher numbers under an endpoint's name can't be told from the endpoint; the platform gives endpoints no proof of identity.

--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -6,9 +6,11 @@
 
 pub mod batching;
 mod changes;
+mod overtaken;
 
 use changes::ChangeIndex;
 pub use changes::{ChangePosition, Changes};
+use overtaken::Overtaken;
 
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use std::collections::BTreeMap;
@@ -82,6 +84,8 @@
     change: u64,
     /// When each unreachable peer became unreachable, in milliseconds.
     unreachable_since_ms: BTreeMap<InstanceName, u64>,
+    /// The known endpoints whose announcements to this replica look outdated, or did.
+    overtaken: BTreeMap<EndpointName, Overtaken>,
 }
 
 impl Directory {
@@ -92,14 +96,33 @@
             return self.insert(now_ms, listing, LeaseMonitor::Local(now_ms), Source::Local);
         };
         let listing = &known.listing;
-        if listing.record.freshness() >= record.freshness() {
-            return false;
-        }
-        let same_incarnation = listing.record.incarnation == record.incarnation;
+        // Whether the endpoint leaves or was withdrawn is a matter of the incarnation that it states.
+        let mut same_incarnation = listing.record.incarnation == record.incarnation;
+        let announced = record;
+        let overtaken = self.overtaken.get(&announced.endpoint);
+        let mut record = match overtaken {
+            Some(overtaken) => overtaken.translate(announced.clone()),
+            None => announced.clone(),
+        };
+        same_incarnation |= listing.record.incarnation == record.incarnation;
         if same_incarnation && listing.withdrawn {
             return false;
         }
-        let mut record = record;
+        if listing.record.freshness() >= record.freshness() {
+            let overtaken = self.overtaken.entry(announced.endpoint.clone());
+            let overtaken = overtaken
+                .and_modify(|overtaken| overtaken.record(now_ms, &announced))
+                .or_insert_with(|| Overtaken::new(now_ms, &announced));
+            if !listing.gone || listing.withdrawn || !overtaken.is_proved(now_ms) {
+                return false;
+            }
+            overtaken.continue_from(&listing.record);
+            record = overtaken.translate(announced);
+        } else if let Some(overtaken) = self.overtaken.get_mut(&announced.endpoint)
+            && !overtaken.record_newer()
+        {
+            self.overtaken.remove(&announced.endpoint);
+        }
         record.leaving |= same_incarnation && listing.record.leaving;
         let renewed = EndpointRecord {
             sequence: record.sequence,
@@ -262,7 +285,7 @@
         };
         let is_outdated =
             |entry: &Entry| entry.listing.gone && now_ms >= entry.changed_ms + GONE_RETENTION_MS;
-        let index = &mut self.index;
+        let (index, overtaken) = (&mut self.index, &mut self.overtaken);
         self.entries.retain(|name, entry| {
             let is_lost = is_orphan(entry) && !entry.listing.gone;
             let is_removed = is_lost || is_outdated(entry);
@@ -271,6 +294,7 @@
             }
             if is_removed {
                 index.remove(entry.change);
+                overtaken.remove(name);
             }
             !is_removed
         });
--- a/crates/control/tests/control/directory.rs
+++ b/crates/control/tests/control/directory.rs
@@ -428,3 +428,64 @@
     expect_that!(live(&instance.directory).contains(&"e2".to_owned()), eq(true));
     expect_that!(live(&instance.directory).contains(&"e7".to_owned()), eq(false));
 }
+
+/// Announces `true_record` each 1.2 s, 20 times, after one entry of another writer; returns how long the
+/// endpoint was missing from the list, in milliseconds.
+fn silenced_ms(odd: EndpointRecord, sequence_of: impl Fn(u64) -> EndpointRecord) -> u64 {
+    const HEARTBEAT_MS: u64 = 1_200;
+    let (mut here, mut there) = (Directory::default(), Directory::default());
+    here.announce(1_000, sequence_of(1));
+    here.announce(1_100, odd);
+    let mut missing_ms = 0;
+    for heartbeat in 2..22 {
+        let now_ms = heartbeat * HEARTBEAT_MS;
+        here.expire(now_ms);
+        here.announce(now_ms, sequence_of(heartbeat));
+        propagate(now_ms, &here, &"here".into(), &mut there);
+        expect_that!(live(&here), eq(&live(&there)), "{heartbeat}");
+        missing_ms += if live(&here).is_empty() { HEARTBEAT_MS } else { 0 };
+    }
+    expect_that!(live(&here), elements_are![eq("e")]);
+    missing_ms
+}
+
+// Before, the endpoint was missing for the two minutes for which a gone entry is kept.
+#[gtest]
+fn high_numbers_of_another_writer_silence_the_endpoint_for_about_a_lease() {
+    let honest = |sequence| record("e", 5, sequence);
+    for (incarnation, sequence) in
+        [(5, 1 << 40), (5, (1 << 53) - 1), (6, 1), (1 << 41, 1), (1 << 41, (1 << 53) - 1)]
+    {
+        let missing_ms = silenced_ms(record("e", incarnation, sequence), honest);
+        expect_that!(missing_ms, le(LEASE_MS), "{incarnation} {sequence}");
+    }
+    // The other writer's entry is at another address, or says that the endpoint leaves.
+    let elsewhere = EndpointRecord { address: "other:1".into(), ..record("e", 9, 9) };
+    expect_that!(silenced_ms(elsewhere, honest), le(LEASE_MS));
+    let leaving = EndpointRecord { leaving: true, ..record("e", 9, 9) };
+    expect_that!(silenced_ms(leaving, honest), le(LEASE_MS));
+}
+
+#[gtest]
+fn announcements_held_back_by_a_broken_path_do_not_list_an_endpoint_that_ended() {
+    let mut directory = Directory::default();
+    directory.announce(0, record("e", 7, 50));
+    directory.expire(LEASE_MS);
+    for sequence in 40..49 {
+        directory.announce(LEASE_MS + 10 + sequence, record("e", 7, sequence));
+        directory.announce(LEASE_MS + 10 + sequence, record("e", 6, sequence));
+    }
+    expect_that!(live(&directory), is_empty());
+}
+
+#[gtest]
+fn a_withdrawn_endpoint_is_not_listed_again_by_its_own_announcements() {
+    let mut directory = Directory::default();
+    directory.announce(0, record("e", 7, 50));
+    directory.withdraw(100, &"e".into());
+    for sequence in 1..49 {
+        directory.announce(sequence * 1_200, record("e", 7, sequence));
+        directory.expire(sequence * 1_200);
+    }
+    expect_that!(live(&directory), is_empty());
+}
