--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -6,6 +6,7 @@
 mod health;
 mod limits;
 mod notices;
+mod odd_numbers;
 mod overload;
 mod paths;
 mod placement;
--- a/crates/wire/src/convert/crashes.rs
+++ b/crates/wire/src/convert/crashes.rs
@@ -1,6 +1,6 @@
 //! Conversions of what instances know of crashes, and of quarantines.
 
-use super::{WireError, read_each, text};
+use super::{WireError, bounded_ms, read_each, text};
 use crate::peer_capnp as schema;
 use capnp::{primitive_list, struct_list};
 use lycheehub_dispatch::JobId;
@@ -22,7 +22,7 @@
         Ok(PartAnswer {
             service: text(entry.get_service())?.into(),
             part: entry.get_part(),
-            ago_ms: entry.get_ago_ms(),
+            ago_ms: bounded_ms(entry.get_ago_ms()),
         })
     };
     Ok(CrashReport {
@@ -43,7 +43,7 @@
             endpoint: text(entry.get_endpoint())?.into(),
             incarnation: entry.get_incarnation(),
         },
-        ago_ms: entry.get_ago_ms(),
+        ago_ms: bounded_ms(entry.get_ago_ms()),
         prompts,
     })
 }
@@ -85,9 +85,10 @@
         Ok(Quarantine {
             service: text(entry.get_service())?.into(),
             parts: entry.get_parts()?.iter().collect(),
-            first_crash_ago_ms: entry.get_first_crash_ago_ms(),
-            next_trial_ms: entry.get_next_trial_ms(),
-            trials: entry.get_trials(),
+            first_crash_ago_ms: bounded_ms(entry.get_first_crash_ago_ms()),
+            next_trial_ms: bounded_ms(entry.get_next_trial_ms()),
+            // A count at its maximum could not grow.
+            trials: entry.get_trials().min(u32::MAX / 2),
         })
     };
     read_each("quarantines", reader, read)
