fix(proxy): only a sound continuation is relayed on a stream that has started

Cause: whatever came with status 200 was taken for the continuation. Now a response continues a stream only if its media type is that of the response begun and it is not packed; of its events nothing is passed on before one whose id follows the last (a greater number, or another text); one that repeats breaks off, and so does one that ends without any such event, however it is framed. Without a sound continuation the connection is closed without the last chunk. The state of a stream has a module of its own.

Ids that skip cannot be told from larger steps: endpoints promise only that ids grow.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -2,8 +2,8 @@
 
 use super::filters::ResolvedRequest;
 use super::guard::{Interrupted, run_interruptible};
-use super::relay::StreamState;
 use super::send::{ResponseStart, send};
+use super::stream_state::StreamState;
 use super::{Exchange, Placed};
 use crate::dialect::{ForwardedFields, ResponseFields};
 use crate::entry::Entry;
@@ -253,10 +253,11 @@
             self.discard_and_release(attempt, upstream, response).await;
             return AttemptEnd::NotRun { endpoint, retry_after_ms };
         }
-        if kind.is_stream() && response.head.status == 200 {
+        if kind.is_stream() && response.head.status == 200 && stream.accepts(&response.head) {
             return self.relay_stream(caller, upstream, response, attempt, stream, can_move).await;
         }
         if stream.has_started() {
+            spdlog::info!("stream not continued", kv: { id: = self.fields.id, status = response.head.status });
             attempt.report(Outcome::Failed);
             return AttemptEnd::Failed { endpoint, response: None };
         }
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -12,6 +12,7 @@
 mod local_response;
 mod relay;
 mod send;
+mod stream_state;
 
 use crate::dialect::RequestFields;
 use crate::entry::{Entry, Snapshot};
@@ -24,10 +25,10 @@
 use lycheehub_dispatch::{Decision, Job, JobId, Reason};
 use lycheehub_routes::{RequestKind, RouteSpec};
 use lycheehub_types::{EndpointName, Refusal, RefusalKind, ServiceName};
-use relay::StreamState;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
+use stream_state::StreamState;
 
 /// Deadline in milliseconds of a request that states none. The timeout of its route may shorten it.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -5,7 +5,8 @@
 use super::guard::run_interruptible;
 use super::local_response::send_response;
 use super::send::ResponseStart;
-use crate::http1::{Body, Connection, Error, Event, EventParser, Framing, ResponseHead};
+use super::stream_state::{Continuation, StreamState};
+use crate::http1::{Body, Connection, Error, EventParser, Framing, ResponseHead};
 use futures_lite::AsyncWriteExt;
 use lycheehub_clock::within;
 use lycheehub_dispatch::Outcome;
@@ -20,29 +21,8 @@
 /// below. Other bytes and comments from the endpoint do not count as progress.
 const PROGRESS_TIMEOUT_MS: u64 = 1_100;
 
-/// How much of a stream the caller has been sent.
-#[derive(Clone, Debug)]
-pub(super) struct StreamState {
-    last_event_id: Option<SmolStr>,
-    framing: Option<Framing>,
-}
-
-impl StreamState {
-    /// Creates the state of a stream that continues after the last event that the caller received.
-    pub(super) fn new(last_event_id: Option<SmolStr>) -> Self {
-        Self { last_event_id, framing: None }
-    }
-
-    /// Returns whether any of the response was sent to the caller.
-    pub(super) fn has_started(&self) -> bool {
-        self.framing.is_some()
-    }
-
-    /// Returns the id of the last event that the caller was sent.
-    pub(super) fn last_event_id(&self) -> Option<&SmolStr> {
-        self.last_event_id.as_ref()
-    }
-}
+/// An endpoint that is to continue a stream does not go on where it broke off.
+const REPEATED: Error = Error::Malformed("a continuation that repeats events");
 
 /// Why relaying a stream ended.
 enum StreamEnd {
@@ -119,7 +99,8 @@
         }
     }
 
-    /// Relays complete events of a stream as they arrive.
+    /// Relays complete events of a stream as they arrive. Of a response that is to continue a stream that
+    /// has started, nothing is relayed before an event that follows the last one.
     pub(super) async fn relay_stream(
         &mut self,
         caller: &mut Connection,
@@ -133,10 +114,11 @@
         let head = &response.head;
         let framing = caller_framing(head.framing);
         let mut pending = Vec::new();
-        if stream.framing.is_none() {
+        let mut is_continued = !stream.has_started();
+        if !stream.has_started() {
             pending = self.response_head(head, framing, keeps_alive);
         }
-        let framing = stream.framing.unwrap_or(framing);
+        let framing = stream.framing().unwrap_or(framing);
         let mut writer = caller.writer();
         let mut body = Body::new(head.framing);
         let deadline_ms = self.deadline_ms;
@@ -158,17 +140,25 @@
                 let has_more = has_more && !body.is_at_end();
                 parser.push(&received);
                 while let Some(event) = parser.next_event() {
+                    if !is_continued {
+                        match stream.continuation(&event) {
+                            Continuation::Next => is_continued = true,
+                            Continuation::Unnumbered => continue,
+                            Continuation::Repeated => return StreamEnd::Broken(REPEATED),
+                        }
+                    }
                     let now_ms = clock.now_ms();
                     attempt.record_event(now_ms);
                     if event.id.is_some() {
                         last_progress_ms = now_ms;
                     }
-                    queue_event(&mut pending, framing, stream, event);
+                    append_framed(&mut pending, framing, &event.bytes);
+                    stream.record_sent(head, framing, event);
                 }
-                let has_events = attempt.events.get() > 0 || stream.has_started();
                 let checked = match has_more {
                     true => parser.check_remainder(),
-                    false => check_end(&parser, head.framing, has_events),
+                    false if !is_continued => Err(Error::Truncated),
+                    false => check_end(&parser, head.framing, stream.has_started()),
                 };
                 if checked.is_ok() && !has_more && framing == Framing::Chunked {
                     pending.extend_from_slice(LAST_CHUNK);
@@ -212,7 +202,7 @@
                 AttemptEnd::Answered { keeps_alive }
             }
             Ok(StreamEnd::Broken(error)) => {
-                let event = stream.last_event_id.as_deref().unwrap_or_default();
+                let event = stream.last_event_id().map(SmolStr::as_str).unwrap_or_default();
                 spdlog::info!("stream broke off", kv: { id: = self.fields.id, error: = error, event });
                 attempt.report_broken(&error);
                 AttemptEnd::Failed { endpoint, response: None }
@@ -277,14 +267,6 @@
     }
 }
 
-fn queue_event(out: &mut Vec<u8>, framing: Framing, stream: &mut StreamState, event: Event) {
-    append_framed(out, framing, &event.bytes);
-    stream.framing.get_or_insert(framing);
-    if event.id.is_some() {
-        stream.last_event_id = event.id;
-    }
-}
-
 async fn flush(writer: &mut TcpStream, pending: &mut Vec<u8>) -> bool {
     if pending.is_empty() {
         return true;
--- /dev/null
+++ b/crates/proxy/src/exchange/stream_state.rs
@@ -0,0 +1,83 @@
+//! How much of a stream its caller has been sent, and what continues it.
+
+use crate::http1::{Event, Framing, ResponseHead};
+use smol_str::SmolStr;
+
+/// How much of a stream the caller has been sent.
+#[derive(Clone, Debug)]
+pub(super) struct StreamState {
+    last_event_id: Option<SmolStr>,
+    begun: Option<Begun>,
+}
+
+/// The response whose head the caller has been sent.
+#[derive(Clone, Debug)]
+struct Begun {
+    framing: Framing,
+    media_type: Option<SmolStr>,
+}
+
+/// What an event of an endpoint that is to continue a stream is to the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Continuation {
+    /// It goes on after the last event.
+    Next,
+    /// It has no id: it is no part of the stream.
+    Unnumbered,
+    /// The caller has it already: the endpoint did not go on where the stream broke off.
+    Repeated,
+}
+
+impl StreamState {
+    /// Creates the state of a stream that continues after the last event that the caller received.
+    pub(super) fn new(last_event_id: Option<SmolStr>) -> Self {
+        Self { last_event_id, begun: None }
+    }
+
+    /// Returns whether any of the response was sent to the caller.
+    pub(super) fn has_started(&self) -> bool {
+        self.begun.is_some()
+    }
+
+    /// Returns the framing of the response, once it has started.
+    pub(super) fn framing(&self) -> Option<Framing> {
+        self.begun.as_ref().map(|begun| begun.framing)
+    }
+
+    /// Returns the id of the last event that the caller was sent.
+    pub(super) fn last_event_id(&self) -> Option<&SmolStr> {
+        self.last_event_id.as_ref()
+    }
+
+    /// Returns whether a response may go on with the stream: it is one of the same type, and plain.
+    pub(super) fn accepts(&self, head: &ResponseHead) -> bool {
+        let is_plain = head.headers.text("content-encoding").is_none();
+        self.begun.as_ref().is_none_or(|begun| is_plain && begun.media_type == media_type(head))
+    }
+
+    /// Returns what an event of a continuing response is to the caller.
+    pub(super) fn continuation(&self, event: &Event) -> Continuation {
+        let Some(id) = &event.id else { return Continuation::Unnumbered };
+        let Some(last) = &self.last_event_id else { return Continuation::Next };
+        let is_next = match (id.parse::<u64>(), last.parse::<u64>()) {
+            (Ok(id), Ok(last)) => id > last,
+            _ => id != last,
+        };
+        if is_next { Continuation::Next } else { Continuation::Repeated }
+    }
+
+    /// Records that an event of the response with this head is sent to the caller.
+    pub(super) fn record_sent(&mut self, head: &ResponseHead, framing: Framing, event: Event) {
+        self.begun.get_or_insert_with(|| Begun { framing, media_type: media_type(head) });
+        if event.id.is_some() {
+            self.last_event_id = event.id;
+        }
+    }
+}
+
+/// Returns the media type of a body in lower case, without parameters.
+fn media_type(head: &ResponseHead) -> Option<SmolStr> {
+    let value = head.headers.text("content-type")?;
+    let media_type = value.split(';').next().unwrap_or_default().trim();
+    Some(media_type.to_ascii_lowercase().into())
+}
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -7,6 +7,7 @@
 mod paths;
 mod requests;
 mod responses;
+mod resumption;
 mod strays;
 mod streams;
 mod support;
