fix(proxy): a stream that another endpoint may continue is sent in chunks

Callers of a stream whose first endpoint had announced a length got that length with the events of two runs: with another sum, the rest was missing or lay behind the end of the response, where the next one begins (MIXED, ORDER). The second endpoint's length cannot be known when the head is sent, so such a stream is sent in chunks; on the last attempt the length is passed on as before.

Before: resumption::a_stream_with_a_length_is_completed_by_a_second_endpoint got "Content-Length: 20" with 30 bytes, and "Content-Length: 515" with 30; now both are whole.

--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -112,7 +112,8 @@
     ) -> AttemptEnd {
         let keeps_alive = self.keeps_alive();
         let head = &response.head;
-        let framing = caller_framing(head.framing);
+        // Another endpoint may continue the stream, with a different length.
+        let framing = if can_move { Framing::Chunked } else { caller_framing(head.framing) };
         let mut pending = Vec::new();
         let mut is_continued = !stream.has_started();
         if !stream.has_started() {
--- a/crates/proxy/tests/proxy/resumption.rs
+++ b/crates/proxy/tests/proxy/resumption.rs
@@ -139,6 +139,32 @@
     expect_completed(head("200 OK", TYPE) + SECOND_EVENT);
 }
 
+// The length that the first endpoint announced is not that of the events from two.
+#[gtest]
+fn a_stream_with_a_length_is_completed_by_a_second_endpoint() {
+    for (announced, second) in [
+        (FIRST_EVENT.len() + 5, events(SECOND_EVENT)),
+        (FIRST_EVENT.len() + 500, with_length("200 OK", TYPE, SECOND_EVENT)),
+    ] {
+        run(|fixture| async move {
+            let length = format!("{TYPE}Content-Length: {announced}\r\n");
+            fixture.add_resetting_endpoint(head("200 OK", &length) + FIRST_EVENT).await;
+            add_closing(&fixture, second).await;
+            let response = fixture.request(&stream("/resume/")).await;
+            let whole = chunk(FIRST_EVENT) + &chunk(SECOND_EVENT) + "0\r\n\r\n";
+            expect_that!(response, ends_with(whole), "{announced}");
+            expect_that!(response, not(contains_substring("Content-Length")), "{announced}");
+        });
+    }
+}
+
+#[gtest]
+fn a_stream_with_a_length_that_nobody_continues_is_broken() {
+    let length = format!("{TYPE}Content-Length: 500\r\n");
+    let first = head("200 OK", &length).replace("second", "first") + FIRST_EVENT;
+    expect_broken(first, with_length("500 Broke", "", "oops"));
+}
+
 #[gtest]
 fn a_continuation_that_breaks_off_leaves_the_stream_broken() {
     run(|fixture| async move {
