fix(proxy): a stream of data without ids is not continued by another endpoint

No id tells where to go on, so it ends as broken; it isn't moved for want of events with ids either. Comments and fields without data don't count.

Before: resumption::a_stream_of_data_without_ids_is_not_continued got "data: a" twice and a complete end; now its stream ends as broken after one attempt.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -196,7 +196,8 @@
                     tried.push(endpoint);
                     may_have_run = true;
                     buffered = response.or(buffered);
-                    if is_last_attempt || !resolved.route.kind.may_repeat() {
+                    let may_repeat = resolved.route.kind.may_repeat() && stream.can_continue();
+                    if is_last_attempt || !may_repeat {
                         break self.outcome_unknown(resolved.route.kind);
                     }
                 }
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -132,7 +132,8 @@
                 let mut received = Vec::new();
                 let read = body.next(&mut upstream, &mut received);
                 let elapsed_ms = clock.now_ms() - last_progress_ms;
-                let left_ms = can_move.then(|| PROGRESS_TIMEOUT_MS.saturating_sub(elapsed_ms));
+                let left_ms = (can_move && stream.can_continue())
+                    .then(|| PROGRESS_TIMEOUT_MS.saturating_sub(elapsed_ms));
                 let has_more = match within_limit(left_ms, read).await {
                     None => return StreamEnd::Stalled,
                     Some(Err(error)) => return StreamEnd::Broken(error),
--- a/crates/proxy/src/exchange/stream_state.rs
+++ b/crates/proxy/src/exchange/stream_state.rs
@@ -7,6 +7,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct StreamState {
     last_event_id: Option<SmolStr>,
+    /// Data without an id was sent after the last event with one, so that another endpoint cannot be told
+    /// where to go on.
+    has_unnumbered_data: bool,
     begun: Option<Begun>,
 }
 
@@ -31,7 +34,7 @@
 impl StreamState {
     /// Creates the state of a stream that continues after the last event that the caller received.
     pub(super) fn new(last_event_id: Option<SmolStr>) -> Self {
-        Self { last_event_id, begun: None }
+        Self { last_event_id, has_unnumbered_data: false, begun: None }
     }
 
     /// Returns whether any of the response was sent to the caller.
@@ -49,6 +52,11 @@
         self.last_event_id.as_ref()
     }
 
+    /// Returns whether another endpoint can be told where to go on.
+    pub(super) fn can_continue(&self) -> bool {
+        !self.has_unnumbered_data
+    }
+
     /// Returns whether a response may go on with the stream: it is one of the same type, and plain.
     pub(super) fn accepts(&self, head: &ResponseHead) -> bool {
         let is_plain = head.headers.text("content-encoding").is_none();
@@ -71,6 +79,9 @@
         self.begun.get_or_insert_with(|| Begun { framing, media_type: media_type(head) });
         if event.id.is_some() {
             self.last_event_id = event.id;
+            self.has_unnumbered_data = false;
+        } else if has_data(&event.bytes) {
+            self.has_unnumbered_data = true;
         }
     }
 }
@@ -81,3 +92,7 @@
     let media_type = value.split(';').next().unwrap_or_default().trim();
     Some(media_type.to_ascii_lowercase().into())
 }
+
+fn has_data(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| line.starts_with(b"data"))
+}
--- a/crates/proxy/tests/proxy/resumption.rs
+++ b/crates/proxy/tests/proxy/resumption.rs
@@ -130,6 +130,17 @@
     expect_broken(begun(FIRST_EVENT), events(&both.replace("id: 1", "id: 0")));
 }
 
+// A run that starts again would repeat what the caller has: no id tells where to go on.
+#[gtest]
+fn a_stream_of_data_without_ids_is_not_continued() {
+    run(|fixture| async move {
+        let (first, second) = (begun("data: a\n\n"), events("data: a\n\ndata: b\n\n"));
+        let response = response(&fixture, first, second).await;
+        expect_that!(response, ends_with(chunk("data: a\n\n")));
+        expect_that!(fixture.placement.outcomes.borrow().len(), eq(1));
+    });
+}
+
 #[gtest]
 fn a_sound_continuation_completes_the_stream() {
     let charset = "Content-Type: Text/Event-Stream; charset=utf-8\r\n";
