--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -12,6 +12,7 @@
 mod local_response;
 mod relay;
 mod send;
+mod stream_state;
 
 use crate::dialect::RequestFields;
 use crate::entry::{Entry, Snapshot};
@@ -24,10 +25,10 @@
 use lycheehub_dispatch::{Decision, Job, JobId, Reason};
 use lycheehub_routes::{RequestKind, RouteSpec};
 use lycheehub_types::{EndpointName, Refusal, RefusalKind, ServiceName};
-use relay::StreamState;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
+use stream_state::StreamState;
 
 /// Deadline in milliseconds of a request that states none. The timeout of its route may shorten it.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
@@ -201,7 +202,8 @@
                     tried.push(endpoint);
                     may_have_run = true;
                     buffered = response.or(buffered);
-                    if is_last_attempt || !resolved.route.kind.may_repeat() {
+                    let may_repeat = resolved.route.kind.may_repeat() && stream.can_continue();
+                    if is_last_attempt || !may_repeat {
                         break self.outcome_unknown(resolved.route.kind);
                     }
                 }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -12,6 +12,7 @@
 mod requests;
 mod resets;
 mod responses;
+mod resumption;
 mod strays;
 mod streams;
 mod support;
