--- a/crates/auth/src/lib.rs
+++ b/crates/auth/src/lib.rs
@@ -1,7 +1,12 @@
 //! Mutual authentication: both ends of a connection prove with an HMAC that they hold the peer key.
+//! [`DigestKey`] derives digests from the same key.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod digest;
+
+pub use digest::{DIGEST_BYTES, DigestKey};
+
 use hmac::{Hmac, Mac};
 use rand::RngCore;
 use sha2::Sha256;
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -3,6 +3,7 @@
 use super::{http, load, require_address, serve_metrics, start_thread, wait_for_stop};
 use crate::exit::Error;
 use crate::serve::listen;
+use lycheehub_auth::DigestKey;
 use lycheehub_clock::{Clock, TimerService};
 use lycheehub_peer::entry::{EntryNode, EntryView, LeaderPlacement};
 use lycheehub_peer::{Latest, Seed};
@@ -115,6 +116,7 @@
         failure_domain: deployment.peer.failure_domain.clone(),
         connections_max: deployment.connections_max,
         connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        digest_key: DigestKey::derive(&deployment.peer.peer_key),
     };
     let entry = Entry::new(
         options,
--- a/crates/cli/src/trace/cause.rs
+++ b/crates/cli/src/trace/cause.rs
@@ -1,7 +1,7 @@
 //! Explains the end of a request from its own line and the related ones.
 
 use super::lines::Line;
-use super::{LOOKBACK_S, QUARANTINE_BEGAN, attempts};
+use super::{LOOKBACK_S, attempts, is_quarantine};
 
 /// Explains why a request ended as it did.
 ///
@@ -68,13 +68,18 @@
 }
 
 fn quarantined(end: &Line, related: &[&Line]) -> String {
-    let began = related.iter().rfind(|line| line.message.starts_with(QUARANTINE_BEGAN));
-    let Some(began) = began else {
-        let parts = end.text("parts");
-        return format!("an endpoint crashed on a prompt with a part of its own: {parts}");
+    let (parts, digest) = (end.text("parts"), end.text("digest"));
+    let Some(began) = related.iter().rfind(|line| is_quarantine(line)) else {
+        return match parts {
+            "" => format!("an endpoint crashed on this request: {digest}"),
+            _ => format!("an endpoint crashed on a prompt with a part of its own: {parts}"),
+        };
     };
     let (parts, endpoints) = (began.text("parts"), began.text("endpoints"));
-    format!("endpoints crashed on prompts with the parts {parts}: {endpoints}")
+    match began.text("digest") {
+        "" => format!("endpoints crashed on prompts with the parts {parts}: {endpoints}"),
+        digest => format!("endpoints crashed on the request {digest}: {endpoints}"),
+    }
 }
 
 fn not_admitted(end: &Line, related: &[&Line]) -> String {
--- a/crates/cli/src/trace/mod.rs
+++ b/crates/cli/src/trace/mod.rs
@@ -18,8 +18,8 @@
 /// 4.5 s after the last announcement of its endpoint.
 const LOOKBACK_S: u64 = 5;
 
-/// How the leader reports that it refuses requests with some prompt parts.
-const QUARANTINE_BEGAN: &str = "prompt parts quarantined";
+/// How the leader reports that it refuses requests with some prompt parts, or a single request.
+const QUARANTINE_BEGAN: [&str; 2] = ["prompt parts quarantined", "request quarantined"];
 
 /// Prints the log lines related to a request, and the cause of its end.
 pub fn run(options: &Trace) -> Result<(), Error> {
@@ -86,13 +86,23 @@
     }
 }
 
+/// Returns whether a line reports that a quarantine began.
+fn is_quarantine(line: &Line) -> bool {
+    QUARANTINE_BEGAN.iter().any(|began| line.message.starts_with(began))
+}
+
 /// Returns whether a line reports the quarantine for which a request was refused, which may have begun
 /// long before.
 fn is_quarantine_of(end: &Line, line: &Line) -> bool {
+    if end.text("end") != "quarantined" || !is_quarantine(line) {
+        return false;
+    }
+    let digest = line.text("digest");
+    if !digest.is_empty() {
+        return digest == end.text("digest");
+    }
     let is_part = |part: &str| end.text("parts").split(',').any(|own| own == part);
-    end.text("end") == "quarantined"
-        && line.message.starts_with(QUARANTINE_BEGAN)
-        && line.text("parts").split(',').any(is_part)
+    line.text("parts").split(',').any(is_part)
 }
 
 /// Returns the attempts of a request: the endpoint and the outcome of each.
--- a/crates/cli/tests/platform/crashing_prompts.rs
+++ b/crates/cli/tests/platform/crashing_prompts.rs
@@ -1,160 +1,37 @@
 //! A part of prompts on which endpoints crash reaches a few endpoints only, whatever instance its
 //! requests come to, and sound requests are served on.
 
-use crate::deployment::http::{chunk, field, read_request};
+use crate::crashing_engine::{Engine, Observed, Reaction};
+use crate::deployment::http::field;
 use crate::deployment::{Deployment, Layout, Process, Reply, call, eventually};
 use crate::support::next_id;
 use crate::trace::trace;
 use crate::{FRONT_PORT, has_logged, put_document, times_logged_ms};
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use std::io::Write;
-use std::net::{Shutdown, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 /// The part on which endpoints crash.
 const CRASHING_PART: &str = "dead0001";
 /// A part that crashing and sound requests share.
 const SHARED_PART: &str = "5afe0001";
-/// How long after the fifth crash the part may still be sent without bound.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// How many requests with the part may reach endpoints after that.
 const FURTHER_MAX: usize = 3;
-/// The crash from which on the time counts.
+/// The crash from which on the time counts, of those on the part.
 const COUNTED_CRASH: usize = 5;
-/// How long an endpoint is down after a crash.
-const DOWN_TIME: Duration = Duration::from_secs(1);
 const ENDPOINTS: usize = 8;
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 static NUMBERS: AtomicU64 = AtomicU64::new(1);
 
-/// When requests with the crashing part arrived at endpoints, and when those crashed.
-#[derive(Default)]
-struct Observed {
-    arrivals: Mutex<Vec<Instant>>,
-    crashes: Mutex<Vec<Instant>>,
-}
-
-impl Observed {
-    fn crashes(&self) -> usize {
-        self.crashes.lock().unwrap().len()
-    }
-
-    /// Returns how many requests with the part arrived later than `CONTACT_TIME` after the fifth crash.
-    fn further(&self) -> usize {
-        let Some(fifth) = self.crashes.lock().unwrap().get(COUNTED_CRASH - 1).copied() else {
-            return 0;
-        };
-        let arrivals = self.arrivals.lock().unwrap();
-        arrivals.iter().filter(|arrival| **arrival > fifth + CONTACT_TIME).count()
-    }
-}
-
-/// An endpoint that crashes with all its connections when it begins to answer on the crashing part.
-struct Engine {
-    observed: Arc<Observed>,
-    streams: Mutex<Vec<TcpStream>>,
-    is_down: AtomicBool,
-}
-
-impl Engine {
-    /// Runs an endpoint that announces itself, under a new name after each crash.
-    fn run(number: usize, deployment: &Deployment, observed: &Arc<Observed>) {
-        let controls: Vec<String> =
-            deployment.controls.iter().map(|process| process.ip.clone()).collect();
-        let listener = TcpListener::bind(format!("{}.60:0", deployment.prefix)).unwrap();
-        let address = listener.local_addr().unwrap().to_string();
-        let observed = observed.clone();
-        std::thread::spawn(move || {
-            let mut listener = listener;
-            for start in 0.. {
-                let engine = Arc::new(Self {
-                    observed: observed.clone(),
-                    streams: Mutex::default(),
-                    is_down: AtomicBool::new(false),
-                });
-                engine.serve_until_crash(listener, &controls, &format!("e{number}-{start}"));
-                std::thread::sleep(DOWN_TIME);
-                listener = TcpListener::bind(&address).unwrap();
-            }
-        });
-    }
-
-    fn serve_until_crash(self: &Arc<Self>, listener: TcpListener, controls: &[String], name: &str) {
-        let address = listener.local_addr().unwrap().to_string();
-        let (controls, name) = (controls.to_vec(), name.to_owned());
-        let announcer = self.clone();
-        std::thread::spawn(move || announcer.announce(&controls, &name, &address));
-        listener.set_nonblocking(true).unwrap();
-        while !self.is_down.load(Ordering::Relaxed) {
-            let Ok((stream, _)) = listener.accept() else {
-                std::thread::sleep(Duration::from_millis(2));
-                continue;
-            };
-            stream.set_nonblocking(false).unwrap();
-            self.streams.lock().unwrap().push(stream.try_clone().unwrap());
-            let engine = self.clone();
-            std::thread::spawn(move || engine.serve(stream));
-        }
-        for stream in self.streams.lock().unwrap().drain(..) {
-            // The connection may have ended before.
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
-    fn announce(&self, controls: &[String], name: &str, address: &str) {
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
-        let mut sequence = 0;
-        while !self.is_down.load(Ordering::Relaxed) {
-            sequence += 1;
-            let body = json!({
-                "service": "writer", "address": address, "zone": "salto", "version": "v1",
-                "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": sequence,
-                "born": born,
-            });
-            let path = format!("/-/instances/{name}");
-            let timeout = Duration::from_millis(500);
-            controls.iter().any(|ip| {
-                let reply =
-                    crate::deployment::control_call(ip, "PUT", &path, &body.to_string(), timeout);
-                reply.status == 200
-            });
-            std::thread::sleep(Duration::from_millis(300));
-        }
-    }
-
-    fn serve(&self, mut stream: TcpStream) {
-        while let Some((head, _)) = read_request(&mut stream) {
-            let prefix = field(&head, "prompt-prefix").unwrap_or_default();
-            let is_crashing = prefix.contains(CRASHING_PART);
-            if is_crashing {
-                self.observed.arrivals.lock().unwrap().push(Instant::now());
-            }
-            std::thread::sleep(Duration::from_millis(30));
-            if is_crashing {
-                if !self.is_down.swap(true, Ordering::Relaxed) {
-                    self.observed.crashes.lock().unwrap().push(Instant::now());
-                }
-                return;
-            }
-            let id = field(&head, "request-id").unwrap_or_default();
-            let head = format!(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-1\r\n\
-                 Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-            );
-            let mut pieces = vec![head];
-            pieces.extend((1..=4).map(|n| chunk(&format!("id: {n}\ndata: word\n\n"))));
-            pieces.push("0\r\n\r\n".to_owned());
-            for piece in pieces {
-                if stream.write_all(piece.as_bytes()).is_err() {
-                    return;
-                }
-                std::thread::sleep(Duration::from_millis(10));
-            }
-        }
+/// Crashes on the part.
+fn behavior(head: &str) -> (Reaction, String) {
+    let prefix = field(head, "prompt-prefix").unwrap_or_default();
+    match prefix.contains(CRASHING_PART) {
+        true => (Reaction::Crash, CRASHING_PART.to_owned()),
+        false => (Reaction::Stream, String::new()),
     }
 }
 
@@ -219,7 +96,7 @@
         put_document(&deployment, 0, &document()).status == 200
     });
     let observed = Arc::new(Observed::default());
-    (0..ENDPOINTS).for_each(|number| Engine::run(number, &deployment, &observed));
+    (0..ENDPOINTS).for_each(|number| Engine::run(number, &deployment, &observed, behavior));
     for entry in 0..2 {
         eventually("the entry instance is ready", || deployment.ready(entry) == 200);
         eventually("a sound request is answered", || {
@@ -283,8 +160,8 @@
     send_load(&deployment, Duration::from_secs(8), &Sound::default());
     let sound = Sound::default();
     let replies = send_load(&deployment, Duration::from_secs(6), &sound);
-    expect_that!(observed.crashes(), ge(1));
-    expect_that!(observed.further(), le(FURTHER_MAX));
+    expect_that!(observed.crashes(CRASHING_PART), ge(1));
+    expect_that!(observed.further(CRASHING_PART, COUNTED_CRASH), le(FURTHER_MAX));
     expect_mostly_served(&sound);
     let refused_id = replies.iter().rfind(|reply| reply.status == 503).expect("one is refused");
     let text = trace(&deployment, refused_id, &[]);
@@ -316,6 +193,6 @@
     eventually("the entry instance is ready", || deployment.ready(1) == 200);
     let sound = Sound::default();
     send_load(&deployment, Duration::from_secs(4), &sound);
-    expect_that!(observed.further(), le(FURTHER_MAX));
+    expect_that!(observed.further(CRASHING_PART, COUNTED_CRASH), le(FURTHER_MAX));
     expect_mostly_served(&sound);
 }
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -1,7 +1,9 @@
 //! End-to-end tests over the platform's protocol with real processes: three control instances, two
 //! entry instances, a stand-in endpoint, an operator and callers.
 
+mod crashing_engine;
 mod crashing_prompts;
+mod crashing_requests;
 #[path = "../deployment/mod.rs"]
 mod deployment;
 mod handover;
--- a/crates/dispatch/src/crashes/crash.rs
+++ b/crates/dispatch/src/crashes/crash.rs
@@ -5,7 +5,7 @@
 //! connection, or an instance that lost its path, leaves other requests of the endpoint that are
 //! answered.
 
-use super::Prompt;
+use super::Content;
 use lycheehub_types::{EndpointName, ServiceName};
 use std::collections::BTreeSet;
 
@@ -21,7 +21,9 @@
 /// The number of failures, and of instances that see them, with an endpoint's end: one instance alone may
 /// have lost its path.
 const SEVERAL: usize = 2;
-/// The maximum number of prompts that are suspect after a crash.
+/// The maximum number of requests that are suspect after a crash.
+const CONTENTS_MAX: usize = 64;
+/// The maximum number of them whose prompts are, too.
 const PROMPTS_MAX: usize = 16;
 
 /// A start of an endpoint.
@@ -42,8 +44,8 @@
     pub start: EndpointStart,
     /// How long ago it crashed, in milliseconds.
     pub ago_ms: u64,
-    /// The prompts on which it had begun no answer.
-    pub prompts: Vec<Prompt>,
+    /// What it may have crashed on: the requests at work, and the prompts on which it had begun no answer.
+    pub contents: Vec<Content>,
 }
 
 /// An instance that sees a failure of an endpoint.
@@ -60,8 +62,8 @@
 pub(super) struct Loss {
     /// When the first connection was lost, in milliseconds.
     pub(super) at_ms: u64,
-    /// The prompts on which no answer had begun.
-    pub(super) prompts: Vec<Prompt>,
+    /// The requests that were lost, with the prompts on which no answer had begun.
+    pub(super) contents: Vec<Content>,
     count: usize,
     /// The instances that lost a connection, or did not reach the endpoint afterwards.
     observers: BTreeSet<u32>,
@@ -77,7 +79,7 @@
     pub(super) fn new(at_ms: u64) -> Self {
         Self {
             at_ms,
-            prompts: Vec::new(),
+            contents: Vec::new(),
             count: 0,
             observers: BTreeSet::new(),
             has_sole_observer: false,
@@ -86,14 +88,19 @@
         }
     }
 
-    /// Records a lost connection; `prompt` is that of a request without an answer.
-    pub(super) fn record(&mut self, prompt: Option<&Prompt>, observer: Observer, is_idle: bool) {
+    /// Records a lost connection; `content` is what the endpoint may have crashed on.
+    pub(super) fn record(&mut self, content: &Content, observer: Observer, is_idle: bool) {
         self.count += 1;
         self.was_idle = is_idle;
         self.record_observer(observer);
-        let Some(prompt) = prompt else { return };
-        if self.prompts.len() < PROMPTS_MAX && !self.prompts.contains(prompt) {
-            self.prompts.push(prompt.clone());
+        let prompts = self.contents.iter().filter(|known| !known.prompt().shared().is_empty());
+        let content = match prompts.count() < PROMPTS_MAX {
+            true => content.clone(),
+            false => content.after_begun_answer(),
+        };
+        let has_room = self.contents.len() < CONTENTS_MAX;
+        if has_room && !content.is_empty() && !self.contents.contains(&content) {
+            self.contents.push(content);
         }
     }
 
--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -1,4 +1,4 @@
-//! Finds the parts of prompts on which endpoints crash, and keeps them from endpoints.
+//! Finds the parts of prompts, and the requests, on which endpoints crash, and keeps them from endpoints.
 //!
 //! Load pattern: requests of many callers share a part on which each endpoint crashes as soon as it
 //! begins to answer. Placed like any other, they bring down one endpoint after the other. An answer
@@ -6,23 +6,34 @@
 //! prompts the endpoint had begun no answer. Parts that were at several crashes and in no answer since
 //! are quarantined: requests whose prompts hold them are refused, but for a rare trial.
 //!
+//! Load pattern: a single request, of any kind and with or without a prompt, crashes each endpoint that
+//! runs it, and its caller repeats it at any instance. Its identity is one more suspect beside the parts
+//! of its prompt. Unlike these it may crash an endpoint that has written a part of the answer, so only a
+//! whole answer clears it. After a crash at which it was alone, or after two, it is not placed for some
+//! seconds; after three it is quarantined.
+//!
 //! Load pattern: endpoints crash for other reasons while busy parts are in every prompt. Crashes at
 //! about the same time count once, and more of them are needed while nothing else is answered.
 //!
-//! * [`prompt`] holds the parts of a prompt.
+//! * [`prompt`] holds the parts of a prompt, and [`content`] all that a request may be accused of.
 //! * [`crash`] tells crashes from single lost connections.
-//! * [`answers`] remembers the parts that have been answered.
+//! * [`answers`] remembers the parts and requests that have been answered.
 //! * [`quarantine`] holds what is refused.
-//! * [`service`] keeps the state of a service, and [`accuse`] finds the parts that are quarantined.
+//! * [`service`] keeps the state of a service, [`accuse`] finds what is quarantined, [`suspicion`] what is
+//!   not placed before that is decided, and [`report`] passes on what is known.
 
 mod accuse;
 mod answers;
+mod content;
 mod crash;
 mod prompt;
 mod quarantine;
+mod report;
 mod service;
+mod suspicion;
 
-pub use answers::PartAnswer;
+pub use answers::Answer;
+pub use content::{Content, RequestDigest, Suspect};
 pub use crash::{Crash, EndpointStart, Observer};
 pub use prompt::Prompt;
 pub use quarantine::{Quarantine, QuarantineEvent};
@@ -36,8 +47,8 @@
 pub struct CrashReport {
     /// The crashes.
     pub crashes: Vec<Crash>,
-    /// The parts that were answered last.
-    pub answers: Vec<PartAnswer>,
+    /// The parts and requests that were answered last.
+    pub answers: Vec<Answer>,
     /// The quarantines that the instance knows of.
     pub quarantines: Vec<Quarantine>,
 }
--- a/crates/dispatch/src/crashes/quarantine.rs
+++ b/crates/dispatch/src/crashes/quarantine.rs
@@ -1,6 +1,6 @@
-//! Parts of prompts that are kept from endpoints.
+//! Parts of prompts, and requests, that are kept from endpoints.
 
-use super::Prompt;
+use super::{Content, Suspect};
 use lycheehub_types::{EndpointName, ServiceName};
 
 /// The time from the start of a quarantine to its first trial, in milliseconds.
@@ -10,14 +10,14 @@
 /// The exponent from which on the time between trials stays the same.
 const TRIAL_GROWTH_MAX: u32 = 5;
 
-/// Parts of prompts on which endpoints crash, as dispatchers pass them on.
+/// What endpoints crash on, as dispatchers pass it on.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Quarantine {
     /// The service.
     pub service: ServiceName,
-    /// The parts; prompts that hold all of them are refused.
-    pub parts: Vec<u64>,
-    /// How long ago the first crash was at which the parts were found, in milliseconds.
+    /// The suspects; requests that hold all of them are refused.
+    pub suspects: Vec<Suspect>,
+    /// How long ago the first crash was at which the suspects were found, in milliseconds.
     pub first_crash_ago_ms: u64,
     /// How long from now the next trial is due, in milliseconds.
     pub next_trial_ms: u64,
@@ -28,35 +28,35 @@
 /// A change of a quarantine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum QuarantineEvent {
-    /// Parts are refused from now on.
+    /// Requests are refused from now on.
     Began {
         /// The service.
         service: ServiceName,
-        /// The parts.
-        parts: Vec<u64>,
+        /// The suspects.
+        suspects: Vec<Suspect>,
         /// The endpoints that crashed.
         endpoints: Vec<EndpointName>,
     },
-    /// Some of the parts were proved sound, or were missing at a further crash.
+    /// Some of the suspects were proved sound, or were missing at a further crash.
     Narrowed {
         /// The service.
         service: ServiceName,
-        /// The parts that are still refused.
-        parts: Vec<u64>,
+        /// The suspects that are still refused.
+        suspects: Vec<Suspect>,
     },
-    /// An answer has begun on the parts; they are no longer refused.
+    /// The suspects were answered; they are no longer refused.
     Cleared {
         /// The service.
         service: ServiceName,
-        /// The parts.
-        parts: Vec<u64>,
+        /// The suspects.
+        suspects: Vec<Suspect>,
     },
-    /// A request with the parts is placed as a trial.
+    /// A request with the suspects is placed as a trial.
     Tried {
         /// The service.
         service: ServiceName,
-        /// The parts.
-        parts: Vec<u64>,
+        /// The suspects.
+        suspects: Vec<Suspect>,
     },
 }
 
@@ -64,21 +64,21 @@
 #[derive(Clone, Debug)]
 pub(super) struct InForce {
     pub(super) id: u64,
-    pub(super) parts: Vec<u64>,
+    pub(super) suspects: Vec<Suspect>,
     pub(super) first_crash_ms: u64,
     next_trial_ms: u64,
     trials: u32,
 }
 
 impl InForce {
-    pub(super) fn new(id: u64, now_ms: u64, parts: Vec<u64>, first_crash_ms: u64) -> Self {
-        Self { id, parts, first_crash_ms, next_trial_ms: now_ms + FIRST_TRIAL_MS, trials: 0 }
+    pub(super) fn new(id: u64, now_ms: u64, suspects: Vec<Suspect>, first_crash_ms: u64) -> Self {
+        Self { id, suspects, first_crash_ms, next_trial_ms: now_ms + FIRST_TRIAL_MS, trials: 0 }
     }
 
     pub(super) fn restored(id: u64, now_ms: u64, told: &Quarantine) -> Self {
         Self {
             id,
-            parts: told.parts.clone(),
+            suspects: told.suspects.clone(),
             first_crash_ms: now_ms.saturating_sub(told.first_crash_ago_ms),
             next_trial_ms: now_ms + told.next_trial_ms,
             trials: told.trials,
@@ -88,15 +88,20 @@
     pub(super) fn told(&self, now_ms: u64, service: &ServiceName) -> Quarantine {
         Quarantine {
             service: service.clone(),
-            parts: self.parts.clone(),
+            suspects: self.suspects.clone(),
             first_crash_ago_ms: now_ms.saturating_sub(self.first_crash_ms),
             next_trial_ms: self.next_trial_ms.saturating_sub(now_ms),
             trials: self.trials,
         }
     }
 
-    pub(super) fn is_met_by(&self, prompt: &Prompt) -> bool {
-        prompt.has_all(&self.parts)
+    pub(super) fn is_met_by(&self, content: &Content) -> bool {
+        content.has_all(&self.suspects)
+    }
+
+    /// Returns whether it refuses a single request.
+    pub(super) fn is_of_request(&self) -> bool {
+        self.suspects.iter().any(|suspect| matches!(suspect, Suspect::Request(_)))
     }
 
     /// Returns how long the next trial is away, in milliseconds.
@@ -111,7 +116,7 @@
         self.next_trial_ms = now_ms + FIRST_TRIAL_MS * factor;
     }
 
-    /// Merges what another instance knows of the same parts.
+    /// Merges what another instance knows of the same suspects.
     pub(super) fn merge(&mut self, other: &Self) {
         self.first_crash_ms = self.first_crash_ms.min(other.first_crash_ms);
         self.next_trial_ms = self.next_trial_ms.max(other.next_trial_ms);
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -1,9 +1,9 @@
 //! Draws conclusions from the crashes and answers of a service.
 
-use super::Prompt;
-use super::answers::{Answers, PartAnswer};
-use super::crash::{Crash, EndpointStart, Loss, Observer, SETTLE_MS};
-use super::quarantine::{InForce, Quarantine, QuarantineEvent};
+use super::answers::Answers;
+use super::crash::{EndpointStart, Loss, Observer};
+use super::quarantine::{InForce, QuarantineEvent};
+use super::{Content, Suspect};
 use lycheehub_types::ServiceName;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -17,15 +17,12 @@
 const QUARANTINES_MAX: usize = 64;
 /// The maximum number of endpoints with lost connections that are watched.
 const LOSSES_MAX: usize = 1_024;
-/// The delay after which a request on a suspect prompt may be retried, in milliseconds: the suspicion
-/// is confirmed or disproved by then.
-const SUSPECT_RETRY_MS: u64 = 2_000;
 /// The lower and upper bounds of the delay told to the callers of quarantined requests, in
 /// milliseconds.
-const RETRY_MIN_MS: u64 = 1_000;
-const RETRY_MAX_MS: u64 = 60_000;
+pub(super) const RETRY_MIN_MS: u64 = 1_000;
+pub(super) const RETRY_MAX_MS: u64 = 60_000;
 
-/// What is known of a request's prompt.
+/// What is known of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// The request may be placed.
@@ -44,14 +41,14 @@
     pub(super) at_ms: u64,
     /// From when on the crash counts, in milliseconds: answers that contradict it are known by then.
     pub(super) counts_from_ms: u64,
-    pub(super) prompts: Vec<Prompt>,
+    pub(super) contents: Vec<Content>,
     /// The quarantine that explains it.
     pub(super) explained_by: Option<u64>,
 }
 
 impl KnownCrash {
-    pub(super) fn parts(&self) -> impl Iterator<Item = u64> {
-        self.prompts.iter().flat_map(|prompt| prompt.shared().iter().copied())
+    pub(super) fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        self.contents.iter().flat_map(Content::suspects)
     }
 }
 
@@ -60,7 +57,7 @@
 pub struct ServiceCrashes {
     pub(super) service: ServiceName,
     pub(super) answers: Answers,
-    losses: BTreeMap<EndpointStart, Loss>,
+    pub(super) losses: BTreeMap<EndpointStart, Loss>,
     pub(super) crashes: VecDeque<KnownCrash>,
     pub(super) quarantines: Vec<InForce>,
     pub(super) last_id: u64,
@@ -81,21 +78,31 @@
         }
     }
 
-    /// Records that an endpoint began an answer on a prompt at `at_ms`.
+    /// Records that an endpoint began an answer at `at_ms`: it proves the parts of the prompt sound.
     ///
     /// # Examples
     /// ```
-    /// use lycheehub_dispatch::crashes::{EndpointStart, Prompt, ServiceCrashes};
+    /// use lycheehub_dispatch::crashes::{Content, EndpointStart, Prompt, ServiceCrashes};
     ///
     /// let mut crashes = ServiceCrashes::new("labels".into());
     /// let start = EndpointStart { endpoint: "a".into(), incarnation: 1 };
-    /// crashes.record_answer(1_000, &start, &Prompt::new([7, 9]));
+    /// crashes.record_answer(1_000, &start, &Content::new(Prompt::new([7, 9]), None));
     /// assert_eq!(crashes.answers(1_500).map(|answer| answer.ago_ms).collect::<Vec<_>>(), [500]);
     /// ```
-    pub fn record_answer(&mut self, at_ms: u64, start: &EndpointStart, prompt: &Prompt) {
+    pub fn record_answer(&mut self, at_ms: u64, start: &EndpointStart, content: &Content) {
         self.record_alive(at_ms, start);
-        self.answers.record(at_ms, prompt.shared());
-        self.clear_answered(at_ms, prompt.shared());
+        self.answers.record_begun(at_ms, content.prompt().shared());
+        self.clear_answered(at_ms, |suspect| match suspect {
+            Suspect::Part(part) => content.prompt().has(part),
+            Suspect::Request(_) => false,
+        });
+    }
+
+    /// Records that an endpoint answered a request whole at `at_ms`: it proves the request sound.
+    pub fn record_whole_answer(&mut self, at_ms: u64, content: &Content) {
+        let Some(request) = content.digest().map(Suspect::Request) else { return };
+        self.answers.record(at_ms, request);
+        self.clear_answered(at_ms, |suspect| suspect == request);
     }
 
     /// Records that an endpoint gave a sign of life at `at_ms`.
@@ -105,20 +112,20 @@
         }
     }
 
-    /// Records that the connection of a request was lost; `prompt` is given if no answer had begun, and
-    /// the flag tells that no other request runs on the endpoint.
+    /// Records that the connection of a request was lost; `content` is what the endpoint may have crashed
+    /// on, and the flag tells that no other request runs on the endpoint.
     pub fn record_lost(
         &mut self,
         now_ms: u64,
         start: &EndpointStart,
-        prompt: Option<&Prompt>,
+        content: &Content,
         (observer, is_idle): (Observer, bool),
     ) {
         if self.losses.len() >= LOSSES_MAX && !self.losses.contains_key(start) {
             return;
         }
         let loss = self.losses.entry(start.clone()).or_insert_with(|| Loss::new(now_ms));
-        loss.record(prompt, observer, is_idle);
+        loss.record(content, observer, is_idle);
     }
 
     /// Records that an instance did not reach an endpoint.
@@ -137,15 +144,15 @@
 
     /// Returns whether a request may be placed. `is_repeat` tells that an earlier attempt was made on
     /// another endpoint. The dispatcher of a single instance sees only some of the crashes; it refuses
-    /// a part after the first.
+    /// a suspect after the first.
     pub fn judge(
         &mut self,
         now_ms: u64,
-        prompt: &Prompt,
+        content: &Content,
         is_repeat: bool,
         is_single_instance: bool,
     ) -> Verdict {
-        let met = self.quarantines.iter_mut().find(|quarantine| quarantine.is_met_by(prompt));
+        let met = self.quarantines.iter_mut().find(|quarantine| quarantine.is_met_by(content));
         if let Some(quarantine) = met {
             let wait_ms = quarantine.trial_wait_ms(now_ms);
             if wait_ms > 0 || is_single_instance {
@@ -153,34 +160,19 @@
                 return Verdict::Refused { retry_after_ms };
             }
             quarantine.record_trial(now_ms);
-            let parts = quarantine.parts.clone();
-            self.push_event(QuarantineEvent::Tried { service: self.service.clone(), parts });
+            let suspects = quarantine.suspects.clone();
+            self.push_event(QuarantineEvent::Tried { service: self.service.clone(), suspects });
             return Verdict::Sound;
         }
-        if self.is_suspect(prompt, is_repeat || is_single_instance) {
-            return Verdict::Refused { retry_after_ms: SUSPECT_RETRY_MS };
+        match self.suspicion_ms(now_ms, content, is_repeat, is_single_instance) {
+            Some(retry_after_ms) => Verdict::Refused { retry_after_ms },
+            None => Verdict::Sound,
         }
-        Verdict::Sound
-    }
-
-    /// Returns whether an endpoint has crashed, or probably has, on this very prompt, or with
-    /// `any_request` on one that shares a part, and no answer has ever begun on that part.
-    fn is_suspect(&self, prompt: &Prompt, any_request: bool) -> bool {
-        let unproved = prompt.shared().iter().filter(|part| self.answers.last_ms(**part).is_none());
-        let unproved: Vec<u64> = unproved.copied().collect();
-        let is_met = |other: &Prompt| {
-            (any_request || other.own() == prompt.own())
-                && unproved.iter().any(|part| other.has(*part))
-        };
-        let probable = self.losses.values().filter(|loss| loss.is_probable());
-        let lost = probable.flat_map(|loss| &loss.prompts);
-        let unexplained = self.crashes.iter().filter(|crash| crash.explained_by.is_none());
-        !unproved.is_empty() && lost.chain(unexplained.flat_map(|crash| &crash.prompts)).any(is_met)
     }
 
-    /// Returns whether requests on the prompt are refused.
-    pub fn is_quarantined(&self, prompt: &Prompt) -> bool {
-        self.quarantines.iter().any(|quarantine| quarantine.is_met_by(prompt))
+    /// Returns whether requests with this content are refused.
+    pub fn is_quarantined(&self, content: &Content) -> bool {
+        self.quarantines.iter().any(|quarantine| quarantine.is_met_by(content))
     }
 
     /// Advances time; returns whether there is a new quarantine. The dispatcher of a single instance
@@ -191,10 +183,7 @@
             self.crashes.pop_front();
         }
         let mut has_new = false;
-        while !is_single_instance
-            && self.quarantines.len() < QUARANTINES_MAX
-            && let Some(candidate) = self.best_candidate(now_ms)
-        {
+        while !is_single_instance && let Some(candidate) = self.best_candidate(now_ms) {
             self.quarantine(now_ms, &candidate);
             has_new = true;
         }
@@ -211,73 +200,93 @@
             .collect();
         for start in settled {
             let Some(loss) = self.losses.remove(&start) else { continue };
-            if loss.is_confirmed() && !loss.prompts.is_empty() {
+            if loss.is_confirmed() && !loss.contents.is_empty() {
                 let explained_by =
-                    self.explaining(&loss.prompts).or_else(|| self.narrow(&loss.prompts));
+                    self.explaining(&loss.contents).or_else(|| self.narrow(&loss.contents));
                 self.add_crash(KnownCrash {
                     start,
                     at_ms: loss.at_ms,
                     counts_from_ms: now_ms,
-                    prompts: loss.prompts,
+                    contents: loss.contents,
                     explained_by,
                 });
             }
         }
     }
 
-    fn add_crash(&mut self, crash: KnownCrash) {
+    pub(super) fn add_crash(&mut self, crash: KnownCrash) {
         if self.crashes.len() >= CRASHES_MAX {
             self.crashes.pop_front();
         }
         self.crashes.push_back(crash);
     }
 
-    /// Returns the quarantine that explains a crash with these prompts.
-    fn explaining(&self, prompts: &[Prompt]) -> Option<u64> {
+    /// Returns the quarantine that explains a crash on one of these.
+    pub(super) fn explaining(&self, contents: &[Content]) -> Option<u64> {
         let is_met =
-            |quarantine: &&InForce| prompts.iter().any(|prompt| quarantine.is_met_by(prompt));
+            |quarantine: &&InForce| contents.iter().any(|content| quarantine.is_met_by(content));
         self.quarantines.iter().find(is_met).map(|quarantine| quarantine.id)
     }
 
-    /// Narrows the quarantine whose parts were met only in part at a new crash, and returns it.
-    fn narrow(&mut self, prompts: &[Prompt]) -> Option<u64> {
+    /// Narrows the quarantine whose suspects were met only in part at a new crash, and returns it. One of
+    /// a request stays one of that request: without it, it would refuse others than before.
+    fn narrow(&mut self, contents: &[Content]) -> Option<u64> {
+        let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
         for quarantine in &mut self.quarantines {
-            let common = prompts.iter().map(|prompt| -> Vec<u64> {
-                quarantine.parts.iter().copied().filter(|part| prompt.has(*part)).collect()
+            let must_have_request = quarantine.is_of_request();
+            let common = contents.iter().map(|content| -> Vec<Suspect> {
+                let suspects = quarantine.suspects.iter().copied();
+                suspects.filter(|suspect| content.has(*suspect)).collect()
             });
-            let Some(common) = common.max_by_key(Vec::len).filter(|parts| !parts.is_empty()) else {
-                continue;
-            };
-            quarantine.parts = common.clone();
+            let common = common.max_by_key(Vec::len).filter(|suspects| {
+                !suspects.is_empty() && (!must_have_request || suspects.iter().any(is_request))
+            });
+            let Some(common) = common else { continue };
+            quarantine.suspects = common.clone();
             let (service, id) = (self.service.clone(), quarantine.id);
-            self.push_event(QuarantineEvent::Narrowed { service, parts: common });
+            self.push_event(QuarantineEvent::Narrowed { service, suspects: common });
             return Some(id);
         }
         None
     }
 
-    /// Removes parts from the quarantines that began before an answer on them.
-    fn clear_answered(&mut self, at_ms: u64, parts: &[u64]) {
+    /// Removes the oldest quarantine of a request if there is no room for a further one: endless requests
+    /// on which endpoints crash must not keep a part from being quarantined.
+    pub(super) fn make_room_for_quarantine(&mut self) {
+        if self.quarantines.len() < QUARANTINES_MAX {
+            return;
+        }
+        let oldest = self.quarantines.iter().position(InForce::is_of_request).unwrap_or_default();
+        self.quarantines.remove(oldest);
+    }
+
+    /// Removes suspects from the quarantines that began before they were answered.
+    pub(super) fn clear_answered(&mut self, at_ms: u64, is_sound: impl Fn(Suspect) -> bool) {
         let is_answered = |quarantine: &InForce| {
             at_ms > quarantine.first_crash_ms
-                && quarantine.parts.iter().any(|part| parts.binary_search(part).is_ok())
+                && quarantine.suspects.iter().any(|suspect| is_sound(*suspect))
         };
         if !self.quarantines.iter().any(is_answered) {
             return;
         }
         let mut events = Vec::new();
         for quarantine in self.quarantines.iter_mut().filter(|known| is_answered(known)) {
-            let before = quarantine.parts.clone();
-            quarantine.parts.retain(|part| parts.binary_search(part).is_err());
+            let (before, was_of_request) =
+                (quarantine.suspects.clone(), quarantine.is_of_request());
+            quarantine.suspects.retain(|suspect| !is_sound(*suspect));
+            if was_of_request && !quarantine.is_of_request() {
+                quarantine.suspects.clear();
+            }
             let service = self.service.clone();
-            events.push(match quarantine.parts.is_empty() {
-                true => QuarantineEvent::Cleared { service, parts: before },
-                false => QuarantineEvent::Narrowed { service, parts: quarantine.parts.clone() },
+            let suspects = quarantine.suspects.clone();
+            events.push(match suspects.is_empty() {
+                true => QuarantineEvent::Cleared { service, suspects: before },
+                false => QuarantineEvent::Narrowed { service, suspects },
             });
         }
         events.into_iter().for_each(|event| self.push_event(event));
         // The crashes of a quarantine that proved wrong have another cause.
-        let cleared = self.quarantines.extract_if(.., |quarantine| quarantine.parts.is_empty());
+        let cleared = self.quarantines.extract_if(.., |quarantine| quarantine.suspects.is_empty());
         for quarantine in cleared {
             for crash in &mut self.crashes {
                 crash.explained_by = crash.explained_by.filter(|id| *id != quarantine.id);
@@ -285,78 +294,6 @@
         }
     }
 
-    /// Returns the quarantines.
-    pub fn quarantines(&self, now_ms: u64) -> impl Iterator<Item = Quarantine> {
-        self.quarantines.iter().map(move |quarantine| quarantine.told(now_ms, &self.service))
-    }
-
-    /// Returns the crashes that no quarantine explains.
-    pub fn crashes(&self, now_ms: u64) -> impl Iterator<Item = Crash> {
-        let unexplained = self.crashes.iter().filter(|crash| crash.explained_by.is_none());
-        let known = unexplained.map(|crash| (&crash.start, crash.at_ms, &crash.prompts));
-        let probable = self.losses.iter().filter(|(_, loss)| loss.is_probable());
-        let all = known.chain(probable.map(|(start, loss)| (start, loss.at_ms, &loss.prompts)));
-        all.map(move |(start, at_ms, prompts)| Crash {
-            service: self.service.clone(),
-            start: start.clone(),
-            ago_ms: now_ms.saturating_sub(at_ms),
-            prompts: prompts.clone(),
-        })
-    }
-
-    /// Returns the parts that were answered last.
-    pub fn answers(&self, now_ms: u64) -> impl Iterator<Item = PartAnswer> {
-        self.answers.newest().map(move |(at_ms, part)| PartAnswer {
-            service: self.service.clone(),
-            part,
-            ago_ms: now_ms.saturating_sub(at_ms),
-        })
-    }
-
-    pub(super) fn restore_answer(&mut self, now_ms: u64, answer: &PartAnswer) {
-        let at_ms = now_ms.saturating_sub(answer.ago_ms);
-        self.answers.record_part(at_ms, answer.part);
-        self.clear_answered(at_ms, &[answer.part]);
-    }
-
-    /// Adds a crash that an instance has reported; several instances see the same one.
-    pub(super) fn restore_crash(&mut self, now_ms: u64, told: &Crash) {
-        if let Some(known) = self.crashes.iter_mut().find(|crash| crash.start == told.start) {
-            for prompt in &told.prompts {
-                if !known.prompts.contains(prompt) {
-                    known.prompts.push(prompt.clone());
-                }
-            }
-            return;
-        }
-        let explained_by = self.explaining(&told.prompts);
-        self.add_crash(KnownCrash {
-            start: told.start.clone(),
-            at_ms: now_ms.saturating_sub(told.ago_ms),
-            counts_from_ms: now_ms + SETTLE_MS,
-            prompts: told.prompts.clone(),
-            explained_by,
-        });
-    }
-
-    /// Adds a quarantine that an instance knows of, unless an answer has disproved it since.
-    pub(super) fn restore_quarantine(&mut self, now_ms: u64, told: &Quarantine) {
-        self.last_id += 1;
-        let mut restored = InForce::restored(self.last_id, now_ms, told);
-        let is_sound = |part: u64| {
-            self.answers.last_ms(part).is_some_and(|at_ms| at_ms > restored.first_crash_ms)
-        };
-        let parts: Vec<u64> =
-            restored.parts.iter().copied().filter(|part| !is_sound(*part)).collect();
-        restored.parts = parts;
-        let is_same = |known: &&mut InForce| known.parts == restored.parts;
-        if let Some(known) = self.quarantines.iter_mut().find(is_same) {
-            known.merge(&restored);
-        } else if !restored.parts.is_empty() && self.quarantines.len() < QUARANTINES_MAX {
-            self.quarantines.push(restored);
-        }
-    }
-
     pub(super) fn clear_quarantines(&mut self) {
         self.quarantines.clear();
     }
--- /dev/null
+++ b/crates/dispatch/src/crashes/suspicion.rs
@@ -0,0 +1,96 @@
+//! Keeps suspects from endpoints until it is decided whether they are quarantined.
+
+use super::accuse::count_apart;
+use super::service::{RETRY_MAX_MS, RETRY_MIN_MS, ServiceCrashes};
+use super::{Content, Prompt, RequestDigest, Suspect};
+
+/// The delay after which a request on a suspect prompt may be retried, in milliseconds: the suspicion
+/// is confirmed or disproved by then.
+const SUSPECT_RETRY_MS: u64 = 2_000;
+/// How long after a crash the only request at it is not placed again, in milliseconds; a sound one may
+/// still be answered within the time of its caller.
+const ALONE_MS: u64 = 5_000;
+/// How long after its second crash a request is not placed again, in milliseconds: a third is known by
+/// then, and so is an endpoint's return.
+const REPEATED_MS: u64 = 10_000;
+/// How long after a crash a single instance does not place the requests at it, in milliseconds: others
+/// may have as many crashes, and a leader is elected by then.
+const SINGLE_INSTANCE_MS: u64 = 60_000;
+/// The number of crashes at which a request is suspect even if it was not alone, or was answered before.
+const REPEATED: usize = 2;
+
+/// The crashes at which a request was at work and after which it was not answered.
+struct Crashes {
+    at_ms: Vec<u64>,
+    /// It was the only request at the last of them.
+    was_alone: bool,
+}
+
+impl ServiceCrashes {
+    /// Returns how long a request that is not quarantined must wait, in milliseconds, if it must.
+    pub fn suspicion_ms(
+        &self,
+        now_ms: u64,
+        content: &Content,
+        is_repeat: bool,
+        is_single_instance: bool,
+    ) -> Option<u64> {
+        if self.is_suspect_prompt(content.prompt(), is_repeat || is_single_instance) {
+            return Some(SUSPECT_RETRY_MS);
+        }
+        let until_ms = self.suspect_until_ms(content.digest()?, is_single_instance)?;
+        let left_ms = until_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)?;
+        Some(left_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS))
+    }
+
+    /// Returns until when a request is not placed, in milliseconds, if it is suspect.
+    fn suspect_until_ms(&self, digest: RequestDigest, is_single_instance: bool) -> Option<u64> {
+        let Crashes { at_ms, was_alone } = self.crashes_at(digest);
+        let last_ms = *at_ms.last()?;
+        let is_unproved = self.answers.last_ms(Suspect::Request(digest)).is_none();
+        // Endpoints that crash at the same time have one cause; of a request that was never answered it
+        // may be that one.
+        let count = if is_unproved { at_ms.len() } else { count_apart(&at_ms) };
+        let is_repeated = count >= REPEATED;
+        if is_single_instance {
+            return (is_unproved || is_repeated).then_some(last_ms + SINGLE_INSTANCE_MS);
+        }
+        match is_repeated {
+            true => Some(last_ms + REPEATED_MS),
+            false => (is_unproved && was_alone).then_some(last_ms + ALONE_MS),
+        }
+    }
+
+    fn crashes_at(&self, digest: RequestDigest) -> Crashes {
+        let request = Suspect::Request(digest);
+        let lost = self.losses.values().filter(|loss| loss.is_probable());
+        let lost = lost.map(|loss| (loss.at_ms, &loss.contents));
+        let unexplained = self.crashes.iter().filter(|crash| crash.explained_by.is_none());
+        let crashed = unexplained.map(|crash| (crash.at_ms, &crash.contents));
+        let mut found: Vec<(u64, bool)> = lost
+            .chain(crashed)
+            .filter(|(_, contents)| contents.iter().any(|content| content.has(request)))
+            .filter(|(at_ms, _)| !self.answers.is_sound_since(*at_ms, request))
+            .map(|(at_ms, contents)| (at_ms, contents.len() == 1))
+            .collect();
+        found.sort_unstable();
+        let was_alone = found.last().is_some_and(|(_, was_alone)| *was_alone);
+        Crashes { at_ms: found.into_iter().map(|(at_ms, _)| at_ms).collect(), was_alone }
+    }
+
+    /// Returns whether an endpoint has crashed, or probably has, on this very prompt, or with
+    /// `any_request` on one that shares a part, and no answer has ever begun on that part.
+    fn is_suspect_prompt(&self, prompt: &Prompt, any_request: bool) -> bool {
+        let is_unproved = |part: &&u64| self.answers.last_ms(Suspect::Part(**part)).is_none();
+        let unproved: Vec<u64> = prompt.shared().iter().filter(is_unproved).copied().collect();
+        let is_met = |other: &Content| {
+            (any_request || other.prompt().own() == prompt.own())
+                && unproved.iter().any(|part| other.prompt().has(*part))
+        };
+        let probable = self.losses.values().filter(|loss| loss.is_probable());
+        let lost = probable.flat_map(|loss| &loss.contents);
+        let unexplained = self.crashes.iter().filter(|crash| crash.explained_by.is_none());
+        let crashed = unexplained.flat_map(|crash| &crash.contents);
+        !unproved.is_empty() && lost.chain(crashed).any(is_met)
+    }
+}
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -198,7 +198,7 @@
     }
 
     fn place(&mut self, now_ms: u64, key: EndpointKey, queued: QueuedJob) {
-        let QueuedJob { job, prompt, .. } = queued;
+        let QueuedJob { job, content, .. } = queued;
         self.waiting.remove(&job.job_id);
         if let Some(service) = self.services.get_mut(&job.service) {
             service.record_version_placed(&self.endpoints[key].record.version);
@@ -213,7 +213,7 @@
             first_byte_ms,
         });
         let is_stream = job.output_tokens > 0;
-        let placed = PlacedJob { endpoint: key, is_stream, rank: job.rank, prompt };
+        let placed = PlacedJob { endpoint: key, is_stream, rank: job.rank, content };
         self.placed.insert(job.job_id, placed);
     }
 }
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -1,25 +1,26 @@
-//! Tells the search for crashing prompts what happens on endpoints, and applies its results.
+//! Tells the search for crashing prompts and requests what happens on endpoints, and applies its results.
 
 use super::{Dispatcher, PlacedJob};
-use crate::crashes::{EndpointStart, Observer, Prompt, Quarantine, QuarantineEvent, Verdict};
+use crate::crashes::{Content, EndpointStart, Observer, Quarantine, QuarantineEvent, Verdict};
 use crate::endpoints::EndpointKey;
 use crate::job::{Finished, Job, JobId, Outcome, Reason};
 use lycheehub_types::ServiceName;
 
 impl Dispatcher {
-    /// Returns the retry delay, in milliseconds, if a job must not be placed because of its prompt.
+    /// Returns the retry delay, in milliseconds, if a job must not be placed because of what it
+    /// holds.
     pub(super) fn quarantine_retry_after_ms(
         &mut self,
         now_ms: u64,
         job: &Job,
-        prompt: &Prompt,
+        content: &Content,
     ) -> Option<u64> {
-        if prompt.shared().is_empty() {
+        if content.is_empty() {
             return None;
         }
         let is_single_instance = !self.options.sees_all_requests;
         let crashes = self.crashes.service(&job.service);
-        match crashes.judge(now_ms, prompt, job.repeat, is_single_instance) {
+        match crashes.judge(now_ms, content, job.repeat, is_single_instance) {
             Verdict::Sound => None,
             Verdict::Refused { retry_after_ms } => Some(retry_after_ms),
         }
@@ -30,7 +31,7 @@
         let Some(placed) = self.placed.get(&job_id) else { return };
         let Some((service, start)) = self.start_of(placed.endpoint) else { return };
         let at_ms = now_ms.saturating_sub(ago_ms);
-        self.crashes.service(&service).record_answer(at_ms, &start, &placed.prompt);
+        self.crashes.service(&service).record_answer(at_ms, &start, &placed.content);
         let key = placed.endpoint;
         self.record_reached(at_ms, job_id.instance, key);
     }
@@ -50,7 +51,12 @@
         let has_begun = finished.first_byte_ms.is_some() && finished.outcome != Outcome::Failed;
         if has_begun {
             let at_ms = now_ms.saturating_sub(finished.rest_ms.into());
-            crashes.record_answer(at_ms, &start, &placed.prompt);
+            crashes.record_answer(at_ms, &start, &placed.content);
+        }
+        let has_whole_answer = finished.first_byte_ms.is_some()
+            && matches!(finished.outcome, Outcome::Answered | Outcome::Failed);
+        if has_whole_answer {
+            crashes.record_whole_answer(now_ms, &placed.content);
         }
         let instance = finished.job_id.instance;
         let observer = Observer { instance, is_sole: self.paths.instances() <= 1 };
@@ -68,9 +74,12 @@
         }
         // An instance that is cut off loses the connections of endpoints that run on.
         if finished.is_connection_lost && !self.paths.is_lost(instance) {
-            let prompt =
-                (!has_begun && !placed.prompt.shared().is_empty()).then_some(&placed.prompt);
-            crashes.record_lost(now_ms, &start, prompt, (observer, is_idle));
+            let content = match has_begun {
+                true => &placed.content.after_begun_answer(),
+                false => &placed.content,
+            };
+            crashes.record_lost(now_ms, &start, content, (observer, is_idle));
+            self.refuse_suspects(now_ms, &service);
         }
     }
 
@@ -86,17 +95,30 @@
         Some((record.service.clone(), EndpointStart { endpoint, incarnation }))
     }
 
-    /// Advances the search, and refuses the waiting jobs whose prompts are quarantined.
+    /// Advances the search, and refuses the waiting jobs that are quarantined.
     pub(super) fn advance_crashes(&mut self, now_ms: u64) {
         let is_single_instance = !self.options.sees_all_requests;
-        let mut refused = Vec::new();
+        let mut changed = Vec::new();
         for (name, crashes) in self.crashes.services() {
-            if !crashes.advance(now_ms, is_single_instance) {
-                continue;
+            if crashes.advance(now_ms, is_single_instance) {
+                changed.push(name.clone());
             }
-            let Some(service) = self.services.get_mut(name) else { continue };
-            refused.extend(service.queue.take_if(|queued| crashes.is_quarantined(&queued.prompt)));
         }
+        for name in changed {
+            self.refuse_suspects(now_ms, &name);
+        }
+    }
+
+    /// Refuses the waiting jobs of a service that must not be placed any more.
+    fn refuse_suspects(&mut self, now_ms: u64, name: &ServiceName) {
+        let is_single_instance = !self.options.sees_all_requests;
+        let Some(service) = self.services.get_mut(name) else { return };
+        let crashes = self.crashes.service(name);
+        let refused = service.queue.take_if(|queued| {
+            let (content, is_repeat) = (&queued.content, queued.job.repeat);
+            let suspicion = crashes.suspicion_ms(now_ms, content, is_repeat, is_single_instance);
+            crashes.is_quarantined(content) || suspicion.is_some()
+        });
         for queued in refused {
             const RETRY_AFTER_MS: u64 = 1_000;
             self.waiting.remove(&queued.job.job_id);
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -10,7 +10,7 @@
 mod update;
 mod versions;
 
-use crate::crashes::{CrashReport, Crashes, Prompt};
+use crate::crashes::{Content, CrashReport, Crashes};
 use crate::endpoints::{Endpoint, EndpointKey, Notices, Speed, is_failure};
 use crate::job::{Decision, Finished, Job, JobId, Outcome, Reason};
 use crate::options::Options;
@@ -42,7 +42,7 @@
     is_stream: bool,
     /// The rank of the job.
     rank: u8,
-    prompt: Prompt,
+    content: Content,
 }
 
 /// A service with its queue and its endpoints.
@@ -146,8 +146,8 @@
     pub is_stream: bool,
     /// How long ago the request was placed, in milliseconds.
     pub age_ms: u64,
-    /// The parts of its prompt.
-    pub prompt: Prompt,
+    /// What the endpoint may crash on.
+    pub content: Content,
 }
 
 /// Schedules the requests of one instance or, at the leader, of all instances.
@@ -217,8 +217,8 @@
 
     /// Submits a job; its decision is made during this call or a later one.
     pub fn submit(&mut self, now_ms: u64, job: Job) {
-        let prompt = Prompt::from(&job.prefix[..]);
-        if let Some(retry_after_ms) = self.quarantine_retry_after_ms(now_ms, &job, &prompt) {
+        let content = Content::from(&job);
+        if let Some(retry_after_ms) = self.quarantine_retry_after_ms(now_ms, &job, &content) {
             return self.refuse(job.job_id, Reason::Quarantined, retry_after_ms);
         }
         let units = match self.charge(now_ms, &job) {
@@ -227,7 +227,7 @@
                 return self.refuse(job.job_id, reason, retry_after_ms);
             }
         };
-        let Some(queued) = self.prepare_job(now_ms, job, prompt, units) else { return };
+        let Some(queued) = self.prepare_job(now_ms, job, content, units) else { return };
         if let Some(retry_after_ms) = self.overload_retry_after_ms(now_ms, &queued) {
             return self.refuse_queued(queued, Reason::Overloaded, retry_after_ms);
         }
@@ -300,7 +300,7 @@
         &mut self,
         now_ms: u64,
         job: Job,
-        prompt: Prompt,
+        content: Content,
         units: f64,
     ) -> Option<QueuedJob> {
         if let Some((reason, retry_after_ms)) = self.immediate_refusal(now_ms, &job) {
@@ -324,7 +324,7 @@
             slot_ms: slot_ms as u64,
             min_slot_ms: min_slot_ms as u64,
             units,
-            prompt,
+            content,
             job,
         })
     }
@@ -432,7 +432,7 @@
                 endpoint: *key,
                 is_stream: request.is_stream,
                 rank: 0,
-                prompt: request.prompt.clone(),
+                content: request.content.clone(),
             };
             self.placed.insert(job_id, placed);
         }
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -1,5 +1,6 @@
 //! The jobs submitted to the dispatcher, its decisions, and the reported results.
 
+use crate::crashes::RequestDigest;
 use lycheehub_types::{AccountName, EndpointName, FailureDomain, ServiceName};
 use smol_str::SmolStr;
 
@@ -43,6 +44,8 @@
     pub output_tokens: u32,
     /// The parts of the prompt, in order.
     pub prefix: Vec<PrefixPart>,
+    /// The identity of the request, if the instance that received it tells it.
+    pub digest: Option<RequestDigest>,
     /// The time left until the first byte is late, in milliseconds; 0 if it is late already.
     pub objective_left_ms: u64,
     /// The time left until the caller gives up waiting for the first byte, in milliseconds.
@@ -74,7 +77,7 @@
     /// # let job_id = JobId { instance: 1, number: 1 };
     /// # let job = Job {
     /// #     job_id, service: "labels".into(), tier: 0, rank: 0, account: None, declared_tokens: None,
-    /// #     prompt_tokens: 0, output_tokens: 0, prefix: vec![], objective_left_ms: 100,
+    /// #     prompt_tokens: 0, output_tokens: 0, prefix: vec![], digest: None, objective_left_ms: 100,
     /// #     patience_left_ms: 500, deadline_left_ms: 500, returning: false,
     /// #     resumes_stream: false, is_last_attempt: false, failure_domain: "salto".into(), tried: vec![],
     /// #     repeat: false,
@@ -128,7 +131,7 @@
     QuotaExceeded,
     /// The service has used up its retry budget.
     RetriesExhausted,
-    /// Endpoints crash on a part of the prompt.
+    /// Endpoints crash on the request or on a part of its prompt.
     Quarantined,
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,7 +8,7 @@
 //! * [`endpoints`] estimates the load, speed and health of endpoints.
 //! * [`paths`] tells instances that are cut off from failing endpoints.
 //! * [`queue`] orders the waiting jobs.
-//! * [`crashes`] finds the parts of prompts on which endpoints crash.
+//! * [`crashes`] finds the parts of prompts, and the requests, on which endpoints crash.
 //! * [`quota`] and [`retries`] limit client accounts and retries.
 //! * [`dispatcher`] combines these, and [`placement`] is the interface for request handlers.
 #![deny(missing_docs, rust_2018_idioms)]
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -18,7 +18,7 @@
 //! without it. A job that resumes a stream is therefore also served with the most urgent rank of
 //! its tier, and is kept for some time when it is late.
 
-use crate::crashes::Prompt;
+use crate::crashes::Content;
 use crate::job::{Job, JobId};
 use std::collections::BTreeMap;
 
@@ -46,8 +46,8 @@
 /// A job in the queue.
 #[derive(Clone, Debug)]
 pub struct QueuedJob {
-    /// The parts of the job's prompt.
-    pub prompt: Prompt,
+    /// What endpoints may crash on.
+    pub content: Content,
     /// The job as it was submitted.
     pub job: Job,
     /// When the job was last evaluated and no free endpoint was suitable.
--- a/crates/dispatch/tests/dispatch/crashes.rs
+++ b/crates/dispatch/tests/dispatch/crashes.rs
@@ -2,7 +2,7 @@
 
 use crate::replay::{document, finished, job, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::crashes::{CrashReport, QuarantineEvent};
+use lycheehub_dispatch::crashes::{CrashReport, QuarantineEvent, Suspect};
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, Job, JobId, Options, Outcome, PrefixPart, Reason, UsageReport,
 };
@@ -196,10 +196,10 @@
         self.dispatcher.tick(self.now_ms);
         self.apply_decisions();
         for event in self.dispatcher.take_quarantine_events() {
-            if let QuarantineEvent::Began { parts, .. } | QuarantineEvent::Narrowed { parts, .. } =
-                event
+            if let QuarantineEvent::Began { suspects, .. }
+            | QuarantineEvent::Narrowed { suspects, .. } = event
             {
-                self.quarantined.insert(parts);
+                self.quarantined.insert(parts_of(&suspects));
             }
         }
     }
@@ -235,10 +235,18 @@
     /// Returns the parts that are quarantined now.
     fn in_force(&self) -> Vec<Vec<u64>> {
         let in_force = self.dispatcher.quarantines(self.now_ms);
-        in_force.into_iter().map(|quarantine| quarantine.parts).collect()
+        in_force.into_iter().map(|quarantine| parts_of(&quarantine.suspects)).collect()
     }
 }
 
+fn parts_of(suspects: &[Suspect]) -> Vec<u64> {
+    let part = |suspect: &Suspect| match suspect {
+        Suspect::Part(part) => *part,
+        Suspect::Request(digest) => panic!("a request is accused: {digest}"),
+    };
+    suspects.iter().map(part).collect()
+}
+
 #[gtest]
 fn a_crashing_part_is_quarantined_alone_at_any_rate_and_in_any_place() {
     for seed in 0..4 {
--- a/crates/dispatch/tests/dispatch/limits.rs
+++ b/crates/dispatch/tests/dispatch/limits.rs
@@ -2,7 +2,7 @@
 
 use crate::replay::{document, finished, job, most_in_window, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::crashes::Prompt;
+use lycheehub_dispatch::crashes::Content;
 use lycheehub_dispatch::{
     Decision, Dispatcher, InFlight, Job, JobId, Limit, LimitKind, Notice, Options, Outcome,
     StatedLimit,
@@ -185,7 +185,7 @@
                 memory_tokens: 0,
                 is_stream: true,
                 age_ms: 900,
-                prompt: Prompt::default(),
+                content: Content::default(),
             }
         })
         .collect();
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -2,6 +2,7 @@
 
 mod budgets;
 mod crashes;
+mod crashing_requests;
 mod health;
 mod limits;
 mod notices;
--- a/crates/dispatch/tests/dispatch/placement.rs
+++ b/crates/dispatch/tests/dispatch/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::replay::{Class, End, Replay, dispatcher, document, finished, job, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::crashes::Prompt;
+use lycheehub_dispatch::crashes::Content;
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, InFlight, Job, JobId, Options, Outcome, PrefixPart, Reason,
 };
@@ -51,7 +51,7 @@
         memory_tokens: 1_000,
         is_stream: true,
         age_ms: 0,
-        prompt: Prompt::default(),
+        content: Content::default(),
     };
     dispatcher.record_in_flight(5, 1, &[running]);
     dispatcher.submit(10, job(1));
--- a/crates/dispatch/tests/dispatch/replay.rs
+++ b/crates/dispatch/tests/dispatch/replay.rs
@@ -60,6 +60,7 @@
         prompt_tokens: 600,
         output_tokens: 300,
         prefix: Vec::<PrefixPart>::new(),
+        digest: None,
         objective_left_ms: 300,
         patience_left_ms: 2_000,
         deadline_left_ms: 15_000,
--- a/crates/peer/src/entry/placement/mod.rs
+++ b/crates/peer/src/entry/placement/mod.rs
@@ -12,7 +12,7 @@
 use crate::settings::Settings;
 use crate::views::Latest;
 use lycheehub_clock::Clock;
-use lycheehub_dispatch::crashes::Prompt;
+use lycheehub_dispatch::crashes::Content;
 use lycheehub_dispatch::placement::DecisionFuture;
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, InFlight, Job, JobId, LimitKind, Notice, Options, Placement,
@@ -261,7 +261,7 @@
             memory_tokens,
             is_stream: job.output_tokens > 0,
             age_ms: 0,
-            prompt: Prompt::from(&job.prefix[..]),
+            content: Content::from(job),
         };
         let now_ms = self.clock.now_ms();
         if by_leader {
--- a/crates/peer/src/node/dispatch/quarantines.rs
+++ b/crates/peer/src/node/dispatch/quarantines.rs
@@ -1,9 +1,9 @@
-//! Passes on which parts of prompts are quarantined, and logs changes.
+//! Passes on which parts of prompts and which requests are quarantined, and logs changes.
 
 use super::super::Node;
 use super::{LeaderDispatch, SessionKey};
 use lycheehub_dispatch::JobId;
-use lycheehub_dispatch::crashes::{Quarantine, QuarantineEvent};
+use lycheehub_dispatch::crashes::{Quarantine, QuarantineEvent, Suspect};
 
 impl LeaderDispatch {
     /// Logs and counts what has changed since the last call.
@@ -46,16 +46,15 @@
 }
 
 fn log_event(event: &QuarantineEvent) {
-    let (what, service, parts) = match event {
-        QuarantineEvent::Began { service, parts, .. } => ("began", service, parts),
-        QuarantineEvent::Narrowed { service, parts } => ("narrowed", service, parts),
-        QuarantineEvent::Cleared { service, parts } => ("cleared", service, parts),
-        QuarantineEvent::Tried { service, parts } => ("tried", service, parts),
+    let (what, service, suspects) = match event {
+        QuarantineEvent::Began { service, suspects, .. } => ("began", service, suspects),
+        QuarantineEvent::Narrowed { service, suspects } => ("narrowed", service, suspects),
+        QuarantineEvent::Cleared { service, suspects } => ("cleared", service, suspects),
+        QuarantineEvent::Tried { service, suspects } => ("tried", service, suspects),
     };
     let label = [("service", service.to_string()), ("event", what.to_owned())];
     metrics::counter!("lycheehub_quarantine_events_total", &label).increment(1);
-    let ids: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-    let parts = ids.join(",");
+    let (parts, digest) = texts_of(suspects);
     let endpoints = match event {
         QuarantineEvent::Began { endpoints, .. } => {
             endpoints.iter().map(|endpoint| endpoint.as_str()).collect::<Vec<_>>().join(",")
@@ -63,13 +62,32 @@
         _ => String::new(),
     };
     match what {
-        "began" => spdlog::warn!("prompt parts quarantined: endpoints crashed on them", kv: {
-            service: = service, parts, endpoints,
+        "began" if digest.is_empty() => {
+            spdlog::warn!("prompt parts quarantined: endpoints crashed on them", kv: {
+                service: = service, parts, endpoints,
+            });
+        }
+        "began" => spdlog::warn!("request quarantined: endpoints crashed on it", kv: {
+            service: = service, digest, parts, endpoints,
         }),
         "cleared" => spdlog::info!("quarantine ended: an answer has begun", kv: {
-            service: = service, parts,
+            service: = service, digest, parts,
+        }),
+        "narrowed" => spdlog::info!("quarantine narrowed", kv: {
+            service: = service, digest, parts,
         }),
-        "narrowed" => spdlog::info!("quarantine narrowed", kv: { service: = service, parts }),
-        _ => spdlog::info!("quarantine tried", kv: { service: = service, parts }),
+        _ => spdlog::info!("quarantine tried", kv: { service: = service, digest, parts }),
+    }
+}
+
+/// Returns the parts and the request among suspects, as the lines of requests show them.
+fn texts_of(suspects: &[Suspect]) -> (String, String) {
+    let (mut parts, mut digest) = (Vec::new(), String::new());
+    for suspect in suspects {
+        match suspect {
+            Suspect::Part(part) => parts.push(format!("{part:x}")),
+            Suspect::Request(request) => digest = request.to_string(),
+        }
     }
+    (parts.join(","), digest)
 }
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -4,6 +4,7 @@
 use crate::labels::Labels;
 use crate::paths::{Paths, Relays};
 use crate::pool::Pool;
+use lycheehub_auth::DigestKey;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::Placement;
 use lycheehub_routes::RouteTable;
@@ -31,6 +32,8 @@
     pub connections_max: usize,
     /// Time limit for connecting to an endpoint, in milliseconds.
     pub connect_timeout_ms: u64,
+    /// The key of the identities of requests; the same at all instances.
+    pub digest_key: DigestKey,
 }
 
 /// The routing state at one point in time.
--- a/crates/proxy/src/exchange/access_log.rs
+++ b/crates/proxy/src/exchange/access_log.rs
@@ -2,6 +2,7 @@
 
 use super::filters::ResolvedRequest;
 use crate::Entry;
+use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_dispatch::{Job, Outcome, PrefixPart};
 use lycheehub_types::{EndpointName, Refusal, RefusalKind};
 use smol_str::{SmolStr, format_smolstr};
@@ -28,6 +29,8 @@
     attempts: String,
     /// The parts of the prompt, if an attempt broke off before the first event.
     parts: String,
+    /// The identity of the request, if an attempt broke off or it is quarantined.
+    digest: String,
     /// The last limit that an endpoint stated, in requests per second.
     limit_per_s: Option<f64>,
     end: SmolStr,
@@ -59,6 +62,7 @@
             pause_ms: 0,
             attempts: String::new(),
             parts: String::new(),
+            digest: String::new(),
             limit_per_s: None,
             end: SmolStr::new("unanswered"),
             retry_after_ms: 0,
@@ -107,6 +111,11 @@
         self.parts = ids.collect::<Vec<_>>().join(",");
     }
 
+    /// Records the identity of a request on which an endpoint broke off.
+    pub(super) fn record_digest(&mut self, digest: Option<RequestDigest>) {
+        self.digest = digest.map(|digest| digest.to_string()).unwrap_or_default();
+    }
+
     /// Records the limit that an endpoint stated in its response.
     pub(super) fn record_limit(&mut self, limit_per_s: f64) {
         self.limit_per_s = Some(limit_per_s);
@@ -176,6 +185,7 @@
             total_ms,
             attempts: = self.attempts.trim_end(),
             parts: = self.parts,
+            digest: = self.digest,
             limit_per_s:serde = self.limit_per_s,
             retry_after_ms = self.retry_after_ms,
             events = u64::from(self.events),
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -172,6 +172,9 @@
         let outcome = outcome_of(&end);
         let took_ms = attempt.report(outcome);
         self.access_log.record_attempt(&placed.endpoint, outcome, took_ms);
+        if outcome == Outcome::Broken {
+            self.access_log.record_digest(self.digest);
+        }
         if outcome == Outcome::Broken && attempt.first_byte_ms.get().is_none() {
             self.access_log.record_parts(&self.fields.prefix);
         }
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -21,6 +21,7 @@
 use attempt::{AttemptEnd, BufferedResponse};
 use filters::ResolvedRequest;
 use guard::Interrupted;
+use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_dispatch::{Decision, Job, JobId, Reason};
 use lycheehub_routes::{RequestKind, RouteSpec};
 use lycheehub_types::{EndpointName, Refusal, RefusalKind, ServiceName};
@@ -60,6 +61,8 @@
     head: RequestHead,
     body: Vec<u8>,
     fields: RequestFields,
+    /// The identity of the request, once its client account is known.
+    digest: Option<RequestDigest>,
     snapshot: Snapshot,
     started_ms: u64,
     /// The earlier of the caller's deadline and the route's timeout.
@@ -86,6 +89,7 @@
         head,
         body,
         fields,
+        digest: None,
         started_ms,
         deadline_ms: started_ms + timeout_ms,
         idle_max: 0,
@@ -124,9 +128,19 @@
         self.deadline_ms = self.deadline_ms.min(route_ends_ms);
         self.idle_max = self.idle_max_of(&resolved.service);
         self.access_log.record_route(&resolved);
+        self.digest = Some(self.digest_of(&resolved));
         self.serve(connection, &resolved).await
     }
 
+    /// Returns the identity of the request. No header field is part of it: each attempt of a caller has an
+    /// id and a deadline of its own, and proxies on the way reorder fields.
+    fn digest_of(&self, resolved: &ResolvedRequest) -> RequestDigest {
+        let account = resolved.account.as_ref().map_or("", |name| name.as_str());
+        let (method, target) = (self.head.method.as_bytes(), self.head.target.as_bytes());
+        let fields = [method, target, account.as_bytes(), &self.body];
+        self.entry.options.digest_key.digest(&fields).into()
+    }
+
     fn idle_max_of(&self, service: &ServiceName) -> usize {
         let services = &self.snapshot.table.document().services;
         let spec = services.iter().find(|spec| spec.name == *service);
@@ -245,6 +259,7 @@
             Decision::Refuse { reason, retry_after_ms, .. } => {
                 if reason == Reason::Quarantined {
                     self.access_log.record_parts(&self.fields.prefix);
+                    self.access_log.record_digest(self.digest);
                 }
                 Err(NotPlaced::Refused(refusal_of(reason, retry_after_ms)))
             }
@@ -286,6 +301,7 @@
             prompt_tokens: self.fields.prompt_tokens.unwrap_or_default(),
             output_tokens: output_max.map_or(expected, |max| expected.min(max)),
             prefix: self.fields.prefix.clone(),
+            digest: self.digest,
             objective_left_ms: objective_ms.saturating_sub(now_ms),
             patience_left_ms: patience_ms.saturating_sub(now_ms),
             deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
@@ -334,7 +350,7 @@
         Reason::NoEndpoint => (RefusalKind::NoEndpoint, "no endpoint of the service takes work"),
         Reason::QuotaExceeded => (RefusalKind::QuotaExceeded, "the quota is used up"),
         Reason::Quarantined => {
-            (RefusalKind::Quarantined, "endpoints crash on a part of its prompt")
+            (RefusalKind::Quarantined, "endpoints crash on this request or on a part of its prompt")
         }
         Reason::RetriesExhausted => (RefusalKind::Overloaded, "too much is being repeated"),
     };
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -1,6 +1,7 @@
 //! Test fixture: callers, scripted endpoints and a placement that rotates over them.
 
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use lycheehub_auth::DigestKey;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::placement::DecisionFuture;
 use lycheehub_dispatch::{
@@ -271,6 +272,7 @@
                 failure_domain: "salto".into(),
                 connections_max: 100,
                 connect_timeout_ms: 300,
+                digest_key: DigestKey::derive(b"test"),
             },
             Clock::new(),
             Box::new(TestDialect),
--- a/crates/standin/src/bin/lycheehub-measure/place.rs
+++ b/crates/standin/src/bin/lycheehub-measure/place.rs
@@ -87,6 +87,7 @@
             PrefixPart { id: number % 40, tokens: 60 },
             PrefixPart { id: number, tokens: 600 },
         ],
+        digest: None,
         objective_left_ms: 300,
         patience_left_ms: 2_000,
         deadline_left_ms: 15_000,
--- a/crates/types/src/refusal.rs
+++ b/crates/types/src/refusal.rs
@@ -45,7 +45,7 @@
     NotReady,
     /// The client account has used up its quota.
     QuotaExceeded,
-    /// Endpoints crash on a part of the request's prompt; it is kept from them.
+    /// Endpoints crash on the request or on a part of its prompt; it is kept from them.
     Quarantined,
     /// No response arrived before the request's timeout; the request may have run.
     TimedOut,
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -211,6 +211,8 @@
   returning @15 :Bool;
   goesOn @16 :Bool;
   isFinal @17 :Bool;
+  # The identity of the request; empty where the sender tells none.
+  digest @18 :Data;
 }
 
 struct Decision {
@@ -248,10 +250,11 @@
 # A request whose answer began so long ago.
 struct Begun { number @0 :UInt64; agoMs @1 :UInt32; }
 
-# The parts of a prompt, the request's own last.
-struct Prompt { parts @0 :List(UInt64); }
+# The parts of a prompt on which no answer had begun, the request's own last, and the identity of the
+# request, empty where it is not known.
+struct Prompt { parts @0 :List(UInt64); digest @1 :Data; }
 
-# An endpoint that crashed so long ago, and the prompts on which it had begun no answer.
+# An endpoint that crashed so long ago, and the requests that were at work there.
 struct Crash {
   service @0 :Text;
   endpoint @1 :Text;
@@ -263,13 +266,20 @@
 # A part of prompts on which an answer was last begun so long ago.
 struct PartAnswer { service @0 :Text; part @1 :UInt64; agoMs @2 :UInt64; }
 
-# Parts of prompts on which endpoints crash: requests that hold all of them are refused.
+# A request that was last answered whole so long ago.
+struct RequestAnswer { service @0 :Text; digest @1 :Data; agoMs @2 :UInt64; }
+
+# Parts of prompts on which endpoints crash: requests that hold all of them are refused. A quarantine of
+# a single request has `digest` and `requestParts` and no `parts`, so that a reader who does not know
+# these refuses nothing.
 struct Quarantine {
   service @0 :Text;
   parts @1 :List(UInt64);
   firstCrashAgoMs @2 :UInt64;
   nextTrialMs @3 :UInt64;
   trials @4 :UInt32;
+  digest @5 :Data;
+  requestParts @6 :List(UInt64);
 }
 
 # What an instance has seen of crashes.
@@ -277,6 +287,7 @@
   crashes @0 :List(Crash);
   answers @1 :List(PartAnswer);
   quarantines @2 :List(Quarantine);
+  requests @3 :List(RequestAnswer);
 }
 
 struct InFlight {
@@ -288,6 +299,8 @@
   ageMs @4 :UInt64;
   # The parts of its prompt, the request's own last.
   parts @5 :List(UInt64);
+  # The identity of the request; empty where it is not known.
+  digest @6 :Data;
 }
 
 struct Usage { account @0 :Text; agoMs @1 :UInt64; units @2 :Float64; }
--- a/crates/wire/src/convert/crashes.rs
+++ b/crates/wire/src/convert/crashes.rs
@@ -5,7 +5,7 @@
 use capnp::{primitive_list, struct_list};
 use lycheehub_dispatch::JobId;
 use lycheehub_dispatch::crashes::{
-    Crash, CrashReport, EndpointStart, PartAnswer, Prompt, Quarantine,
+    Answer, Content, Crash, CrashReport, EndpointStart, Prompt, Quarantine, RequestDigest, Suspect,
 };
 
 /// Writes the parts of a prompt; the builder has the length of `parts`.
@@ -15,26 +15,46 @@
     }
 }
 
+/// Reads the identity of a request. One that is missing or not of our length is not known: the sender is
+/// of another build.
+pub(super) fn read_digest(bytes: capnp::data::Reader<'_>) -> Option<RequestDigest> {
+    RequestDigest::try_from(bytes).ok()
+}
+
+/// Returns the bytes of the identity of a request, none if it is not known.
+pub(super) fn digest_bytes(digest: Option<RequestDigest>) -> Vec<u8> {
+    digest.map_or_else(Vec::new, |digest| digest.to_bytes().to_vec())
+}
+
 pub(super) fn read_report(
     reader: schema::crash_report::Reader<'_>,
 ) -> Result<CrashReport, WireError> {
     let crashes: Result<_, WireError> = reader.get_crashes()?.iter().map(read_crash).collect();
-    let read_answer = |entry: schema::part_answer::Reader<'_>| {
-        Ok(PartAnswer {
+    let mut answers = Vec::new();
+    for entry in reader.get_answers()? {
+        answers.push(Answer {
             service: text(entry.get_service())?.into(),
-            part: entry.get_part(),
+            suspect: Suspect::Part(entry.get_part()),
             ago_ms: entry.get_ago_ms(),
-        })
-    };
-    let answers: Result<_, WireError> = reader.get_answers()?.iter().map(read_answer).collect();
+        });
+    }
+    for entry in reader.get_requests()? {
+        let Some(digest) = read_digest(entry.get_digest()?) else { continue };
+        answers.push(Answer {
+            service: text(entry.get_service())?.into(),
+            suspect: Suspect::Request(digest),
+            ago_ms: entry.get_ago_ms(),
+        });
+    }
     let quarantines = read_quarantines(reader.get_quarantines()?)?;
-    Ok(CrashReport { crashes: crashes?, answers: answers?, quarantines })
+    Ok(CrashReport { crashes: crashes?, answers, quarantines })
 }
 
 fn read_crash(entry: schema::crash::Reader<'_>) -> Result<Crash, WireError> {
-    let mut prompts = Vec::new();
-    for prompt in entry.get_prompts()? {
-        prompts.push(Prompt::new(prompt.get_parts()?));
+    let mut contents = Vec::new();
+    for content in entry.get_prompts()? {
+        let prompt = Prompt::new(content.get_parts()?);
+        contents.push(Content::new(prompt, read_digest(content.get_digest()?)));
     }
     Ok(Crash {
         service: text(entry.get_service())?.into(),
@@ -43,7 +63,7 @@
             incarnation: entry.get_incarnation(),
         },
         ago_ms: entry.get_ago_ms(),
-        prompts,
+        contents,
     })
 }
 
@@ -52,15 +72,37 @@
     for (index, crash) in (0..).zip(&report.crashes) {
         write_crash(crash, crashes.reborrow().get(index));
     }
-    let mut answers = builder.reborrow().init_answers(report.answers.len() as u32);
-    for (index, answer) in (0..).zip(&report.answers) {
-        let mut entry = answers.reborrow().get(index);
+    write_answers(&report.answers, builder.reborrow());
+    let count = report.quarantines.len() as u32;
+    write_quarantines(&report.quarantines, builder.init_quarantines(count));
+}
+
+fn write_answers(answers: &[Answer], mut builder: schema::crash_report::Builder<'_>) {
+    let parts: Vec<(&Answer, u64)> = answers
+        .iter()
+        .filter_map(|answer| match answer.suspect {
+            Suspect::Part(part) => Some((answer, part)),
+            Suspect::Request(_) => None,
+        })
+        .collect();
+    let mut entries = builder.reborrow().init_answers(parts.len() as u32);
+    for (index, (answer, part)) in (0..).zip(parts) {
+        let mut entry = entries.reborrow().get(index);
+        entry.set_service(answer.service.as_str());
+        entry.set_part(part);
+        entry.set_ago_ms(answer.ago_ms);
+    }
+    let requests: Vec<(&Answer, RequestDigest)> = answers
+        .iter()
+        .filter_map(|answer| Some((answer, request_of(&[answer.suspect])?)))
+        .collect();
+    let mut entries = builder.init_requests(requests.len() as u32);
+    for (index, (answer, digest)) in (0..).zip(requests) {
+        let mut entry = entries.reborrow().get(index);
         entry.set_service(answer.service.as_str());
-        entry.set_part(answer.part);
+        entry.set_digest(&digest.to_bytes());
         entry.set_ago_ms(answer.ago_ms);
     }
-    let count = report.quarantines.len() as u32;
-    write_quarantines(&report.quarantines, builder.init_quarantines(count));
 }
 
 fn write_crash(crash: &Crash, mut builder: schema::crash::Builder<'_>) {
@@ -68,14 +110,30 @@
     builder.set_endpoint(crash.start.endpoint.as_str());
     builder.set_incarnation(crash.start.incarnation);
     builder.set_ago_ms(crash.ago_ms);
-    let mut prompts = builder.init_prompts(crash.prompts.len() as u32);
-    for (index, prompt) in (0..).zip(&crash.prompts) {
-        let parts: Vec<u64> = prompt.ids().collect();
-        let entry = prompts.reborrow().get(index);
+    let mut contents = builder.init_prompts(crash.contents.len() as u32);
+    for (index, content) in (0..).zip(&crash.contents) {
+        let parts: Vec<u64> = content.prompt().ids().collect();
+        let mut entry = contents.reborrow().get(index);
+        entry.set_digest(&digest_bytes(content.digest()));
         write_parts(&parts, entry.init_parts(parts.len() as u32));
     }
 }
 
+fn request_of(suspects: &[Suspect]) -> Option<RequestDigest> {
+    suspects.iter().find_map(|suspect| match suspect {
+        Suspect::Request(digest) => Some(*digest),
+        Suspect::Part(_) => None,
+    })
+}
+
+fn parts_of(suspects: &[Suspect]) -> Vec<u64> {
+    let part = |suspect: &Suspect| match suspect {
+        Suspect::Part(part) => Some(*part),
+        Suspect::Request(_) => None,
+    };
+    suspects.iter().filter_map(part).collect()
+}
+
 /// Reads quarantines.
 ///
 /// # Errors
@@ -84,9 +142,14 @@
     reader: struct_list::Reader<'_, schema::quarantine::Owned>,
 ) -> Result<Vec<Quarantine>, WireError> {
     let read = |entry: schema::quarantine::Reader<'_>| {
+        let mut suspects: Vec<Suspect> = entry.get_parts()?.iter().map(Suspect::Part).collect();
+        if let Some(digest) = read_digest(entry.get_digest()?) {
+            suspects.extend(entry.get_request_parts()?.iter().map(Suspect::Part));
+            suspects.push(Suspect::Request(digest));
+        }
         Ok(Quarantine {
             service: text(entry.get_service())?.into(),
-            parts: entry.get_parts()?.iter().collect(),
+            suspects,
             first_crash_ago_ms: entry.get_first_crash_ago_ms(),
             next_trial_ms: entry.get_next_trial_ms(),
             trials: entry.get_trials(),
@@ -106,7 +169,14 @@
         entry.set_first_crash_ago_ms(quarantine.first_crash_ago_ms);
         entry.set_next_trial_ms(quarantine.next_trial_ms);
         entry.set_trials(quarantine.trials);
-        write_parts(&quarantine.parts, entry.init_parts(quarantine.parts.len() as u32));
+        let parts = parts_of(&quarantine.suspects);
+        let count = parts.len() as u32;
+        let Some(digest) = request_of(&quarantine.suspects) else {
+            write_parts(&parts, entry.init_parts(count));
+            continue;
+        };
+        entry.set_digest(&digest.to_bytes());
+        write_parts(&parts, entry.init_request_parts(count));
     }
 }
 
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -3,7 +3,7 @@
 use super::{WireError, text};
 use crate::peer_capnp as schema;
 use capnp::struct_list;
-use lycheehub_dispatch::crashes::Prompt;
+use lycheehub_dispatch::crashes::{Content, Prompt};
 use lycheehub_dispatch::{
     Decision, Finished, InFlight, Job, JobId, Limit, LimitKind, Notice, Outcome, PrefixPart,
     Reason, RetryUsage, StatedLimit, Usage, UsageReport,
@@ -34,6 +34,7 @@
         prefix: prefix
             .map(|part| PrefixPart { id: part.get_id(), tokens: part.get_tokens() })
             .collect(),
+        digest: super::crashes::read_digest(reader.get_digest()?),
         objective_left_ms: reader.get_objective_left_ms(),
         patience_left_ms: reader.get_patience_left_ms(),
         deadline_left_ms: reader.get_deadline_left_ms(),
@@ -56,6 +57,7 @@
     builder.set_told_tokens(job.declared_tokens.unwrap_or_default());
     builder.set_prompt_tokens(job.prompt_tokens);
     builder.set_output_tokens(job.output_tokens);
+    builder.set_digest(&super::crashes::digest_bytes(job.digest));
     builder.set_objective_left_ms(job.objective_left_ms);
     builder.set_patience_left_ms(job.patience_left_ms);
     builder.set_deadline_left_ms(job.deadline_left_ms);
@@ -177,7 +179,10 @@
             memory_tokens: entry.get_memory_tokens(),
             is_stream: entry.get_stream(),
             age_ms: entry.get_age_ms(),
-            prompt: Prompt::new(entry.get_parts()?),
+            content: Content::new(
+                Prompt::new(entry.get_parts()?),
+                super::crashes::read_digest(entry.get_digest()?),
+            ),
         })
     };
     reader.iter().map(read).collect()
@@ -195,7 +200,8 @@
         entry.set_memory_tokens(request.memory_tokens);
         entry.set_stream(request.is_stream);
         entry.set_age_ms(request.age_ms);
-        let parts: Vec<u64> = request.prompt.ids().collect();
+        entry.set_digest(&super::crashes::digest_bytes(request.content.digest()));
+        let parts: Vec<u64> = request.content.prompt().ids().collect();
         super::crashes::write_parts(&parts, entry.init_parts(parts.len() as u32));
     }
 }
