--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -2,7 +2,9 @@
 //! entry instances, a stand-in endpoint, an operator and callers.
 
 mod builds;
+mod crashing_engine;
 mod crashing_prompts;
+mod crashing_requests;
 #[path = "../deployment/mod.rs"]
 mod deployment;
 mod handover;
--- a/crates/dispatch/tests/dispatch/odd_numbers.rs
+++ b/crates/dispatch/tests/dispatch/odd_numbers.rs
@@ -140,7 +140,7 @@
             memory_tokens,
             is_stream: false,
             age_ms,
-            prompt: Default::default(),
+            content: Default::default(),
         };
         dispatcher.record_in_flight(1_000, 2, &[in_flight(1), in_flight(2)]);
         dispatcher.submit(1_001, Job { repeat: true, ..job(1) });
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -5,6 +5,7 @@
 use crate::paths::{Paths, Relays};
 use crate::pool::Pool;
 use crate::server::IdleLimits;
+use lycheehub_auth::DigestKey;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::Placement;
 use lycheehub_routes::{ClientLimits, RouteTable};
@@ -34,6 +35,8 @@
     pub connect_timeout_ms: u64,
     /// Time limit for receiving a request body, in milliseconds.
     pub body_timeout_ms: u64,
+    /// The key of the identities of requests; the same at all instances.
+    pub digest_key: DigestKey,
 }
 
 /// The routing state at one point in time.
--- a/crates/wire/tests/wire/main.rs
+++ b/crates/wire/tests/wire/main.rs
@@ -46,7 +46,7 @@
     quarantine.set_next_trial_ms(u64::MAX);
     quarantine.set_trials(u32::MAX);
     let reader = message.get_root_as_reader::<schema::crash_report::Reader<'_>>().unwrap();
-    let quarantines = read_quarantines(reader.get_quarantines().unwrap()).unwrap();
+    let quarantines = read_quarantines(reader.get_quarantines().unwrap());
     expect_that!(quarantines[0].next_trial_ms, eq(TIME_MAX_MS));
     expect_that!(quarantines[0].trials, lt(u32::MAX));
 }
