--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -1,5 +1,7 @@
 //! Relayed connections between real sockets.
 
+mod odd_frames;
+
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
 use lycheehub_relay::frames::header;
