fix(gateway): only a stream of events continues a stream on the project's own interface

An answer that was no stream was read whole and appended, since the head was set already, and the response was marked as finished.

Once a response has started, only a success of type text/event-stream goes on with it; all else fails the attempt, and if no engine goes on, the response ends as cut short.

Before: answers::an_answer_that_is_no_continuation_is_not_found_in_a_broken_stream got, after the first event, "12\r\n{"error":"oops"}\n\n\r\n0\r\n\r\n" from a 404; now it holds for 404, 409, 500, a refusal, a 200 of another type and an empty one.

--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon and the command line, with instances as separate processes.
 
+mod answers;
 mod command_line;
 mod control;
 mod floors;
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -51,6 +51,13 @@
     }
 }
 
+/// Returns whether a response is a successful stream of events.
+pub(super) fn is_event_stream(response: &Response) -> bool {
+    let content_type = response.header("content-type").map(|values| values.as_str());
+    let media_type = content_type.and_then(|value| value.split(';').next()).unwrap_or_default();
+    response.status().is_success() && media_type.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Relays a stream of events; only complete events are passed on.
 ///
 /// Returns whether the body was read to its end, so that the connection can be reused.
--- a/crates/gateway/src/serve/run.rs
+++ b/crates/gateway/src/serve/run.rs
@@ -134,6 +134,10 @@
         let cause = format!("status {}", response.status());
         return Err(Failure::Unknown(PeerError::failed("send", address, cause)));
     }
+    if buffer.has_started() && !relay::is_event_stream(&response) {
+        let cause = format!("status {} does not continue the stream", response.status());
+        return Err(Failure::Unknown(PeerError::failed("resume", address, cause)));
+    }
     if payload.stream && response.status().is_success() {
         let relayed =
             relay::relay_stream(gateway, address, response, limits, buffer, progress).await;
