fix(gateway): an idle connection on which bytes arrived is not used

The pool did not look at what had arrived meanwhile. It does now, as the other path did already; a connection that the engine has closed is left out as well.

--- a/crates/cli/tests/cli/answers.rs
+++ b/crates/cli/tests/cli/answers.rs
@@ -167,3 +167,21 @@
         assert_eq!(received.matches("HTTP/1.1").count(), 1, "{second}\n{received}");
     }
 }
+
+#[test]
+fn an_answer_to_an_earlier_request_is_not_given_to_the_next() {
+    let site = site("answers_late");
+    let late = start(
+        &site,
+        1,
+        Arc::new(move |number, _| Scripted {
+            sent: answer("200 OK", "", &format!("{{\"number\":{number}}}")),
+            closes: false,
+            late: (number == 0).then(|| answer("200 OK", "", "{\"number\":9}")),
+        }),
+    );
+    let call = Call::chat("label-writer", "hello", 3, false).key(TRUCK_KEY);
+    assert_eq!(site.send(0, &call).json()["number"], 0);
+    late.recv_timeout(PATIENCE).expect("sent late");
+    assert_eq!(site.send(0, &call).json()["number"], 1);
+}
--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -38,8 +38,7 @@
     address: &str,
     resume_from: u64,
 ) -> Result<(Response, TcpStream), Failure> {
-    let now_ms = gateway.clock.now_ms();
-    let idle = payload.idempotent.then(|| gateway.pool.take(now_ms, address)).flatten();
+    let idle = if payload.idempotent { take_idle(gateway, address).await } else { None };
     let Some(stream) = idle else {
         return send_on_new_connection(gateway, exchange, payload, address, resume_from).await;
     };
@@ -59,6 +58,17 @@
     })
 }
 
+/// Takes an idle connection on which nothing has arrived since its last response.
+async fn take_idle(gateway: &Gateway, address: &str) -> Option<TcpStream> {
+    loop {
+        let stream = gateway.pool.take(gateway.clock.now_ms(), address)?;
+        if futures_lite::future::poll_once(stream.peek(&mut [0])).await.is_none() {
+            return Some(stream);
+        }
+        spdlog::info!("idle connection dropped: it was closed, or bytes arrived on it", kv: { address });
+    }
+}
+
 async fn send_on_new_connection(
     gateway: &Gateway,
     exchange: &Exchange,
