fix(gateway): a refusal on a used connection does not tell that a request has not run

On the project's own interface, a response with `x-not-run` on a connection that had been used was taken as a statement on the request just sent, whose caller was told that it had not run. Responses there carry no id, so it may as well be an earlier refusal sent again. Such a request may be repeated (others get a connection of their own): it is now sent on a new connection, and counts as possibly run.

Before: answers::a_refusal_on_a_used_connection_does_not_tell_that_a_request_has_not_run got 503 "not_run":true; now it is answered, or refused without that claim.

--- a/crates/cli/tests/cli/answers.rs
+++ b/crates/cli/tests/cli/answers.rs
@@ -168,6 +168,24 @@
     }
 }
 
+#[test]
+fn a_refusal_on_a_used_connection_does_not_tell_that_a_request_has_not_run() {
+    let site = site("answers_refusal");
+    let refused = answer("503 Full", "x-not-run: true\r\n", "");
+    start(
+        &site,
+        1,
+        Arc::new(move |_, is_first| Scripted {
+            sent: if is_first { answer("200 OK", "", "{}") } else { refused.clone() },
+            ..Scripted::default()
+        }),
+    );
+    for _ in 0..3 {
+        let reply = site.send(0, &Call::chat("label-writer", "hello", 3, false).key(TRUCK_KEY));
+        assert!(reply.status == 200 || !reply.not_run(), "{} {}", reply.status, reply.json());
+    }
+}
+
 #[test]
 fn an_answer_to_an_earlier_request_is_not_given_to_the_next() {
     let site = site("answers_late");
--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -44,8 +44,8 @@
     };
     let error = match send(gateway, exchange, payload, address, &stream, resume_from).await {
         Ok(response) => return Ok((response, stream)),
-        Err(Failure::NotRun(error)) => return Err(Failure::NotRun(error)),
-        Err(Failure::Unknown(error)) => error,
+        // The statement may be one on an earlier request on the connection.
+        Err(Failure::NotRun(error) | Failure::Unknown(error)) => error,
     };
     spdlog::info!("request failed on an idle connection; retrying on a new one", kv: {
         request = exchange.request_number,
