--- a/crates/proxy/tests/proxy/paths.rs
+++ b/crates/proxy/tests/proxy/paths.rs
@@ -250,3 +250,38 @@
         expect_that!(fixture.relays.asked.get(), eq(0));
     });
 }
+
+#[gtest]
+fn a_stream_that_broke_off_at_the_relay_is_not_continued_by_an_error() {
+    let events = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Type: text/event-stream\r\n";
+    let error = "{\"error\":\"oops\"}\n\n";
+    let length = format!("Content-Length: {}\r\n\r\n", error.len());
+    let seconds = [
+        format!("HTTP/1.1 500 Broke\r\nid: r1\r\n{length}{error}"),
+        format!("HTTP/1.1 503 Full\r\nid: r1\r\nnot-run: 1\r\n{length}{error}"),
+        format!("HTTP/1.1 200 OK\r\nid: r1\r\n{length}{error}"),
+        format!("{events}{length}{error}"),
+        format!("{events}\r\n"),
+    ];
+    for second in seconds {
+        run(|fixture| async move {
+            let sent = second.clone();
+            cut_off(&fixture, 2, move |mut stream, number| {
+                let sent = sent.clone();
+                async move {
+                    read_request(&mut stream).await;
+                    let first = format!("{events}\r\nid: 1\ndata: a\n\n");
+                    let bytes = if number == 1 { first } else { sent };
+                    stream.write_all(bytes.as_bytes()).await.unwrap();
+                    sleep_ms(50).await;
+                    if number == 1 {
+                        reset(stream);
+                    }
+                }
+            })
+            .await;
+            let response = fixture.request(&stream("/resume/")).await;
+            expect_that!(response, ends_with("\r\nid: 1\ndata: a\n\n\r\n"), "{second}");
+        });
+    }
+}
