--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -3,6 +3,7 @@
 use super::{http, load, require_address, serve_metrics, start_thread, wait_for_stop};
 use crate::exit::Error;
 use crate::serve::listen;
+use lycheehub_auth::DigestKey;
 use lycheehub_clock::{Clock, TimerService};
 use lycheehub_peer::entry::{EntryNode, EntryView, LeaderPlacement};
 use lycheehub_peer::{Latest, Seed};
@@ -23,6 +24,8 @@
 
 /// The timeout for connecting to an endpoint, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 200;
+/// The timeout for receiving a request body, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 10_000;
 /// How long the load balancer takes to stop using an instance that is not ready, in milliseconds:
 /// two readiness checks, one per second, and some delay.
 const BALANCER_DELAY_MS: u64 = 2_700;
@@ -115,6 +118,8 @@
         failure_domain: deployment.peer.failure_domain.clone(),
         connections_max: deployment.connections_max,
         connect_timeout_ms: CONNECT_TIMEOUT_MS,
+        body_timeout_ms: BODY_TIMEOUT_MS,
+        digest_key: DigestKey::derive(&deployment.peer.peer_key),
     };
     let entry = Entry::new(
         options,
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -2,13 +2,16 @@
 //! entry instances, a stand-in endpoint, an operator and callers.
 
 mod builds;
+mod crashing_engine;
 mod crashing_prompts;
+mod crashing_requests;
 #[path = "../deployment/mod.rs"]
 mod deployment;
 mod handover;
 mod limits;
 mod lists;
 mod notices;
+mod odd_entries;
 mod rejections;
 mod rollouts;
 mod support;
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -2,9 +2,12 @@
 
 mod budgets;
 mod crashes;
+mod crashing_requests;
+mod documents;
 mod health;
 mod limits;
 mod notices;
+mod odd_numbers;
 mod overload;
 mod paths;
 mod placement;
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -12,6 +12,7 @@
 mod local_response;
 mod relay;
 mod send;
+mod stream_state;
 
 use crate::dialect::RequestFields;
 use crate::entry::{Entry, Snapshot};
@@ -21,13 +22,14 @@
 use attempt::{AttemptEnd, BufferedResponse};
 use filters::ResolvedRequest;
 use guard::Interrupted;
+use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_dispatch::{Decision, Job, JobId, Reason};
 use lycheehub_routes::{RequestKind, RouteSpec};
 use lycheehub_types::{EndpointName, Refusal, RefusalKind, ServiceName};
-use relay::StreamState;
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
+use stream_state::StreamState;
 
 /// Deadline in milliseconds of a request that states none. The timeout of its route may shorten it.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
@@ -60,6 +62,8 @@
     head: RequestHead,
     body: Vec<u8>,
     fields: RequestFields,
+    /// The identity of the request, once its client account is known.
+    digest: Option<RequestDigest>,
     snapshot: Snapshot,
     started_ms: u64,
     /// The earlier of the caller's deadline and the route's timeout.
@@ -86,8 +90,9 @@
         head,
         body,
         fields,
+        digest: None,
         started_ms,
-        deadline_ms: started_ms + timeout_ms,
+        deadline_ms: started_ms.saturating_add(timeout_ms),
         idle_max: 0,
     };
     let keeps_alive = exchange.run(connection).await;
@@ -95,20 +100,26 @@
     keeps_alive
 }
 
-/// Responds to a request that could not be read.
-pub async fn refuse_unreadable(entry: &Entry, connection: &mut Connection, error: &Error) {
+/// Responds to a request that was not received, unless its caller is gone.
+pub async fn refuse_unreadable(
+    entry: &Entry,
+    connection: &mut Connection,
+    id: &str,
+    error: &Error,
+) {
     let kind = match error {
         Error::HeadTooLong | Error::BodyTooLong => RefusalKind::TooLarge,
         Error::Malformed(_) => RefusalKind::BadRequest,
-        Error::Io(_) | Error::Closed | Error::Truncated => return,
+        Error::TimedOut | Error::Truncated => RefusalKind::Incomplete,
+        Error::Io(_) | Error::Closed => return,
     };
-    let refusal = Refusal::new(kind, error.to_string());
-    local_response::send_response(
-        connection,
-        &local_response::refusal(entry, "", &refusal, false),
-        false,
-    )
-    .await;
+    refuse(entry, connection, id, &Refusal::new(kind, error.to_string())).await;
+}
+
+/// Refuses the last request of a connection.
+pub async fn refuse(entry: &Entry, connection: &mut Connection, id: &str, refusal: &Refusal) {
+    let response = local_response::refusal(entry, id, refusal, false);
+    local_response::send_response(connection, &response, false).await;
 }
 
 impl Exchange<'_> {
@@ -120,13 +131,23 @@
             Ok(resolved) => resolved,
             Err(refusal) => return self.refuse(connection, &refusal).await,
         };
-        let route_ends_ms = self.started_ms + resolved.route.timeout_ms;
+        let route_ends_ms = self.started_ms.saturating_add(resolved.route.timeout_ms);
         self.deadline_ms = self.deadline_ms.min(route_ends_ms);
         self.idle_max = self.idle_max_of(&resolved.service);
         self.access_log.record_route(&resolved);
+        self.digest = Some(self.digest_of(&resolved));
         self.serve(connection, &resolved).await
     }
 
+    /// Returns the identity of the request. No header field is part of it: each attempt of a caller has an
+    /// id and a deadline of its own, and proxies on the way reorder fields.
+    fn digest_of(&self, resolved: &ResolvedRequest) -> RequestDigest {
+        let account = resolved.account.as_ref().map_or("", |name| name.as_str());
+        let (method, target) = (self.head.method.as_bytes(), self.head.target.as_bytes());
+        let fields = [method, target, account.as_bytes(), &self.body];
+        self.entry.options.digest_key.digest(&fields).into()
+    }
+
     fn idle_max_of(&self, service: &ServiceName) -> usize {
         let services = &self.snapshot.table.document().services;
         let spec = services.iter().find(|spec| spec.name == *service);
@@ -195,7 +216,8 @@
                     tried.push(endpoint);
                     may_have_run = true;
                     buffered = response.or(buffered);
-                    if is_last_attempt || !resolved.route.kind.may_repeat() {
+                    let may_repeat = resolved.route.kind.may_repeat() && stream.can_continue();
+                    if is_last_attempt || !may_repeat {
                         break self.outcome_unknown(resolved.route.kind);
                     }
                 }
@@ -245,6 +267,7 @@
             Decision::Refuse { reason, retry_after_ms, .. } => {
                 if reason == Reason::Quarantined {
                     self.access_log.record_parts(&self.fields.prefix);
+                    self.access_log.record_digest(self.digest);
                 }
                 Err(NotPlaced::Refused(refusal_of(reason, retry_after_ms)))
             }
@@ -267,8 +290,8 @@
             false => (self.started_ms, route.objective_ms, route.patience_ms),
         };
         // A request that was refused before has missed its objective already.
-        let objective_ms = if returning { 0 } else { start_ms + objective_ms };
-        let patience_ms = patience_ms.map_or(self.deadline_ms, |ms| start_ms + ms);
+        let objective_ms = if returning { 0 } else { start_ms.saturating_add(objective_ms) };
+        let patience_ms = patience_ms.map_or(self.deadline_ms, |ms| start_ms.saturating_add(ms));
         let patience_ms = patience_ms.min(self.deadline_ms);
         let output_max = self.fields.output_max_tokens;
         let declared_tokens = self
@@ -286,6 +309,7 @@
             prompt_tokens: self.fields.prompt_tokens.unwrap_or_default(),
             output_tokens: output_max.map_or(expected, |max| expected.min(max)),
             prefix: self.fields.prefix.clone(),
+            digest: self.digest,
             objective_left_ms: objective_ms.saturating_sub(now_ms),
             patience_left_ms: patience_ms.saturating_sub(now_ms),
             deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
@@ -304,6 +328,9 @@
     /// than the longest one seen on the route.
     fn is_returning(&self, resolved: &ResolvedRequest) -> bool {
         let Some(deadline_ms) = self.fields.deadline_ms else { return false };
+        // The rest of a longer deadline is not waited for, and one caller with an endless deadline must
+        // not make all others of the route look like retries.
+        let deadline_ms = deadline_ms.min(resolved.route.timeout_ms);
         let longest_ms = self.entry.record_deadline(&resolved.route.name, deadline_ms);
         (deadline_ms as f64) < longest_ms as f64 * FIRST_REQUEST_DEADLINE_SHARE
     }
@@ -334,7 +361,7 @@
         Reason::NoEndpoint => (RefusalKind::NoEndpoint, "no endpoint of the service takes work"),
         Reason::QuotaExceeded => (RefusalKind::QuotaExceeded, "the quota is used up"),
         Reason::Quarantined => {
-            (RefusalKind::Quarantined, "endpoints crash on a part of its prompt")
+            (RefusalKind::Quarantined, "endpoints crash on this request or on a part of its prompt")
         }
         Reason::RetriesExhausted => (RefusalKind::Overloaded, "too much is being repeated"),
     };
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -1,11 +1,18 @@
 //! Tests of the proxy with simulated callers, endpoints and placement.
 
 mod callers;
+mod connections;
+mod documents;
 mod endless;
 mod framing;
 mod notices;
+mod odd_deadlines;
+mod odd_numbers;
 mod paths;
 mod requests;
+mod resets;
 mod responses;
+mod resumption;
+mod strays;
 mod streams;
 mod support;
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -1,15 +1,18 @@
 //! Conversions of jobs that ask for an endpoint, of decisions, and of reported results.
 
-use super::{WireError, known_or, read_each, text};
+use super::{WireError, bounded_ms, known_or, read_each, text};
 use crate::peer_capnp as schema;
 use capnp::struct_list;
-use lycheehub_dispatch::crashes::Prompt;
+use lycheehub_dispatch::crashes::{Content, Prompt};
 use lycheehub_dispatch::{
     Decision, Finished, InFlight, Job, JobId, Limit, LimitKind, Notice, Outcome, PrefixPart,
     Reason, RetryUsage, StatedLimit, Usage, UsageReport,
 };
 use lycheehub_types::{AccountName, EndpointName};
 
+/// The most units that one entry of usage can state.
+const UNITS_MAX: f64 = 1e15;
+
 /// Reads a job of the instance with the number `instance`.
 ///
 /// # Errors
@@ -34,9 +37,10 @@
         prefix: prefix
             .map(|part| PrefixPart { id: part.get_id(), tokens: part.get_tokens() })
             .collect(),
-        objective_left_ms: reader.get_objective_left_ms(),
-        patience_left_ms: reader.get_patience_left_ms(),
-        deadline_left_ms: reader.get_deadline_left_ms(),
+        digest: super::crashes::read_digest(reader.get_digest()?),
+        objective_left_ms: bounded_ms(reader.get_objective_left_ms()),
+        patience_left_ms: bounded_ms(reader.get_patience_left_ms()),
+        deadline_left_ms: bounded_ms(reader.get_deadline_left_ms()),
         returning: reader.get_returning(),
         resumes_stream: reader.get_goes_on(),
         is_last_attempt: reader.get_is_final(),
@@ -56,6 +60,7 @@
     builder.set_told_tokens(job.declared_tokens.unwrap_or_default());
     builder.set_prompt_tokens(job.prompt_tokens);
     builder.set_output_tokens(job.output_tokens);
+    builder.set_digest(&super::crashes::digest_bytes(job.digest));
     builder.set_objective_left_ms(job.objective_left_ms);
     builder.set_patience_left_ms(job.patience_left_ms);
     builder.set_deadline_left_ms(job.deadline_left_ms);
@@ -99,7 +104,7 @@
                 job_id,
                 endpoint: text(place.get_endpoint())?.into(),
                 address: text(place.get_address())?.into(),
-                first_byte_ms: place.get_first_byte_ms(),
+                first_byte_ms: bounded_ms(place.get_first_byte_ms()),
             }
         }
         Ok(Which::Refuse(refuse)) => {
@@ -107,7 +112,7 @@
             Decision::Refuse {
                 job_id,
                 reason: known_or("reason", refuse.get_reason(), Reason::Overloaded),
-                retry_after_ms: refuse.get_retry_after_ms(),
+                retry_after_ms: bounded_ms(refuse.get_retry_after_ms()),
             }
         }
         Err(_) => Decision::Refuse {
@@ -179,8 +184,11 @@
             endpoint: text(entry.get_endpoint())?.into(),
             memory_tokens: entry.get_memory_tokens(),
             is_stream: entry.get_stream(),
-            age_ms: entry.get_age_ms(),
-            prompt: Prompt::new(entry.get_parts()?),
+            age_ms: bounded_ms(entry.get_age_ms()),
+            content: Content::new(
+                Prompt::new(entry.get_parts()?),
+                super::crashes::read_digest(entry.get_digest()?),
+            ),
         })
     };
     read_each("requests in flight", reader, read)
@@ -198,7 +206,8 @@
         entry.set_memory_tokens(request.memory_tokens);
         entry.set_stream(request.is_stream);
         entry.set_age_ms(request.age_ms);
-        let parts: Vec<u64> = request.prompt.ids().collect();
+        entry.set_digest(&super::crashes::digest_bytes(request.content.digest()));
+        let parts: Vec<u64> = request.content.prompt().ids().collect();
         super::crashes::write_parts(&parts, entry.init_parts(parts.len() as u32));
     }
 }
@@ -213,20 +222,24 @@
     let read_quota = |entry: schema::usage::Reader<'_>| {
         Ok(Usage {
             account: text(entry.get_account())?.into(),
-            ago_ms: entry.get_ago_ms(),
+            ago_ms: bounded_ms(entry.get_ago_ms()),
             units: entry.get_units(),
         })
     };
     let read_retries = |entry: schema::retry_usage::Reader<'_>| {
         Ok(RetryUsage {
             service: text(entry.get_service())?.into(),
-            ago_ms: entry.get_ago_ms(),
+            ago_ms: bounded_ms(entry.get_ago_ms()),
             requests: entry.get_requests(),
             retries: entry.get_retries(),
         })
     };
+    // One entry without a sound number must not keep the instance out, nor make every sum unsound.
+    let is_sound =
+        |entry: &schema::usage::Reader<'_>| (0.0..=UNITS_MAX).contains(&entry.get_units());
+    let usage = reader.get_usage()?.iter().filter(is_sound);
     Ok(UsageReport {
-        quotas: read_each("usage", reader.get_usage()?, read_quota),
+        quotas: read_each("usage", usage, read_quota),
         retries: read_each("retries", reader.get_retries()?, read_retries),
         crashes: super::crashes::read_report(reader.get_crashes()?)?,
     })
@@ -330,7 +343,7 @@
 pub fn read_notice(
     reader: schema::placement::heed_params::Reader<'_>,
 ) -> Result<(Notice, Option<u64>), WireError> {
-    let (pause_ms, incarnation) = (reader.get_pause_ms(), reader.get_incarnation());
+    let (pause_ms, incarnation) = (bounded_ms(reader.get_pause_ms()), reader.get_incarnation());
     let pause_ms = (pause_ms > 0).then_some(pause_ms);
     let limit = reader.has_limit().then(|| reader.get_limit()).transpose()?;
     let rejections = reader.has_rejections().then(|| reader.get_rejections()).transpose()?;
@@ -398,7 +411,7 @@
     if !per_s.is_finite() || per_s < 0.0 {
         return Err(WireError::Rate(per_s));
     }
-    Ok(StatedLimit { per_s, age_ms: reader.get_age_ms() })
+    Ok(StatedLimit { per_s, age_ms: bounded_ms(reader.get_age_ms()) })
 }
 
 fn write_stated(stated: StatedLimit, mut builder: schema::stated_limit::Builder<'_>) {
--- a/crates/wire/tests/builds/messages.rs
+++ b/crates/wire/tests/builds/messages.rs
@@ -6,6 +6,7 @@
 use lycheehub_consensus::{Message, Payload, Position, ReplicaId};
 use lycheehub_control::registry::Delta;
 use lycheehub_control::state::{ApplyOutcome, ClaimOutcome, ClaimState, Claimant, Reply};
+use lycheehub_dispatch::crashes::Suspect;
 use lycheehub_dispatch::{Decision, JobId, LimitKind, Notice, Outcome, Reason, StatedLimit};
 use lycheehub_types::{AccountName, EndpointKind, EndpointRecord};
 use lycheehub_wire::peer_capnp as schema;
@@ -321,7 +322,7 @@
         expect_that!(in_flight.len(), eq(1));
         expect_that!((in_flight[0].number, in_flight[0].endpoint.as_str()), eq((41, "e-1")));
         expect_that!((in_flight[0].is_stream, in_flight[0].age_ms), eq((true, 70)));
-        let parts: Vec<u64> = in_flight[0].prompt.ids().collect();
+        let parts: Vec<u64> = in_flight[0].content.prompt().ids().collect();
         expect_that!(parts, eq(if knows_prompts(build) { &[11, 12][..] } else { &[] }));
         let usage = lycheehub_wire::read_usage(params).unwrap();
         expect_that!(usage.quotas[0].units, eq(12.5));
@@ -335,7 +336,8 @@
     let usage = lycheehub_wire::read_usage(message.get_root().unwrap()).unwrap();
     let crash = &usage.crashes.crashes[0];
     expect_that!((crash.start.endpoint.as_str(), crash.start.incarnation), eq(("e-1", 5)));
-    expect_that!((crash.ago_ms, crash.prompts.len()), eq((600, 2)));
-    expect_that!(usage.crashes.answers[0].part, eq(13));
-    expect_that!(usage.crashes.quarantines[0].parts, eq(&[11, 12]));
+    expect_that!((crash.ago_ms, crash.contents.len()), eq((600, 2)));
+    expect_that!(usage.crashes.answers[0].suspect, eq(Suspect::Part(13)));
+    let suspects = &usage.crashes.quarantines[0].suspects;
+    expect_that!(suspects, eq(&[Suspect::Part(11), Suspect::Part(12)]));
 }
