fix: requests that are sent in one piece are all answered on the own interface

Callers that send a second request before the response to the first (pipelining) never got an answer to it. Cause: a buffer was made anew for each request, and what it had received behind one was dropped with it. Now the stream of a connection hands out one request at a time, the head up to its end and then the body by its length, and keeps the rest for the next.

--- a/crates/gateway/src/http/caller_stream.rs
+++ b/crates/gateway/src/http/caller_stream.rs
@@ -4,27 +4,100 @@
 use smol::net::TcpStream;
 use std::io;
 use std::pin::Pin;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::task::{Context, Poll};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll, ready};
 
-/// A stream that remembers whether anything was received on it.
+/// The end of a head.
+const HEAD_END: &[u8; 4] = b"\r\n\r\n";
+/// Maximum number of bytes per read.
+const READ_BYTES: usize = 8 * 1024;
+
+/// Which part of a request is handed out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    /// The head, of whose end this many bytes were handed out.
+    Head(usize),
+    /// The body, of which this many bytes remain; `None` if its chunks tell where it ends.
+    Body(Option<usize>),
+}
+
+#[derive(Debug)]
+struct Received {
+    /// Bytes that were received and not handed out.
+    bytes: Vec<u8>,
+    part: Part,
+    /// Whether bytes of the current request were handed out.
+    has_begun: bool,
+}
+
+/// A stream that hands out one request at a time: bytes that were received behind it are kept for the next.
 #[derive(Clone, Debug)]
 pub(super) struct CallerStream {
     stream: TcpStream,
-    received: Arc<AtomicBool>,
+    received: Arc<Mutex<Received>>,
 }
 
 impl CallerStream {
-    /// Wraps a stream before a request.
+    /// Wraps the stream of a new connection.
     pub(super) fn new(stream: TcpStream) -> Self {
-        Self { stream, received: Arc::default() }
+        let received = Received { bytes: Vec::new(), part: Part::Head(0), has_begun: false };
+        Self { stream, received: Arc::new(Mutex::new(received)) }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Received> {
+        self.received.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins with the head of the next request.
+    pub(super) fn begin_request(&self) {
+        let mut received = self.lock();
+        received.part = Part::Head(0);
+        received.has_begun = false;
     }
 
-    /// Returns whether anything was received since this was created.
+    /// Continues with the body after a head; `length` is `None` if its chunks tell where it ends.
+    pub(super) fn begin_body(&self, length: Option<usize>) {
+        self.lock().part = Part::Body(length);
+    }
+
+    /// Returns whether any bytes of the current request were received.
     pub(super) fn has_received(&self) -> bool {
-        self.received.load(Ordering::Relaxed)
+        self.lock().has_begun
+    }
+}
+
+impl Received {
+    /// Moves received bytes of the current part to `buffer`; returns how many.
+    fn hand_out(&mut self, buffer: &mut [u8]) -> usize {
+        let available = self.bytes.len().min(buffer.len());
+        let count = match &mut self.part {
+            Part::Head(matched) => count_of_head(&self.bytes[..available], matched),
+            Part::Body(None) => available,
+            Part::Body(Some(left)) => {
+                let count = available.min(*left);
+                *left -= count;
+                count
+            }
+        };
+        buffer[..count].copy_from_slice(&self.bytes[..count]);
+        self.bytes.drain(..count);
+        self.has_begun |= count > 0;
+        count
+    }
+}
+
+/// Returns how many of `bytes` belong to the head, and updates how many bytes of its end were seen.
+fn count_of_head(bytes: &[u8], matched: &mut usize) -> usize {
+    for (position, byte) in bytes.iter().enumerate() {
+        if *matched == HEAD_END.len() {
+            return position;
+        }
+        *matched = match *byte == HEAD_END[*matched] {
+            true => *matched + 1,
+            false => usize::from(*byte == HEAD_END[0]),
+        };
     }
+    bytes.len()
 }
 
 impl AsyncRead for CallerStream {
@@ -33,11 +106,15 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if matches!(read, Poll::Ready(Ok(1..))) {
-            self.received.store(true, Ordering::Relaxed);
+        let handed_out = self.lock().hand_out(buffer);
+        if handed_out > 0 || buffer.is_empty() {
+            return Poll::Ready(Ok(handed_out));
         }
-        read
+        let mut bytes = [0; READ_BYTES];
+        let count = ready!(Pin::new(&mut self.stream).poll_read(context, &mut bytes))?;
+        let mut received = self.lock();
+        received.bytes.extend_from_slice(&bytes[..count]);
+        Poll::Ready(Ok(received.hand_out(buffer)))
     }
 }
 
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -7,7 +7,7 @@
 use crate::Gateway;
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use futures_lite::FutureExt;
-use http_types::Method;
+use http_types::{Method, Request};
 use lycheehub_clock::within;
 use lycheehub_types::{Refusal, RefusalKind};
 use smol::Timer;
@@ -104,17 +104,19 @@
         if excess > 0 {
             return refuse_excess(stream).await;
         }
-        while serve_request(&gateway, &stream).await {}
+        let caller = CallerStream::new(stream.clone());
+        while serve_request(&gateway, &caller, &stream).await {}
     };
     gateway.executor.spawn(task).detach();
 }
 
 /// Serves one request; returns whether the connection can be used for another one.
-async fn serve_request(gateway: &Arc<Gateway>, stream: &TcpStream) -> bool {
+async fn serve_request(gateway: &Arc<Gateway>, caller: &CallerStream, stream: &TcpStream) -> bool {
+    caller.begin_request();
     let guard = ExchangeGuard { gateway, started: AtomicBool::new(false) };
-    let caller = CallerStream::new(stream.clone());
     let mut server = Server::new(caller.clone(), |request| {
         guard.start();
+        caller.begin_body(body_length(&request));
         let gateway = gateway.clone();
         let stream = stream.clone();
         async move { routes::respond(&gateway, request, &stream).await }
@@ -141,6 +143,12 @@
     false
 }
 
+/// Returns the length of the body, or `None` if its chunks tell where it ends.
+fn body_length(request: &Request) -> Option<usize> {
+    let is_chunked = request.header("transfer-encoding").is_some();
+    (!is_chunked).then(|| request.len().unwrap_or(0))
+}
+
 /// Refuses a request whose head was not received, as the last one of its connection.
 async fn refuse_unread(mut stream: TcpStream, refusal: &Refusal) {
     spdlog::info!("refused", kv: {
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -82,3 +82,18 @@
         expect_that!(read_all(caller).await, some(eq("")));
     });
 }
+
+// What had been received behind a request was dropped with its buffer.
+#[gtest]
+fn requests_that_are_sent_in_one_piece_are_all_answered() {
+    run(|_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        let get = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+        let post =
+            "POST /v1/services/invoices/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\npay";
+        let all = [get, post, get].concat();
+        caller.write_all(all.as_bytes()).await.unwrap();
+        let responses = read_all(caller).await.unwrap_or_default();
+        expect_that!(responses.matches("HTTP/1.1 ").count(), eq(3));
+    });
+}
