fix: a stop does not wait for connections that come after the idle ones were closed

The first request of such a connection is now refused at once as `stopping`, like that of one beyond the maximum, and not counted.

--- a/crates/proxy/src/server/idle.rs
+++ b/crates/proxy/src/server/idle.rs
@@ -24,13 +24,8 @@
     Stopping,
 }
 
-/// Waits for the first byte of a request. A connection that was accepted after idle ones were closed
-/// `is_late`: it stays open for one request, which is refused.
-pub(super) async fn wait_for_request(
-    entry: &Entry,
-    connection: &mut Connection,
-    is_late: bool,
-) -> WaitEnd {
+/// Waits for the first byte of a request.
+pub(super) async fn wait_for_request(entry: &Entry, connection: &mut Connection) -> WaitEnd {
     if !connection.buffered().is_empty() {
         return WaitEnd::Received;
     }
@@ -48,9 +43,6 @@
             }
         };
         let closing = async {
-            if is_late {
-                smol::future::pending::<()>().await;
-            }
             entry.idle_close_requested().await;
             WaitEnd::Stopping
         };
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -27,10 +27,12 @@
 /// Number of connections beyond the maximum that are accepted to refuse one request each. Descriptors
 /// reserved for other uses are enough for them.
 const EXCESS_CONNECTIONS_MAX: usize = 64;
-/// Time for which such a connection may stay open without a request, in milliseconds.
-const EXCESS_IDLE_MS: u64 = 1_000;
-/// Retry delay sent on such a connection, in milliseconds.
+/// Time for which a connection whose first request is refused may take for its head, in milliseconds.
+const REFUSED_HEAD_MS: u64 = 1_000;
+/// Retry delay sent by an instance with too many connections, in milliseconds.
 const EXCESS_RETRY_AFTER_MS: u64 = 1_000;
+/// Retry delay sent by an instance that is shutting down, in milliseconds: other instances are there.
+const STOPPING_RETRY_AFTER_MS: u64 = 300;
 
 /// Accepts connections and spawns a task for each; never returns.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
@@ -54,7 +56,7 @@
     if excess > EXCESS_CONNECTIONS_MAX {
         return;
     }
-    let is_late = entry.is_closing_idle();
+    let refusal = refusal_of_connection(entry, excess);
     let (entry, executor) = (entry.clone(), entry.executor.clone());
     let task = async move {
         let _open_connection = CountGuard::new(&entry.connections);
@@ -64,25 +66,30 @@
             });
         }
         let connection = Connection::new(stream);
-        if excess > 0 {
-            refuse_excess(&entry, connection).await;
-        } else {
-            serve_connection(&entry, connection, caller, is_late).await;
+        match refusal {
+            Some(refusal) => refuse_first_request(&entry, connection, &refusal).await,
+            None => serve_connection(&entry, connection, caller).await,
         }
     };
     executor.spawn(task).detach();
 }
 
-/// Serves a connection; one that `is_late` was accepted after idle ones had been closed.
-async fn serve_connection(
-    entry: &Rc<Entry>,
-    mut connection: Connection,
-    caller: SocketAddr,
-    is_late: bool,
-) {
+/// Returns why the first request of a new connection is refused, if it is.
+fn refusal_of_connection(entry: &Entry, excess: usize) -> Option<Refusal> {
+    if excess > 0 {
+        let message = "this instance has too many connections";
+        let kind = RefusalKind::TooManyConnections;
+        return Some(Refusal::retry(kind, message, EXCESS_RETRY_AFTER_MS));
+    }
+    let message = "this instance is being stopped";
+    let refusal = || Refusal::retry(RefusalKind::Stopping, message, STOPPING_RETRY_AFTER_MS);
+    entry.is_closing_idle().then(refusal)
+}
+
+async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: SocketAddr) {
     loop {
         let waited_from_ms = entry.clock.now_ms();
-        match idle::wait_for_request(entry, &mut connection, is_late).await {
+        match idle::wait_for_request(entry, &mut connection).await {
             WaitEnd::Received => {}
             WaitEnd::CallerClosed => return,
             end => return closing::log_idle_close(entry, end, waited_from_ms, caller),
@@ -121,14 +128,13 @@
     keeps_alive
 }
 
-/// Refuses the first request of a connection beyond the maximum.
-async fn refuse_excess(entry: &Entry, mut connection: Connection) {
-    let limits = ClientLimits { head_timeout_ms: EXCESS_IDLE_MS, ..entry.client_limits() };
+/// Refuses the first request of a connection. It is not counted as in progress: a shutdown does not wait for
+/// connections that come meanwhile.
+async fn refuse_first_request(entry: &Entry, mut connection: Connection, refusal: &Refusal) {
+    let limits = ClientLimits { head_timeout_ms: REFUSED_HEAD_MS, ..entry.client_limits() };
     let Ok(head) = receive::read_head(&mut connection, &limits).await else { return };
-    let message = "this instance has too many connections";
-    let kind = RefusalKind::TooManyConnections;
-    let refusal = Refusal::retry(kind, message, EXCESS_RETRY_AFTER_MS);
     let id = entry.dialect.read_request(&head).id;
-    exchange::refuse(entry, &mut connection, &id, &refusal).await;
+    exchange::refuse(entry, &mut connection, &id, refusal).await;
+    spdlog::info!("refused on a new connection", kv: { id: = id, code = refusal.kind().code() });
     closing::close_gracefully(&mut connection).await;
 }
