fix(dispatch): of callers that come back together after a suspicion one reaches an endpoint

Cause: all that were refused meanwhile were told the same time, came back at once, and were all placed before the first of them had crashed its endpoint.

Why it works: once a suspicion has passed without an answer, one repeat in 5 s is placed, as a trial of a quarantine is; the others are refused. A whole answer ends that at once.

Test: callers_that_come_back_together_after_a_suspicion_reach_one_endpoint; before: Expected: is equal to true Actual: false, [100070, 105100, 105120, 105120, 105120, 105130, 105130, 105130, 105130, 105140, ..., 105160, 116020] A first form of it, in which all came from the start, passed without the change, and was replaced by this one.

--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -3,7 +3,7 @@
 use super::answers::Answers;
 use super::crash::{EndpointStart, Loss, Observer};
 use super::quarantine::{InForce, QuarantineEvent};
-use super::{Content, Suspect};
+use super::{Content, RequestDigest, Suspect};
 use lycheehub_types::ServiceName;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -61,6 +61,8 @@
     pub(super) crashes: VecDeque<KnownCrash>,
     pub(super) quarantines: Vec<InForce>,
     pub(super) last_id: u64,
+    /// The requests that were placed after a suspicion, and when, in milliseconds.
+    pub(super) probes: BTreeMap<RequestDigest, u64>,
     events: Vec<QuarantineEvent>,
 }
 
@@ -74,6 +76,7 @@
             crashes: VecDeque::new(),
             quarantines: Vec::new(),
             last_id: 0,
+            probes: BTreeMap::new(),
             events: Vec::new(),
         }
     }
@@ -164,7 +167,8 @@
             self.push_event(QuarantineEvent::Tried { service: self.service.clone(), suspects });
             return Verdict::Sound;
         }
-        match self.suspicion_ms(now_ms, content, is_repeat, is_single_instance) {
+        let wait_ms = self.suspicion_ms(now_ms, content, is_repeat, is_single_instance);
+        match wait_ms.or_else(|| self.probe_ms(now_ms, content, is_single_instance)) {
             Some(retry_after_ms) => Verdict::Refused { retry_after_ms },
             None => Verdict::Sound,
         }
--- a/crates/dispatch/src/crashes/suspicion.rs
+++ b/crates/dispatch/src/crashes/suspicion.rs
@@ -16,6 +16,9 @@
 /// How long after a crash a single instance does not place the requests at it, in milliseconds: others
 /// may have as many crashes, and a leader is elected by then.
 const SINGLE_INSTANCE_MS: u64 = 60_000;
+/// How long a request that was suspect is placed only once, in milliseconds: its callers were told the same
+/// time and come back together.
+const PROBE_MS: u64 = 5_000;
 /// The number of crashes at which a request is suspect even if it was not alone, or was answered before.
 const REPEATED: usize = 2;
 
@@ -43,6 +46,24 @@
         Some(left_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS))
     }
 
+    /// Lets one repeat through of a request whose suspicion has passed without an answer to it; returns how
+    /// long others must wait, in milliseconds.
+    pub(super) fn probe_ms(
+        &mut self,
+        now_ms: u64,
+        content: &Content,
+        is_single_instance: bool,
+    ) -> Option<u64> {
+        let digest = content.digest()?;
+        self.suspect_until_ms(digest, is_single_instance)?;
+        self.probes.retain(|_, at_ms| now_ms < *at_ms + PROBE_MS);
+        let Some(at_ms) = self.probes.get(&digest) else {
+            self.probes.insert(digest, now_ms);
+            return None;
+        };
+        Some((at_ms + PROBE_MS - now_ms).clamp(RETRY_MIN_MS, RETRY_MAX_MS))
+    }
+
     /// Returns until when a request is not placed, in milliseconds, if it is suspect.
     fn suspect_until_ms(&self, digest: RequestDigest, is_single_instance: bool) -> Option<u64> {
         let Crashes { at_ms, was_alone } = self.crashes_at(digest);
--- a/crates/dispatch/tests/dispatch/crashing_requests.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests.rs
@@ -510,6 +510,24 @@
     expect_that!(world.crashed_ms.len(), le(COUNTED_CRASH + FURTHER_MAX));
 }
 
+#[gtest]
+fn callers_that_come_back_together_after_a_suspicion_reach_one_endpoint() {
+    let mut world = World::new(60, 1);
+    world.send(CRASHING, UNSAFE);
+    for tick in 0..3_000 {
+        world.send_sound(60.0, SAFE);
+        // All that were refused come back as soon as they may.
+        if tick >= 100 {
+            (0..5).for_each(|_| world.send(CRASHING, UNSAFE));
+        }
+        world.step();
+    }
+    let crashed_ms = &world.crashed_ms;
+    let is_apart = crashed_ms.windows(2).all(|pair| pair[1] > pair[0] + 1_000);
+    expect_that!(is_apart, eq(true), "{crashed_ms:?}");
+    expect_that!(crashed_ms.len(), ge(2));
+}
+
 #[gtest]
 fn what_is_remembered_is_bounded_under_endless_distinct_requests() {
     let mut world = World::new(18, 1);
