test(proxy): a request is the same one in each repeat, whatever its header fields

Order of fields and deadline don't matter; method, path, query and body do, a byte moved from the path to the body too, and a body of a megabyte.

--- a/crates/proxy/tests/proxy/requests.rs
+++ b/crates/proxy/tests/proxy/requests.rs
@@ -8,6 +8,7 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use smol::Timer;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,42 @@
     });
 }
 
+#[gtest]
+fn a_request_is_the_same_one_in_each_repeat_whatever_its_header_fields() {
+    run(|fixture| async move {
+        fixture
+            .add_responding_endpoint("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok")
+            .await;
+        let long = "x".repeat(1 << 20);
+        let request = post("/unsafe/a?x=1", "body");
+        let requests = [
+            request.clone(),
+            // A repeat: another deadline, fields in another order.
+            request.replace(
+                "Host: salto.example\r\nid: r1\r\n",
+                "deadline: 900\r\nid: r1\r\nHost: salto.example\r\n",
+            ),
+            request.replace("POST", "PUT"),
+            post("/unsafe/a?x=2", "body"),
+            post("/unsafe/a", "body"),
+            post("/unsafe/a?x=1", "bode"),
+            post("/unsafe/a?x=1b", "ody"),
+            post("/unsafe/a?x=1", &long),
+            post("/unsafe/a?x=1", &long),
+        ];
+        for request in &requests {
+            fixture.request(request).await;
+        }
+        let digests = fixture.placement.digests.borrow();
+        expect_that!(digests.len(), eq(requests.len()));
+        expect_that!(digests[0], some(anything()));
+        expect_that!(digests[1], eq(digests[0]));
+        expect_that!(digests[8], eq(digests[7]));
+        let distinct: BTreeSet<_> = digests.iter().collect();
+        expect_that!(distinct.len(), eq(requests.len() - 2));
+    });
+}
+
 #[gtest]
 fn a_retry_after_a_refusal_is_detected_by_its_shorter_deadline() {
     run(|fixture| async move {
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -3,6 +3,7 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use lycheehub_auth::DigestKey;
 use lycheehub_clock::Clock;
+use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_dispatch::placement::DecisionFuture;
 use lycheehub_dispatch::{
     Decision, Finished, Job, JobId, LimitKind, Notice, Outcome, Placement, Reason,
@@ -104,6 +105,8 @@
     pub withdrawn: Cell<u32>,
     /// For each request, whether it is marked as a retry after a refusal.
     pub returning: RefCell<Vec<bool>>,
+    /// The identity of each request.
+    pub digests: RefCell<Vec<Option<RequestDigest>>>,
     /// For each request, the time that its caller still waits for the first byte, in milliseconds.
     pub patience_left_ms: RefCell<Vec<u64>>,
     /// Whether decisions are never made.
@@ -134,6 +137,7 @@
         Box::pin(async move {
             let job_id = job.job_id;
             self.returning.borrow_mut().push(job.returning);
+            self.digests.borrow_mut().push(job.digest);
             self.patience_left_ms.borrow_mut().push(job.patience_left_ms);
             if self.never_decides.get() {
                 smol::future::pending::<()>().await;
