fix(dispatch): a stream that a reset connection broke off is resumed

Cause: the identity of a stream stays suspect after events, and a connection lost at an endpoint without other requests counts as a probable crash. One such loss kept the rest of the stream from being asked for.

Why it works: a single lost connection with an answer begun is a reason to wait only once the endpoint is known to have crashed. Otherwise the rest is owed and is asked for at one further endpoint; a second loss of the same request is one, begun or not. An instance without a leader still waits after the first.

Tests: a_stream_that_a_reset_connection_broke_off_is_resumed, a_stream_that_crashes_an_idle_endpoint_is_resumed_at_one_further.

--- a/crates/dispatch/src/crashes/crash.rs
+++ b/crates/dispatch/src/crashes/crash.rs
@@ -71,6 +71,8 @@
     has_sole_observer: bool,
     /// No request ran on the endpoint after the last lost connection.
     was_idle: bool,
+    /// No answer had begun on some request.
+    has_unanswered: bool,
     /// The endpoint is gone, or several instances did not reach it.
     is_certain: bool,
 }
@@ -84,17 +86,24 @@
             observers: BTreeSet::new(),
             has_sole_observer: false,
             was_idle: false,
+            has_unanswered: false,
             is_certain: false,
         }
     }
 
-    /// Records a lost connection; `content` is what the endpoint may have crashed on.
-    pub(super) fn record(&mut self, content: &Content, observer: Observer, is_idle: bool) {
+    /// Records the lost connection of a request; the flags tell that its answer had begun, and that no
+    /// other request runs on the endpoint.
+    pub(super) fn record(
+        &mut self,
+        (content, has_begun): (&Content, bool),
+        (observer, is_idle): (Observer, bool),
+    ) {
         self.count += 1;
         self.was_idle = is_idle;
         self.record_observer(observer);
+        self.has_unanswered |= !has_begun;
         let prompts = self.contents.iter().filter(|known| !known.prompt().shared().is_empty());
-        let content = match prompts.count() < PROMPTS_MAX {
+        let content = match !has_begun && prompts.count() < PROMPTS_MAX {
             true => content.clone(),
             false => content.after_begun_answer(),
         };
@@ -130,6 +139,12 @@
         self.is_confirmed() || self.was_idle
     }
 
+    /// Returns whether a single request need not be sent on: an endpoint that breaks off an answer and is
+    /// not known to have crashed may have reset one connection, and the rest of the answer is owed.
+    pub(super) fn is_reason_to_wait(&self) -> bool {
+        self.is_confirmed() || self.has_unanswered
+    }
+
     /// Returns whether the endpoint has crashed unless it gives a sign of life.
     pub(super) fn is_confirmed(&self) -> bool {
         let observers_min = if self.has_sole_observer { 1 } else { SEVERAL };
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -115,20 +115,20 @@
         }
     }
 
-    /// Records that the connection of a request was lost; `content` is what the endpoint may have crashed
-    /// on, and the flag tells that no other request runs on the endpoint.
+    /// Records that the connection of a request was lost; the flags tell that its answer had begun, and that
+    /// no other request runs on the endpoint.
     pub fn record_lost(
         &mut self,
         now_ms: u64,
         start: &EndpointStart,
-        content: &Content,
-        (observer, is_idle): (Observer, bool),
+        lost: (&Content, bool),
+        seen: (Observer, bool),
     ) {
         if self.losses.len() >= LOSSES_MAX && !self.losses.contains_key(start) {
             return;
         }
         let loss = self.losses.entry(start.clone()).or_insert_with(|| Loss::new(now_ms));
-        loss.record(content, observer, is_idle);
+        loss.record(lost, seen);
     }
 
     /// Records that an instance did not reach an endpoint.
--- a/crates/dispatch/src/crashes/suspicion.rs
+++ b/crates/dispatch/src/crashes/suspicion.rs
@@ -25,7 +25,7 @@
 /// The crashes at which a request was at work and after which it was not answered.
 struct Crashes {
     at_ms: Vec<u64>,
-    /// It was the only request at the last of them.
+    /// It was the only request at the last of them, and is not owed the rest of an answer.
     was_alone: bool,
 }
 
@@ -85,14 +85,14 @@
     fn crashes_at(&self, digest: RequestDigest) -> Crashes {
         let request = Suspect::Request(digest);
         let lost = self.losses.values().filter(|loss| loss.is_probable());
-        let lost = lost.map(|loss| (loss.at_ms, &loss.contents));
+        let lost = lost.map(|loss| (loss.at_ms, &loss.contents, loss.is_reason_to_wait()));
         let unexplained = self.crashes.iter().filter(|crash| crash.explained_by.is_none());
-        let crashed = unexplained.map(|crash| (crash.at_ms, &crash.contents));
+        let crashed = unexplained.map(|crash| (crash.at_ms, &crash.contents, true));
         let mut found: Vec<(u64, bool)> = lost
             .chain(crashed)
-            .filter(|(_, contents)| contents.iter().any(|content| content.has(request)))
-            .filter(|(at_ms, _)| !self.answers.is_sound_since(*at_ms, request))
-            .map(|(at_ms, contents)| (at_ms, contents.len() == 1))
+            .filter(|(_, contents, _)| contents.iter().any(|content| content.has(request)))
+            .filter(|(at_ms, ..)| !self.answers.is_sound_since(*at_ms, request))
+            .map(|(at_ms, contents, is_reason)| (at_ms, contents.len() == 1 && is_reason))
             .collect();
         found.sort_unstable();
         let was_alone = found.last().is_some_and(|(_, was_alone)| *was_alone);
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -74,11 +74,8 @@
         }
         // An instance that is cut off loses the connections of endpoints that run on.
         if finished.is_connection_lost && !self.paths.is_lost(instance) {
-            let content = match has_begun {
-                true => &placed.content.after_begun_answer(),
-                false => &placed.content,
-            };
-            crashes.record_lost(now_ms, &start, content, (observer, is_idle));
+            let lost = (&placed.content, has_begun);
+            crashes.record_lost(now_ms, &start, lost, (observer, is_idle));
             self.refuse_suspects(now_ms, &service);
         }
     }
