--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -3,7 +3,7 @@
 use super::answers::Answers;
 use super::crash::{EndpointStart, Loss, Observer};
 use super::quarantine::{InForce, QuarantineEvent};
-use super::{Content, Suspect};
+use super::{Content, RequestDigest, Suspect};
 use lycheehub_types::ServiceName;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -61,6 +61,8 @@
     pub(super) crashes: VecDeque<KnownCrash>,
     pub(super) quarantines: Vec<InForce>,
     pub(super) last_id: u64,
+    /// The requests that were placed after a suspicion, and when, in milliseconds.
+    pub(super) probes: BTreeMap<RequestDigest, u64>,
     events: Vec<QuarantineEvent>,
 }
 
@@ -74,6 +76,7 @@
             crashes: VecDeque::new(),
             quarantines: Vec::new(),
             last_id: 0,
+            probes: BTreeMap::new(),
             events: Vec::new(),
         }
     }
@@ -112,20 +115,20 @@
         }
     }
 
-    /// Records that the connection of a request was lost; `content` is what the endpoint may have crashed
-    /// on, and the flag tells that no other request runs on the endpoint.
+    /// Records that the connection of a request was lost; the flags tell that its answer had begun, and that
+    /// no other request runs on the endpoint.
     pub fn record_lost(
         &mut self,
         now_ms: u64,
         start: &EndpointStart,
-        content: &Content,
-        (observer, is_idle): (Observer, bool),
+        lost: (&Content, bool),
+        seen: (Observer, bool),
     ) {
         if self.losses.len() >= LOSSES_MAX && !self.losses.contains_key(start) {
             return;
         }
         let loss = self.losses.entry(start.clone()).or_insert_with(|| Loss::new(now_ms));
-        loss.record(content, observer, is_idle);
+        loss.record(lost, seen);
     }
 
     /// Records that an instance did not reach an endpoint.
@@ -164,7 +167,8 @@
             self.push_event(QuarantineEvent::Tried { service: self.service.clone(), suspects });
             return Verdict::Sound;
         }
-        match self.suspicion_ms(now_ms, content, is_repeat, is_single_instance) {
+        let wait_ms = self.suspicion_ms(now_ms, content, is_repeat, is_single_instance);
+        match wait_ms.or_else(|| self.probe_ms(now_ms, content, is_single_instance)) {
             Some(retry_after_ms) => Verdict::Refused { retry_after_ms },
             None => Verdict::Sound,
         }
