fix(proxy): a document with a shorter timeout does not mark later requests as retries

What callers saw: after a document that shortens a route's timeout, each request of the route with a longer deadline of its own counted as one that comes back after a refusal (`returning`), for as long as the instance ran: it gets what others leave, and its time for an answer counts as missed.

The longest one was recorded under the document before, cut to that one's timeout. A value of one document was compared with a value of another.

Why it works: both sides of the comparison are cut to the timeout of the document that the request follows.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -329,10 +329,12 @@
     fn is_returning(&self, resolved: &ResolvedRequest) -> bool {
         let Some(deadline_ms) = self.fields.deadline_ms else { return false };
         // The rest of a longer deadline is not waited for, and one caller with an endless deadline must
-        // not make all others of the route look like retries.
-        let deadline_ms = deadline_ms.min(resolved.route.timeout_ms);
+        // not make all others of the route look like retries. The longest one seen may be of a document
+        // with a longer timeout.
+        let timeout_ms = resolved.route.timeout_ms;
+        let deadline_ms = deadline_ms.min(timeout_ms);
         let longest_ms = self.entry.record_deadline(&resolved.route.name, deadline_ms);
-        (deadline_ms as f64) < longest_ms as f64 * FIRST_REQUEST_DEADLINE_SHARE
+        (deadline_ms as f64) < longest_ms.min(timeout_ms) as f64 * FIRST_REQUEST_DEADLINE_SHARE
     }
 }
 
--- a/crates/proxy/tests/proxy/odd_deadlines.rs
+++ b/crates/proxy/tests/proxy/odd_deadlines.rs
@@ -1,7 +1,7 @@
 //! Deadlines that no sound caller sends.
 
 use crate::odd_numbers::ODD_NUMBERS;
-use crate::support::{get, run};
+use crate::support::{document, get, run};
 use googletest::prelude::*;
 
 // A deadline of 2^64-1 ended the process (overflow in debug builds) or its request was refused.
@@ -35,3 +35,26 @@
         expect_that!(*returning, eq(&[false, false, true]));
     });
 }
+
+// The longest deadline under the document before, compared with deadlines cut to the new timeout, made
+// each request of the route look like a retry.
+#[gtest]
+fn a_document_with_a_shorter_timeout_does_not_mark_later_requests_as_retries() {
+    run(|fixture| async move {
+        fixture
+            .add_responding_endpoint("HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 0\r\n\r\n")
+            .await;
+        let request = |deadline_ms: u64| {
+            get("/safe/").replace("id: r1", &format!("deadline: {deadline_ms}\r\nid: r1"))
+        };
+        fixture.request(&request(2_000)).await;
+        let mut shorter = document();
+        shorter.routes.iter_mut().for_each(|route| route.timeout_ms /= 2);
+        fixture.set_document(shorter);
+        for deadline_ms in [2_000, 1_000, 500] {
+            fixture.request(&request(deadline_ms)).await;
+        }
+        let returning = fixture.placement.returning.borrow();
+        expect_that!(*returning, eq(&[false, false, false, true]));
+    });
+}
