fix(proxy): a response without length is not complete if a write of the request met its reset

What callers saw: a 200 with half a body, marked as complete, where an endpoint began a response without Content-Length while the request was still being sent, and reset the connection.

Cause: a connection reports its reset once.

Evidence: resets::a_response_without_length_is_not_complete_if_a_write_of_the_request_met_the_reset has an endpoint on a thread of its own.

Why it works: the failed write is kept with the head of the response. A body that ends with the connection is then not taken for whole. Heads that state a refusal, and bodies with a length or in chunks, are used as before.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -256,6 +256,11 @@
             self.discard_and_release(attempt, upstream, response).await;
             return AttemptEnd::NotRun { endpoint, retry_after_ms };
         }
+        if response.is_cut {
+            spdlog::info!("answer not whole", kv: { id: = self.fields.id, error: = Error::Truncated });
+            attempt.report_broken(&Error::Truncated);
+            return AttemptEnd::Failed { endpoint, response: None };
+        }
         if kind.is_stream() && response.head.status == 200 && stream.accepts(&response.head) {
             return self.relay_stream(caller, upstream, response, attempt, stream, can_move).await;
         }
--- a/crates/proxy/src/exchange/send.rs
+++ b/crates/proxy/src/exchange/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to an endpoint and finds the response to it.
 
-use crate::http1::{Body, Connection, Error, ResponseHead};
+use crate::http1::{Body, Connection, Error, Framing, ResponseHead};
 use std::cell::Cell;
 
 /// Maximum number of responses to other requests that are discarded on a connection.
@@ -17,6 +17,8 @@
     pub(super) head: ResponseHead,
     /// The response arrived before the request was sent completely.
     pub(super) is_early: bool,
+    /// The body ends with the connection, and that was reset.
+    pub(super) is_cut: bool,
     /// Responses to other requests arrived before it.
     pub(super) is_after_strays: bool,
 }
@@ -37,19 +39,21 @@
     request: &[u8],
     is_expected: impl Fn(&ResponseHead, bool) -> bool,
 ) -> Result<ResponseStart, Error> {
-    let is_written = Cell::new(false);
+    let written = Cell::new(None);
     let mut writer = upstream.writer();
     let write = async {
         use futures_lite::AsyncWriteExt;
-        if writer.write_all(request).await.is_ok() {
-            is_written.set(true);
-        }
-        // A write error is not reported here: the read side fails as well.
+        written.set(Some(writer.write_all(request).await));
+        // The endpoint may have answered before it closed the connection; its response decides.
         smol::future::pending().await
     };
     let read = read_expected_head(upstream, is_expected);
     let (head, is_after_strays) = smol::future::or(read, write).await?;
-    Ok(ResponseStart { head, is_early: !is_written.get(), is_after_strays })
+    let written = written.take();
+    let is_early = !matches!(written, Some(Ok(())));
+    // A write that reports a reset takes it from the read, which then sees an end.
+    let is_cut = matches!(written, Some(Err(_))) && head.framing == Framing::UntilClose;
+    Ok(ResponseStart { head, is_early, is_cut, is_after_strays })
 }
 
 /// Reads response heads until one for which `is_expected` holds; returns whether there were others
