fix(gateway): a success that states that it was not run leaves the request unknown

What callers saw: 503 `no_endpoint` with `not_run: true` for a request that an endpoint had answered with 200; with more endpoints the request went to the next one, also one that may not run twice.

Cause: `x-not-run` was believed beside any status.

Evidence: answers::a_success_that_states_that_it_was_not_run_leaves_the_request_unknown failed before: `503 {"error":{"code":"no_endpoint","message":"endpoints cannot be reached","not_run":true,"retry_after_ms":1000}}`

Why it works: the statement and the status contradict each other, so the outcome is unknown (502), and a request that may not be repeated goes nowhere else.

--- a/crates/cli/tests/cli/answers.rs
+++ b/crates/cli/tests/cli/answers.rs
@@ -186,6 +186,21 @@
     }
 }
 
+// The request was sent to further endpoints, and its caller was told that it had not run.
+#[test]
+fn a_success_that_states_that_it_was_not_run_leaves_the_request_unknown() {
+    let site = site("answers_success");
+    let claimed = answer("200 OK", "x-not-run: true\r\n", "{}");
+    start(
+        &site,
+        1,
+        Arc::new(move |_, _| Scripted { sent: claimed.clone(), ..Scripted::default() }),
+    );
+    let reply = site.send(0, &Call::chat("label-writer", "hello", 3, false).key(TRUCK_KEY));
+    assert!(!reply.not_run(), "{} {}", reply.status, reply.json());
+    assert_eq!(reply.status, 502, "{}", reply.json());
+}
+
 #[test]
 fn an_answer_to_an_earlier_request_is_not_given_to_the_next() {
     let site = site("answers_late");
--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -82,8 +82,8 @@
 }
 
 /// Sends a request and receives the head of the response. Any failure after the request is built
-/// counts as [`Failure::Unknown`], unless the endpoint reports with `x-not-run` that it did not run
-/// it.
+/// counts as [`Failure::Unknown`], unless the endpoint refuses it and reports with `x-not-run` that it
+/// did not run it.
 async fn send(
     gateway: &Gateway,
     exchange: &Exchange,
@@ -102,6 +102,10 @@
     let response =
         with_timeout("send", address, left_ms, exchanged).await.map_err(Failure::Unknown)?;
     let not_run = response.header("x-not-run").is_some_and(|values| values.as_str() == "true");
+    if not_run && response.status().is_success() {
+        let cause = "a success that claims not to have run";
+        return Err(Failure::Unknown(PeerError::failed("send", address, cause)));
+    }
     if not_run {
         let cause = format!("refused with status {}", response.status());
         return Err(Failure::NotRun(PeerError::failed("send", address, cause)));
