fix(dispatch): a request's quarantine hides no crash of a part

Callers saw endpoints crash again and again on one part of prompts while each request with that part was sent several times: the bound of three requests later than 3 s after the fifth crash did not hold.

Cause: of a part and a request with equal claims the request is quarantined, and its crashes then counted for nothing else. Each further request with the part began again at none. A part that was answered before the fault isn't suspect before it is quarantined either.

Why it works: a crash that a request's quarantine explains counts for the parts of that request (not for its neighbours on the endpoint), if crashes of another request with the part are known as well. One request alone accuses no part. When a quarantine is cleared, its crashes go back to the others that explain them, so that none is quarantined twice.

--- a/crates/dispatch/src/crashes/accuse.rs
+++ b/crates/dispatch/src/crashes/accuse.rs
@@ -1,10 +1,10 @@
 //! Finds the parts of prompts, and the requests, that endpoints crashed on.
 
 use super::quarantine::{InForce, QuarantineEvent};
-use super::service::ServiceCrashes;
+use super::service::{KnownCrash, ServiceCrashes};
 use super::{Content, Suspect};
 use lycheehub_types::EndpointName;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The number of crashes from which on a suspect is quarantined while other requests are answered.
 const CRASHES_MIN: usize = 3;
@@ -30,10 +30,10 @@
     pub(super) fn best_candidate(&self, now_ms: u64) -> Option<Candidate> {
         let mut by_suspect: BTreeMap<Suspect, Vec<usize>> = BTreeMap::new();
         for (index, crash) in self.crashes.iter().enumerate() {
-            if crash.explained_by.is_some() || now_ms < crash.counts_from_ms {
+            if now_ms < crash.counts_from_ms {
                 continue;
             }
-            for suspect in crash.suspects() {
+            for suspect in self.open_suspects(crash) {
                 let crashes = by_suspect.entry(suspect).or_default();
                 let is_contradicted = self.answers.is_sound_since(crash.at_ms, suspect);
                 if !is_contradicted && crashes.last() != Some(&index) {
@@ -41,13 +41,42 @@
                 }
             }
         }
-        let several = by_suspect.into_iter().filter(|(_, crashes)| crashes.len() >= CRASHES_MIN);
+        let several = by_suspect.into_iter().filter(|(suspect, crashes)| {
+            crashes.len() >= CRASHES_MIN && !self.is_one_request(*suspect, crashes)
+        });
         let candidates = several.filter_map(|(suspect, crashes)| self.candidate(suspect, crashes));
         // Of a part and a request with equal claims, the request comes last and is chosen: fewer others
         // are refused.
         candidates.max_by_key(|candidate| (candidate.count, candidate.is_unproved))
     }
 
+    /// Returns what a crash may still be explained by. Where a request explains it, the parts of that
+    /// request may: other requests with such a part may crash endpoints too.
+    fn open_suspects(&self, crash: &KnownCrash) -> Vec<Suspect> {
+        let Some(id) = crash.explained_by else { return crash.suspects().collect() };
+        let Some(known) = self.quarantines.iter().find(|known| known.id == id) else {
+            return Vec::new();
+        };
+        if !known.is_of_request() {
+            return Vec::new();
+        }
+        let contents = crash.contents.iter().filter(|content| known.is_met_by(content));
+        let parts = contents.flat_map(Content::suspects);
+        parts.filter(|suspect| matches!(suspect, Suspect::Part(_))).collect()
+    }
+
+    /// Returns whether a request that is quarantined explains all these crashes.
+    fn is_one_request(&self, suspect: Suspect, crashes: &[usize]) -> bool {
+        let crashes = crashes.iter().map(|index| &self.crashes[*index]);
+        if crashes.clone().all(|crash| crash.explained_by.is_none()) {
+            return false;
+        }
+        let contents = crashes.flat_map(|crash| &crash.contents);
+        let with_it = contents.filter(|content| content.has(suspect));
+        let requests: BTreeSet<_> = with_it.map(Content::digest).collect();
+        requests.len() < 2
+    }
+
     fn candidate(&self, suspect: Suspect, crashes: Vec<usize>) -> Option<Candidate> {
         let mut at_ms: Vec<u64> = crashes.iter().map(|index| self.crashes[*index].at_ms).collect();
         at_ms.sort_unstable();
@@ -79,11 +108,18 @@
             .filter(|suspect| contents.iter().all(|content| content.has(*suspect)))
             .filter(|suspect| !self.answers.is_sound_since(first_ms, *suspect))
             .collect();
+        let of_requests: BTreeSet<u64> = self
+            .quarantines
+            .iter()
+            .filter(|known| known.is_of_request())
+            .map(|known| known.id)
+            .collect();
         self.last_id += 1;
         let mut endpoints: Vec<EndpointName> = Vec::new();
         for crash in &mut self.crashes {
             let is_met = crash.contents.iter().any(|content| content.has_all(&suspects));
-            if crash.explained_by.is_none() && is_met {
+            let is_open = crash.explained_by.is_none_or(|id| of_requests.contains(&id));
+            if is_open && is_met {
                 crash.explained_by = Some(self.last_id);
                 endpoints.push(crash.start.endpoint.clone());
             }
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -286,10 +286,12 @@
         }
         events.into_iter().for_each(|event| self.push_event(event));
         // The crashes of a quarantine that proved wrong have another cause.
-        let cleared = self.quarantines.extract_if(.., |quarantine| quarantine.suspects.is_empty());
-        for quarantine in cleared {
-            for crash in &mut self.crashes {
-                crash.explained_by = crash.explained_by.filter(|id| *id != quarantine.id);
+        let is_cleared = |quarantine: &mut InForce| quarantine.suspects.is_empty();
+        let cleared: Vec<InForce> = self.quarantines.extract_if(.., is_cleared).collect();
+        for index in 0..self.crashes.len() {
+            let crash = &self.crashes[index];
+            if cleared.iter().any(|quarantine| crash.explained_by == Some(quarantine.id)) {
+                self.crashes[index].explained_by = self.explaining(&crash.contents);
             }
         }
     }
--- a/crates/dispatch/tests/dispatch/crashes.rs
+++ b/crates/dispatch/tests/dispatch/crashes.rs
@@ -2,7 +2,7 @@
 
 use crate::replay::{document, finished, job, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::crashes::{CrashReport, QuarantineEvent, Suspect};
+use lycheehub_dispatch::crashes::{CrashReport, QuarantineEvent, RequestDigest, Suspect};
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, Job, JobId, Options, Outcome, PrefixPart, Reason, UsageReport,
 };
@@ -47,6 +47,10 @@
     crashed_ms: BTreeMap<u64, Vec<u64>>,
     quarantined: BTreeSet<Vec<u64>>,
     refused: usize,
+    /// From when on engines crash on the parts, in milliseconds.
+    crashing_from_ms: u64,
+    /// Requests have identities, so they may be accused too.
+    has_identities: bool,
 }
 
 impl World {
@@ -64,6 +68,8 @@
             crashed_ms: BTreeMap::new(),
             quarantined: BTreeSet::new(),
             refused: 0,
+            crashing_from_ms: 0,
+            has_identities: false,
         };
         world.dispatcher.set_document(1, &document(None));
         world.update_endpoints();
@@ -100,6 +106,20 @@
         job_id
     }
 
+    /// Submits a request with an identity; the same one is the same request.
+    fn submit_identified(&mut self, parts: &[u64], request: u64) {
+        self.number += 1;
+        let job_id = JobId { instance: 1, number: self.number };
+        let mut parts = parts.to_vec();
+        parts.push(0x2_0000_0000 + request);
+        let prefix = parts.iter().map(|id| PrefixPart { id: *id, tokens: 60 }).collect();
+        self.parts_of.insert(job_id, parts);
+        self.has_identities = true;
+        let digest = Some(RequestDigest::new(u128::from(request)));
+        self.dispatcher.submit(self.now_ms, Job { job_id, prefix, digest, ..job(self.number) });
+        self.apply_decisions();
+    }
+
     fn apply_decisions(&mut self) {
         for decision in self.dispatcher.take_decisions() {
             let (job_id, endpoint) = match decision {
@@ -176,7 +196,9 @@
             let crashing = CRASHING
                 .iter()
                 .find(|part| running.parts.contains(part) && running.parts.last() != Some(part));
-            if let Some(part) = crashing {
+            if let Some(part) = crashing
+                && self.now_ms >= self.crashing_from_ms
+            {
                 let name = running.endpoint.clone();
                 self.crashed_ms.entry(*part).or_default().push(self.now_ms);
                 self.crash(&name);
@@ -198,6 +220,7 @@
         for event in self.dispatcher.take_quarantine_events() {
             if let QuarantineEvent::Began { suspects, .. }
             | QuarantineEvent::Narrowed { suspects, .. } = event
+                && !(self.has_identities && suspects.iter().any(is_request))
             {
                 self.quarantined.insert(parts_of(&suspects));
             }
@@ -239,6 +262,10 @@
     }
 }
 
+fn is_request(suspect: &Suspect) -> bool {
+    matches!(suspect, Suspect::Request(_))
+}
+
 fn parts_of(suspects: &[Suspect]) -> Vec<u64> {
     let part = |suspect: &Suspect| match suspect {
         Suspect::Part(part) => *part,
@@ -264,6 +291,34 @@
     }
 }
 
+/// Each request's own quarantine explained its crashes, and none was left that told of the part.
+#[gtest]
+fn a_crashing_part_is_quarantined_though_callers_repeat_its_requests() {
+    for seed in 0..4 {
+        for was_answered in [false, true] {
+            for every_ticks in [60, 150, 400] {
+                let mut world = World::new(18, seed, Options::default());
+                world.crashing_from_ms = match was_answered {
+                    true => world.now_ms + 3_000,
+                    false => 0,
+                };
+                for tick in 0..9_000_u64 {
+                    world.submit_sound(40.0, 20);
+                    if tick % every_ticks == 0 {
+                        // The caller sends each request six times.
+                        world.submit_identified(&[COMMON, CRASHING[0]], tick / every_ticks / 6);
+                    }
+                    world.step();
+                }
+                let further = world.further(CRASHING[0]);
+                let state =
+                    format!("seed {seed}, answered {was_answered}, each {every_ticks} ticks");
+                expect_that!(further, le(FURTHER_MAX), "{state}");
+            }
+        }
+    }
+}
+
 #[gtest]
 fn two_crashing_parts_at_once_are_quarantined_each() {
     for seed in 0..4 {
