fix(dispatch): a crash of a quarantined part is explained by the part first

With a request's quarantine first in the list, the trial crashes of its requests counted for the part again, which could be quarantined twice (by reading; no run showed it). The part's quarantine explains them now. The test of repeated requests also checks that the part is quarantined once at most.

--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -221,11 +221,13 @@
         self.crashes.push_back(crash);
     }
 
-    /// Returns the quarantine that explains a crash on one of these.
+    /// Returns the quarantine that explains a crash on one of these, if possible one of parts only: a
+    /// crash that it explains counts for no part any more.
     pub(super) fn explaining(&self, contents: &[Content]) -> Option<u64> {
         let is_met =
             |quarantine: &&InForce| contents.iter().any(|content| quarantine.is_met_by(content));
-        self.quarantines.iter().find(is_met).map(|quarantine| quarantine.id)
+        let met = self.quarantines.iter().filter(is_met);
+        met.min_by_key(|quarantine| quarantine.is_of_request()).map(|quarantine| quarantine.id)
     }
 
     /// Narrows the quarantine whose suspects were met only in part at a new crash, and returns it. One of
--- a/crates/dispatch/tests/dispatch/crashes.rs
+++ b/crates/dispatch/tests/dispatch/crashes.rs
@@ -314,6 +314,10 @@
                 let state =
                     format!("seed {seed}, answered {was_answered}, each {every_ticks} ticks");
                 expect_that!(further, le(FURTHER_MAX), "{state}");
+                let in_force = world.dispatcher.quarantines(world.now_ms);
+                let of_parts =
+                    in_force.iter().filter(|known| !known.suspects.iter().any(is_request));
+                expect_that!(of_parts.count(), le(1), "{state}");
             }
         }
     }
