--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -225,11 +225,13 @@
         self.crashes.push_back(crash);
     }
 
-    /// Returns the quarantine that explains a crash on one of these.
+    /// Returns the quarantine that explains a crash on one of these, if possible one of parts only: a
+    /// crash that it explains counts for no part any more.
     pub(super) fn explaining(&self, contents: &[Content]) -> Option<u64> {
         let is_met =
             |quarantine: &&InForce| contents.iter().any(|content| quarantine.is_met_by(content));
-        self.quarantines.iter().find(is_met).map(|quarantine| quarantine.id)
+        let met = self.quarantines.iter().filter(is_met);
+        met.min_by_key(|quarantine| quarantine.is_of_request()).map(|quarantine| quarantine.id)
     }
 
     /// Narrows the quarantine whose suspects were met only in part at a new crash, and returns it. One of
@@ -290,10 +292,12 @@
         }
         events.into_iter().for_each(|event| self.push_event(event));
         // The crashes of a quarantine that proved wrong have another cause.
-        let cleared = self.quarantines.extract_if(.., |quarantine| quarantine.suspects.is_empty());
-        for quarantine in cleared {
-            for crash in &mut self.crashes {
-                crash.explained_by = crash.explained_by.filter(|id| *id != quarantine.id);
+        let is_cleared = |quarantine: &mut InForce| quarantine.suspects.is_empty();
+        let cleared: Vec<InForce> = self.quarantines.extract_if(.., is_cleared).collect();
+        for index in 0..self.crashes.len() {
+            let crash = &self.crashes[index];
+            if cleared.iter().any(|quarantine| crash.explained_by == Some(quarantine.id)) {
+                self.crashes[index].explained_by = self.explaining(&crash.contents);
             }
         }
     }
