fix(dispatch): a suspect request that waited is told when it may come back

Callers whose request waited for an endpoint while it became suspect were told to come back after one second, when one that comes at that moment is told five or more: they came back only to be refused again. Found in review.

Cause: the delay of jobs refused from the queue was a constant from the time when only new quarantines refused them. Now `wait_ms` tells the delay of what is quarantined or suspect for both.

--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -174,9 +174,18 @@
         }
     }
 
-    /// Returns whether requests with this content are refused.
-    pub fn is_quarantined(&self, content: &Content) -> bool {
-        self.quarantines.iter().any(|quarantine| quarantine.is_met_by(content))
+    /// Returns how long a request must wait, in milliseconds, if it must: it is quarantined, or suspect.
+    pub fn wait_ms(
+        &self,
+        now_ms: u64,
+        content: &Content,
+        is_repeat: bool,
+        is_single_instance: bool,
+    ) -> Option<u64> {
+        let met = self.quarantines.iter().filter(|quarantine| quarantine.is_met_by(content));
+        let trial_ms = met.map(|quarantine| quarantine.trial_wait_ms(now_ms)).max();
+        let trial_ms = trial_ms.map(|wait_ms| wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS));
+        trial_ms.max(self.suspicion_ms(now_ms, content, is_repeat, is_single_instance))
     }
 
     /// Advances time; returns whether there is a new quarantine. The dispatcher of a single instance
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -4,6 +4,7 @@
 use crate::crashes::{Content, EndpointStart, Observer, Quarantine, QuarantineEvent, Verdict};
 use crate::endpoints::EndpointKey;
 use crate::job::{Finished, Job, JobId, Outcome, Reason};
+use crate::queue::QueuedJob;
 use lycheehub_types::ServiceName;
 
 impl Dispatcher {
@@ -111,15 +112,16 @@
         let is_single_instance = !self.options.sees_all_requests;
         let Some(service) = self.services.get_mut(name) else { return };
         let crashes = self.crashes.service(name);
-        let refused = service.queue.take_if(|queued| {
+        let wait_ms = |queued: &QueuedJob| {
             let (content, is_repeat) = (&queued.content, queued.job.repeat);
-            let suspicion = crashes.suspicion_ms(now_ms, content, is_repeat, is_single_instance);
-            crashes.is_quarantined(content) || suspicion.is_some()
-        });
-        for queued in refused {
-            const RETRY_AFTER_MS: u64 = 1_000;
+            crashes.wait_ms(now_ms, content, is_repeat, is_single_instance)
+        };
+        let refused = service.queue.take_if(|queued| wait_ms(queued).is_some());
+        let refused: Vec<(u64, QueuedJob)> =
+            refused.into_iter().filter_map(|queued| Some((wait_ms(&queued)?, queued))).collect();
+        for (retry_after_ms, queued) in refused {
             self.waiting.remove(&queued.job.job_id);
-            self.refuse_queued(queued, Reason::Quarantined, RETRY_AFTER_MS);
+            self.refuse_queued(queued, Reason::Quarantined, retry_after_ms);
         }
     }
 
--- a/crates/dispatch/tests/dispatch/crashing_requests.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests.rs
@@ -85,6 +85,8 @@
     /// How many of its attempts were placed by a dispatcher that had seen one.
     placed_after_own_crash: usize,
     refused_crashing: usize,
+    /// The delays after which its callers may retry, in milliseconds.
+    told_ms: Vec<u64>,
     refused_sound: usize,
     answered: usize,
 }
@@ -109,6 +111,7 @@
             first_crash_ms: BTreeMap::new(),
             placed_after_own_crash: 0,
             refused_crashing: 0,
+            told_ms: Vec::new(),
             refused_sound: 0,
             answered: 0,
         };
@@ -169,10 +172,11 @@
                     Decision::Place { job_id, endpoint, .. } => {
                         self.begin((chosen, job_id), endpoint);
                     }
-                    Decision::Refuse { job_id, reason, .. } => {
+                    Decision::Refuse { job_id, reason, retry_after_ms } => {
                         let attempt = self.waiting.remove(&(chosen, job_id)).unwrap();
                         if reason == Reason::Quarantined && attempt.digest == CRASHING {
                             self.refused_crashing += 1;
+                            self.told_ms.push(retry_after_ms);
                         } else if reason == Reason::Quarantined {
                             self.refused_sound += 1;
                         }
@@ -547,6 +551,20 @@
     expect_that!(world.crashed_ms.len(), le(COUNTED_CRASH + FURTHER_MAX));
 }
 
+#[gtest]
+fn a_request_that_waited_is_told_the_same_time_as_one_that_comes_then() {
+    let mut world = World::new(1, 1);
+    (0..12).for_each(|_| world.send(CRASHING, UNSAFE));
+    while world.crashed_ms.is_empty() {
+        world.step();
+    }
+    let waited_ms = std::mem::take(&mut world.told_ms);
+    world.send(CRASHING, UNSAFE);
+    expect_that!(world.told_ms, len(eq(1)));
+    expect_that!(waited_ms, not(is_empty()));
+    expect_that!(waited_ms, each(ge(&world.told_ms[0])));
+}
+
 #[gtest]
 fn callers_that_come_back_together_after_a_suspicion_reach_one_endpoint() {
     let mut world = World::new(60, 1);
