fix(dispatch): a request that meets several quarantines is tried when a trial of all is due

A request whose own quarantine had a trial due was placed although one of its parts was quarantined for longer, and each quarantine had trials of its own, which add up to more requests at endpoints.

Cause: only the first quarantine in the list was asked. Now the latest trial counts, and a trial is one of all of them.

Test: a_request_met_by_two_quarantines_waits_for_the_later_trial; before: Value of: world.told_ms Expected: has elements: 0. is equal to 30000 Actual: [] All 124 tests of the binary dispatch pass.

--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -155,16 +155,12 @@
         is_repeat: bool,
         is_single_instance: bool,
     ) -> Verdict {
-        let met = self.quarantines.iter_mut().find(|quarantine| quarantine.is_met_by(content));
-        if let Some(quarantine) = met {
-            let wait_ms = quarantine.trial_wait_ms(now_ms);
+        if let Some(wait_ms) = self.trial_wait_ms(now_ms, content) {
             if wait_ms > 0 || is_single_instance {
                 let retry_after_ms = wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
                 return Verdict::Refused { retry_after_ms };
             }
-            quarantine.record_trial(now_ms);
-            let suspects = quarantine.suspects.clone();
-            self.push_event(QuarantineEvent::Tried { service: self.service.clone(), suspects });
+            self.record_trial(now_ms, content);
             return Verdict::Sound;
         }
         let wait_ms = self.suspicion_ms(now_ms, content, is_repeat, is_single_instance);
@@ -174,6 +170,24 @@
         }
     }
 
+    /// Returns when a trial of all quarantines that a request meets is due, in milliseconds from now, if it
+    /// meets any.
+    fn trial_wait_ms(&self, now_ms: u64, content: &Content) -> Option<u64> {
+        let met = self.quarantines.iter().filter(|quarantine| quarantine.is_met_by(content));
+        met.map(|quarantine| quarantine.trial_wait_ms(now_ms)).max()
+    }
+
+    /// Records that a request is placed as a trial of all quarantines that it meets.
+    fn record_trial(&mut self, now_ms: u64, content: &Content) {
+        let mut events = Vec::new();
+        for quarantine in self.quarantines.iter_mut().filter(|known| known.is_met_by(content)) {
+            quarantine.record_trial(now_ms);
+            let (service, suspects) = (self.service.clone(), quarantine.suspects.clone());
+            events.push(QuarantineEvent::Tried { service, suspects });
+        }
+        events.into_iter().for_each(|event| self.push_event(event));
+    }
+
     /// Returns how long a request must wait, in milliseconds, if it must: it is quarantined, or suspect.
     pub fn wait_ms(
         &self,
@@ -182,8 +196,7 @@
         is_repeat: bool,
         is_single_instance: bool,
     ) -> Option<u64> {
-        let met = self.quarantines.iter().filter(|quarantine| quarantine.is_met_by(content));
-        let trial_ms = met.map(|quarantine| quarantine.trial_wait_ms(now_ms)).max();
+        let trial_ms = self.trial_wait_ms(now_ms, content);
         let trial_ms = trial_ms.map(|wait_ms| wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS));
         trial_ms.max(self.suspicion_ms(now_ms, content, is_repeat, is_single_instance))
     }
--- a/crates/dispatch/tests/dispatch/crashing_requests.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests.rs
@@ -2,7 +2,7 @@
 
 use crate::replay::{document, finished, job, record};
 use googletest::prelude::*;
-use lycheehub_dispatch::crashes::{CrashReport, RequestDigest};
+use lycheehub_dispatch::crashes::{CrashReport, Quarantine, RequestDigest, Suspect};
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, Job, JobId, Options, Outcome, PrefixPart, Reason, UsageReport,
 };
@@ -565,6 +565,23 @@
     expect_that!(waited_ms, each(ge(&world.told_ms[0])));
 }
 
+#[gtest]
+fn a_request_met_by_two_quarantines_waits_for_the_later_trial() {
+    let mut world = World::new(4, 1);
+    let quarantine = |suspect, next_trial_ms| Quarantine {
+        service: "writer".into(),
+        suspects: vec![suspect],
+        first_crash_ago_ms: 20_000,
+        next_trial_ms,
+        trials: 0,
+    };
+    let request = quarantine(Suspect::Request(RequestDigest::new(CRASHING)), 0);
+    let part = quarantine(Suspect::Part(COMMON), 30_000);
+    world.dispatchers[0].set_quarantines(world.now_ms, &[request, part]);
+    world.send(CRASHING, STREAM);
+    expect_that!(world.told_ms, elements_are![eq(&30_000)]);
+}
+
 #[gtest]
 fn callers_that_come_back_together_after_a_suspicion_reach_one_endpoint() {
     let mut world = World::new(60, 1);
