fix(dispatch): a request that was answered before is not kept from endpoints after two crashes

Callers whose requests have the same path, account and body as many others (a popular look-up, or requests that differ only in header fields) were refused for 10 s, by an instance without a leader for 60 s, after two endpoints had crashed for another reason before the next of them was answered; as all were refused, no answer could clear them.

The state itself is reproduced: a_request_that_was_answered_before_is_not_suspect_after_two_crashes_with_other_causes failed before with a leader and without one: Value of: world.refused_sound Expected: is equal to 0 Actual: 1

--- a/crates/dispatch/src/crashes/accuse.rs
+++ b/crates/dispatch/src/crashes/accuse.rs
@@ -133,7 +133,7 @@
 }
 
 /// Returns the number of times in ascending order, those close together counted once.
-pub(super) fn count_apart(at_ms: &[u64]) -> usize {
+fn count_apart(at_ms: &[u64]) -> usize {
     let mut count = 0;
     let mut counted_ms = None;
     for at_ms in at_ms {
--- a/crates/dispatch/src/crashes/suspicion.rs
+++ b/crates/dispatch/src/crashes/suspicion.rs
@@ -1,6 +1,5 @@
 //! Keeps suspects from endpoints until it is decided whether they are quarantined.
 
-use super::accuse::count_apart;
 use super::service::{RETRY_MAX_MS, RETRY_MIN_MS, ServiceCrashes};
 use super::{Content, Prompt, RequestDigest, Suspect};
 
@@ -19,10 +18,10 @@
 /// How long a request that was suspect is placed only once, in milliseconds: its callers were told the same
 /// time and come back together.
 const PROBE_MS: u64 = 5_000;
-/// The number of crashes at which a request is suspect even if it was not alone, or was answered before.
+/// The number of crashes at which a request is suspect even if it was not alone.
 const REPEATED: usize = 2;
 
-/// The crashes at which a request was at work and after which it was not answered.
+/// The crashes at which a request was at work.
 struct Crashes {
     at_ms: Vec<u64>,
     /// It was the only request at the last of them, and is not owed the rest of an answer.
@@ -64,21 +63,20 @@
         Some((at_ms + PROBE_MS - now_ms).clamp(RETRY_MIN_MS, RETRY_MAX_MS))
     }
 
-    /// Returns until when a request is not placed, in milliseconds, if it is suspect.
+    /// Returns until when a request is not placed, in milliseconds, if it is suspect. One that was ever
+    /// answered whole is not: endpoints crash on it for another reason, or it is quarantined.
     fn suspect_until_ms(&self, digest: RequestDigest, is_single_instance: bool) -> Option<u64> {
+        if self.answers.last_ms(Suspect::Request(digest)).is_some() {
+            return None;
+        }
         let Crashes { at_ms, was_alone } = self.crashes_at(digest);
         let last_ms = *at_ms.last()?;
-        let is_unproved = self.answers.last_ms(Suspect::Request(digest)).is_none();
-        // Endpoints that crash at the same time have one cause; of a request that was never answered it
-        // may be that one.
-        let count = if is_unproved { at_ms.len() } else { count_apart(&at_ms) };
-        let is_repeated = count >= REPEATED;
         if is_single_instance {
-            return (is_unproved || is_repeated).then_some(last_ms + SINGLE_INSTANCE_MS);
+            return Some(last_ms + SINGLE_INSTANCE_MS);
         }
-        match is_repeated {
+        match at_ms.len() >= REPEATED {
             true => Some(last_ms + REPEATED_MS),
-            false => (is_unproved && was_alone).then_some(last_ms + ALONE_MS),
+            false => was_alone.then_some(last_ms + ALONE_MS),
         }
     }
 
@@ -91,7 +89,6 @@
         let mut found: Vec<(u64, bool)> = lost
             .chain(crashed)
             .filter(|(_, contents, _)| contents.iter().any(|content| content.has(request)))
-            .filter(|(at_ms, ..)| !self.answers.is_sound_since(*at_ms, request))
             .map(|(at_ms, contents, is_reason)| (at_ms, contents.len() == 1 && is_reason))
             .collect();
         found.sort_unstable();
--- a/crates/dispatch/tests/dispatch/crashing_requests.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests.rs
@@ -565,6 +565,26 @@
     expect_that!(waited_ms, each(ge(&world.told_ms[0])));
 }
 
+#[gtest]
+fn a_request_that_was_answered_before_is_not_suspect_after_two_crashes_with_other_causes() {
+    for sees_all_requests in [true, false] {
+        let options = Options { sees_all_requests, ..Options::default() };
+        let mut world = World::with_options(8, 1, &[options]);
+        for _ in 0..5 {
+            world.send(POPULAR, SAFE);
+            (0..100).for_each(|_| world.step());
+        }
+        for _ in 0..2 {
+            world.send(POPULAR, UNSAFE);
+            let name = world.running.values().next().map(|running| running.endpoint.clone());
+            world.crash(&name.unwrap());
+            (0..40).for_each(|_| world.step());
+        }
+        world.send(POPULAR, SAFE);
+        expect_that!(world.refused_sound, eq(0), "sees all requests: {sees_all_requests}");
+    }
+}
+
 #[gtest]
 fn a_request_met_by_two_quarantines_waits_for_the_later_trial() {
     let mut world = World::new(4, 1);
