dispatch: a quarantined request is tried three times, then once a day

What callers saw: a request on which endpoints crash was tried 10, 50, 210 and 850 s after it was quarantined and on from there, each time at the cost of an endpoint; the rule allows three attempts after the third crash. Its callers were told to come back after a minute at most, although the next attempt was hours away.

Cause: the time between trials grew to 2.8 hours but their number had no bound, and a trial was counted when it was judged, also where it never reached an endpoint.

Change: trials are counted when they are sent, and taken back if the endpoint was not reached. Callers are told the true time of the next trial. No message changes: the end of the pause is the next trial.

--- a/crates/dispatch/src/crashes/quarantine.rs
+++ b/crates/dispatch/src/crashes/quarantine.rs
@@ -7,8 +7,14 @@
 const FIRST_TRIAL_MS: u64 = 10_000;
 /// The factor by which the time to the next trial grows.
 const TRIAL_FACTOR: u64 = 4;
-/// The exponent from which on the time between trials stays the same.
-const TRIAL_GROWTH_MAX: u32 = 5;
+/// The number of trials after which the next one is long in coming.
+const TRIALS: u32 = 3;
+/// The time from the last of them to the next trial of a request, in milliseconds.
+const REQUEST_PAUSE_MS: u64 = 24 * 3_600_000;
+/// The same time for parts of prompts, which refuse the requests of many callers, in milliseconds.
+const PARTS_PAUSE_MS: u64 = 3_600_000;
+/// How long a quarantine is kept after a trial is due if nothing meets it, in milliseconds.
+const KEPT_MS: u64 = 24 * 3_600_000;
 
 /// What endpoints crash on, as dispatchers pass it on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,13 +72,16 @@
     pub(super) id: u64,
     pub(super) suspects: Vec<Suspect>,
     pub(super) first_crash_ms: u64,
+    /// When a request last met it, in milliseconds.
+    pub(super) last_met_ms: u64,
     next_trial_ms: u64,
     trials: u32,
 }
 
 impl InForce {
     pub(super) fn new(id: u64, now_ms: u64, suspects: Vec<Suspect>, first_crash_ms: u64) -> Self {
-        Self { id, suspects, first_crash_ms, next_trial_ms: now_ms + FIRST_TRIAL_MS, trials: 0 }
+        let next_trial_ms = now_ms + FIRST_TRIAL_MS;
+        Self { id, suspects, first_crash_ms, last_met_ms: now_ms, next_trial_ms, trials: 0 }
     }
 
     pub(super) fn restored(id: u64, now_ms: u64, told: &Quarantine) -> Self {
@@ -80,7 +89,8 @@
             id,
             suspects: told.suspects.clone(),
             first_crash_ms: now_ms.saturating_sub(told.first_crash_ago_ms),
-            next_trial_ms: now_ms + told.next_trial_ms,
+            last_met_ms: now_ms,
+            next_trial_ms: now_ms.saturating_add(told.next_trial_ms),
             trials: told.trials,
         }
     }
@@ -109,17 +119,43 @@
         self.next_trial_ms.saturating_sub(now_ms)
     }
 
-    /// Records that a trial begins.
-    pub(super) fn record_trial(&mut self, now_ms: u64) {
-        self.trials += 1;
-        let factor = TRIAL_FACTOR.pow(self.trials.min(TRIAL_GROWTH_MAX));
+    /// Reserves the trial that is due for a request that is about to be placed.
+    pub(super) fn reserve_trial(&mut self, now_ms: u64) {
+        let factor = TRIAL_FACTOR.pow((self.trials + 1).min(TRIALS - 1));
         self.next_trial_ms = now_ms + FIRST_TRIAL_MS * factor;
     }
 
+    /// Records that a trial was sent to an endpoint.
+    pub(super) fn record_trial(&mut self, now_ms: u64) {
+        self.trials = self.trials.saturating_add(1);
+        self.next_trial_ms = now_ms + self.pause_ms();
+    }
+
+    /// Takes a trial back that reached no endpoint.
+    pub(super) fn take_back_trial(&mut self, now_ms: u64) {
+        self.trials = self.trials.saturating_sub(1);
+        self.next_trial_ms = now_ms + self.pause_ms();
+    }
+
+    /// Returns the time between the last trial and the next, in milliseconds.
+    fn pause_ms(&self) -> u64 {
+        match self.is_of_request() {
+            _ if self.trials < TRIALS => FIRST_TRIAL_MS * TRIAL_FACTOR.pow(self.trials),
+            true => REQUEST_PAUSE_MS,
+            false => PARTS_PAUSE_MS,
+        }
+    }
+
+    /// Returns whether it is forgotten: no request has met it for a long time.
+    pub(super) fn is_forgotten(&self, now_ms: u64) -> bool {
+        now_ms >= self.next_trial_ms.max(self.last_met_ms).saturating_add(KEPT_MS)
+    }
+
     /// Merges what another instance knows of the same suspects.
     pub(super) fn merge(&mut self, other: &Self) {
         self.first_crash_ms = self.first_crash_ms.min(other.first_crash_ms);
         self.next_trial_ms = self.next_trial_ms.max(other.next_trial_ms);
+        self.last_met_ms = self.last_met_ms.max(other.last_met_ms);
         self.trials = self.trials.max(other.trials);
     }
 }
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -17,10 +17,8 @@
 const QUARANTINES_MAX: usize = 64;
 /// The maximum number of endpoints with lost connections that are watched.
 const LOSSES_MAX: usize = 1_024;
-/// The lower and upper bounds of the delay told to the callers of quarantined requests, in
-/// milliseconds.
+/// The lower bound of the delay told to the callers of quarantined requests, in milliseconds.
 pub(super) const RETRY_MIN_MS: u64 = 1_000;
-pub(super) const RETRY_MAX_MS: u64 = 60_000;
 
 /// What is known of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -156,12 +154,17 @@
         is_single_instance: bool,
     ) -> Verdict {
         if let Some(wait_ms) = self.trial_wait_ms(now_ms, content) {
-            if wait_ms > 0 || is_single_instance {
-                let retry_after_ms = wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS);
-                return Verdict::Refused { retry_after_ms };
+            let is_refused = wait_ms > 0 || is_single_instance;
+            for quarantine in self.quarantines.iter_mut().filter(|known| known.is_met_by(content)) {
+                quarantine.last_met_ms = now_ms;
+                if !is_refused {
+                    quarantine.reserve_trial(now_ms);
+                }
             }
-            self.record_trial(now_ms, content);
-            return Verdict::Sound;
+            return match is_refused {
+                true => Verdict::Refused { retry_after_ms: wait_ms.max(RETRY_MIN_MS) },
+                false => Verdict::Sound,
+            };
         }
         let wait_ms = self.suspicion_ms(now_ms, content, is_repeat, is_single_instance);
         match wait_ms.or_else(|| self.probe_ms(now_ms, content, is_single_instance)) {
@@ -177,15 +180,24 @@
         met.map(|quarantine| quarantine.trial_wait_ms(now_ms)).max()
     }
 
-    /// Records that a request is placed as a trial of all quarantines that it meets.
-    fn record_trial(&mut self, now_ms: u64, content: &Content) {
+    /// Records that a request was sent to an endpoint; returns whether it is a trial of quarantines that it
+    /// meets.
+    pub fn record_sent(&mut self, now_ms: u64, content: &Content) -> bool {
         let mut events = Vec::new();
         for quarantine in self.quarantines.iter_mut().filter(|known| known.is_met_by(content)) {
             quarantine.record_trial(now_ms);
             let (service, suspects) = (self.service.clone(), quarantine.suspects.clone());
             events.push(QuarantineEvent::Tried { service, suspects });
         }
+        let is_trial = !events.is_empty();
         events.into_iter().for_each(|event| self.push_event(event));
+        is_trial
+    }
+
+    /// Records that a trial reached no endpoint.
+    pub fn take_back_trial(&mut self, now_ms: u64, content: &Content) {
+        let met = self.quarantines.iter_mut().filter(|known| known.is_met_by(content));
+        met.for_each(|quarantine| quarantine.take_back_trial(now_ms));
     }
 
     /// Returns how long a request must wait, in milliseconds, if it must: it is quarantined, or suspect.
@@ -197,7 +209,7 @@
         is_single_instance: bool,
     ) -> Option<u64> {
         let trial_ms = self.trial_wait_ms(now_ms, content);
-        let trial_ms = trial_ms.map(|wait_ms| wait_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS));
+        let trial_ms = trial_ms.map(|wait_ms| wait_ms.max(RETRY_MIN_MS));
         trial_ms.max(self.suspicion_ms(now_ms, content, is_repeat, is_single_instance))
     }
 
@@ -208,6 +220,7 @@
         while self.crashes.front().is_some_and(|crash| now_ms > crash.at_ms + CRASH_KEPT_MS) {
             self.crashes.pop_front();
         }
+        self.quarantines.retain(|quarantine| !quarantine.is_forgotten(now_ms));
         let mut has_new = false;
         while !is_single_instance && let Some(candidate) = self.best_candidate(now_ms) {
             self.quarantine(now_ms, &candidate);
@@ -278,14 +291,19 @@
         None
     }
 
-    /// Removes the oldest quarantine of a request if there is no room for a further one: endless requests
-    /// on which endpoints crash must not keep a part from being quarantined.
+    /// Removes a quarantine of a request if there is no room for a further one, the one that was not met
+    /// for longest: endless requests on which endpoints crash must not keep a part from being quarantined.
     pub(super) fn make_room_for_quarantine(&mut self) {
         if self.quarantines.len() < QUARANTINES_MAX {
             return;
         }
-        let oldest = self.quarantines.iter().position(InForce::is_of_request).unwrap_or_default();
-        self.quarantines.remove(oldest);
+        let is_first_out = |(_, quarantine): &(usize, &InForce)| {
+            (!quarantine.is_of_request(), quarantine.last_met_ms)
+        };
+        let removed = self.quarantines.iter().enumerate().min_by_key(is_first_out);
+        if let Some(index) = removed.map(|(index, _)| index) {
+            self.quarantines.remove(index);
+        }
     }
 
     /// Removes suspects from the quarantines that began before they were answered.
--- a/crates/dispatch/src/crashes/suspicion.rs
+++ b/crates/dispatch/src/crashes/suspicion.rs
@@ -1,6 +1,6 @@
 //! Keeps suspects from endpoints until it is decided whether they are quarantined.
 
-use super::service::{RETRY_MAX_MS, RETRY_MIN_MS, ServiceCrashes};
+use super::service::{RETRY_MIN_MS, ServiceCrashes};
 use super::{Content, Prompt, RequestDigest, Suspect};
 
 /// The delay after which a request on a suspect prompt may be retried, in milliseconds: the suspicion
@@ -42,7 +42,7 @@
         }
         let until_ms = self.suspect_until_ms(content.digest()?, is_single_instance)?;
         let left_ms = until_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)?;
-        Some(left_ms.clamp(RETRY_MIN_MS, RETRY_MAX_MS))
+        Some(left_ms.max(RETRY_MIN_MS))
     }
 
     /// Lets one repeat through of a request whose suspicion has passed without an answer to it; returns how
@@ -60,7 +60,7 @@
             self.probes.insert(digest, now_ms);
             return None;
         };
-        Some((at_ms + PROBE_MS - now_ms).clamp(RETRY_MIN_MS, RETRY_MAX_MS))
+        Some((at_ms + PROBE_MS - now_ms).max(RETRY_MIN_MS))
     }
 
     /// Returns until when a request is not placed, in milliseconds, if it is suspect. One that was ever
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -213,7 +213,8 @@
             first_byte_ms,
         });
         let is_stream = job.output_tokens > 0;
-        let placed = PlacedJob { endpoint: key, is_stream, rank: job.rank, content };
+        let is_trial = self.crashes.service(&job.service).record_sent(now_ms, &content);
+        let placed = PlacedJob { endpoint: key, is_stream, rank: job.rank, content, is_trial };
         self.placed.insert(job.job_id, placed);
     }
 }
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -59,6 +59,9 @@
         if has_whole_answer {
             crashes.record_whole_answer(now_ms, &placed.content);
         }
+        if placed.is_trial && finished.outcome == Outcome::NotConnected {
+            crashes.take_back_trial(now_ms, &placed.content);
+        }
         let instance = finished.job_id.instance;
         let observer = Observer { instance, is_sole: self.paths.instances() <= 1 };
         match finished.outcome {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -43,6 +43,8 @@
     /// The rank of the job.
     rank: u8,
     content: Content,
+    /// It is a trial of a quarantine.
+    is_trial: bool,
 }
 
 /// A service with its queue and its endpoints.
@@ -434,6 +436,7 @@
                 is_stream: request.is_stream,
                 rank: 0,
                 content: request.content.clone(),
+                is_trial: false,
             };
             self.placed.insert(job_id, placed);
         }
