dispatch: a sound request alone at a crash is answered in its caller's time

What callers saw: a sound request that was the only one on an endpoint that crashed for another reason was refused for 5 s. A caller that waits 5 s in all, at most a third of the time left before each repeat, never got an answer.

Cause: the span after the first crash was as long as a caller's whole time.

The crash is told from a lost connection by then, and the second crash is still followed by 10 s. That the retry of the same attempt goes to no second endpoint, and that one repeat at a time is placed after the span, stays.

A request on which endpoints crash, repeated each 0.1, 1 or 5 s for a minute: the rule holds before and after. Failed try: 1.5 s places the caller's own repeat 2 s after it was sent (an existing test refuses that).

--- a/crates/dispatch/src/crashes/suspicion.rs
+++ b/crates/dispatch/src/crashes/suspicion.rs
@@ -6,9 +6,9 @@
 /// The delay after which a request on a suspect prompt may be retried, in milliseconds: the suspicion
 /// is confirmed or disproved by then.
 const SUSPECT_RETRY_MS: u64 = 2_000;
-/// How long after a crash the only request at it is not placed again, in milliseconds; a sound one may
-/// still be answered within the time of its caller.
-const ALONE_MS: u64 = 5_000;
+/// How long after a crash the only request at it is not placed again, in milliseconds: it is known by then whether
+/// the endpoint crashed, and a caller waits for a third of its time at most.
+const ALONE_MS: u64 = 2_000;
 /// How long after its second crash a request is not placed again, in milliseconds: a third is known by
 /// then, and so is an endpoint's return.
 const REPEATED_MS: u64 = 10_000;
--- a/crates/dispatch/tests/dispatch/crashing_requests/mod.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/mod.rs
@@ -1,5 +1,6 @@
 //! A request on which endpoints crash is kept from them, whatever its kind, and no sound one is.
 
+mod alone;
 mod trials;
 mod world;
 
--- a/crates/dispatch/tests/dispatch/crashing_requests/world.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/world.rs
@@ -87,6 +87,8 @@
     /// The delays after which its callers may retry, in milliseconds.
     pub(super) told_ms: Vec<u64>,
     pub(super) refused_sound: usize,
+    /// The delays after which callers of refused sound requests may retry, in milliseconds.
+    pub(super) told_sound_ms: Vec<u64>,
     pub(super) answered: usize,
 }
 
@@ -112,6 +114,7 @@
             refused_crashing: 0,
             told_ms: Vec::new(),
             refused_sound: 0,
+            told_sound_ms: Vec::new(),
             answered: 0,
         };
         for dispatcher in &mut world.dispatchers {
@@ -178,6 +181,7 @@
                             self.told_ms.push(retry_after_ms);
                         } else if reason == Reason::Quarantined {
                             self.refused_sound += 1;
+                            self.told_sound_ms.push(retry_after_ms);
                         }
                     }
                 }
