dispatch: all prompts at a crash are kept as evidence, within a bound of parts

What could happen: at the crash of an endpoint with more than 16 prompts on which no answer had begun, the parts of the others were dropped, and above 64 requests their identities too. A part (or a request) that was lost last at each crash was never found, and its requests went on to crash endpoints.

Change: up to 256 requests and 4,096 parts of their prompts are kept of a crash; beyond that only identities.

What is kept stays within both bounds under 2,000 requests of 200 parts.

--- a/crates/dispatch/src/crashes/crash.rs
+++ b/crates/dispatch/src/crashes/crash.rs
@@ -22,9 +22,9 @@
 /// have lost its path.
 const SEVERAL: usize = 2;
 /// The maximum number of requests that are suspect after a crash.
-const CONTENTS_MAX: usize = 64;
-/// The maximum number of them whose prompts are, too.
-const PROMPTS_MAX: usize = 16;
+const CONTENTS_MAX: usize = 256;
+/// The maximum number of parts of their prompts that are, too.
+const PARTS_MAX: usize = 4_096;
 
 /// A start of an endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -64,6 +64,8 @@
     pub(super) at_ms: u64,
     /// The requests that were lost, with the prompts on which no answer had begun.
     pub(super) contents: Vec<Content>,
+    /// The number of parts of these prompts.
+    parts: usize,
     count: usize,
     /// The instances that lost a connection, or did not reach the endpoint afterwards.
     observers: BTreeSet<u32>,
@@ -82,6 +84,7 @@
         Self {
             at_ms,
             contents: Vec::new(),
+            parts: 0,
             count: 0,
             observers: BTreeSet::new(),
             has_sole_observer: false,
@@ -102,13 +105,14 @@
         self.was_idle = is_idle;
         self.record_observer(observer);
         self.has_unanswered |= !has_begun;
-        let prompts = self.contents.iter().filter(|known| !known.prompt().shared().is_empty());
-        let content = match !has_begun && prompts.count() < PROMPTS_MAX {
+        let parts = content.prompt().shared().len();
+        let content = match !has_begun && self.parts + parts <= PARTS_MAX {
             true => content.clone(),
             false => content.after_begun_answer(),
         };
         let has_room = self.contents.len() < CONTENTS_MAX;
         if has_room && !content.is_empty() && !self.contents.contains(&content) {
+            self.parts += content.prompt().shared().len();
             self.contents.push(content);
         }
     }
--- /dev/null
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -0,0 +1,76 @@
+//! The evidence that is kept of a crash, whatever the number of requests at work.
+
+use googletest::prelude::*;
+use lycheehub_dispatch::crashes::{
+    Content, EndpointStart, Observer, Prompt, RequestDigest, ServiceCrashes, Suspect,
+};
+
+const CRASHING_PART: u64 = 0xdead;
+const CRASHING_REQUEST: u128 = 0xbeef;
+const OBSERVER: Observer = Observer { instance: 1, is_sole: true };
+
+/// Crashes an endpoint with `requests` at work; `last` is lost last.
+fn crash(crashes: &mut ServiceCrashes, now_ms: u64, requests: u64, last: &Content) {
+    let start = EndpointStart { endpoint: "a".into(), incarnation: now_ms };
+    for number in 0..requests {
+        let id = now_ms * 1_000 + number * 10;
+        let prompt = Prompt::new([id, id + 1, id + 2]);
+        let sound = Content::new(prompt, Some(RequestDigest::new(u128::from(id))));
+        crashes.record_lost(now_ms, &start, (&sound, false), (OBSERVER, false));
+    }
+    crashes.record_lost(now_ms, &start, (last, false), (OBSERVER, true));
+    let alive = EndpointStart { endpoint: "b".into(), incarnation: 1 };
+    for after_ms in 1..5 {
+        let answered = Content::new(Prompt::new([now_ms, 1]), None);
+        crashes.record_answer(now_ms + after_ms, &alive, &answered);
+    }
+    crashes.advance(now_ms + 1_000, false);
+}
+
+fn suspects_after_crashes(requests: u64, last: impl Fn(u64) -> Content) -> Vec<Vec<Suspect>> {
+    let mut crashes = ServiceCrashes::new("writer".into());
+    for number in 1..=3 {
+        crash(&mut crashes, number * 10_000, requests, &last(number));
+    }
+    crashes.quarantines(40_000).map(|quarantine| quarantine.suspects).collect()
+}
+
+#[gtest]
+fn a_part_is_found_among_many_running_prompts() {
+    for requests in [8, 40, 200] {
+        let last = |number: u64| {
+            let digest = RequestDigest::new(u128::from(number));
+            Content::new(Prompt::new([CRASHING_PART, number]), Some(digest))
+        };
+        let found = suspects_after_crashes(requests, last);
+        let part = vec![Suspect::Part(CRASHING_PART)];
+        expect_that!(found, elements_are![eq(&part)], "{requests} at work");
+    }
+}
+
+#[gtest]
+fn a_request_is_found_among_many() {
+    for requests in [8, 40, 200] {
+        let request = RequestDigest::new(CRASHING_REQUEST);
+        let last = |_: u64| Content::new(Prompt::default(), Some(request));
+        let found = suspects_after_crashes(requests, last);
+        let request = vec![Suspect::Request(request)];
+        expect_that!(found, elements_are![eq(&request)], "{requests} at work");
+    }
+}
+
+/// Prompts of many parts are kept up to a bound, and all requests as such beyond it.
+#[gtest]
+fn what_is_kept_of_a_crash_is_bounded() {
+    let mut crashes = ServiceCrashes::new("writer".into());
+    let start = EndpointStart { endpoint: "a".into(), incarnation: 1 };
+    for number in 0..2_000_u64 {
+        let prompt = Prompt::new((0..200).map(|part| number * 1_000 + part));
+        let content = Content::new(prompt, Some(RequestDigest::new(u128::from(number))));
+        crashes.record_lost(1_000, &start, (&content, false), (OBSERVER, number == 1_999));
+    }
+    let told: Vec<Content> = crashes.crashes(1_000).flat_map(|crash| crash.contents).collect();
+    expect_that!(told.len(), le(256));
+    let parts: usize = told.iter().map(|content| content.prompt().shared().len()).sum();
+    expect_that!(parts, le(4_096));
+}
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher: replays of extreme load, and tests of its parts.
 
 mod budgets;
+mod crash_evidence;
 mod crashes;
 mod crashing_requests;
 mod documents;
