tests: further kinds of requests on which endpoints crash, and such that are none

With real processes on the platform's path: requests with an idempotency key, of a batch, as endpoints call, and that continue a stream, all with header fields that differ from one repeat to the next; those that differ from a crashing one in client account, path or body; and endpoints that are silent for 1.2 s.

--- a/crates/cli/tests/platform/crashing_engine.rs
+++ b/crates/cli/tests/platform/crashing_engine.rs
@@ -14,6 +14,8 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// How long an endpoint is down after a crash.
 const DOWN_TIME: Duration = Duration::from_secs(1);
+/// How long an endpoint is silent that then goes on.
+const SILENT_TIME: Duration = Duration::from_millis(1_200);
 
 /// What an endpoint does with a request, whose head is given to [`Behavior`].
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -26,6 +28,8 @@
     Crash,
     /// It crashes after two events.
     CrashLate,
+    /// It is silent on all connections for a while, and then answers whole.
+    Freeze,
 }
 
 /// Returns the reaction to a request, and what it is counted under.
@@ -64,6 +68,7 @@
     observed: Arc<Observed>,
     streams: Mutex<Vec<TcpStream>>,
     is_down: AtomicBool,
+    silent_until: Mutex<Option<Instant>>,
 }
 
 impl Engine {
@@ -87,6 +92,7 @@
                     observed: observed.clone(),
                     streams: Mutex::default(),
                     is_down: AtomicBool::new(false),
+                    silent_until: Mutex::default(),
                 });
                 engine.serve_until_crash(listener, &controls, &format!("e{number}-{start}"));
                 std::thread::sleep(DOWN_TIME);
@@ -121,6 +127,7 @@
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let mut sequence = 0;
         while !self.is_down.load(Ordering::Relaxed) {
+            self.wait_while_silent();
             sequence += 1;
             let body = json!({
                 "service": "writer", "address": address, "zone": "salto", "version": "v1",
@@ -150,6 +157,10 @@
             if reaction == Reaction::Crash {
                 return self.crash(cause);
             }
+            if reaction == Reaction::Freeze {
+                *self.silent_until.lock().unwrap() = Some(Instant::now() + SILENT_TIME);
+            }
+            self.wait_while_silent();
             for piece in answer(reaction, &id) {
                 if stream.write_all(piece.as_bytes()).is_err() {
                     return;
@@ -162,6 +173,13 @@
         }
     }
 
+    fn wait_while_silent(&self) {
+        let until = *self.silent_until.lock().unwrap();
+        std::thread::sleep(
+            until.map_or(Duration::ZERO, |until| until.saturating_duration_since(Instant::now())),
+        );
+    }
+
     fn crash(&self, cause: String) {
         if !self.is_down.swap(true, Ordering::Relaxed) {
             let mut crashes = self.observed.crashes.lock().unwrap();
@@ -173,7 +191,7 @@
 /// Returns what an endpoint writes, piece by piece.
 fn answer(reaction: Reaction, id: &str) -> Vec<String> {
     let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-1\r\n");
-    if reaction == Reaction::Whole {
+    if matches!(reaction, Reaction::Whole | Reaction::Freeze) {
         return vec![format!("{head}Content-Length: 4\r\n\r\ndone")];
     }
     let stream = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod builds;
 mod crashing_engine;
+mod crashing_kinds;
 mod crashing_prompts;
 mod crashing_requests;
 #[path = "../deployment/mod.rs"]
