fix(consensus): votes are split no more where every voter left is needed

Cause: with three voters left all must vote for the same one. Two that asked within a round trip of each other voted for themselves. A replica that had granted a vote then withheld its vote from others for the minimum election timeout and drew its next time from the long range, as if it had heard a leader.

Change: who says that it would grant a vote asks for none itself for one draw; of two that ask at once the one with the less complete log, or else the higher id, gives way; without leases a granted vote is no contact with a leader; a refusal with a higher term is answered by asking anew at that term, not at the next tick. A replica that gets too few votes says so, one line for each doubling of the times.

--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -40,6 +40,19 @@
         /// The token that the caller gave for the read.
         token: u64,
     },
+    /// This replica asked for votes and got too few in time.
+    ElectionLost {
+        /// The current term.
+        term: u64,
+        /// Whether it only asked which votes it would get.
+        is_pre_vote: bool,
+        /// The voters that granted their vote, this replica included.
+        granted: usize,
+        /// The voters that refused it. The others sent no reply.
+        refused: usize,
+        /// The votes needed.
+        needed: usize,
+    },
     /// This replica became the leader; its term's first entry has this position.
     BecameLeader(Position),
     /// This replica is no longer the leader.
--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -35,7 +35,7 @@
 
 impl Options {
     /// Returns the range of the election timeout, in milliseconds, for a replica that has had no
-    /// contact with a leader since it started.
+    /// contact with a leader since it started, or for the minimum election timeout.
     ///
     /// Without leases the timeout is at most three heartbeats, since an existing leader would send
     /// one within that time.
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -8,22 +8,30 @@
         if !self.log.config().is_voter(self.id) {
             return;
         }
-        let since_ms = match self.role {
-            Role::Follower => self.leader_contact_ms.unwrap_or(self.started_ms),
-            _ => self.campaign_started_ms,
-        };
-        if now_ms.saturating_sub(since_ms) < self.election_timeout_ms {
+        if now_ms.saturating_sub(self.timeout_began_ms) < self.election_timeout_ms {
             return;
         }
-        self.randomize_election_timeout();
+        if self.role != Role::Follower {
+            self.report_lost_election();
+        }
         self.start_pre_vote(now_ms);
     }
 
+    /// Reports that the votes asked for did not suffice.
+    fn report_lost_election(&mut self) {
+        self.actions.push(Action::ElectionLost {
+            term: self.vote.term,
+            is_pre_vote: self.role == Role::PreCandidate,
+            granted: self.votes(),
+            refused: self.refused_by.len(),
+            needed: self.log.config().quorum(),
+        });
+    }
+
     fn start_pre_vote(&mut self, now_ms: u64) {
         self.role = Role::PreCandidate;
         self.leader = None;
-        self.campaign_started_ms = now_ms;
-        self.granted_by = [self.id].into();
+        self.ask_for_votes(now_ms);
         if self.has_won() {
             return self.campaign(now_ms, false);
         }
@@ -34,11 +42,10 @@
     fn campaign(&mut self, now_ms: u64, transfer: bool) {
         self.role = Role::Candidate;
         self.leader = None;
-        self.campaign_started_ms = now_ms;
         self.vote.term += 1;
         self.vote.voted_for = Some(self.id);
         self.actions.push(Action::SaveVote(self.vote));
-        self.granted_by = [self.id].into();
+        self.ask_for_votes(now_ms);
         if self.has_won() {
             return self.become_leader(now_ms);
         }
@@ -46,6 +53,13 @@
         self.send_to_voters(&Message::RequestVote { term: self.vote.term, last, transfer });
     }
 
+    /// Begins to count votes, from this replica's own on.
+    fn ask_for_votes(&mut self, now_ms: u64) {
+        self.granted_by = [self.id].into();
+        self.refused_by.clear();
+        self.restart_election_timeout(now_ms);
+    }
+
     fn send_to_voters(&mut self, message: &Message) {
         let voters: Vec<ReplicaId> = self.log.config().voters.keys().copied().collect();
         for to in voters {
@@ -56,17 +70,25 @@
     }
 
     fn has_won(&self) -> bool {
+        self.votes() >= self.log.config().quorum()
+    }
+
+    /// Returns the number of voters that have granted their vote.
+    fn votes(&self) -> usize {
         let config = self.log.config();
-        self.granted_by.iter().filter(|id| config.is_voter(**id)).count() >= config.quorum()
+        self.granted_by.iter().filter(|id| config.is_voter(**id)).count()
     }
 
     /// Returns true if this replica leads, or if its last leader contact is more recent than the
     /// minimum election timeout. Granting a vote then could break a leader's lease.
     fn must_withhold_vote(&self, now_ms: u64) -> bool {
-        self.role == Role::Leader
-            || self.leader_contact_ms.is_some_and(|contact_ms| {
-                now_ms < contact_ms.saturating_add(self.options.election_min_ms)
-            })
+        self.role == Role::Leader || self.has_recent_contact(now_ms)
+    }
+
+    pub(super) fn has_recent_contact(&self, now_ms: u64) -> bool {
+        self.leader_contact_ms.is_some_and(|contact_ms| {
+            now_ms < contact_ms.saturating_add(self.options.election_min_ms)
+        })
     }
 
     fn is_up_to_date(&self, last: Position) -> bool {
@@ -78,6 +100,21 @@
             term > self.vote.term && !self.must_withhold_vote(now_ms) && self.is_up_to_date(last);
         let reply_term = if granted { term } else { self.vote.term };
         self.send(from, Message::PreVoteReply { term: reply_term, granted });
+        if granted && self.gives_way_to(from, last) {
+            self.role = Role::Follower;
+            self.restart_election_timeout(now_ms);
+        }
+    }
+
+    /// Returns true if this replica should not ask for votes beside `from`. If both did, each would
+    /// vote for itself, and neither would win where every voter left is needed. Of two that ask at
+    /// the same time, the one with the less complete log gives way, or else the one with the higher id.
+    fn gives_way_to(&self, from: ReplicaId, last: Position) -> bool {
+        match self.role {
+            Role::Follower => true,
+            Role::PreCandidate => (last, self.id) > (self.log.last(), from),
+            Role::Candidate | Role::Leader => false,
+        }
     }
 
     pub(super) fn on_pre_vote_reply(
@@ -88,10 +125,7 @@
         granted: bool,
     ) {
         if !granted {
-            if term > self.vote.term {
-                self.become_follower(term);
-            }
-            return;
+            return self.on_pre_vote_refused(now_ms, from, term);
         }
         if self.role != Role::PreCandidate || term != self.vote.term + 1 {
             return;
@@ -102,6 +136,19 @@
         }
     }
 
+    fn on_pre_vote_refused(&mut self, now_ms: u64, from: ReplicaId, term: u64) {
+        self.refused_by.insert(from);
+        if term <= self.vote.term {
+            return;
+        }
+        let was_asking = self.role == Role::PreCandidate;
+        self.become_follower(term);
+        if was_asking {
+            // The refusal was for the term alone, as far as this replica can tell.
+            self.start_pre_vote(now_ms);
+        }
+    }
+
     pub(super) fn on_request_vote(
         &mut self,
         now_ms: u64,
@@ -123,7 +170,10 @@
             self.role = Role::Follower;
             self.vote.voted_for = Some(from);
             self.actions.push(Action::SaveVote(self.vote));
-            self.leader_contact_ms = Some(now_ms);
+            if self.options.leases {
+                self.leader_contact_ms = Some(now_ms);
+            }
+            self.restart_election_timeout(now_ms);
         }
         self.send(from, Message::VoteReply { term: self.vote.term, granted });
     }
@@ -132,7 +182,11 @@
         if term > self.vote.term {
             return self.become_follower(term);
         }
-        if self.role != Role::Candidate || term != self.vote.term || !granted {
+        if self.role != Role::Candidate || term != self.vote.term {
+            return;
+        }
+        if !granted {
+            self.refused_by.insert(from);
             return;
         }
         self.granted_by.insert(from);
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -47,13 +47,14 @@
     applied: u64,
     role: Role,
     leader: Option<ReplicaId>,
-    started_ms: u64,
-    /// When this replica last heard from a leader or granted a vote. With leases it is initially the
-    /// start time, otherwise `None`.
+    /// When this replica last heard from a leader. With leases it is initially the start time,
+    /// otherwise `None`, and a granted vote counts as well.
     leader_contact_ms: Option<u64>,
     election_timeout_ms: u64,
-    campaign_started_ms: u64,
+    /// When the election timeout began.
+    timeout_began_ms: u64,
     granted_by: BTreeSet<ReplicaId>,
+    refused_by: BTreeSet<ReplicaId>,
     leader_state: LeaderState,
     learners: BTreeSet<ReplicaId>,
     rng: SmallRng,
@@ -125,17 +126,17 @@
             applied: commit,
             role: Role::Follower,
             leader: None,
-            started_ms: now_ms,
             leader_contact_ms: options.leases.then_some(now_ms),
             election_timeout_ms: 0,
-            campaign_started_ms: 0,
+            timeout_began_ms: now_ms,
             granted_by: BTreeSet::new(),
+            refused_by: BTreeSet::new(),
             leader_state: LeaderState::default(),
             learners: BTreeSet::new(),
             rng: SmallRng::seed_from_u64(seed),
             actions: Vec::new(),
         };
-        replica.randomize_election_timeout();
+        replica.restart_election_timeout(now_ms);
         replica
     }
 
@@ -308,8 +309,12 @@
 
     fn follow(&mut self, now_ms: u64, term: u64, leader: ReplicaId) {
         self.become_follower(term);
-        self.leader = Some(leader);
+        let is_new = self.leader.replace(leader).is_none();
         self.leader_contact_ms = Some(now_ms);
+        if is_new {
+            self.restart_election_timeout(now_ms);
+        }
+        self.timeout_began_ms = now_ms;
     }
 
     fn become_follower(&mut self, term: u64) {
@@ -326,11 +331,15 @@
         self.granted_by.clear();
     }
 
-    fn randomize_election_timeout(&mut self) {
-        let range = match self.leader_contact_ms {
-            None => self.options.initial_election_timeout_range_ms(),
-            Some(_) => self.options.election_timeout_range_ms(),
+    /// Draws an election timeout that begins now. It is short if no leader can be there: since the
+    /// start or for the minimum election timeout, none has been heard of.
+    fn restart_election_timeout(&mut self, now_ms: u64) {
+        let range = if self.has_recent_contact(now_ms) {
+            self.options.election_timeout_range_ms()
+        } else {
+            self.options.initial_election_timeout_range_ms()
         };
         self.election_timeout_ms = self.rng.random_range(range);
+        self.timeout_began_ms = now_ms;
     }
 }
--- a/crates/consensus/tests/consensus/main.rs
+++ b/crates/consensus/tests/consensus/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the replicated log: fault schedules over pure replicas, and storage on a real disk.
 
 mod bootstrap;
+mod elections;
 mod membership;
 mod schedules;
 mod storage;
--- a/crates/consensus/tests/consensus/world/mod.rs
+++ b/crates/consensus/tests/consensus/world/mod.rs
@@ -362,7 +362,7 @@
                     self.violations.push(format!("term {} has two leaders", first.term));
                 }
             }
-            Action::LostLeadership => {}
+            Action::LostLeadership | Action::ElectionLost { .. } => {}
         }
     }
 
--- a/crates/peer/src/node/driver.rs
+++ b/crates/peer/src/node/driver.rs
@@ -31,6 +31,8 @@
     applied_bytes: usize,
     /// When the storage failed, in milliseconds. The replica takes no steps until it is reopened.
     halted_ms: Option<u64>,
+    /// The elections lost since this replica last knew a leader.
+    elections_lost: u32,
 }
 
 /// Effects of one step that are handled outside the driver.
@@ -68,6 +70,7 @@
             snapshot_bytes,
             applied_bytes: 0,
             halted_ms: None,
+            elections_lost: 0,
         };
         Ok((driver, state))
     }
@@ -125,6 +128,20 @@
                 }
                 Action::ReadReady { token, .. } => self.complete_read(token, true),
                 Action::ReadFailed { token } => self.complete_read(token, false),
+                Action::ElectionLost { term, is_pre_vote, granted, refused, needed } => {
+                    self.elections_lost += 1;
+                    // One line for each doubling, so that a lone replica writes few.
+                    if self.elections_lost.is_power_of_two() {
+                        spdlog::warn!("too few votes: no leader yet", kv: {
+                            term,
+                            asked = if is_pre_vote { "whether it would be elected" } else { "to be elected" },
+                            granted = granted as u64,
+                            refused = refused as u64,
+                            needed = needed as u64,
+                            times = self.elections_lost,
+                        });
+                    }
+                }
                 Action::BecameLeader(first) => {
                     spdlog::info!("became the leader", kv: { term = first.term });
                     effects.gained_leadership = Some(true);
@@ -237,6 +254,9 @@
             }
             actions = driver.compact_if_due(&core.state);
         }
+        if driver.replica.leader().is_some() {
+            driver.elections_lost = 0;
+        }
         match gained_leadership {
             Some(true) => core.leading_since_ms = Some(now_ms),
             Some(false) => core.leading_since_ms = None,
