fix(control): requests that one pause slows together do not take a good version back

Cause: the evidence of one request was bounded, that of the requests that share a pause was not; windows of 20 requests of the old version close every 50 ms at a few hundred requests/s, so that one pause covers many.

Change: times are compared in blocks of at least a second; the evidence of a block is cut at both sides and bounded, so that 3, 6 or 10 blocks (x3, x1.5, x1.2) of full evidence raise no alarm; what requests of a block share has a spread of its own in place of a factor on the variance; thresholds grow with the blocks so that the chance of a false alarm sums up to 1 in 1,000 over a comparison, divided among slowdowns and routes. Failures are compared as before.

--- a/crates/control/src/moves/controller.rs
+++ b/crates/control/src/moves/controller.rs
@@ -108,6 +108,7 @@
         for (id, record) in state.moves.iter().filter(|(_, record)| !record.phase.is_final()) {
             let tracker =
                 self.moves.entry(id.clone()).or_insert_with(|| MoveTracker::new(now_unix_ms));
+            tracker.comparison.advance(now_unix_ms);
             if now_unix_ms >= tracker.windows_closed_unix_ms + WINDOW_INTERVAL_MS {
                 tracker.comparison.close_windows();
                 tracker.windows_closed_unix_ms = now_unix_ms;
--- /dev/null
+++ b/crates/control/src/moves/failures.rs
@@ -0,0 +1,97 @@
+//! Compares the failure rates of two versions, window by window, by log-likelihood ratios. Sums with
+//! a floor of zero (CUSUM) raise the alarm, so that a late regression is detected as fast as an
+//! early one.
+
+use super::{Observation, Side};
+
+/// The increases of the failure rate that are tested for.
+const RISES: [f64; 3] = [0.02, 0.10, 0.50];
+/// The index of the increase that a version must be cleared of before it receives more traffic.
+const CLEARING_INDEX: usize = 1;
+/// The alarm threshold. A good version crosses it with a probability of about `exp(-16)` per
+/// request, if its failures are independent of each other.
+const ALARM_THRESHOLD: f64 = 16.0;
+/// The number of requests to the old version that closes a window.
+const WINDOW_REQUESTS: u64 = 20;
+/// The minimum number of requests to the old version for a window that is closed by a timer.
+const MIN_WINDOW_REQUESTS: u64 = 5;
+/// The number of timer checks after which a window with fewer requests is closed.
+const MAX_SPARSE_CHECKS: u32 = 12;
+
+/// The evidence on one route that the new version fails more often.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FailureEvidence {
+    window_old: Observation,
+    window_new: Observation,
+    alarm: [f64; 3],
+    clearing: f64,
+    /// The number of timer checks since the window was opened.
+    sparse_checks: u32,
+}
+
+impl FailureEvidence {
+    /// Adds outcomes; `old` is the sum over all outcomes of the old version, these included.
+    pub(super) fn add(&mut self, side: Side, observation: Observation, old: &Observation) {
+        match side {
+            Side::Old => self.window_old += observation,
+            Side::New => self.window_new += observation,
+        }
+        if self.window_old.requests >= WINDOW_REQUESTS {
+            self.close_window(old);
+        }
+    }
+
+    /// Closes the window if it has enough requests or has been open for long.
+    pub(super) fn close_window_if_due(&mut self, old: &Observation) {
+        self.sparse_checks += 1;
+        if self.window_old.requests >= MIN_WINDOW_REQUESTS
+            || self.sparse_checks >= MAX_SPARSE_CHECKS
+        {
+            self.close_window(old);
+        }
+    }
+
+    /// Returns the highest sum as a fraction of the threshold.
+    pub(super) fn alarm_level(&self) -> f64 {
+        self.alarm.iter().copied().fold(0.0, f64::max) / ALARM_THRESHOLD
+    }
+
+    pub(super) fn clearing(&self) -> f64 {
+        self.clearing
+    }
+
+    pub(super) fn restart_clearing(&mut self) {
+        self.clearing = 0.0;
+    }
+
+    fn close_window(&mut self, old: &Observation) {
+        let window_old = std::mem::take(&mut self.window_old);
+        let new = std::mem::take(&mut self.window_new);
+        self.sparse_checks = 0;
+        if new.requests == 0 {
+            return;
+        }
+        let baseline = baseline_rate(old, &window_old);
+        let failed = new.failures as f64;
+        let answered = (new.requests - new.failures) as f64;
+        for (index, rise) in RISES.iter().enumerate() {
+            let raised = (baseline + rise).min((1.0 + baseline) / 2.0);
+            let ratio = failed * (raised / baseline).ln()
+                + answered * ((1.0 - raised) / (1.0 - baseline)).ln();
+            self.alarm[index] = (self.alarm[index] + ratio).max(0.0);
+            if index == CLEARING_INDEX {
+                self.clearing += ratio;
+            }
+        }
+    }
+}
+
+/// Returns the failure rate of the old version: the higher of its long-term one and the window's.
+fn baseline_rate(old: &Observation, window_old: &Observation) -> f64 {
+    const PRIOR_FAILURES: f64 = 0.5;
+    const PRIOR_TRIALS: f64 = 100.0;
+    const RATE_MAX: f64 = 0.98;
+    let long_term = (old.failures as f64 + PRIOR_FAILURES) / (old.requests as f64 + PRIOR_TRIALS);
+    let window_rate = window_old.failures as f64 / window_old.requests.max(1) as f64;
+    long_term.max(window_rate).min(RATE_MAX)
+}
--- a/crates/control/src/moves/mod.rs
+++ b/crates/control/src/moves/mod.rs
@@ -1,10 +1,12 @@
 //! Version moves: the schedule, the comparison of versions and the controllers.
 
 mod controller;
+mod failures;
 mod observation;
 mod plan;
 mod rollout;
 mod sequential;
+mod slowdowns;
 
 pub use controller::{MoveController, SlotsByVersion};
 pub use observation::{Observation, ObservationKey, Observations};
--- a/crates/control/src/moves/rollout.rs
+++ b/crates/control/src/moves/rollout.rs
@@ -97,6 +97,7 @@
         let mut steps = Vec::new();
         for record in records {
             let tracker = self.tracker(record);
+            tracker.comparison.advance(now_unix_ms);
             if now_unix_ms >= tracker.windows_closed_unix_ms + WINDOW_INTERVAL_MS {
                 tracker.comparison.close_windows();
                 tracker.windows_closed_unix_ms = now_unix_ms;
--- a/crates/control/src/moves/sequential.rs
+++ b/crates/control/src/moves/sequential.rs
@@ -1,46 +1,21 @@
-//! Compares a new version with the old one, request by request, on the same route and in the same
-//! window.
+//! Compares a new version with the old one on the same route and at the same time.
 //!
-//! For each route and each size of regression, a log-likelihood ratio is accumulated. A sum with a
-//! floor of zero raises the alarm (CUSUM), so that a late regression is detected as fast as an
-//! early one. A sum without the floor, restarted at each step of a move, decides whether the
-//! version may receive more traffic (sequential probability ratio test).
+//! For each route, and for all routes together, failures and times are compared, each by sums that
+//! raise an alarm and by sums that decide whether the version may receive more traffic. The alarms
+//! continue for the whole move; the others are restarted at each step (sequential probability ratio
+//! tests).
 
 use super::Observation;
+use super::failures::FailureEvidence;
+use super::slowdowns::{SLOWDOWNS, SlowdownEvidence};
 use lycheehub_types::Route;
 use smol_str::{SmolStr, format_smolstr};
 use std::collections::BTreeMap;
 
-/// The increases of the failure rate that are tested for.
-const FAILURE_RISES: [f64; 3] = [0.02, 0.10, 0.50];
-/// The ratios of time per token to the old version's that are tested for.
-const SLOWDOWNS: [f64; 3] = [1.2, 1.5, 3.0];
-/// The index of the regression size that a version must be cleared of before it receives more
-/// traffic.
-const CLEARING_INDEX: usize = 1;
-/// The alarm threshold. A good version crosses it with a probability of about `exp(-16)` per
-/// request.
-const ALARM_THRESHOLD: f64 = 16.0;
-/// The clearing threshold. A version as bad as [`CLEARING_INDEX`] is cleared at one step with a
-/// probability of 1 in 1,000.
+/// The clearing threshold. A version that is bad enough is cleared at one step with a probability
+/// of 1 in 1,000.
 const CLEARING_THRESHOLD: f64 = -6.9;
-/// The number of requests to the old version that closes a window.
-const WINDOW_REQUESTS: u64 = 20;
-/// The minimum number of requests to the old version for a window that is closed by a timer.
-const MIN_WINDOW_REQUESTS: u64 = 5;
-/// The number of timer checks after which a window with fewer requests is closed.
-const MAX_SPARSE_CHECKS: u32 = 12;
-/// The prior standard deviation of the logarithm of the time per token.
-const PRIOR_LOG_STDDEV: f64 = 0.3;
-/// The number of requests that the prior standard deviation counts for.
-const PRIOR_REQUESTS: f64 = 20.0;
-/// The factor on the variance, because requests that run together share their load and are not
-/// independent.
-const VARIANCE_INFLATION: f64 = 2.0;
-/// The maximum log-likelihood ratio per request in favour of a slowdown. A pause of a process or
-/// machine can slow a single request down by any factor, whatever its version.
-const MAX_SLOW_EVIDENCE: f64 = 2.0;
-/// The share of the old version's requests from which on a route must be cleared on its own.
+/// The minimum share of the old version's requests from which on a route must be cleared on its own.
 const MIN_ROUTE_SHARE: f64 = 0.05;
 
 /// The version that an observation belongs to.
@@ -65,16 +40,10 @@
 
 #[derive(Clone, Debug, Default)]
 struct RouteEvidence {
-    window_old: Observation,
-    window_new: Observation,
     old: Observation,
     new: Observation,
-    failure_alarm: [f64; 3],
-    slowdown_alarm: [f64; 3],
-    failure_clear: f64,
-    slowdown_clear: f64,
-    /// The number of timer checks since the window was opened.
-    sparse_checks: u32,
+    failures: FailureEvidence,
+    slowdowns: SlowdownEvidence,
 }
 
 /// The comparison of two versions of one service.
@@ -96,13 +65,25 @@
     routes: BTreeMap<Route, RouteEvidence>,
     /// The evidence over all routes, which detects a regression that affects every route sooner.
     all: RouteEvidence,
+    /// The time of a clock of the caller, in milliseconds.
+    now_ms: Option<u64>,
 }
 
 impl Comparison {
     /// Adds the outcomes of one version on one route.
     pub fn add(&mut self, side: Side, route: &Route, observation: Observation) {
-        self.routes.entry(route.clone()).or_default().add(side, observation);
-        self.all.add(side, observation);
+        let evidence = self.routes.entry(route.clone()).or_default();
+        evidence.add(self.now_ms, side, observation);
+        self.all.add(self.now_ms, side, observation);
+    }
+
+    /// Sets the time, by any clock. From the first call on, times are compared in blocks of time;
+    /// before it, in blocks of requests alone.
+    pub fn advance(&mut self, now_ms: u64) {
+        self.now_ms = Some(now_ms);
+        for evidence in self.routes.values_mut().chain([&mut self.all]) {
+            evidence.slowdowns.advance(now_ms, &evidence.old);
+        }
     }
 
     /// Closes windows with enough requests to the old version, and windows that have been open for
@@ -113,44 +94,42 @@
     /// would only show in the new version.
     pub fn close_windows(&mut self) {
         for evidence in self.routes.values_mut().chain([&mut self.all]) {
-            evidence.close_window_if_due();
+            evidence.failures.close_window_if_due(&evidence.old);
+            evidence.slowdowns.close_block_if_due(self.now_ms, &evidence.old);
         }
     }
 
-    /// Restarts the clearing test; the alarms continue.
+    /// Restarts the clearing tests; the alarms continue.
     pub fn restart_clearing(&mut self) {
         for evidence in self.routes.values_mut().chain([&mut self.all]) {
-            evidence.failure_clear = 0.0;
-            evidence.slowdown_clear = 0.0;
+            evidence.failures.restart_clearing();
+            evidence.slowdowns.restart_clearing();
         }
     }
 
     /// Returns the number of requests to the new version, including those in open windows.
     pub fn new_requests(&self) -> u64 {
-        self.all.new.requests + self.all.window_new.requests
+        self.all.new.requests
     }
 
-    /// Returns the highest alarm as a fraction of the threshold; 1 or above is an alarm.
+    /// Returns the highest alarm as a fraction of its threshold; 1 or above is an alarm.
     pub fn alarm_level(&self) -> f64 {
+        let tests = self.slowdown_tests();
         let level = |evidence: &RouteEvidence| {
-            evidence
-                .failure_alarm
-                .iter()
-                .chain(&evidence.slowdown_alarm)
-                .copied()
-                .fold(0.0, f64::max)
+            evidence.failures.alarm_level().max(evidence.slowdowns.alarm_level(tests))
         };
-        self.routes.values().chain([&self.all]).map(level).fold(0.0, f64::max) / ALARM_THRESHOLD
+        self.routes.values().chain([&self.all]).map(level).fold(0.0, f64::max)
     }
 
     /// Returns the result so far.
     pub fn verdict(&self) -> Verdict {
+        let tests = self.slowdown_tests();
         for (route, evidence) in &self.routes {
-            if let Some(reason) = evidence.alarm(route) {
+            if let Some(reason) = evidence.alarm(route, tests) {
                 return Verdict::Regressed(reason);
             }
         }
-        if let Some(reason) = self.all.alarm(&Route::from("all")) {
+        if let Some(reason) = self.all.alarm(&Route::from("all"), tests) {
             return Verdict::Regressed(reason);
         }
         if self.is_cleared() { Verdict::Cleared } else { Verdict::Inconclusive }
@@ -164,6 +143,11 @@
             })
     }
 
+    /// Returns the number of alarms for slowdowns, among which the chance of a false one is divided.
+    fn slowdown_tests(&self) -> usize {
+        SLOWDOWNS.len() * (self.routes.len() + 1)
+    }
+
     /// Returns a summary of the evidence for operators.
     pub fn summary(&self) -> SmolStr {
         self.all.summary()
@@ -171,23 +155,13 @@
 }
 
 impl RouteEvidence {
-    fn add(&mut self, side: Side, observation: Observation) {
+    fn add(&mut self, now_ms: Option<u64>, side: Side, observation: Observation) {
         match side {
-            Side::Old => self.window_old += observation,
-            Side::New => self.window_new += observation,
-        }
-        if self.window_old.requests >= WINDOW_REQUESTS {
-            self.close_window();
-        }
-    }
-
-    fn close_window_if_due(&mut self) {
-        self.sparse_checks += 1;
-        if self.window_old.requests >= MIN_WINDOW_REQUESTS
-            || self.sparse_checks >= MAX_SPARSE_CHECKS
-        {
-            self.close_window();
+            Side::Old => self.old += observation,
+            Side::New => self.new += observation,
         }
+        self.failures.add(side, observation, &self.old);
+        self.slowdowns.add(now_ms, side, observation, &self.old);
     }
 
     fn summary(&self) -> SmolStr {
@@ -201,71 +175,11 @@
         )
     }
 
-    fn close_window(&mut self) {
-        let (old, new) = (self.window_old, self.window_new);
-        self.window_old = Observation::default();
-        self.window_new = Observation::default();
-        self.sparse_checks = 0;
-        if new.requests > 0 {
-            self.add_failure_evidence(&old, &new);
-            self.add_latency_evidence(&old, &new);
-        }
-        self.old += old;
-        self.new += new;
-    }
-
-    fn add_failure_evidence(&mut self, old: &Observation, new: &Observation) {
-        const PRIOR_FAILURES: f64 = 0.5;
-        const PRIOR_TRIALS: f64 = 100.0;
-        const RATE_MAX: f64 = 0.98;
-        let mut history = self.old;
-        history += *old;
-        let long_term =
-            (history.failures as f64 + PRIOR_FAILURES) / (history.requests as f64 + PRIOR_TRIALS);
-        let window_rate = old.failures as f64 / old.requests.max(1) as f64;
-        let baseline = long_term.max(window_rate).min(RATE_MAX);
-        let failed = new.failures as f64;
-        let answered = (new.requests - new.failures) as f64;
-        for (index, rise) in FAILURE_RISES.iter().enumerate() {
-            let raised = (baseline + rise).min((1.0 + baseline) / 2.0);
-            let ratio = failed * (raised / baseline).ln()
-                + answered * ((1.0 - raised) / (1.0 - baseline)).ln();
-            self.failure_alarm[index] = (self.failure_alarm[index] + ratio).max(0.0);
-            if index == CLEARING_INDEX {
-                self.failure_clear += ratio;
-            }
-        }
-    }
-
-    fn add_latency_evidence(&mut self, old: &Observation, new: &Observation) {
-        if old.timed == 0 || new.timed == 0 {
-            return;
-        }
-        let mut history = self.old;
-        history += *old;
-        let timed = history.timed as f64;
-        let prior = PRIOR_LOG_STDDEV * PRIOR_LOG_STDDEV * PRIOR_REQUESTS;
-        let log_variance = (prior + history.log_variance() * timed) / (PRIOR_REQUESTS + timed);
-        let variance =
-            VARIANCE_INFLATION * log_variance * (1.0 + new.timed as f64 / old.timed as f64);
-        let baseline = old.log_mean();
-        for (index, slowdown) in SLOWDOWNS.iter().enumerate() {
-            let shift = slowdown.ln();
-            let excess = new.log_time_sum - new.timed as f64 * (baseline + shift / 2.0);
-            let max_ratio = MAX_SLOW_EVIDENCE * new.timed as f64;
-            let ratio = (shift / variance * excess).min(max_ratio);
-            self.slowdown_alarm[index] = (self.slowdown_alarm[index] + ratio).max(0.0);
-            if index == CLEARING_INDEX {
-                self.slowdown_clear += ratio;
-            }
-        }
-    }
-
-    fn alarm(&self, route: &Route) -> Option<SmolStr> {
-        if self.failure_alarm.iter().any(|level| *level >= ALARM_THRESHOLD) {
+    fn alarm(&self, route: &Route, slowdown_tests: usize) -> Option<SmolStr> {
+        if self.failures.alarm_level() >= 1.0 {
             return Some(format_smolstr!("fails on route {route}: {}", self.summary()));
         }
-        if self.slowdown_alarm.iter().any(|level| *level >= ALARM_THRESHOLD) {
+        if self.slowdowns.alarm_level(slowdown_tests) >= 1.0 {
             return Some(format_smolstr!("slow on route {route}: {}", self.summary()));
         }
         None
@@ -273,7 +187,7 @@
 
     fn is_cleared(&self) -> bool {
         let timed = self.old.timed > 0;
-        self.failure_clear <= CLEARING_THRESHOLD
-            && (!timed || self.slowdown_clear <= CLEARING_THRESHOLD)
+        self.failures.clearing() <= CLEARING_THRESHOLD
+            && (!timed || self.slowdowns.clearing() <= CLEARING_THRESHOLD)
     }
 }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -7,6 +7,7 @@
 mod false_alarms;
 mod fixtures;
 mod moves;
+mod pauses;
 mod placement;
 mod registry;
 mod rollouts;
--- a/crates/route/src/scheduler/mod.rs
+++ b/crates/route/src/scheduler/mod.rs
@@ -123,6 +123,8 @@
     /// available.
     pub fn tick(&mut self, now_ms: u64) -> Vec<Decision> {
         const WINDOW_MS: u64 = 5_000;
+        let trips = self.pools.values_mut().filter_map(|pool| pool.split.advance(now_ms));
+        self.trips.extend(trips);
         if now_ms >= self.windows_closed_ms + WINDOW_MS {
             self.windows_closed_ms = now_ms;
             let trips = self.pools.values_mut().filter_map(|pool| pool.split.close_windows());
--- a/crates/route/src/versions.rs
+++ b/crates/route/src/versions.rs
@@ -112,6 +112,14 @@
         self.check(candidate.move_id.clone())
     }
 
+    /// Sets the time for the comparison, in milliseconds; returns the same as
+    /// [`TrafficSplit::observe`].
+    pub fn advance(&mut self, now_ms: u64) -> Option<(SmolStr, SmolStr)> {
+        let move_id = self.share.as_ref()?.candidate.as_ref()?.move_id.clone();
+        self.comparison.advance(now_ms);
+        self.check(move_id)
+    }
+
     /// Closes the comparison windows of routes with little traffic; returns the same as
     /// [`TrafficSplit::observe`].
     pub fn close_windows(&mut self) -> Option<(SmolStr, SmolStr)> {
