fix(cli): log lines are written in whole lines of at most 4 KiB

Cause: a batch was written in one call, up to 256 KiB; a reader that takes the first bytes of a write, and a pipe that several processes share, cut or mix lines. Change: a write has whole lines, as many as fit into 4,096 bytes (what a pipe takes at once), at least one. Test: log_output::lines_that_are_written_together_* reads the writes of a real process from a datagram socket; it failed before (a write of 29,368 bytes).

--- a/crates/cli/src/serve/bounded.rs
+++ b/crates/cli/src/serve/bounded.rs
@@ -12,6 +12,9 @@
 const BUFFER_MAX_BYTES: usize = 256 * 1024;
 /// How long the writer waits after a first line to write lines in batches, in milliseconds.
 const BATCH_DELAY_MS: u64 = 100;
+/// Maximum number of bytes per write, unless a single line is longer: a pipe takes that many at once
+/// (`PIPE_BUF`), and a reader that drops the rest of a long write drops no line.
+const WRITE_MAX_BYTES: usize = 4_096;
 
 #[derive(Default)]
 struct Buffer {
@@ -60,11 +63,26 @@
             );
             lines.extend_from_slice(line.as_bytes());
         }
-        // A write fails when standard output is closed; there is nowhere else to report it.
-        let _ = std::io::stdout().write_all(&lines);
+        let mut output = std::io::stdout().lock();
+        let mut rest = lines.as_slice();
+        while !rest.is_empty() {
+            let (lines, later) = rest.split_at(write_length(rest));
+            // A write fails when standard output is closed; there is nowhere else to report it.
+            let _ = output.write_all(lines);
+            rest = later;
+        }
     }
 }
 
+/// Returns how many bytes the next write takes: as many whole lines as fit, at least one.
+fn write_length(lines: &[u8]) -> usize {
+    let is_end = |byte: &u8| *byte == b'\n';
+    let fitting = &lines[..lines.len().min(WRITE_MAX_BYTES)];
+    let last_end = fitting.iter().rposition(is_end);
+    let end = last_end.or_else(|| lines.iter().position(is_end));
+    end.map_or(lines.len(), |end| end + 1)
+}
+
 impl GetSinkProp for BoundedSink {
     fn prop(&self) -> &SinkProp {
         &self.prop
--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -104,13 +104,19 @@
 
     /// Starts the process; only on the first start of a deployment may it bootstrap the replicated log.
     pub fn start(&mut self, is_first: bool) {
+        let log = std::fs::File::options().create(true).append(true).open(self.log()).unwrap();
+        self.start_writing(is_first, log.into());
+    }
+
+    /// Starts the process with `output` as its standard output.
+    pub fn start_writing(&mut self, is_first: bool, output: Stdio) {
         let settings = format!("bootstrap = {is_first}\n{}", self.settings);
         std::fs::write(self.settings_path(), settings).unwrap();
         let log = std::fs::File::options().create(true).append(true).open(self.log()).unwrap();
         let child = Command::new(&self.binary)
             .arg(self.role)
             .env("LYCHEEHUB_BOOT", self.settings_path())
-            .stdout(log.try_clone().unwrap())
+            .stdout(output)
             .stderr(log)
             .spawn()
             .unwrap();
@@ -186,7 +192,8 @@
         deployment
     }
 
-    fn lay_out(layout: Layout) -> Self {
+    /// Lays out a new deployment; starts no process.
+    pub fn lay_out(layout: Layout) -> Self {
         let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
         let prefix = format!("127.{}.{}", 64 + std::process::id() % 128, 1 + number);
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{prefix}"));
--- /dev/null
+++ b/crates/cli/tests/platform/log_output.rs
@@ -0,0 +1,43 @@
+//! The log output of an instance under load.
+
+use crate::deployment::{Deployment, FRONT_PORT, Layout, eventually};
+use googletest::prelude::*;
+use std::io::Write;
+use std::net::TcpStream;
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixDatagram;
+use std::time::Duration;
+
+/// What a pipe takes in one write.
+const WRITE_MAX_BYTES: usize = 4_096;
+/// Requests that end together: no document is known, and each waits for one for the same time.
+const REQUESTS: usize = 64;
+
+// A batch was written at once, and a reader that took its first 8,192 bytes lost the lines behind them.
+#[gtest]
+fn lines_that_are_written_together_are_whole_in_each_write() {
+    let layout = Layout { controls: 1, entries: 1, losses: 0, proxied: false };
+    let (output, writes) = UnixDatagram::pair().unwrap();
+    writes.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let mut deployment = Deployment::lay_out(layout);
+    deployment.entries[0].start_writing(true, OwnedFd::from(output).into());
+    let address = format!("{}:{FRONT_PORT}", deployment.entries[0].ip);
+    eventually("the instance accepts", || TcpStream::connect(&address).is_ok());
+    let request = "GET /print/1 HTTP/1.1\r\nHost: crates.example\r\n\r\n";
+    let send = |_| {
+        let mut caller = TcpStream::connect(&address).unwrap();
+        caller.write_all(request.as_bytes()).unwrap();
+        caller
+    };
+    let callers = (0..REQUESTS).map(send).collect::<Vec<_>>();
+    let mut lines = 0;
+    while lines < REQUESTS {
+        let mut bytes = vec![0; 1024 * 1024];
+        let length = writes.recv(&mut bytes).unwrap();
+        let text = String::from_utf8_lossy(&bytes[..length]).into_owned();
+        expect_that!(length, le(WRITE_MAX_BYTES));
+        expect_that!(text, ends_with("\n"));
+        lines += text.lines().filter(|line| line.contains(r#""payload":"request""#)).count();
+    }
+    drop(callers);
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -10,6 +10,7 @@
 mod handover;
 mod limits;
 mod lists;
+mod log_output;
 mod notices;
 mod odd_entries;
 mod rejections;
