feat(proxy): each end of a caller's connection can be found in the log

A connection that is refused and sends no head has a line. A response that was not sent names its request. `stopped` tells how many connections are open. Test: log_output::the_requests_and_the_end_of_a_connection_* (failed before: no such line).

--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -216,5 +216,7 @@
     while is_busy() && entry.clock.now_ms() < exit_at_ms {
         Timer::after(Duration::from_millis(POLL_INTERVAL_MS)).await;
     }
-    spdlog::info!("stopped", kv: { unfinished = entry.exchanges.get() as u64 });
+    spdlog::info!("stopped", kv: {
+        unfinished = entry.exchanges.get() as u64, connections = entry.connections.get() as u64,
+    });
 }
--- a/crates/cli/tests/platform/log_output.rs
+++ b/crates/cli/tests/platform/log_output.rs
@@ -2,6 +2,7 @@
 
 use crate::deployment::{Deployment, FRONT_PORT, Layout, eventually};
 use googletest::prelude::*;
+use serde_json::{Value, json};
 use std::io::Write;
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
@@ -41,3 +42,32 @@
     }
     drop(callers);
 }
+
+// A connection that its caller closed between requests left no line, and a `request` line did not tell on
+// which connection it came.
+#[gtest]
+fn the_requests_and_the_end_of_a_connection_are_logged_with_its_caller() {
+    let layout = Layout { controls: 1, entries: 1, losses: 0, proxied: false };
+    let mut deployment = Deployment::lay_out(layout);
+    deployment.entries[0].start(true);
+    let address = format!("{}:{FRONT_PORT}", deployment.entries[0].ip);
+    eventually("the instance accepts", || TcpStream::connect(&address).is_ok());
+    let mut caller = TcpStream::connect(&address).unwrap();
+    let local = caller.local_addr().unwrap().to_string();
+    let request = "GET /print/1 HTTP/1.1\r\nHost: crates.example\r\n\r\n";
+    caller.write_all(request.as_bytes()).unwrap();
+    let lines = || -> Vec<Value> {
+        let log = std::fs::read_to_string(deployment.entries[0].log()).unwrap_or_default();
+        let lines = log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.filter(|line| line["kv"]["caller"] == local.as_str()).collect()
+    };
+    eventually("the request is logged", || lines().len() == 1);
+    drop(caller);
+    eventually("the end is logged", || lines().len() == 2);
+    let (request, end) = (&lines()[0], &lines()[1]);
+    expect_that!(request["payload"], eq(&json!("request")));
+    expect_that!(request["kv"]["keeps_alive"], eq(&json!(true)));
+    expect_that!(end["payload"], eq(&json!("connection closed by its caller")));
+    expect_that!(end["kv"]["requests"], eq(&json!(1)));
+    expect_that!(end["kv"]["connection"], eq(&request["kv"]["connection"]));
+}
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -2,6 +2,7 @@
 
 use crate::dialect::Dialect;
 use crate::labels::Labels;
+use crate::line_bound::LineBound;
 use crate::paths::{Paths, Relays};
 use crate::pool::Pool;
 use crate::server::IdleLimits;
@@ -87,6 +88,10 @@
     pub executor: Rc<LocalExecutor<'static>>,
     /// Number of open connections from callers.
     pub connections: Cell<usize>,
+    /// Number of connections from callers since this instance started.
+    pub(crate) accepted: Cell<u64>,
+    /// The bound on lines about connections that their callers closed.
+    pub(crate) caller_close_lines: LineBound,
     /// Number of requests in progress.
     pub exchanges: Cell<usize>,
     stop: Cell<Option<Stop>>,
@@ -120,6 +125,8 @@
             relays,
             executor,
             connections: Cell::new(0),
+            accepted: Cell::new(0),
+            caller_close_lines: LineBound::default(),
             exchanges: Cell::new(0),
             stop: Cell::new(None),
             idle_close: bounded(1),
--- a/crates/proxy/src/exchange/access_log.rs
+++ b/crates/proxy/src/exchange/access_log.rs
@@ -2,6 +2,7 @@
 
 use super::filters::ResolvedRequest;
 use crate::Entry;
+use crate::caller::Caller;
 use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_dispatch::{Job, Outcome, PrefixPart};
 use lycheehub_types::{EndpointName, Refusal, RefusalKind};
@@ -12,6 +13,7 @@
 #[derive(Debug)]
 pub(super) struct AccessLog {
     id: SmolStr,
+    caller: Caller,
     started_ms: u64,
     route: SmolStr,
     service: SmolStr,
@@ -46,9 +48,10 @@
 }
 
 impl AccessLog {
-    pub(super) fn new(id: &SmolStr, started_ms: u64, read_ms: u64) -> Self {
+    pub(super) fn new(id: &SmolStr, started_ms: u64, read_ms: u64, caller: Caller) -> Self {
         Self {
             id: id.clone(),
+            caller,
             started_ms,
             route: SmolStr::default(),
             service: SmolStr::default(),
@@ -147,8 +150,8 @@
         self.end = SmolStr::new_static(end);
     }
 
-    /// Writes the log line and updates the metrics.
-    pub(super) fn log(&self, entry: &Entry, revision: u64) {
+    /// Writes the log line and updates the metrics; `keeps_alive` states whether the connection stays open.
+    pub(super) fn log(&self, entry: &Entry, revision: u64, keeps_alive: bool) {
         let total_ms = entry.clock.now_ms() - self.started_ms;
         if self.end == RefusalKind::QuotaExceeded.code() {
             entry.count_quota_refusal(&self.account);
@@ -194,6 +197,9 @@
             deadline_ms = self.deadline_ms,
             returning = self.returning,
             revision,
+            caller: = self.caller.address,
+            connection = self.caller.connection,
+            keeps_alive,
         });
     }
 }
--- a/crates/proxy/src/exchange/local_response.rs
+++ b/crates/proxy/src/exchange/local_response.rs
@@ -52,13 +52,14 @@
 /// Sends a complete response; returns whether the connection can be used for another request.
 pub(super) async fn send_response(
     caller: &mut Connection,
+    id: &str,
     bytes: &[u8],
     keeps_alive: bool,
 ) -> bool {
     match caller.send(bytes).await {
         Ok(()) => keeps_alive,
         Err(error) => {
-            spdlog::info!("caller disconnected before the response was sent", kv: { error: });
+            spdlog::info!("caller disconnected before the response was sent", kv: { id, error: });
             false
         }
     }
@@ -75,7 +76,7 @@
         self.access_log.record_refusal(refused);
         let keeps_alive = self.keeps_alive();
         let bytes = refusal(self.entry, &self.fields.id, refused, keeps_alive);
-        send_response(connection, &bytes, keeps_alive).await
+        send_response(connection, &self.fields.id, &bytes, keeps_alive).await
     }
 
     /// Ends a request after its last attempt, for the reason in `refused`. A stream that has started
@@ -124,7 +125,7 @@
         if is_caller_gone {
             // It may have closed its sending side only.
             let bytes = refusal(self.entry, &self.fields.id, &cancelled(may_have_run), false);
-            return send_response(connection, &bytes, false).await;
+            return send_response(connection, &self.fields.id, &bytes, false).await;
         }
         let refused = if may_have_run {
             Refusal::new(RefusalKind::TimedOut, "no answer within the request's time")
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -14,6 +14,7 @@
 mod send;
 mod stream_state;
 
+use crate::caller::Caller;
 use crate::dialect::RequestFields;
 use crate::entry::{Entry, Snapshot};
 use crate::http1::{Connection, Error, RequestHead};
@@ -54,6 +55,8 @@
     pub body: Vec<u8>,
     /// Time from the first to the last byte, in milliseconds.
     pub read_ms: u64,
+    /// Who sent it, and on which connection.
+    pub(crate) caller: Caller,
 }
 
 /// A request in progress.
@@ -79,14 +82,14 @@
     connection: &mut Connection,
     request: ReceivedRequest,
 ) -> bool {
-    let ReceivedRequest { head, body, read_ms } = request;
+    let ReceivedRequest { head, body, read_ms, caller } = request;
     let started_ms = entry.clock.now_ms();
     let fields = entry.dialect.read_request(&head);
     let timeout_ms = fields.deadline_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
     let mut exchange = Exchange {
         entry,
         snapshot: entry.snapshots.latest(),
-        access_log: AccessLog::new(&fields.id, started_ms, read_ms),
+        access_log: AccessLog::new(&fields.id, started_ms, read_ms, caller),
         head,
         body,
         fields,
@@ -96,7 +99,7 @@
         idle_max: 0,
     };
     let keeps_alive = exchange.run(connection).await;
-    exchange.access_log.log(entry, exchange.snapshot.revision);
+    exchange.access_log.log(entry, exchange.snapshot.revision, keeps_alive);
     keeps_alive
 }
 
@@ -119,7 +122,7 @@
 /// Refuses the last request of a connection.
 pub async fn refuse(entry: &Entry, connection: &mut Connection, id: &str, refusal: &Refusal) {
     let response = local_response::refusal(entry, id, refusal, false);
-    local_response::send_response(connection, &response, false).await;
+    local_response::send_response(connection, id, &response, false).await;
 }
 
 impl Exchange<'_> {
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -48,7 +48,7 @@
         self.access_log.record_status(response.head.status);
         let write_started_ms = self.entry.clock.now_ms();
         self.access_log.record_first_byte(write_started_ms);
-        let keeps_alive = send_response(caller, &bytes, keeps_alive).await;
+        let keeps_alive = send_response(caller, &self.fields.id, &bytes, keeps_alive).await;
         self.access_log.record_write(self.entry.clock.now_ms() - write_started_ms);
         keeps_alive
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,15 +11,18 @@
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod caller;
 pub mod dialect;
 pub mod entry;
 pub mod exchange;
 pub mod http1;
 pub mod labels;
+mod line_bound;
 pub mod paths;
 pub mod pool;
 pub mod server;
 
 pub use dialect::{Dialect, ForwardedFields, RequestFields, ResponseFields};
 pub use entry::{Entry, Options, Snapshot, Snapshots, Stop};
+pub use line_bound::LineBound;
 pub use paths::{RelayError, RelayFuture, Relays};
--- a/crates/proxy/src/server/idle.rs
+++ b/crates/proxy/src/server/idle.rs
@@ -1,7 +1,7 @@
 //! Waits for the next request of a connection.
 
 use crate::entry::Entry;
-use crate::http1::Connection;
+use crate::http1::{Connection, Error};
 use lycheehub_clock::within;
 use std::collections::VecDeque;
 
@@ -12,12 +12,12 @@
 const REPLACED_MAX: usize = 64;
 
 /// Why the wait for a request ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 pub(super) enum WaitEnd {
     /// Bytes of a request have arrived.
     Received,
-    /// The caller closed the connection.
-    CallerClosed,
+    /// The caller closed the connection, or it failed.
+    CallerClosed(Option<Error>),
     /// The connection was idle for longer than any limit allows.
     IdleLimit,
     /// The instance is shutting down.
@@ -40,7 +40,8 @@
         let received = async {
             match connection.fill().await {
                 Ok(1..) => WaitEnd::Received,
-                Ok(0) | Err(_) => WaitEnd::CallerClosed,
+                Ok(0) => WaitEnd::CallerClosed(None),
+                Err(error) => WaitEnd::CallerClosed(Some(error)),
             }
         };
         let closing = async {
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -7,9 +7,11 @@
 mod idle;
 mod receive;
 
+use crate::caller::Caller;
 use crate::entry::Entry;
 use crate::exchange::{self, ReceivedRequest};
 use crate::http1::Connection;
+use closing::Waited;
 use idle::WaitEnd;
 use lycheehub_routes::ClientLimits;
 use lycheehub_types::{CountGuard, Refusal, RefusalKind};
@@ -47,11 +49,14 @@
     }
 }
 
-fn accept(entry: &Rc<Entry>, stream: TcpStream, caller: SocketAddr) {
+fn accept(entry: &Rc<Entry>, stream: TcpStream, address: SocketAddr) {
+    let caller = Caller::new(entry, address);
     let excess = (entry.connections.get() + 1).saturating_sub(entry.options.connections_max);
     if excess > 0 {
         metrics::counter!("lycheehub_connections_refused_total").increment(1);
-        spdlog::warn!("connection refused: connections_max reached", kv: { caller: });
+        spdlog::warn!("connection refused: connections_max reached", kv: {
+            caller: = caller.address, connection = caller.connection,
+        });
     }
     if excess > EXCESS_CONNECTIONS_MAX {
         return;
@@ -62,12 +67,12 @@
         let _open_connection = CountGuard::new(&entry.connections);
         if let Err(error) = stream.set_nodelay(true) {
             return spdlog::info!("failed to set TCP_NODELAY on a new connection", kv: {
-                error:, caller:,
+                error:, caller: = caller.address, connection = caller.connection,
             });
         }
         let connection = Connection::new(stream);
         match refusal {
-            Some(refusal) => refuse_first_request(&entry, connection, &refusal).await,
+            Some(refusal) => refuse_first_request(&entry, connection, &refusal, caller).await,
             None => serve_connection(&entry, connection, caller).await,
         }
     };
@@ -86,23 +91,24 @@
     entry.is_closing_idle().then(refusal)
 }
 
-async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: SocketAddr) {
+async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: Caller) {
+    let mut requests = 0;
     loop {
-        let waited_from_ms = entry.clock.now_ms();
-        match idle::wait_for_request(entry, &mut connection).await {
-            WaitEnd::Received => {}
-            WaitEnd::CallerClosed => return,
-            end => return closing::log_idle_close(entry, end, waited_from_ms, caller),
+        let since_ms = entry.clock.now_ms();
+        let end = idle::wait_for_request(entry, &mut connection).await;
+        if !matches!(end, WaitEnd::Received) {
+            return closing::log_wait_end(entry, end, Waited { since_ms, requests }, caller);
         }
         if !serve_request(entry, &mut connection, caller).await {
             return;
         }
+        requests += 1;
     }
 }
 
 /// Receives and handles a request, and closes the connection unless it can be used for another one; returns
 /// whether it can.
-async fn serve_request(entry: &Rc<Entry>, connection: &mut Connection, caller: SocketAddr) -> bool {
+async fn serve_request(entry: &Rc<Entry>, connection: &mut Connection, caller: Caller) -> bool {
     let _active_exchange = CountGuard::new(&entry.exchanges);
     // The limits of the moment at which the request begins hold until it is received.
     let limits = entry.client_limits();
@@ -110,13 +116,15 @@
     let keeps_alive = match receive::read_request(entry, connection, &limits).await {
         Ok((head, body)) => {
             let read_ms = entry.clock.now_ms() - started_ms;
-            let request = ReceivedRequest { head, body, read_ms };
+            let request = ReceivedRequest { head, body, read_ms, caller };
             exchange::handle_request(entry, connection, request).await
         }
         Err(receive::Unread { step, id, error }) => {
             let read_ms = entry.clock.now_ms() - started_ms;
             spdlog::info!("failed to read a request", kv: {
-                error: = error, id: = id, step, read_ms, caller:,
+                error: = error, id: = id, step, read_ms,
+                unread_bytes = connection.buffered().len() as u64,
+                caller: = caller.address, connection = caller.connection,
             });
             exchange::refuse_unreadable(entry, connection, &id, &error).await;
             false
@@ -130,11 +138,26 @@
 
 /// Refuses the first request of a connection. It is not counted as in progress: a shutdown does not wait for
 /// connections that come meanwhile.
-async fn refuse_first_request(entry: &Entry, mut connection: Connection, refusal: &Refusal) {
+async fn refuse_first_request(
+    entry: &Entry,
+    mut connection: Connection,
+    refusal: &Refusal,
+    caller: Caller,
+) {
     let limits = ClientLimits { head_timeout_ms: REFUSED_HEAD_MS, ..entry.client_limits() };
-    let Ok(head) = receive::read_head(&mut connection, &limits).await else { return };
+    let code = refusal.kind().code();
+    let head = match receive::read_head(&mut connection, &limits).await {
+        Ok(head) => head,
+        Err(error) => {
+            return spdlog::info!("no request on a new connection that is refused", kv: {
+                error: = error, code, caller: = caller.address, connection = caller.connection,
+            });
+        }
+    };
     let id = entry.dialect.read_request(&head).id;
     exchange::refuse(entry, &mut connection, &id, refusal).await;
-    spdlog::info!("refused on a new connection", kv: { id: = id, code = refusal.kind().code() });
+    spdlog::info!("refused on a new connection", kv: {
+        id: = id, code, caller: = caller.address, connection = caller.connection,
+    });
     closing::close_gracefully(&mut connection).await;
 }
