fix(consensus, peer): a replica applies nothing past a command that it does not know

What would be seen: a control replica skipped a committed command that only a newer build knows, with an error line, and its state differed from the others' from then on; it could lead with it.

Cause: the driver found out only when the command was to be applied, and the replica did not know of it.

It stores and acknowledges an unknown command and votes, as entries are opaque to the log and a group of which most are older must stay able to commit; it applies nothing from it on, reports it once, is not established as a leader, and does not campaign while its log holds one. The instance is not ready meanwhile. Nothing on the wire or on disks changes.

The world checks that no state lacks a committed command; skipping, as before, is detected. No real process was given such a command.

--- a/crates/consensus/src/action.rs
+++ b/crates/consensus/src/action.rs
@@ -40,6 +40,17 @@
         /// The token that the caller gave for the read.
         token: u64,
     },
+    /// The next committed entry holds a command that this build does not know. Nothing is applied from
+    /// it on until a snapshot covers it, and this replica does not lead.
+    UnknownCommand {
+        /// The index of the entry.
+        index: u64,
+    },
+    /// The leader sent a snapshot that this build cannot restore; it is not taken.
+    UnknownSnapshot {
+        /// The index of the last entry that the snapshot covers.
+        index: u64,
+    },
     /// This replica asked for votes and got too few in time.
     ElectionLost {
         /// The current term.
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod action;
 pub mod bootstrap;
+mod known;
 mod log;
 mod message;
 mod options;
@@ -20,6 +21,7 @@
 mod types;
 
 pub use action::Action;
+pub use known::Known;
 pub use message::Message;
 pub use options::Options;
 pub use replica::{Replica, Role};
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,17 +1,47 @@
 //! The in-memory log: the newest snapshot and the entries after it.
 
-use crate::{Config, Entry, Payload, Position, Snapshot};
+use crate::{Config, Entry, Known, Payload, Position, Snapshot};
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Log {
     pub(crate) snapshot: Snapshot,
     entries: Vec<Entry>,
+    known: Known,
+    /// The index of the first entry whose command this build does not know.
+    first_unknown: Option<u64>,
 }
 
 impl Log {
     pub(crate) fn new(snapshot: Snapshot, mut entries: Vec<Entry>) -> Self {
         entries.retain(|entry| entry.position.index > snapshot.position.index);
-        Self { snapshot, entries }
+        Self { snapshot, entries, ..Self::default() }
+    }
+
+    pub(crate) fn set_known(&mut self, known: Known) {
+        self.known = known;
+        self.find_first_unknown();
+    }
+
+    /// Returns the index of the first entry whose command this build does not know.
+    pub(crate) fn first_unknown(&self) -> Option<u64> {
+        self.first_unknown
+    }
+
+    /// Returns true if the state machine can restore `snapshot`.
+    pub(crate) fn can_restore(&self, snapshot: &Snapshot) -> bool {
+        (self.known.snapshot)(&snapshot.data)
+    }
+
+    fn is_known(&self, entry: &Entry) -> bool {
+        match &entry.payload {
+            Payload::Command(command) => (self.known.command)(command),
+            Payload::Config(_) | Payload::Noop => true,
+        }
+    }
+
+    fn find_first_unknown(&mut self) {
+        let unknown = self.entries.iter().find(|entry| !self.is_known(entry));
+        self.first_unknown = unknown.map(|entry| entry.position.index);
     }
 
     pub(crate) fn last(&self) -> Position {
@@ -32,12 +62,16 @@
     }
 
     pub(crate) fn append(&mut self, entry: Entry) {
+        if self.first_unknown.is_none() && !self.is_known(&entry) {
+            self.first_unknown = Some(entry.position.index);
+        }
         self.entries.push(entry);
     }
 
     /// Removes the entries from `index` on.
     pub(crate) fn truncate_from(&mut self, index: u64) {
         self.entries.retain(|entry| entry.position.index < index);
+        self.first_unknown = self.first_unknown.filter(|unknown| *unknown < index);
     }
 
     /// Returns entries after `index`, up to `max_bytes` in total but at least one if any exists.
@@ -89,6 +123,7 @@
             self.entries.clear();
         }
         self.snapshot = snapshot;
+        self.find_first_unknown();
         !continues
     }
 }
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -5,7 +5,7 @@
 
 impl Replica {
     pub(super) fn tick_follower(&mut self, now_ms: u64) {
-        if !self.log.config().is_voter(self.id) {
+        if !self.may_lead() {
             return;
         }
         if now_ms.saturating_sub(self.timeout_began_ms) < self.election_timeout_ms {
@@ -17,6 +17,11 @@
         self.start_pre_vote(now_ms);
     }
 
+    /// Returns true if this replica is a voter and could apply every entry of its log.
+    fn may_lead(&self) -> bool {
+        self.log.config().is_voter(self.id) && self.log.first_unknown().is_none()
+    }
+
     /// Reports that the votes asked for did not suffice.
     fn report_lost_election(&mut self) {
         self.actions.push(Action::ElectionLost {
@@ -232,8 +237,7 @@
     }
 
     pub(super) fn on_campaign_now(&mut self, now_ms: u64, term: u64) {
-        let is_voter = self.log.config().is_voter(self.id);
-        if term == self.vote.term && self.role != Role::Leader && is_voter {
+        if term == self.vote.term && self.role != Role::Leader && self.may_lead() {
             self.campaign(now_ms, true);
         }
     }
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -6,7 +6,9 @@
 mod replication;
 
 use crate::log::Log;
-use crate::{Action, Config, Message, Options, Persisted, Position, ReplicaId, Snapshot, Vote};
+use crate::{
+    Action, Config, Known, Message, Options, Persisted, Position, ReplicaId, Snapshot, Vote,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -45,6 +47,8 @@
     log: Log,
     commit: u64,
     applied: u64,
+    /// The index of the last unknown command or snapshot that was reported.
+    reported_unknown: u64,
     role: Role,
     leader: Option<ReplicaId>,
     /// When this replica last heard from a leader. With leases it is initially the start time,
@@ -124,6 +128,7 @@
             log: Log::new(persisted.snapshot, persisted.entries),
             commit,
             applied: commit,
+            reported_unknown: 0,
             role: Role::Follower,
             leader: None,
             leader_contact_ms: options.leases.then_some(now_ms),
@@ -140,6 +145,23 @@
         replica
     }
 
+    /// Sets which commands and snapshots the state machine can read; without it, all.
+    ///
+    /// The replica stores and acknowledges entries that it does not know, and votes, so that the group
+    /// stays available. It applies nothing from such an entry on, and does not campaign while its log
+    /// holds one.
+    #[must_use]
+    pub fn with_known(mut self, known: Known) -> Self {
+        self.log.set_known(known);
+        self
+    }
+
+    /// Returns the index of the committed entry that keeps this replica from applying any further, as
+    /// this build does not know its command.
+    pub fn unknown_command(&self) -> Option<u64> {
+        self.log.first_unknown().filter(|index| *index <= self.commit)
+    }
+
     /// Returns the identity of this replica.
     pub fn id(&self) -> ReplicaId {
         self.id
@@ -252,12 +274,12 @@
         contact_ms.is_some_and(|contact_ms| now_ms < contact_ms + within_ms)
     }
 
-    /// Returns true if this replica leads and has committed an entry of its own term, so that it
+    /// Returns true if this replica leads and has applied an entry of its own term, so that it
     /// knows every entry that earlier leaders committed.
     pub fn is_established(&self) -> bool {
         self.role == Role::Leader
             && !self.leader_state.transferring_leadership
-            && self.commit >= self.leader_state.first.index
+            && self.applied >= self.leader_state.first.index
     }
 
     fn step(&mut self, now_ms: u64, from: ReplicaId, message: Message) {
--- a/crates/consensus/src/replica/replication.rs
+++ b/crates/consensus/src/replica/replication.rs
@@ -196,12 +196,17 @@
             return self.send(from, reply);
         }
         let index = snapshot.position.index;
-        if index > self.commit {
+        if index > self.applied {
+            if !self.log.can_restore(&snapshot) {
+                // No reply: to the leader this replica is one that does not take the snapshot.
+                return self.report_unknown(Action::UnknownSnapshot { index }, index);
+            }
             let reset = self.log.install_snapshot(snapshot.clone());
-            self.commit = index;
+            self.commit = self.commit.max(index).min(self.log.last().index);
             self.applied = index;
             self.actions.push(Action::SaveSnapshot { snapshot: snapshot.clone(), reset });
             self.actions.push(Action::Restore(snapshot));
+            self.commit_to(self.commit);
         }
         self.send(from, Message::AppendReply { term, accepted: true, index, round });
     }
@@ -284,9 +289,21 @@
     fn commit_to(&mut self, index: u64) {
         self.commit = self.commit.max(index.min(self.log.last().index));
         while self.applied < self.commit {
-            let Some(entry) = self.log.get(self.applied + 1).cloned() else { return };
-            self.applied += 1;
+            let next = self.applied + 1;
+            if self.log.first_unknown() == Some(next) {
+                return self.report_unknown(Action::UnknownCommand { index: next }, next);
+            }
+            let Some(entry) = self.log.get(next).cloned() else { return };
+            self.applied = next;
             self.actions.push(Action::Apply(entry));
         }
     }
+
+    /// Reports once what this build does not know.
+    fn report_unknown(&mut self, unknown: Action, index: u64) {
+        if self.reported_unknown != index {
+            self.reported_unknown = index;
+            self.actions.push(unknown);
+        }
+    }
 }
--- a/crates/consensus/tests/consensus/elections.rs
+++ b/crates/consensus/tests/consensus/elections.rs
@@ -1,137 +1,19 @@
 //! Elections among the voters that are left when every vote is needed, over a network with delays.
 
-use lycheehub_consensus::{
-    Action, Config, Message, Options, Persisted, Position, Replica, ReplicaId, Snapshot, Vote,
-};
-use lycheehub_types::InstanceName;
-use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::network::{DELAY_MAX_MS, Network, OPTIONS, START_MS, TERM, TICK_MS};
+use lycheehub_consensus::{Action, Known, Replica, ReplicaId};
 
-/// The timing of instances on the deployment platform.
-const OPTIONS: Options = Options {
-    heartbeat_ms: 150,
-    election_min_ms: 600,
-    election_max_ms: 1_100,
-    leases: false,
-    clock_drift_permille: 50,
-    append_max_bytes: 512 * 1024,
-};
 const VOTERS: u64 = 5;
-const TICK_MS: u64 = 50;
-/// All replicas start within this time.
-const START_MS: u64 = 3;
-const DELAY_MAX_MS: u64 = 5;
-const TERM: u64 = 3;
 const SEEDS: u64 = 1_000;
-/// How long a test waits for a leader at most.
-const GIVE_UP_MS: u64 = 60_000;
 
-struct Node {
-    replica: Replica,
-    started_ms: u64,
+/// Starts the replicas `left` of a group of [`VOTERS`], all with the same log and term.
+fn start(seed: u64, left: impl IntoIterator<Item = u64>) -> Network {
+    start_apart(seed, left, 0)
 }
 
-/// Replicas that start at about the same time, and the messages between them.
-struct Network {
-    nodes: BTreeMap<ReplicaId, Node>,
-    /// The messages by when they arrive, and by number.
-    in_flight: BTreeMap<(u64, u64), (ReplicaId, ReplicaId, Message)>,
-    sent: u64,
-    now_ms: u64,
-    rng: SmallRng,
-    /// Links that deliver nothing, as sender and receiver.
-    blocked: BTreeSet<(ReplicaId, ReplicaId)>,
-    lost: Vec<Action>,
-}
-
-impl Network {
-    /// Starts the replicas `left` of a group of [`VOTERS`], all with the same log and term.
-    fn start(seed: u64, left: impl IntoIterator<Item = u64>) -> Self {
-        Self::start_from(seed, left, 0)
-    }
-
-    /// Starts the replicas `left`; each has a term and a last entry up to `apart` higher.
-    fn start_from(seed: u64, left: impl IntoIterator<Item = u64>, apart: u64) -> Self {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let name = |id| (ReplicaId(id), InstanceName::from(format!("control-{id}")));
-        let config = Config { voters: (1..=VOTERS).map(name).collect() };
-        let nodes = left.into_iter().map(|id| {
-            let position = Position { term: TERM, index: 9 + rng.random_range(0..=apart) };
-            let snapshot = Snapshot { position, config: config.clone(), data: Vec::new() };
-            let vote = Vote { term: TERM + rng.random_range(0..=apart), voted_for: None };
-            let persisted = Persisted { vote, snapshot, entries: Vec::new() };
-            let started_ms = rng.random_range(0..=START_MS);
-            let seed = rng.random();
-            let replica = Replica::new(ReplicaId(id), OPTIONS, persisted, seed, started_ms);
-            (ReplicaId(id), Node { replica, started_ms })
-        });
-        let nodes = nodes.collect();
-        Self {
-            nodes,
-            in_flight: BTreeMap::new(),
-            sent: 0,
-            now_ms: 0,
-            rng,
-            blocked: BTreeSet::new(),
-            lost: Vec::new(),
-        }
-    }
-
-    fn drive(&mut self, id: ReplicaId, step: impl FnOnce(&mut Replica, u64) -> Vec<Action>) {
-        let now_ms = self.now_ms;
-        let Some(node) = self.nodes.get_mut(&id) else { return };
-        for action in step(&mut node.replica, now_ms) {
-            match action {
-                Action::Send { to, message } => {
-                    let at_ms = now_ms + self.rng.random_range(1..=DELAY_MAX_MS);
-                    self.sent += 1;
-                    if !self.blocked.contains(&(id, to)) {
-                        self.in_flight.insert((at_ms, self.sent), (id, to, message));
-                    }
-                }
-                Action::ElectionLost { .. } => self.lost.push(action),
-                _ => {}
-            }
-        }
-    }
-
-    fn advance(&mut self) {
-        self.now_ms += 1;
-        while let Some(arrived) = self.in_flight.first_entry() {
-            if arrived.key().0 > self.now_ms {
-                break;
-            }
-            let (from, to, message) = arrived.remove();
-            self.drive(to, |replica, now_ms| replica.receive(now_ms, from, message));
-        }
-        let now_ms = self.now_ms;
-        let is_due = |node: &Node| {
-            now_ms > node.started_ms && (now_ms - node.started_ms).is_multiple_of(TICK_MS)
-        };
-        let due: Vec<ReplicaId> =
-            self.nodes.iter().filter(|(_, node)| is_due(node)).map(|(id, _)| *id).collect();
-        for id in due {
-            self.drive(id, |replica, now_ms| replica.tick(now_ms));
-        }
-    }
-
-    fn leader(&self) -> Option<&Replica> {
-        let mut replicas = self.nodes.values().map(|node| &node.replica);
-        replicas.find(|replica| replica.is_established())
-    }
-
-    /// Advances until a replica leads; returns when, and in which term.
-    fn elect(&mut self) -> (u64, u64) {
-        let started_ms = self.now_ms;
-        while self.now_ms < started_ms + GIVE_UP_MS {
-            self.advance();
-            if let Some(leader) = self.leader() {
-                return (self.now_ms - started_ms, leader.term());
-            }
-        }
-        panic!("no leader within {GIVE_UP_MS} ms");
-    }
+/// The same, with terms and last entries that differ by up to `apart`.
+fn start_apart(seed: u64, left: impl IntoIterator<Item = u64>, apart: u64) -> Network {
+    Network::start(seed, VOTERS, left, apart, |_| Known::default())
 }
 
 /// The longest time to a leader if no vote is split: a draw, a tick, and the round trips of the
@@ -147,7 +29,7 @@
 #[test]
 fn votes_are_not_split_when_every_voter_left_starts_at_once_and_is_needed() {
     let elections: Vec<(u64, u64)> =
-        (0..SEEDS).map(|seed| Network::start(seed, [1, 3, 4]).elect()).collect();
+        (0..SEEDS).map(|seed| start(seed, [1, 3, 4]).elect()).collect();
     let split = elections.iter().filter(|(_, term)| *term > TERM + 1).count();
     let late = elections.iter().filter(|(ms, _)| *ms > UNSPLIT_MS).count();
     let longest_ms = elections.iter().map(|(ms, _)| *ms).max().unwrap_or(0);
@@ -161,8 +43,7 @@
 
 #[test]
 fn voters_with_other_logs_and_terms_elect_one_with_the_most_complete_log_soon() {
-    let times_ms =
-        (0..SEEDS).map(|seed| Network::start_from(seed, [1, 3, 4], 2).elect().0).collect();
+    let times_ms = (0..SEEDS).map(|seed| start_apart(seed, [1, 3, 4], 2).elect().0).collect();
     let (most_ms, longest_ms) = percentile_99_and_longest(times_ms);
     println!("99 of 100 within {most_ms} ms, longest {longest_ms} ms");
     // Up to two without the most complete log may ask first.
@@ -173,11 +54,9 @@
 #[test]
 fn a_lost_leader_is_replaced_when_every_voter_left_is_needed() {
     let replaced = |seed| {
-        let mut network = Network::start(seed, [1, 2, 3, 4]);
+        let mut network = start(seed, [1, 2, 3, 4]);
         let (_, term) = network.elect();
-        for _ in 0..OPTIONS.election_max_ms {
-            network.advance();
-        }
+        network.advance_by(OPTIONS.election_max_ms);
         let leader = network.leader().map(Replica::id).expect("it leads on");
         network.nodes.remove(&leader);
         let (elapsed_ms, new_term) = network.elect();
@@ -196,7 +75,7 @@
 #[test]
 fn a_voter_that_hears_no_reply_does_not_keep_the_others_from_an_election() {
     let times_ms = (0..SEEDS).map(|seed| {
-        let mut network = Network::start(seed, [1, 2, 3, 4]);
+        let mut network = start(seed, [1, 2, 3, 4]);
         network.blocked = (2..=4).map(|id| (ReplicaId(id), ReplicaId(1))).collect();
         network.elect().0
     });
@@ -209,16 +88,15 @@
 
 #[test]
 fn a_replica_that_gets_too_few_votes_reports_it() {
-    let mut network = Network::start(7, [1, 2]);
-    while network.now_ms < 2 * UNSPLIT_MS {
-        network.advance();
-    }
+    let mut network = start(7, [1, 2]);
+    network.advance_by(2 * UNSPLIT_MS);
     let lost = |action: &Action| {
         let Action::ElectionLost { term, is_pre_vote, granted, refused, needed } = *action else {
             return None;
         };
         Some((term, is_pre_vote, granted, refused, needed))
     };
-    let lost: Vec<_> = network.lost.iter().filter_map(lost).collect();
+    let reported = network.nodes.values().flat_map(|node| &node.reported);
+    let lost: Vec<_> = reported.filter_map(lost).collect();
     assert!(lost.contains(&(TERM, true, 2, 0, 3)), "{lost:?}");
 }
--- a/crates/consensus/tests/consensus/main.rs
+++ b/crates/consensus/tests/consensus/main.rs
@@ -3,6 +3,8 @@
 mod bootstrap;
 mod elections;
 mod membership;
+mod network;
 mod schedules;
 mod storage;
+mod unknown;
 mod world;
--- a/crates/consensus/tests/consensus/schedules.rs
+++ b/crates/consensus/tests/consensus/schedules.rs
@@ -52,10 +52,18 @@
     injected_bug: InjectedBug,
     schedules: u32,
     converge: bool,
+) -> Result<(), TestError<(u64, Vec<Step>)>> {
+    run_in(|seed| World::new(seed, injected_bug), schedules, converge)
+}
+
+fn run_in(
+    world: impl Fn(u64) -> World,
+    schedules: u32,
+    converge: bool,
 ) -> Result<(), TestError<(u64, Vec<Step>)>> {
     let strategy = (any::<u64>(), vec(step(), STEPS));
     runner(schedules).run(&strategy, |(seed, steps)| {
-        let mut world = World::new(seed, injected_bug);
+        let mut world = world(seed);
         for step in steps {
             world.step(step);
             prop_assert!(world.violations.is_empty(), "{:?}", world.violations);
@@ -83,6 +91,19 @@
     run(InjectedBug::None, schedules(), true).unwrap_or_else(|error| panic!("{error}"));
 }
 
+#[test]
+fn replicas_of_two_builds_agree_over_fault_schedules() {
+    let world = |seed| World::of_two_builds(seed, InjectedBug::None);
+    run_in(world, schedules(), true).unwrap_or_else(|error| panic!("{error}"));
+}
+
+#[test]
+fn an_unknown_command_that_is_skipped_is_detected() {
+    let world = |seed| World::of_two_builds(seed, InjectedBug::UnknownCommandSkipped);
+    let found = run_in(world, SCHEDULES * 2, false);
+    assert!(matches!(found, Err(TestError::Fail(..))), "not detected");
+}
+
 #[test]
 fn schedules_commit_commands() {
     let mut world = World::new(1, InjectedBug::None);
--- a/crates/consensus/tests/consensus/world/checks.rs
+++ b/crates/consensus/tests/consensus/world/checks.rs
@@ -1,13 +1,16 @@
 //! The invariants that are checked after each step.
 
-use super::{InjectedBug, SIZE, World};
+use super::{InjectedBug, SIZE, World, is_known_to_older};
 use lycheehub_consensus::{Entry, Payload};
 
 impl World {
     pub(super) fn record_applied(&mut self, at: usize, entry: Entry) {
         let index = entry.position.index;
         if let Payload::Command(command) = &entry.payload {
-            self.nodes[at].applied.push((index, command.clone()));
+            let is_skipped = self.nodes[at].is_older && !is_known_to_older(command);
+            if !is_skipped {
+                self.nodes[at].applied.push((index, command.clone()));
+            }
         }
         match self.committed.get(&index) {
             Some(other) if *other != entry => {
@@ -21,6 +24,21 @@
         }
     }
 
+    /// Checks that each replica has applied every committed command up to the last that it applied.
+    pub(super) fn check_states(&mut self) {
+        for at in 0..SIZE {
+            let applied = &self.nodes[at].applied;
+            let Some((last, _)) = applied.last() else { continue };
+            let committed = self.committed.range(..=last).filter_map(|(index, entry)| {
+                let Payload::Command(command) = &entry.payload else { return None };
+                Some((*index, command))
+            });
+            if !committed.eq(applied.iter().map(|(index, command)| (*index, command))) {
+                self.violations.push(format!("the state of replica {at} lacks a command"));
+            }
+        }
+    }
+
     pub(super) fn check_read(&mut self, token: u64, index: u64) {
         let Some(before) = self.reads.remove(&token) else { return };
         if index < before {
--- a/crates/consensus/tests/consensus/world/mod.rs
+++ b/crates/consensus/tests/consensus/world/mod.rs
@@ -10,8 +10,8 @@
 pub use steps::{InjectedBug, Step};
 
 use lycheehub_consensus::{
-    Action, Config, Entry, Message, Options, Payload, Persisted, Position, Replica, ReplicaId,
-    Role, Snapshot, Vote,
+    Action, Config, Entry, Known, Message, Options, Payload, Persisted, Position, Replica,
+    ReplicaId, Role, Snapshot, Vote,
 };
 use lycheehub_types::InstanceName;
 use std::collections::{BTreeMap, BTreeSet};
@@ -26,6 +26,8 @@
     drift_permille: i64,
     crash_after: Option<u8>,
     paused: bool,
+    /// Whether it runs an older build, which does not know some commands.
+    is_older: bool,
     /// The total pause time that this replica's clock did not count.
     clock_lag_ms: u64,
 }
@@ -90,6 +92,7 @@
                 drift_permille: drift(at),
                 crash_after: None,
                 paused: false,
+                is_older: false,
                 clock_lag_ms: 0,
             })
             .collect();
@@ -114,6 +117,18 @@
         world
     }
 
+    /// Creates a world in which all replicas but the first run an older build. [`World::converges`]
+    /// replaces it.
+    pub fn of_two_builds(seed: u64, injected_bug: InjectedBug) -> Self {
+        let mut world = Self::new(seed, injected_bug);
+        for at in 1..SIZE {
+            world.nodes[at].is_older = true;
+            world.nodes[at].replica = None;
+            world.restart(at);
+        }
+        world
+    }
+
     fn local_ms(&self, at: usize) -> u64 {
         let rate = 1_000 + self.nodes[at].drift_permille;
         ((self.now_ms - self.nodes[at].clock_lag_ms) as i64 * rate / 1_000) as u64
@@ -136,8 +151,12 @@
         if !data.is_empty() {
             node.applied = decode(data);
         }
-        node.replica =
-            Some(Replica::new(node.id, self.options, node.stored.clone(), seed, local_ms));
+        let known = match node.is_older && self.injected_bug != InjectedBug::UnknownCommandSkipped {
+            true => Known { command: is_known_to_older, ..Known::default() },
+            false => Known::default(),
+        };
+        let replica = Replica::new(node.id, self.options, node.stored.clone(), seed, local_ms);
+        node.replica = Some(replica.with_known(known));
     }
 
     pub fn step(&mut self, step: Step) {
@@ -210,6 +229,7 @@
             }
         }
         self.check_leases();
+        self.check_states();
     }
 
     fn advance(&mut self, ms: u64) {
@@ -286,6 +306,9 @@
     fn propose(&mut self, at: usize) {
         self.next_command += 1;
         let command = self.next_command.to_le_bytes().to_vec();
+        if self.nodes[at].is_older && !is_known_to_older(&command) {
+            return;
+        }
         self.drive(at, |replica, now_ms| replica.propose(now_ms, command).1);
     }
 
@@ -362,7 +385,10 @@
                     self.violations.push(format!("term {} has two leaders", first.term));
                 }
             }
-            Action::LostLeadership | Action::ElectionLost { .. } => {}
+            Action::LostLeadership
+            | Action::ElectionLost { .. }
+            | Action::UnknownCommand { .. }
+            | Action::UnknownSnapshot { .. } => {}
         }
     }
 
@@ -374,6 +400,9 @@
         for at in 0..SIZE {
             self.nodes[at].crash_after = None;
             self.nodes[at].paused = false;
+            if std::mem::take(&mut self.nodes[at].is_older) {
+                self.nodes[at].replica = None;
+            }
             self.restart(at);
         }
         let before = self.next_command;
@@ -416,6 +445,11 @@
     }
 }
 
+/// Returns false for one in four of the commands proposed.
+fn is_known_to_older(command: &[u8]) -> bool {
+    command.first().is_none_or(|byte| byte % 4 != 0)
+}
+
 fn encode(applied: &[(u64, Vec<u8>)]) -> Vec<u8> {
     let mut bytes = vec![1];
     for (index, command) in applied {
--- a/crates/consensus/tests/consensus/world/steps.rs
+++ b/crates/consensus/tests/consensus/world/steps.rs
@@ -18,6 +18,8 @@
     ReadWithoutQuorum,
     /// The clock stands still while its process is paused.
     ClockStopsWhilePaused,
+    /// A command that the build does not know is skipped.
+    UnknownCommandSkipped,
 }
 
 /// A step of a schedule.
--- a/crates/peer/src/node/driver.rs
+++ b/crates/peer/src/node/driver.rs
@@ -2,7 +2,7 @@
 
 use super::Node;
 use lycheehub_consensus::storage::{Disk, Error as StorageError, Storage};
-use lycheehub_consensus::{Action, Message, Options, Payload, Position, Replica, ReplicaId};
+use lycheehub_consensus::{Action, Known, Message, Options, Payload, Position, Replica, ReplicaId};
 use lycheehub_control::state::Reply;
 use lycheehub_control::{Command, State};
 use lycheehub_wire::ProposeReply;
@@ -60,7 +60,11 @@
             entries = persisted.entries.len() as u64,
         });
         let snapshot_bytes = persisted.snapshot.data.len();
-        let replica = Replica::new(id, options, persisted, seed, now_ms);
+        let known = Known {
+            command: |bytes| Command::decode(bytes).is_ok(),
+            snapshot: |bytes| State::decode(bytes).is_ok(),
+        };
+        let replica = Replica::new(id, options, persisted, seed, now_ms).with_known(known);
         let driver = Self {
             replica,
             storage,
@@ -124,10 +128,22 @@
                     effects.state_changed = true;
                 }
                 Action::Apply(entry) => {
-                    effects.state_changed |= self.apply(entry.position, entry.payload, state);
+                    effects.state_changed |= self.apply(entry.position, entry.payload, state)?;
                 }
                 Action::ReadReady { token, .. } => self.complete_read(token, true),
                 Action::ReadFailed { token } => self.complete_read(token, false),
+                Action::UnknownCommand { index } => {
+                    spdlog::error!(
+                        "command not known to this build: nothing is applied from it on, and this \
+                         replica does not lead",
+                        kv: { index }
+                    );
+                    // The instance is no longer ready.
+                    effects.state_changed = true;
+                }
+                Action::UnknownSnapshot { index } => {
+                    spdlog::error!("snapshot not known to this build: not taken", kv: { index });
+                }
                 Action::ElectionLost { term, is_pre_vote, granted, refused, needed } => {
                     self.elections_lost += 1;
                     // One line for each doubling, so that a lone replica writes few.
@@ -156,12 +172,17 @@
         Ok(effects)
     }
 
-    fn apply(&mut self, position: Position, payload: Payload, state: &mut State) -> bool {
+    fn apply(
+        &mut self,
+        position: Position,
+        payload: Payload,
+        state: &mut State,
+    ) -> Result<bool, StorageError> {
         let before = state.revision;
         let reply = match payload {
             Payload::Command(bytes) => {
                 self.applied_bytes += bytes.len();
-                apply_command(position.index, &bytes, state)
+                Some(apply_command(position.index, &bytes, state)?)
             }
             Payload::Config(config) => {
                 let voters = config.voters.len() as u64;
@@ -171,7 +192,7 @@
             Payload::Noop => None,
         };
         self.complete_proposal(position, reply);
-        state.revision != before
+        Ok(state.revision != before)
     }
 
     fn complete_proposal(&mut self, position: Position, reply: Option<Reply>) {
@@ -212,14 +233,12 @@
     }
 }
 
-fn apply_command(index: u64, bytes: &[u8], state: &mut State) -> Option<Reply> {
-    match Command::decode(bytes) {
-        Ok(command) => Some(state.apply(index, command)),
-        Err(error) => {
-            spdlog::error!("undecodable command skipped", kv: { index, error: });
-            None
-        }
-    }
+/// Applies a command. The replica holds back those that this build does not know; to skip one would
+/// make this replica's state another than that of the others.
+fn apply_command(index: u64, bytes: &[u8], state: &mut State) -> Result<Reply, StorageError> {
+    let command = Command::decode(bytes)
+        .map_err(|error| StorageError::Corrupt("log".into(), index, error.to_string()))?;
+    Ok(state.apply(index, command))
 }
 
 fn decode_state(data: &[u8]) -> Result<State, StorageError> {
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -308,6 +308,12 @@
         self.has_peers && now_ms >= self.last_contact_ms + ISOLATION_TIMEOUT_MS
     }
 
+    /// Returns whether the local replica has met a committed command that this build does not know,
+    /// so that its state stays behind.
+    fn lacks_commands(&self) -> bool {
+        self.replica().is_some_and(|replica| replica.unknown_command().is_some())
+    }
+
     /// Returns whether this instance holds the leader lease, so that no other instance can act as
     /// the leader.
     fn holds_lease(&self, now_ms: u64) -> bool {
--- a/crates/peer/src/node/publish.rs
+++ b/crates/peer/src/node/publish.rs
@@ -32,7 +32,10 @@
         shares: version_shares(&core.state),
         instances: instances.collect(),
         shed_floor: peer_shed_floors(core, now_ms),
-        ready: core.state_confirmed && core.records_received && !core.is_isolated(now_ms),
+        ready: core.state_confirmed
+            && core.records_received
+            && !core.is_isolated(now_ms)
+            && !core.lacks_commands(),
         ..View::default()
     };
     let live: Vec<&InstanceName> =
