test(wire): tests of recorded disks no longer share a folder

stored::an_instance_goes_on_with_the_disk_of_an_earlier_build failed once (3 entries instead of 4): it and a_disk_of_an_earlier_build_is_read_and_written_alike copied the same recorded disk to the same folder and run at the same time. Run 300 times, stored::* failed 5 times; with one thread, 0 of 300. Each test has a folder of its own now, the checks are unchanged: 0 of 300.

--- a/crates/wire/tests/builds/stored.rs
+++ b/crates/wire/tests/builds/stored.rs
@@ -101,7 +101,7 @@
     }
 }
 
-/// Returns an empty folder for a disk.
+/// Returns an empty folder for a disk. Tests run at the same time, so each needs a `name` of its own.
 fn disk_folder(name: &str) -> PathBuf {
     let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = std::fs::remove_dir_all(&folder);
@@ -109,8 +109,8 @@
     folder
 }
 
-fn copy_of_disk(build: &str) -> PathBuf {
-    let folder = disk_folder(&format!("disk-{build}"));
+fn copy_of_disk(build: &str, name: &str) -> PathBuf {
+    let folder = disk_folder(&format!("{name}-{build}"));
     for entry in std::fs::read_dir(folder_of(build).join("disk")).unwrap() {
         let entry = entry.unwrap();
         std::fs::copy(entry.path(), folder.join(entry.file_name())).unwrap();
@@ -121,7 +121,7 @@
 #[gtest]
 fn a_disk_of_an_earlier_build_is_read_and_written_alike() {
     for build in BUILDS {
-        let (_, stored) = Disk::open(copy_of_disk(build)).unwrap().load().unwrap();
+        let (_, stored) = Disk::open(copy_of_disk(build, "read")).unwrap().load().unwrap();
         expect_that!(stored.vote, eq(Vote { term: 3, voted_for: Some(ReplicaId(2)) }));
         expect_that!(stored.snapshot.position, eq(Position { term: 2, index: 8 }));
         expect_that!(stored.snapshot.config.voters.len(), eq(3));
@@ -149,7 +149,7 @@
 
 #[gtest]
 fn an_instance_goes_on_with_the_disk_of_an_earlier_build() {
-    let folder = copy_of_disk(LAST_BUILD);
+    let folder = copy_of_disk(LAST_BUILD, "continued");
     let mut disk = Disk::open(&folder).unwrap();
     let (identity, _) = disk.load().unwrap();
     let payload = Payload::Command(command(LAST_BUILD, "start-rollout").encode());
