fix(wire): terms, indices and observations beyond all use are not taken

What could be seen: only an instance with the peer key can send them. A term near 2^64 made the next election overflow (a panic with overflow checks, a term of 0 without); an observation of NaN made every later comparison of two versions NaN, so that a rollout was judged by nothing.

Change: a consensus message with a term, index, commit or round past 2^62 is ignored as if lost, with the line that unknown messages have; an observation whose counts are past 2^62, or whose sums are no number or past 1e15, is skipped and the others of the report are kept.

--- a/crates/wire/src/convert/consensus.rs
+++ b/crates/wire/src/convert/consensus.rs
@@ -1,13 +1,15 @@
 //! Conversions of the messages of the consensus protocol.
 
-use super::{WireError, text};
+use super::{WireError, count, text};
 use crate::peer_capnp as schema;
 use lycheehub_consensus::{Config, Entry, Message, Payload, Position, ReplicaId, Snapshot};
 use lycheehub_types::InstanceName;
 
-impl From<schema::position::Reader<'_>> for Position {
-    fn from(reader: schema::position::Reader<'_>) -> Self {
-        Self { term: reader.get_term(), index: reader.get_index() }
+impl TryFrom<schema::position::Reader<'_>> for Position {
+    type Error = WireError;
+
+    fn try_from(reader: schema::position::Reader<'_>) -> Result<Self, WireError> {
+        Ok(Self { term: count(reader.get_term())?, index: count(reader.get_index())? })
     }
 }
 
@@ -34,7 +36,7 @@
             Which::Config(config) => Payload::Config(config?.try_into()?),
             Which::Command(command) => Payload::Command(command?.to_vec()),
         };
-        Ok(Self { position: reader.get_position()?.into(), payload })
+        Ok(Self { position: reader.get_position()?.try_into()?, payload })
     }
 }
 
@@ -43,7 +45,7 @@
 
     fn try_from(reader: schema::snapshot::Reader<'_>) -> Result<Self, WireError> {
         Ok(Self {
-            position: reader.get_position()?.into(),
+            position: reader.get_position()?.try_into()?,
             config: reader.get_config()?.try_into()?,
             data: reader.get_data()?.to_vec(),
         })
@@ -58,43 +60,52 @@
         Ok(match reader.which()? {
             Which::PreVote(vote) => {
                 let vote = vote?;
-                Self::PreVote { term: vote.get_term(), last: vote.get_last()?.into() }
+                Self::PreVote { term: count(vote.get_term())?, last: vote.get_last()?.try_into()? }
             }
             Which::PreVoteReply(reply) => {
                 let reply = reply?;
-                Self::PreVoteReply { term: reply.get_term(), granted: reply.get_granted() }
+                Self::PreVoteReply { term: count(reply.get_term())?, granted: reply.get_granted() }
             }
             Which::RequestVote(vote) => {
                 let vote = vote?;
-                let last = vote.get_last()?.into();
-                Self::RequestVote { term: vote.get_term(), last, transfer: vote.get_transfer() }
+                let last = vote.get_last()?.try_into()?;
+                Self::RequestVote {
+                    term: count(vote.get_term())?,
+                    last,
+                    transfer: vote.get_transfer(),
+                }
             }
             Which::VoteReply(reply) => {
                 let reply = reply?;
-                Self::VoteReply { term: reply.get_term(), granted: reply.get_granted() }
+                Self::VoteReply { term: count(reply.get_term())?, granted: reply.get_granted() }
             }
             Which::Append(append) => read_append(append?)?,
             Which::AppendReply(reply) => {
                 let reply = reply?;
                 Self::AppendReply {
-                    term: reply.get_term(),
+                    term: count(reply.get_term())?,
                     accepted: reply.get_accepted(),
-                    index: reply.get_index(),
-                    round: reply.get_round(),
+                    index: count(reply.get_index())?,
+                    round: count(reply.get_round())?,
                 }
             }
             Which::Install(install) => {
                 let install = install?;
                 let snapshot = install.get_snapshot()?.try_into()?;
-                Self::Install { term: install.get_term(), snapshot, round: install.get_round() }
+                Self::Install {
+                    term: count(install.get_term())?,
+                    snapshot,
+                    round: count(install.get_round())?,
+                }
             }
-            Which::CampaignNow(term) => Self::CampaignNow { term },
+            Which::CampaignNow(term) => Self::CampaignNow { term: count(term)? },
         })
     }
 }
 
 /// Reads a message of the consensus protocol. Returns `None`, logged, for one that only a newer build
-/// knows: the protocol allows messages to be lost, while an error would end the connection.
+/// knows, or with a term, index or round that no replica reaches: the protocol allows messages to be
+/// lost, while an error would end the connection.
 ///
 /// # Errors
 /// Fails if the message cannot be decoded.
@@ -103,7 +114,7 @@
 ) -> Result<Option<Message>, WireError> {
     match Message::try_from(reader) {
         Ok(message) => Ok(Some(message)),
-        Err(error @ WireError::Unknown(_)) => {
+        Err(error @ (WireError::Unknown(_) | WireError::Count(_))) => {
             spdlog::warn!("consensus message ignored", kv: { error: });
             Ok(None)
         }
@@ -114,11 +125,11 @@
 fn read_append(append: schema::append::Reader<'_>) -> Result<Message, WireError> {
     let entries = append.get_entries()?.iter().map(Entry::try_from);
     Ok(Message::Append {
-        term: append.get_term(),
-        previous: append.get_previous()?.into(),
+        term: count(append.get_term())?,
+        previous: append.get_previous()?.try_into()?,
         entries: entries.collect::<Result<_, _>>()?,
-        commit: append.get_commit(),
-        round: append.get_round(),
+        commit: count(append.get_commit())?,
+        round: count(append.get_round())?,
     })
 }
 
--- a/crates/wire/src/convert/mod.rs
+++ b/crates/wire/src/convert/mod.rs
@@ -47,6 +47,14 @@
         Rate(per_s: f64) {
             display("not a rate: {}", per_s)
         }
+        /// A sum is not finite, or beyond all use.
+        Sum(value: f64) {
+            display("not a sum: {}", value)
+        }
+        /// A number that only counts up is beyond all use.
+        Count(value: u64) {
+            display("count out of range: {}", value)
+        }
     }
 }
 
@@ -97,6 +105,14 @@
     Ok(reader?.to_str()?)
 }
 
+/// The highest count that a message can state. Counts go up by one, so that none gets there; the sum of
+/// two, and of one and a few, does not overflow.
+const COUNT_MAX: u64 = 1 << 62;
+
+fn count(value: u64) -> Result<u64, WireError> {
+    if value > COUNT_MAX { Err(WireError::Count(value)) } else { Ok(value) }
+}
+
 /// The longest time that a message can state, in milliseconds: three decades. A sum of such times and
 /// the current time does not overflow.
 const TIME_MAX_MS: u64 = 1_000_000_000_000;
--- a/crates/wire/src/convert/reports.rs
+++ b/crates/wire/src/convert/reports.rs
@@ -1,6 +1,6 @@
 //! Conversions of reports to the leader and of the replies to them.
 
-use super::{WireError, read_each, text};
+use super::{WireError, count, read_each, text};
 use crate::peer_capnp as schema;
 use crate::{Report, ReportReply};
 use lycheehub_control::moves::{Observation, ObservationKey};
@@ -43,6 +43,16 @@
     }
 }
 
+/// The largest sum over observations that a message can state, far beyond what requests add up to. The
+/// square of a sum of many such ones is finite.
+const SUM_MAX: f64 = 1e15;
+
+fn sum(value: f64) -> Result<f64, WireError> {
+    // False for what is no number.
+    let is_in_range = value.abs() <= SUM_MAX;
+    if is_in_range { Ok(value) } else { Err(WireError::Sum(value)) }
+}
+
 fn read_observation(
     reader: schema::observation::Reader<'_>,
 ) -> Result<(ObservationKey, Observation), WireError> {
@@ -52,11 +62,11 @@
         route: text(reader.get_route())?.into(),
     };
     let observation = Observation {
-        requests: reader.get_requests(),
+        requests: count(reader.get_requests())?,
         failures: reader.get_failures().min(reader.get_requests()),
-        timed: reader.get_timed(),
-        log_time_sum: reader.get_log_time_sum(),
-        log_time_square_sum: reader.get_log_time_square_sum(),
+        timed: count(reader.get_timed())?,
+        log_time_sum: sum(reader.get_log_time_sum())?,
+        log_time_square_sum: sum(reader.get_log_time_square_sum())?,
     };
     Ok((key, observation))
 }
--- a/crates/wire/tests/wire/main.rs
+++ b/crates/wire/tests/wire/main.rs
@@ -2,12 +2,13 @@
 
 use capnp::message::{Builder, ReaderOptions};
 use googletest::prelude::*;
+use lycheehub_consensus::{Entry, Message, Payload, Position, Snapshot};
 use lycheehub_control::directory::Listing;
 use lycheehub_dispatch::{Decision, JobId};
 use lycheehub_wire::peer_capnp as schema;
 use lycheehub_wire::{
-    Report, read_decision, read_finished, read_in_flight, read_job, read_limits, read_notice,
-    read_quarantines, read_usage,
+    Report, read_decision, read_finished, read_in_flight, read_job, read_limits, read_message,
+    read_notice, read_quarantines, read_usage, write_message,
 };
 use proptest::prelude::*;
 
@@ -66,6 +67,86 @@
     expect_that!(usage.iter().map(|usage| usage.units).collect::<Vec<_>>(), eq(&[7.5]));
 }
 
+const ODD_COUNTS: [u64; 3] = [(1 << 62) + 1, u64::MAX - 1, u64::MAX];
+
+#[gtest]
+fn consensus_messages_with_numbers_that_no_replica_reaches_are_ignored() {
+    let read = |message: &Message| {
+        let mut builder = Builder::new_default();
+        let mut wire = builder.init_root::<schema::consensus_message::Builder<'_>>();
+        write_message(message, wire.reborrow());
+        read_message(wire.into_reader()).unwrap()
+    };
+    let with = |number: u64| {
+        let position = Position { term: number, index: 3 };
+        let index = Position { term: 3, index: number };
+        let snapshot = Snapshot { position: index, ..Snapshot::default() };
+        let entries = vec![Entry { position: index, payload: Payload::Noop }];
+        let sound = Position { term: 3, index: 3 };
+        let append = |term, previous, entries, commit, round| Message::Append {
+            term,
+            previous,
+            entries,
+            commit,
+            round,
+        };
+        [
+            Message::PreVote { term: number, last: sound },
+            Message::PreVote { term: 3, last: position },
+            Message::PreVoteReply { term: number, granted: false },
+            Message::RequestVote { term: number, last: sound, transfer: false },
+            Message::RequestVote { term: 3, last: index, transfer: true },
+            Message::VoteReply { term: number, granted: true },
+            append(number, sound, vec![], 3, 3),
+            append(3, position, vec![], 3, 3),
+            append(3, sound, entries, 3, 3),
+            append(3, sound, vec![], number, 3),
+            append(3, sound, vec![], 3, number),
+            Message::AppendReply { term: number, accepted: true, index: 3, round: 3 },
+            Message::AppendReply { term: 3, accepted: true, index: number, round: 3 },
+            Message::AppendReply { term: 3, accepted: true, index: 3, round: number },
+            Message::Install { term: number, snapshot: Snapshot::default(), round: 3 },
+            Message::Install { term: 3, snapshot, round: 3 },
+            Message::Install { term: 3, snapshot: Snapshot::default(), round: number },
+            Message::CampaignNow { term: number },
+        ]
+    };
+    for number in ODD_COUNTS {
+        for message in with(number) {
+            expect_that!(read(&message), none(), "{message:?}");
+        }
+    }
+    for message in with(1 << 62) {
+        expect_that!(read(&message), some(eq(&message)));
+    }
+}
+
+#[gtest]
+fn observations_that_are_no_sums_leave_the_other_ones_in_force() {
+    let odd = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, 1e16, -1e16, f64::MAX];
+    let mut message = Builder::new_default();
+    let report = message.init_root::<schema::report::Builder<'_>>();
+    let count = (2 * odd.len() + ODD_COUNTS.len()) as u32;
+    let mut observations = report.init_observations(count + 1);
+    for index in 0..=count {
+        observations.reborrow().get(index).set_service(format!("service-{index}"));
+    }
+    for (index, value) in (0..).zip(odd) {
+        observations.reborrow().get(2 * index).set_log_time_sum(value);
+        observations.reborrow().get(2 * index + 1).set_log_time_square_sum(value);
+    }
+    for (index, number) in (2 * odd.len() as u32..).zip(ODD_COUNTS) {
+        observations.reborrow().get(index).set_requests(number);
+    }
+    let mut sound = observations.get(count);
+    sound.set_requests(7);
+    sound.set_log_time_sum(-7.5);
+    let reader = message.get_root_as_reader::<schema::report::Reader<'_>>().unwrap();
+    let observations = Report::try_from(reader).unwrap().observations;
+    let sums = observations.values().map(|sum| (sum.requests, sum.log_time_sum));
+    expect_that!(sums.collect::<Vec<_>>(), eq(&[(7, -7.5)]));
+}
+
 /// Reads the bytes as each kind of message; only panics matter, not whether they can be read.
 fn read_as_any_message(mut bytes: &[u8]) -> Option<()> {
     let options = ReaderOptions::new();
@@ -80,7 +161,7 @@
     let delta = message.get_root::<schema::delta::Reader<'_>>();
     let _ = delta.map(lycheehub_control::registry::Delta::try_from);
     let consensus = message.get_root::<schema::consensus_message::Reader<'_>>();
-    let _ = consensus.map(lycheehub_consensus::Message::try_from);
+    let _ = consensus.map(Message::try_from);
     let reply = message.get_root::<schema::propose_reply::Reader<'_>>();
     let _ = reply.map(lycheehub_wire::ProposeReply::try_from);
     let list = message.get_root::<capnp::struct_list::Reader<'_, schema::in_flight::Owned>>();
