route, gateway: requests and parts on which endpoints crash are kept from them on the own interface

What callers saw: on the project's own interface a request that crashes its endpoint was sent to one endpoint after the other, without end; sound requests failed with them.

Cause: only the dispatcher of the users' platform kept evidence of crashes.

Change: the scheduler of crates/route uses the evidence of dispatch::crashes, the one copy: what was lost, what was answered, who was not reached, which start is gone. A scope tells whose requests are decided on: all instances' (the leader), one instance's until a leader decides, and, new, one instance's for good. The gateway tells an endpoint that was not reached and a connection that was lost from other failures. Log lines and metrics are those of the platform, from one function.

What remains: each instance decides alone, evidence is not passed between them, so three instances may see three crashes each.

--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod command_line;
 mod control;
+mod crashing_requests;
 mod floors;
 mod moves;
 mod operators;
--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -19,6 +19,7 @@
 //! * [`crash`] tells crashes from single lost connections.
 //! * [`answers`] remembers the parts and requests that have been answered.
 //! * [`quarantine`] holds what is refused.
+//! * [`scope`] tells whose requests are decided on.
 //! * [`service`] keeps the state of a service, [`accuse`] finds what is quarantined, [`suspicion`] what is
 //!   not placed before that is decided, and [`report`] passes on what is known.
 
@@ -29,6 +30,7 @@
 mod prompt;
 mod quarantine;
 mod report;
+mod scope;
 mod service;
 mod suspicion;
 
@@ -37,6 +39,7 @@
 pub use crash::{Crash, EndpointStart, Observer};
 pub use prompt::Prompt;
 pub use quarantine::{Quarantine, QuarantineEvent};
+pub use scope::Scope;
 pub use service::{ServiceCrashes, Verdict};
 
 use lycheehub_types::ServiceName;
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -3,7 +3,7 @@
 use super::answers::Answers;
 use super::crash::{EndpointStart, Loss, Observer};
 use super::quarantine::{InForce, QuarantineEvent};
-use super::{Content, RequestDigest, Suspect};
+use super::{Content, RequestDigest, Scope, Suspect};
 use lycheehub_types::ServiceName;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -144,17 +144,16 @@
     }
 
     /// Returns whether a request may be placed. `is_repeat` tells that an earlier attempt was made on
-    /// another endpoint. The dispatcher of a single instance sees only some of the crashes; it refuses
-    /// a suspect after the first.
+    /// another endpoint.
     pub fn judge(
         &mut self,
         now_ms: u64,
         content: &Content,
         is_repeat: bool,
-        is_single_instance: bool,
+        scope: Scope,
     ) -> Verdict {
         if let Some(wait_ms) = self.trial_wait_ms(now_ms, content) {
-            let is_refused = wait_ms > 0 || is_single_instance;
+            let is_refused = wait_ms > 0 || !scope.decides_quarantines();
             for quarantine in self.quarantines.iter_mut().filter(|known| known.is_met_by(content)) {
                 quarantine.last_met_ms = now_ms;
                 if !is_refused {
@@ -166,8 +165,8 @@
                 false => Verdict::Sound,
             };
         }
-        let wait_ms = self.suspicion_ms(now_ms, content, is_repeat, is_single_instance);
-        match wait_ms.or_else(|| self.probe_ms(now_ms, content, is_single_instance)) {
+        let wait_ms = self.suspicion_ms(now_ms, content, is_repeat, scope);
+        match wait_ms.or_else(|| self.probe_ms(now_ms, content, scope)) {
             Some(retry_after_ms) => Verdict::Refused { retry_after_ms },
             None => Verdict::Sound,
         }
@@ -206,23 +205,24 @@
         now_ms: u64,
         content: &Content,
         is_repeat: bool,
-        is_single_instance: bool,
+        scope: Scope,
     ) -> Option<u64> {
         let trial_ms = self.trial_wait_ms(now_ms, content);
         let trial_ms = trial_ms.map(|wait_ms| wait_ms.max(RETRY_MIN_MS));
-        trial_ms.max(self.suspicion_ms(now_ms, content, is_repeat, is_single_instance))
+        trial_ms.max(self.suspicion_ms(now_ms, content, is_repeat, scope))
     }
 
-    /// Advances time; returns whether there is a new quarantine. The dispatcher of a single instance
-    /// only collects crashes.
-    pub fn advance(&mut self, now_ms: u64, is_single_instance: bool) -> bool {
+    /// Advances time; returns whether there is a new quarantine.
+    pub fn advance(&mut self, now_ms: u64, scope: Scope) -> bool {
         self.settle_losses(now_ms);
         while self.crashes.front().is_some_and(|crash| now_ms > crash.at_ms + CRASH_KEPT_MS) {
             self.crashes.pop_front();
         }
         self.quarantines.retain(|quarantine| !quarantine.is_forgotten(now_ms));
         let mut has_new = false;
-        while !is_single_instance && let Some(candidate) = self.best_candidate(now_ms) {
+        while scope.decides_quarantines()
+            && let Some(candidate) = self.best_candidate(now_ms)
+        {
             self.quarantine(now_ms, &candidate);
             has_new = true;
         }
--- a/crates/dispatch/src/crashes/suspicion.rs
+++ b/crates/dispatch/src/crashes/suspicion.rs
@@ -1,7 +1,7 @@
 //! Keeps suspects from endpoints until it is decided whether they are quarantined.
 
 use super::service::{RETRY_MIN_MS, ServiceCrashes};
-use super::{Content, Prompt, RequestDigest, Suspect};
+use super::{Content, Prompt, RequestDigest, Scope, Suspect};
 
 /// The delay after which a request on a suspect prompt may be retried, in milliseconds: the suspicion
 /// is confirmed or disproved by then.
@@ -35,26 +35,22 @@
         now_ms: u64,
         content: &Content,
         is_repeat: bool,
-        is_single_instance: bool,
+        scope: Scope,
     ) -> Option<u64> {
-        if self.is_suspect_prompt(content.prompt(), is_repeat || is_single_instance) {
+        let any_request = is_repeat || scope == Scope::UntilLeader;
+        if scope != Scope::Independent && self.is_suspect_prompt(content.prompt(), any_request) {
             return Some(SUSPECT_RETRY_MS);
         }
-        let until_ms = self.suspect_until_ms(content.digest()?, is_single_instance)?;
+        let until_ms = self.suspect_until_ms(content.digest()?, scope)?;
         let left_ms = until_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)?;
         Some(left_ms.max(RETRY_MIN_MS))
     }
 
     /// Lets one repeat through of a request whose suspicion has passed without an answer to it; returns how
     /// long others must wait, in milliseconds.
-    pub(super) fn probe_ms(
-        &mut self,
-        now_ms: u64,
-        content: &Content,
-        is_single_instance: bool,
-    ) -> Option<u64> {
+    pub(super) fn probe_ms(&mut self, now_ms: u64, content: &Content, scope: Scope) -> Option<u64> {
         let digest = content.digest()?;
-        self.suspect_until_ms(digest, is_single_instance)?;
+        self.suspect_until_ms(digest, scope)?;
         self.probes.retain(|_, at_ms| now_ms < *at_ms + PROBE_MS);
         let Some(at_ms) = self.probes.get(&digest) else {
             self.probes.insert(digest, now_ms);
@@ -65,18 +61,18 @@
 
     /// Returns until when a request is not placed, in milliseconds, if it is suspect. One that was ever
     /// answered whole is not: endpoints crash on it for another reason, or it is quarantined.
-    fn suspect_until_ms(&self, digest: RequestDigest, is_single_instance: bool) -> Option<u64> {
+    fn suspect_until_ms(&self, digest: RequestDigest, scope: Scope) -> Option<u64> {
         if self.answers.last_ms(Suspect::Request(digest)).is_some() {
             return None;
         }
         let Crashes { at_ms, was_alone } = self.crashes_at(digest);
         let last_ms = *at_ms.last()?;
-        if is_single_instance {
-            return Some(last_ms + SINGLE_INSTANCE_MS);
-        }
-        match at_ms.len() >= REPEATED {
-            true => Some(last_ms + REPEATED_MS),
-            false => was_alone.then_some(last_ms + ALONE_MS),
+        let is_repeated = at_ms.len() >= REPEATED;
+        match scope {
+            Scope::UntilLeader => Some(last_ms + SINGLE_INSTANCE_MS),
+            _ if is_repeated => Some(last_ms + REPEATED_MS),
+            Scope::AllInstances => was_alone.then_some(last_ms + ALONE_MS),
+            Scope::Independent => None,
         }
     }
 
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -1,13 +1,22 @@
 //! Tells the search for crashing prompts and requests what happens on endpoints, and applies its results.
 
 use super::{Dispatcher, PlacedJob};
-use crate::crashes::{Content, EndpointStart, Observer, Quarantine, QuarantineEvent, Verdict};
+use crate::crashes::{
+    Content, EndpointStart, Observer, Quarantine, QuarantineEvent, Scope, Verdict,
+};
 use crate::endpoints::EndpointKey;
 use crate::job::{Finished, Job, JobId, Outcome, Reason};
 use crate::queue::QueuedJob;
 use lycheehub_types::ServiceName;
 
 impl Dispatcher {
+    fn scope(&self) -> Scope {
+        match self.options.sees_all_requests {
+            true => Scope::AllInstances,
+            false => Scope::UntilLeader,
+        }
+    }
+
     /// Returns the retry delay, in milliseconds, if a job must not be placed because of what it
     /// holds.
     pub(super) fn quarantine_retry_after_ms(
@@ -19,9 +28,9 @@
         if content.is_empty() {
             return None;
         }
-        let is_single_instance = !self.options.sees_all_requests;
+        let scope = self.scope();
         let crashes = self.crashes.service(&job.service);
-        match crashes.judge(now_ms, content, job.repeat, is_single_instance) {
+        match crashes.judge(now_ms, content, job.repeat, scope) {
             Verdict::Sound => None,
             Verdict::Refused { retry_after_ms } => Some(retry_after_ms),
         }
@@ -98,10 +107,10 @@
 
     /// Advances the search, and refuses the waiting jobs that are quarantined.
     pub(super) fn advance_crashes(&mut self, now_ms: u64) {
-        let is_single_instance = !self.options.sees_all_requests;
+        let scope = self.scope();
         let mut changed = Vec::new();
         for (name, crashes) in self.crashes.services() {
-            if crashes.advance(now_ms, is_single_instance) {
+            if crashes.advance(now_ms, scope) {
                 changed.push(name.clone());
             }
         }
@@ -112,12 +121,12 @@
 
     /// Refuses the waiting jobs of a service that must not be placed any more.
     fn refuse_suspects(&mut self, now_ms: u64, name: &ServiceName) {
-        let is_single_instance = !self.options.sees_all_requests;
+        let scope = self.scope();
         let Some(service) = self.services.get_mut(name) else { return };
         let crashes = self.crashes.service(name);
         let wait_ms = |queued: &QueuedJob| {
             let (content, is_repeat) = (&queued.content, queued.job.repeat);
-            crashes.wait_ms(now_ms, content, is_repeat, is_single_instance)
+            crashes.wait_ms(now_ms, content, is_repeat, scope)
         };
         let refused = service.queue.take_if(|queued| wait_ms(queued).is_some());
         let refused: Vec<(u64, QueuedJob)> =
--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use lycheehub_dispatch::crashes::{
-    Content, EndpointStart, Observer, Prompt, RequestDigest, ServiceCrashes, Suspect,
+    Content, EndpointStart, Observer, Prompt, RequestDigest, Scope, ServiceCrashes, Suspect,
 };
 
 const CRASHING_PART: u64 = 0xdead;
@@ -24,7 +24,7 @@
         let answered = Content::new(Prompt::new([now_ms, 1]), None);
         crashes.record_answer(now_ms + after_ms, &alive, &answered);
     }
-    crashes.advance(now_ms + 1_000, false);
+    crashes.advance(now_ms + 1_000, Scope::AllInstances);
 }
 
 fn suspects_after_crashes(requests: u64, last: impl Fn(u64) -> Content) -> Vec<Vec<Suspect>> {
--- a/crates/gateway/src/filters/classify.rs
+++ b/crates/gateway/src/filters/classify.rs
@@ -4,6 +4,7 @@
 use crate::Gateway;
 use http_types::Method;
 use lycheehub_control::View;
+use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_estate::Service;
 use lycheehub_route::Job;
 use lycheehub_route::endpoint::block_digests;
@@ -50,7 +51,9 @@
         } else {
             classify_generation(&view, exchange)?
         };
-        exchange.payload = Some(payload);
+        let digest = digest_of(gateway, exchange);
+        let job = Job { digest: Some(digest), ..payload.job };
+        exchange.payload = Some(Payload { job, ..payload });
         Ok(())
     }
 }
@@ -164,10 +167,18 @@
         prompt_tokens: 0,
         max_tokens: 0,
         prefix: Vec::new(),
+        digest: None,
         deadline_ms: exchange.arrived_ms.saturating_add(deadline_ms),
     })
 }
 
+/// Returns the identity of a request. No header field is part of it: each attempt of a caller has others.
+fn digest_of(gateway: &Gateway, exchange: &Exchange) -> RequestDigest {
+    let (method, path) = (exchange.method.as_ref().as_bytes(), exchange.path.as_bytes());
+    let account = exchange.caller.account.as_str().as_bytes();
+    gateway.settings.digest_key.digest(&[method, path, account, &exchange.body]).into()
+}
+
 /// Returns a digest of the method, path and body, which are equal in a request and its resend.
 fn fingerprint(exchange: &Exchange) -> u64 {
     let mut hash = Sha256::new();
--- a/crates/gateway/src/scheduler.rs
+++ b/crates/gateway/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 use lycheehub_clock::Clock;
 use lycheehub_control::View;
+use lycheehub_peer::log_quarantine_event;
 use lycheehub_route::{Decision, Demands, Job, JobKey, Outcome, Scheduler};
 use lycheehub_types::EndpointName;
 use smol::channel::{Receiver, Sender, bounded};
@@ -52,6 +53,9 @@
         let mut inner = self.lock();
         let decisions = inner.scheduler.tick(self.clock.now_ms());
         inner.deliver(decisions);
+        let events = inner.scheduler.take_quarantine_events();
+        drop(inner);
+        events.iter().for_each(log_quarantine_event);
     }
 
     /// Returns the demands to report to the control thread.
@@ -118,6 +122,18 @@
         inner.deliver(decisions);
     }
 
+    /// Records that the endpoint was not reached.
+    pub fn record_not_reached(&self) {
+        let now_ms = self.scheduler.clock.now_ms();
+        self.scheduler.lock().scheduler.record_not_reached(now_ms, self.key);
+    }
+
+    /// Records that the connection to the endpoint was lost.
+    pub fn record_connection_lost(&self, has_begun: bool) {
+        let now_ms = self.scheduler.clock.now_ms();
+        self.scheduler.lock().scheduler.record_connection_lost(now_ms, self.key, has_begun);
+    }
+
     /// Reports how the request ended.
     pub fn finish(mut self, outcome: Outcome) {
         self.end(outcome);
--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -10,19 +10,33 @@
 /// Why an attempt at an endpoint failed.
 #[derive(Debug)]
 pub(super) enum Failure {
+    /// The endpoint was not reached.
+    NotReached(PeerError),
     /// No byte of the request was written, or the endpoint reported that it did not run it.
     NotRun(PeerError),
+    /// The endpoint ended the connection before its answer; the request may have run.
+    Lost(PeerError),
     /// The request may have run.
     Unknown(PeerError),
 }
 
+impl Failure {
+    /// Returns the failure of an exchange whose connection ended or that took too long.
+    pub(super) fn of_exchange(error: PeerError) -> Self {
+        match error {
+            PeerError::Failed(..) => Self::Lost(error),
+            PeerError::TimedOut(..) => Self::Unknown(error),
+        }
+    }
+}
+
 /// Connects to an endpoint; after a failure the request has not run.
 async fn connect(gateway: &Gateway, address: &str) -> Result<TcpStream, Failure> {
     let fail = |cause: std::io::Error| PeerError::failed("connect", address, cause);
     let connect = async { TcpStream::connect(address).await.map_err(fail) };
     let timeout_ms = gateway.settings.connect_timeout_ms;
     let stream =
-        with_timeout("connect", address, timeout_ms, connect).await.map_err(Failure::NotRun)?;
+        with_timeout("connect", address, timeout_ms, connect).await.map_err(Failure::NotReached)?;
     stream.set_nodelay(true).map_err(|error| Failure::NotRun(fail(error)))?;
     Ok(stream)
 }
@@ -45,7 +59,12 @@
     let error = match send(gateway, exchange, payload, address, &stream, resume_from).await {
         Ok(response) => return Ok((response, stream)),
         // The statement may be one on an earlier request on the connection.
-        Err(Failure::NotRun(error) | Failure::Unknown(error)) => error,
+        Err(
+            Failure::NotReached(error)
+            | Failure::NotRun(error)
+            | Failure::Lost(error)
+            | Failure::Unknown(error),
+        ) => error,
     };
     spdlog::info!("request failed on an idle connection; retrying on a new one", kv: {
         request = exchange.request_number,
@@ -54,6 +73,7 @@
     let retried = send_on_new_connection(gateway, exchange, payload, address, resume_from).await;
     // The request that was sent on the idle connection may have run, whatever the second result.
     retried.map_err(|failure| match failure {
+        Failure::NotReached(error) | Failure::Lost(error) => Failure::Lost(error),
         Failure::NotRun(error) | Failure::Unknown(error) => Failure::Unknown(error),
     })
 }
@@ -100,7 +120,7 @@
     };
     let left_ms = payload.job.deadline_ms.saturating_sub(gateway.clock.now_ms());
     let response =
-        with_timeout("send", address, left_ms, exchanged).await.map_err(Failure::Unknown)?;
+        with_timeout("send", address, left_ms, exchanged).await.map_err(Failure::of_exchange)?;
     let not_run = response.header("x-not-run").is_some_and(|values| values.as_str() == "true");
     if not_run && response.status().is_success() {
         let cause = "a success that claims not to have run";
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -1,7 +1,7 @@
 //! Reads an endpoint's response, either as a stream of events that is relayed as it arrives, or
 //! whole.
 
-use super::endpoint::with_timeout;
+use super::endpoint::{Failure, with_timeout};
 use super::events::EventSplitter;
 use crate::Gateway;
 use crate::responses::ResponseBuffer;
@@ -117,7 +117,7 @@
     address: &str,
     mut response: Response,
     limits: ReadLimits,
-) -> Result<Vec<u8>, PeerError> {
+) -> Result<Vec<u8>, Failure> {
     let max_bytes = gateway.settings.answer_max_bytes;
     let expected_length = response.len();
     let body = response.take_body();
@@ -127,13 +127,14 @@
         read.map_err(|error| PeerError::failed("read answer", address, error))
     };
     let left_ms = limits.deadline_ms.saturating_sub(gateway.clock.now_ms());
-    with_timeout("read answer", address, left_ms, read).await?;
+    with_timeout("read answer", address, left_ms, read).await.map_err(Failure::of_exchange)?;
     if bytes.len() > max_bytes {
         let cause = format!("it has more than {max_bytes} bytes");
-        return Err(PeerError::failed("read answer", address, cause));
+        return Err(Failure::Unknown(PeerError::failed("read answer", address, cause)));
     }
     if expected_length.is_some_and(|length| length != bytes.len()) {
-        return Err(PeerError::failed("read answer", address, "it was cut short"));
+        let cause = "it was cut short";
+        return Err(Failure::Lost(PeerError::failed("read answer", address, cause)));
     }
     Ok(bytes)
 }
--- a/crates/gateway/src/serve/run.rs
+++ b/crates/gateway/src/serve/run.rs
@@ -78,8 +78,16 @@
                     &progress,
                 ));
             }
+            Err(Failure::NotReached(error)) => {
+                handle.record_not_reached();
+                (error, None)
+            }
             Err(Failure::NotRun(error)) => (error, None),
-            Err(Failure::Unknown(error)) => {
+            Err(failure @ (Failure::Lost(_) | Failure::Unknown(_))) => {
+                if matches!(failure, Failure::Lost(_)) {
+                    handle.record_connection_lost(buffer.has_started());
+                }
+                let (Failure::Lost(error) | Failure::Unknown(error)) = failure else { continue };
                 may_have_run = true;
                 let deadline_passed = gateway.clock.now_ms() >= payload.job.deadline_ms;
                 if !payload.idempotent || deadline_passed || !can_resume(payload, buffer) {
@@ -141,7 +149,7 @@
     if payload.stream && response.status().is_success() {
         let relayed =
             relay::relay_stream(gateway, address, response, limits, buffer, progress).await;
-        reusable &= relayed.map_err(Failure::Unknown)?;
+        reusable &= relayed.map_err(Failure::of_exchange)?;
     } else {
         relay_whole(gateway, payload, buffer, address, response, limits, progress).await?;
     }
@@ -168,8 +176,7 @@
 ) -> Result<(), Failure> {
     let status = u16::from(response.status());
     let content_type = response.header("content-type").map(|values| values.as_str().to_owned());
-    let body =
-        relay::read_whole(gateway, address, response, limits).await.map_err(Failure::Unknown)?;
+    let body = relay::read_whole(gateway, address, response, limits).await?;
     if payload.kind == EndpointKind::Engine {
         progress.tokens = relay::count_tokens(&body);
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of the HTTP side.
 
 use crate::keys::KeyFile;
+use lycheehub_auth::DigestKey;
 use lycheehub_types::InstanceName;
 
 /// Limits and keys of the HTTP side.
@@ -26,6 +27,8 @@
     pub answer_retention_ms: u64,
     /// The maximum total size of the responses kept for resends, in bytes.
     pub answers_max_bytes: usize,
+    /// The key of the identities of requests.
+    pub digest_key: DigestKey,
     /// The keys of operators, by the operator's name.
     pub operator_keys: KeyFile,
     /// The keys of endpoints. Their names are not checked.
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -1,6 +1,7 @@
 //! Test fixture: an instance without a cluster, and raw connections to it.
 
 use futures_lite::AsyncReadExt;
+use lycheehub_auth::DigestKey;
 use lycheehub_clock::Clock;
 use lycheehub_gateway::keys::KeyFile;
 use lycheehub_gateway::responses::ResponseStore;
@@ -35,6 +36,7 @@
         idle_timeout_ms: 1_000,
         answer_retention_ms: 1_000,
         answers_max_bytes: 1_000,
+        digest_key: DigestKey::derive(b"test"),
         operator_keys: KeyFile::fixed([]),
         endpoint_keys: KeyFile::fixed([]),
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,6 +27,6 @@
     InstanceStatus, OrderSink,
 };
 pub use lycheehub_wire::{Answer, KeptAnswer, ProposeReply};
-pub use node::{Dependencies, Node};
+pub use node::{Dependencies, Node, log_quarantine_event};
 pub use settings::{Seed, Settings};
 pub use views::{Latest, Views};
--- a/crates/peer/src/node/dispatch/mod.rs
+++ b/crates/peer/src/node/dispatch/mod.rs
@@ -4,6 +4,8 @@
 mod quarantines;
 mod relays;
 
+pub use quarantines::log_quarantine_event;
+
 use super::Node;
 use crate::rollouts::{TrafficScope, version_rules};
 use lycheehub_control::moves::RolloutController;
--- a/crates/peer/src/node/dispatch/quarantines.rs
+++ b/crates/peer/src/node/dispatch/quarantines.rs
@@ -13,7 +13,7 @@
             return;
         }
         self.quarantines_revision += 1;
-        events.iter().for_each(log_event);
+        events.iter().for_each(log_quarantine_event);
         let count = self.dispatcher.quarantines(now_ms).len();
         metrics::gauge!("lycheehub_quarantines").set(count as f64);
     }
@@ -45,7 +45,8 @@
     }
 }
 
-fn log_event(event: &QuarantineEvent) {
+/// Logs and counts a change of a quarantine.
+pub fn log_quarantine_event(event: &QuarantineEvent) {
     let (what, service, suspects) = match event {
         QuarantineEvent::Began { service, suspects, .. } => ("began", service, suspects),
         QuarantineEvent::Narrowed { service, suspects } => ("narrowed", service, suspects),
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -23,6 +23,7 @@
 use crate::watch::ReplicaPositions;
 pub(crate) use directory::WatchPosition;
 use dispatch::LeaderDispatch;
+pub use dispatch::log_quarantine_event;
 pub(crate) use dispatch::{Entered, SessionKey};
 use driver::Driver;
 use lycheehub_clock::{Clock, Timers};
--- a/crates/route/src/job.rs
+++ b/crates/route/src/job.rs
@@ -1,6 +1,7 @@
 //! The scheduler's view of a request, and its decisions about it.
 
 use crate::EndpointKey;
+use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_types::{AccountName, EndpointName, Refusal, Route, ServiceName, Tier, Version};
 use slotmap::new_key_type;
 use smol_str::SmolStr;
@@ -29,6 +30,8 @@
     pub max_tokens: u64,
     /// Chained digests of the prompt's leading blocks; each also covers all blocks before it.
     pub prefix: Vec<u64>,
+    /// The identity of the request, if it is known.
+    pub digest: Option<RequestDigest>,
     /// The time by which the answer must be complete, in milliseconds of the local clock.
     pub deadline_ms: u64,
 }
--- a/crates/route/src/scheduler/admit.rs
+++ b/crates/route/src/scheduler/admit.rs
@@ -23,15 +23,18 @@
         pool.retry_budget.deposit();
         let work_ms = pool.work_ms(&job);
         let (tier, account, weight) = (job.tier, job.account.clone(), job.weight);
+        let content = super::crashes::content_of(&job);
         let key = self.jobs.insert(JobState {
             job,
+            content,
             queued_ms: now_ms,
             work_ms,
             excluded: Vec::new(),
             running: None,
         });
         let mut decisions = Vec::new();
-        if let Some(refusal) = self.admission_refusal(now_ms, &service, key) {
+        let refusal = self.admission_refusal(now_ms, &service, key);
+        if let Some(refusal) = refusal.or_else(|| self.crash_refusal(now_ms, key, false)) {
             self.jobs.remove(key);
             // Waiting requests below the shed floor are refused before the new one.
             self.enforce_floor(now_ms, &service, &mut decisions);
--- a/crates/route/src/scheduler/dispatch.rs
+++ b/crates/route/src/scheduler/dispatch.rs
@@ -2,6 +2,7 @@
 
 use super::{Running, Scheduler};
 use crate::{Assignment, Decision, JobKey};
+use lycheehub_dispatch::crashes::EndpointStart;
 use lycheehub_types::{Refusal, RefusalKind, ServiceName};
 
 /// The maximum number of attempts of one request, including the first.
@@ -36,7 +37,16 @@
         endpoint.prefix.record(now_ms, &job.prefix);
         endpoint.in_flight[usize::from(job.tier.rank())] += 1;
         let version = assignment.version.clone();
-        state.running = Some(Running { endpoint: assignment.endpoint, version, prefill_tokens });
+        let (name, incarnation) = (assignment.name.clone(), endpoint.record.incarnation);
+        let is_trial = self.crashes.service(service).record_sent(now_ms, &state.content);
+        state.running = Some(Running {
+            endpoint: assignment.endpoint,
+            version,
+            start: EndpointStart { endpoint: name, incarnation },
+            since_ms: now_ms,
+            is_trial,
+            prefill_tokens,
+        });
     }
 
     /// Ends a failed attempt, and retries the request at another endpoint within the retry budget.
@@ -72,7 +82,10 @@
             let refusal =
                 Refusal::retry(RefusalKind::NoEndpoint, message, (work_ms as u64).max(1_000));
             decisions.push(Decision::Refuse(key, refusal));
-        } else {
+        } else if let Some(refusal) = self.crash_refusal(now_ms, key, true) {
+            self.jobs.remove(key);
+            decisions.push(Decision::Refuse(key, refusal));
+        } else if let Some(pool) = self.pools.get_mut(&job.service) {
             let work_ms = pool.work_ms(&job);
             pool.queue.push_front(key, job.tier, &job.account, job.weight, work_ms);
         }
--- a/crates/route/src/scheduler/finish.rs
+++ b/crates/route/src/scheduler/finish.rs
@@ -15,6 +15,9 @@
             return self.cancel(now_ms, key);
         };
         self.free_slot(key, &running);
+        if matches!(outcome, Outcome::Answered { .. }) {
+            self.record_answered(now_ms, key, &running);
+        }
         self.record_outcome(now_ms, key, &running, outcome);
         self.jobs.remove(key);
         let mut decisions = Vec::new();
--- a/crates/route/src/scheduler/mod.rs
+++ b/crates/route/src/scheduler/mod.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod choose;
+mod crashes;
 mod dispatch;
 mod finish;
 mod report;
@@ -16,6 +17,7 @@
 use crate::work::{LengthRatio, Speed};
 use crate::{Decision, EndpointKey, Job, JobKey, Options};
 use lycheehub_control::moves::Observations;
+use lycheehub_dispatch::crashes::{Content, Crashes, EndpointStart};
 use lycheehub_types::{EndpointName, ServiceName, Tier, Version};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -39,6 +41,7 @@
     endpoints: SlotMap<EndpointKey, Endpoint>,
     keys_by_name: BTreeMap<EndpointName, EndpointKey>,
     jobs: SlotMap<JobKey, JobState>,
+    crashes: Crashes,
     observations: Observations,
     /// Moves whose candidate this instance stopped sending to, with the reason.
     trips: BTreeMap<SmolStr, SmolStr>,
@@ -76,6 +79,8 @@
     work_ms: f64,
     /// Endpoints at which an attempt failed; retries avoid them.
     excluded: Vec<EndpointName>,
+    /// What endpoints may crash on.
+    content: Content,
     running: Option<Running>,
 }
 
@@ -83,6 +88,10 @@
 struct Running {
     endpoint: EndpointKey,
     version: Version,
+    start: EndpointStart,
+    since_ms: u64,
+    /// It is a trial of a quarantine.
+    is_trial: bool,
     /// The prompt tokens that were not expected to be cached.
     prefill_tokens: u64,
 }
@@ -96,6 +105,7 @@
             endpoints: SlotMap::with_key(),
             keys_by_name: BTreeMap::new(),
             jobs: SlotMap::with_key(),
+            crashes: Crashes::default(),
             observations: Observations::new(),
             trips: BTreeMap::new(),
             windows_closed_ms: 0,
@@ -130,6 +140,7 @@
         }
         let services: Vec<ServiceName> = self.pools.keys().cloned().collect();
         let mut decisions = Vec::new();
+        self.advance_crashes(now_ms, &mut decisions);
         for service in &services {
             self.refuse_late(now_ms, service, &mut decisions);
             self.enforce_floor(now_ms, service, &mut decisions);
--- a/crates/route/src/scheduler/update.rs
+++ b/crates/route/src/scheduler/update.rs
@@ -5,7 +5,8 @@
 use crate::endpoint::{Breaker, Endpoint, PrefixIndex};
 use lycheehub_control::View;
 use lycheehub_control::view::LiveEndpoint;
-use lycheehub_types::{EndpointName, ServiceName};
+use lycheehub_dispatch::crashes::EndpointStart;
+use lycheehub_types::{EndpointName, EndpointRecord, ServiceName};
 
 impl Scheduler {
     /// Applies a new view: endpoints, granted slots, version shares and shed floors.
@@ -46,6 +47,7 @@
             self.keys_by_name.get(name).and_then(|key| self.endpoints.get_mut(*key))
         {
             if known.record.incarnation != live.record.incarnation {
+                self.crashes.service(&known.record.service).record_gone(&start_of(&known.record));
                 known.prefix = PrefixIndex::default();
                 known.breaker = Breaker::default();
             }
@@ -83,7 +85,10 @@
         for pool in self.pools.values_mut() {
             pool.endpoints.retain(|known| *known != key);
         }
-        self.endpoints.remove(key);
+        if let Some(removed) = self.endpoints.remove(key) {
+            let record = &removed.record;
+            self.crashes.service(&record.service).record_gone(&start_of(record));
+        }
     }
 
     /// Removes endpoints that are absent from the view and have no requests in flight.
@@ -99,3 +104,7 @@
         }
     }
 }
+
+fn start_of(record: &EndpointRecord) -> EndpointStart {
+    EndpointStart { endpoint: record.endpoint.clone(), incarnation: record.incarnation }
+}
--- a/crates/route/tests/route/fixtures.rs
+++ b/crates/route/tests/route/fixtures.rs
@@ -29,6 +29,7 @@
         prompt_tokens: 0,
         max_tokens: 10,
         prefix: Vec::new(),
+        digest: None,
         deadline_ms,
     }
 }
--- a/crates/route/tests/route/main.rs
+++ b/crates/route/tests/route/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduler's routing decisions.
 
+mod crashes;
 mod fairness;
 mod fixtures;
 mod leases;
