fix(proxy): responses state how long their connection may be idle

What callers saw: a whole request, sent on a kept connection, with neither an answer nor a refusal, only a close. No line of ours had it. Cause: we closed at the document's limit and a second, but never said so; callers then cannot know, and one that sends in the moment of the close gets no response. Class: a limit that one side enforces and the other has to guess. Change: a response that keeps its connection open has `Keep-Alive: timeout` with the whole seconds of the limit in force when its request began (none below a second), and the connection stays open at least that long and a second more, also if a document lowers the limit before the response. Tests: connections::each_response_states_an_idle_time_* and a_connection_stays_open_for_the_idle_time_that_* (both failed before).

--- a/crates/proxy/src/exchange/local_response.rs
+++ b/crates/proxy/src/exchange/local_response.rs
@@ -3,10 +3,17 @@
 use super::{BufferedResponse, Exchange, Interrupted, StreamState};
 use crate::entry::Entry;
 use crate::http1::{Connection, Headers};
+use crate::idle_time::IdleTime;
 use lycheehub_types::{Refusal, RefusalKind};
 
-/// Returns the bytes of a response that refuses a request.
-pub(super) fn refusal(entry: &Entry, id: &str, refusal: &Refusal, keeps_alive: bool) -> Vec<u8> {
+/// Returns the bytes of a response that refuses a request; `idle_time` is that of the connection if it
+/// stays open.
+pub(super) fn refusal(
+    entry: &Entry,
+    id: &str,
+    refusal: &Refusal,
+    idle_time: Option<IdleTime>,
+) -> Vec<u8> {
     let kind = refusal.kind();
     let body =
         format!("{{\"error\":{{\"code\":\"{kind}\",\"message\":\"{}\"}}}}", refusal.message());
@@ -16,9 +23,7 @@
     if let Some(after_ms) = refusal.retry_after_ms() {
         headers.push("Retry-After", format!("{:.3}", after_ms as f64 / 1e3));
     }
-    if !keeps_alive {
-        headers.push("Connection", "close");
-    }
+    push_connection(&mut headers, idle_time);
     entry.dialect.add_local(&mut headers, id);
     let status = kind.http_status();
     let mut bytes = format!("HTTP/1.1 {status} {}\r\n", reason_of(status)).into_bytes();
@@ -28,6 +33,14 @@
     bytes
 }
 
+/// Adds the fields of a response about its connection, which stays open for `idle_time` or is closed.
+pub(super) fn push_connection(headers: &mut Headers, idle_time: Option<IdleTime>) {
+    match idle_time {
+        Some(idle_time) => idle_time.push(headers),
+        None => headers.push("Connection", "close"),
+    }
+}
+
 fn reason_of(status: u16) -> &'static str {
     match status {
         400 => "Bad Request",
@@ -75,7 +88,8 @@
     pub(super) async fn refuse(&mut self, connection: &mut Connection, refused: &Refusal) -> bool {
         self.access_log.record_refusal(refused);
         let keeps_alive = self.keeps_alive();
-        let bytes = refusal(self.entry, &self.fields.id, refused, keeps_alive);
+        let idle_time = keeps_alive.then_some(self.idle_time);
+        let bytes = refusal(self.entry, &self.fields.id, refused, idle_time);
         send_response(connection, &self.fields.id, &bytes, keeps_alive).await
     }
 
@@ -124,7 +138,7 @@
         }
         if is_caller_gone {
             // It may have closed its sending side only.
-            let bytes = refusal(self.entry, &self.fields.id, &cancelled(may_have_run), false);
+            let bytes = refusal(self.entry, &self.fields.id, &cancelled(may_have_run), None);
             return send_response(connection, &self.fields.id, &bytes, false).await;
         }
         let refused = if may_have_run {
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -18,6 +18,7 @@
 use crate::dialect::RequestFields;
 use crate::entry::{Entry, Snapshot};
 use crate::http1::{Connection, Error, RequestHead};
+use crate::idle_time::IdleTime;
 use crate::pool;
 use access_log::AccessLog;
 use attempt::{AttemptEnd, BufferedResponse};
@@ -57,6 +58,8 @@
     pub read_ms: u64,
     /// Who sent it, and on which connection.
     pub(crate) caller: Caller,
+    /// The idle time that a response states if its connection stays open.
+    pub(crate) idle_time: IdleTime,
 }
 
 /// A request in progress.
@@ -73,6 +76,7 @@
     deadline_ms: u64,
     /// How many idle connections to an endpoint of the service may be kept.
     idle_max: usize,
+    idle_time: IdleTime,
     access_log: AccessLog,
 }
 
@@ -82,7 +86,7 @@
     connection: &mut Connection,
     request: ReceivedRequest,
 ) -> bool {
-    let ReceivedRequest { head, body, read_ms, caller } = request;
+    let ReceivedRequest { head, body, read_ms, caller, idle_time } = request;
     let started_ms = entry.clock.now_ms();
     let fields = entry.dialect.read_request(&head);
     let timeout_ms = fields.deadline_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
@@ -97,6 +101,7 @@
         started_ms,
         deadline_ms: started_ms.saturating_add(timeout_ms),
         idle_max: 0,
+        idle_time,
     };
     let keeps_alive = exchange.run(connection).await;
     exchange.access_log.log(entry, exchange.snapshot.revision, keeps_alive);
@@ -121,7 +126,7 @@
 
 /// Refuses the last request of a connection.
 pub async fn refuse(entry: &Entry, connection: &mut Connection, id: &str, refusal: &Refusal) {
-    let response = local_response::refusal(entry, id, refusal, false);
+    let response = local_response::refusal(entry, id, refusal, None);
     local_response::send_response(connection, id, &response, false).await;
 }
 
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -3,7 +3,7 @@
 use super::Exchange;
 use super::attempt::{Attempt, AttemptEnd, BufferedResponse};
 use super::guard::run_interruptible;
-use super::local_response::send_response;
+use super::local_response::{push_connection, send_response};
 use super::send::ResponseStart;
 use super::stream_state::{Continuation, StreamState};
 use crate::http1::{Body, Connection, Error, EventParser, Framing, ResponseHead};
@@ -228,9 +228,7 @@
             Framing::Chunked => headers.push("Transfer-Encoding", "chunked"),
             Framing::Length(_) | Framing::UntilClose => {}
         }
-        if !keeps_alive {
-            headers.push("Connection", "close");
-        }
+        push_connection(&mut headers, keeps_alive.then_some(self.idle_time));
         headers.write(&mut bytes);
         bytes.extend_from_slice(b"\r\n");
         bytes
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod entry;
 pub mod exchange;
 pub mod http1;
+mod idle_time;
 pub mod labels;
 mod line_bound;
 pub mod paths;
--- a/crates/proxy/src/server/idle.rs
+++ b/crates/proxy/src/server/idle.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::Entry;
 use crate::http1::{Connection, Error};
+use crate::idle_time::IdleTime;
 use lycheehub_clock::within;
 use std::collections::VecDeque;
 
@@ -24,14 +25,18 @@
     Stopping,
 }
 
-/// Waits for the first byte of a request.
-pub(super) async fn wait_for_request(entry: &Entry, connection: &mut Connection) -> WaitEnd {
+/// Waits for the first byte of a request; `stated` is the idle time that the response before it stated.
+pub(super) async fn wait_for_request(
+    entry: &Entry,
+    connection: &mut Connection,
+    stated: IdleTime,
+) -> WaitEnd {
     if !connection.buffered().is_empty() {
         return WaitEnd::Received;
     }
     let since_ms = entry.clock.now_ms();
     loop {
-        let open_ms = entry.idle_limit_ms(since_ms).saturating_add(IDLE_GRACE_MS);
+        let open_ms = entry.idle_limit_ms(since_ms).max(stated.ms()).saturating_add(IDLE_GRACE_MS);
         let until_ms = since_ms.saturating_add(open_ms);
         let left_ms = until_ms.saturating_sub(entry.clock.now_ms());
         if left_ms == 0 {
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -11,6 +11,7 @@
 use crate::entry::Entry;
 use crate::exchange::{self, ReceivedRequest};
 use crate::http1::Connection;
+use crate::idle_time::IdleTime;
 use closing::Waited;
 use idle::WaitEnd;
 use lycheehub_routes::ClientLimits;
@@ -93,30 +94,35 @@
 
 async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: Caller) {
     let mut requests = 0;
+    let mut idle_time = IdleTime::default();
     loop {
         let since_ms = entry.clock.now_ms();
-        let end = idle::wait_for_request(entry, &mut connection).await;
+        let end = idle::wait_for_request(entry, &mut connection, idle_time).await;
         if !matches!(end, WaitEnd::Received) {
             return closing::log_wait_end(entry, end, Waited { since_ms, requests }, caller);
         }
-        if !serve_request(entry, &mut connection, caller).await {
-            return;
-        }
+        let Some(stated) = serve_request(entry, &mut connection, caller).await else { return };
+        idle_time = stated;
         requests += 1;
     }
 }
 
 /// Receives and handles a request, and closes the connection unless it can be used for another one; returns
-/// whether it can.
-async fn serve_request(entry: &Rc<Entry>, connection: &mut Connection, caller: Caller) -> bool {
+/// the idle time that its response stated then.
+async fn serve_request(
+    entry: &Rc<Entry>,
+    connection: &mut Connection,
+    caller: Caller,
+) -> Option<IdleTime> {
     let _active_exchange = CountGuard::new(&entry.exchanges);
     // The limits of the moment at which the request begins hold until it is received.
     let limits = entry.client_limits();
+    let idle_time = IdleTime::of(&limits);
     let started_ms = entry.clock.now_ms();
     let keeps_alive = match receive::read_request(entry, connection, &limits).await {
         Ok((head, body)) => {
             let read_ms = entry.clock.now_ms() - started_ms;
-            let request = ReceivedRequest { head, body, read_ms, caller };
+            let request = ReceivedRequest { head, body, read_ms, caller, idle_time };
             exchange::handle_request(entry, connection, request).await
         }
         Err(receive::Unread { step, id, error }) => {
@@ -133,7 +139,7 @@
     if !keeps_alive {
         closing::close_gracefully(connection).await;
     }
-    keeps_alive
+    keeps_alive.then_some(idle_time)
 }
 
 /// Refuses the first request of a connection. It is not counted as in progress: a shutdown does not wait for
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -235,3 +235,60 @@
         expect_that!(response, contains_substring("Retry-After: "));
     });
 }
+
+/// Reads one response; returns its head.
+async fn read_response(caller: &mut TcpStream) -> String {
+    read_request(caller).await.expect("a response")
+}
+
+fn keep_open(request: &str) -> String {
+    request.replace("Connection: close\r\n", "")
+}
+
+// No response stated how long its connection may be idle: callers used it until it was closed, and a request
+// that crossed the close had no response.
+#[gtest]
+fn each_response_states_an_idle_time_within_which_its_connection_is_not_closed() {
+    run(|fixture| async move {
+        fixture.add_responding_endpoint(OK_RESPONSE).await;
+        fixture.set_document(with_idle_limit(1_000));
+        let mut caller = fixture.connect().await;
+        for path in ["/safe/", "/none/", "/safe/"] {
+            caller.write_all(keep_open(&get(path)).as_bytes()).await.unwrap();
+            let response = read_response(&mut caller).await;
+            expect_that!(response, contains_substring("Keep-Alive: timeout=1\r\n"));
+            // Longer than stated: the request of a caller that counts to the last moment is still under way.
+            sleep_ms(1_500).await;
+        }
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        let last = read_all(&mut caller).await;
+        expect_that!(last, starts_with("HTTP/1.1 200 "));
+        expect_that!(last, not(contains_substring("Keep-Alive")));
+    });
+}
+
+// The document that lowers the limit arrives between the request and its response.
+#[gtest]
+fn a_connection_stays_open_for_the_idle_time_that_its_last_response_stated() {
+    run(|fixture| async move {
+        fixture
+            .add_endpoint(|mut stream, _| async move {
+                while read_request(&mut stream).await.is_some() {
+                    sleep_ms(200).await;
+                    stream.write_all(OK_RESPONSE.as_bytes()).await.unwrap();
+                }
+            })
+            .await;
+        fixture.set_document(with_idle_limit(2_000));
+        let mut caller = fixture.connect().await;
+        caller.write_all(keep_open(&get("/safe/")).as_bytes()).await.unwrap();
+        sleep_ms(100).await;
+        fixture.set_document(with_idle_limit(SHORT_IDLE_MS));
+        // Another connection sees the new limit.
+        expect_that!(fixture.request(&get("/none/")).await, starts_with("HTTP/1.1 404 "));
+        expect_that!(read_response(&mut caller).await, contains_substring("timeout=2\r\n"));
+        sleep_ms(1_900).await;
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
+    });
+}
