fix(proxy): a burst of connections does not exceed the maximum

What callers saw: nothing yet; found in review. With more connections than connections_max and the 64 that are refused a request each, an instance could run out of descriptors, and then neither accepts nor connects. Cause: a connection was counted by its task, and a burst is accepted before the first of its tasks runs. Change: it is counted when it is accepted.

--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -37,6 +37,22 @@
 /// Retry delay sent by an instance that is shutting down, in milliseconds: other instances are there.
 const STOPPING_RETRY_AFTER_MS: u64 = 300;
 
+/// Counts an open connection until it is dropped.
+struct OpenConnection(Rc<Entry>);
+
+impl OpenConnection {
+    fn new(entry: &Rc<Entry>) -> Self {
+        entry.connections.set(entry.connections.get() + 1);
+        Self(entry.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 /// Accepts connections and spawns a task for each; never returns.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
     loop {
@@ -63,9 +79,11 @@
         return;
     }
     let refusal = refusal_of_connection(entry, excess);
+    // Counted here, since a burst is accepted before the first of its tasks runs.
+    let open_connection = OpenConnection::new(entry);
     let (entry, executor) = (entry.clone(), entry.executor.clone());
     let task = async move {
-        let _open_connection = CountGuard::new(&entry.connections);
+        let _open_connection = open_connection;
         if let Err(error) = stream.set_nodelay(true) {
             return spdlog::info!("failed to set TCP_NODELAY on a new connection", kv: {
                 error:, caller: = caller.address, connection = caller.connection,
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -292,3 +292,23 @@
         expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
     });
 }
+
+// Connections were counted by their tasks, so that a burst was accepted before any of it was counted.
+#[gtest]
+fn a_burst_of_connections_does_not_exceed_the_maximum() {
+    run(|fixture| async move {
+        let maximum = fixture.entry.options.connections_max;
+        let mut open = Vec::new();
+        while fixture.entry.connections.get() < maximum - 10 {
+            open.push(fixture.connect().await);
+            smol::future::yield_now().await;
+        }
+        // The instance's task does not run meanwhile.
+        let connect = |_| std::net::TcpStream::connect(&fixture.address).unwrap();
+        let burst = (0..100).map(connect).collect::<Vec<_>>();
+        sleep_ms(100).await;
+        // 64 beyond the maximum are accepted to refuse a request each.
+        expect_that!(fixture.entry.connections.get(), le(maximum + 64));
+        drop(burst);
+    });
+}
