fix(proxy): a malformed or late head on a refused connection gets a response

What callers saw: on a connection beyond connections_max, or to a stopping instance, a head that was malformed, too long or not whole in a second was followed by a close without a byte. Cause: the path that refuses the first request of a connection had no response for a head that is not read. Change: 400, 413 or 408 as elsewhere; a caller that has sent nothing gets nothing. Test: connections::a_head_on_a_connection_beyond_the_maximum_* (failed before: no byte).

--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -10,7 +10,7 @@
 use crate::caller::Caller;
 use crate::entry::Entry;
 use crate::exchange::{self, ReceivedRequest};
-use crate::http1::Connection;
+use crate::http1::{Connection, Error};
 use crate::idle_time::IdleTime;
 use closing::Waited;
 use idle::WaitEnd;
@@ -173,9 +173,15 @@
     let head = match receive::read_head(&mut connection, &limits).await {
         Ok(head) => head,
         Err(error) => {
-            return spdlog::info!("no request on a new connection that is refused", kv: {
+            spdlog::info!("no request on a new connection that is refused", kv: {
                 error: = error, code, caller: = caller.address, connection = caller.connection,
             });
+            // A caller that has sent nothing waits for nothing.
+            if !matches!(error, Error::TimedOut) || !connection.buffered().is_empty() {
+                exchange::refuse_unreadable(entry, &mut connection, "", &error).await;
+                closing::close_gracefully(&mut connection).await;
+            }
+            return;
         }
     };
     let id = entry.dialect.read_request(&head).id;
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -312,3 +312,19 @@
         drop(burst);
     });
 }
+
+#[gtest]
+fn a_head_on_a_connection_beyond_the_maximum_that_is_malformed_or_not_whole_gets_a_response() {
+    run(|fixture| async move {
+        let mut open = Vec::new();
+        while fixture.entry.connections.get() < fixture.entry.options.connections_max {
+            open.push(fixture.connect().await);
+            smol::future::yield_now().await;
+        }
+        expect_that!(fixture.request("GET\r\n\r\n").await, starts_with("HTTP/1.1 400 "));
+        let half = "GET /safe/ HTTP/1.1\r\nHost: salto";
+        expect_that!(fixture.request(half).await, starts_with("HTTP/1.1 408 "));
+        // Nothing was asked on this one.
+        expect_that!(fixture.request("").await, eq(""));
+    });
+}
