fix(gateway): responses of the own interface state how long their connection may be idle

Change: a response that keeps its connection open has `keep-alive: timeout` with the whole seconds of that limit; a connection on which no byte has come stays open a second longer. Test: connections::each_response_states_an_idle_time_* of the gateway (failed before: the second request had no response).

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -21,6 +21,10 @@
 /// How long such a connection may take for its request, in milliseconds.
 const EXCESS_TIMEOUT_MS: u64 = 1_000;
 
+/// Time in milliseconds for which an idle connection stays open beyond the time that responses state, so
+/// that a request sent just within it does not arrive at a closed connection.
+const IDLE_GRACE_MS: u64 = 1_000;
+
 /// Counts an open connection until it is dropped.
 struct ConnectionGuard<'a>(&'a AtomicUsize);
 
@@ -54,9 +58,13 @@
         self.started.load(Ordering::Relaxed)
     }
 
-    /// Completes if no request has started within the header timeout; otherwise never.
-    async fn header_timeout(&self) {
+    /// Completes if no request has started within the header timeout, and a little later if no byte has
+    /// come; otherwise never.
+    async fn header_timeout(&self, caller: &CallerStream) {
         Timer::after(Duration::from_millis(self.gateway.settings.header_timeout_ms)).await;
+        if !caller.has_received() {
+            Timer::after(Duration::from_millis(IDLE_GRACE_MS)).await;
+        }
         if self.has_started() {
             std::future::pending::<()>().await;
         }
@@ -123,7 +131,7 @@
     });
     let served = async { Some(server.accept_one().await) };
     let timed_out = async {
-        guard.header_timeout().await;
+        guard.header_timeout(caller).await;
         None
     };
     let refusal = match served.or(timed_out).await {
--- a/crates/gateway/src/http/routes.rs
+++ b/crates/gateway/src/http/routes.rs
@@ -4,7 +4,7 @@
 use crate::filters::{self, Exchange};
 use crate::{Gateway, announce, operators, serve};
 use futures_lite::FutureExt;
-use http_types::{Method, Request, Response, StatusCode};
+use http_types::{Method, Request, Response, StatusCode, Version};
 use lycheehub_types::{Refusal, RefusalKind};
 use serde::Serialize;
 use smol::net::TcpStream;
@@ -28,14 +28,32 @@
     stream: &TcpStream,
 ) -> http_types::Result<Response> {
     let stopping = gateway.is_stopping();
+    let is_last = is_last_request(&request);
     // Boxed, so that a streaming or idle connection does not hold the memory of all handlers.
     let mut response = Box::pin(route(gateway, request, stream)).await?;
     if stopping {
         response.insert_header("connection", "close");
+    } else if !is_last {
+        state_idle_time(gateway, &mut response);
     }
     Ok(response)
 }
 
+/// Returns whether the caller wants its connection closed after the response.
+fn is_last_request(request: &Request) -> bool {
+    let connection = request.header("connection").map(|values| values.as_str());
+    let closes = connection.is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    closes || request.version() == Some(Version::Http1_0)
+}
+
+/// States how long the connection may be idle after the response, in whole seconds.
+fn state_idle_time(gateway: &Gateway, response: &mut Response) {
+    let idle_s = gateway.settings.header_timeout_ms / 1_000;
+    if idle_s > 0 {
+        response.insert_header("keep-alive", format!("timeout={idle_s}"));
+    }
+}
+
 async fn route(
     gateway: &Arc<Gateway>,
     request: Request,
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -1,11 +1,13 @@
 //! Ends of connections: a request that has arrived gets a response before its connection closes.
 
-use crate::support::{CONNECTIONS_MAX, read_all, run};
+use crate::support::{CONNECTIONS_MAX, read_all, run, run_with_header_timeout};
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
+use smol::Timer;
 use smol::net::TcpStream;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 const BODY_TOO_SHORT: &str = "POST /v1/services/invoices/1 HTTP/1.1\r\nHost: salto.example\r\n\
                               Content-Length: 9\r\n\r\npay";
@@ -97,3 +99,19 @@
         expect_that!(responses.matches("HTTP/1.1 ").count(), eq(3));
     });
 }
+
+// Callers used a connection until it was closed, and a request that crossed the close had no response.
+#[gtest]
+fn each_response_states_an_idle_time_within_which_its_connection_is_not_closed() {
+    run_with_header_timeout(1_000, |_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        // Longer than stated: the request of a caller that counts to the last moment is still under way.
+        Timer::after(Duration::from_millis(1_500)).await;
+        let last = b"GET /healthz HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+        caller.write_all(last).await.unwrap();
+        let responses = read_all(caller).await.unwrap_or_default();
+        expect_that!(responses.matches("HTTP/1.1 200").count(), eq(2));
+        expect_that!(responses.matches("keep-alive: timeout=1\r\n").count(), eq(1));
+    });
+}
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -23,12 +23,12 @@
 /// The maximum number of connections.
 pub const CONNECTIONS_MAX: usize = 4;
 
-fn settings() -> Settings {
+fn settings(header_timeout_ms: u64) -> Settings {
     Settings {
         instance: "alpha".into(),
         body_max_bytes: 1_000,
         answer_max_bytes: 1_000,
-        header_timeout_ms: RECEIVE_TIMEOUT_MS,
+        header_timeout_ms,
         body_timeout_ms: RECEIVE_TIMEOUT_MS,
         connections_max: CONNECTIONS_MAX,
         connect_timeout_ms: 300,
@@ -40,12 +40,12 @@
     }
 }
 
-fn gateway(executor: Arc<Executor<'static>>) -> Arc<Gateway> {
+fn gateway(executor: Arc<Executor<'static>>, header_timeout_ms: u64) -> Arc<Gateway> {
     let clock = Clock::new();
     // Nothing takes the requests to a control thread.
     let (sender, _) = unbounded();
     Arc::new(Gateway {
-        settings: settings(),
+        settings: settings(header_timeout_ms),
         clock,
         views: Views::default(),
         control: Control::new(sender),
@@ -66,11 +66,19 @@
 
 /// Runs a test against the address of a new instance.
 pub fn run<F: Future<Output = ()>>(test: impl FnOnce(Arc<Gateway>, String) -> F) {
+    run_with_header_timeout(RECEIVE_TIMEOUT_MS, test);
+}
+
+/// Runs a test against the address of a new instance with this time limit for heads and idle connections.
+pub fn run_with_header_timeout<F: Future<Output = ()>>(
+    header_timeout_ms: u64,
+    test: impl FnOnce(Arc<Gateway>, String) -> F,
+) {
     let executor = Arc::new(Executor::new());
     smol::block_on(executor.clone().run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
-        let gateway = gateway(executor.clone());
+        let gateway = gateway(executor.clone(), header_timeout_ms);
         executor.spawn(http::serve(gateway.clone(), listener)).detach();
         let done = lycheehub_clock::within(TIMEOUT_MS, test(gateway, address)).await;
         done.expect("the test takes too long");
