--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -10,7 +10,8 @@
 use crate::caller::Caller;
 use crate::entry::Entry;
 use crate::exchange::{self, ReceivedRequest};
-use crate::http1::Connection;
+use crate::http1::{Connection, Error};
+use crate::idle_time::IdleTime;
 use closing::Waited;
 use idle::WaitEnd;
 use lycheehub_routes::ClientLimits;
@@ -36,6 +37,22 @@
 /// Retry delay sent by an instance that is shutting down, in milliseconds: other instances are there.
 const STOPPING_RETRY_AFTER_MS: u64 = 300;
 
+/// Counts an open connection until it is dropped.
+struct OpenConnection(Rc<Entry>);
+
+impl OpenConnection {
+    fn new(entry: &Rc<Entry>) -> Self {
+        entry.connections.set(entry.connections.get() + 1);
+        Self(entry.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 /// Accepts connections and spawns a task for each; never returns.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
     loop {
@@ -62,9 +79,11 @@
         return;
     }
     let refusal = refusal_of_connection(entry, excess);
+    // Counted here, since a burst is accepted before the first of its tasks runs.
+    let open_connection = OpenConnection::new(entry);
     let (entry, executor) = (entry.clone(), entry.executor.clone());
     let task = async move {
-        let _open_connection = CountGuard::new(&entry.connections);
+        let _open_connection = open_connection;
         if let Err(error) = stream.set_nodelay(true) {
             return spdlog::info!("failed to set TCP_NODELAY on a new connection", kv: {
                 error:, caller: = caller.address, connection = caller.connection,
@@ -93,30 +112,35 @@
 
 async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: Caller) {
     let mut requests = 0;
+    let mut idle_time = IdleTime::default();
     loop {
         let since_ms = entry.clock.now_ms();
-        let end = idle::wait_for_request(entry, &mut connection).await;
+        let end = idle::wait_for_request(entry, &mut connection, idle_time).await;
         if !matches!(end, WaitEnd::Received) {
             return closing::log_wait_end(entry, end, Waited { since_ms, requests }, caller);
         }
-        if !serve_request(entry, &mut connection, caller).await {
-            return;
-        }
+        let Some(stated) = serve_request(entry, &mut connection, caller).await else { return };
+        idle_time = stated;
         requests += 1;
     }
 }
 
 /// Receives and handles a request, and closes the connection unless it can be used for another one; returns
-/// whether it can.
-async fn serve_request(entry: &Rc<Entry>, connection: &mut Connection, caller: Caller) -> bool {
+/// the idle time that its response stated then.
+async fn serve_request(
+    entry: &Rc<Entry>,
+    connection: &mut Connection,
+    caller: Caller,
+) -> Option<IdleTime> {
     let _active_exchange = CountGuard::new(&entry.exchanges);
     // The limits of the moment at which the request begins hold until it is received.
     let limits = entry.client_limits();
+    let idle_time = IdleTime::of(&limits);
     let started_ms = entry.clock.now_ms();
     let keeps_alive = match receive::read_request(entry, connection, &limits).await {
         Ok((head, body)) => {
             let read_ms = entry.clock.now_ms() - started_ms;
-            let request = ReceivedRequest { head, body, read_ms, caller };
+            let request = ReceivedRequest { head, body, read_ms, caller, idle_time };
             exchange::handle_request(entry, connection, request).await
         }
         Err(receive::Unread { step, id, error }) => {
@@ -133,7 +157,7 @@
     if !keeps_alive {
         closing::close_gracefully(connection).await;
     }
-    keeps_alive
+    keeps_alive.then_some(idle_time)
 }
 
 /// Refuses the first request of a connection. It is not counted as in progress: a shutdown does not wait for
@@ -149,9 +173,15 @@
     let head = match receive::read_head(&mut connection, &limits).await {
         Ok(head) => head,
         Err(error) => {
-            return spdlog::info!("no request on a new connection that is refused", kv: {
+            spdlog::info!("no request on a new connection that is refused", kv: {
                 error: = error, code, caller: = caller.address, connection = caller.connection,
             });
+            // A caller that has sent nothing waits for nothing.
+            if !matches!(error, Error::TimedOut) || !connection.buffered().is_empty() {
+                exchange::refuse_unreadable(entry, &mut connection, "", &error).await;
+                closing::close_gracefully(&mut connection).await;
+            }
+            return;
         }
     };
     let id = entry.dialect.read_request(&head).id;
