refactor(types, gateway): one bound of slots for both interfaces

The record's bound, which validate() checks on both interfaces, stays, with its reason; the other is gone. So the own interface now takes 4,097 to 65,536 slots, as the platform's did; the bound that endpoints on the platform meet is unchanged. Nothing allocates by the number of slots (read: control slots.rs, route).

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -6,8 +6,6 @@
 use lycheehub_types::{EndpointName, EndpointRecord, Refusal, RefusalKind, name};
 use serde::{Deserialize, Serialize};
 
-/// The maximum number of slots that an endpoint may announce.
-const SLOTS_MAX: u32 = 4_096;
 /// The maximum number of blocks in one cache event, stored and dropped together.
 const EVENT_BLOCKS_MAX: usize = 4_096;
 
@@ -67,9 +65,6 @@
         return Err(bad_request("endpoint, service and version must be names"));
     }
     record.validate().map_err(|error| bad_request(error.to_string()))?;
-    if record.slots > SLOTS_MAX {
-        return Err(bad_request(format!("slots must be 1 to {SLOTS_MAX}")));
-    }
     gateway.control.announce(record).await;
     Ok(())
 }
--- a/crates/types/src/endpoint.rs
+++ b/crates/types/src/endpoint.rs
@@ -6,8 +6,9 @@
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 
-/// The most slots that an endpoint may have. A larger number would attract all requests.
-pub const SLOTS_MAX: u32 = 65_536;
+/// The most slots that an endpoint may announce, on the project's own interface and on the platform's.
+/// A larger number would attract all requests of its service.
+const SLOTS_MAX: u32 = 65_536;
 /// The highest incarnation and sequence. Every writer of JSON can state numbers up to here exactly, and
 /// a difference or a sum of two does not overflow.
 pub const COUNT_MAX: u64 = (1 << 53) - 1;
