test(cli): the start of the tests with crashing endpoints is shared

crashing_prompts and crashing_requests started their deployments alike; crashing_engine::start_with does it for both. The checks are the same; that sound requests of each route are answered is asked in one attempt for all routes now, before one after the other.

--- a/crates/cli/tests/platform/crashing_engine.rs
+++ b/crates/cli/tests/platform/crashing_engine.rs
@@ -1,8 +1,9 @@
 //! An endpoint that crashes with all its connections on some requests, and is back after a while.
 
 use crate::deployment::http::{chunk, field, read_request};
-use crate::deployment::{Deployment, control_call};
-use serde_json::json;
+use crate::deployment::{Deployment, Layout, control_call, eventually};
+use crate::{has_logged, put_document};
+use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -185,3 +186,28 @@
     }
     pieces
 }
+
+/// How many endpoints [`start_with`] starts.
+const ENDPOINTS: usize = 8;
+
+/// Starts a deployment with a document and crashing engines, whose entry instances serve the sound
+/// requests that `is_sound_served` sends through an entry instance.
+pub fn start_with(
+    document: &Value,
+    behavior: Behavior,
+    is_sound_served: impl Fn(&Deployment, usize) -> bool,
+) -> (Deployment, Arc<Observed>) {
+    let deployment =
+        Deployment::start(Layout { controls: 3, entries: 2, losses: 1, proxied: false });
+    eventually("the document is acknowledged", || {
+        put_document(&deployment, 0, document).status == 200
+    });
+    let observed = Arc::new(Observed::default());
+    (0..ENDPOINTS).for_each(|number| Engine::run(number, &deployment, &observed, behavior));
+    for entry in 0..2 {
+        eventually("the entry instance is ready", || deployment.ready(entry) == 200);
+        eventually("a sound request is answered", || is_sound_served(&deployment, entry));
+    }
+    eventually("the leader places requests", || has_logged(&deployment, "placed by the leader"));
+    (deployment, observed)
+}
--- a/crates/cli/tests/platform/crashing_prompts.rs
+++ b/crates/cli/tests/platform/crashing_prompts.rs
@@ -1,12 +1,12 @@
 //! A part of prompts on which endpoints crash reaches a few endpoints only, whatever instance its
 //! requests come to, and sound requests are served on.
 
-use crate::crashing_engine::{Engine, Observed, Reaction};
+use crate::crashing_engine::{Observed, Reaction, start_with};
 use crate::deployment::http::field;
-use crate::deployment::{Deployment, Layout, Process, Reply, call, eventually};
+use crate::deployment::{Deployment, Process, Reply, call, eventually};
 use crate::support::next_id;
 use crate::trace::trace;
-use crate::{FRONT_PORT, has_logged, put_document, times_logged_ms};
+use crate::{FRONT_PORT, times_logged_ms};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -21,7 +21,6 @@
 const FURTHER_MAX: usize = 3;
 /// The crash from which on the time counts, of those on the part.
 const COUNTED_CRASH: usize = 5;
-const ENDPOINTS: usize = 8;
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 static NUMBERS: AtomicU64 = AtomicU64::new(1);
@@ -90,21 +89,9 @@
 
 /// Starts a deployment whose entry instances serve sound requests.
 fn start() -> (Deployment, Arc<Observed>) {
-    let deployment =
-        Deployment::start(Layout { controls: 3, entries: 2, losses: 1, proxied: false });
-    eventually("the document is acknowledged", || {
-        put_document(&deployment, 0, &document()).status == 200
-    });
-    let observed = Arc::new(Observed::default());
-    (0..ENDPOINTS).for_each(|number| Engine::run(number, &deployment, &observed, behavior));
-    for entry in 0..2 {
-        eventually("the entry instance is ready", || deployment.ready(entry) == 200);
-        eventually("a sound request is answered", || {
-            is_served(&send_prompt(&deployment, entry, "draft", &sound_prompt()))
-        });
-    }
-    eventually("the leader places requests", || has_logged(&deployment, "placed by the leader"));
-    (deployment, observed)
+    start_with(&document(), behavior, |deployment, entry| {
+        is_served(&send_prompt(deployment, entry, "draft", &sound_prompt()))
+    })
 }
 
 /// How many sound requests were sent, and how many were served.
--- a/crates/cli/tests/platform/crashing_requests.rs
+++ b/crates/cli/tests/platform/crashing_requests.rs
@@ -1,12 +1,12 @@
 //! A request on which endpoints crash reaches a few endpoints only, whatever its kind and whatever instance
 //! it comes to, and sound requests are served on.
 
-use crate::crashing_engine::{Engine, Observed, Reaction};
+use crate::FRONT_PORT;
+use crate::crashing_engine::{Observed, Reaction, start_with};
 use crate::deployment::http::field;
-use crate::deployment::{Deployment, Layout, Reply, call, eventually};
+use crate::deployment::{Deployment, Reply, call};
 use crate::support::next_id;
 use crate::trace::trace;
-use crate::{FRONT_PORT, has_logged, put_document};
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -17,7 +17,6 @@
 /// which on it counts.
 const FURTHER_MAX: usize = 3;
 const COUNTED_CRASH: usize = 3;
-const ENDPOINTS: usize = 8;
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// The routes: unsafe, safe, and streams that crash an endpoint as it begins, or after some events.
 const ROUTES: [&str; 4] = ["commit", "lookup", "draft", "late"];
@@ -94,23 +93,9 @@
 
 /// Starts a deployment whose entry instances serve sound requests.
 fn start() -> (Deployment, Arc<Observed>) {
-    let deployment =
-        Deployment::start(Layout { controls: 3, entries: 2, losses: 1, proxied: false });
-    eventually("the document is acknowledged", || {
-        put_document(&deployment, 0, &document()).status == 200
-    });
-    let observed = Arc::new(Observed::default());
-    (0..ENDPOINTS).for_each(|number| Engine::run(number, &deployment, &observed, behavior));
-    for entry in 0..2 {
-        eventually("the entry instance is ready", || deployment.ready(entry) == 200);
-        for route in ROUTES {
-            eventually("a sound request is answered", || {
-                is_served(&send_sound(&deployment, entry, route))
-            });
-        }
-    }
-    eventually("the leader places requests", || has_logged(&deployment, "placed by the leader"));
-    (deployment, observed)
+    start_with(&document(), behavior, |deployment, entry| {
+        ROUTES.iter().all(|route| is_served(&send_sound(deployment, entry, route)))
+    })
 }
 
 /// Sends the crashing request of each route, and sound requests, through all entry instances for
