feat(cli): a control instance says that its run before did not stop in order

The signal libraries that we have refuse handlers for SIGILL, SIGSEGV and SIGFPE, and any other way needs unsafe code, which is forbidden. So a control instance keeps a file `running` in its data folder while it runs, and says after its start, with when the run before began, that it did not stop in order. Entry instances have no disk.

Test: restarts::* with real processes: no line after SIGTERM, one after SIGILL, one more after SIGKILL. Without the change there is no such line.

--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -1,6 +1,7 @@
 //! A control instance: it holds a control replica, serves endpoints and operators, and places
 //! requests while it is the leader.
 
+use super::run_marker::RunMarker;
 use super::{http, require_address, serve_metrics, start_thread, wait_for_stop};
 use crate::exit::{Code, Error};
 use crate::serve::listen;
@@ -29,6 +30,9 @@
     let control = Control::new(sender);
     serve_metrics(&executor, &deployment, Some(control.clone())).await?;
     start_control(&deployment, peers, requests).await?;
+    // The data folder exists now.
+    let marker = deployment.peer.data_folder.as_deref();
+    let marker = marker.map(|folder| RunMarker::begin(folder, Clock::new().now_unix_ms()));
     spdlog::info!("control instance started", kv: {
         machine = deployment.machine,
         address: = address,
@@ -45,6 +49,9 @@
         .await?;
     spdlog::info!("stopping");
     control.stop().await;
+    if let Some(marker) = marker {
+        marker.end();
+    }
     spdlog::info!("stopped");
     Ok(())
 }
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod http;
 mod lists;
+mod run_marker;
 
 use crate::exit::{Code, Error};
 use crate::serve::{listen, log, start_metrics};
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -13,6 +13,7 @@
 mod notices;
 mod odd_entries;
 mod rejections;
+mod restarts;
 mod rollouts;
 mod support;
 mod trace;
