--- a/crates/control/src/moves/slowdowns.rs
+++ b/crates/control/src/moves/slowdowns.rs
@@ -18,13 +18,13 @@
 pub(super) const SLOWDOWNS: [f64; 3] = [1.2, 1.5, 3.0];
 /// The number of blocks of full evidence that do not yet raise an alarm, by slowdown. A pause covers
 /// the fewer blocks of requests, the more it slows them down.
-const QUIET_BLOCKS: [f64; 3] = [10.0, 6.0, 3.0];
+const QUIET_BLOCKS: [f64; 3] = [10.0, 7.0, 3.5];
 /// The index of the slowdown that a version must be cleared of before it receives more traffic.
 const CLEARING_INDEX: usize = 1;
 /// The probability that a good version ever raises an alarm during a whole move.
 const FALSE_ALARM_RATE: f64 = 0.001;
 /// The probability that a block of a good version is disturbed.
-const DISTURBED_RATE: f64 = 0.01;
+const DISTURBED_RATE: f64 = 0.02;
 /// The minimum duration of a block, in milliseconds.
 const BLOCK_MS: u64 = 1_000;
 /// The minimum number of requests to the old version in a block.
