fix(gateway): the rest of a refused body is waited for a limited time

What callers saw: nothing; a caller that stalls in a body that was refused kept its connection open without a limit, and its request counted as in progress, also in a stop. Cause: after the response the rest of the body is discarded so that the connection can be used again, without a limit. Change: for one second; then the connection closes. Test: connections::a_connection_whose_refused_body_* (failed before: open after three seconds).

--- a/crates/gateway/src/http/caller_stream.rs
+++ b/crates/gateway/src/http/caller_stream.rs
@@ -2,16 +2,21 @@
 
 use super::chunks::Chunks;
 use futures_lite::{AsyncRead, AsyncWrite};
+use smol::Timer;
 use smol::net::TcpStream;
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 /// The end of a head.
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
 /// Maximum number of bytes per read.
 const READ_BYTES: usize = 8 * 1024;
+/// Time in milliseconds for which the rest of a body is received after the response, so that the connection
+/// can be used again.
+const DISCARD_MS: u64 = 1_000;
 
 /// Which part of a request is handed out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +36,10 @@
     part: Part,
     /// Whether bytes of the current request were handed out.
     has_begun: bool,
+    /// Whether the request has its response, so that the rest of its body is only discarded.
+    has_response: bool,
+    /// Ends the wait for the rest of a body that is only discarded.
+    discard_timer: Option<Timer>,
 }
 
 /// A stream that hands out one request at a time: bytes that were received behind it are kept for the next.
@@ -43,7 +52,13 @@
 impl CallerStream {
     /// Wraps the stream of a new connection.
     pub(super) fn new(stream: TcpStream) -> Self {
-        let received = Received { bytes: Vec::new(), part: Part::Head(0), has_begun: false };
+        let received = Received {
+            bytes: Vec::new(),
+            part: Part::Head(0),
+            has_begun: false,
+            has_response: false,
+            discard_timer: None,
+        };
         Self { stream, received: Arc::new(Mutex::new(received)) }
     }
 
@@ -56,6 +71,8 @@
         let mut received = self.lock();
         received.part = Part::Head(0);
         received.has_begun = false;
+        received.has_response = false;
+        received.discard_timer = None;
     }
 
     /// Continues with the body after a head; `length` is `None` if its chunks tell where it ends.
@@ -63,6 +80,11 @@
         self.lock().part = length.map_or(Part::Chunks(Chunks::BEGIN), Part::Body);
     }
 
+    /// The request has its response: the rest of its body is waited for a limited time.
+    pub(super) fn begin_response(&self) {
+        self.lock().has_response = true;
+    }
+
     /// Returns whether any bytes of the current request were received.
     pub(super) fn has_received(&self) -> bool {
         self.lock().has_begun
@@ -70,6 +92,16 @@
 }
 
 impl Received {
+    /// Returns whether the time for the rest of a body that is only discarded has passed.
+    fn poll_discard_timer(&mut self, context: &mut Context<'_>) -> bool {
+        if !self.has_response {
+            return false;
+        }
+        let new_timer = || Timer::after(Duration::from_millis(DISCARD_MS));
+        let timer = self.discard_timer.get_or_insert_with(new_timer);
+        Pin::new(timer).poll(context).is_ready()
+    }
+
     /// Moves received bytes of the current part to `buffer`; returns how many.
     fn hand_out(&mut self, buffer: &mut [u8]) -> usize {
         let available = self.bytes.len().min(buffer.len());
@@ -113,6 +145,9 @@
         if handed_out > 0 || buffer.is_empty() {
             return Poll::Ready(Ok(handed_out));
         }
+        if self.lock().poll_discard_timer(context) {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         let mut bytes = [0; READ_BYTES];
         let count = ready!(Pin::new(&mut self.stream).poll_read(context, &mut bytes))?;
         let mut received = self.lock();
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -126,8 +126,12 @@
         guard.start();
         caller.begin_body(body_length(&request));
         let gateway = gateway.clone();
-        let stream = stream.clone();
-        async move { routes::respond(&gateway, request, &stream).await }
+        let (caller, stream) = (caller.clone(), stream.clone());
+        async move {
+            let response = routes::respond(&gateway, request, &stream).await;
+            caller.begin_response();
+            response
+        }
     });
     let served = async { Some(server.accept_one().await) };
     let timed_out = async {
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -130,3 +130,14 @@
         expect_that!(responses, contains_substring("HTTP/1.1 200 "));
     });
 }
+
+// The rest of a refused body was waited for without a limit.
+#[gtest]
+fn a_connection_whose_refused_body_does_not_come_is_closed() {
+    run(|_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(BODY_TOO_SHORT.as_bytes()).await.unwrap();
+        let response = lycheehub_clock::within(3_000, read_all(caller)).await;
+        expect_that!(response, some(some(starts_with("HTTP/1.1 408 "))));
+    });
+}
