soak: callers repeat a request on which endpoints crash

The soak sent prompts with a crashing part, no two alike, and no request twice. One in ten safe requests of a caller is now the same one, on which endpoints crash; at most three may reach endpoints later than three seconds after the third crash, from settled entry instances.

--- a/crates/cli/tests/soak/caller.rs
+++ b/crates/cli/tests/soak/caller.rs
@@ -5,7 +5,7 @@
 use crate::deployment::http::field;
 use crate::endpoint::{event, events_of, plain_body, seal};
 use crate::history::{History, Kind, SentRequest};
-use crate::prompts::prefix_of;
+use crate::prompts::{CRASHING_PATH, is_crashing_request, prefix_of};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
 use std::collections::BTreeMap;
@@ -92,7 +92,12 @@
             _ => (Kind::ResumableStream, "POST", "/tell"),
         };
         let timeout_ms = if kind.is_stream() { STREAM_TIMEOUT_MS } else { PLAIN_TIMEOUT_MS };
-        let path = format!("{prefix}/{id}?copies={}", self.random_below(9));
+        let mut path = format!("{prefix}/{id}?copies={}", self.random_below(9));
+        // The probe, which has a number of its own, sends sound requests only.
+        let sequence = if self.number < CALLERS { self.requests } else { 0 };
+        if kind == Kind::Safe && is_crashing_request(sequence) {
+            path = CRASHING_PATH.to_owned();
+        }
         let body = if kind == Kind::Safe { String::new() } else { format!("label {id}") };
         let Some(mut connection) = self.connection(entry) else {
             self.history.count("failed connections");
@@ -101,8 +106,6 @@
         let at = Instant::now();
         let sent = SentRequest { kind, entry, method, path: path.clone(), body: body.clone(), at };
         self.history.add_sent(&id, sent);
-        // The probe, which has a number of its own, sends sound prompts only.
-        let sequence = if self.number < CALLERS { self.requests } else { 0 };
         let prompt = match kind.is_stream() {
             true => format!("Prompt-Prefix: {}\r\n", prefix_of(sequence, &id)),
             false => String::new(),
--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -2,7 +2,7 @@
 
 use crate::deployment::{control_call, http};
 use crate::history::{History, Run, Scope};
-use crate::prompts::{DOWN_TIME, is_crashing};
+use crate::prompts::{Cause, DOWN_TIME};
 use lycheehub_standin::proxy::{Mode, Proxy};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
@@ -198,11 +198,11 @@
     }
 
     /// Crashes for a short time, unless it is down already.
-    fn crash_on_prompt(self: &Arc<Self>) {
+    fn crash(self: &Arc<Self>, cause: Cause) {
         if self.is_silent.swap(true, Ordering::Relaxed) {
             return;
         }
-        self.history.add_prompt_crash();
+        self.history.add_crash(cause);
         let endpoint = self.clone();
         std::thread::spawn(move || {
             let scopes = [Scope::EndpointPath(endpoint.number), Scope::Endpoint(endpoint.number)];
@@ -341,13 +341,13 @@
         }
         let _running = Running::new(&self.running);
         self.record_run(&id, request);
-        let crashes = request.field("prompt-prefix").is_some_and(|prefix| is_crashing(&prefix));
-        if crashes {
-            self.history.add_crashing_arrival(&id);
+        let cause = Cause::of(&request.path, request.field("prompt-prefix").as_deref());
+        if let Some(cause) = cause {
+            self.history.add_crashing_arrival(cause, &id);
         }
         std::thread::sleep(Duration::from_millis(u64::from(self.random_below(WORK_MAX_MS))));
-        if crashes {
-            self.crash_on_prompt();
+        if let Some(cause) = cause {
+            self.crash(cause);
             return None;
         }
         match behavior {
--- a/crates/cli/tests/soak/history.rs
+++ b/crates/cli/tests/soak/history.rs
@@ -4,7 +4,7 @@
 use crate::ENDPOINTS;
 use crate::endpoint::DRAIN_TIME;
 use crate::limits::Limits;
-use crate::prompts::CrashingPrompts;
+use crate::prompts::{Cause, Crashes};
 use crate::rejections::Rejections;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -96,7 +96,7 @@
 #[derive(Default)]
 struct Inner {
     limits: Limits,
-    prompts: CrashingPrompts,
+    crashes: BTreeMap<Cause, Crashes>,
     rejections: Rejections,
     notices: Vec<Notice>,
     sent: BTreeMap<String, SentRequest>,
@@ -219,18 +219,18 @@
         inner.rejections.add(endpoint, entry);
     }
 
-    /// Records that an endpoint crashed on a prompt.
-    pub fn add_prompt_crash(&self) {
-        self.inner().prompts.add_crash();
+    /// Records that an endpoint crashed on a request.
+    pub fn add_crash(&self, cause: Cause) {
+        self.inner().crashes.entry(cause).or_default().add_crash();
     }
 
-    /// Records that a request on whose prompt endpoints crash arrived at one.
-    pub fn add_crashing_arrival(&self, id: &str) {
+    /// Records that a request on which endpoints crash arrived at one.
+    pub fn add_crashing_arrival(&self, cause: Cause, id: &str) {
         let mut inner = self.inner();
         let Some((entry, sent_at)) = inner.sent.get(id).map(|sent| (sent.entry, sent.at)) else {
             return;
         };
-        inner.prompts.add_arrival(entry, sent_at);
+        inner.crashes.entry(cause).or_default().add_arrival(entry, sent_at);
     }
 
     /// Forgets an endpoint's notices once the endpoint has restarted.
@@ -322,7 +322,11 @@
         let inner = self.inner();
         let limited = format!("with a limit {}", inner.limits.counted());
         let counts = inner.counts.iter().map(|(what, count)| format!("{what} {count}"));
-        let crashed = format!("crashed on prompts {}", inner.prompts.crashes());
+        let crashed = inner.crashes.iter();
+        let crashed: Vec<_> = crashed
+            .map(|(cause, crashes)| format!("crashed on {cause:?} {}", crashes.crashes()))
+            .collect();
+        let crashed = crashed.join(", ");
         let rejected = format!("rejected while limited {}", inner.rejections.count());
         counts.chain([limited, crashed, rejected]).collect::<Vec<_>>().join(", ")
     }
@@ -339,8 +343,10 @@
         }));
         violations
             .extend(inner.rejections.check(ENDPOINTS, |entry, at| inner.is_settled(entry, at, at)));
-        violations
-            .extend(inner.prompts.check(|entry, sent_at, at| inner.is_settled(entry, sent_at, at)));
+        for (cause, crashes) in &inner.crashes {
+            let is_settled = |entry, sent_at, at| inner.is_settled(entry, sent_at, at);
+            violations.extend(crashes.check(*cause, is_settled));
+        }
         if inner.overdue_late >= OVERDUE_MIN && inner.overdue_late * 4 > inner.overdue {
             let (late, all) = (inner.overdue_late, inner.overdue);
             violations.push(format!("CONFIG: {late} of {all} without a reply after their timeout"));
