tests: a crash within an answer without length does not clear its request, known red

Suspected until now: an endpoint that crashes within an answer that has neither a length nor chunks ends its connection as a whole answer does.

--- a/crates/cli/tests/platform/crashing_engine.rs
+++ b/crates/cli/tests/platform/crashing_engine.rs
@@ -28,6 +28,8 @@
     Crash,
     /// It crashes after two events.
     CrashLate,
+    /// It crashes within an answer that has neither a length nor chunks.
+    CrashUnframed,
     /// It is silent on all connections for a while, and then answers whole.
     Freeze,
 }
@@ -148,7 +150,8 @@
         while let Some((head, _)) = read_request(&mut stream) {
             let (reaction, cause) = (self.behavior)(&head);
             let id = field(&head, "request-id").unwrap_or_default().to_owned();
-            let crashes = matches!(reaction, Reaction::Crash | Reaction::CrashLate);
+            let crashes =
+                matches!(reaction, Reaction::Crash | Reaction::CrashLate | Reaction::CrashUnframed);
             if crashes {
                 let mut arrivals = self.observed.arrivals.lock().unwrap();
                 arrivals.entry(cause.clone()).or_default().push((Instant::now(), id.clone()));
@@ -167,7 +170,7 @@
                 }
                 std::thread::sleep(Duration::from_millis(10));
             }
-            if reaction == Reaction::CrashLate {
+            if matches!(reaction, Reaction::CrashLate | Reaction::CrashUnframed) {
                 return self.crash(cause);
             }
         }
@@ -191,6 +194,9 @@
 /// Returns what an endpoint writes, piece by piece.
 fn answer(reaction: Reaction, id: &str) -> Vec<String> {
     let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: seal-1\r\n");
+    if reaction == Reaction::CrashUnframed {
+        return vec![format!("{head}\r\nhalf of the answer")];
+    }
     if matches!(reaction, Reaction::Whole | Reaction::Freeze) {
         return vec![format!("{head}Content-Length: 4\r\n\r\ndone")];
     }
--- a/crates/cli/tests/platform/crashing_kinds.rs
+++ b/crates/cli/tests/platform/crashing_kinds.rs
@@ -31,6 +31,7 @@
     let is_first_account = field(head, "tenant").as_deref() == Some("packhouse");
     let reaction = match path.rsplit('/').next().unwrap_or_default() {
         "crashing" if !is_first_account => Reaction::Whole,
+        "unframed" => Reaction::CrashUnframed,
         "crashing" if route == "resumed" => Reaction::CrashLate,
         "crashing" => Reaction::Crash,
         "freezing" => Reaction::Freeze,
@@ -179,3 +180,12 @@
     }
     expect_that!(has_logged(&deployment, "request quarantined"), eq(false));
 }
+
+#[gtest]
+fn a_crash_within_an_answer_without_length_does_not_clear_its_request() {
+    let (deployment, observed) = start();
+    let requests = [("key-1", ("/batch/unframed", "the same body"))];
+    repeat(&deployment, &requests, Duration::from_secs(16));
+    expect_that!(observed.crashes("batch"), ge(COUNTED_CRASH));
+    expect_that!(observed.further("batch", COUNTED_CRASH), le(FURTHER_MAX));
+}
