--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`job`] defines jobs, decisions and results.
 //! * [`endpoints`] estimates the load, speed and health of endpoints.
 //! * [`paths`] tells instances that are cut off from failing endpoints.
-//! * [`queue`] orders the waiting jobs, in a long backlog by [`precedence`].
+//! * [`queue`] orders the waiting jobs.
 //! * [`crashes`] finds the parts of prompts, and the requests, on which endpoints crash.
 //! * [`quota`] and [`retries`] limit client accounts and retries.
 //! * [`dispatcher`] combines these, and [`placement`] is the interface for request handlers.
@@ -21,7 +21,6 @@
 pub mod options;
 pub mod paths;
 pub mod placement;
-pub mod precedence;
 pub mod queue;
 pub mod quota;
 pub mod retries;
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -3,25 +3,23 @@
 //! Load pattern: a burst exceeds the capacity for several seconds. In strict arrival order, every
 //! request would start late as long as the backlog lasts, and most callers would have left by then.
 //! Jobs that can still meet their objective therefore precede those that cannot. If the backlog is
-//! longer than the newest of them can wait, or jobs already expire, arrival order is given up; see
-//! [`Precedence`](crate::precedence::Precedence).
+//! longer than the newest of them can wait, or jobs already expire, the newest job goes first: jobs
+//! that are served start well in time, and only the remaining ones expire.
 //!
 //! Load pattern: urgent requests become late in a burst. They are served after urgent requests that
 //! can still be on time and before all less urgent ones, which would otherwise be served more often
 //! than they are.
 //!
 //! Load pattern: short requests queue behind long ones. A short request hardly delays the others
-//! and precedes all but the most urgent rank of its tier. It does not precede that one: many short
-//! requests delay it all the same.
+//! and is served with the most urgent rank of its tier.
 //!
 //! Load pattern: endpoints are lost during a burst, each with many active streams. The rest of a
 //! stream needs less time than a new one, and the part that the caller already has is worthless
-//! without it. A job that resumes a stream is therefore served with the most urgent rank of its
-//! tier, and is kept for some time when it is late.
+//! without it. A job that resumes a stream is therefore also served with the most urgent rank of
+//! its tier, and is kept for some time when it is late.
 
 use crate::crashes::Content;
 use crate::job::{Job, JobId};
-use crate::precedence::Precedence;
 use std::collections::BTreeMap;
 
 /// Jobs are served in arrival order if the backlog ends within this fraction of the newest job's
@@ -38,11 +36,12 @@
 /// The safety margin before the caller gives up, in milliseconds, in addition to twice the expected
 /// time to the first byte: a job placed at the last moment runs for a caller that has left.
 const PATIENCE_MARGIN_MS: u64 = 30;
-/// Until when a late job is kept at most, as a fraction of the time that its caller waits: one that
-/// is refused when its time is nearly over has waited for nothing.
-const LATE_KEPT_SHARE: f64 = 0.4;
-/// The rank with which short jobs are served: they precede all but the most urgent ones.
-const SHORT_RANK: u8 = 1;
+/// How long a late job is kept at most, in milliseconds: half of the time that the least patient
+/// callers of streams wait.
+const LATE_KEPT_MAX_MS: u64 = 1_000;
+/// How long a late job is kept at most, as a fraction of its remaining time: a caller that is
+/// refused when its time is nearly over has waited for nothing.
+const LATE_KEPT_SHARE: f64 = 0.33;
 
 /// A job in the queue.
 #[derive(Clone, Debug)]
@@ -67,7 +66,7 @@
     pub slot_ms: u64,
     /// The expected time that the job holds a slot of the fastest endpoint, in milliseconds.
     pub min_slot_ms: u64,
-    /// The job is short compared to the mean and precedes all but the most urgent rank of its tier.
+    /// The job is short compared to the mean and is served with the most urgent rank of its tier.
     pub is_short: bool,
     /// The units charged to the quota of the job's account.
     pub units: f64,
@@ -90,10 +89,7 @@
 
     /// Returns the rank by which the job is queued.
     fn effective_rank(&self) -> u8 {
-        if self.job.resumes_stream {
-            return 0;
-        }
-        if self.is_short { self.job.rank.min(SHORT_RANK) } else { self.job.rank }
+        if self.is_short || self.job.resumes_stream { 0 } else { self.job.rank }
     }
 
     /// Returns whether the job had enough time when it arrived.
@@ -108,19 +104,16 @@
 
     /// Returns until when the job is kept once it is late.
     fn keep_late_until_ms(&self) -> u64 {
-        let patience_ms = self.patience_ms.saturating_sub(self.since_ms) as f64;
-        self.on_time_until_ms().max(self.since_ms + (patience_ms * LATE_KEPT_SHARE) as u64)
+        let late_ms = self.since_ms.max(self.on_time_until_ms());
+        let left_ms = self.patience_ms.saturating_sub(late_ms) as f64;
+        late_ms + LATE_KEPT_MAX_MS.min((left_ms * LATE_KEPT_SHARE) as u64)
     }
 }
 
 /// Jobs of one rank, ordered by the time until which they should be placed.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct DeadlineQueue {
     jobs: BTreeMap<(u64, JobId), QueuedJob>,
-    /// The order in a long backlog.
-    precedence: Precedence,
-    /// The times until which the jobs should be placed, in that order.
-    by_precedence: BTreeMap<(i64, JobId), u64>,
     /// The total slot time that the jobs need, in milliseconds.
     slot_ms: u64,
     /// When a job last expired, in milliseconds.
@@ -128,30 +121,14 @@
 }
 
 impl DeadlineQueue {
-    fn new(precedence: Precedence) -> Self {
-        Self {
-            jobs: BTreeMap::new(),
-            precedence,
-            by_precedence: BTreeMap::new(),
-            slot_ms: 0,
-            expired_ms: None,
-        }
-    }
-
-    fn precedence_key(&self, queued: &QueuedJob) -> (i64, JobId) {
-        (self.precedence.key(queued.since_ms, queued.slot_ms), queued.job.job_id)
-    }
-
     fn push(&mut self, until_ms: u64, queued: QueuedJob) {
         self.slot_ms += queued.slot_ms;
-        self.by_precedence.insert(self.precedence_key(&queued), until_ms);
         self.jobs.insert((until_ms, queued.job.job_id), queued);
     }
 
     fn take(&mut self, key: (u64, JobId)) -> Option<QueuedJob> {
         let queued = self.jobs.remove(&key)?;
         self.slot_ms -= queued.slot_ms;
-        self.by_precedence.remove(&self.precedence_key(&queued));
         Some(queued)
     }
 
@@ -163,11 +140,7 @@
         let is_shedding = self.expired_ms.is_some_and(|at_ms| now_ms < at_ms + SHEDDING_MS);
         let share = if is_shedding { FIFO_BACKLOG_SHARE_SHEDDING } else { FIFO_BACKLOG_SHARE };
         let is_fifo = backlog_ms <= newest_left_ms * share;
-        if is_fifo {
-            return self.take(first);
-        }
-        let ((_, job_id), until_ms) = self.by_precedence.first_key_value()?;
-        self.take((*until_ms, *job_id))
+        self.take(if is_fifo { first } else { last })
     }
 
     /// Removes the expired jobs.
@@ -188,7 +161,7 @@
 }
 
 /// The jobs of one rank.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct RankQueue {
     /// Jobs that can still meet their objective, ordered by the latest time to place them.
     on_time: DeadlineQueue,
@@ -196,15 +169,6 @@
     late: DeadlineQueue,
 }
 
-impl Default for RankQueue {
-    fn default() -> Self {
-        Self {
-            on_time: DeadlineQueue::new(Precedence::ShortAndNew),
-            late: DeadlineQueue::new(Precedence::ShortAndOld),
-        }
-    }
-}
-
 impl RankQueue {
     fn queues(&self) -> [&DeadlineQueue; 2] {
         [&self.on_time, &self.late]
