proxy, dispatch: a crash within an answer without length does not clear its request

What callers saw: a request whose endpoints crash after they have written a part of an answer with neither a length nor chunks reached one endpoint after the other.

Cause: such an answer ends with its connection, and so does the endpoint. It was reported as answered whole, which proves a request sound and ends its quarantine.

Change: the end of the connection is reported with the answer, in the field that lost connections have. The dispatcher keeps it aside: it proves the request sound once the endpoint gives a later sign of life, or after 8 s; if the endpoint is gone it is a crash. By itself it accuses nobody.

--- a/crates/dispatch/src/crashes/crash.rs
+++ b/crates/dispatch/src/crashes/crash.rs
@@ -64,6 +64,8 @@
     pub(super) at_ms: u64,
     /// The requests that were lost, with the prompts on which no answer had begun.
     pub(super) contents: Vec<Content>,
+    /// Those of them whose answers ended with the connection: they are whole if the endpoint lives on.
+    pub(super) ended: Vec<Content>,
     /// The number of parts of these prompts.
     parts: usize,
     count: usize,
@@ -84,6 +86,7 @@
         Self {
             at_ms,
             contents: Vec::new(),
+            ended: Vec::new(),
             parts: 0,
             count: 0,
             observers: BTreeSet::new(),
@@ -117,6 +120,21 @@
         }
     }
 
+    /// Records an answer that ended with its connection, as answers without a length do. It tells
+    /// nothing of a crash by itself.
+    pub(super) fn record_ended(&mut self, content: &Content) {
+        let content = content.after_begun_answer();
+        if content.is_empty() || self.ended.len() >= CONTENTS_MAX {
+            return;
+        }
+        if self.contents.len() < CONTENTS_MAX && !self.contents.contains(&content) {
+            self.contents.push(content.clone());
+        }
+        if !self.ended.contains(&content) {
+            self.ended.push(content);
+        }
+    }
+
     /// Records that an instance did not reach the endpoint.
     pub(super) fn record_unreached(&mut self, observer: Observer) {
         self.count += 1;
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -108,11 +108,28 @@
 
     /// Records that an endpoint gave a sign of life at `at_ms`.
     pub fn record_alive(&mut self, at_ms: u64, start: &EndpointStart) {
-        if self.losses.get(start).is_some_and(|loss| loss.is_disproved(at_ms)) {
-            self.losses.remove(start);
+        if self.losses.get(start).is_some_and(|loss| loss.is_disproved(at_ms))
+            && let Some(loss) = self.losses.remove(start)
+        {
+            self.record_ended_whole(&loss);
         }
     }
 
+    /// Records that a request's answer ended with its connection. The endpoint may have cut it by a crash:
+    /// it proves the request sound once the endpoint is known to live on.
+    pub fn record_ended_by_close(&mut self, now_ms: u64, start: &EndpointStart, content: &Content) {
+        if self.losses.len() >= LOSSES_MAX && !self.losses.contains_key(start) {
+            return;
+        }
+        let loss = self.losses.entry(start.clone()).or_insert_with(|| Loss::new(now_ms));
+        loss.record_ended(content);
+    }
+
+    /// Records the answers that were whole, as the endpoint lived on.
+    fn record_ended_whole(&mut self, loss: &Loss) {
+        loss.ended.iter().for_each(|content| self.record_whole_answer(loss.at_ms, content));
+    }
+
     /// Records that the connection of a request was lost; the flags tell that its answer had begun, and that
     /// no other request runs on the endpoint.
     pub fn record_lost(
@@ -249,6 +266,8 @@
                     contents: loss.contents,
                     explained_by,
                 });
+            } else {
+                self.record_ended_whole(&loss);
             }
         }
     }
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -58,6 +58,7 @@
         let since_ms = endpoint.running.get(&finished.job_id).map(|running| running.since_ms);
         let is_idle = endpoint.running.keys().all(|job_id| *job_id == finished.job_id);
         let crashes = self.crashes.service(&service);
+        let instance = finished.job_id.instance;
         let has_begun = finished.first_byte_ms.is_some() && finished.outcome != Outcome::Failed;
         if has_begun {
             let at_ms = now_ms.saturating_sub(finished.rest_ms.into());
@@ -65,13 +66,15 @@
         }
         let has_whole_answer = finished.first_byte_ms.is_some()
             && matches!(finished.outcome, Outcome::Answered | Outcome::Failed);
-        if has_whole_answer {
+        let is_connection_lost = finished.is_connection_lost && !self.paths.is_lost(instance);
+        if has_whole_answer && is_connection_lost {
+            crashes.record_ended_by_close(now_ms, &start, &placed.content);
+        } else if has_whole_answer {
             crashes.record_whole_answer(now_ms, &placed.content);
         }
         if placed.is_trial && finished.outcome == Outcome::NotConnected {
             crashes.take_back_trial(now_ms, &placed.content);
         }
-        let instance = finished.job_id.instance;
         let observer = Observer { instance, is_sole: self.paths.instances() <= 1 };
         match finished.outcome {
             Outcome::Misdirected => crashes.record_gone(&start),
@@ -86,7 +89,7 @@
             Outcome::Broken | Outcome::Abandoned => {}
         }
         // An instance that is cut off loses the connections of endpoints that run on.
-        if finished.is_connection_lost && !self.paths.is_lost(instance) {
+        if is_connection_lost && !has_whole_answer {
             let lost = (&placed.content, has_begun);
             crashes.record_lost(now_ms, &start, lost, (observer, is_idle));
             self.refuse_suspects(now_ms, &service);
--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -3,6 +3,7 @@
 use googletest::prelude::*;
 use lycheehub_dispatch::crashes::{
     Content, EndpointStart, Observer, Prompt, RequestDigest, Scope, ServiceCrashes, Suspect,
+    Verdict,
 };
 
 const CRASHING_PART: u64 = 0xdead;
@@ -74,3 +75,21 @@
     let parts: usize = told.iter().map(|content| content.prompt().shared().len()).sum();
     expect_that!(parts, le(4_096));
 }
+
+#[gtest]
+fn answers_that_end_with_their_connection_accuse_no_sound_request() {
+    let mut crashes = ServiceCrashes::new("writer".into());
+    let start = EndpointStart { endpoint: "a".into(), incarnation: 1 };
+    let sound = Content::new(Prompt::default(), Some(RequestDigest::new(1)));
+    for number in 1..=20 {
+        // The endpoint is idle for longer than a crash is told, and goes on.
+        let now_ms = number * 10_000;
+        let verdict = crashes.judge(now_ms, &sound, false, Scope::AllInstances);
+        expect_that!(verdict, eq(Verdict::Sound), "request {number}");
+        crashes.record_ended_by_close(now_ms + 50, &start, &sound);
+        crashes.record_alive(now_ms + 200, &start);
+        crashes.advance(now_ms + 1_000, Scope::AllInstances);
+    }
+    expect_that!(crashes.crashes(210_000).count(), eq(0));
+    expect_that!(crashes.answers(210_000).count(), eq(1), "it is known as answered");
+}
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -7,7 +7,7 @@
 use super::{Exchange, Placed};
 use crate::dialect::{ForwardedFields, ResponseFields};
 use crate::entry::Entry;
-use crate::http1::{Body, Connection, Error, ResponseHead};
+use crate::http1::{Body, Connection, Error, Framing, ResponseHead};
 use crate::paths;
 use lycheehub_dispatch::{Finished, JobId, LimitKind, Notice, Outcome, StatedLimit};
 use lycheehub_types::EndpointName;
@@ -115,6 +115,13 @@
         self.report(Outcome::Broken);
     }
 
+    /// Reports the outcome of a response that has ended. One that ends with its connection may have been
+    /// cut by the endpoint's crash, which this instance cannot tell.
+    pub(super) fn report_end(&self, outcome: Outcome, framing: Framing) {
+        self.is_connection_lost.set(framing == Framing::UntilClose);
+        self.report(outcome);
+    }
+
     /// Returns whether the connection was lost before the response began.
     fn is_lost_unanswered(&self) -> bool {
         self.is_connection_lost.get() && self.first_byte_ms.get().is_none()
@@ -410,11 +417,11 @@
     ) -> AttemptEnd {
         let endpoint = attempt.endpoint.clone();
         attempt.record_first_byte(self.entry.clock.now_ms());
-        let mut reader = Body::new(if self.head.method == "HEAD" {
-            crate::http1::Framing::Length(0)
-        } else {
-            response.head.framing
-        });
+        let framing = match self.head.method == "HEAD" {
+            true => Framing::Length(0),
+            false => response.head.framing,
+        };
+        let mut reader = Body::new(framing);
         let mut body = Vec::new();
         let read = async {
             while body.len() <= BUFFERED_MAX_BYTES && reader.next(&mut upstream, &mut body).await? {
@@ -441,7 +448,8 @@
                 .await;
         }
         let failed = response.head.status >= 500;
-        attempt.report(if failed { Outcome::Failed } else { Outcome::Answered });
+        let outcome = if failed { Outcome::Failed } else { Outcome::Answered };
+        attempt.report_end(outcome, framing);
         let buffered = BufferedResponse { head: response.head.clone(), body };
         self.release(attempt, upstream, &response);
         if failed && may_repeat {
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -92,7 +92,7 @@
                 AttemptEnd::Answered { keeps_alive: false }
             }
             Ok(Ok(())) => {
-                attempt.report(Outcome::Answered);
+                attempt.report_end(Outcome::Answered, head.framing);
                 let is_sent = framing != Framing::Chunked || caller.send(LAST_CHUNK).await.is_ok();
                 AttemptEnd::Answered { keeps_alive: keeps_alive && is_sent }
             }
@@ -199,7 +199,7 @@
             }
             Ok(StreamEnd::Complete) => {
                 self.access_log.record_status(head.status);
-                attempt.report(Outcome::Answered);
+                attempt.report_end(Outcome::Answered, response.head.framing);
                 self.release(attempt, upstream, &response);
                 AttemptEnd::Answered { keeps_alive }
             }
