fix(consensus): a candidate waits for the votes of replicas with slow disks

What would be seen: no control replica is elected while voters take longer than about 450 ms to store a vote (slow disks or links), for as long as they do.

Cause: draws short election timeouts while no leader is heard of, also for the vote itself. The candidate asked anew before the votes came, and a voter that had just voted asked for votes of its own.

Change: the candidate of a vote, and who grants one, draw from the long range; what comes before a vote stays short.

Failed try: the candidate alone (the voters' own timeouts then ended the vote).

--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -51,6 +51,7 @@
         self.vote.voted_for = Some(self.id);
         self.actions.push(Action::SaveVote(self.vote));
         self.ask_for_votes(now_ms);
+        self.restart_vote_timeout(now_ms);
         if self.has_won() {
             return self.become_leader(now_ms);
         }
@@ -178,7 +179,7 @@
             if self.options.leases {
                 self.leader_contact_ms = Some(now_ms);
             }
-            self.restart_election_timeout(now_ms);
+            self.restart_vote_timeout(now_ms);
         }
         self.send(from, Message::VoteReply { term: self.vote.term, granted });
     }
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -12,6 +12,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::RangeInclusive;
 
 /// The role of a replica in the current term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -361,7 +362,17 @@
         } else {
             self.options.initial_election_timeout_range_ms()
         };
-        self.election_timeout_ms = self.rng.random_range(range);
+        self.draw_election_timeout(now_ms, range);
+    }
+
+    /// Draws an election timeout for a vote that begins now. It is long: each voter stores its vote
+    /// before it replies.
+    fn restart_vote_timeout(&mut self, now_ms: u64) {
+        self.draw_election_timeout(now_ms, self.options.election_timeout_range_ms());
+    }
+
+    fn draw_election_timeout(&mut self, now_ms: u64, range_ms: RangeInclusive<u64>) {
+        self.election_timeout_ms = self.rng.random_range(range_ms);
         self.timeout_began_ms = now_ms;
     }
 }
--- a/crates/consensus/tests/consensus/elections.rs
+++ b/crates/consensus/tests/consensus/elections.rs
@@ -72,6 +72,20 @@
     assert!(longest_ms <= OPTIONS.election_max_ms + 2 * UNSPLIT_MS, "{longest_ms} ms");
 }
 
+// A candidate whose voters' disks are slow gave up before their votes came, each time.
+#[test]
+fn voters_with_slow_disks_elect_a_leader() {
+    let times_ms = (0..SEEDS).map(|seed| {
+        let mut network = start(seed, [1, 3, 4]);
+        network.vote_write_ms = OPTIONS.election_min_ms - TICK_MS;
+        network.elect().0
+    });
+    let (most_ms, longest_ms) = percentile_99_and_longest(times_ms.collect());
+    println!("99 of 100 within {most_ms} ms, longest {longest_ms} ms");
+    assert!(most_ms <= UNSPLIT_MS + OPTIONS.election_min_ms, "{most_ms} ms");
+    assert!(longest_ms <= 2 * (UNSPLIT_MS + OPTIONS.election_min_ms), "{longest_ms} ms");
+}
+
 #[test]
 fn a_voter_that_hears_no_reply_does_not_keep_the_others_from_an_election() {
     let times_ms = (0..SEEDS).map(|seed| {
--- a/crates/consensus/tests/consensus/network.rs
+++ b/crates/consensus/tests/consensus/network.rs
@@ -47,6 +47,8 @@
     rng: SmallRng,
     /// Links that deliver nothing, as sender and receiver.
     pub blocked: BTreeSet<(ReplicaId, ReplicaId)>,
+    /// How long a voter takes to store its vote before it replies, in milliseconds.
+    pub vote_write_ms: u64,
 }
 
 impl Network {
@@ -73,7 +75,7 @@
         });
         let nodes = nodes.collect();
         let (in_flight, blocked) = (BTreeMap::new(), BTreeSet::new());
-        Self { nodes, in_flight, sent: 0, now_ms: 0, rng, blocked }
+        Self { nodes, in_flight, sent: 0, now_ms: 0, rng, blocked, vote_write_ms: 0 }
     }
 
     /// Restarts a replica from what it stored.
@@ -91,7 +93,9 @@
                 node.execute(action);
                 continue;
             };
-            let at_ms = now_ms + self.rng.random_range(1..=DELAY_MAX_MS);
+            let is_vote = matches!(message, Message::VoteReply { .. });
+            let write_ms = if is_vote { self.vote_write_ms } else { 0 };
+            let at_ms = now_ms + write_ms + self.rng.random_range(1..=DELAY_MAX_MS);
             self.sent += 1;
             if !self.blocked.contains(&(id, to)) {
                 self.in_flight.insert((at_ms, self.sent), (id, to, message));
