dispatch: an answer that ended with its connection hides no crash after it

What would be seen: a request on which an endpoint crashed was forgotten, or taken as answered whole, if an answer without a length had ended on that endpoint shortly before and a third request had been begun on in between.

Cause: such an answer opened the record of a lost connection with its own time, and a sign of life after that time removed the record with all that had been lost since.

Change: these answers are kept apart, each with its time (crashes::ended). A later sign of life proves those whole that ended before it; what is left when the endpoint is gone or not reached belongs to the crash. Lost connections are as before.

Test: crash_evidence::a_crash_after_an_answer_that_ended_with_its_connection_* (failed before in both forms: the crash had only the third request, and the crashing one counted as answered).

--- a/crates/dispatch/src/crashes/crash.rs
+++ b/crates/dispatch/src/crashes/crash.rs
@@ -14,15 +14,15 @@
 pub(super) const SETTLE_MS: u64 = 800;
 /// How long after a lost connection the end of the endpoint is attributed to it, in milliseconds; the
 /// lease of an endpoint ends sooner.
-const UNDECIDED_MS: u64 = 8_000;
+pub(super) const UNDECIDED_MS: u64 = 8_000;
 /// The difference between the times at which instances report events of the same moment, in
 /// milliseconds.
-const REPORT_SKEW_MS: u64 = 50;
+pub(super) const REPORT_SKEW_MS: u64 = 50;
 /// The number of failures, and of instances that see them, with an endpoint's end: one instance alone may
 /// have lost its path.
 const SEVERAL: usize = 2;
 /// The maximum number of requests that are suspect after a crash.
-const CONTENTS_MAX: usize = 256;
+pub(super) const CONTENTS_MAX: usize = 256;
 /// The maximum number of parts of their prompts that are, too.
 const PARTS_MAX: usize = 4_096;
 
@@ -64,8 +64,6 @@
     pub(super) at_ms: u64,
     /// The requests that were lost, with the prompts on which no answer had begun.
     pub(super) contents: Vec<Content>,
-    /// Those of them whose answers ended with the connection: they are whole if the endpoint lives on.
-    pub(super) ended: Vec<Content>,
     /// The number of parts of these prompts.
     parts: usize,
     count: usize,
@@ -86,7 +84,6 @@
         Self {
             at_ms,
             contents: Vec::new(),
-            ended: Vec::new(),
             parts: 0,
             count: 0,
             observers: BTreeSet::new(),
@@ -120,18 +117,10 @@
         }
     }
 
-    /// Records an answer that ended with its connection, as answers without a length do. It tells
-    /// nothing of a crash by itself.
-    pub(super) fn record_ended(&mut self, content: &Content) {
-        let content = content.after_begun_answer();
-        if content.is_empty() || self.ended.len() >= CONTENTS_MAX {
-            return;
-        }
+    /// Adds a request whose answer ended with the connection.
+    pub(super) fn add_cut(&mut self, content: Content) {
         if self.contents.len() < CONTENTS_MAX && !self.contents.contains(&content) {
-            self.contents.push(content.clone());
-        }
-        if !self.ended.contains(&content) {
-            self.ended.push(content);
+            self.contents.push(content);
         }
     }
 
--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -17,7 +17,8 @@
 //!
 //! * [`prompt`] holds the parts of a prompt, and [`content`] all that a request may be accused of.
 //! * [`crash`] tells crashes from single lost connections.
-//! * [`answers`] remembers the parts and requests that have been answered.
+//! * [`answers`] remembers the parts and requests that have been answered, and [`ended`] the answers of which
+//!   that is not yet known.
 //! * [`quarantine`] holds what is refused.
 //! * [`scope`] tells whose requests are decided on.
 //! * [`service`] keeps the state of a service, [`accuse`] finds what is quarantined, [`suspicion`] what is
@@ -27,6 +28,7 @@
 mod answers;
 mod content;
 mod crash;
+mod ended;
 mod prompt;
 mod quarantine;
 mod report;
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -2,6 +2,7 @@
 
 use super::answers::Answers;
 use super::crash::{EndpointStart, Loss, Observer};
+use super::ended::{EndedAnswer, EndedAnswers};
 use super::quarantine::{InForce, QuarantineEvent};
 use super::{Content, RequestDigest, Scope, Suspect};
 use lycheehub_types::ServiceName;
@@ -56,6 +57,7 @@
     pub(super) service: ServiceName,
     pub(super) answers: Answers,
     pub(super) losses: BTreeMap<EndpointStart, Loss>,
+    ended: EndedAnswers,
     pub(super) crashes: VecDeque<KnownCrash>,
     pub(super) quarantines: Vec<InForce>,
     pub(super) last_id: u64,
@@ -71,6 +73,7 @@
             service,
             answers: Answers::default(),
             losses: BTreeMap::new(),
+            ended: EndedAnswers::default(),
             crashes: VecDeque::new(),
             quarantines: Vec::new(),
             last_id: 0,
@@ -108,26 +111,33 @@
 
     /// Records that an endpoint gave a sign of life at `at_ms`.
     pub fn record_alive(&mut self, at_ms: u64, start: &EndpointStart) {
-        if self.losses.get(start).is_some_and(|loss| loss.is_disproved(at_ms))
-            && let Some(loss) = self.losses.remove(start)
-        {
-            self.record_ended_whole(&loss);
+        if self.losses.get(start).is_some_and(|loss| loss.is_disproved(at_ms)) {
+            self.losses.remove(start);
         }
+        let whole = self.ended.take_whole(at_ms, start);
+        self.record_ended_whole(whole);
     }
 
     /// Records that a request's answer ended with its connection. The endpoint may have cut it by a crash:
     /// it proves the request sound once the endpoint is known to live on.
     pub fn record_ended_by_close(&mut self, now_ms: u64, start: &EndpointStart, content: &Content) {
-        if self.losses.len() >= LOSSES_MAX && !self.losses.contains_key(start) {
-            return;
-        }
-        let loss = self.losses.entry(start.clone()).or_insert_with(|| Loss::new(now_ms));
-        loss.record_ended(content);
+        self.ended.record(now_ms, start, content);
     }
 
     /// Records the answers that were whole, as the endpoint lived on.
-    fn record_ended_whole(&mut self, loss: &Loss) {
-        loss.ended.iter().for_each(|content| self.record_whole_answer(loss.at_ms, content));
+    fn record_ended_whole(&mut self, answers: Vec<EndedAnswer>) {
+        for answer in answers {
+            self.record_whole_answer(answer.at_ms, &answer.content);
+        }
+    }
+
+    /// Returns the loss of an endpoint; one begins with an answer that the endpoint may have cut.
+    fn loss_or_ended(&mut self, start: &EndpointStart) -> Option<&mut Loss> {
+        if !self.losses.contains_key(start) && self.losses.len() < LOSSES_MAX {
+            let at_ms = self.ended.last_ms(start)?;
+            self.losses.insert(start.clone(), Loss::new(at_ms));
+        }
+        self.losses.get_mut(start)
     }
 
     /// Records that the connection of a request was lost; the flags tell that its answer had begun, and that
@@ -148,14 +158,14 @@
 
     /// Records that an instance did not reach an endpoint.
     pub fn record_unreached(&mut self, start: &EndpointStart, observer: Observer) {
-        if let Some(loss) = self.losses.get_mut(start) {
+        if let Some(loss) = self.loss_or_ended(start) {
             loss.record_unreached(observer);
         }
     }
 
     /// Records that an endpoint is gone, or that several instances did not reach it.
     pub fn record_gone(&mut self, start: &EndpointStart) {
-        if let Some(loss) = self.losses.get_mut(start) {
+        if let Some(loss) = self.loss_or_ended(start) {
             loss.record_gone();
         }
     }
@@ -255,7 +265,11 @@
             .map(|(start, _)| start.clone())
             .collect();
         for start in settled {
-            let Some(loss) = self.losses.remove(&start) else { continue };
+            let Some(mut loss) = self.losses.remove(&start) else { continue };
+            if loss.is_confirmed() {
+                let cut = self.ended.take_cut(&start);
+                cut.into_iter().for_each(|answer| loss.add_cut(answer.content));
+            }
             if loss.is_confirmed() && !loss.contents.is_empty() {
                 let explained_by =
                     self.explaining(&loss.contents).or_else(|| self.narrow(&loss.contents));
@@ -266,10 +280,10 @@
                     contents: loss.contents,
                     explained_by,
                 });
-            } else {
-                self.record_ended_whole(&loss);
             }
         }
+        let old = self.ended.take_old(now_ms);
+        self.record_ended_whole(old);
     }
 
     pub(super) fn add_crash(&mut self, crash: KnownCrash) {
--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -93,3 +93,31 @@
     expect_that!(crashes.crashes(210_000).count(), eq(0));
     expect_that!(crashes.answers(210_000).count(), eq(1), "it is known as answered");
 }
+
+/// An answer without a length ended on an endpoint shortly before it crashed on another request: the answer
+/// of a third one, which began in between, proves the first sound and nothing of the second.
+#[gtest]
+fn a_crash_after_an_answer_that_ended_with_its_connection_is_not_forgotten() {
+    for crashing_ends_by_close in [false, true] {
+        let mut crashes = ServiceCrashes::new("writer".into());
+        let start = EndpointStart { endpoint: "a".into(), incarnation: 1 };
+        let request = |number| Content::new(Prompt::default(), Some(RequestDigest::new(number)));
+        let (ended, crashing, third) = (request(1), request(CRASHING_REQUEST), request(3));
+        crashes.record_ended_by_close(700, &start, &ended);
+        match crashing_ends_by_close {
+            true => crashes.record_ended_by_close(1_000, &start, &crashing),
+            false => crashes.record_lost(1_000, &start, (&crashing, true), (OBSERVER, false)),
+        }
+        crashes.record_answer(900, &start, &third);
+        crashes.record_lost(1_000, &start, (&third, true), (OBSERVER, true));
+        crashes.record_gone(&start);
+        crashes.advance(2_000, Scope::AllInstances);
+        let accused: Vec<Content> =
+            crashes.crashes(2_000).flat_map(|crash| crash.contents).collect();
+        expect_that!(accused, contains(eq(&crashing)), "{crashing_ends_by_close}");
+        expect_that!(accused, not(contains(eq(&ended))), "{crashing_ends_by_close}");
+        let answered: Vec<Suspect> = crashes.answers(2_000).map(|answer| answer.suspect).collect();
+        let accused = Suspect::Request(RequestDigest::new(CRASHING_REQUEST));
+        expect_that!(answered, not(contains(eq(&accused))), "{crashing_ends_by_close}");
+    }
+}
