dispatch: a late trial that reached no endpoint is repeated soon

Found in review. Cause: a trial taken back was followed by the pause after the trials before it. Change: the next one is due after 10 s. Test: crash_evidence::a_late_trial_* (failed before: 86,400,000 ms).

--- a/crates/dispatch/src/crashes/quarantine.rs
+++ b/crates/dispatch/src/crashes/quarantine.rs
@@ -131,10 +131,10 @@
         self.next_trial_ms = now_ms + self.pause_ms();
     }
 
-    /// Takes a trial back that reached no endpoint.
+    /// Takes a trial back that reached no endpoint; the next one is due soon.
     pub(super) fn take_back_trial(&mut self, now_ms: u64) {
         self.trials = self.trials.saturating_sub(1);
-        self.next_trial_ms = now_ms + self.pause_ms();
+        self.next_trial_ms = now_ms + FIRST_TRIAL_MS;
     }
 
     /// Returns the time between the last trial and the next, in milliseconds.
--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -121,3 +121,27 @@
         expect_that!(answered, not(contains(eq(&accused))), "{crashing_ends_by_close}");
     }
 }
+
+/// The fourth trial, a day after the third, found no endpoint: the request is not refused for a further day.
+#[gtest]
+fn a_late_trial_that_reached_no_endpoint_is_repeated_soon() {
+    const SOON_MS: u64 = 10_000;
+    const DAY_MS: u64 = 24 * 3_600_000;
+    let mut crashes = ServiceCrashes::new("writer".into());
+    let crashing = Content::new(Prompt::default(), Some(RequestDigest::new(CRASHING_REQUEST)));
+    (1..=3).for_each(|number| crash(&mut crashes, number * 10_000, 1, &crashing));
+    let mut now_ms = 40_000;
+    for trial in 1..=4 {
+        let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
+        if let Verdict::Refused { retry_after_ms } = verdict {
+            expect_that!(retry_after_ms, le(DAY_MS), "trial {trial}");
+            now_ms += retry_after_ms;
+            let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
+            expect_that!(verdict, eq(Verdict::Sound), "trial {trial}");
+        }
+        expect_that!(crashes.record_sent(now_ms, &crashing), eq(true));
+    }
+    crashes.take_back_trial(now_ms, &crashing);
+    let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
+    expect_that!(verdict, matches_pattern!(Verdict::Refused { retry_after_ms: le(SOON_MS) }));
+}
