route: connections that a path loses accuse no part on the own interface

What callers would see: after a path had reset connections to three endpoints, a part that many prompts share, or a request, was refused for up to an hour. Cause: an instance counted as the sole observer, for which two lost connections are a crash, and endpoints whose answers take longer than 0.8 s cannot disprove it in time. Change: lost connections and refused ones are two kinds of evidence, and both are needed, or that the endpoint is gone or started anew. Test: crashes::a_path_that_loses_connections_* (failed before: refused from the fourth round on).

--- a/crates/route/src/scheduler/crashes.rs
+++ b/crates/route/src/scheduler/crashes.rs
@@ -7,7 +7,10 @@
 
 /// Each instance decides about its own requests.
 const SCOPE: Scope = Scope::Independent;
-const OBSERVER: Observer = Observer { instance: 0, is_sole: true };
+/// Lost connections and connections that are refused are two kinds of evidence, like two instances that see
+/// an endpoint's end: a path that loses connections alone tells of no crash.
+const LOST: Observer = Observer { instance: 0, is_sole: false };
+const NOT_REACHED: Observer = Observer { instance: 1, is_sole: false };
 /// The maximum number of leading blocks of a prompt that are taken for its parts.
 const PARTS_MAX: usize = 64;
 
@@ -23,7 +26,7 @@
         let Some(state) = self.jobs.get(key) else { return };
         let Some(running) = &state.running else { return };
         let crashes = self.crashes.service(&state.job.service);
-        crashes.record_unreached(&running.start, OBSERVER);
+        crashes.record_unreached(&running.start, NOT_REACHED);
         if running.is_trial {
             crashes.take_back_trial(now_ms, &state.content);
         }
@@ -38,7 +41,7 @@
         let is_idle = endpoint.is_some_and(|endpoint| endpoint.in_flight() <= 1);
         let lost = (&state.content, has_begun);
         let crashes = self.crashes.service(&state.job.service);
-        crashes.record_lost(now_ms, &running.start, lost, (OBSERVER, is_idle));
+        crashes.record_lost(now_ms, &running.start, lost, (LOST, is_idle));
     }
 
     /// Records that a request was answered whole.
--- a/crates/route/tests/route/crashes.rs
+++ b/crates/route/tests/route/crashes.rs
@@ -88,3 +88,29 @@
     expect_that!(refusal(&decisions, key), none());
     expect_that!(decisions.len(), eq(1));
 }
+
+/// Connections that a path loses are no crashes: the endpoints accept connections and are not started anew.
+#[gtest]
+fn a_path_that_loses_connections_accuses_no_part() {
+    const PART: u64 = 77;
+    let mut scheduler = Scheduler::new(Options::default(), 1);
+    scheduler.update(0, &view_of(1));
+    for round in 1..=6 {
+        let now_ms = round * ROUND_MS;
+        scheduler.update(now_ms, &view_of(1));
+        (0..5).for_each(|number| answer(&mut scheduler, now_ms, round * 1_000 + number * 10));
+        let keys: Vec<JobKey> = (0..8)
+            .map(|number| numbered(round * 100 + number, &[PART, round * 100 + number]))
+            .map(|job| scheduler.submit(now_ms + 100, job))
+            .inspect(|(key, decisions)| {
+                expect_that!(refusal(decisions, *key), none(), "round {round}");
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            scheduler.record_connection_lost(now_ms + 200, key, false);
+            scheduler.finish(now_ms + 200, key, Outcome::Failed);
+        }
+        scheduler.tick(now_ms + 2_000);
+    }
+}
