control: one window for the comparisons of failures and of times

failures.rs and slowdowns.rs each kept the outcomes of both versions between comparisons, the number of timer checks and the same three bounds (20 requests, 5 at a timer, 12 checks). Window holds them once. No value changes; the control tests pass as they were.

--- a/crates/control/src/moves/failures.rs
+++ b/crates/control/src/moves/failures.rs
@@ -2,6 +2,7 @@
 //! a floor of zero (CUSUM) raise the alarm, so that a late regression is detected as fast as an
 //! early one.
 
+use super::window::Window;
 use super::{Observation, Side};
 
 /// The increases of the failure rate that are tested for.
@@ -11,42 +12,27 @@
 /// The alarm threshold. A good version crosses it with a probability of about `exp(-16)` per
 /// request, if its failures are independent of each other.
 const ALARM_THRESHOLD: f64 = 16.0;
-/// The number of requests to the old version that closes a window.
-const WINDOW_REQUESTS: u64 = 20;
-/// The minimum number of requests to the old version for a window that is closed by a timer.
-const MIN_WINDOW_REQUESTS: u64 = 5;
-/// The number of timer checks after which a window with fewer requests is closed.
-const MAX_SPARSE_CHECKS: u32 = 12;
 
 /// The evidence on one route that the new version fails more often.
 #[derive(Clone, Debug, Default)]
 pub(super) struct FailureEvidence {
-    window_old: Observation,
-    window_new: Observation,
+    window: Window,
     alarm: [f64; 3],
     clearing: f64,
-    /// The number of timer checks since the window was opened.
-    sparse_checks: u32,
 }
 
 impl FailureEvidence {
     /// Adds outcomes; `old` is the sum over all outcomes of the old version, these included.
     pub(super) fn add(&mut self, side: Side, observation: Observation, old: &Observation) {
-        match side {
-            Side::Old => self.window_old += observation,
-            Side::New => self.window_new += observation,
-        }
-        if self.window_old.requests >= WINDOW_REQUESTS {
+        self.window.add(side, observation);
+        if self.window.is_full() {
             self.close_window(old);
         }
     }
 
     /// Closes the window if it has enough requests or has been open for long.
     pub(super) fn close_window_if_due(&mut self, old: &Observation) {
-        self.sparse_checks += 1;
-        if self.window_old.requests >= MIN_WINDOW_REQUESTS
-            || self.sparse_checks >= MAX_SPARSE_CHECKS
-        {
+        if self.window.is_due_at_check() {
             self.close_window(old);
         }
     }
@@ -65,9 +51,7 @@
     }
 
     fn close_window(&mut self, old: &Observation) {
-        let window_old = std::mem::take(&mut self.window_old);
-        let new = std::mem::take(&mut self.window_new);
-        self.sparse_checks = 0;
+        let Window { old: window_old, new, .. } = std::mem::take(&mut self.window);
         if new.requests == 0 {
             return;
         }
--- a/crates/control/src/moves/mod.rs
+++ b/crates/control/src/moves/mod.rs
@@ -7,6 +7,7 @@
 mod rollout;
 mod sequential;
 mod slowdowns;
+mod window;
 
 pub use controller::{MoveController, SlotsByVersion};
 pub use observation::{Observation, ObservationKey, Observations};
--- a/crates/control/src/moves/slowdowns.rs
+++ b/crates/control/src/moves/slowdowns.rs
@@ -12,6 +12,7 @@
 //! `exp(-t)`; the thresholds grow so that these sum up to [`FALSE_ALARM_RATE`] over all blocks,
 //! slowdowns and routes.
 
+use super::window::Window;
 use super::{Observation, Side};
 
 /// The ratios of time per token to the old version's that are tested for.
@@ -27,12 +28,6 @@
 const DISTURBED_RATE: f64 = 0.02;
 /// The minimum duration of a block, in milliseconds.
 const BLOCK_MS: u64 = 1_000;
-/// The minimum number of requests to the old version in a block.
-const BLOCK_REQUESTS: u64 = 20;
-/// The minimum number of requests to the old version for a block that is closed by a timer.
-const MIN_BLOCK_REQUESTS: u64 = 5;
-/// The number of timer checks after which a block with fewer requests is closed.
-const MAX_SPARSE_CHECKS: u32 = 12;
 /// The prior standard deviation of the logarithm of the time per token.
 const PRIOR_LOG_STDDEV: f64 = 0.3;
 /// The number of requests that the prior standard deviation counts for.
@@ -47,12 +42,9 @@
 /// The evidence on one route that the new version is slower.
 #[derive(Clone, Debug, Default)]
 pub(super) struct SlowdownEvidence {
-    block_old: Observation,
-    block_new: Observation,
+    block: Window,
     /// When the block was opened, if the time is known.
     opened_ms: Option<u64>,
-    /// The number of timer checks since the block was opened.
-    sparse_checks: u32,
     /// The number of blocks with evidence.
     blocks: u64,
     alarm: [f64; 3],
@@ -68,10 +60,7 @@
         observation: Observation,
         old: &Observation,
     ) {
-        match side {
-            Side::Old => self.block_old += observation,
-            Side::New => self.block_new += observation,
-        }
+        self.block.add(side, observation);
         self.close_block_if_full(now_ms, old);
     }
 
@@ -82,9 +71,7 @@
 
     /// Closes the block if its time is over and it has some requests or has been open for long.
     pub(super) fn close_block_if_due(&mut self, now_ms: Option<u64>, old: &Observation) {
-        self.sparse_checks += 1;
-        let is_due = self.block_old.requests >= MIN_BLOCK_REQUESTS
-            || self.sparse_checks >= MAX_SPARSE_CHECKS;
+        let is_due = self.block.is_due_at_check();
         if self.is_over(now_ms) && is_due {
             self.close_block(now_ms, old);
         }
@@ -105,7 +92,7 @@
     }
 
     fn close_block_if_full(&mut self, now_ms: Option<u64>, old: &Observation) {
-        if self.is_over(now_ms) && self.block_old.requests >= BLOCK_REQUESTS {
+        if self.is_over(now_ms) && self.block.is_full() {
             self.close_block(now_ms, old);
         }
     }
@@ -120,9 +107,7 @@
     }
 
     fn close_block(&mut self, now_ms: Option<u64>, old: &Observation) {
-        let block_old = std::mem::take(&mut self.block_old);
-        let new = std::mem::take(&mut self.block_new);
-        self.sparse_checks = 0;
+        let Window { old: block_old, new, .. } = std::mem::take(&mut self.block);
         self.opened_ms = now_ms;
         if block_old.timed == 0 || new.timed == 0 {
             return;
