dispatch: what is known of a suspect request is looked up once

judge searched all crashes for the request's identity twice, once for its suspicion and once for its probe: suspicion() now returns which of the two it is. The filters for unexplained crashes and probable losses stood three times each, and a content was kept at a loss by two copies of one check: one piece each. The cost was not measured.

--- a/crates/dispatch/src/crashes/crash.rs
+++ b/crates/dispatch/src/crashes/crash.rs
@@ -110,6 +110,11 @@
             true => content.clone(),
             false => content.after_begun_answer(),
         };
+        self.keep(content);
+    }
+
+    /// Keeps what the endpoint may have crashed on, within the bound.
+    pub(super) fn keep(&mut self, content: Content) {
         let has_room = self.contents.len() < CONTENTS_MAX;
         if has_room && !content.is_empty() && !self.contents.contains(&content) {
             self.parts += content.prompt().shared().len();
@@ -117,13 +122,6 @@
         }
     }
 
-    /// Adds a request whose answer ended with the connection.
-    pub(super) fn add_cut(&mut self, content: Content) {
-        if self.contents.len() < CONTENTS_MAX && !self.contents.contains(&content) {
-            self.contents.push(content);
-        }
-    }
-
     /// Records that an instance did not reach the endpoint.
     pub(super) fn record_unreached(&mut self, observer: Observer) {
         self.count += 1;
--- a/crates/dispatch/src/crashes/report.rs
+++ b/crates/dispatch/src/crashes/report.rs
@@ -13,9 +13,8 @@
 
     /// Returns the crashes that no quarantine explains.
     pub fn crashes(&self, now_ms: u64) -> impl Iterator<Item = Crash> {
-        let unexplained = self.crashes.iter().filter(|crash| crash.explained_by.is_none());
-        let known = unexplained.map(|crash| (&crash.start, crash.at_ms, &crash.contents));
-        let probable = self.losses.iter().filter(|(_, loss)| loss.is_probable());
+        let known = self.unexplained().map(|crash| (&crash.start, crash.at_ms, &crash.contents));
+        let probable = self.probable_losses();
         let all = known.chain(probable.map(|(start, loss)| (start, loss.at_ms, &loss.contents)));
         all.map(move |(start, at_ms, contents)| Crash {
             service: self.service.clone(),
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -4,6 +4,7 @@
 use super::crash::{EndpointStart, Loss, Observer};
 use super::ended::{EndedAnswer, EndedAnswers};
 use super::quarantine::{InForce, QuarantineEvent};
+use super::suspicion::Suspicion;
 use super::{Content, RequestDigest, Scope, Suspect};
 use lycheehub_types::ServiceName;
 use std::collections::{BTreeMap, VecDeque};
@@ -192,8 +193,12 @@
                 false => Verdict::Sound,
             };
         }
-        let wait_ms = self.suspicion_ms(now_ms, content, is_repeat, scope);
-        match wait_ms.or_else(|| self.probe_ms(now_ms, content, scope)) {
+        let wait_ms = match self.suspicion(now_ms, content, is_repeat, scope) {
+            Suspicion::None => None,
+            Suspicion::Waiting { wait_ms } => Some(wait_ms),
+            Suspicion::Passed(digest) => self.probe_ms(now_ms, digest),
+        };
+        match wait_ms {
             Some(retry_after_ms) => Verdict::Refused { retry_after_ms },
             None => Verdict::Sound,
         }
@@ -236,7 +241,18 @@
     ) -> Option<u64> {
         let trial_ms = self.trial_wait_ms(now_ms, content);
         let trial_ms = trial_ms.map(|wait_ms| wait_ms.max(RETRY_MIN_MS));
-        trial_ms.max(self.suspicion_ms(now_ms, content, is_repeat, scope))
+        let suspicion = self.suspicion(now_ms, content, is_repeat, scope);
+        trial_ms.max(suspicion.wait_ms())
+    }
+
+    /// Returns the crashes that no quarantine explains.
+    pub(super) fn unexplained(&self) -> impl Iterator<Item = &KnownCrash> {
+        self.crashes.iter().filter(|crash| crash.explained_by.is_none())
+    }
+
+    /// Returns the lost connections that are probably crashes.
+    pub(super) fn probable_losses(&self) -> impl Iterator<Item = (&EndpointStart, &Loss)> {
+        self.losses.iter().filter(|(_, loss)| loss.is_probable())
     }
 
     /// Advances time; returns whether there is a new quarantine.
@@ -266,21 +282,23 @@
             .collect();
         for start in settled {
             let Some(mut loss) = self.losses.remove(&start) else { continue };
-            if loss.is_confirmed() {
-                let cut = self.ended.take_cut(&start);
-                cut.into_iter().for_each(|answer| loss.add_cut(answer.content));
+            if !loss.is_confirmed() {
+                continue;
             }
-            if loss.is_confirmed() && !loss.contents.is_empty() {
-                let explained_by =
-                    self.explaining(&loss.contents).or_else(|| self.narrow(&loss.contents));
-                self.add_crash(KnownCrash {
-                    start,
-                    at_ms: loss.at_ms,
-                    counts_from_ms: now_ms,
-                    contents: loss.contents,
-                    explained_by,
-                });
+            let cut = self.ended.take_cut(&start);
+            cut.into_iter().for_each(|answer| loss.keep(answer.content));
+            if loss.contents.is_empty() {
+                continue;
             }
+            let explained_by =
+                self.explaining(&loss.contents).or_else(|| self.narrow(&loss.contents));
+            self.add_crash(KnownCrash {
+                start,
+                at_ms: loss.at_ms,
+                counts_from_ms: now_ms,
+                contents: loss.contents,
+                explained_by,
+            });
         }
         let old = self.ended.take_old(now_ms);
         self.record_ended_whole(old);
--- a/crates/dispatch/src/crashes/suspicion.rs
+++ b/crates/dispatch/src/crashes/suspicion.rs
@@ -28,29 +28,50 @@
     was_alone: bool,
 }
 
+/// Whether a request that is not quarantined is suspect.
+pub(super) enum Suspicion {
+    /// It is not.
+    None,
+    /// It must wait for this long, in milliseconds.
+    Waiting { wait_ms: u64 },
+    /// It was, and no answer to it came since.
+    Passed(RequestDigest),
+}
+
+impl Suspicion {
+    /// Returns how long the request must wait, in milliseconds, if it must.
+    pub(super) fn wait_ms(&self) -> Option<u64> {
+        match self {
+            Self::Waiting { wait_ms } => Some(*wait_ms),
+            Self::None | Self::Passed(_) => None,
+        }
+    }
+}
+
 impl ServiceCrashes {
-    /// Returns how long a request that is not quarantined must wait, in milliseconds, if it must.
-    pub fn suspicion_ms(
+    /// Returns whether a request that is not quarantined is suspect.
+    pub(super) fn suspicion(
         &self,
         now_ms: u64,
         content: &Content,
         is_repeat: bool,
         scope: Scope,
-    ) -> Option<u64> {
+    ) -> Suspicion {
         let any_request = is_repeat || scope == Scope::UntilLeader;
         if scope != Scope::Independent && self.is_suspect_prompt(content.prompt(), any_request) {
-            return Some(SUSPECT_RETRY_MS);
+            return Suspicion::Waiting { wait_ms: SUSPECT_RETRY_MS };
+        }
+        let Some(digest) = content.digest() else { return Suspicion::None };
+        let Some(until_ms) = self.suspect_until_ms(digest, scope) else { return Suspicion::None };
+        match until_ms.saturating_sub(now_ms) {
+            0 => Suspicion::Passed(digest),
+            left_ms => Suspicion::Waiting { wait_ms: left_ms.max(RETRY_MIN_MS) },
         }
-        let until_ms = self.suspect_until_ms(content.digest()?, scope)?;
-        let left_ms = until_ms.checked_sub(now_ms).filter(|left_ms| *left_ms > 0)?;
-        Some(left_ms.max(RETRY_MIN_MS))
     }
 
     /// Lets one repeat through of a request whose suspicion has passed without an answer to it; returns how
     /// long others must wait, in milliseconds.
-    pub(super) fn probe_ms(&mut self, now_ms: u64, content: &Content, scope: Scope) -> Option<u64> {
-        let digest = content.digest()?;
-        self.suspect_until_ms(digest, scope)?;
+    pub(super) fn probe_ms(&mut self, now_ms: u64, digest: RequestDigest) -> Option<u64> {
         self.probes.retain(|_, at_ms| now_ms < *at_ms + PROBE_MS);
         let Some(at_ms) = self.probes.get(&digest) else {
             self.probes.insert(digest, now_ms);
@@ -78,10 +99,9 @@
 
     fn crashes_at(&self, digest: RequestDigest) -> Crashes {
         let request = Suspect::Request(digest);
-        let lost = self.losses.values().filter(|loss| loss.is_probable());
-        let lost = lost.map(|loss| (loss.at_ms, &loss.contents, loss.is_reason_to_wait()));
-        let unexplained = self.crashes.iter().filter(|crash| crash.explained_by.is_none());
-        let crashed = unexplained.map(|crash| (crash.at_ms, &crash.contents, true));
+        let lost = self.probable_losses();
+        let lost = lost.map(|(_, loss)| (loss.at_ms, &loss.contents, loss.is_reason_to_wait()));
+        let crashed = self.unexplained().map(|crash| (crash.at_ms, &crash.contents, true));
         let mut found: Vec<(u64, bool)> = lost
             .chain(crashed)
             .filter(|(_, contents, _)| contents.iter().any(|content| content.has(request)))
@@ -101,10 +121,8 @@
             (any_request || other.prompt().own() == prompt.own())
                 && unproved.iter().any(|part| other.prompt().has(*part))
         };
-        let probable = self.losses.values().filter(|loss| loss.is_probable());
-        let lost = probable.flat_map(|loss| &loss.contents);
-        let unexplained = self.crashes.iter().filter(|crash| crash.explained_by.is_none());
-        let crashed = unexplained.flat_map(|crash| &crash.contents);
+        let lost = self.probable_losses().flat_map(|(_, loss)| &loss.contents);
+        let crashed = self.unexplained().flat_map(|crash| &crash.contents);
         !unproved.is_empty() && lost.chain(crashed).any(is_met)
     }
 }
