--- a/crates/gateway/src/serve/run.rs
+++ b/crates/gateway/src/serve/run.rs
@@ -70,6 +70,9 @@
         let started_ms = gateway.clock.now_ms_f64();
         let result =
             run_attempt(gateway, exchange, payload, buffer, &assignment, &mut progress).await;
+        if let Err(Failure::Lost(_)) = result {
+            handle.record_connection_lost(buffer.has_started());
+        }
         let (error, relayed_tokens) = match result {
             Ok(()) => {
                 return Completion::Answered(outcome(
@@ -83,11 +86,7 @@
                 (error, None)
             }
             Err(Failure::NotRun(error)) => (error, None),
-            Err(failure @ (Failure::Lost(_) | Failure::Unknown(_))) => {
-                if matches!(failure, Failure::Lost(_)) {
-                    handle.record_connection_lost(buffer.has_started());
-                }
-                let (Failure::Lost(error) | Failure::Unknown(error)) = failure else { continue };
+            Err(Failure::Lost(error) | Failure::Unknown(error)) => {
                 may_have_run = true;
                 let deadline_passed = gateway.clock.now_ms() >= payload.job.deadline_ms;
                 if !payload.idempotent || deadline_passed || !can_resume(payload, buffer) {
