--- a/crates/consensus/tests/consensus/main.rs
+++ b/crates/consensus/tests/consensus/main.rs
@@ -6,5 +6,6 @@
 mod network;
 mod schedules;
 mod storage;
+mod stored;
 mod unknown;
 mod world;
--- a/crates/consensus/tests/consensus/network.rs
+++ b/crates/consensus/tests/consensus/network.rs
@@ -1,5 +1,6 @@
 //! Replicas that start at about the same time, and a network between them that delays messages.
 
+use crate::stored;
 use lycheehub_consensus::{
     Action, Config, Known, Message, Options, Payload, Persisted, Position, Replica, ReplicaId,
     Snapshot, Vote,
@@ -156,15 +157,9 @@
     fn execute(&mut self, action: Action) {
         match action {
             Action::SaveVote(vote) => self.stored.vote = vote,
-            Action::Append(entries) => {
-                let first = entries.first().map_or(u64::MAX, |entry| entry.position.index);
-                self.stored.entries.retain(|entry| entry.position.index < first);
-                self.stored.entries.extend(entries);
-            }
+            Action::Append(entries) => stored::append(&mut self.stored, entries),
             Action::SaveSnapshot { snapshot, reset } => {
-                let index = snapshot.position.index;
-                self.stored.entries.retain(|entry| !reset && entry.position.index > index);
-                self.stored.snapshot = snapshot;
+                stored::save_snapshot(&mut self.stored, snapshot, reset);
             }
             Action::Apply(entry) => {
                 if let Payload::Command(command) = entry.payload {
--- a/crates/consensus/tests/consensus/world/mod.rs
+++ b/crates/consensus/tests/consensus/world/mod.rs
@@ -9,6 +9,7 @@
 
 pub use steps::{InjectedBug, Step};
 
+use crate::stored;
 use lycheehub_consensus::{
     Action, Config, Entry, Known, Message, Options, Payload, Persisted, Position, Replica,
     ReplicaId, Role, Snapshot, Vote,
@@ -356,15 +357,9 @@
                     node.stored.vote = vote;
                 }
             }
-            Action::Append(entries) => {
-                let first = entries.first().map_or(u64::MAX, |entry| entry.position.index);
-                node.stored.entries.retain(|entry| entry.position.index < first);
-                node.stored.entries.extend(entries);
-            }
+            Action::Append(entries) => stored::append(&mut node.stored, entries),
             Action::SaveSnapshot { snapshot, reset } => {
-                let index = snapshot.position.index;
-                node.stored.entries.retain(|entry| !reset && entry.position.index > index);
-                node.stored.snapshot = snapshot;
+                stored::save_snapshot(&mut node.stored, snapshot, reset);
             }
             Action::Send { to, message } => {
                 let from = node.id;
