--- a/crates/proxy/tests/proxy/documents.rs
+++ b/crates/proxy/tests/proxy/documents.rs
@@ -87,19 +87,25 @@
     }
 }
 
+/// Sends a request that `newer` comes into force in the middle of; returns the response.
+async fn request_across(fixture: &Fixture, newer: Document) -> String {
+    let request = post("/unsafe/", "pay");
+    let (first, second) = request.split_at(request.len() - 2);
+    let mut caller = fixture.connect().await;
+    caller.write_all(first.as_bytes()).await.unwrap();
+    sleep_ms(100).await;
+    fixture.set_document(newer);
+    caller.write_all(second.as_bytes()).await.unwrap();
+    read_all(&mut caller).await
+}
+
 #[gtest]
 fn a_request_whose_body_is_under_way_keeps_the_limits_under_which_it_began() {
     run(|fixture| async move {
         add_slow_endpoint(&fixture).await;
-        let request = post("/unsafe/", "pay");
-        let (first, second) = request.split_at(request.len() - 2);
-        let mut caller = fixture.connect().await;
-        caller.write_all(first.as_bytes()).await.unwrap();
-        sleep_ms(100).await;
         let limits = ClientLimits { body_max_bytes: 1, ..ClientLimits::default() };
-        fixture.set_document(Document { limits, ..document() });
-        caller.write_all(second.as_bytes()).await.unwrap();
-        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
+        let response = request_across(&fixture, Document { limits, ..document() }).await;
+        expect_that!(response, starts_with("HTTP/1.1 200 "));
     });
 }
 
@@ -109,14 +115,9 @@
 fn a_request_whose_route_is_dropped_while_it_arrives_is_refused() {
     run(|fixture| async move {
         add_slow_endpoint(&fixture).await;
-        let request = post("/unsafe/", "pay");
-        let (first, second) = request.split_at(request.len() - 2);
-        let mut caller = fixture.connect().await;
-        caller.write_all(first.as_bytes()).await.unwrap();
-        sleep_ms(100).await;
-        fixture.set_document(Document { routes: Vec::new(), ..document() });
-        caller.write_all(second.as_bytes()).await.unwrap();
-        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 404 "));
+        let response =
+            request_across(&fixture, Document { routes: Vec::new(), ..document() }).await;
+        expect_that!(response, starts_with("HTTP/1.1 404 "));
     });
 }
 
