tests(proxy): responses that break off at any byte

An operator of a similar system reported that an endpoint stopped in the middle of a response's head and callers got a 200 with an empty or short body. On the proxy this does not happen; no logic is changed.

Recorded responses (with a length, in chunks, without length, after interim ones, a refusal that states that the request has not run, three kinds of streams) are cut at each byte, closed and reset, directly and through a relay, in two pieces at seeded places; the second response on a kept connection as well, and the frames of a relay. A request that may run once gets 502 and is not sent again, one that may be repeated the second endpoint's whole response, a stream is never ended as complete, a refusal counts once its head is whole. A second of silence within a head is waited for on a request that may not move.

First tries of the tests failed for their own fault: the endpoint's second piece was delayed by Nagle's algorithm and dropped by its reset.

--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod documents;
 mod endless;
 mod framing;
+mod heads;
 mod notices;
 mod odd_deadlines;
 mod odd_numbers;
--- a/crates/proxy/tests/proxy/paths.rs
+++ b/crates/proxy/tests/proxy/paths.rs
@@ -14,7 +14,7 @@
 
 /// The endpoints as another instance knows them.
 #[derive(Clone, Default)]
-struct Known {
+pub struct Known {
     address: Rc<RefCell<Option<String>>>,
     is_proven: Rc<Cell<bool>>,
 }
@@ -34,14 +34,14 @@
 }
 
 /// Returns an address at which nothing listens.
-async fn closed_address() -> String {
+pub async fn closed_address() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     listener.local_addr().unwrap().to_string()
 }
 
 /// Starts another instance that relays connections, and cuts the instance off from `endpoints`
 /// endpoints; the other instance connects to one that answers with `script`.
-async fn cut_off<F: Future<Output = ()> + 'static>(
+pub async fn cut_off<F: Future<Output = ()> + 'static>(
     fixture: &Fixture,
     endpoints: usize,
     script: impl Fn(TcpStream, u32) -> F + 'static,
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -78,6 +78,8 @@
     pub address: RefCell<Option<String>>,
     /// Where connections lead on which bytes arrive before the request is sent, if anywhere.
     pub early_address: RefCell<Option<String>>,
+    /// Where connections lead whose content the test frames itself, if anywhere.
+    pub framed_address: RefCell<Option<String>>,
     /// How many connections were asked for.
     pub asked: Cell<u32>,
 }
@@ -87,7 +89,11 @@
         self.asked.set(self.asked.get() + 1);
         let address = self.address.borrow().clone();
         let early_address = self.early_address.borrow().clone();
+        let framed_address = self.framed_address.borrow().clone();
         Box::pin(async move {
+            if let Some(address) = framed_address {
+                return Ok(TcpStream::connect(address).await.unwrap());
+            }
             if let Some(address) = early_address {
                 let stream = TcpStream::connect(address).await.unwrap();
                 stream.peek(&mut [0; 1]).await.unwrap();
