proxy: idle connections of a stopping instance stay open while it has work, and close late and in turn

What callers saw: 2.7 s after its SIGTERM a stopping entry instance closed all idle connections of callers in one moment, and from then on each that became idle at once, although its last responses had stated a longer idle time. A request that its caller sent then met a closed connection and got neither a response nor a refusal.

Cause: the balancer's delay was taken for the time from which nobody uses connections any more. Idle connections had no owner that knew since when each was idle.

Change: `shutdown` keeps the idle connections in the order in which they became idle. They stay open while the instance has requests or relayed connections, and each request on them is answered with `Connection: close`. Then those that have been idle for a second close, longest idle first, in steps. The listener closes after that, once what the system has taken is accepted; the process ends when no connection is left. Lines about idle closes are bounded by number.

The test uses the real program and callers that pause for 20 to 400 ms until they cannot connect.

--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -33,6 +33,14 @@
 const STOP_RESERVE_MS: u64 = 400;
 /// The interval between checks for unfinished requests, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 20;
+/// How long a connection is idle before a stopping instance closes it, in milliseconds.
+const QUIET_MS: u64 = 1_000;
+/// The number of steps in which a stopping instance closes its idle connections.
+const CLOSING_STEPS: usize = 25;
+/// How long the last responses may take to be sent, in milliseconds.
+const LAST_RESPONSES_MS: u64 = 150;
+/// How long requests on the last connections may take to arrive, in milliseconds.
+const LAST_REQUESTS_MS: u64 = 1_000;
 /// The interval between checks of idle connections to endpoints, in milliseconds.
 const POOL_SWEEP_MS: u64 = 1_000;
 
@@ -201,22 +209,46 @@
     }
 }
 
-/// Stops the instance: it reports that it is not ready, closes idle connections once the balancer
-/// has stopped using it, and then waits for unfinished requests and relayed connections.
+/// Stops the instance: it reports that it is not ready, refuses new connections once the balancer has stopped
+/// using it, and then waits for unfinished requests and relayed connections. Idle connections stay open
+/// meanwhile, so that requests on them are answered.
 async fn stop(entry: &Entry, relay: &Server, timeout_ms: u64) {
     let started_ms = entry.clock.now_ms();
     let unfinished = entry.exchanges.get() as u64;
     spdlog::info!("stopping: not ready", kv: { unfinished, timeout_ms });
-    let exit_at_ms = started_ms + timeout_ms.saturating_sub(STOP_RESERVE_MS);
+    let ends_ms = started_ms + timeout_ms.saturating_sub(STOP_RESERVE_MS);
     let refuses_from_ms = started_ms + BALANCER_DELAY_MS;
-    entry.begin_stop(Stop { refuses_from_ms, ends_ms: exit_at_ms });
-    Timer::after(Duration::from_millis(BALANCER_DELAY_MS)).await;
+    entry.begin_stop(Stop { refuses_from_ms, ends_ms });
+    poll_until(entry, refuses_from_ms.min(ends_ms), || false).await;
+    entry.refuse_new_connections();
+    let is_finished = || entry.exchanges.get() == 0 && relay.connections() == 0;
+    poll_until(entry, ends_ms, is_finished).await;
+    close_idle_connections(entry, ends_ms, is_finished).await;
     entry.close_idle();
-    let is_busy = || entry.exchanges.get() > 0 || relay.connections() > 0;
-    while is_busy() && entry.clock.now_ms() < exit_at_ms {
-        Timer::after(Duration::from_millis(POLL_INTERVAL_MS)).await;
-    }
+    entry.end_exchanges();
+    entry.end_accepting();
+    let last_ms = (entry.clock.now_ms() + LAST_REQUESTS_MS).min(ends_ms + LAST_RESPONSES_MS);
+    poll_until(entry, last_ms, || entry.connections.get() == 0).await;
     spdlog::info!("stopped", kv: {
         unfinished = entry.exchanges.get() as u64, connections = entry.connections.get() as u64,
     });
 }
+
+/// Closes idle connections, the longest idle first, until there are none and `is_finished`, or until `ends_ms`.
+async fn close_idle_connections(entry: &Entry, ends_ms: u64, is_finished: impl Fn() -> bool) {
+    let idle = entry.idle_connections();
+    spdlog::info!("stopping: idle connections are closed", kv: { idle = idle as u64 });
+    let per_step = idle.div_ceil(CLOSING_STEPS).max(1);
+    let is_done = || {
+        entry.close_longest_idle(per_step, QUIET_MS);
+        entry.idle_connections() == 0 && is_finished()
+    };
+    poll_until(entry, ends_ms, is_done).await;
+}
+
+/// Waits until `condition` is true or the time `until_ms` has come.
+async fn poll_until(entry: &Entry, until_ms: u64, mut condition: impl FnMut() -> bool) {
+    while !condition() && entry.clock.now_ms() < until_ms {
+        Timer::after(Duration::from_millis(POLL_INTERVAL_MS)).await;
+    }
+}
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -17,6 +17,7 @@
 mod rejections;
 mod restarts;
 mod rollouts;
+mod stops;
 mod support;
 mod trace;
 
--- /dev/null
+++ b/crates/cli/tests/platform/stops.rs
@@ -0,0 +1,188 @@
+//! Callers that use their connections to an entry instance until it has exited.
+
+use crate::deployment::http::field;
+use crate::deployment::{Deployment, FRONT_PORT};
+use crate::support::{Endpoint, announce, next_id};
+use crate::start_deployment;
+use googletest::prelude::*;
+use std::io::{Error, ErrorKind, Read, Result, Write};
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+/// How long callers wait for a response.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long callers send before the signal.
+const WARM_UP: Duration = Duration::from_millis(700);
+/// The longest stop: the stop timeout of the deployment.
+const STOP_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// What a caller asks for, and how long it leaves its connection idle before it uses it again.
+#[derive(Clone, Copy)]
+struct Pattern {
+    path: &'static str,
+    idle: Duration,
+}
+
+/// How one request ended for its caller.
+#[derive(Clone, Debug)]
+struct Ending {
+    id: String,
+    /// The status; 0 if no byte of a response came.
+    status: u16,
+    /// Whether the whole response came.
+    is_whole: bool,
+    /// Since the signal, in seconds.
+    sent_s: f64,
+}
+
+/// Reads one response; returns its head and whether its body is whole.
+fn read_response(stream: &mut TcpStream) -> Result<(String, bool)> {
+    let (mut bytes, mut byte) = (Vec::new(), [0; 1]);
+    while !bytes.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte)? == 0 {
+            return Err(Error::from(ErrorKind::UnexpectedEof));
+        }
+        bytes.push(byte[0]);
+    }
+    let head = String::from_utf8_lossy(&bytes).into_owned();
+    if let Some(length) = field(&head, "content-length") {
+        let mut body = vec![0; length.parse().expect("a number")];
+        return Ok((head, stream.read_exact(&mut body).is_ok()));
+    }
+    let mut body = Vec::new();
+    while !body.ends_with(b"0\r\n\r\n") {
+        if !matches!(stream.read(&mut byte), Ok(1)) {
+            return Ok((head, false));
+        }
+        body.push(byte[0]);
+    }
+    Ok((head, true))
+}
+
+fn request(path: &str, id: &str, deadline_ms: Option<u64>) -> String {
+    let deadline = deadline_ms.map(|ms| format!("Deadline-Ms: {ms}\r\n")).unwrap_or_default();
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: crates.example\r\nRequest-Id: {id}\r\n{deadline}\
+         X-Api-Key: key-1\r\nContent-Length: 5\r\n\r\nlabel"
+    )
+}
+
+/// Sends requests one after the other, each on the connection of the one before unless its response ends
+/// that, until no connection can be opened; returns how they ended.
+fn use_connections(
+    address: &str,
+    pattern: Pattern,
+    signalled: &Mutex<Option<Instant>>,
+) -> Vec<Ending> {
+    let mut endings = Vec::new();
+    while let Ok(mut stream) = TcpStream::connect(address) {
+        stream.set_read_timeout(Some(RESPONSE_TIMEOUT)).unwrap();
+        let mut keeps_alive = true;
+        while keeps_alive {
+            std::thread::sleep(pattern.idle);
+            let id = next_id();
+            let sent_s = signalled.lock().unwrap().map_or(-1.0, |at| at.elapsed().as_secs_f64());
+            let sent = stream.write_all(request(pattern.path, &id, Some(5_000)).as_bytes());
+            let response = sent.and_then(|()| read_response(&mut stream));
+            let (status, is_whole) = match &response {
+                Ok((head, is_whole)) => (head[9..12].parse().expect("a status"), *is_whole),
+                Err(_) => (0, false),
+            };
+            let connection = response.ok().and_then(|(head, _)| field(&head, "connection"));
+            keeps_alive = connection.is_some_and(|value| value == "keep-alive");
+            endings.push(Ending { id, status, is_whole, sent_s });
+        }
+    }
+    endings
+}
+
+/// Stops the first entry instance while callers use it; returns how their requests ended, and how long the
+/// stop took.
+fn stop_beside(
+    deployment: &mut Deployment,
+    endpoint: &Endpoint,
+    patterns: &[Pattern],
+    signals: &[&str],
+) -> (Vec<Ending>, Duration) {
+    let address = format!("{}:{FRONT_PORT}", deployment.entries[0].ip);
+    let (signalled, is_stopped) = (Mutex::new(None), AtomicBool::new(false));
+    let mut stopping = deployment.entries.remove(0);
+    let deployment = &*deployment;
+    std::thread::scope(|scope| {
+        let (signalled, is_stopped) = (&signalled, &is_stopped);
+        scope.spawn(move || {
+            let mut sequence = 10;
+            while !is_stopped.load(Ordering::Relaxed) {
+                sequence += 1;
+                announce(deployment, 0, endpoint, sequence, "ready");
+                std::thread::sleep(Duration::from_millis(800));
+            }
+        });
+        let send = |pattern: &Pattern| {
+            let (address, pattern) = (address.clone(), *pattern);
+            scope.spawn(move || use_connections(&address, pattern, signalled))
+        };
+        let callers: Vec<_> = patterns.iter().map(send).collect();
+        std::thread::sleep(WARM_UP);
+        let started = Instant::now();
+        *signalled.lock().unwrap() = Some(started);
+        for signal in signals {
+            stopping.signal(signal);
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let status = stopping.exits_within(STOP_TIMEOUT);
+        let duration = started.elapsed();
+        is_stopped.store(true, Ordering::Relaxed);
+        expect_that!(status.map(|status| status.success()), eq(Some(true)));
+        let endings = callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
+        (endings, duration)
+    })
+}
+
+/// Returns the requests that got neither a whole response nor a refusal, of those that this predicate picks.
+fn unanswered(endings: &[Ending]) -> Vec<Ending> {
+    endings.iter().filter(|ending| !ending.is_whole).cloned().collect()
+}
+
+/// Checks that each request ran as often as its status guarantees.
+fn check_runs(endings: &[Ending], endpoint: &Endpoint) {
+    for ending in endings {
+        let runs = endpoint.runs_of(&ending.id);
+        match ending.status {
+            200 => expect_that!(runs, eq(1), "{ending:?}"),
+            429 | 503 => expect_that!(runs, eq(0), "{ending:?}"),
+            _ => expect_that!(runs, le(1), "{ending:?}"),
+        }
+    }
+}
+
+/// Callers that pause for 20 to 400 ms between requests.
+fn pausing_callers(path: &'static str, count: u64) -> Vec<Pattern> {
+    let idle_ms = |number| 20 + number * 380 / count;
+    (0..count)
+        .map(|number| Pattern { path, idle: Duration::from_millis(idle_ms(number)) })
+        .collect()
+}
+
+// The idle connections of a stopping instance were closed all at once, whatever their callers were sending.
+#[gtest]
+fn a_request_on_an_open_connection_of_a_stopping_instance_gets_a_response() {
+    let (mut deployment, endpoint) = start_deployment();
+    let callers = pausing_callers("/print/1", 24);
+    let (endings, _) = stop_beside(&mut deployment, &endpoint, &callers, &["TERM"]);
+    expect_that!(unanswered(&endings), is_empty());
+    check_runs(&endings, &endpoint);
+}
+
+// A stream that ended after the idle connections had been closed left a connection that was closed at once,
+// although the head of its response promised to keep it open.
+#[gtest]
+fn a_request_after_a_stream_that_promised_to_keep_its_connection_gets_a_response() {
+    let (mut deployment, endpoint) = start_deployment();
+    let callers = pausing_callers("/draft/long", 6);
+    let (endings, _) = stop_beside(&mut deployment, &endpoint, &callers, &["TERM"]);
+    expect_that!(unanswered(&endings), is_empty());
+    check_runs(&endings, &endpoint);
+}
--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -16,6 +16,14 @@
 /// How long a request on the route `press` runs: too short for the endpoint to count as stalled.
 const PRESS_DURATION: Duration = Duration::from_millis(200);
 
+/// How long a request on a route `hold` runs: longer than any stop lasts.
+const HOLD_DURATION: Duration = Duration::from_secs(10);
+
+/// The interval between the events of a long stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+/// The number of events of a long stream, which lasts for 3.5 seconds.
+const LONG_STREAM_EVENTS: u32 = 35;
+
 static REQUESTS: AtomicU32 = AtomicU32::new(0);
 
 /// Numbers the announcements under load; `start_deployment` sends the first one.
@@ -298,6 +306,17 @@
         if head.contains(" /press/") {
             std::thread::sleep(PRESS_DURATION);
         }
+        if head.contains(" /hold/") {
+            std::thread::sleep(HOLD_DURATION);
+        }
+        if head.contains(" /draft/long") {
+            let is_sent = send_long_stream(&mut stream, &id, &fields).is_ok();
+            state.running.fetch_sub(1, Ordering::Relaxed);
+            if !is_sent {
+                return;
+            }
+            continue;
+        }
         state.running.fetch_sub(1, Ordering::Relaxed);
         let reply = if head.contains(" /draft/") {
             let events: String =
@@ -320,3 +339,17 @@
         }
     }
 }
+
+/// Sends a stream of one event per [`EVENT_INTERVAL`].
+fn send_long_stream(stream: &mut TcpStream, id: &str, fields: &str) -> std::io::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n{fields}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    for n in 1..=LONG_STREAM_EVENTS {
+        stream.write_all(chunk(&format!("id: {n}\ndata: word\n\n")).as_bytes())?;
+        std::thread::sleep(EVENT_INTERVAL);
+    }
+    stream.write_all(b"0\r\n\r\n")
+}
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -6,13 +6,13 @@
 use crate::paths::{Paths, Relays};
 use crate::pool::Pool;
 use crate::server::IdleLimits;
+use crate::shutdown::{Shutdown, Stop};
 use lycheehub_auth::DigestKey;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::Placement;
 use lycheehub_routes::{ClientLimits, RouteTable};
 use lycheehub_types::{FailureDomain, InstanceName};
 use smol::LocalExecutor;
-use smol::channel::{Receiver, Sender, bounded};
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -57,15 +57,6 @@
     fn latest(&self) -> Snapshot;
 }
 
-/// Schedule of a graceful shutdown, in milliseconds of the instance's clock.
-#[derive(Clone, Copy, Debug)]
-pub struct Stop {
-    /// From this time on, a request is refused if it may still run at `ends_ms`.
-    pub refuses_from_ms: u64,
-    /// The time at which the instance exits.
-    pub ends_ms: u64,
-}
-
 /// An entry instance.
 pub struct Entry {
     /// Identity and limits.
@@ -92,10 +83,11 @@
     pub(crate) accepted: Cell<u64>,
     /// The bound on lines about connections that their callers closed.
     pub(crate) caller_close_lines: LineBound,
+    /// The bound on lines about idle connections that this instance closed.
+    pub(crate) idle_close_lines: LineBound,
     /// Number of requests in progress.
     pub exchanges: Cell<usize>,
-    stop: Cell<Option<Stop>>,
-    idle_close: (Sender<()>, Receiver<()>),
+    pub(crate) shutdown: Shutdown,
     idle_limits: RefCell<IdleLimits>,
     /// The longest deadline seen on each route, in milliseconds.
     deadlines_ms: RefCell<BTreeMap<SmolStr, u64>>,
@@ -127,9 +119,9 @@
             connections: Cell::new(0),
             accepted: Cell::new(0),
             caller_close_lines: LineBound::default(),
+            idle_close_lines: LineBound::default(),
             exchanges: Cell::new(0),
-            stop: Cell::new(None),
-            idle_close: bounded(1),
+            shutdown: Shutdown::default(),
             idle_limits: RefCell::default(),
             deadlines_ms: RefCell::default(),
             account_labels: RefCell::new(Labels::new(ACCOUNT_LABELS_MAX)),
@@ -171,35 +163,51 @@
 
     /// Begins a graceful shutdown: every response from now on closes its connection.
     pub fn begin_stop(&self, stop: Stop) {
-        self.stop.set(Some(stop));
+        self.shutdown.begin(stop);
     }
 
     /// Returns whether the instance is shutting down.
     pub fn is_stopping(&self) -> bool {
-        self.stop.get().is_some()
+        self.shutdown.has_begun()
     }
 
-    /// Returns whether a request that takes up to `duration_ms` may still run when the instance exits.
-    /// Always false before `refuses_from_ms`.
+    /// Returns whether a request that takes up to `duration_ms` may still run when the instance ends its
+    /// requests. Always false before `refuses_from_ms`.
     pub(crate) fn would_outlast_stop(&self, duration_ms: u64) -> bool {
-        let now_ms = self.clock.now_ms();
-        let stop = self.stop.get().filter(|stop| now_ms >= stop.refuses_from_ms);
-        stop.is_some_and(|stop| now_ms.saturating_add(duration_ms) > stop.ends_ms)
+        self.shutdown.would_be_outlasted(self.clock.now_ms(), duration_ms)
+    }
+
+    /// Refuses the first request of each connection that is accepted from now on.
+    pub fn refuse_new_connections(&self) {
+        self.shutdown.refuse();
+    }
+
+    /// Returns the number of connections from callers that wait for a request.
+    pub fn idle_connections(&self) -> usize {
+        self.shutdown.idle.count()
+    }
+
+    /// Closes up to `count` connections that have been idle for `quiet_ms`, those that have been idle for
+    /// longest first.
+    pub fn close_longest_idle(&self, count: usize, quiet_ms: u64) {
+        let until_ms = self.clock.now_ms().saturating_sub(quiet_ms);
+        self.shutdown.idle.close_longest_idle(count, until_ms);
     }
 
-    /// Closes idle connections from callers, now and whenever one becomes idle.
+    /// Closes idle connections from callers, now and whenever one becomes idle, and refuses new ones.
     pub fn close_idle(&self) {
-        self.idle_close.0.close();
+        self.refuse_new_connections();
+        self.shutdown.idle.close_all();
     }
 
-    /// Returns whether `close_idle` was called.
-    pub(crate) fn is_closing_idle(&self) -> bool {
-        self.idle_close.1.is_closed()
+    /// Ends all requests in progress: each gets a response that tells whether it may have run. Only a
+    /// response that has begun is cut.
+    pub fn end_exchanges(&self) {
+        self.shutdown.end();
     }
 
-    /// Waits until `close_idle` is called.
-    pub(crate) async fn idle_close_requested(&self) {
-        // No value is ever sent; `recv` returns once the channel is closed.
-        let _ = self.idle_close.1.recv().await;
+    /// Closes the listener, once the connections that it has are accepted.
+    pub fn end_accepting(&self) {
+        self.shutdown.end_accepting();
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -22,8 +22,10 @@
 pub mod paths;
 pub mod pool;
 pub mod server;
+mod shutdown;
 
 pub use dialect::{Dialect, ForwardedFields, RequestFields, ResponseFields};
-pub use entry::{Entry, Options, Snapshot, Snapshots, Stop};
+pub use entry::{Entry, Options, Snapshot, Snapshots};
 pub use line_bound::LineBound;
 pub use paths::{RelayError, RelayFuture, Relays};
+pub use shutdown::Stop;
--- a/crates/proxy/src/server/closing.rs
+++ b/crates/proxy/src/server/closing.rs
@@ -49,12 +49,15 @@
 /// response.
 fn log_idle_close(entry: &Entry, cause: &'static str, waited: Waited, caller: Caller) {
     metrics::counter!("lycheehub_idle_closes_total", "cause" => cause).increment(1);
+    let now_ms = entry.clock.now_ms();
+    let Some(left_out) = entry.idle_close_lines.admit(now_ms) else { return };
     spdlog::info!("idle connection closed", kv: {
         cause,
-        idle_ms = entry.clock.now_ms() - waited.since_ms,
+        idle_ms = now_ms - waited.since_ms,
         caller: = caller.address,
         connection = caller.connection,
         requests = waited.requests,
+        left_out,
     });
 }
 
--- a/crates/proxy/src/server/idle.rs
+++ b/crates/proxy/src/server/idle.rs
@@ -1,5 +1,6 @@
 //! Waits for the next request of a connection.
 
+use crate::caller::Caller;
 use crate::entry::Entry;
 use crate::http1::{Connection, Error};
 use crate::idle_time::IdleTime;
@@ -30,11 +31,13 @@
     entry: &Entry,
     connection: &mut Connection,
     stated: IdleTime,
+    caller: Caller,
 ) -> WaitEnd {
     if !connection.buffered().is_empty() {
         return WaitEnd::Received;
     }
     let since_ms = entry.clock.now_ms();
+    let idle = entry.shutdown.idle.add(since_ms, caller.connection);
     loop {
         let open_ms = entry.idle_limit_ms(since_ms).max(stated.ms()).saturating_add(IDLE_GRACE_MS);
         let until_ms = since_ms.saturating_add(open_ms);
@@ -50,7 +53,7 @@
             }
         };
         let closing = async {
-            entry.idle_close_requested().await;
+            idle.close_requested().await;
             WaitEnd::Stopping
         };
         // Bytes that have arrived are seen first. After the limit of one document, that of another one may
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -53,10 +53,17 @@
     }
 }
 
-/// Accepts connections and spawns a task for each; never returns.
+/// Accepts connections and spawns a task for each, until `Entry::end_accepting` is called.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = async { Some(listener.accept().await) };
+        let ended = async {
+            entry.shutdown.accepting_ends().await;
+            None
+        };
+        // Connections that the system has taken are accepted first.
+        let Some(accepted) = smol::future::or(accepted, ended).await else { return };
+        match accepted {
             Ok((stream, caller)) => accept(&entry, stream, caller),
             Err(error) => {
                 spdlog::warn!("failed to accept a connection", kv: { error: });
@@ -105,9 +112,12 @@
         let kind = RefusalKind::TooManyConnections;
         return Some(Refusal::retry(kind, message, EXCESS_RETRY_AFTER_MS));
     }
+    entry.shutdown.is_refusing().then(refusal_of_stop)
+}
+
+fn refusal_of_stop() -> Refusal {
     let message = "this instance is being stopped";
-    let refusal = || Refusal::retry(RefusalKind::Stopping, message, STOPPING_RETRY_AFTER_MS);
-    entry.is_closing_idle().then(refusal)
+    Refusal::retry(RefusalKind::Stopping, message, STOPPING_RETRY_AFTER_MS)
 }
 
 async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: Caller) {
@@ -115,7 +125,7 @@
     let mut idle_time = IdleTime::default();
     loop {
         let since_ms = entry.clock.now_ms();
-        let end = idle::wait_for_request(entry, &mut connection, idle_time).await;
+        let end = idle::wait_for_request(entry, &mut connection, idle_time, caller).await;
         if !matches!(end, WaitEnd::Received) {
             return closing::log_wait_end(entry, end, Waited { since_ms, requests }, caller);
         }
@@ -137,13 +147,26 @@
     let limits = entry.client_limits();
     let idle_time = IdleTime::of(&limits);
     let started_ms = entry.clock.now_ms();
-    let keeps_alive = match receive::read_request(entry, connection, &limits).await {
-        Ok((head, body)) => {
+    let read = async { Some(receive::read_request(entry, connection, &limits).await) };
+    let ended = async {
+        entry.shutdown.ending().await;
+        None
+    };
+    let keeps_alive = match smol::future::or(read, ended).await {
+        Some(Ok((head, body))) => {
             let read_ms = entry.clock.now_ms() - started_ms;
             let request = ReceivedRequest { head, body, read_ms, caller, idle_time };
             exchange::handle_request(entry, connection, request).await
         }
-        Err(receive::Unread { step, id, error }) => {
+        None => {
+            spdlog::info!("refused before it was received", kv: {
+                read_ms = entry.clock.now_ms() - started_ms,
+                caller: = caller.address, connection = caller.connection,
+            });
+            exchange::refuse(entry, connection, "", &refusal_of_stop()).await;
+            false
+        }
+        Some(Err(receive::Unread { step, id, error })) => {
             let read_ms = entry.clock.now_ms() - started_ms;
             spdlog::info!("failed to read a request", kv: {
                 error: = error, id: = id, step, read_ms,
