proxy: a stream keeps the promise of its head about the connection when another endpoint ends it in a stop

What callers saw: a stream whose head promised to keep its connection broke off and was ended by a second endpoint after the instance had begun to stop. The connection was then closed with what its caller sent next read and discarded: a whole request without a response.

Cause: whether the connection stays open was decided anew for each endpoint's part of the stream, but the caller has only the first head. It is now kept with the state of the stream.

`resumption::a_request_after_a_stream_that_another_endpoint_ends_in_a_stop_gets_a_response` failed before (`does not contain a substring "0\r\n\r\nHTTP/1.1 200 "`) and passes.

--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -110,7 +110,7 @@
         stream: &mut StreamState,
         can_move: bool,
     ) -> AttemptEnd {
-        let keeps_alive = self.keeps_alive();
+        let keeps_alive = stream.keeps_alive().unwrap_or_else(|| self.keeps_alive());
         let head = &response.head;
         // Another endpoint may continue the stream, with a different length.
         let framing = if can_move { Framing::Chunked } else { caller_framing(head.framing) };
@@ -155,7 +155,7 @@
                         last_progress_ms = now_ms;
                     }
                     append_framed(&mut pending, framing, &event.bytes);
-                    stream.record_sent(head, framing, event);
+                    stream.record_sent(head, framing, keeps_alive, event);
                 }
                 let checked = match has_more {
                     true => parser.check_remainder(),
--- a/crates/proxy/src/exchange/stream_state.rs
+++ b/crates/proxy/src/exchange/stream_state.rs
@@ -18,6 +18,8 @@
 struct Begun {
     framing: Framing,
     media_type: Option<SmolStr>,
+    /// Whether it states that its connection stays open.
+    keeps_alive: bool,
 }
 
 /// What an event of an endpoint that is to continue a stream is to the caller.
@@ -47,6 +49,11 @@
         self.begun.as_ref().map(|begun| begun.framing)
     }
 
+    /// Returns whether the response states that its connection stays open, once it has started.
+    pub(super) fn keeps_alive(&self) -> Option<bool> {
+        self.begun.as_ref().map(|begun| begun.keeps_alive)
+    }
+
     /// Returns the id of the last event that the caller was sent.
     pub(super) fn last_event_id(&self) -> Option<&SmolStr> {
         self.last_event_id.as_ref()
@@ -75,8 +82,15 @@
     }
 
     /// Records that an event of the response with this head is sent to the caller.
-    pub(super) fn record_sent(&mut self, head: &ResponseHead, framing: Framing, event: Event) {
-        self.begun.get_or_insert_with(|| Begun { framing, media_type: media_type(head) });
+    pub(super) fn record_sent(
+        &mut self,
+        head: &ResponseHead,
+        framing: Framing,
+        keeps_alive: bool,
+        event: Event,
+    ) {
+        let begun = || Begun { framing, media_type: media_type(head), keeps_alive };
+        self.begun.get_or_insert_with(begun);
         if event.id.is_some() {
             self.last_event_id = event.id;
             self.has_unnumbered_data = false;
--- a/crates/proxy/tests/proxy/resumption.rs
+++ b/crates/proxy/tests/proxy/resumption.rs
@@ -1,9 +1,10 @@
 //! A stream that has begun and broke off: only a sound continuation is relayed, and without one the
 //! caller's stream ends as broken.
 
-use crate::support::{Fixture, read_all, read_request, run, stream};
+use crate::support::{Fixture, get, read_all, read_request, reset, run, sleep_ms, stream};
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
+use lycheehub_proxy::Stop;
 use smol::net::TcpStream;
 
 const TYPE: &str = "Content-Type: text/event-stream\r\n";
@@ -196,3 +197,41 @@
         expect_that!(read_all(&mut caller).await, ends_with(chunk(FIRST_EVENT)));
     });
 }
+
+// The connection was closed with the caller's next request read and discarded, although the head of the
+// stream promised to keep it open.
+#[gtest]
+fn a_request_after_a_stream_that_another_endpoint_ends_in_a_stop_gets_a_response() {
+    run(|fixture| async move {
+        let first = begun(FIRST_EVENT);
+        let script = move |mut endpoint: TcpStream, number| {
+            let first = first.clone();
+            async move {
+                read_request(&mut endpoint).await;
+                if number > 1 {
+                    let ok = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
+                    return endpoint.write_all(ok.as_bytes()).await.unwrap();
+                }
+                endpoint.write_all(first.as_bytes()).await.unwrap();
+                sleep_ms(200).await;
+                reset(endpoint);
+            }
+        };
+        fixture.add_endpoint(script).await;
+        add_closing(&fixture, events(SECOND_EVENT)).await;
+        let mut caller = fixture.connect().await;
+        let request = stream("/resume/").replace("Connection: close\r\n", "");
+        caller.write_all(request.as_bytes()).await.unwrap();
+        sleep_ms(100).await;
+        let now_ms = fixture.entry.clock.now_ms();
+        let stop = Stop { refuses_from_ms: now_ms, ends_ms: now_ms + 5_000 };
+        fixture.entry.begin_stop(stop);
+        fixture.entry.refuse_new_connections();
+        let response = read_request(&mut caller).await.expect("a response");
+        expect_that!(response, contains_substring("Connection: keep-alive\r\n"));
+        sleep_ms(300).await;
+        caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+        let rest = read_all(&mut caller).await;
+        expect_that!(rest, contains_substring("0\r\n\r\nHTTP/1.1 200 "));
+    });
+}
