proxy: requests that still run when a stopping instance exits get a response that tells whether they may have run

What callers saw: requests that nothing bounds (no deadline, a route with a long timeout) were taken in the first 2.7 s of a stop, since the balancer still sends them then, and were cut without a byte when the process exited, also those that must not be repeated and those that waited and had not run. A request that was being received then got nothing.

Cause: the exit waited for requests up to its time and then ended the process around them; no part of the exchange knew of it.

Change: at the end of its time a stopping instance ends its exchanges.

Three tests of the proxy, one for each of the cases.

--- a/crates/cli/tests/platform/stops.rs
+++ b/crates/cli/tests/platform/stops.rs
@@ -1,10 +1,11 @@
 //! Callers that use their connections to an entry instance until it has exited.
 
 use crate::deployment::http::field;
-use crate::deployment::{Deployment, FRONT_PORT};
+use crate::deployment::{Deployment, FRONT_PORT, eventually};
 use crate::support::{Endpoint, announce, next_id};
-use crate::start_deployment;
+use crate::{document, put_document, start_deployment};
 use googletest::prelude::*;
+use serde_json::json;
 use std::io::{Error, ErrorKind, Read, Result, Write};
 use std::net::TcpStream;
 use std::sync::Mutex;
@@ -186,3 +187,108 @@
     expect_that!(unanswered(&endings), is_empty());
     check_runs(&endings, &endpoint);
 }
+
+/// A request that is sent at some moment of a stop.
+#[derive(Clone, Copy)]
+struct Late {
+    path: &'static str,
+    deadline_ms: Option<u64>,
+    /// Whether it is sent on a connection that was used before the stop.
+    reuses: bool,
+    /// How long sending its body takes.
+    body_takes: Duration,
+    /// When it is sent, after the signal.
+    at: Duration,
+}
+
+fn connect_and_wait(address: &str, late: Late) -> Option<TcpStream> {
+    let connect = || {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(RESPONSE_TIMEOUT)).ok()?;
+        Some(stream)
+    };
+    if !late.reuses {
+        std::thread::sleep(WARM_UP + late.at);
+        return connect();
+    }
+    let mut stream = connect()?;
+    stream.write_all(request("/print/1", &next_id(), Some(5_000)).as_bytes()).ok()?;
+    read_response(&mut stream).ok()?;
+    std::thread::sleep(WARM_UP + late.at);
+    Some(stream)
+}
+
+/// Sends a request in the stop; returns how it ended, unless no connection could be opened.
+fn send_late(address: &str, late: Late) -> Option<Ending> {
+    let mut stream = connect_and_wait(address, late)?;
+    let id = next_id();
+    let text = request(late.path, &id, late.deadline_ms);
+    let (first, second) = text.split_at(text.len() - 2);
+    let sent = stream.write_all(first.as_bytes()).and_then(|()| {
+        std::thread::sleep(late.body_takes);
+        // Refused before it was whole.
+        let _ = stream.write_all(second.as_bytes());
+        read_response(&mut stream)
+    });
+    let (status, is_whole) = match &sent {
+        Ok((head, is_whole)) => (head[9..12].parse().expect("a status"), *is_whole),
+        Err(_) => (0, false),
+    };
+    Some(Ending { id, status, is_whole, sent_s: late.at.as_secs_f64() })
+}
+
+/// Requests at each tenth of a second of a stop, on old and new connections, of five kinds in turn.
+fn late_requests() -> Vec<Late> {
+    const MOMENTS: u64 = 73;
+    let kinds = [
+        ("/print/1", Some(400)),
+        ("/hold/1", None),
+        ("/press/1", Some(1_000)),
+        ("/print/slow", None),
+        ("/draft/1", None),
+    ];
+    let late = |number: u64| {
+        let (path, deadline_ms) = kinds[(number / 2 % 5) as usize];
+        let body_takes = Duration::from_millis(if number % 7 == 0 { 700 } else { 0 });
+        let at = Duration::from_millis(number / 2 * 100);
+        Late { path, deadline_ms, reuses: number % 2 == 0, body_takes, at }
+    };
+    (0..MOMENTS * 2).map(late).collect()
+}
+
+// Requests that nothing bounds were taken in the first seconds of a stop and cut without a response at its
+// end, also those that must not be repeated; those on open connections met a close.
+#[gtest]
+fn a_request_that_comes_late_in_a_stop_ends_whole_or_is_told_whether_it_may_have_run() {
+    let (deployment, endpoint) = start_deployment();
+    let mut with_hold = document(4);
+    with_hold["routes"].as_array_mut().expect("a list").push(json!({
+        "name": "hold", "hostname": "crates.example", "path_prefix": "/hold/", "kind": "unsafe",
+        "timeout_ms": 20000, "target_latency_ms": 500, "priority": 1, "service": "labels",
+        "max_attempts": 2,
+    }));
+    eventually("the document is acknowledged", || {
+        put_document(&deployment, 0, &with_hold).status == 200
+    });
+    let address = format!("{}:{FRONT_PORT}", deployment.entries[0].ip);
+    let mut deployment = deployment;
+    let late = late_requests();
+    let (endings, late_endings) = std::thread::scope(|scope| {
+        let send = |late: &Late| {
+            let (address, late) = (address.clone(), *late);
+            scope.spawn(move || send_late(&address, late))
+        };
+        let callers: Vec<_> = late.iter().map(send).collect();
+        let signals = ["TERM", "HUP", "TERM"];
+        let (endings, _) = stop_beside(&mut deployment, &endpoint, &[], &signals);
+        let late_endings: Vec<_> =
+            callers.into_iter().filter_map(|caller| caller.join().unwrap()).collect();
+        (endings, late_endings)
+    });
+    expect_that!(endings, is_empty());
+    expect_that!(late_endings.len(), ge(late.len() * 9 / 10));
+    expect_that!(unanswered(&late_endings), is_empty());
+    let is_refused = |ending: &&Ending| ending.status == 503;
+    expect_that!(late_endings.iter().filter(is_refused).count(), gt(0));
+    check_runs(&late_endings, &endpoint);
+}
--- a/crates/proxy/src/exchange/filters.rs
+++ b/crates/proxy/src/exchange/filters.rs
@@ -45,13 +45,18 @@
 /// Load pattern: all instances of a failure domain are stopped in turn, and the load balancer sends
 /// requests to a stopping instance if it has no better one.
 fn check_stop(exchange: &Exchange<'_>, route: &RouteSpec) -> Result<(), Refusal> {
-    const RETRY_AFTER_MS: u64 = 300;
     let duration_ms = exchange.fields.deadline_ms.unwrap_or(u64::MAX / 2).min(route.timeout_ms);
     if !exchange.entry.would_outlast_stop(duration_ms) {
         return Ok(());
     }
+    Err(refusal_of_stop())
+}
+
+/// Returns the refusal of a request that has not run by an instance that is shutting down.
+pub(super) fn refusal_of_stop() -> Refusal {
+    const RETRY_AFTER_MS: u64 = 300;
     let message = "this instance is being stopped";
-    Err(Refusal::retry(RefusalKind::Stopping, message, RETRY_AFTER_MS))
+    Refusal::retry(RefusalKind::Stopping, message, RETRY_AFTER_MS)
 }
 
 fn find_account(
--- a/crates/proxy/src/exchange/guard.rs
+++ b/crates/proxy/src/exchange/guard.rs
@@ -1,4 +1,4 @@
-//! Cancels work when the caller disconnects or the deadline passes.
+//! Cancels work when the caller disconnects, the deadline passes or the instance exits.
 
 use crate::entry::Entry;
 use crate::http1::Connection;
@@ -16,9 +16,12 @@
 pub(super) enum Interrupted {
     CallerDisconnected,
     TimedOut,
+    /// The instance is shutting down and ends its requests.
+    Stopped,
 }
 
-/// Runs `work` until the caller closes `connection`, or until `deadline_ms`.
+/// Runs `work` until the caller closes `connection`, until `deadline_ms`, or until the instance ends its
+/// requests.
 pub(super) async fn run_interruptible<T>(
     entry: &Entry,
     connection: &mut Connection,
@@ -35,7 +38,12 @@
         Timer::after(Duration::from_millis(left_ms)).await;
         Err(Interrupted::TimedOut)
     };
-    smol::future::or(done, smol::future::or(disconnected, timed_out)).await
+    let stopped = async {
+        entry.shutdown.ending().await;
+        Err(Interrupted::Stopped)
+    };
+    let cancelled = smol::future::or(disconnected, smol::future::or(timed_out, stopped));
+    smol::future::or(done, cancelled).await
 }
 
 /// A pending placement; the job is withdrawn if this is dropped before the decision.
--- a/crates/proxy/src/exchange/local_response.rs
+++ b/crates/proxy/src/exchange/local_response.rs
@@ -1,6 +1,6 @@
 //! Responses that this instance generates itself.
 
-use super::{BufferedResponse, Exchange, Interrupted, StreamState};
+use super::{BufferedResponse, Exchange, Interrupted, StreamState, filters};
 use crate::entry::Entry;
 use crate::http1::{Connection, Headers};
 use crate::idle_time::IdleTime;
@@ -119,7 +119,7 @@
         self.refuse(connection, refused).await
     }
 
-    /// Ends a request whose caller disconnected or whose deadline passed.
+    /// Ends a request whose caller disconnected, whose deadline passed or which the shutdown ends.
     pub(super) async fn interrupted(
         &mut self,
         connection: &mut Connection,
@@ -130,8 +130,11 @@
         const RETRY_AFTER_MS: u64 = 1_000;
         let is_caller_gone = cause == Interrupted::CallerDisconnected;
         if is_caller_gone || stream.has_started() {
-            let end = if is_caller_gone { "caller left" } else { "timed out in its stream" };
-            self.access_log.record_end(end);
+            self.access_log.record_end(match cause {
+                Interrupted::CallerDisconnected => "caller left",
+                Interrupted::TimedOut => "timed out in its stream",
+                Interrupted::Stopped => "stopped in its stream",
+            });
         }
         if stream.has_started() {
             return false;
@@ -141,11 +144,16 @@
             let bytes = refusal(self.entry, &self.fields.id, &cancelled(may_have_run), None);
             return send_response(connection, &self.fields.id, &bytes, false).await;
         }
-        let refused = if may_have_run {
-            Refusal::new(RefusalKind::TimedOut, "no answer within the request's time")
-        } else {
-            let message = "no endpoint was free within the request's time";
-            Refusal::retry(RefusalKind::DeadlineUnreachable, message, RETRY_AFTER_MS)
+        let refused = match (cause, may_have_run) {
+            (Interrupted::Stopped, true) => {
+                Refusal::new(RefusalKind::OutcomeUnknown, "this instance stops before the answer")
+            }
+            (Interrupted::Stopped, false) => filters::refusal_of_stop(),
+            (_, true) => Refusal::new(RefusalKind::TimedOut, "no answer within the request's time"),
+            (_, false) => {
+                let message = "no endpoint was free within the request's time";
+                Refusal::retry(RefusalKind::DeadlineUnreachable, message, RETRY_AFTER_MS)
+            }
         };
         self.refuse(connection, &refused).await
     }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -13,6 +13,7 @@
 mod resets;
 mod responses;
 mod resumption;
+mod stops;
 mod strays;
 mod streams;
 mod support;
--- /dev/null
+++ b/crates/proxy/tests/proxy/stops.rs
@@ -0,0 +1,73 @@
+//! Requests in progress at an instance that shuts down.
+
+use crate::support::{Fixture, post, read_all, read_request, run, sleep_ms};
+use futures_lite::AsyncWriteExt;
+use googletest::prelude::*;
+use lycheehub_proxy::Stop;
+use smol::net::TcpStream;
+
+/// Begins a stop that refuses requests from now on if they may run for over a second.
+fn begin_stop(fixture: &Fixture) {
+    let now_ms = fixture.entry.clock.now_ms();
+    fixture.entry.begin_stop(Stop { refuses_from_ms: now_ms, ends_ms: now_ms + 1_000 });
+}
+
+/// Sends a request and waits until the instance has it.
+async fn send(fixture: &Fixture, request: &str) -> TcpStream {
+    let mut caller = fixture.connect().await;
+    caller.write_all(request.as_bytes()).await.unwrap();
+    sleep_ms(100).await;
+    caller
+}
+
+/// Adds an endpoint that never responds.
+async fn add_silent_endpoint(fixture: &Fixture) {
+    fixture
+        .add_endpoint(|mut stream, _| async move {
+            read_request(&mut stream).await;
+            smol::future::pending::<()>().await;
+        })
+        .await;
+}
+
+fn expect_refused_as_not_run(response: &str) {
+    expect_that!(response, starts_with("HTTP/1.1 503 "));
+    expect_that!(response, contains_substring("Retry-After: "));
+    expect_that!(response, contains_substring("Connection: close\r\n"));
+}
+
+// Requests in progress were cut without a response when the instance exited.
+#[gtest]
+fn a_request_that_runs_when_its_instance_exits_is_told_that_it_may_have_run() {
+    run(|fixture| async move {
+        add_silent_endpoint(&fixture).await;
+        let mut caller = send(&fixture, &post("/unsafe/", "pay")).await;
+        begin_stop(&fixture);
+        fixture.entry.end_exchanges();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 502 "));
+    });
+}
+
+#[gtest]
+fn a_request_that_waits_when_its_instance_exits_is_refused_as_not_run() {
+    run(|fixture| async move {
+        fixture.placement.never_decides.set(true);
+        let mut caller = send(&fixture, &post("/unsafe/", "pay")).await;
+        begin_stop(&fixture);
+        fixture.entry.end_exchanges();
+        expect_refused_as_not_run(&read_all(&mut caller).await);
+        expect_that!(fixture.placement.withdrawn.get(), eq(1));
+    });
+}
+
+#[gtest]
+fn a_request_that_is_not_whole_when_its_instance_exits_is_refused_as_not_run() {
+    run(|fixture| async move {
+        for request in ["POST /unsafe/ HTTP/1.1\r\nHost: salto", &post("/unsafe/", "pay")[..80]] {
+            let mut caller = send(&fixture, request).await;
+            begin_stop(&fixture);
+            fixture.entry.end_exchanges();
+            expect_refused_as_not_run(&read_all(&mut caller).await);
+        }
+    });
+}
