proxy: a waiting request that may outlast the stop is refused before it is sent

What callers saw: a request that came early in a stop and waited for an endpoint was sent to it at any later moment of the stop, and was cut when the process exited, although by then nothing else that long was accepted.

Cause: whether a request may outlast the stop was looked at only when it was received. It is now looked at as well when the instance begins to refuse such requests, for those that wait for their first endpoint; their jobs are withdrawn and they are refused as not run (503, `Retry-After`) with most of their time left. One that an endpoint has been sent, or whose deadline is within the stop, goes on.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -262,10 +262,19 @@
         let job = self.job(resolved, job_id, tried, resumes_stream);
         self.access_log.record_job(&job);
         let pending = guard::PendingDecision::new(self.entry, job_id);
-        let decision = self.entry.placement.place(job);
+        // Once an endpoint was tried, the request may have run, and goes on.
+        let is_first = tried.is_empty() && !resumes_stream;
+        let decision = async {
+            let decision = async { Ok(self.entry.placement.place(job).await) };
+            let refused = async {
+                self.outlasts_stop(is_first).await;
+                Err(Interrupted::Stopped)
+            };
+            smol::future::or(decision, refused).await
+        };
         let decision =
             guard::run_interruptible(self.entry, connection, self.deadline_ms, decision).await;
-        let decision = decision.map_err(NotPlaced::Interrupted)?;
+        let decision = decision.flatten().map_err(NotPlaced::Interrupted)?;
         pending.mark_decided();
         self.access_log.record_wait(self.entry.clock.now_ms() - requested_ms);
         match decision {
@@ -282,6 +291,16 @@
         }
     }
 
+    /// Waits until a shutdown refuses requests, if this one is a first attempt that may still run when it
+    /// ends; otherwise forever.
+    async fn outlasts_stop(&self, is_first: bool) {
+        self.entry.shutdown.refusing().await;
+        let left_ms = self.deadline_ms.saturating_sub(self.entry.clock.now_ms());
+        if !is_first || !self.entry.would_outlast_stop(left_ms) {
+            smol::future::pending::<()>().await;
+        }
+    }
+
     fn job(
         &self,
         resolved: &ResolvedRequest,
--- a/crates/proxy/tests/proxy/stops.rs
+++ b/crates/proxy/tests/proxy/stops.rs
@@ -1,6 +1,6 @@
 //! Requests in progress at an instance that shuts down.
 
-use crate::support::{Fixture, post, read_all, read_request, run, sleep_ms};
+use crate::support::{Fixture, get, post, read_all, read_request, run, sleep_ms};
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
 use lycheehub_proxy::Stop;
@@ -71,3 +71,20 @@
         }
     });
 }
+
+// A request that had waited for an endpoint was sent to it late in a stop, and was cut with the exit.
+#[gtest]
+fn a_waiting_request_that_may_outlast_the_stop_is_refused_before_it_is_sent() {
+    run(|fixture| async move {
+        fixture.placement.never_decides.set(true);
+        let mut long = send(&fixture, &get("/safe/")).await;
+        let short = get("/safe/").replace("id: r1", "deadline: 800\r\nid: r1");
+        let mut short = send(&fixture, &short).await;
+        begin_stop(&fixture);
+        fixture.entry.refuse_new_connections();
+        expect_refused_as_not_run(&read_all(&mut long).await);
+        expect_that!(fixture.placement.withdrawn.get(), eq(1));
+        // This one ends before the exit, and waits on.
+        expect_that!(read_all(&mut short).await, starts_with("HTTP/1.1 429 "));
+    });
+}
