--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -14,6 +14,7 @@
 mod resets;
 mod responses;
 mod resumption;
+mod stops;
 mod strays;
 mod streams;
 mod support;
