proxy: a request that crosses the close of an idle connection in a stop is told that it has not run

What callers saw: the idle connections that a stopping instance closes at last carried a promise of a longer idle time.

Cause: a close says nothing, and whatever is sent before it arrives is lost. No order of closes mends that.

Change: such a connection is closed with a last response, 408 with `Connection: close`, as HTTP defines it for a connection on which the server waits no longer; the rest is discarded for a bounded time and never read as a request. A caller with a request under way learns that it has not run; one without closes its side.

`stops::a_request_that_crosses_the_close_of_its_idle_connection_is_told_that_it_has_not_run` failed before (Actual: "").

--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -126,8 +126,11 @@
     loop {
         let since_ms = entry.clock.now_ms();
         let end = idle::wait_for_request(entry, &mut connection, idle_time, caller).await;
-        if !matches!(end, WaitEnd::Received) {
-            return closing::log_wait_end(entry, end, Waited { since_ms, requests }, caller);
+        closing::log_wait_end(entry, &end, Waited { since_ms, requests }, caller);
+        match end {
+            WaitEnd::Received => {}
+            WaitEnd::Stopping => return refuse_crossing_request(entry, &mut connection).await,
+            WaitEnd::CallerClosed(_) | WaitEnd::IdleLimit => return,
         }
         let Some(stated) = serve_request(entry, &mut connection, caller).await else { return };
         idle_time = stated;
@@ -183,6 +186,16 @@
     keeps_alive.then_some(idle_time)
 }
 
+/// Closes an idle connection sooner than stated. A request that its caller has sent meanwhile is not read, and
+/// this response, the one that HTTP defines for the case, tells so.
+async fn refuse_crossing_request(entry: &Entry, connection: &mut Connection) {
+    let message = "this instance is being stopped and reads no more requests";
+    let kind = RefusalKind::Incomplete;
+    let refusal = Refusal::retry(kind, message, STOPPING_RETRY_AFTER_MS);
+    exchange::refuse(entry, connection, "", &refusal).await;
+    closing::close_gracefully(connection).await;
+}
+
 /// Refuses the first request of a connection. It is not counted as in progress: a shutdown does not wait for
 /// connections that come meanwhile.
 async fn refuse_first_request(
--- a/crates/proxy/tests/proxy/stops.rs
+++ b/crates/proxy/tests/proxy/stops.rs
@@ -88,3 +88,21 @@
         expect_that!(read_all(&mut short).await, starts_with("HTTP/1.1 429 "));
     });
 }
+
+// A request that crossed the close of an idle connection had no response.
+#[gtest]
+fn a_request_that_crosses_the_close_of_its_idle_connection_is_told_that_it_has_not_run() {
+    run(|fixture| async move {
+        add_silent_endpoint(&fixture).await;
+        let mut caller = fixture.connect().await;
+        sleep_ms(50).await;
+        begin_stop(&fixture);
+        fixture.entry.close_idle();
+        sleep_ms(50).await;
+        caller.write_all(post("/unsafe/", "pay").as_bytes()).await.unwrap();
+        let response = read_all(&mut caller).await;
+        expect_that!(response, starts_with("HTTP/1.1 408 "));
+        expect_that!(response, contains_substring("Connection: close\r\n"));
+        expect_that!(fixture.placement.returning.borrow().len(), eq(0));
+    });
+}
