gateway: a response whose head states no length is not whole with an empty body

What callers saw: on the own interface a 200 with an empty body, framed as whole, for a response that ends with its connection or has a transfer coding other than `chunked`, also if that was reset; and a status 100 with an empty body for a response after an interim one.

Cause: `async_h1::connect` takes every first head for the final one and its body for empty unless it has a length or chunks; of two lengths it takes the last. Class: a default for what a decoder does not know.

Change: the gateway sends the request and decodes heads until the final one, and decides itself where the body ends: no length means the end of the connection, a reset is no end; an unknown coding or two lengths are no answer (502, not run elsewhere unless idempotent). The stream of callers' connections, which hands out one message at a time, serves both sides; a connection with bytes behind a response is not used again.

Failed before (six tests of `heads`, run on the code before): a_response_without_length_ends_with_its_connection, a_response_without_length_is_waited_for_until_*, a_response_after_interim_ones_that_breaks_off_*, a_response_whose_transfer_coding_is_unknown_is_no_answer, a_response_with_two_lengths_is_no_answer, a_stream_that_breaks_off_at_any_byte_does_not_look_complete: e.g. `Value of: outcome.response; Expected: starts with prefix "HTTP/1.1 200 "; Actual: "HTTP/1.1 502 Bad Gateway` for a stream without length. With the change all pass.

Held before and now, cut at each byte, closed and reset: a response with a length (plain, keyed, safe, generated), a refusal, the second response on a kept connection, a pause of a second in a head. A broken head settles the claim of a keyed request as unknown. A coding written as `Chunked` is refused too: the decoder knows only `chunked`.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -2,7 +2,7 @@
 //!
 //! Once bytes of a request have arrived, its connection does not end without a response.
 
-use super::caller_stream::CallerStream;
+use super::message_stream::{Framing, MessageStream};
 use super::{refusal_response, routes};
 use crate::Gateway;
 use async_h1::server::{ConnectionStatus, Encoder, Server};
@@ -60,7 +60,7 @@
 
     /// Completes if no request has started within the header timeout, and a little later if no byte has
     /// come; otherwise never.
-    async fn header_timeout(&self, caller: &CallerStream) {
+    async fn header_timeout(&self, caller: &MessageStream) {
         Timer::after(Duration::from_millis(self.gateway.settings.header_timeout_ms)).await;
         if !caller.has_received() {
             Timer::after(Duration::from_millis(IDLE_GRACE_MS)).await;
@@ -112,19 +112,19 @@
         if excess > 0 {
             return refuse_excess(stream).await;
         }
-        let caller = CallerStream::new(stream.clone());
+        let caller = MessageStream::new(stream.clone());
         while serve_request(&gateway, &caller, &stream).await {}
     };
     gateway.executor.spawn(task).detach();
 }
 
 /// Serves one request; returns whether the connection can be used for another one.
-async fn serve_request(gateway: &Arc<Gateway>, caller: &CallerStream, stream: &TcpStream) -> bool {
-    caller.begin_request();
+async fn serve_request(gateway: &Arc<Gateway>, caller: &MessageStream, stream: &TcpStream) -> bool {
+    caller.begin_head();
     let guard = ExchangeGuard { gateway, started: AtomicBool::new(false) };
     let mut server = Server::new(caller.clone(), |request| {
         guard.start();
-        caller.begin_body(body_length(&request));
+        caller.begin_body(framing_of(&request));
         let gateway = gateway.clone();
         let (caller, stream) = (caller.clone(), stream.clone());
         async move {
@@ -155,10 +155,12 @@
     false
 }
 
-/// Returns the length of the body, or `None` if its chunks tell where it ends.
-fn body_length(request: &Request) -> Option<usize> {
-    let is_chunked = request.header("transfer-encoding").is_some();
-    (!is_chunked).then(|| request.len().unwrap_or(0))
+/// Returns where the body of a request ends.
+fn framing_of(request: &Request) -> Framing {
+    match request.header("transfer-encoding") {
+        Some(_) => Framing::Chunked,
+        None => Framing::Length(request.len().unwrap_or(0)),
+    }
 }
 
 /// Refuses a request whose head was not received, as the last one of its connection.
--- a/crates/gateway/src/http/caller_stream.rs
+++ b/crates/gateway/src/http/message_stream.rs
@@ -1,4 +1,4 @@
-//! The stream of a caller's connection.
+//! A stream that hands out one message at a time.
 
 use super::chunks::Chunks;
 use futures_lite::{AsyncRead, AsyncWrite};
@@ -18,7 +18,18 @@
 /// can be used again.
 const DISCARD_MS: u64 = 1_000;
 
-/// Which part of a request is handed out.
+/// Where a body ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// After this many bytes.
+    Length(usize),
+    /// After its last chunk and the trailers.
+    Chunked,
+    /// With its connection.
+    UntilClose,
+}
+
+/// Which part of a message is handed out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Part {
     /// The head, of whose end this many bytes were handed out.
@@ -27,6 +38,8 @@
     Body(usize),
     /// The body in chunks, which tell where it ends.
     Chunks(Chunks),
+    /// The body, which ends with the connection.
+    UntilClose,
 }
 
 #[derive(Debug)]
@@ -34,7 +47,7 @@
     /// Bytes that were received and not handed out.
     bytes: Vec<u8>,
     part: Part,
-    /// Whether bytes of the current request were handed out.
+    /// Whether bytes of the current message were handed out.
     has_begun: bool,
     /// Whether the request has its response, so that the rest of its body is only discarded.
     has_response: bool,
@@ -42,16 +55,16 @@
     discard_timer: Option<Timer>,
 }
 
-/// A stream that hands out one request at a time: bytes that were received behind it are kept for the next.
+/// A stream that hands out one message at a time: bytes that were received behind it are kept for the next.
 #[derive(Clone, Debug)]
-pub(super) struct CallerStream {
+pub(crate) struct MessageStream {
     stream: TcpStream,
     received: Arc<Mutex<Received>>,
 }
 
-impl CallerStream {
+impl MessageStream {
     /// Wraps the stream of a new connection.
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
         let received = Received {
             bytes: Vec::new(),
             part: Part::Head(0),
@@ -66,8 +79,8 @@
         self.received.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Begins with the head of the next request.
-    pub(super) fn begin_request(&self) {
+    /// Begins with the head of the next message.
+    pub(crate) fn begin_head(&self) {
         let mut received = self.lock();
         received.part = Part::Head(0);
         received.has_begun = false;
@@ -75,9 +88,13 @@
         received.discard_timer = None;
     }
 
-    /// Continues with the body after a head; `length` is `None` if its chunks tell where it ends.
-    pub(super) fn begin_body(&self, length: Option<usize>) {
-        self.lock().part = length.map_or(Part::Chunks(Chunks::BEGIN), Part::Body);
+    /// Continues with the body after a head.
+    pub(crate) fn begin_body(&self, framing: Framing) {
+        self.lock().part = match framing {
+            Framing::Length(length) => Part::Body(length),
+            Framing::Chunked => Part::Chunks(Chunks::BEGIN),
+            Framing::UntilClose => Part::UntilClose,
+        };
     }
 
     /// The request has its response: the rest of its body is waited for a limited time.
@@ -85,10 +102,20 @@
         self.lock().has_response = true;
     }
 
-    /// Returns whether any bytes of the current request were received.
+    /// Returns whether any bytes of the current message were received.
     pub(super) fn has_received(&self) -> bool {
         self.lock().has_begun
     }
+
+    /// Returns whether bytes were received that are not handed out.
+    pub(crate) fn has_unread(&self) -> bool {
+        !self.lock().bytes.is_empty()
+    }
+
+    /// Returns the stream.
+    pub(crate) fn into_inner(self) -> TcpStream {
+        self.stream
+    }
 }
 
 impl Received {
@@ -108,6 +135,7 @@
         let count = match &mut self.part {
             Part::Head(matched) => count_of_head(&self.bytes[..available], matched),
             Part::Chunks(chunks) => chunks.count(&self.bytes[..available]),
+            Part::UntilClose => available,
             Part::Body(left) => {
                 let count = available.min(*left);
                 *left -= count;
@@ -135,7 +163,7 @@
     bytes.len()
 }
 
-impl AsyncRead for CallerStream {
+impl AsyncRead for MessageStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -156,7 +184,7 @@
     }
 }
 
-impl AsyncWrite for CallerStream {
+impl AsyncWrite for MessageStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -1,7 +1,9 @@
 //! Sends a request to one endpoint.
 
+use super::response;
 use crate::Gateway;
 use crate::filters::{Exchange, Payload};
+use crate::http::MessageStream;
 use http_types::{Body, Request, Response, Url};
 use lycheehub_types::PeerError;
 use smol::net::TcpStream;
@@ -51,13 +53,13 @@
     payload: &Payload,
     address: &str,
     resume_from: u64,
-) -> Result<(Response, TcpStream), Failure> {
+) -> Result<(Response, MessageStream), Failure> {
     let idle = if payload.idempotent { take_idle(gateway, address).await } else { None };
     let Some(stream) = idle else {
         return send_on_new_connection(gateway, exchange, payload, address, resume_from).await;
     };
-    let error = match send(gateway, exchange, payload, address, &stream, resume_from).await {
-        Ok(response) => return Ok((response, stream)),
+    let error = match send(gateway, exchange, payload, address, stream, resume_from).await {
+        Ok(answered) => return Ok(answered),
         // The statement may be one on an earlier request on the connection.
         Err(
             Failure::NotReached(error)
@@ -95,10 +97,9 @@
     payload: &Payload,
     address: &str,
     resume_from: u64,
-) -> Result<(Response, TcpStream), Failure> {
+) -> Result<(Response, MessageStream), Failure> {
     let stream = connect(gateway, address).await?;
-    let response = send(gateway, exchange, payload, address, &stream, resume_from).await?;
-    Ok((response, stream))
+    send(gateway, exchange, payload, address, stream, resume_from).await
 }
 
 /// Sends a request and receives the head of the response. Any failure after the request is built
@@ -109,13 +110,14 @@
     exchange: &Exchange,
     payload: &Payload,
     address: &str,
-    stream: &TcpStream,
+    stream: TcpStream,
     resume_from: u64,
-) -> Result<Response, Failure> {
+) -> Result<(Response, MessageStream), Failure> {
     let request = build_request(gateway, exchange, payload, address, resume_from)
         .map_err(|cause| Failure::NotRun(PeerError::failed("prepare", address, cause)))?;
+    let stream = MessageStream::new(stream);
     let exchanged = async {
-        let response = async_h1::connect(stream.clone(), request).await;
+        let response = response::exchange(stream.clone(), request).await;
         response.map_err(|error| PeerError::failed("send", address, error))
     };
     let left_ms = payload.job.deadline_ms.saturating_sub(gateway.clock.now_ms());
@@ -130,7 +132,7 @@
         let cause = format!("refused with status {}", response.status());
         return Err(Failure::NotRun(PeerError::failed("send", address, cause)));
     }
-    Ok(response)
+    Ok((response, stream))
 }
 
 /// Runs one step of an attempt with a timeout.
--- a/crates/gateway/src/serve/mod.rs
+++ b/crates/gateway/src/serve/mod.rs
@@ -6,6 +6,7 @@
 mod events;
 mod pool;
 mod relay;
+mod response;
 mod run;
 
 pub use pool::ConnectionPool;
--- a/crates/gateway/src/serve/run.rs
+++ b/crates/gateway/src/serve/run.rs
@@ -152,8 +152,8 @@
     } else {
         relay_whole(gateway, payload, buffer, address, response, limits, progress).await?;
     }
-    if reusable {
-        gateway.pool.put(gateway.clock.now_ms(), address, connection);
+    if reusable && !connection.has_unread() {
+        gateway.pool.put(gateway.clock.now_ms(), address, connection.into_inner());
     }
     Ok(())
 }
--- a/crates/gateway/tests/gateway/main.rs
+++ b/crates/gateway/tests/gateway/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the HTTP side with real sockets and without a control thread.
 
 mod connections;
+mod endpoints;
+mod heads;
 mod support;
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -18,7 +18,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
 
 /// Time limit of a test and of reading a connection until it closes, in milliseconds.
-const TIMEOUT_MS: u64 = 10_000;
+pub const TIMEOUT_MS: u64 = 10_000;
 /// The timeouts for receiving requests, in milliseconds.
 pub const RECEIVE_TIMEOUT_MS: u64 = 200;
 /// The maximum number of connections.
@@ -42,15 +42,18 @@
     }
 }
 
-fn gateway(executor: Arc<Executor<'static>>, header_timeout_ms: u64) -> Arc<Gateway> {
+/// Creates an instance whose control thread is reached by `control`.
+pub fn gateway(
+    executor: Arc<Executor<'static>>,
+    header_timeout_ms: u64,
+    control: Control,
+) -> Arc<Gateway> {
     let clock = Clock::new();
-    // Nothing takes the requests to a control thread.
-    let (sender, _) = unbounded();
     Arc::new(Gateway {
         settings: settings(header_timeout_ms),
         clock,
         views: Views::default(),
-        control: Control::new(sender),
+        control,
         scheduler: SharedScheduler::new(clock, Scheduler::new(Options::default(), 1)),
         responses: Arc::new(ResponseStore::new(clock, 1_000, 1_000)),
         pool: ConnectionPool::default(),
@@ -80,7 +83,9 @@
     smol::block_on(executor.clone().run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap().to_string();
-        let gateway = gateway(executor.clone(), header_timeout_ms);
+        // Nothing takes the requests to a control thread.
+        let control = Control::new(unbounded().0);
+        let gateway = gateway(executor.clone(), header_timeout_ms, control);
         executor.spawn(http::serve(gateway.clone(), listener)).detach();
         let done = lycheehub_clock::within(TIMEOUT_MS, test(gateway, address)).await;
         done.expect("the test takes too long");
