proxy: a long response whose caller leaves is neither answered nor broken

What operators saw: a response over 256 KiB whose caller left in the middle was logged with the endpoint's status, and its endpoint reported as one that answered; if the caller left while the instance wrote to it, the line said `cut` and the endpoint counted as broken, with a lost connection, which is crash evidence against the request.

Cause: the relay of long responses had one kind of error for both connections, and the status was recorded when it began. Class: the end of one connection attributed to the other. The relay of streams keeps them apart.

Change: a failed write is the caller's, and ends the attempt as abandoned with `caller left`, as does a caller that leaves while the endpoint is waited for; a deadline ends it as `timed out in its stream`.

Failed before: a_long_response_whose_caller_leaves_while_it_is_written_is_not_reported_as_broken (`Actual: "lycheehub_requests_total{...,end="cut"} 1"`, `Actual: [Broken]`) and a_long_response_whose_caller_leaves_while_it_is_ waited_for_is_not_reported_as_answered (`end="200"`, `Actual: [Answered]`).

--- a/crates/proxy/src/exchange/guard.rs
+++ b/crates/proxy/src/exchange/guard.rs
@@ -18,6 +18,16 @@
     TimedOut,
 }
 
+impl Interrupted {
+    /// Returns how a response ends that was interrupted after a part of it was relayed.
+    pub(super) fn end_of_response(self) -> &'static str {
+        match self {
+            Self::CallerDisconnected => "caller left",
+            Self::TimedOut => "timed out in its stream",
+        }
+    }
+}
+
 /// Runs `work` until the caller closes `connection`, or until `deadline_ms`.
 pub(super) async fn run_interruptible<T>(
     entry: &Entry,
--- a/crates/proxy/src/exchange/local_response.rs
+++ b/crates/proxy/src/exchange/local_response.rs
@@ -130,8 +130,7 @@
         const RETRY_AFTER_MS: u64 = 1_000;
         let is_caller_gone = cause == Interrupted::CallerDisconnected;
         if is_caller_gone || stream.has_started() {
-            let end = if is_caller_gone { "caller left" } else { "timed out in its stream" };
-            self.access_log.record_end(end);
+            self.access_log.record_end(cause.end_of_response());
         }
         if stream.has_started() {
             return false;
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -2,7 +2,7 @@
 
 use super::Exchange;
 use super::attempt::{Attempt, AttemptEnd, BufferedResponse};
-use super::guard::run_interruptible;
+use super::guard::{Interrupted, run_interruptible};
 use super::local_response::{push_connection, send_response};
 use super::send::ResponseStart;
 use super::stream_state::{Continuation, StreamState};
@@ -72,19 +72,24 @@
         let mut writer = caller.writer();
         let relay = async {
             loop {
-                writer.write_all(&pending).await?;
-                pending.clear();
+                if !flush(&mut writer, &mut pending).await {
+                    return Err(Interrupted::CallerDisconnected);
+                }
                 let mut body = Vec::new();
-                if !reader.next(&mut upstream, &mut body).await? {
-                    return Ok(());
+                match reader.next(&mut upstream, &mut body).await {
+                    Ok(true) => append_framed(&mut pending, framing, &body),
+                    Ok(false) => return Ok(Ok(())),
+                    Err(error) => return Ok(Err(error)),
                 }
-                append_framed(&mut pending, framing, &body);
             }
         };
-        let relayed: Result<Result<(), Error>, _> =
-            run_interruptible(self.entry, caller, self.deadline_ms, relay).await;
-        match relayed {
-            Err(_) => AttemptEnd::Answered { keeps_alive: false },
+        let relayed = run_interruptible(self.entry, caller, self.deadline_ms, relay).await;
+        match relayed.flatten() {
+            Err(cause) => {
+                self.access_log.record_end(cause.end_of_response());
+                attempt.report(Outcome::Abandoned);
+                AttemptEnd::Answered { keeps_alive: false }
+            }
             Ok(Err(error)) => {
                 spdlog::info!("endpoint response truncated", kv: { id: = self.fields.id, error: = error });
                 attempt.report_broken(&error);
--- a/crates/proxy/tests/proxy/responses.rs
+++ b/crates/proxy/tests/proxy/responses.rs
@@ -3,6 +3,9 @@
 use crate::support::{get, post, read_request, reset, run, sleep_ms};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
+use lycheehub_dispatch::Outcome;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use std::time::Duration;
 
 #[gtest]
 fn a_truncated_response_is_not_relayed() {
@@ -108,3 +111,57 @@
         expect_that!(fixture.request(&post("/safe/", "short")).await, ends_with("2"));
     });
 }
+
+/// A response that is too long to be buffered.
+const LONG_BYTES: usize = 16 * 1024 * 1024;
+
+/// Reads a part of a long response, of which the endpoint sends `sent_bytes` at once, and leaves; returns how
+/// the request ended and what was reported of the endpoint.
+fn leave_a_long_response(sent_bytes: usize) -> (String, Vec<Outcome>) {
+    let recorder = PrometheusBuilder::new().build_recorder();
+    let outcomes = std::rc::Rc::new(std::cell::RefCell::new(Vec::new()));
+    let reported = outcomes.clone();
+    metrics::with_local_recorder(&recorder, || {
+        run(|fixture| async move {
+            fixture
+                .add_endpoint(move |mut stream, _| async move {
+                    read_request(&mut stream).await;
+                    let head = format!(
+                        "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: {LONG_BYTES}\r\n\r\n"
+                    );
+                    stream.write_all(head.as_bytes()).await.unwrap();
+                    // The instance closes the connection before it has taken all.
+                    let _ = stream.write_all(&vec![b'x'; sent_bytes]).await;
+                    let _ = stream.read(&mut [0; 1]).await;
+                })
+                .await;
+            let mut caller = fixture.connect().await;
+            caller.write_all(get("/safe/").as_bytes()).await.unwrap();
+            caller.read_exact(&mut vec![0; 64 * 1024]).await.unwrap();
+            drop(caller);
+            while fixture.placement.outcomes.borrow().is_empty() {
+                smol::Timer::after(Duration::from_millis(5)).await;
+            }
+            sleep_ms(20).await;
+            reported.borrow_mut().clone_from(&fixture.placement.outcomes.borrow());
+        });
+    });
+    let ends = recorder.handle().render();
+    let ends =
+        ends.lines().find(|line| line.starts_with("lycheehub_requests_total")).unwrap_or_default();
+    (ends.to_owned(), outcomes.take())
+}
+
+#[gtest]
+fn a_long_response_whose_caller_leaves_while_it_is_written_is_not_reported_as_broken() {
+    let (end, outcomes) = leave_a_long_response(LONG_BYTES);
+    expect_that!(end, contains_substring("end=\"caller left\""));
+    expect_that!(outcomes, elements_are![eq(&Outcome::Abandoned)]);
+}
+
+#[gtest]
+fn a_long_response_whose_caller_leaves_while_it_is_waited_for_is_not_reported_as_answered() {
+    let (end, outcomes) = leave_a_long_response(LONG_BYTES / 16);
+    expect_that!(end, contains_substring("end=\"caller left\""));
+    expect_that!(outcomes, elements_are![eq(&Outcome::Abandoned)]);
+}
