net: connections to endpoints are probed, so that one whose host is gone ends

What callers saw: requests held by an endpoint whose host had died without a word stayed open until their callers gave up, although the host was up again, or had not responded for many seconds.

Cause: no connection used TCP keep-alive. A host that loses power closes nothing, so a read waits for ever; sent bytes that stay unconfirmed end a connection only after a quarter of an hour.

Change: `lycheehub_net::keep_alive` probes connections to endpoints, both sides of relayed ones, and those of the own interface, after a second of silence and each second from then on. A host that is up again resets the old connection at the next probe, which proves that the run has ended. One that does not respond for 5 s ends it as well (`TCP_USER_TIMEOUT` while a short request is unconfirmed). That proves nothing about the run: `ETIMEDOUT` is no lost connection for the search for crashes, on the own interface neither, and the request counts as one that may have run. The kernel of a paused process confirms probes, so silence alone ends nothing. For a request over 16 KiB unconfirmed bytes do not count: a process that reads late keeps its window full, and the option would take this for a dead host.

A refused connection, or the announcement of a new start at the same address, is not used as proof: a leaving endpoint may stop listening and still answer, and a connection that was made between the start and its announcement belongs to the new start. The state of the connection itself tells both apart.

Tests, failed before: `lost_hosts::a_connection_whose_peer_is_gone_without_a_word_is_found_out` ("Expected: is equal to true, Actual: false" for the keep-alive option). `lost_hosts::a_connection_on_which_a_response_is_awaited_*` and `a_relayed_connection_is_probed_on_both_ways` read the timers of the kernel; they were written after the change.

--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -3,9 +3,11 @@
 use crate::Gateway;
 use crate::filters::{Exchange, Payload};
 use http_types::{Body, Request, Response, Url};
+use lycheehub_net::keep_alive;
 use lycheehub_types::PeerError;
 use smol::net::TcpStream;
 use std::future::Future;
+use std::io::{self, ErrorKind};
 
 /// Why an attempt at an endpoint failed.
 #[derive(Debug)]
@@ -37,7 +39,8 @@
     let timeout_ms = gateway.settings.connect_timeout_ms;
     let stream =
         with_timeout("connect", address, timeout_ms, connect).await.map_err(Failure::NotReached)?;
-    stream.set_nodelay(true).map_err(|error| Failure::NotRun(fail(error)))?;
+    let is_set = stream.set_nodelay(true).and_then(|()| keep_alive::enable(&stream));
+    is_set.map_err(|error| Failure::NotRun(fail(error)))?;
     Ok(stream)
 }
 
@@ -114,9 +117,16 @@
 ) -> Result<Response, Failure> {
     let request = build_request(gateway, exchange, payload, address, resume_from)
         .map_err(|cause| Failure::NotRun(PeerError::failed("prepare", address, cause)))?;
+    let request_bytes = exchange.body.len();
+    if let Err(error) = keep_alive::require_confirmation(stream, request_bytes) {
+        spdlog::debug!("confirmation not required", kv: { address, error: });
+    }
     let exchanged = async {
         let response = async_h1::connect(stream.clone(), request).await;
-        response.map_err(|error| PeerError::failed("send", address, error))
+        response.map_err(|error| match error.downcast::<io::Error>() {
+            Ok(error) => exchange_error("send", address, &error),
+            Err(error) => PeerError::failed("send", address, error),
+        })
     };
     let left_ms = payload.job.deadline_ms.saturating_sub(gateway.clock.now_ms());
     let response =
@@ -133,6 +143,17 @@
     Ok(response)
 }
 
+/// Returns the error of an exchange whose connection failed. One whose host did not respond may be behind a
+/// partition, which is no loss of the endpoint.
+pub(super) fn exchange_error(step: &'static str, address: &str, cause: &io::Error) -> PeerError {
+    match cause.kind() {
+        ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+            PeerError::TimedOut(step, address.into(), keep_alive::LOST_AFTER_MS.into())
+        }
+        _ => PeerError::failed(step, address, cause),
+    }
+}
+
 /// Runs one step of an attempt with a timeout.
 pub(super) async fn with_timeout<T>(
     step: &'static str,
--- a/crates/gateway/src/serve/relay.rs
+++ b/crates/gateway/src/serve/relay.rs
@@ -1,7 +1,7 @@
 //! Reads an endpoint's response, either as a stream of events that is relayed as it arrives, or
 //! whole.
 
-use super::endpoint::{Failure, with_timeout};
+use super::endpoint::{Failure, exchange_error, with_timeout};
 use super::events::EventSplitter;
 use crate::Gateway;
 use crate::responses::ResponseBuffer;
@@ -78,7 +78,7 @@
     while !events.is_done() {
         let wait_ms = limits.next_timeout_ms(gateway.clock.now_ms());
         let read = async {
-            body.read(&mut buffer).await.map_err(|error| PeerError::failed("relay", address, error))
+            body.read(&mut buffer).await.map_err(|error| exchange_error("relay", address, &error))
         };
         let count = with_timeout("relay", address, wait_ms, read).await?;
         if count == 0 {
@@ -101,7 +101,7 @@
     }
     output.finish();
     let read_end = async {
-        body.read(&mut buffer).await.map_err(|error| PeerError::failed("relay", address, error))
+        body.read(&mut buffer).await.map_err(|error| exchange_error("relay", address, &error))
     };
     Ok(with_timeout("relay", address, STREAM_END_TIMEOUT_MS, read_end)
         .await
@@ -124,7 +124,7 @@
     let mut bytes = Vec::new();
     let read = async {
         let read = body.take(max_bytes as u64 + 1).read_to_end(&mut bytes).await;
-        read.map_err(|error| PeerError::failed("read answer", address, error))
+        read.map_err(|error| exchange_error("read answer", address, &error))
     };
     let left_ms = limits.deadline_ms.saturating_sub(gateway.clock.now_ms());
     with_timeout("read answer", address, left_ms, read).await.map_err(Failure::of_exchange)?;
--- a/crates/proxy/src/exchange/send.rs
+++ b/crates/proxy/src/exchange/send.rs
@@ -39,6 +39,7 @@
     request: &[u8],
     is_expected: impl Fn(&ResponseHead, bool) -> bool,
 ) -> Result<ResponseStart, Error> {
+    upstream.require_confirmation(request.len())?;
     let written = Cell::new(None);
     let mut writer = upstream.writer();
     let write = async {
--- a/crates/proxy/src/http1/connection.rs
+++ b/crates/proxy/src/http1/connection.rs
@@ -2,6 +2,7 @@
 
 use super::{Error, RequestHead, ResponseHead};
 use futures_lite::{AsyncRead, AsyncWriteExt, future};
+use lycheehub_net::keep_alive;
 use lycheehub_relay::FrameDecoder;
 use smol::net::TcpStream;
 use std::cell::RefCell;
@@ -131,6 +132,14 @@
         future::pending().await
     }
 
+    /// Makes the connection end if the peer's host does not confirm a request of this length.
+    ///
+    /// # Errors
+    /// Fails if the connection has ended.
+    pub fn require_confirmation(&self, request_bytes: usize) -> Result<(), Error> {
+        Ok(keep_alive::require_confirmation(&self.stream, request_bytes)?)
+    }
+
     /// Closes the sending side; what the peer still sends can be received.
     ///
     /// # Errors
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -10,6 +10,7 @@
 
 use crate::http1::{Connection, Error};
 use lycheehub_clock::within;
+use lycheehub_net::keep_alive;
 use lycheehub_types::EndpointName;
 use smol::net::TcpStream;
 use std::cell::RefCell;
@@ -132,6 +133,7 @@
     let timed_out = || std::io::Error::from(std::io::ErrorKind::TimedOut);
     let stream = connected.unwrap_or_else(|| Err(timed_out()))?;
     stream.set_nodelay(true)?;
+    keep_alive::enable(&stream)?;
     metrics::counter!("lycheehub_endpoint_connections_total").increment(1);
     Ok(stream)
 }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod documents;
 mod endless;
 mod framing;
+mod lost_hosts;
 mod notices;
 mod odd_deadlines;
 mod odd_numbers;
--- a/crates/relay/src/client.rs
+++ b/crates/relay/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::handshake::{self, Status};
 use lycheehub_clock::within;
+use lycheehub_net::keep_alive;
 use lycheehub_types::EndpointName;
 use quick_error::quick_error;
 use smol::net::TcpStream;
@@ -45,6 +46,7 @@
     let work = async {
         let mut stream = TcpStream::connect(relay).await.map_err(fail("connect"))?;
         stream.set_nodelay(true).map_err(fail("connect"))?;
+        keep_alive::enable(&stream).map_err(fail("connect"))?;
         let status = handshake::request(&mut stream, key, own, endpoint).await;
         match status.map_err(fail("request"))? {
             Status::Connected => Ok(stream),
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -4,6 +4,7 @@
 use crate::handshake::{self, Status};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use lycheehub_clock::within;
+use lycheehub_net::keep_alive;
 use lycheehub_types::{CountGuard, EndpointName};
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
@@ -94,6 +95,7 @@
     /// Connects to the endpoint that the instance asks for, and tells it whether that succeeded.
     async fn open(&self, instance: &mut TcpStream) -> io::Result<Option<TcpStream>> {
         instance.set_nodelay(true)?;
+        keep_alive::enable(&*instance)?;
         let timed_out = || io::Error::from(io::ErrorKind::TimedOut);
         let received = within(HANDSHAKE_TIMEOUT_MS, handshake::receive(instance, &self.key)).await;
         let name = received.unwrap_or_else(|| Err(timed_out()))?;
@@ -115,7 +117,8 @@
 /// Passes bytes on until either side ends. The end of the endpoint's connection is passed on as the
 /// last frame; if it is lost, there is none.
 async fn pass_on(instance: TcpStream, endpoint: TcpStream) {
-    if endpoint.set_nodelay(true).is_err() {
+    if let Err(error) = endpoint.set_nodelay(true).and_then(|()| keep_alive::enable(&endpoint)) {
+        spdlog::debug!("connection to relay lost", kv: { error: });
         return;
     }
     let is_write_failed = Cell::new(false);
@@ -137,8 +140,13 @@
     is_write_failed: &Cell<bool>,
 ) {
     let mut buffer = vec![0; BUFFER_BYTES];
+    let mut passed_bytes = 0;
     loop {
         let Ok(count @ 1..) = instance.read(&mut buffer).await else { return };
+        passed_bytes += count;
+        if let Err(error) = keep_alive::require_confirmation(&endpoint, passed_bytes) {
+            spdlog::debug!("confirmation not required", kv: { error: });
+        }
         if endpoint.write_all(&buffer[..count]).await.is_err() {
             is_write_failed.set(true);
             // The endpoint may have answered before it closed; its response decides.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -262,3 +262,34 @@
         expect_that!(server.connections(), eq(0));
     });
 }
+
+/// Returns the number of open connections to a port that the operating system probes.
+fn probed_to(port: u16) -> usize {
+    const ESTABLISHED: &str = "01";
+    const PROBES: &str = "02:";
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let remote = format!(":{port:04X}");
+    let rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<_>>());
+    let is_probed = |row: &Vec<&str>| {
+        row[2].ends_with(&remote) && row[3] == ESTABLISHED && row[5].starts_with(PROBES)
+    };
+    rows.filter(is_probed).count()
+}
+
+#[gtest]
+fn a_relayed_connection_is_probed_on_both_ways() {
+    run(|fixture| async move {
+        let stream = connect_to(&fixture, KEY, "a").await.unwrap();
+        let own = stream.local_addr().unwrap();
+        for address in [fixture.relay.as_str(), fixture.known.address.as_str()] {
+            let port = address.rsplit(':').next().unwrap().parse().unwrap();
+            while probed_to(port) == 0 {
+                sleep_ms(10).await;
+            }
+        }
+        // The relay probes the instance as well.
+        while probed_to(own.port()) == 0 {
+            sleep_ms(10).await;
+        }
+    });
+}
