proxy: a silent endpoint is left only once another one is reached

What callers saw: a request or a resumable stream whose endpoint was silent for a second ended with 502, or as broken, where nothing else was free: all endpoints were silent, or too much was being repeated. Its endpoint went on a moment later, with nobody left to answer.

Cause: the stall watch and the time limit for progress of a stream closed the connection first and asked for another endpoint then. What ended the attempt was silence, not the better place.

Change: after the same times another endpoint is searched for (`exchange::relocation`) while the attempt goes on. It is ended once another one is granted by the dispatcher and a connection to it is made; the request is sent there after the first connection is closed, so that there is no second run beside a first. What arrives before ends the search, and its job is withdrawn.

Held before and after: a_stalled_request_has_left_its_endpoint_before_another_one_gets_it, requests_that_run_once_wait_for_an_endpoint_that_is_silent.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::filters::ResolvedRequest;
 use super::guard::{Interrupted, run_interruptible};
+use super::relocation::{Reached, Relocation};
 use super::send::{ResponseStart, send};
 use super::stream_state::StreamState;
 use super::{Exchange, Placed};
@@ -53,6 +54,8 @@
     Excluded,
     /// The endpoint states that it did not run the request.
     NotRun { endpoint: EndpointName, retry_after_ms: u64 },
+    /// The endpoint is silent, and another one is reached.
+    Moved { endpoint: EndpointName, reached: Box<Reached> },
     /// The endpoint failed, and may have run the request.
     Failed { endpoint: EndpointName, response: Option<BufferedResponse> },
 }
@@ -75,7 +78,7 @@
 }
 
 impl Attempt {
-    fn new(entry: &Rc<Entry>, placed: &Placed) -> Self {
+    pub(super) fn new(entry: &Rc<Entry>, placed: &Placed) -> Self {
         Self {
             entry: entry.clone(),
             job_id: placed.job_id,
@@ -109,6 +112,10 @@
         self.events.set(self.events.get() + 1);
     }
 
+    pub(super) fn record_unreached(&self, unreached: &paths::Unreached) {
+        self.is_confirmed.set(unreached.is_confirmed);
+    }
+
     /// Reports that the response broke off.
     pub(super) fn report_broken(&self, error: &Error) {
         self.is_connection_lost.set(error.is_connection_lost());
@@ -155,12 +162,36 @@
     }
 }
 
-/// When an attempt counts as stalled, and whether it is then ended.
+/// When an attempt counts as stalled, and what moves to another endpoint then.
 #[derive(Clone, Copy)]
-struct StallWatch {
+struct StallWatch<'a> {
     stall_ms: u64,
-    /// Whether a stalled request can move to another endpoint.
-    can_move: bool,
+    scope: AttemptScope<'a>,
+    /// The caller has received part of the stream.
+    resumes_stream: bool,
+}
+
+/// Where an attempt is made.
+pub(super) enum Destination {
+    /// At an endpoint that was granted.
+    Placed(Placed),
+    /// At an endpoint that was reached while another one was silent.
+    Reached(Box<Reached>),
+}
+
+/// The request of an attempt, and the attempts before it.
+#[derive(Clone, Copy)]
+pub(super) struct AttemptScope<'a> {
+    pub(super) resolved: &'a ResolvedRequest,
+    pub(super) tried: &'a [EndpointName],
+    pub(super) is_last_attempt: bool,
+}
+
+impl AttemptScope<'_> {
+    /// Returns whether the request can move to another endpoint.
+    pub(super) fn can_move(&self) -> bool {
+        self.resolved.route.kind.may_repeat() && !self.is_last_attempt
+    }
 }
 
 impl Exchange<'_> {
@@ -168,14 +199,21 @@
     pub(super) async fn attempt(
         &mut self,
         caller: &mut Connection,
-        resolved: &ResolvedRequest,
-        placed: Placed,
+        destination: Destination,
         stream: &mut StreamState,
-        is_last_attempt: bool,
+        scope: AttemptScope<'_>,
     ) -> AttemptEnd {
-        let attempt = Attempt::new(self.entry, &placed);
-        let end =
-            self.try_endpoint(caller, resolved, &placed, &attempt, stream, is_last_attempt).await;
+        let (placed, attempt, connected) = match destination {
+            Destination::Placed(placed) => {
+                let attempt = Attempt::new(self.entry, &placed);
+                (placed, attempt, None)
+            }
+            Destination::Reached(reached) => {
+                let Reached { placed, attempt, connection, is_new } = *reached;
+                (placed, attempt, Some((connection, is_new)))
+            }
+        };
+        let end = self.try_endpoint(caller, &placed, &attempt, connected, stream, scope).await;
         let outcome = outcome_of(&end);
         let took_ms = attempt.report(outcome);
         self.access_log.record_attempt(&placed.endpoint, outcome, took_ms);
@@ -185,8 +223,7 @@
         if outcome == Outcome::Broken && attempt.first_byte_ms.get().is_none() {
             self.access_log.record_parts(&self.fields.prefix);
         }
-        let is_retried = resolved.route.kind.may_repeat() && !is_last_attempt;
-        if attempt.is_lost_unanswered() && is_retried && self.fields.prefix.len() > 1 {
+        if attempt.is_lost_unanswered() && scope.can_move() && self.fields.prefix.len() > 1 {
             let delay = Timer::after(Duration::from_millis(SUSPECT_RETRY_DELAY_MS));
             let waited = run_interruptible(self.entry, caller, self.deadline_ms, delay).await;
             if let Err(cause) = waited {
@@ -199,23 +236,29 @@
     async fn try_endpoint(
         &mut self,
         caller: &mut Connection,
-        resolved: &ResolvedRequest,
         placed: &Placed,
         attempt: &Attempt,
+        connected: Option<(Connection, bool)>,
         stream: &mut StreamState,
-        is_last_attempt: bool,
+        scope: AttemptScope<'_>,
     ) -> AttemptEnd {
+        let resolved = scope.resolved;
         let kind = resolved.route.kind;
         let endpoint = placed.endpoint.clone();
-        let connect = self.connect(placed, kind.may_repeat());
+        let connect = async {
+            match connected {
+                Some(connected) => Ok(connected),
+                None => self.connect(placed, kind.may_repeat()).await,
+            }
+        };
         let connected = run_interruptible(self.entry, caller, self.deadline_ms, connect).await;
         let (mut upstream, is_new) = match connected {
             Err(cause) => return AttemptEnd::Interrupted(cause),
-            Ok(Err(paths::Unreached { error, is_confirmed })) => {
+            Ok(Err(unreached)) => {
                 spdlog::info!("endpoint not reached", kv: {
-                    id: = self.fields.id, error: = error, is_confirmed,
+                    id: = self.fields.id, error: = unreached.error, is_confirmed = unreached.is_confirmed,
                 });
-                attempt.is_confirmed.set(is_confirmed);
+                attempt.record_unreached(&unreached);
                 attempt.report(Outcome::NotConnected);
                 return AttemptEnd::NotConnected(endpoint);
             }
@@ -225,25 +268,21 @@
             return AttemptEnd::Excluded;
         }
         let request = self.request_bytes(resolved, placed, stream);
-        let can_move = kind.may_repeat() && !is_last_attempt;
         let response = send(&mut upstream, &request, |head, is_first| {
             self.is_own_response(head, is_new && is_first)
         });
         let stall_ms = stall_ms(placed.first_byte_ms, kind.is_stream());
-        let watch = StallWatch { stall_ms, can_move };
+        let watch = StallWatch { stall_ms, scope, resumes_stream: stream.has_started() };
         let work = self.watch_stall(attempt, watch, response);
         let response = match run_interruptible(self.entry, caller, self.deadline_ms, work).await {
             Err(cause) => return AttemptEnd::Interrupted(cause),
-            Ok(Some(Ok(response))) => response,
-            Ok(Some(Err(error))) => {
+            Ok(Ok(Ok(response))) => response,
+            Ok(Ok(Err(error))) => {
                 spdlog::info!("no answer from endpoint", kv: { id: = self.fields.id, error: = error });
                 attempt.report_broken(&error);
                 return AttemptEnd::Failed { endpoint, response: None };
             }
-            Ok(None) => {
-                attempt.report(Outcome::Broken);
-                return AttemptEnd::Failed { endpoint, response: None };
-            }
+            Ok(Err(reached)) => return AttemptEnd::Moved { endpoint, reached },
         };
         if !upstream.is_relayed() {
             self.entry.paths.record_reached(self.entry.clock.now_ms());
@@ -269,14 +308,14 @@
             return AttemptEnd::Failed { endpoint, response: None };
         }
         if kind.is_stream() && response.head.status == 200 && stream.accepts(&response.head) {
-            return self.relay_stream(caller, upstream, response, attempt, stream, can_move).await;
+            return self.relay_stream(caller, upstream, response, attempt, stream, scope).await;
         }
         if stream.has_started() {
             spdlog::info!("stream not continued", kv: { id: = self.fields.id, status = response.head.status });
             attempt.report(Outcome::Failed);
             return AttemptEnd::Failed { endpoint, response: None };
         }
-        self.buffer_and_relay(caller, upstream, response, attempt, watch, kind.may_repeat()).await
+        self.buffer_and_relay(caller, upstream, response, attempt, watch).await
     }
 
     /// Returns whether a response is the one to this request. One without id is taken only if it `must_be`,
@@ -327,7 +366,7 @@
 
     /// Takes an idle connection or opens one; returns whether it is new. A request without id gets a new
     /// one: on another, the response to it could not be told from one to an earlier request.
-    async fn connect(
+    pub(super) async fn connect(
         &self,
         placed: &Placed,
         may_repeat: bool,
@@ -381,18 +420,18 @@
         bytes
     }
 
-    /// Reports an attempt that takes much longer than expected, and ends it if the request can move
-    /// to another endpoint.
+    /// Reports an attempt that takes much longer than expected. If the request can move to another endpoint,
+    /// fails once one is reached; until then, and otherwise, the attempt continues.
     async fn watch_stall<T>(
         &self,
         attempt: &Attempt,
-        StallWatch { stall_ms, can_move }: StallWatch,
+        StallWatch { stall_ms, scope, resumes_stream }: StallWatch<'_>,
         work: impl Future<Output = T>,
-    ) -> Option<T> {
-        let done = async { Some(work.await) };
+    ) -> Result<T, Box<Reached>> {
+        let done = async { Ok(work.await) };
         let stalled = async {
             Timer::after(Duration::from_millis(stall_ms)).await;
-            let (id, endpoint) = (&self.fields.id, &attempt.endpoint);
+            let (id, endpoint, can_move) = (&self.fields.id, &attempt.endpoint, scope.can_move());
             spdlog::warn!("endpoint stalls", kv: { id: = id, endpoint: = endpoint, stall_ms, can_move });
             if !self.entry.paths.is_lost(&attempt.endpoint) {
                 self.entry.placement.report_stall(attempt.job_id);
@@ -400,7 +439,8 @@
             if !can_move {
                 smol::future::pending::<()>().await;
             }
-            None
+            let mut relocation = Relocation::new(self, scope, &attempt.endpoint);
+            Err(Box::new(relocation.reached(resumes_stream).await))
         };
         smol::future::or(done, stalled).await
     }
@@ -412,9 +452,9 @@
         mut upstream: Connection,
         response: ResponseStart,
         attempt: &Attempt,
-        watch: StallWatch,
-        may_repeat: bool,
+        watch: StallWatch<'_>,
     ) -> AttemptEnd {
+        let may_repeat = watch.scope.resolved.route.kind.may_repeat();
         let endpoint = attempt.endpoint.clone();
         attempt.record_first_byte(self.entry.clock.now_ms());
         let framing = match self.head.method == "HEAD" {
@@ -431,16 +471,13 @@
         let work = self.watch_stall(attempt, watch, read);
         match run_interruptible(self.entry, caller, self.deadline_ms, work).await {
             Err(cause) => return AttemptEnd::Interrupted(cause),
-            Ok(None) => {
-                attempt.report(Outcome::Broken);
-                return AttemptEnd::Failed { endpoint, response: None };
-            }
-            Ok(Some(Err(error))) => {
+            Ok(Err(reached)) => return AttemptEnd::Moved { endpoint, reached },
+            Ok(Ok(Err(error))) => {
                 spdlog::info!("answer not whole", kv: { id: = self.fields.id, error: = error });
                 attempt.report_broken(&error);
                 return AttemptEnd::Failed { endpoint, response: None };
             }
-            Ok(Some(Ok(()))) => {}
+            Ok(Ok(Ok(()))) => {}
         }
         if !reader.is_at_end() {
             return self
@@ -503,6 +540,6 @@
         AttemptEnd::NotConnected(_) => Outcome::NotConnected,
         AttemptEnd::NotRun { .. } => Outcome::Rejected,
         AttemptEnd::Failed { response: Some(_), .. } => Outcome::Failed,
-        AttemptEnd::Failed { response: None, .. } => Outcome::Broken,
+        AttemptEnd::Moved { .. } | AttemptEnd::Failed { response: None, .. } => Outcome::Broken,
     }
 }
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -11,6 +11,7 @@
 mod guard;
 mod local_response;
 mod relay;
+mod relocation;
 mod send;
 mod stream_state;
 
@@ -21,7 +22,7 @@
 use crate::idle_time::IdleTime;
 use crate::pool;
 use access_log::AccessLog;
-use attempt::{AttemptEnd, BufferedResponse};
+use attempt::{AttemptEnd, AttemptScope, BufferedResponse, Destination};
 use filters::ResolvedRequest;
 use guard::Interrupted;
 use lycheehub_dispatch::crashes::RequestDigest;
@@ -188,19 +189,26 @@
         let mut buffered: Option<BufferedResponse> = None;
         let mut connect_failures = 0;
         let mut may_have_run = false;
+        let mut reached = None;
         let refusal = loop {
             let resumes_stream = stream.has_started();
-            let placed = match self.place(connection, resolved, &tried, resumes_stream).await {
-                Ok(placed) => placed,
+            let destination = match reached.take() {
+                Some(reached) => Ok(Destination::Reached(reached)),
+                None => {
+                    let placed = self.place(connection, resolved, &tried, resumes_stream).await;
+                    placed.map(Destination::Placed)
+                }
+            };
+            let destination = match destination {
+                Ok(destination) => destination,
                 Err(NotPlaced::Interrupted(cause)) => {
                     return self.interrupted(connection, cause, may_have_run, &stream).await;
                 }
                 Err(NotPlaced::Refused(refusal)) => break refusal,
             };
             let is_last_attempt = is_last_attempt(&resolved.route, &tried);
-            let end =
-                self.attempt(connection, resolved, placed, &mut stream, is_last_attempt).await;
-            match end {
+            let scope = AttemptScope { resolved, tried: &tried, is_last_attempt };
+            match self.attempt(connection, destination, &mut stream, scope).await {
                 AttemptEnd::Answered { keeps_alive } => return keeps_alive,
                 AttemptEnd::Interrupted(cause) => {
                     return self.interrupted(connection, cause, true, &stream).await;
@@ -220,6 +228,11 @@
                         break Refusal::retry(kind, message, retry_after_ms);
                     }
                 }
+                AttemptEnd::Moved { endpoint, reached: next } => {
+                    tried.push(endpoint);
+                    may_have_run = true;
+                    reached = Some(next);
+                }
                 AttemptEnd::Failed { endpoint, response } => {
                     tried.push(endpoint);
                     may_have_run = true;
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -1,24 +1,26 @@
 //! Relays responses to callers.
 
 use super::Exchange;
-use super::attempt::{Attempt, AttemptEnd, BufferedResponse};
+use super::attempt::{Attempt, AttemptEnd, AttemptScope, BufferedResponse};
 use super::guard::run_interruptible;
 use super::local_response::{push_connection, send_response};
+use super::relocation::{Reached, Relocation};
 use super::send::ResponseStart;
 use super::stream_state::{Continuation, StreamState};
 use crate::http1::{Body, Connection, Error, EventParser, Framing, ResponseHead};
 use futures_lite::AsyncWriteExt;
-use lycheehub_clock::within;
 use lycheehub_dispatch::Outcome;
+use smol::Timer;
 use smol::net::TcpStream;
 use smol_str::SmolStr;
 use std::cell::Cell;
+use std::time::Duration;
 
 /// The last chunk of a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 /// Maximum time until the next event with an id on a stream that can be resumed at another endpoint,
-/// in milliseconds. Callers abandon a stream after two seconds without progress, so this stays well
-/// below. Other bytes and comments from the endpoint do not count as progress.
+/// in milliseconds; after it another endpoint is searched for. Callers abandon a stream after two seconds
+/// without progress, so this stays well below. Other bytes and comments from the endpoint do not count as progress.
 const PROGRESS_TIMEOUT_MS: u64 = 1_100;
 
 /// An endpoint that is to continue a stream does not go on where it broke off.
@@ -28,7 +30,7 @@
 enum StreamEnd {
     Complete,
     Broken(Error),
-    Stalled,
+    Moved(Box<Reached>),
     CallerDisconnected,
 }
 
@@ -108,8 +110,9 @@
         response: ResponseStart,
         attempt: &Attempt,
         stream: &mut StreamState,
-        can_move: bool,
+        scope: AttemptScope<'_>,
     ) -> AttemptEnd {
+        let can_move = scope.can_move();
         let keeps_alive = self.keeps_alive();
         let head = &response.head;
         // Another endpoint may continue the stream, with a different length.
@@ -125,6 +128,7 @@
         let deadline_ms = self.deadline_ms;
         let clock = self.entry.clock;
         let longest_write_ms = Cell::new(0);
+        let mut relocation = Relocation::new(self, scope, &attempt.endpoint);
         let relay = async {
             let mut parser = EventParser::default();
             let mut last_progress_ms = clock.now_ms();
@@ -134,10 +138,11 @@
                 let elapsed_ms = clock.now_ms() - last_progress_ms;
                 let left_ms = (can_move && stream.can_continue())
                     .then(|| PROGRESS_TIMEOUT_MS.saturating_sub(elapsed_ms));
-                let has_more = match within_limit(left_ms, read).await {
-                    None => return StreamEnd::Stalled,
-                    Some(Err(error)) => return StreamEnd::Broken(error),
-                    Some(Ok(has_more)) => has_more,
+                let read = read_or_move(left_ms, read, &mut relocation, stream.has_started());
+                let has_more = match read.await {
+                    Err(reached) => return StreamEnd::Moved(reached),
+                    Ok(Err(error)) => return StreamEnd::Broken(error),
+                    Ok(Ok(has_more)) => has_more,
                 };
                 let has_more = has_more && !body.is_at_end();
                 parser.push(&received);
@@ -153,6 +158,7 @@
                     attempt.record_event(now_ms);
                     if event.id.is_some() {
                         last_progress_ms = now_ms;
+                        relocation.cancel();
                     }
                     append_framed(&mut pending, framing, &event.bytes);
                     stream.record_sent(head, framing, event);
@@ -184,6 +190,7 @@
             }
         };
         let end = run_interruptible(self.entry, caller, deadline_ms, relay).await;
+        drop(relocation);
         if let Some(first_ms) = attempt.first_byte_ms.get() {
             self.access_log.record_first_byte(first_ms);
         }
@@ -209,10 +216,9 @@
                 attempt.report_broken(&error);
                 AttemptEnd::Failed { endpoint, response: None }
             }
-            Ok(StreamEnd::Stalled) => {
+            Ok(StreamEnd::Moved(reached)) => {
                 spdlog::warn!("stream stalls", kv: { id: = self.fields.id, endpoint: = endpoint });
-                attempt.report(Outcome::Broken);
-                AttemptEnd::Failed { endpoint, response: None }
+                AttemptEnd::Moved { endpoint, reached }
             }
         }
     }
@@ -276,9 +282,21 @@
     is_sent
 }
 
-async fn within_limit<T>(left_ms: Option<u64>, work: impl Future<Output = T>) -> Option<T> {
-    match left_ms {
-        Some(left_ms) => within(left_ms, work).await,
-        None => Some(work.await),
-    }
+/// Reads from the endpoint. After `left_ms` without a result, fails once another endpoint is reached.
+async fn read_or_move<T>(
+    left_ms: Option<u64>,
+    read: impl Future<Output = T>,
+    relocation: &mut Relocation<'_>,
+    resumes_stream: bool,
+) -> Result<T, Box<Reached>> {
+    let Some(left_ms) = left_ms else {
+        relocation.cancel();
+        return Ok(read.await);
+    };
+    let done = async { Ok(read.await) };
+    let moved = async {
+        Timer::after(Duration::from_millis(left_ms)).await;
+        Err(Box::new(relocation.reached(resumes_stream).await))
+    };
+    smol::future::or(done, moved).await
 }
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -14,6 +14,7 @@
 mod resets;
 mod responses;
 mod resumption;
+mod silence;
 mod strays;
 mod streams;
 mod support;
--- /dev/null
+++ b/crates/proxy/tests/proxy/silence.rs
@@ -0,0 +1,140 @@
+//! An endpoint that is silent for a second or so and goes on is sound: nothing that it holds is lost.
+
+use crate::support::{Fixture, get, read_request, run, sleep_ms, stream};
+use futures_lite::AsyncWriteExt;
+use googletest::prelude::*;
+use lycheehub_dispatch::Outcome;
+use smol::net::TcpStream;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// A silence after which a response that is not the last attempt counts as stalled, in milliseconds.
+const SILENCE_MS: u64 = 1_500;
+const HEAD: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
+const ANSWER: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Returns both parts of a stream, and the whole body that its caller gets.
+fn two_events() -> (String, String, String) {
+    let (first, last) = (chunk("id: 1\ndata: a\n\n"), chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+    (HEAD.to_owned() + &first, last.clone(), first + &last)
+}
+
+/// Adds an endpoint that receives a request, sends `first`, is silent and sends `rest`.
+async fn add_silent(fixture: &Fixture, silence_ms: u64, first: String, rest: String) {
+    let script = move |mut stream: TcpStream, _| {
+        let (first, rest) = (first.clone(), rest.clone());
+        async move {
+            read_request(&mut stream).await;
+            stream.write_all(first.as_bytes()).await.unwrap();
+            sleep_ms(silence_ms).await;
+            // The instance may have closed the connection.
+            let _ = stream.write_all(rest.as_bytes()).await;
+        }
+    };
+    fixture.add_endpoint(script).await;
+}
+
+#[gtest]
+fn a_response_after_a_silence_is_received_although_nothing_may_be_repeated() {
+    run(|fixture| async move {
+        fixture.placement.refuses_repeats.set(true);
+        add_silent(&fixture, SILENCE_MS, String::new(), ANSWER.to_owned()).await;
+        let response = fixture.request(&get("/safe/")).await;
+        expect_that!(response, ends_with("ok"));
+        let outcomes = fixture.placement.outcomes.borrow();
+        expect_that!(*outcomes, elements_are![eq(&Outcome::Answered)]);
+    });
+}
+
+#[gtest]
+fn a_body_that_goes_on_after_a_silence_is_received_although_nothing_may_be_repeated() {
+    run(|fixture| async move {
+        fixture.placement.refuses_repeats.set(true);
+        let (first, rest) = ANSWER.split_at(ANSWER.len() - 1);
+        add_silent(&fixture, SILENCE_MS, first.to_owned(), rest.to_owned()).await;
+        expect_that!(fixture.request(&get("/safe/")).await, ends_with("ok"));
+    });
+}
+
+#[gtest]
+fn a_stream_that_begins_after_a_silence_is_received_although_nothing_may_be_repeated() {
+    run(|fixture| async move {
+        fixture.placement.refuses_repeats.set(true);
+        let (first, rest, whole) = two_events();
+        add_silent(&fixture, SILENCE_MS, String::new(), first + &rest).await;
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(whole));
+    });
+}
+
+#[gtest]
+fn a_stream_that_goes_on_after_a_silence_is_whole_although_nothing_may_be_repeated() {
+    run(|fixture| async move {
+        fixture.placement.refuses_repeats.set(true);
+        let (first, rest, whole) = two_events();
+        add_silent(&fixture, SILENCE_MS, first, rest).await;
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(whole));
+        let outcomes = fixture.placement.outcomes.borrow();
+        expect_that!(*outcomes, elements_are![eq(&Outcome::Answered)]);
+    });
+}
+
+#[gtest]
+fn a_stream_goes_on_where_it_is_while_no_other_endpoint_is_free() {
+    run(|fixture| async move {
+        let (first, rest, whole) = two_events();
+        let placement = fixture.placement.clone();
+        let script = move |mut stream: TcpStream, _| {
+            let (first, rest, placement) = (first.clone(), rest.clone(), placement.clone());
+            async move {
+                read_request(&mut stream).await;
+                placement.never_decides.set(true);
+                stream.write_all(first.as_bytes()).await.unwrap();
+                sleep_ms(SILENCE_MS).await;
+                stream.write_all(rest.as_bytes()).await.unwrap();
+            }
+        };
+        fixture.add_endpoint(script).await;
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(whole));
+        expect_that!(fixture.placement.withdrawn.get(), eq(1));
+    });
+}
+
+#[gtest]
+fn a_stalled_request_has_left_its_endpoint_before_another_one_gets_it() {
+    run(|fixture| async move {
+        let closed = fixture.add_close_detecting_endpoint("").await;
+        let was_closed = Rc::new(Cell::new(false));
+        let recorder = was_closed.clone();
+        let script = move |mut stream: TcpStream, _| {
+            let (closed, recorder) = (closed.clone(), recorder.clone());
+            async move {
+                read_request(&mut stream).await;
+                recorder.set(closed.get());
+                stream.write_all(ANSWER.as_bytes()).await.unwrap();
+            }
+        };
+        fixture.add_endpoint(script).await;
+        expect_that!(fixture.request(&get("/safe/")).await, ends_with("ok"));
+        expect_that!(was_closed.get(), eq(true));
+    });
+}
+
+#[gtest]
+fn requests_that_run_once_wait_for_an_endpoint_that_is_silent() {
+    for silence_ms in [800, SILENCE_MS] {
+        run(|fixture| async move {
+            add_silent(&fixture, silence_ms, String::new(), ANSWER.to_owned()).await;
+            expect_that!(fixture.request(&get("/unsafe/")).await, ends_with("ok"));
+            let (first, rest, whole) = two_events();
+            fixture.placement.addresses.borrow_mut().clear();
+            add_silent(&fixture, silence_ms, first, rest).await;
+            expect_that!(fixture.request(&stream("/stream/")).await, ends_with(whole));
+            let outcomes = fixture.placement.outcomes.borrow();
+            expect_that!(*outcomes, each(eq(&Outcome::Answered)));
+        });
+    }
+}
