dispatch: one silence pauses an endpoint once, however many requests wait there

What callers saw: after a silence of a second, an endpoint got nothing for 3 s more; where all endpoints were silent together, new requests waited or were refused although all of them answered again.

Cause: each request that stalled, or did not reach the endpoint, doubled its pause, so the nine requests that an endpoint held led to the longest one at once, as if it had failed nine times in a row. The same held for the pause for one instance.

Change: a request that was sent before the last pause began is part of the same outage. A request that was sent after it and fails doubles the pause as before, so an endpoint that is gone for good is left for longer each time.

--- a/crates/dispatch/src/dispatcher/reach.rs
+++ b/crates/dispatch/src/dispatcher/reach.rs
@@ -31,7 +31,7 @@
         }
         let paths = &self.paths;
         let Some(endpoint) = self.endpoints.get_mut(key) else { return false };
-        endpoint.reach.record_failure(now_ms, instance);
+        endpoint.reach.record_failure(now_ms, since_ms, instance);
         if is_confirmed {
             return true;
         }
--- a/crates/dispatch/src/endpoints/health.rs
+++ b/crates/dispatch/src/endpoints/health.rs
@@ -23,8 +23,10 @@
     answered_ms: u64,
     unavailable_until_ms: u64,
     consecutive_pauses: u32,
-    /// The last pause began because the endpoint was not reached.
+    /// The last pause began because the endpoint was not reached or did not respond.
     is_unreached: bool,
+    /// When it began, in milliseconds.
+    unreached_ms: u64,
     /// When a probation ends if no requests are sent to the endpoint, in milliseconds.
     probation_until_ms: u64,
     /// The number of responses needed to end the probation.
@@ -109,14 +111,17 @@
 
     /// Pauses the endpoint after a request sent at `since_ms` got no response. The pause doubles
     /// each time until the endpoint responds. An endpoint that has responded to another request
-    /// since then is not paused.
+    /// since then is not paused. Requests that were sent before the last pause are part of the same outage,
+    /// and do not prolong it.
     pub fn pause(&mut self, now_ms: u64, since_ms: u64) {
-        if self.answered_ms > since_ms {
+        let is_known = self.is_unreached && since_ms <= self.unreached_ms;
+        if is_known || self.answered_ms > since_ms {
             return;
         }
         let pause_ms = (FIRST_PAUSE_MS << self.consecutive_pauses.min(8)).min(PAUSE_MAX_MS);
         self.consecutive_pauses += 1;
         self.is_unreached = true;
+        self.unreached_ms = now_ms;
         self.unavailable_until_ms = now_ms + pause_ms;
         self.put_on_probation(self.unavailable_until_ms);
     }
--- a/crates/dispatch/src/endpoints/reach.rs
+++ b/crates/dispatch/src/endpoints/reach.rs
@@ -11,6 +11,9 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Unreached {
+    /// When the pause began, in milliseconds.
+    since_ms: u64,
+    /// When the last failure was reported, in milliseconds.
     at_ms: u64,
     until_ms: u64,
     consecutive: u32,
@@ -25,22 +28,29 @@
 }
 
 impl Reach {
-    /// Records that an instance did not reach the endpoint. It is paused for that instance, longer each
-    /// time.
+    /// Records that an instance did not reach the endpoint with a request sent at `sent_ms`. It is paused for
+    /// that instance, longer each time. Requests that were sent before the last pause are part of the same
+    /// outage, and do not prolong it.
     ///
     /// # Examples
     /// ```
     /// use lycheehub_dispatch::endpoints::Reach;
     ///
     /// let mut reach = Reach::default();
-    /// reach.record_failure(1_000, 7);
+    /// reach.record_failure(1_000, 900, 7);
     /// assert!(reach.is_paused(1_100, 7) && !reach.is_paused(1_100, 8));
     /// ```
-    pub fn record_failure(&mut self, now_ms: u64, instance: u32) {
-        let consecutive = self.unreached.get(&instance).map_or(0, |before| before.consecutive);
+    pub fn record_failure(&mut self, now_ms: u64, sent_ms: u64, instance: u32) {
+        let before = self.unreached.get_mut(&instance);
+        let consecutive = before.as_ref().map_or(0, |before| before.consecutive);
+        if let Some(known) = before.filter(|before| sent_ms <= before.since_ms) {
+            known.at_ms = now_ms;
+            return;
+        }
         let pause_ms = (FIRST_PAUSE_MS << consecutive.min(8)).min(PAUSE_MAX_MS);
         let until_ms = now_ms + pause_ms;
-        let unreached = Unreached { at_ms: now_ms, until_ms, consecutive: consecutive + 1 };
+        let unreached =
+            Unreached { since_ms: now_ms, at_ms: now_ms, until_ms, consecutive: consecutive + 1 };
         self.unreached.insert(instance, unreached);
     }
 
--- a/crates/dispatch/tests/dispatch/health.rs
+++ b/crates/dispatch/tests/dispatch/health.rs
@@ -115,3 +115,50 @@
     let all: u32 = failures(&names, |_| true).iter().sum();
     expect_that!(all, all![gt(500), lt(620)]);
 }
+
+/// Places nine requests on the only endpoint and reports all of them as stalled, from 1,000 ms on.
+fn stalled_endpoint() -> Dispatcher {
+    let mut dispatcher = dispatcher(&[record("a", 9)]);
+    for number in 1..=9 {
+        expect_that!(place(&mut dispatcher, 10, number), some(eq("a")));
+    }
+    for number in 1..=9 {
+        dispatcher.report_stall(1_000 + number, job_id(number));
+    }
+    expect_that!(place(&mut dispatcher, 1_020, 10), none());
+    dispatcher.withdraw(1_021, job_id(10));
+    dispatcher
+}
+
+#[gtest]
+fn one_silence_pauses_an_endpoint_once_however_many_requests_wait_there() {
+    let mut dispatcher = stalled_endpoint();
+    for number in 1..=9 {
+        dispatcher.finish(1_030, finished(job_id(number), Outcome::Broken));
+    }
+    expect_that!(place(&mut dispatcher, 1_320, 11), some(eq("a")));
+}
+
+#[gtest]
+fn an_endpoint_that_stays_silent_is_left_for_longer_each_time() {
+    let mut dispatcher = stalled_endpoint();
+    let mut now_ms = 1_030;
+    for number in 1..=9 {
+        dispatcher.finish(now_ms, finished(job_id(number), Outcome::Broken));
+    }
+    let mut waits_ms = Vec::new();
+    for number in 11..15 {
+        let patient = Job { objective_left_ms: 9_000, patience_left_ms: 9_000, ..job(number) };
+        dispatcher.submit(now_ms, patient);
+        let paused_ms = now_ms;
+        while !dispatcher.take_decisions().iter().any(|d| matches!(d, Decision::Place { .. })) {
+            now_ms += 10;
+            dispatcher.tick(now_ms);
+        }
+        waits_ms.push(now_ms - paused_ms);
+        now_ms += 1_000;
+        dispatcher.report_stall(now_ms, job_id(number));
+        dispatcher.finish(now_ms, finished(job_id(number), Outcome::Broken));
+    }
+    expect_that!(waits_ms, elements_are![le(&300), ge(&500), ge(&1_000), ge(&2_000)]);
+}
