dispatch: an endpoint that goes on after a silence gets requests at once

Cause: a response ended neither the pause for silence nor the probation; they ran out by themselves, or after two whole answers.

Change: a response that begins after the pause began proves that the endpoint works and ends both, as for an endpoint that was not reached by instances which turn out to be cut off. A response that began before the pause and is reported late does not.

Test, failed before: health::an_endpoint_that_was_silent_gets_requests_as_soon_as_it_goes_on ("Expected: has a value which is equal to "a", Actual: None").

--- a/crates/dispatch/src/endpoints/health.rs
+++ b/crates/dispatch/src/endpoints/health.rs
@@ -82,9 +82,12 @@
         self.answered_ms > since_ms
     }
 
-    /// Records that the endpoint has begun a response.
+    /// Records that the endpoint has begun a response. A pause because it had not been reached ends.
     pub fn record_response(&mut self, now_ms: u64) {
         self.answered_ms = self.answered_ms.max(now_ms);
+        if now_ms > self.unreached_ms {
+            self.resume();
+        }
     }
 
     /// Ends the pause and the probation of an endpoint that was not reached for other causes.
--- a/crates/dispatch/tests/dispatch/health.rs
+++ b/crates/dispatch/tests/dispatch/health.rs
@@ -130,6 +130,14 @@
     dispatcher
 }
 
+#[gtest]
+fn an_endpoint_that_was_silent_gets_requests_as_soon_as_it_goes_on() {
+    let mut dispatcher = stalled_endpoint();
+    dispatcher.record_answer_begun(1_100, job_id(1), 0);
+    dispatcher.finish(1_110, finished(job_id(2), Outcome::Answered));
+    expect_that!(place(&mut dispatcher, 1_120, 11), some(eq("a")));
+}
+
 #[gtest]
 fn one_silence_pauses_an_endpoint_once_however_many_requests_wait_there() {
     let mut dispatcher = stalled_endpoint();
