tests(proxy): a silence beside a document, a stop and a notice loses nothing

It now looks at the first connection itself when the second endpoint has the request: closed by then. As strict, without the race.

--- a/crates/proxy/tests/proxy/silence.rs
+++ b/crates/proxy/tests/proxy/silence.rs
@@ -1,11 +1,14 @@
 //! An endpoint that is silent for a second or so and goes on is sound: nothing that it holds is lost.
 
-use crate::support::{Fixture, get, read_request, run, sleep_ms, stream};
+use crate::support::{Fixture, get, read_all, read_request, run, sleep_ms, stream};
 use futures_lite::AsyncWriteExt;
+use futures_lite::future::poll_once;
 use googletest::prelude::*;
 use lycheehub_dispatch::Outcome;
+use lycheehub_proxy::Stop;
+use lycheehub_routes::Document;
 use smol::net::TcpStream;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// A silence after which a response that is not the last attempt counts as stalled, in milliseconds.
@@ -106,14 +109,25 @@
 #[gtest]
 fn a_stalled_request_has_left_its_endpoint_before_another_one_gets_it() {
     run(|fixture| async move {
-        let closed = fixture.add_close_detecting_endpoint("").await;
+        let first = Rc::new(RefCell::new(None));
+        let holder = first.clone();
+        let script = move |mut stream: TcpStream, _| {
+            let holder = holder.clone();
+            async move {
+                read_request(&mut stream).await;
+                holder.replace(Some(stream));
+            }
+        };
+        fixture.add_endpoint(script).await;
         let was_closed = Rc::new(Cell::new(false));
         let recorder = was_closed.clone();
         let script = move |mut stream: TcpStream, _| {
-            let (closed, recorder) = (closed.clone(), recorder.clone());
+            let (first, recorder) = (first.clone(), recorder.clone());
             async move {
                 read_request(&mut stream).await;
-                recorder.set(closed.get());
+                let first: TcpStream = first.take().unwrap();
+                let peeked = poll_once(first.peek(&mut [0; 1])).await;
+                recorder.set(matches!(peeked, Some(Ok(0))));
                 stream.write_all(ANSWER.as_bytes()).await.unwrap();
             }
         };
@@ -138,3 +152,49 @@
         });
     }
 }
+
+/// Expects that requests of each kind are answered whole whose endpoint is silent while `event` happens, and
+/// that nothing may be repeated.
+fn expect_answered_beside(event: impl Fn(&Fixture) + Copy + 'static) {
+    const EVENT_AFTER_MS: u64 = 500;
+    let (first, rest, whole) = two_events();
+    let streamed = |path| (stream(path), first.clone(), rest.clone(), whole.clone());
+    let plain = |path| (get(path), String::new(), ANSWER.to_owned(), "ok".to_owned());
+    for (request, first, rest, expected) in
+        [plain("/safe/"), plain("/unsafe/"), streamed("/stream/"), streamed("/resume/")]
+    {
+        run(|fixture| async move {
+            fixture.placement.refuses_repeats.set(true);
+            add_silent(&fixture, SILENCE_MS, first, rest).await;
+            let mut caller = fixture.connect().await;
+            caller.write_all(request.as_bytes()).await.unwrap();
+            sleep_ms(EVENT_AFTER_MS).await;
+            event(&fixture);
+            expect_that!(read_all(&mut caller).await, ends_with(expected), "{request}");
+            let outcomes = fixture.placement.outcomes.borrow();
+            expect_that!(*outcomes, elements_are![eq(&Outcome::Answered)]);
+        });
+    }
+}
+
+#[gtest]
+fn a_document_that_drops_everything_beside_a_silence_loses_nothing() {
+    expect_answered_beside(|fixture| fixture.set_document(Document::default()));
+}
+
+#[gtest]
+fn a_stop_beside_a_silence_loses_nothing() {
+    expect_answered_beside(|fixture| {
+        let now_ms = fixture.entry.clock.now_ms();
+        fixture.entry.begin_stop(Stop { refuses_from_ms: now_ms, ends_ms: now_ms + 4_000 });
+        fixture.entry.close_idle();
+    });
+}
+
+#[gtest]
+fn an_endpoint_that_is_taken_for_leaving_or_pausing_beside_a_silence_still_answers() {
+    expect_answered_beside(|fixture| {
+        fixture.placement.excluded.borrow_mut().push("endpoint-0".to_owned());
+        fixture.entry.pool.remove(&"endpoint-0".into());
+    });
+}
