--- /dev/null
+++ b/crates/cli/tests/soak/checks.rs
@@ -0,0 +1,142 @@
+//! The checks that find violated guarantees in a history.
+
+use crate::ENDPOINTS;
+use crate::history::{Inner, Kind, Run, Scope};
+use std::time::{Duration, Instant};
+
+/// How long a request may run on after its caller has disconnected.
+const DISCONNECT_SLACK: Duration = Duration::from_millis(500);
+/// How many requests may run on for longer than that.
+const RUN_ON_MAX: usize = 3;
+/// How many replies that an endpoint has sent in full may be interrupted before the caller has them.
+const LOST_REPLIES_MAX: usize = 3;
+/// The number of overdue requests that is a violation, if it is also more than a quarter of the
+/// requests that reach their timeout.
+const OVERDUE_MIN: usize = 8;
+
+/// Checks the whole history; returns each violated guarantee with its evidence.
+pub fn check(inner: &Inner) -> Vec<String> {
+    let mut violations: Vec<String> = inner.violations.iter().cloned().collect();
+    for (id, runs) in &inner.runs {
+        check_runs(inner, id, runs, &mut violations);
+    }
+    violations.extend(
+        inner.limits.check(|endpoint, from, to| {
+            inner.is_disturbed(Scope::EndpointPath(endpoint), from, to)
+        }),
+    );
+    violations
+        .extend(inner.rejections.check(ENDPOINTS, |entry, at| inner.is_settled(entry, at, at)));
+    for (cause, crashes) in &inner.crashes {
+        let is_settled = |entry, sent_at, at| inner.is_settled(entry, sent_at, at);
+        violations.extend(crashes.check(*cause, is_settled));
+    }
+    if inner.overdue_late >= OVERDUE_MIN && inner.overdue_late * 4 > inner.overdue {
+        let (late, all) = (inner.overdue_late, inner.overdue);
+        violations.push(format!("CONFIG: {late} of {all} without a reply after their timeout"));
+    }
+    let started = started_after_disconnect(inner);
+    if started.len() > RUN_ON_MAX {
+        violations
+            .push(format!("GONE: started long after their callers disconnected: {started:?}"));
+    }
+    let completed = completed_after_disconnect(inner);
+    if completed.len() > RUN_ON_MAX {
+        violations
+            .push(format!("GONE: completed long after their callers disconnected: {completed:?}"));
+    }
+    let interrupted = interrupted_by_stops(inner);
+    if !interrupted.is_empty() {
+        violations.push(format!("LOST: interrupted by planned stops: {interrupted:?}"));
+    }
+    let lost = lost_replies(inner);
+    if lost.len() > LOST_REPLIES_MAX {
+        violations.push(format!("LOST: interrupted though their endpoints had replied: {lost:?}"));
+    }
+    violations
+}
+
+fn check_runs(inner: &Inner, id: &str, runs: &[Run], violations: &mut Vec<String>) {
+    let Some(sent) = inner.sent.get(id) else {
+        violations.push(format!("UNASKED: {id} was never sent: {runs:?}"));
+        return;
+    };
+    for run in runs {
+        let same = run.method == sent.method && run.path == sent.path && run.body == sent.body;
+        if !same {
+            violations.push(format!("UNASKED: {id} sent as {sent:?}, run as {run:?}"));
+        }
+        if run.account.as_deref() != Some("packhouse") || run.has_key {
+            violations.push(format!(
+                "UNASKED: {id} ran with the wrong account, or with the API key: {run:?}"
+            ));
+        }
+        if run.resumed && sent.kind != Kind::ResumableStream {
+            violations.push(format!("ORDER: {id} was resumed: {run:?}"));
+        }
+    }
+    if sent.kind.is_idempotent() {
+        return;
+    }
+    if runs.len() > 1 {
+        violations.push(format!("TWICE: {id} {:?}: {runs:?}", sent.kind));
+    }
+    if let Some(status) = inner.refused.get(id) {
+        violations.push(format!("REFUSED: {id} was refused with {status} but ran: {runs:?}"));
+    }
+}
+
+/// Returns the requests that reached an endpoint long after their callers had disconnected.
+fn started_after_disconnect(inner: &Inner) -> Vec<&String> {
+    let is_late = |(id, disconnected): &(&String, &Instant)| {
+        let Some(sent) = inner.sent.get(*id) else { return false };
+        let runs = inner.runs.get(*id).into_iter().flatten();
+        runs.filter(|run| run.at > **disconnected + DISCONNECT_SLACK)
+            .any(|run| inner.is_settled(sent.entry, sent.at, run.at))
+    };
+    inner.disconnected.iter().filter(is_late).map(|(id, _)| id).collect()
+}
+
+/// Returns the requests that endpoints completed long after their callers had disconnected.
+fn completed_after_disconnect(inner: &Inner) -> Vec<&String> {
+    let is_late = |(id, disconnected): &(&String, &Instant)| {
+        let (Some(sent), Some(completed)) = (inner.sent.get(*id), inner.completed.get(*id)) else {
+            return false;
+        };
+        *completed > **disconnected + DISCONNECT_SLACK
+            && inner.is_settled(sent.entry, sent.at, *completed)
+    };
+    inner.disconnected.iter().filter(is_late).map(|(id, _)| id).collect()
+}
+
+/// Returns the requests that ran at undisturbed endpoints and were interrupted by a planned stop.
+fn interrupted_by_stops(inner: &Inner) -> Vec<&String> {
+    let is_interrupted = |(id, interrupted): &(&String, &Instant)| {
+        let (Some(sent), Some(runs)) = (inner.sent.get(*id), inner.runs.get(*id)) else {
+            return false;
+        };
+        let by_stop = inner.stops.iter().any(|(entry, from, to)| {
+            *entry == sent.entry && sent.at <= *to && (*from..=*to).contains(*interrupted)
+        });
+        let undisturbed =
+            |run: &Run| !inner.is_disturbed(Scope::Endpoint(run.endpoint), sent.at, **interrupted);
+        by_stop && runs.iter().all(undisturbed)
+    };
+    inner.interrupted.iter().filter(is_interrupted).map(|(id, _)| id).collect()
+}
+
+/// Returns the requests that were interrupted though an undisturbed endpoint had sent its complete
+/// reply.
+fn lost_replies(inner: &Inner) -> Vec<&String> {
+    let is_lost = |(id, interrupted): &(&String, &Instant)| {
+        let (Some(sent), Some(runs)) = (inner.sent.get(*id), inner.runs.get(*id)) else {
+            return false;
+        };
+        let undisturbed =
+            |run: &Run| !inner.is_disturbed(Scope::Endpoint(run.endpoint), sent.at, **interrupted);
+        inner.completed.contains_key(*id)
+            && runs.iter().all(undisturbed)
+            && inner.is_settled(sent.entry, sent.at, **interrupted)
+    };
+    inner.interrupted.iter().filter(is_lost).map(|(id, _)| id).collect()
+}
--- a/crates/cli/tests/soak/history.rs
+++ b/crates/cli/tests/soak/history.rs
@@ -1,7 +1,6 @@
-//! The history of a run as callers, endpoints and the operator observe it, and the checks that
-//! find violated guarantees in it.
+//! The history of a run as callers, endpoints and the operator observe it.
 
-use crate::ENDPOINTS;
+use crate::checks;
 use crate::endpoint::DRAIN_TIME;
 use crate::limits::Limits;
 use crate::prompts::{Cause, Crashes};
@@ -12,20 +11,10 @@
 
 /// How long an instance must have been undisturbed before guarantees with a time bound apply to it.
 pub const SETTLE_TIME: Duration = Duration::from_secs(3);
-/// How long a request may run on after its caller has disconnected.
-const DISCONNECT_SLACK: Duration = Duration::from_millis(500);
-/// How many requests may run on for longer than that.
-const RUN_ON_MAX: usize = 3;
 /// How long after an endpoint's notice requests that are already in flight may reach it.
 const IN_FLIGHT_SLACK: Duration = Duration::from_millis(500);
 /// How many requests may reach an endpoint during a pause that it has asked for.
 const PAUSE_ARRIVALS_MAX: usize = 2;
-/// How many replies that an endpoint has sent in full may be interrupted before the caller has them.
-const LOST_REPLIES_MAX: usize = 3;
-
-/// The number of overdue requests that is a violation, if it is also more than a quarter of the
-/// requests that reach their timeout.
-const OVERDUE_MIN: usize = 8;
 
 /// The kind of a request's route, which decides whether the request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -83,7 +72,7 @@
 
 /// A notice that an endpoint has sent to an entry instance in a reply.
 #[derive(Clone, Copy, Debug)]
-struct Notice {
+pub struct Notice {
     endpoint: usize,
     entry: usize,
     at: Instant,
@@ -93,42 +82,43 @@
     arrivals: usize,
 }
 
+/// What was observed so far.
 #[derive(Default)]
-struct Inner {
-    limits: Limits,
-    crashes: BTreeMap<Cause, Crashes>,
-    rejections: Rejections,
-    notices: Vec<Notice>,
-    sent: BTreeMap<String, SentRequest>,
-    runs: BTreeMap<String, Vec<Run>>,
+pub struct Inner {
+    pub limits: Limits,
+    pub crashes: BTreeMap<Cause, Crashes>,
+    pub rejections: Rejections,
+    pub notices: Vec<Notice>,
+    pub sent: BTreeMap<String, SentRequest>,
+    pub runs: BTreeMap<String, Vec<Run>>,
     /// The status of each request that was refused, which guarantees that it never runs.
-    refused: BTreeMap<String, u16>,
+    pub refused: BTreeMap<String, u16>,
     /// When callers disconnected without waiting for the reply.
-    disconnected: BTreeMap<String, Instant>,
+    pub disconnected: BTreeMap<String, Instant>,
     /// When connections closed before the complete reply.
-    interrupted: BTreeMap<String, Instant>,
+    pub interrupted: BTreeMap<String, Instant>,
     /// When endpoints had sent their complete reply.
-    completed: BTreeMap<String, Instant>,
-    disturbances: Vec<(Scope, Instant, Option<Instant>)>,
+    pub completed: BTreeMap<String, Instant>,
+    pub disturbances: Vec<(Scope, Instant, Option<Instant>)>,
     /// The planned stops of entry instances, each from its signal to its exit.
-    stops: Vec<(usize, Instant, Instant)>,
-    violations: BTreeSet<String>,
-    counts: BTreeMap<&'static str, u64>,
+    pub stops: Vec<(usize, Instant, Instant)>,
+    pub violations: BTreeSet<String>,
+    pub counts: BTreeMap<&'static str, u64>,
     /// Requests without a complete reply at their route's timeout.
-    overdue: usize,
+    pub overdue: usize,
     /// Those of them that are still without one after the caller's slack of half a second.
-    overdue_late: usize,
+    pub overdue_late: usize,
 }
 
 impl Inner {
     /// Tells whether a fault disturbed `scope` at any time from `from` to `to`.
-    fn is_disturbed(&self, scope: Scope, from: Instant, to: Instant) -> bool {
+    pub fn is_disturbed(&self, scope: Scope, from: Instant, to: Instant) -> bool {
         self.disturbances.iter().any(|(other, begin, end)| {
             *other == scope && *begin <= to && end.is_none_or(|end| end >= from)
         })
     }
 
-    fn is_settled(&self, entry: usize, from: Instant, to: Instant) -> bool {
+    pub fn is_settled(&self, entry: usize, from: Instant, to: Instant) -> bool {
         let from = from.checked_sub(SETTLE_TIME).unwrap_or(from);
         !self.is_disturbed(Scope::Entry(entry), from, to)
             && !self.is_disturbed(Scope::Control, from, to)
@@ -333,129 +323,6 @@
 
     /// Checks the whole history; returns each violated guarantee with its evidence.
     pub fn check(&self) -> Vec<String> {
-        let inner = self.inner();
-        let mut violations: Vec<String> = inner.violations.iter().cloned().collect();
-        for (id, runs) in &inner.runs {
-            check_runs(&inner, id, runs, &mut violations);
-        }
-        violations.extend(inner.limits.check(|endpoint, from, to| {
-            inner.is_disturbed(Scope::EndpointPath(endpoint), from, to)
-        }));
-        violations
-            .extend(inner.rejections.check(ENDPOINTS, |entry, at| inner.is_settled(entry, at, at)));
-        for (cause, crashes) in &inner.crashes {
-            let is_settled = |entry, sent_at, at| inner.is_settled(entry, sent_at, at);
-            violations.extend(crashes.check(*cause, is_settled));
-        }
-        if inner.overdue_late >= OVERDUE_MIN && inner.overdue_late * 4 > inner.overdue {
-            let (late, all) = (inner.overdue_late, inner.overdue);
-            violations.push(format!("CONFIG: {late} of {all} without a reply after their timeout"));
-        }
-        let started = started_after_disconnect(&inner);
-        if started.len() > RUN_ON_MAX {
-            violations
-                .push(format!("GONE: started long after their callers disconnected: {started:?}"));
-        }
-        let completed = completed_after_disconnect(&inner);
-        if completed.len() > RUN_ON_MAX {
-            violations.push(format!(
-                "GONE: completed long after their callers disconnected: {completed:?}"
-            ));
-        }
-        let interrupted = interrupted_by_stops(&inner);
-        if !interrupted.is_empty() {
-            violations.push(format!("LOST: interrupted by planned stops: {interrupted:?}"));
-        }
-        let lost = lost_replies(&inner);
-        if lost.len() > LOST_REPLIES_MAX {
-            violations
-                .push(format!("LOST: interrupted though their endpoints had replied: {lost:?}"));
-        }
-        violations
-    }
-}
-
-fn check_runs(inner: &Inner, id: &str, runs: &[Run], violations: &mut Vec<String>) {
-    let Some(sent) = inner.sent.get(id) else {
-        violations.push(format!("UNASKED: {id} was never sent: {runs:?}"));
-        return;
-    };
-    for run in runs {
-        let same = run.method == sent.method && run.path == sent.path && run.body == sent.body;
-        if !same {
-            violations.push(format!("UNASKED: {id} sent as {sent:?}, run as {run:?}"));
-        }
-        if run.account.as_deref() != Some("packhouse") || run.has_key {
-            violations.push(format!(
-                "UNASKED: {id} ran with the wrong account, or with the API key: {run:?}"
-            ));
-        }
-        if run.resumed && sent.kind != Kind::ResumableStream {
-            violations.push(format!("ORDER: {id} was resumed: {run:?}"));
-        }
+        checks::check(&self.inner())
     }
-    if sent.kind.is_idempotent() {
-        return;
-    }
-    if runs.len() > 1 {
-        violations.push(format!("TWICE: {id} {:?}: {runs:?}", sent.kind));
-    }
-    if let Some(status) = inner.refused.get(id) {
-        violations.push(format!("REFUSED: {id} was refused with {status} but ran: {runs:?}"));
-    }
-}
-
-/// Returns the requests that reached an endpoint long after their callers had disconnected.
-fn started_after_disconnect(inner: &Inner) -> Vec<&String> {
-    let is_late = |(id, disconnected): &(&String, &Instant)| {
-        let Some(sent) = inner.sent.get(*id) else { return false };
-        let runs = inner.runs.get(*id).into_iter().flatten();
-        runs.filter(|run| run.at > **disconnected + DISCONNECT_SLACK)
-            .any(|run| inner.is_settled(sent.entry, sent.at, run.at))
-    };
-    inner.disconnected.iter().filter(is_late).map(|(id, _)| id).collect()
-}
-
-/// Returns the requests that endpoints completed long after their callers had disconnected.
-fn completed_after_disconnect(inner: &Inner) -> Vec<&String> {
-    let is_late = |(id, disconnected): &(&String, &Instant)| {
-        let (Some(sent), Some(completed)) = (inner.sent.get(*id), inner.completed.get(*id)) else {
-            return false;
-        };
-        *completed > **disconnected + DISCONNECT_SLACK
-            && inner.is_settled(sent.entry, sent.at, *completed)
-    };
-    inner.disconnected.iter().filter(is_late).map(|(id, _)| id).collect()
-}
-
-/// Returns the requests that ran at undisturbed endpoints and were interrupted by a planned stop.
-fn interrupted_by_stops(inner: &Inner) -> Vec<&String> {
-    let is_interrupted = |(id, interrupted): &(&String, &Instant)| {
-        let (Some(sent), Some(runs)) = (inner.sent.get(*id), inner.runs.get(*id)) else {
-            return false;
-        };
-        let by_stop = inner.stops.iter().any(|(entry, from, to)| {
-            *entry == sent.entry && sent.at <= *to && (*from..=*to).contains(*interrupted)
-        });
-        let undisturbed =
-            |run: &Run| !inner.is_disturbed(Scope::Endpoint(run.endpoint), sent.at, **interrupted);
-        by_stop && runs.iter().all(undisturbed)
-    };
-    inner.interrupted.iter().filter(is_interrupted).map(|(id, _)| id).collect()
-}
-
-/// Returns the requests that were interrupted though an undisturbed endpoint had sent its complete
-/// reply.
-fn lost_replies(inner: &Inner) -> Vec<&String> {
-    let is_lost = |(id, interrupted): &(&String, &Instant)| {
-        let (Some(sent), Some(runs)) = (inner.sent.get(*id), inner.runs.get(*id)) else {
-            return false;
-        };
-        let undisturbed =
-            |run: &Run| !inner.is_disturbed(Scope::Endpoint(run.endpoint), sent.at, **interrupted);
-        inner.completed.contains_key(*id)
-            && runs.iter().all(undisturbed)
-            && inner.is_settled(sent.entry, sent.at, **interrupted)
-    };
-    inner.interrupted.iter().filter(is_lost).map(|(id, _)| id).collect()
 }
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -7,6 +7,7 @@
 //! instances each run has.
 
 mod caller;
+mod checks;
 #[path = "../deployment/mod.rs"]
 mod deployment;
 mod endpoint;
@@ -14,6 +15,7 @@
 mod history;
 mod limits;
 mod operator;
+mod plan;
 mod prompts;
 mod rejections;
 
