tests(soak): sound endpoints fall silent; endpoints die in silence; heads break off

Three faults that the soak could not play.

The new faults have random generators of their own: old seeds draw what they drew.

--- a/crates/cli/tests/soak/plan.rs
+++ b/crates/cli/tests/soak/plan.rs
@@ -7,6 +7,9 @@
 use rand::{RngCore, SeedableRng};
 use std::time::Duration;
 
+/// The longest time for which a sound endpoint is silent.
+const SILENCE_MAX_MS: u64 = 2_000;
+
 /// A fault to inject; the number is the index of the affected process or endpoint.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -26,6 +29,12 @@
     DisturbEntry(usize, Mode),
     CrashEndpoint(usize),
     DrainEndpoint(usize),
+    /// Dies without a word to its peers, and is back under a new start after the fault's time.
+    DarkenEndpoint(usize),
+    /// Dies without a word to its peers and stays gone.
+    LoseEndpoint(usize),
+    /// So many sound endpoints, from this one on, fall silent together and go on afterwards.
+    SilenceEndpoints(usize, usize),
     FailEndpoint(usize, Faults),
     DisturbEndpoint(usize, Mode),
     ResetEndpoint(usize),
@@ -100,6 +109,7 @@
         at_ms += (random_below(2 * MEAN_GAP_MS as usize)) as u64;
     }
     planned.extend(plan_notices(seed, run_duration, endpoints));
+    planned.extend(plan_deaths(seed, run_duration, endpoints));
     planned
 }
 
@@ -165,3 +175,56 @@
     }
     planned
 }
+
+/// Draws the endpoints that die in silence, and those that break off in the heads of their replies.
+fn plan_deaths(seed: u64, run_duration: Duration, endpoints: usize) -> Vec<PlannedFault> {
+    const SALT: u64 = 0xdead;
+    const MEAN_GAP_MS: u64 = 2_000;
+    let mut rng = StdRng::seed_from_u64(seed ^ SALT);
+    let mut random_below = |below: u64| rng.next_u64() % below.max(1);
+    let mut planned = Vec::new();
+    let mut at_ms = random_below(MEAN_GAP_MS);
+    let mut lost = None;
+    while u128::from(at_ms) < run_duration.as_millis() {
+        let endpoint = random_below(endpoints as u64) as usize;
+        let broken_heads = 10 + random_below(50) as u32;
+        let fault = match random_below(6) {
+            0 if lost.is_none() => {
+                lost = Some(endpoint);
+                Fault::LoseEndpoint(endpoint)
+            }
+            0..3 => Fault::DarkenEndpoint(endpoint),
+            _ => Fault::FailEndpoint(endpoint, Faults { broken_heads, ..Faults::default() }),
+        };
+        let duration = Duration::from_millis(800 + random_below(2_200));
+        planned.push(PlannedFault { at: Duration::from_millis(at_ms), duration, fault });
+        at_ms += random_below(2 * MEAN_GAP_MS);
+    }
+    planned
+}
+
+/// Draws the times in which sound endpoints are silent: one, several or all of them. The times do not overlap,
+/// so that no silence lasts longer than [`SILENCE_MAX_MS`].
+pub fn plan_silences(seed: u64, run_duration: Duration, endpoints: usize) -> Vec<PlannedFault> {
+    const SALT: u64 = 0x5173;
+    const GAP_MIN_MS: u64 = 200;
+    const GAP_SPREAD_MS: u64 = 2_000;
+    const SILENCE_MIN_MS: u64 = 800;
+    let mut rng = StdRng::seed_from_u64(seed ^ SALT);
+    let mut random_below = |below: u64| rng.next_u64() % below.max(1);
+    let mut planned = Vec::new();
+    let mut at_ms = random_below(GAP_SPREAD_MS);
+    while u128::from(at_ms) < run_duration.as_millis() {
+        let count = match random_below(4) {
+            0 | 1 => 1,
+            2 => 2 + random_below(endpoints as u64 / 2) as usize,
+            _ => endpoints,
+        };
+        let fault = Fault::SilenceEndpoints(random_below(endpoints as u64) as usize, count);
+        let silence_ms = SILENCE_MIN_MS + random_below(SILENCE_MAX_MS - SILENCE_MIN_MS + 1);
+        let duration = Duration::from_millis(silence_ms);
+        planned.push(PlannedFault { at: Duration::from_millis(at_ms), duration, fault });
+        at_ms += silence_ms + GAP_MIN_MS + random_below(GAP_SPREAD_MS);
+    }
+    planned
+}
