tests(soak): callers' tries and the instances' lines agree; requests may cross a close

Callers write up to 3 ms after they looked at a kept connection, so that what a stopping instance does crosses their requests, as on a network; they heed the stated Keep-Alive time. A try whose connection closes without a byte is told apart from one that is cut in its reply: no line of its instance (it crossed a close, allowed during a planned stop only) or read and lost (a violation). At the end all instances are stopped, and at those that were never killed each try that got a reply has exactly one line, and each line a try.

--- a/crates/cli/tests/soak/caller.rs
+++ b/crates/cli/tests/soak/caller.rs
@@ -7,7 +7,7 @@
 use crate::history::{End, History, Kind, SentRequest};
 use crate::prompts::{CRASHING_PATH, is_crashing_request, prefix_of};
 use rand::rngs::StdRng;
-use rand::{RngCore, SeedableRng};
+use rand::{Rng, RngCore, SeedableRng};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -28,6 +28,8 @@
 /// How much longer than the route's timeout a request's deadline is.
 const DEADLINE_SLACK: Duration = Duration::from_secs(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest time between a look at a connection and the request on it.
+const LATENCY_MAX: Duration = Duration::from_millis(3);
 /// The percentage of requests whose caller disconnects before the reply.
 const DISCONNECT_PERCENT: u32 = 8;
 
@@ -38,8 +40,10 @@
         head: String,
         body: String,
     },
-    /// The connection closed before the end of the reply.
-    Closed,
+    /// The connection closed before the end of the reply; `has_begun` if a byte of it came.
+    Closed {
+        has_begun: bool,
+    },
     TimedOut,
     Malformed(String),
 }
@@ -52,7 +56,8 @@
                 End::Refused(*status)
             }
             Self::Complete { status, .. } => End::Failed(*status),
-            Self::Closed | Self::Malformed(_) => End::Cut,
+            Self::Closed { has_begun: true } | Self::Malformed(_) => End::Cut,
+            Self::Closed { has_begun: false } => End::Unanswered,
             Self::TimedOut => End::TimedOut,
         }
     }
@@ -62,6 +67,10 @@
 struct Connection {
     stream: TcpStream,
     buffered: Vec<u8>,
+    /// Whether a byte of the outstanding reply was received.
+    has_begun: bool,
+    /// Until when it may be used again, as the last reply stated.
+    usable_until: Option<Instant>,
 }
 
 /// Sends one request at a time and keeps a connection to each entry instance.
@@ -70,14 +79,18 @@
     entries: Vec<String>,
     history: Arc<History>,
     rng: StdRng,
+    /// Draws the latencies, so that the requests of a seed do not depend on them.
+    latencies: StdRng,
     connections: BTreeMap<usize, Connection>,
     requests: u64,
 }
 
 impl Caller {
     pub fn new(number: usize, entries: Vec<String>, history: Arc<History>, seed: u64) -> Self {
-        let rng = StdRng::seed_from_u64(seed.wrapping_add(number as u64));
-        Self { number, entries, history, rng, connections: BTreeMap::new(), requests: 0 }
+        let seed = seed.wrapping_add(number as u64);
+        let (rng, latencies) = (StdRng::seed_from_u64(seed), StdRng::seed_from_u64(!seed));
+        let connections = BTreeMap::new();
+        Self { number, entries, history, rng, latencies, connections, requests: 0 }
     }
 
     /// Sends requests until `is_stopped` is set.
@@ -134,6 +147,7 @@
             body.len()
         );
         if connection.stream.write_all(request.as_bytes()).is_err() {
+            self.history.add_end(&id, End::Unanswered);
             self.history.count("failed writes");
             return false;
         }
@@ -144,8 +158,13 @@
         }
         let outcome = connection.read_reply(at + timeout + READ_SLACK);
         self.check_timing(entry, at, timeout);
-        let is_kept =
-            matches!(&outcome, ReadOutcome::Complete { head, .. } if !closes_connection(head));
+        let is_kept = match &outcome {
+            ReadOutcome::Complete { head, .. } => {
+                connection.usable_until = stated_idle_time(head).map(|idle| Instant::now() + idle);
+                !closes_connection(head)
+            }
+            _ => false,
+        };
         let is_served = self.check_reply(&id, kind, &body, outcome);
         if is_kept {
             self.connections.insert(entry, connection);
@@ -163,9 +182,16 @@
 
     /// Returns the kept connection if it is still open, else a new one.
     fn connection(&mut self, entry: usize) -> Option<Connection> {
-        if let Some(kept) = self.connections.remove(&entry) {
+        let is_usable = |kept: &Connection| {
+            kept.usable_until.is_none_or(|until| Instant::now() + LATENCY_MAX < until)
+        };
+        if let Some(kept) = self.connections.remove(&entry).filter(is_usable) {
             match kept.is_idle() {
-                Ok(true) => return Some(kept),
+                Ok(true) => {
+                    // What the instance does meanwhile crosses the request, as on a network with latency.
+                    std::thread::sleep(LATENCY_MAX.mul_f64(self.latencies.random()));
+                    return Some(kept);
+                }
                 Ok(false) => {}
                 Err(bytes) => self.history.add_violation(format!(
                     "MIXED: bytes without an outstanding request: {bytes:?}"
@@ -174,7 +200,7 @@
         }
         let address: SocketAddr = format!("{}:{FRONT_PORT}", self.entries[entry]).parse().ok()?;
         let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
-        Some(Connection { stream, buffered: Vec::new() })
+        Some(Connection { stream, buffered: Vec::new(), has_begun: false, usable_until: None })
     }
 
     fn check_timing(&self, entry: usize, at: Instant, timeout: Duration) {
@@ -188,7 +214,7 @@
     fn check_reply(&self, id: &str, kind: Kind, sent_body: &str, outcome: ReadOutcome) -> bool {
         self.history.add_end(id, outcome.end());
         match outcome {
-            ReadOutcome::Closed => {
+            ReadOutcome::Closed { .. } => {
                 self.history.add_interruption(id);
                 self.history.count("cut");
             }
@@ -252,6 +278,7 @@
     }
 
     fn read_reply(&mut self, deadline: Instant) -> ReadOutcome {
+        self.has_begun = false;
         match self.try_read_reply(deadline) {
             Ok(outcome) => outcome,
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
@@ -260,7 +287,7 @@
             Err(error) if error.kind() == ErrorKind::InvalidData => {
                 ReadOutcome::Malformed(error.to_string())
             }
-            Err(_) => ReadOutcome::Closed,
+            Err(_) => ReadOutcome::Closed { has_begun: self.has_begun },
         }
     }
 
@@ -317,6 +344,7 @@
         if count == 0 {
             return Err(ErrorKind::UnexpectedEof.into());
         }
+        self.has_begun = true;
         self.buffered.extend_from_slice(&buffer[..count]);
         Ok(())
     }
@@ -325,3 +353,10 @@
 fn closes_connection(head: &str) -> bool {
     field(head, "connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
 }
+
+/// Returns how long a connection may stay idle, as the head of a reply states.
+fn stated_idle_time(head: &str) -> Option<Duration> {
+    let value = field(head, "keep-alive")?;
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.parse().ok().map(Duration::from_secs)
+}
--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -6,6 +6,7 @@
 use crate::plan::{Fault, PlannedFault, plan, plan_limits, plan_rejections, plan_silences};
 use lycheehub_standin::proxy::Mode;
 use std::io::Write;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -188,6 +189,9 @@
 
     fn restart(&self, place: usize, duration: Duration, before_start: impl FnOnce(&Process)) {
         self.run_exclusively(place, || {
+            if let Scope::Entry(entry) = self.scope_of(place) {
+                self.history.add_killed(entry);
+            }
             self.with_process(place, Process::kill);
             std::thread::sleep(duration);
             self.with_process(place, |process| {
@@ -227,6 +231,7 @@
         let from = Instant::now();
         self.with_process(place, |process| process.signal("TERM"));
         if !self.exits_in_time(place) {
+            self.history.add_killed(place - self.controls);
             self.history.add_violation(format!(
                 "entry instance {place} did not exit within {STOP_TIMEOUT:?} after SIGTERM"
             ));
@@ -241,6 +246,18 @@
         self.busy[place].store(false, Ordering::Relaxed);
     }
 
+    /// Stops all entry instances, whose callers have left; returns their logs.
+    pub fn stop_entries(&self) -> Vec<PathBuf> {
+        self.deployment().entries.iter().for_each(|entry| entry.signal("TERM"));
+        let stop = |entry: &mut Process| {
+            if entry.exits_within(STOP_TIMEOUT).is_none() {
+                self.history.add_violation(format!("{} did not exit without callers", entry.ip));
+            }
+            entry.log()
+        };
+        self.deployment().entries.iter_mut().map(stop).collect()
+    }
+
     fn exits_in_time(&self, place: usize) -> bool {
         let began = Instant::now();
         while began.elapsed() < STOP_TIMEOUT {
--- a/crates/cli/tests/soak/history.rs
+++ b/crates/cli/tests/soak/history.rs
@@ -4,9 +4,11 @@
 use crate::checks;
 use crate::endpoint::DRAIN_TIME;
 use crate::limits::Limits;
+use crate::lines::{self, Lines, Unanswered};
 use crate::prompts::{Cause, Crashes};
 use crate::rejections::Rejections;
 use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -51,6 +53,8 @@
     Failed(u16),
     /// The connection closed before the end of the reply.
     Cut,
+    /// The connection closed before the first byte of the reply.
+    Unanswered,
     /// Neither a reply nor a close came in time.
     TimedOut,
 }
@@ -135,6 +139,8 @@
     pub deaths: Vec<Death>,
     /// The times in which sound endpoints were silent.
     pub silences: Vec<(usize, Instant, Option<Instant>)>,
+    /// The entry instances that were killed, so that lines of theirs may be lost.
+    pub killed: BTreeSet<usize>,
     /// The planned stops of entry instances, each from its signal to its exit.
     pub stops: Vec<(usize, Instant, Instant)>,
     pub violations: BTreeSet<String>,
@@ -372,6 +378,27 @@
         }
     }
 
+    /// Records that an entry instance is killed.
+    pub fn add_killed(&self, entry: usize) {
+        self.inner().killed.insert(entry);
+    }
+
+    /// Compares the tries of callers with the logs of the entry instances that were never killed.
+    pub fn check_lines(&self, logs: &[PathBuf]) {
+        let mut inner = self.inner();
+        let mut unanswered = Unanswered::default();
+        for (entry, log) in logs.iter().enumerate() {
+            if !inner.killed.contains(&entry) {
+                let found = lines::check(&inner, entry, &Lines::read(log), &mut unanswered);
+                inner.violations.extend(found);
+            }
+        }
+        let counts = [("crossed a close", unanswered.crossed), ("read and lost", unanswered.lost)];
+        for (what, ids) in counts {
+            *inner.counts.entry(what).or_default() += ids.len() as u64;
+        }
+    }
+
     /// Records a planned stop of an entry instance that began at `from` and ends now.
     pub fn add_stop(&self, entry: usize, from: Instant) {
         self.inner().stops.push((entry, from, Instant::now()));
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod gate;
 mod history;
 mod limits;
+mod lines;
 mod operator;
 mod plan;
 mod prompts;
@@ -149,6 +150,8 @@
     operator.read_back_until(last_fault_ended + RECOVERY);
     target.endpoints.iter().for_each(|endpoint| endpoint.stop_announcing());
     check_exits(&target, &history);
+    drop(probe);
+    history.check_lines(&target.stop_entries());
     let violations = history.check();
     println!("seed {seed}: {}", history.summary());
     if !violations.is_empty() {
