tests(soak): planned work in series, and calm seeds

Entry instances are stopped in turn, some signalled again (SIGHUP, a second SIGTERM) while they stop, beside SIGHUP of others, endpoints that drain and documents in quick succession, in which idle limits, a route and a service go and come back. Planned work has a random generator of its own.

One seed in five is calm: planned work and silence of sound endpoints alone.

--- a/crates/cli/tests/soak/plan.rs
+++ b/crates/cli/tests/soak/plan.rs
@@ -10,6 +10,11 @@
 /// The longest time for which a sound endpoint is silent.
 const SILENCE_MAX_MS: u64 = 2_000;
 
+/// Tells whether a seed has planned work and silence of sound endpoints only.
+pub fn is_calm(seed: u64) -> bool {
+    seed % 5 == 2
+}
+
 /// A fault to inject; the number is the index of the affected process or endpoint.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -25,6 +30,10 @@
     KillEntry(usize),
     PauseEntry(usize),
     StopEntry(usize),
+    /// Stopped, and signalled again while it stops.
+    SignalStoppingEntry(usize, SecondSignal),
+    /// The operator changes the document in quick succession.
+    StormDocuments,
     ReloadEntry(usize),
     DisturbEntry(usize, Mode),
     CrashEndpoint(usize),
@@ -44,6 +53,13 @@
     LimitRejections(usize, usize),
 }
 
+/// A signal to a process that was asked to stop.
+#[derive(Clone, Copy, Debug)]
+pub struct SecondSignal {
+    pub name: &'static str,
+    pub after: Duration,
+}
+
 /// A fault with its start time and duration.
 #[derive(Clone, Copy, Debug)]
 pub struct PlannedFault {
@@ -61,6 +77,9 @@
     endpoints: usize,
 ) -> Vec<PlannedFault> {
     const MEAN_GAP_MS: u64 = 900;
+    if is_calm(seed) {
+        return plan_planned_work(seed, run_duration, entries, endpoints);
+    }
     let mut rng = StdRng::seed_from_u64(seed);
     let mut random_below = |below: usize| (rng.next_u64() % below.max(1) as u64) as usize;
     let mut planned = Vec::new();
@@ -110,6 +129,7 @@
     }
     planned.extend(plan_notices(seed, run_duration, endpoints));
     planned.extend(plan_deaths(seed, run_duration, endpoints));
+    planned.extend(plan_planned_work(seed, run_duration, entries, endpoints));
     planned
 }
 
@@ -228,3 +248,45 @@
     }
     planned
 }
+
+/// Draws planned work in series that overlap: entry instances stopped in turn, some signalled again meanwhile,
+/// settings read again, documents in quick succession, and endpoints that drain.
+fn plan_planned_work(
+    seed: u64,
+    run_duration: Duration,
+    entries: usize,
+    endpoints: usize,
+) -> Vec<PlannedFault> {
+    const SALT: u64 = 0x3021;
+    const MEAN_GAP_MS: u64 = 700;
+    const SECOND_SIGNAL_MAX_MS: u64 = 2_000;
+    let mut rng = StdRng::seed_from_u64(seed ^ SALT);
+    let mut random_below = |below: u64| rng.next_u64() % below.max(1);
+    let mut planned = Vec::new();
+    let mut at_ms = random_below(MEAN_GAP_MS);
+    let mut next_entry = random_below(entries as u64) as usize;
+    while u128::from(at_ms) < run_duration.as_millis() {
+        let after = Duration::from_millis(random_below(SECOND_SIGNAL_MAX_MS));
+        let fault = match random_below(8) {
+            choice @ 0..3 => {
+                next_entry = (next_entry + 1) % entries;
+                match choice {
+                    0 => Fault::StopEntry(next_entry),
+                    1 => {
+                        Fault::SignalStoppingEntry(next_entry, SecondSignal { name: "HUP", after })
+                    }
+                    _ => {
+                        Fault::SignalStoppingEntry(next_entry, SecondSignal { name: "TERM", after })
+                    }
+                }
+            }
+            3 | 4 => Fault::ReloadEntry(random_below(entries as u64) as usize),
+            5 => Fault::DrainEndpoint(random_below(endpoints as u64) as usize),
+            _ => Fault::StormDocuments,
+        };
+        let duration = Duration::from_millis(200 + random_below(2_000));
+        planned.push(PlannedFault { at: Duration::from_millis(at_ms), duration, fault });
+        at_ms += random_below(2 * MEAN_GAP_MS);
+    }
+    planned
+}
