--- a/crates/cli/tests/soak/caller.rs
+++ b/crates/cli/tests/soak/caller.rs
@@ -137,7 +137,10 @@
             return false;
         };
         let at = Instant::now();
-        let sent = SentRequest { kind, entry, method, path: path.clone(), body: body.clone(), at };
+        let caller = connection.address();
+        let (sent_path, sent_body) = (path.clone(), body.clone());
+        let sent =
+            SentRequest { kind, entry, method, path: sent_path, body: sent_body, caller, at };
         self.history.add_sent(&id, sent);
         let prompt = match kind.is_stream() {
             true => format!("Prompt-Prefix: {}\r\n", prefix_of(sequence, &id)),
@@ -263,6 +266,11 @@
 }
 
 impl Connection {
+    /// Returns the caller's address, empty if the connection has none any more.
+    fn address(&self) -> String {
+        self.stream.local_addr().map_or(String::new(), |address| address.to_string())
+    }
+
     /// Tells whether the connection is open; fails with unsolicited bytes if there are any.
     fn is_idle(&self) -> Result<bool, Vec<u8>> {
         if !self.buffered.is_empty() {
--- a/crates/cli/tests/soak/history.rs
+++ b/crates/cli/tests/soak/history.rs
@@ -87,6 +87,8 @@
     pub method: &'static str,
     pub path: String,
     pub body: String,
+    /// The caller's address, by which the instance's lines name the connection.
+    pub caller: String,
     pub at: Instant,
 }
 
@@ -398,6 +400,10 @@
                 inner.violations.extend(found);
             }
         }
+        for id in &unanswered.crossed {
+            let sent = &inner.sent[id];
+            println!("{id} from {} crossed a close of entry instance {}", sent.caller, sent.entry);
+        }
         let counts = [("crossed a close", unanswered.crossed), ("read and lost", unanswered.lost)];
         for (what, ids) in counts {
             *inner.counts.entry(what).or_default() += ids.len() as u64;
