--- /dev/null
+++ b/crates/standin/tests/standin/main.rs
@@ -0,0 +1,4 @@
+//! Tests of what other tests stand on.
+
+mod addresses;
+mod proxy;
