--- a/crates/cli/tests/soak/caller.rs
+++ b/crates/cli/tests/soak/caller.rs
@@ -4,10 +4,11 @@
 use crate::deployment::FRONT_PORT;
 use crate::deployment::http::field;
 use crate::endpoint::{event, events_of, plain_body, seal};
-use crate::history::{History, Kind, SentRequest};
+use crate::history::{End, History, Kind, SentRequest};
+use crate::plan::is_calm;
 use crate::prompts::{CRASHING_PATH, is_crashing_request, prefix_of};
 use rand::rngs::StdRng;
-use rand::{RngCore, SeedableRng};
+use rand::{Rng, RngCore, SeedableRng};
 use std::collections::BTreeMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -25,7 +26,11 @@
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 /// How long after the route's timeout a caller stops waiting.
 const READ_SLACK: Duration = Duration::from_secs(3);
+/// How much longer than the route's timeout a request's deadline is.
+const DEADLINE_SLACK: Duration = Duration::from_secs(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// The longest time between a look at a connection and the request on it.
+const LATENCY_MAX: Duration = Duration::from_millis(3);
 /// The percentage of requests whose caller disconnects before the reply.
 const DISCONNECT_PERCENT: u32 = 8;
 
@@ -36,16 +41,39 @@
         head: String,
         body: String,
     },
-    /// The connection closed before the end of the reply.
-    Closed,
+    /// The connection closed before the end of the reply; `has_begun` if a byte of it came.
+    Closed {
+        has_begun: bool,
+    },
     TimedOut,
     Malformed(String),
 }
 
+impl ReadOutcome {
+    fn end(&self) -> End {
+        match self {
+            Self::Complete { status: 200, .. } => End::Served,
+            Self::Complete { status: status @ (408 | 421 | 429 | 503), .. } => {
+                End::Refused(*status)
+            }
+            Self::Complete { status, .. } => End::Failed(*status),
+            Self::Closed { has_begun: true } | Self::Malformed(_) => End::Cut,
+            Self::Closed { has_begun: false } => End::Unanswered,
+            Self::TimedOut => End::TimedOut,
+        }
+    }
+}
+
 /// A connection to an entry instance, with the bytes that are read but not yet parsed.
 struct Connection {
     stream: TcpStream,
     buffered: Vec<u8>,
+    /// Whether a request was answered on it.
+    is_reused: bool,
+    /// Whether a byte of the outstanding reply was received.
+    has_begun: bool,
+    /// Until when it may be used again, as the last reply stated.
+    usable_until: Option<Instant>,
 }
 
 /// Sends one request at a time and keeps a connection to each entry instance.
@@ -54,14 +82,21 @@
     entries: Vec<String>,
     history: Arc<History>,
     rng: StdRng,
+    /// Draws the latencies, so that the requests of a seed do not depend on them.
+    latencies: StdRng,
     connections: BTreeMap<usize, Connection>,
     requests: u64,
+    /// Whether endpoints crash on some of its requests.
+    sends_crashing: bool,
 }
 
 impl Caller {
     pub fn new(number: usize, entries: Vec<String>, history: Arc<History>, seed: u64) -> Self {
-        let rng = StdRng::seed_from_u64(seed.wrapping_add(number as u64));
-        Self { number, entries, history, rng, connections: BTreeMap::new(), requests: 0 }
+        let sends_crashing = !is_calm(seed);
+        let seed = seed.wrapping_add(number as u64);
+        let (rng, latencies) = (StdRng::seed_from_u64(seed), StdRng::seed_from_u64(!seed));
+        let connections = BTreeMap::new();
+        Self { number, entries, history, rng, latencies, connections, requests: 0, sends_crashing }
     }
 
     /// Sends requests until `is_stopped` is set.
@@ -91,10 +126,10 @@
             2 => (Kind::Stream, "POST", "/draft"),
             _ => (Kind::ResumableStream, "POST", "/tell"),
         };
-        let timeout_ms = if kind.is_stream() { STREAM_TIMEOUT_MS } else { PLAIN_TIMEOUT_MS };
+        let timeout = kind.timeout();
         let mut path = format!("{prefix}/{id}?copies={}", self.random_below(9));
         // The probe, which has a number of its own, sends sound requests only.
-        let sequence = if self.number < CALLERS { self.requests } else { 0 };
+        let sequence = if self.number < CALLERS && self.sends_crashing { self.requests } else { 0 };
         if kind == Kind::Safe && is_crashing_request(sequence) {
             path = CRASHING_PATH.to_owned();
         }
@@ -104,7 +139,16 @@
             return false;
         };
         let at = Instant::now();
-        let sent = SentRequest { kind, entry, method, path: path.clone(), body: body.clone(), at };
+        let sent = SentRequest {
+            kind,
+            entry,
+            method,
+            path: path.clone(),
+            body: body.clone(),
+            is_first: !connection.is_reused,
+            caller: connection.address(),
+            at,
+        };
         self.history.add_sent(&id, sent);
         let prompt = match kind.is_stream() {
             true => format!("Prompt-Prefix: {}\r\n", prefix_of(sequence, &id)),
@@ -114,10 +158,11 @@
             "{method} {path} HTTP/1.1\r\nHost: crates.example\r\nRequest-Id: {id}\r\n{prompt}\
              Deadline-Ms: {}\r\nX-Api-Key: {KEY}\r\nTenant: forged\r\nContent-Length: {}\r\n\r\n\
              {body}",
-            timeout_ms + 1_000,
+            (timeout + DEADLINE_SLACK).as_millis(),
             body.len()
         );
         if connection.stream.write_all(request.as_bytes()).is_err() {
+            self.history.add_end(&id, End::Unanswered);
             self.history.count("failed writes");
             return false;
         }
@@ -126,13 +171,18 @@
             self.disconnect(&id, &connection, delay_ms);
             return true;
         }
-        let timeout = Duration::from_millis(timeout_ms);
         let outcome = connection.read_reply(at + timeout + READ_SLACK);
         self.check_timing(entry, at, timeout);
-        let is_kept =
-            matches!(&outcome, ReadOutcome::Complete { head, .. } if !closes_connection(head));
+        let is_kept = match &outcome {
+            ReadOutcome::Complete { head, .. } => {
+                connection.usable_until = stated_idle_time(head).map(|idle| Instant::now() + idle);
+                !closes_connection(head)
+            }
+            _ => false,
+        };
         let is_served = self.check_reply(&id, kind, &body, outcome);
         if is_kept {
+            connection.is_reused = true;
             self.connections.insert(entry, connection);
         }
         is_served
@@ -148,9 +198,16 @@
 
     /// Returns the kept connection if it is still open, else a new one.
     fn connection(&mut self, entry: usize) -> Option<Connection> {
-        if let Some(kept) = self.connections.remove(&entry) {
+        let is_usable = |kept: &Connection| {
+            kept.usable_until.is_none_or(|until| Instant::now() + LATENCY_MAX < until)
+        };
+        if let Some(kept) = self.connections.remove(&entry).filter(is_usable) {
             match kept.is_idle() {
-                Ok(true) => return Some(kept),
+                Ok(true) => {
+                    // What the instance does meanwhile crosses the request, as on a network with latency.
+                    std::thread::sleep(LATENCY_MAX.mul_f64(self.latencies.random()));
+                    return Some(kept);
+                }
                 Ok(false) => {}
                 Err(bytes) => self.history.add_violation(format!(
                     "MIXED: bytes without an outstanding request: {bytes:?}"
@@ -159,7 +216,10 @@
         }
         let address: SocketAddr = format!("{}:{FRONT_PORT}", self.entries[entry]).parse().ok()?;
         let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
-        Some(Connection { stream, buffered: Vec::new() })
+        let buffered = Vec::new();
+        let connection =
+            Connection { stream, buffered, is_reused: false, has_begun: false, usable_until: None };
+        Some(connection)
     }
 
     fn check_timing(&self, entry: usize, at: Instant, timeout: Duration) {
@@ -171,8 +231,9 @@
 
     /// Checks a reply; tells whether the request was served.
     fn check_reply(&self, id: &str, kind: Kind, sent_body: &str, outcome: ReadOutcome) -> bool {
+        self.history.add_end(id, outcome.end());
         match outcome {
-            ReadOutcome::Closed => {
+            ReadOutcome::Closed { .. } => {
                 self.history.add_interruption(id);
                 self.history.count("cut");
             }
@@ -217,6 +278,11 @@
 }
 
 impl Connection {
+    /// Returns the caller's address, empty if the connection has none any more.
+    fn address(&self) -> String {
+        self.stream.local_addr().map_or(String::new(), |address| address.to_string())
+    }
+
     /// Tells whether the connection is open; fails with unsolicited bytes if there are any.
     fn is_idle(&self) -> Result<bool, Vec<u8>> {
         if !self.buffered.is_empty() {
@@ -236,6 +302,7 @@
     }
 
     fn read_reply(&mut self, deadline: Instant) -> ReadOutcome {
+        self.has_begun = false;
         match self.try_read_reply(deadline) {
             Ok(outcome) => outcome,
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
@@ -244,7 +311,7 @@
             Err(error) if error.kind() == ErrorKind::InvalidData => {
                 ReadOutcome::Malformed(error.to_string())
             }
-            Err(_) => ReadOutcome::Closed,
+            Err(_) => ReadOutcome::Closed { has_begun: self.has_begun },
         }
     }
 
@@ -301,6 +368,7 @@
         if count == 0 {
             return Err(ErrorKind::UnexpectedEof.into());
         }
+        self.has_begun = true;
         self.buffered.extend_from_slice(&buffer[..count]);
         Ok(())
     }
@@ -309,3 +377,10 @@
 fn closes_connection(head: &str) -> bool {
     field(head, "connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
 }
+
+/// Returns how long a connection may stay idle, as the head of a reply states.
+fn stated_idle_time(head: &str) -> Option<Duration> {
+    let value = field(head, "keep-alive")?;
+    let timeout = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.parse().ok().map(Duration::from_secs)
+}
