gateway: a stopping instance answers its open connections, and the requests that its stop timeout ends

What callers of the own interface saw: a stopping instance exited as soon as nothing was in progress, with its kept connections open, although responses sent while it drained still stated an idle time; a request that crossed the exit got no response. A request still in progress at the stop timeout was cut without one.

Cause: the same as on the platform's side: the exit looked at requests only, and nothing ended those that outlasted it.

Change: from the signal on each response is the last one of its connection. Once nothing is unfinished the listener closes, after what the system has taken is accepted, and connections are answered for a second more, or until there are none. At the stop timeout requests in progress get 502 `outcome_unknown`. `Event` moves to the clock's crate, since both sides use it.

--- a/crates/cli/src/serve/stop.rs
+++ b/crates/cli/src/serve/stop.rs
@@ -11,6 +11,10 @@
 
 /// The interval between checks for unfinished requests, in milliseconds.
 const POLL_INTERVAL_MS: u64 = 20;
+/// How long open connections are still answered once no request is unfinished, in milliseconds.
+const QUIET_MS: u64 = 1_000;
+/// How long the last responses may take to be sent, in milliseconds.
+const LAST_RESPONSES_MS: u64 = 150;
 
 /// Registers for the signals that stop the process.
 pub(super) fn signals() -> Result<Signals, Error> {
@@ -25,7 +29,8 @@
 }
 
 /// Stops the instance: it reports that it is not ready, refuses new requests after `drain_ms`, and
-/// then waits up to `timeout_ms` for unfinished requests.
+/// then waits up to `timeout_ms` for unfinished requests. Open connections are answered for a while after
+/// that, so that no request meets the exit.
 pub(super) async fn stop(
     gateway: &Arc<Gateway>,
     drain_ms: u64,
@@ -38,14 +43,35 @@
     gateway.stopping.store(true, Ordering::Relaxed);
     spdlog::info!("stopping: refusing new requests", kv: { unfinished = gateway.unfinished() as u64 });
     let timeout_at_ms = gateway.clock.now_ms() + timeout_ms;
-    while gateway.unfinished() > 0 {
-        if gateway.clock.now_ms() >= timeout_at_ms {
-            let message =
-                format!("{} requests were unfinished at the stop timeout", gateway.unfinished());
-            return Err(Error::new(Code::Failed, message));
+    let is_finished = || gateway.unfinished() == 0;
+    poll_until(gateway, timeout_at_ms, is_finished).await;
+    gateway.accepting_ends.set();
+    let quiet_at_ms = timeout_at_ms.min(gateway.clock.now_ms() + QUIET_MS);
+    poll_until(gateway, quiet_at_ms, || gateway.connections.load(Ordering::Relaxed) == 0).await;
+    if !poll_until(gateway, timeout_at_ms, is_finished).await {
+        return Err(end_requests(gateway).await);
+    }
+    let connections = gateway.connections.load(Ordering::Relaxed) as u64;
+    spdlog::info!("stopped", kv: { connections });
+    Ok(())
+}
+
+/// Ends the requests that are unfinished at the stop timeout, and waits until their responses are sent.
+async fn end_requests(gateway: &Gateway) -> Error {
+    let message = format!("{} requests were unfinished at the stop timeout", gateway.unfinished());
+    gateway.ending.set();
+    let last_ms = gateway.clock.now_ms() + LAST_RESPONSES_MS;
+    poll_until(gateway, last_ms, || gateway.exchanges.load(Ordering::Relaxed) == 0).await;
+    Error::new(Code::Failed, message)
+}
+
+/// Waits until `condition` is true or the time `until_ms` has come; returns whether it is true.
+async fn poll_until(gateway: &Gateway, until_ms: u64, condition: impl Fn() -> bool) -> bool {
+    while !condition() {
+        if gateway.clock.now_ms() >= until_ms {
+            return false;
         }
         Timer::after(Duration::from_millis(POLL_INTERVAL_MS)).await;
     }
-    spdlog::info!("stopped");
-    Ok(())
+    true
 }
--- a/crates/cli/src/serve/wire_up.rs
+++ b/crates/cli/src/serve/wire_up.rs
@@ -2,7 +2,7 @@
 
 use crate::exit::{Code, Error};
 use crate::settings::InstanceSettings;
-use lycheehub_clock::{Clock, TimerService};
+use lycheehub_clock::{Clock, Event, TimerService};
 use lycheehub_gateway::orders::OrderSender;
 use lycheehub_gateway::responses::ResponseStore;
 use lycheehub_gateway::scheduler::SharedScheduler;
@@ -76,6 +76,8 @@
         request_tasks: AtomicUsize::new(0),
         draining: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
+        accepting_ends: Event::default(),
+        ending: Event::default(),
     });
     gateway.start(timers.as_ref());
     gateway.executor.spawn(http::serve(gateway.clone(), http)).detach();
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -9,6 +9,7 @@
 mod operators;
 mod requests;
 mod security;
+mod stops;
 mod summary;
 mod support;
 mod whole_path;
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -1,7 +1,12 @@
-//! The process clock, and a timer service that sends periodic ticks to its subscribers.
+//! The process clock, a timer service that sends periodic ticks to its subscribers, and events that happen
+//! once.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+mod event;
+
+pub use event::Event;
+
 use rustix::time::{ClockId, clock_gettime};
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use crate::scheduler::SharedScheduler;
 use crate::serve::ConnectionPool;
 use crate::settings::Settings;
-use lycheehub_clock::{Clock, Timers};
+use lycheehub_clock::{Clock, Event, Timers};
 use lycheehub_peer::{Control, Views};
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::Executor;
@@ -51,6 +51,10 @@
     pub draining: AtomicBool,
     /// The instance is shutting down and refuses new requests.
     pub stopping: AtomicBool,
+    /// The instance accepts no more connections.
+    pub accepting_ends: Event,
+    /// The instance ends all exchanges: its stop timeout has passed.
+    pub ending: Event,
 }
 
 impl Gateway {
@@ -59,6 +63,11 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Returns whether each response is the last one of its connection, since the instance exits soon.
+    pub fn is_leaving(&self) -> bool {
+        self.draining.load(Ordering::Relaxed) || self.is_stopping()
+    }
+
     /// Allocates the number of the next caller's request.
     pub fn next_request_number(&self) -> u64 {
         self.last_request_number.fetch_add(1, Ordering::Relaxed) + 1
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -79,11 +79,18 @@
     }
 }
 
-/// Accepts connections until the task is dropped.
+/// Accepts connections until `Gateway::accepting_ends`.
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
     const ACCEPT_RETRY_MS: u64 = 50;
     loop {
-        match listener.accept().await {
+        let accepted = async { Some(listener.accept().await) };
+        let ended = async {
+            gateway.accepting_ends.wait().await;
+            None
+        };
+        // Connections that the system has taken are accepted first.
+        let Some(accepted) = accepted.or(ended).await else { return };
+        match accepted {
             Ok((stream, _)) => accept(&gateway, stream),
             Err(error) => {
                 spdlog::warn!("failed to accept a connection", kv: { error: });
--- a/crates/gateway/src/http/routes.rs
+++ b/crates/gateway/src/http/routes.rs
@@ -9,7 +9,6 @@
 use serde::Serialize;
 use smol::net::TcpStream;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 #[derive(Serialize)]
 struct Health {
@@ -27,11 +26,10 @@
     request: Request,
     stream: &TcpStream,
 ) -> http_types::Result<Response> {
-    let stopping = gateway.is_stopping();
     let is_last = is_last_request(&request);
     // Boxed, so that a streaming or idle connection does not hold the memory of all handlers.
     let mut response = Box::pin(route(gateway, request, stream)).await?;
-    if stopping {
+    if gateway.is_leaving() {
         response.insert_header("connection", "close");
     } else if !is_last {
         state_idle_time(gateway, &mut response);
@@ -89,7 +87,12 @@
         caller_disconnected(stream).await;
         Err(http_types::Error::from_str(StatusCode::BadRequest, "the caller closed the connection"))
     };
-    served.or(disconnected).await
+    let ended = async {
+        gateway.ending.wait().await;
+        let message = "this instance stops before the answer";
+        Ok(refusal_response(&Refusal::new(RefusalKind::OutcomeUnknown, message)))
+    };
+    served.or(disconnected).or(ended).await
 }
 
 async fn filter_and_serve(gateway: &Arc<Gateway>, mut exchange: Exchange) -> Response {
@@ -114,8 +117,7 @@
 
 fn health(gateway: &Gateway) -> Health {
     let view = gateway.views.latest();
-    let stopping = gateway.draining.load(Ordering::Relaxed) || gateway.is_stopping();
-    Health { ready: view.ready, revision: view.revision, stopping }
+    Health { ready: view.ready, revision: view.revision, stopping: gateway.is_leaving() }
 }
 
 fn readiness(gateway: &Gateway) -> Response {
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -2,7 +2,7 @@
 
 use futures_lite::AsyncReadExt;
 use lycheehub_auth::DigestKey;
-use lycheehub_clock::Clock;
+use lycheehub_clock::{Clock, Event};
 use lycheehub_gateway::keys::KeyFile;
 use lycheehub_gateway::responses::ResponseStore;
 use lycheehub_gateway::scheduler::SharedScheduler;
@@ -63,6 +63,8 @@
         request_tasks: AtomicUsize::new(0),
         draining: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
+        accepting_ends: Event::default(),
+        ending: Event::default(),
     })
 }
 
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,5 +1,6 @@
 //! The graceful shutdown of an instance, as its connections and requests see it.
 
+use lycheehub_clock::Event;
 use smol::channel::{Receiver, Sender, bounded};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -13,32 +14,6 @@
     pub ends_ms: u64,
 }
 
-/// Something that happens once and that tasks wait for.
-#[derive(Debug)]
-struct Event(Sender<()>, Receiver<()>);
-
-impl Default for Event {
-    fn default() -> Self {
-        let (sender, receiver) = bounded(1);
-        Self(sender, receiver)
-    }
-}
-
-impl Event {
-    fn set(&self) {
-        self.0.close();
-    }
-
-    fn is_set(&self) -> bool {
-        self.1.is_closed()
-    }
-
-    async fn wait(&self) {
-        // No value is ever sent; `recv` returns once the channel is closed.
-        let _ = self.1.recv().await;
-    }
-}
-
 /// How far a graceful shutdown has come.
 #[derive(Debug, Default)]
 pub(crate) struct Shutdown {
