cli: connections that are idle at the end of a stop's time close in turn as well

Cause: only a stop that ends early closed them one after the other. They now close in the 150 ms that are left for the last responses; a request that comes on one of them meanwhile is still refused as not run.

A failed try: closing them in the half second before the end of the time. Connections were then closed at which requests were still answered, and `stops::a_request_that_comes_late_in_a_stop_ends_whole_or_is_told_whether_it_may_have_run` failed (those sent at 7.1 and 7.2 s); it passes as it was.

--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -35,8 +35,8 @@
 const POLL_INTERVAL_MS: u64 = 20;
 /// How long a connection is idle before a stopping instance closes it, in milliseconds.
 const QUIET_MS: u64 = 1_000;
-/// The number of steps in which a stopping instance closes its idle connections.
-const CLOSING_STEPS: usize = 25;
+/// The time in which a stopping instance closes its idle connections one after the other, in milliseconds.
+const CLOSING_MS: u64 = 500;
 /// How long the last responses may take to be sent, in milliseconds.
 const LAST_RESPONSES_MS: u64 = 150;
 /// How long requests on the last connections may take to arrive, in milliseconds.
@@ -223,27 +223,39 @@
     entry.refuse_new_connections();
     let is_finished = || entry.exchanges.get() == 0 && relay.connections() == 0;
     poll_until(entry, ends_ms, is_finished).await;
-    close_idle_connections(entry, ends_ms, is_finished).await;
-    entry.close_idle();
+    close_idle_connections(entry, ends_ms, QUIET_MS, is_finished).await;
     entry.end_exchanges();
     entry.end_accepting();
     let last_ms = (entry.clock.now_ms() + LAST_REQUESTS_MS).min(ends_ms + LAST_RESPONSES_MS);
-    poll_until(entry, last_ms, || entry.connections.get() == 0).await;
+    close_idle_connections(entry, last_ms, 0, || entry.connections.get() == 0).await;
     spdlog::info!("stopped", kv: {
         unfinished = entry.exchanges.get() as u64, connections = entry.connections.get() as u64,
     });
 }
 
-/// Closes idle connections, the longest idle first, until there are none and `is_finished`, or until `ends_ms`.
-async fn close_idle_connections(entry: &Entry, ends_ms: u64, is_finished: impl Fn() -> bool) {
+/// Closes connections that have been idle for `quiet_ms`, the longest idle first, until there are none and
+/// `is_finished`, or until `until_ms`.
+async fn close_idle_connections(
+    entry: &Entry,
+    until_ms: u64,
+    quiet_ms: u64,
+    is_finished: impl Fn() -> bool,
+) {
     let idle = entry.idle_connections();
-    spdlog::info!("stopping: idle connections are closed", kv: { idle = idle as u64 });
-    let per_step = idle.div_ceil(CLOSING_STEPS).max(1);
+    let closing_ms = until_ms.saturating_sub(entry.clock.now_ms()).min(CLOSING_MS);
+    if closing_ms == 0 {
+        return;
+    }
+    if idle > 0 {
+        spdlog::info!("stopping: idle connections are closed", kv: { idle = idle as u64 });
+    }
+    let steps = (closing_ms / POLL_INTERVAL_MS).max(1) as usize;
+    let per_step = idle.div_ceil(steps).max(1);
     let is_done = || {
-        entry.close_longest_idle(per_step, QUIET_MS);
+        entry.close_longest_idle(per_step, quiet_ms);
         entry.idle_connections() == 0 && is_finished()
     };
-    poll_until(entry, ends_ms, is_done).await;
+    poll_until(entry, until_ms, is_done).await;
 }
 
 /// Waits until `condition` is true or the time `until_ms` has come.
