tests: documents beside planned work, on the real program, and in a stop

`planned_work::each_request_beside_documents_and_planned_work_gets_a_response`: a document each 100 ms (timeouts, idle limit, a route, a key and a service change), settings read again twice, an endpoint drained and removed, its address used by another service, and both entry instances stopped in turn, beside callers that keep their connections. Each request gets a response, and one that is refused has not run. Two tests of the proxy: a document with longer timeouts in a stop, and one that drops the route of a request in progress there; both hold.

--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -14,6 +14,7 @@
 mod log_output;
 mod notices;
 mod odd_entries;
+mod planned_work;
 mod rejections;
 mod restarts;
 mod rollouts;
--- a/crates/cli/tests/platform/stops.rs
+++ b/crates/cli/tests/platform/stops.rs
@@ -21,20 +21,21 @@
 
 /// What a caller asks for, and how long it leaves its connection idle before it uses it again.
 #[derive(Clone, Copy)]
-struct Pattern {
-    path: &'static str,
-    idle: Duration,
+pub struct Pattern {
+    pub path: &'static str,
+    pub idle: Duration,
 }
 
 /// How one request ended for its caller.
 #[derive(Clone, Debug)]
-struct Ending {
-    id: String,
+pub struct Ending {
+    pub id: String,
     /// The status; 0 if no byte of a response came.
-    status: u16,
+    pub status: u16,
     /// Whether the whole response came.
     is_whole: bool,
-    /// Since the signal, in seconds.
+    /// Since the signal, in seconds; shown if a check fails.
+    #[allow(dead_code, reason = "read by `Debug`")]
     sent_s: f64,
 }
 
@@ -72,7 +73,7 @@
 
 /// Sends requests one after the other, each on the connection of the one before unless its response ends
 /// that, until no connection can be opened; returns how they ended.
-fn use_connections(
+pub fn use_connections(
     address: &str,
     pattern: Pattern,
     signalled: &Mutex<Option<Instant>>,
@@ -142,8 +143,8 @@
     })
 }
 
-/// Returns the requests that got neither a whole response nor a refusal, of those that this predicate picks.
-fn unanswered(endings: &[Ending]) -> Vec<Ending> {
+/// Returns the requests that got neither a whole response nor a refusal.
+pub fn unanswered(endings: &[Ending]) -> Vec<Ending> {
     endings.iter().filter(|ending| !ending.is_whole).cloned().collect()
 }
 
--- a/crates/proxy/tests/proxy/stops.rs
+++ b/crates/proxy/tests/proxy/stops.rs
@@ -1,9 +1,10 @@
 //! Requests in progress at an instance that shuts down.
 
-use crate::support::{Fixture, get, post, read_all, read_request, run, sleep_ms};
+use crate::support::{Fixture, document, get, post, read_all, read_request, run, sleep_ms};
 use futures_lite::AsyncWriteExt;
 use googletest::prelude::*;
 use lycheehub_proxy::Stop;
+use lycheehub_routes::Document;
 use smol::net::TcpStream;
 
 /// Begins a stop that refuses requests from now on if they may run for over a second.
@@ -88,3 +89,42 @@
         expect_that!(read_all(&mut short).await, starts_with("HTTP/1.1 429 "));
     });
 }
+
+fn with_timeouts(timeout_ms: u64) -> Document {
+    let mut document = document();
+    document.routes.iter_mut().for_each(|route| route.timeout_ms = timeout_ms);
+    document
+}
+
+#[gtest]
+fn a_document_with_longer_timeouts_in_a_stop_lets_no_request_outlast_it() {
+    run(|fixture| async move {
+        let ok = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
+        fixture.add_responding_endpoint(ok).await;
+        fixture.set_document(with_timeouts(500));
+        begin_stop(&fixture);
+        expect_that!(fixture.request(&get("/safe/")).await, starts_with("HTTP/1.1 200 "));
+        fixture.set_document(with_timeouts(5_000));
+        expect_refused_as_not_run(&fixture.request(&get("/safe/")).await);
+    });
+}
+
+#[gtest]
+fn a_request_of_a_stopping_instance_is_answered_although_a_document_drops_its_route() {
+    run(|fixture| async move {
+        fixture
+            .add_endpoint(|mut stream, _| async move {
+                read_request(&mut stream).await;
+                sleep_ms(300).await;
+                let ok = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
+                stream.write_all(ok.as_bytes()).await.unwrap();
+            })
+            .await;
+        fixture.set_document(with_timeouts(800));
+        let mut caller = send(&fixture, &post("/unsafe/", "pay")).await;
+        begin_stop(&fixture);
+        fixture.entry.refuse_new_connections();
+        fixture.set_document(Document::default());
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
+    });
+}
