--- a/crates/cli/src/trace/cause.rs
+++ b/crates/cli/src/trace/cause.rs
@@ -18,6 +18,9 @@
         "outcome_unknown" | "cut" | "timed_out" | "timed out in its stream" | "endpoint_failed" => {
             failed_in_flight(end, concurrent)
         }
+        "stopped in its stream" => {
+            "its instance was being stopped and exited before the stream had ended".to_owned()
+        }
         status if status.starts_with('2') => "none: it was answered with success".to_owned(),
         status if status.starts_with(|first: char| first.is_ascii_digit()) => {
             format!("the endpoint itself answered {status}: {}", end.text("attempts"))
--- a/crates/cli/tests/platform/stops.rs
+++ b/crates/cli/tests/platform/stops.rs
@@ -250,9 +250,9 @@
     ];
     let late = |number: u64| {
         let (path, deadline_ms) = kinds[(number / 2 % 5) as usize];
-        let body_takes = Duration::from_millis(if number % 7 == 0 { 700 } else { 0 });
+        let body_takes = Duration::from_millis(if number.is_multiple_of(7) { 700 } else { 0 });
         let at = Duration::from_millis(number / 2 * 100);
-        Late { path, deadline_ms, reuses: number % 2 == 0, body_takes, at }
+        Late { path, deadline_ms, reuses: number.is_multiple_of(2), body_takes, at }
     };
     (0..MOMENTS * 2).map(late).collect()
 }
