proxy: an endpoint that sends before it gets a request counts as reached

What was seen (by review): bytes that arrive on a new connection before the request was sent made the attempt count as `NotConnected`. Reports of two instances that an endpoint was not reached pause it for all and help to confirm that it is lost, which releases or accuses the requests that it held; yet the endpoint lives, it sent something.

Cause: one error for all connections that cannot be used. Change: such an end of an attempt has its own kind; it is reported as the endpoint's failure, nothing was sent, and the request goes elsewhere, as often as before.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -49,6 +49,8 @@
     Interrupted(Interrupted),
     /// No connection could be made to the endpoint.
     NotConnected(EndpointName),
+    /// The endpoint sent bytes before it was sent the request; nothing was sent.
+    SentFirst(EndpointName),
     /// The endpoint became excluded from placement while connecting; nothing was sent.
     Excluded,
     /// The endpoint states that it did not run the request.
@@ -57,6 +59,14 @@
     Failed { endpoint: EndpointName, response: Option<BufferedResponse> },
 }
 
+/// Why there is no connection on which to send a request.
+enum Unusable {
+    /// The endpoint was not reached.
+    Unreached(paths::Unreached),
+    /// It sent bytes before it was sent a request.
+    SentFirst,
+}
+
 /// An attempt in progress; reported as abandoned if it is dropped without a report.
 pub(super) struct Attempt {
     entry: Rc<Entry>,
@@ -211,7 +221,11 @@
         let connected = run_interruptible(self.entry, caller, self.deadline_ms, connect).await;
         let (mut upstream, is_new) = match connected {
             Err(cause) => return AttemptEnd::Interrupted(cause),
-            Ok(Err(paths::Unreached { error, is_confirmed })) => {
+            Ok(Err(Unusable::SentFirst)) => {
+                spdlog::info!("bytes from endpoint before the request", kv: { id: = self.fields.id, endpoint: = endpoint });
+                return AttemptEnd::SentFirst(endpoint);
+            }
+            Ok(Err(Unusable::Unreached(paths::Unreached { error, is_confirmed }))) => {
                 spdlog::info!("endpoint not reached", kv: {
                     id: = self.fields.id, error: = error, is_confirmed,
                 });
@@ -331,7 +345,7 @@
         &self,
         placed: &Placed,
         may_repeat: bool,
-    ) -> Result<(Connection, bool), paths::Unreached> {
+    ) -> Result<(Connection, bool), Unusable> {
         let now_ms = self.entry.clock.now_ms();
         let endpoint = &placed.endpoint;
         if !self.fields.id.is_empty()
@@ -340,13 +354,13 @@
         {
             return Ok((connection, false));
         }
-        let (stream, is_relayed) = paths::connect(self.entry, endpoint, &placed.address).await?;
+        let connected = paths::connect(self.entry, endpoint, &placed.address).await;
+        let (stream, is_relayed) = connected.map_err(Unusable::Unreached)?;
         let mut connection =
             if is_relayed { Connection::relayed(stream) } else { Connection::new(stream) };
         // What arrives before the request is sent is no response to it.
         if !connection.is_idle().await && !connection.buffered().is_empty() {
-            let error = Error::Malformed("a response before the request");
-            return Err(paths::Unreached { error, is_confirmed: false });
+            return Err(Unusable::SentFirst);
         }
         Ok((connection, true))
     }
@@ -502,7 +516,7 @@
         AttemptEnd::Interrupted(_) | AttemptEnd::Excluded => Outcome::Abandoned,
         AttemptEnd::NotConnected(_) => Outcome::NotConnected,
         AttemptEnd::NotRun { .. } => Outcome::Rejected,
-        AttemptEnd::Failed { response: Some(_), .. } => Outcome::Failed,
+        AttemptEnd::SentFirst(_) | AttemptEnd::Failed { response: Some(_), .. } => Outcome::Failed,
         AttemptEnd::Failed { response: None, .. } => Outcome::Broken,
     }
 }
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -205,7 +205,7 @@
                 AttemptEnd::Interrupted(cause) => {
                     return self.interrupted(connection, cause, true, &stream).await;
                 }
-                AttemptEnd::NotConnected(endpoint) => {
+                AttemptEnd::NotConnected(endpoint) | AttemptEnd::SentFirst(endpoint) => {
                     connect_failures += 1;
                     if connect_failures >= CONNECT_FAILURES_MAX {
                         break self.unreachable(&endpoint);
--- a/crates/proxy/tests/proxy/strays.rs
+++ b/crates/proxy/tests/proxy/strays.rs
@@ -4,6 +4,7 @@
 use crate::support::{Fixture, post, read_request, run};
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use googletest::prelude::*;
+use lycheehub_dispatch::Outcome;
 use lycheehub_relay::frames::header;
 use smol::channel::Receiver;
 use smol::net::{TcpListener, TcpStream};
@@ -234,6 +235,20 @@
     }
 }
 
+// It counted as not reached, which helps to confirm that it is lost.
+#[gtest]
+fn an_endpoint_that_sends_before_it_gets_a_request_counts_as_reached() {
+    run(|fixture| async move {
+        fixture.add_unreachable_endpoints(1);
+        add_running(&fixture).await;
+        relay_early(&fixture, "HTTP/1.1 ".to_owned()).await;
+        let answer = fixture.request(&unsafe_request("r1", 1_500)).await;
+        expect_that!(answer, ends_with("\r\n\r\nr1"));
+        let outcomes = fixture.placement.outcomes.borrow();
+        expect_that!(*outcomes, elements_are![eq(&Outcome::Failed), eq(&Outcome::Answered)]);
+    });
+}
+
 #[gtest]
 fn a_success_that_states_that_the_request_was_not_run_leaves_it_unknown() {
     run(|fixture| async move {
