gateway: a body with an unknown transfer coding is not read as the next request

What a caller could do: a request with a transfer coding other than exactly `chunked` and no length was taken for one without body, and served; its body was then read as the next request of the connection, past whatever stands before us and frames it differently.

Change: such a request is refused with 400 as the last one of its connection; so are two codings.

Failed before: a_body_with_an_unknown_transfer_coding_is_not_read_as_the_next_request, `Value of: responses.matches("HTTP/1.1 ").count(); Expected: is equal to 1; Actual: 2`.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -7,7 +7,7 @@
 use crate::Gateway;
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use futures_lite::FutureExt;
-use http_types::{Method, Request};
+use http_types::{Method, Request, Response};
 use lycheehub_clock::within;
 use lycheehub_types::{Refusal, RefusalKind};
 use smol::Timer;
@@ -124,11 +124,15 @@
     let guard = ExchangeGuard { gateway, started: AtomicBool::new(false) };
     let mut server = Server::new(caller.clone(), |request| {
         guard.start();
-        caller.begin_body(framing_of(&request));
+        let framing = framing_of(&request);
+        caller.begin_body(framing.unwrap_or(Framing::Length(0)));
         let gateway = gateway.clone();
         let (caller, stream) = (caller.clone(), stream.clone());
         async move {
-            let response = routes::respond(&gateway, request, &stream).await;
+            let response = match framing {
+                Some(_) => routes::respond(&gateway, request, &stream).await,
+                None => Ok(refuse_coding()),
+            };
             caller.begin_response();
             response
         }
@@ -155,12 +159,25 @@
     false
 }
 
-/// Returns where the body of a request ends.
-fn framing_of(request: &Request) -> Framing {
-    match request.header("transfer-encoding") {
-        Some(_) => Framing::Chunked,
-        None => Framing::Length(request.len().unwrap_or(0)),
-    }
+/// Returns where the body of a request ends, or `None` if its transfer coding is not known.
+fn framing_of(request: &Request) -> Option<Framing> {
+    let Some(codings) = request.header("transfer-encoding") else {
+        return Some(Framing::Length(request.len().unwrap_or(0)));
+    };
+    let is_chunked =
+        codings.iter().count() == 1 && codings.as_str().eq_ignore_ascii_case("chunked");
+    is_chunked.then_some(Framing::Chunked)
+}
+
+/// Refuses a request whose body has no known end, as the last one of its connection.
+fn refuse_coding() -> Response {
+    let refusal = Refusal::new(RefusalKind::BadRequest, "the transfer coding is not chunked");
+    spdlog::info!("refused", kv: {
+        step = "body", code = refusal.kind().code(), message = refusal.message(),
+    });
+    let mut response = refusal_response(&refusal);
+    response.insert_header("connection", "close");
+    response
 }
 
 /// Refuses a request whose head was not received, as the last one of its connection.
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -148,6 +148,24 @@
     });
 }
 
+// Its body was taken for empty, and what it held for the next request.
+#[gtest]
+fn a_body_with_an_unknown_transfer_coding_is_not_read_as_the_next_request() {
+    for coding in ["gzip, chunked", "gzip", "chunked\r\nTransfer-Encoding: gzip"] {
+        run(|_, address| async move {
+            let mut caller = TcpStream::connect(&address).await.unwrap();
+            let post = format!(
+                "POST /v1/services/invoices/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: {coding}\r\n\r\n"
+            );
+            let inner = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+            caller.write_all([&post, inner].concat().as_bytes()).await.unwrap();
+            let responses = read_all(caller).await.unwrap_or_default();
+            expect_that!(responses, starts_with("HTTP/1.1 400 "), "{coding}");
+            expect_that!(responses.matches("HTTP/1.1 ").count(), eq(1), "{coding}");
+        });
+    }
+}
+
 // The rest of a refused body was waited for without a limit.
 #[gtest]
 fn a_connection_whose_refused_body_does_not_come_is_closed() {
