gateway: the time for a head runs from its first byte

What callers saw: on the own interface a head that began late in the idle time of its connection got 408 after what was left of that time, not after `header_timeout_ms`; with 800 of 1,000 ms idle a head that took 600 ms was refused.

Cause: one timer for two limits, the idle time and the time for a head. Change: once bytes have come, the timer runs on to `header_timeout_ms` after the first of them.

Failed before: a_head_that_begins_late_in_the_idle_time_has_its_whole_time, `Actual: 1, which isn't equal to 2`.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -58,13 +58,17 @@
         self.started.load(Ordering::Relaxed)
     }
 
-    /// Completes if no request has started within the header timeout, and a little later if no byte has
-    /// come; otherwise never.
+    /// Completes if no request has started within the header timeout of its first byte, or if none has come
+    /// within that time and a little longer; otherwise never.
     async fn header_timeout(&self, caller: &MessageStream) {
-        Timer::after(Duration::from_millis(self.gateway.settings.header_timeout_ms)).await;
+        let timeout = Duration::from_millis(self.gateway.settings.header_timeout_ms);
+        Timer::after(timeout).await;
         if !caller.has_received() {
             Timer::after(Duration::from_millis(IDLE_GRACE_MS)).await;
         }
+        if let Some(begun) = caller.begun() {
+            Timer::at(begun + timeout).await;
+        }
         if self.has_started() {
             std::future::pending::<()>().await;
         }
--- a/crates/gateway/src/http/message_stream.rs
+++ b/crates/gateway/src/http/message_stream.rs
@@ -8,7 +8,7 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The end of a head.
 const HEAD_END: &[u8; 4] = b"\r\n\r\n";
@@ -47,8 +47,8 @@
     /// Bytes that were received and not handed out.
     bytes: Vec<u8>,
     part: Part,
-    /// Whether bytes of the current message were handed out.
-    has_begun: bool,
+    /// When the first bytes of the current message were handed out.
+    begun: Option<Instant>,
     /// Whether the request has its response, so that the rest of its body is only discarded.
     has_response: bool,
     /// Ends the wait for the rest of a body that is only discarded.
@@ -68,7 +68,7 @@
         let received = Received {
             bytes: Vec::new(),
             part: Part::Head(0),
-            has_begun: false,
+            begun: None,
             has_response: false,
             discard_timer: None,
         };
@@ -83,7 +83,7 @@
     pub(crate) fn begin_head(&self) {
         let mut received = self.lock();
         received.part = Part::Head(0);
-        received.has_begun = false;
+        received.begun = None;
         received.has_response = false;
         received.discard_timer = None;
     }
@@ -104,7 +104,12 @@
 
     /// Returns whether any bytes of the current message were received.
     pub(super) fn has_received(&self) -> bool {
-        self.lock().has_begun
+        self.begun().is_some()
+    }
+
+    /// Returns when the first bytes of the current message were received.
+    pub(super) fn begun(&self) -> Option<Instant> {
+        self.lock().begun
     }
 
     /// Returns whether bytes were received that are not handed out.
@@ -163,7 +168,9 @@
         };
         buffer[..count].copy_from_slice(&self.bytes[..count]);
         self.bytes.drain(..count);
-        self.has_begun |= count > 0;
+        if count > 0 {
+            self.begun.get_or_insert_with(Instant::now);
+        }
         count
     }
 }
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -166,6 +166,21 @@
     }
 }
 
+// Its time ran from the response before.
+#[gtest]
+fn a_head_that_begins_late_in_the_idle_time_has_its_whole_time() {
+    run_with_header_timeout(1_000, |_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        Timer::after(Duration::from_millis(800)).await;
+        caller.write_all(b"GET /healthz HTTP/1.1\r\nHost: a\r\n").await.unwrap();
+        Timer::after(Duration::from_millis(600)).await;
+        caller.write_all(b"Connection: close\r\n\r\n").await.unwrap();
+        let responses = read_all(caller).await.unwrap_or_default();
+        expect_that!(responses.matches("HTTP/1.1 200").count(), eq(2));
+    });
+}
+
 // The rest of a refused body was waited for without a limit.
 #[gtest]
 fn a_connection_whose_refused_body_does_not_come_is_closed() {
