gateway: a burst of connections does not exceed connections_max

What was seen: of 12 connections that arrived together with a maximum of 4, all 12 were served. Change: it is counted as it is accepted, until its task ends.

Failed before: a_burst_of_connections_does_not_exceed_the_maximum, `Value of: served; Expected: is equal to 4; Actual: 12`.

--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -13,7 +13,7 @@
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// The number of connections beyond the maximum that are accepted to refuse one request each.
@@ -26,18 +26,18 @@
 const IDLE_GRACE_MS: u64 = 1_000;
 
 /// Counts an open connection until it is dropped.
-struct ConnectionGuard<'a>(&'a AtomicUsize);
+struct OpenConnection(Arc<Gateway>);
 
-impl<'a> ConnectionGuard<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
+impl OpenConnection {
+    fn new(gateway: &Arc<Gateway>) -> Self {
+        gateway.connections.fetch_add(1, Ordering::Relaxed);
+        Self(gateway.clone())
     }
 }
 
-impl Drop for ConnectionGuard<'_> {
+impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -106,10 +106,10 @@
     if excess > EXCESS_CONNECTIONS_MAX {
         return spdlog::warn!("connection closed unread: too many are refused");
     }
-    let accepted = gateway.clone();
+    // Counted here, since a burst is accepted before the first of its tasks runs.
+    let open_connection = OpenConnection::new(gateway);
     let task = async move {
-        let gateway = accepted;
-        let _guard = ConnectionGuard::new(&gateway.connections);
+        let gateway = &open_connection.0;
         if let Err(error) = stream.set_nodelay(true) {
             return spdlog::info!("failed to set TCP_NODELAY on a new connection", kv: { error: });
         }
@@ -117,7 +117,7 @@
             return refuse_excess(stream).await;
         }
         let caller = MessageStream::new(stream.clone());
-        while serve_request(&gateway, &caller, &stream).await {}
+        while serve_request(gateway, &caller, &stream).await {}
     };
     gateway.executor.spawn(task).detach();
 }
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -181,6 +181,28 @@
     });
 }
 
+// Bursts were counted when their tasks ran, and all were served.
+#[gtest]
+fn a_burst_of_connections_does_not_exceed_the_maximum() {
+    run(|_, address| async move {
+        let mut callers = Vec::new();
+        for _ in 0..CONNECTIONS_MAX * 3 {
+            // Blocking, so that the instance accepts none before all are there.
+            let caller = std::net::TcpStream::connect(&address).unwrap();
+            std::io::Write::write_all(&mut &caller, b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+                .unwrap();
+            callers.push(TcpStream::try_from(caller).unwrap());
+        }
+        let mut served = 0;
+        for caller in &mut callers {
+            let mut status = [0; 13];
+            futures_lite::AsyncReadExt::read_exact(caller, &mut status).await.unwrap();
+            served += usize::from(status.starts_with(b"HTTP/1.1 200 "));
+        }
+        expect_that!(served, eq(CONNECTIONS_MAX));
+    });
+}
+
 // The rest of a refused body was waited for without a limit.
 #[gtest]
 fn a_connection_whose_refused_body_does_not_come_is_closed() {
