--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -7,13 +7,13 @@
 use crate::Gateway;
 use async_h1::server::{ConnectionStatus, Encoder, Server};
 use futures_lite::FutureExt;
-use http_types::{Method, Request};
+use http_types::{Method, Request, Response};
 use lycheehub_clock::within;
 use lycheehub_types::{Refusal, RefusalKind};
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// The number of connections beyond the maximum that are accepted to refuse one request each.
@@ -26,18 +26,18 @@
 const IDLE_GRACE_MS: u64 = 1_000;
 
 /// Counts an open connection until it is dropped.
-struct ConnectionGuard<'a>(&'a AtomicUsize);
+struct OpenConnection(Arc<Gateway>);
 
-impl<'a> ConnectionGuard<'a> {
-    fn new(count: &'a AtomicUsize) -> Self {
-        count.fetch_add(1, Ordering::Relaxed);
-        Self(count)
+impl OpenConnection {
+    fn new(gateway: &Arc<Gateway>) -> Self {
+        gateway.connections.fetch_add(1, Ordering::Relaxed);
+        Self(gateway.clone())
     }
 }
 
-impl Drop for ConnectionGuard<'_> {
+impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        self.0.connections.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
@@ -58,13 +58,17 @@
         self.started.load(Ordering::Relaxed)
     }
 
-    /// Completes if no request has started within the header timeout, and a little later if no byte has
-    /// come; otherwise never.
+    /// Completes if no request has started within the header timeout of its first byte, or if none has come
+    /// within that time and a little longer; otherwise never.
     async fn header_timeout(&self, caller: &MessageStream) {
-        Timer::after(Duration::from_millis(self.gateway.settings.header_timeout_ms)).await;
+        let timeout = Duration::from_millis(self.gateway.settings.header_timeout_ms);
+        Timer::after(timeout).await;
         if !caller.has_received() {
             Timer::after(Duration::from_millis(IDLE_GRACE_MS)).await;
         }
+        if let Some(begun) = caller.begun() {
+            Timer::at(begun + timeout).await;
+        }
         if self.has_started() {
             std::future::pending::<()>().await;
         }
@@ -109,10 +113,10 @@
     if excess > EXCESS_CONNECTIONS_MAX {
         return spdlog::warn!("connection closed unread: too many are refused");
     }
-    let accepted = gateway.clone();
+    // Counted here, since a burst is accepted before the first of its tasks runs.
+    let open_connection = OpenConnection::new(gateway);
     let task = async move {
-        let gateway = accepted;
-        let _guard = ConnectionGuard::new(&gateway.connections);
+        let gateway = &open_connection.0;
         if let Err(error) = stream.set_nodelay(true) {
             return spdlog::info!("failed to set TCP_NODELAY on a new connection", kv: { error: });
         }
@@ -120,7 +124,7 @@
             return refuse_excess(stream).await;
         }
         let caller = MessageStream::new(stream.clone());
-        while serve_request(&gateway, &caller, &stream).await {}
+        while serve_request(gateway, &caller, &stream).await {}
     };
     gateway.executor.spawn(task).detach();
 }
@@ -131,11 +135,15 @@
     let guard = ExchangeGuard { gateway, started: AtomicBool::new(false) };
     let mut server = Server::new(caller.clone(), |request| {
         guard.start();
-        caller.begin_body(framing_of(&request));
+        let framing = framing_of(&request);
+        caller.begin_body(framing.unwrap_or(Framing::Length(0)));
         let gateway = gateway.clone();
         let (caller, stream) = (caller.clone(), stream.clone());
         async move {
-            let response = routes::respond(&gateway, request, &stream).await;
+            let response = match framing {
+                Some(_) => routes::respond(&gateway, request, &stream).await,
+                None => Ok(refuse_coding()),
+            };
             caller.begin_response();
             response
         }
@@ -162,12 +170,25 @@
     false
 }
 
-/// Returns where the body of a request ends.
-fn framing_of(request: &Request) -> Framing {
-    match request.header("transfer-encoding") {
-        Some(_) => Framing::Chunked,
-        None => Framing::Length(request.len().unwrap_or(0)),
-    }
+/// Returns where the body of a request ends, or `None` if its transfer coding is not known.
+fn framing_of(request: &Request) -> Option<Framing> {
+    let Some(codings) = request.header("transfer-encoding") else {
+        return Some(Framing::Length(request.len().unwrap_or(0)));
+    };
+    let is_chunked =
+        codings.iter().count() == 1 && codings.as_str().eq_ignore_ascii_case("chunked");
+    is_chunked.then_some(Framing::Chunked)
+}
+
+/// Refuses a request whose body has no known end, as the last one of its connection.
+fn refuse_coding() -> Response {
+    let refusal = Refusal::new(RefusalKind::BadRequest, "the transfer coding is not chunked");
+    spdlog::info!("refused", kv: {
+        step = "body", code = refusal.kind().code(), message = refusal.message(),
+    });
+    let mut response = refusal_response(&refusal);
+    response.insert_header("connection", "close");
+    response
 }
 
 /// Refuses a request whose head was not received, as the last one of its connection.
--- a/crates/gateway/tests/gateway/connections.rs
+++ b/crates/gateway/tests/gateway/connections.rs
@@ -148,6 +148,61 @@
     });
 }
 
+// Its body was taken for empty, and what it held for the next request.
+#[gtest]
+fn a_body_with_an_unknown_transfer_coding_is_not_read_as_the_next_request() {
+    for coding in ["gzip, chunked", "gzip", "chunked\r\nTransfer-Encoding: gzip"] {
+        run(|_, address| async move {
+            let mut caller = TcpStream::connect(&address).await.unwrap();
+            let post = format!(
+                "POST /v1/services/invoices/1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: {coding}\r\n\r\n"
+            );
+            let inner = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+            caller.write_all([&post, inner].concat().as_bytes()).await.unwrap();
+            let responses = read_all(caller).await.unwrap_or_default();
+            expect_that!(responses, starts_with("HTTP/1.1 400 "), "{coding}");
+            expect_that!(responses.matches("HTTP/1.1 ").count(), eq(1), "{coding}");
+        });
+    }
+}
+
+// Its time ran from the response before.
+#[gtest]
+fn a_head_that_begins_late_in_the_idle_time_has_its_whole_time() {
+    run_with_header_timeout(1_000, |_, address| async move {
+        let mut caller = TcpStream::connect(&address).await.unwrap();
+        caller.write_all(b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").await.unwrap();
+        Timer::after(Duration::from_millis(800)).await;
+        caller.write_all(b"GET /healthz HTTP/1.1\r\nHost: a\r\n").await.unwrap();
+        Timer::after(Duration::from_millis(600)).await;
+        caller.write_all(b"Connection: close\r\n\r\n").await.unwrap();
+        let responses = read_all(caller).await.unwrap_or_default();
+        expect_that!(responses.matches("HTTP/1.1 200").count(), eq(2));
+    });
+}
+
+// Bursts were counted when their tasks ran, and all were served.
+#[gtest]
+fn a_burst_of_connections_does_not_exceed_the_maximum() {
+    run(|_, address| async move {
+        let mut callers = Vec::new();
+        for _ in 0..CONNECTIONS_MAX * 3 {
+            // Blocking, so that the instance accepts none before all are there.
+            let caller = std::net::TcpStream::connect(&address).unwrap();
+            std::io::Write::write_all(&mut &caller, b"GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n")
+                .unwrap();
+            callers.push(TcpStream::try_from(caller).unwrap());
+        }
+        let mut served = 0;
+        for caller in &mut callers {
+            let mut status = [0; 13];
+            futures_lite::AsyncReadExt::read_exact(caller, &mut status).await.unwrap();
+            served += usize::from(status.starts_with(b"HTTP/1.1 200 "));
+        }
+        expect_that!(served, eq(CONNECTIONS_MAX));
+    });
+}
+
 // The rest of a refused body was waited for without a limit.
 #[gtest]
 fn a_connection_whose_refused_body_does_not_come_is_closed() {
--- a/crates/proxy/src/exchange/relocation.rs
+++ b/crates/proxy/src/exchange/relocation.rs
@@ -4,7 +4,7 @@
 //! reached. If none is, because all are silent, or too much is being repeated, the response that arrives
 //! after the silence is used.
 
-use super::attempt::{Attempt, AttemptScope};
+use super::attempt::{Attempt, AttemptScope, Unusable};
 use super::filters::ResolvedRequest;
 use super::guard::PendingDecision;
 use super::{Exchange, Placed};
@@ -112,7 +112,11 @@
                 Ok(Reached { placed, attempt, connection, is_new })
             }
             Ok(_) => Err(RETRY_AFTER_MIN_MS),
-            Err(unreached) => {
+            Err(Unusable::SentFirst) => {
+                attempt.report(Outcome::Failed);
+                Err(RETRY_AFTER_MIN_MS)
+            }
+            Err(Unusable::Unreached(unreached)) => {
                 spdlog::info!("endpoint not reached", kv: {
                     id: = self.fields.id, error: = unreached.error, is_confirmed = unreached.is_confirmed,
                 });
