--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -78,6 +78,8 @@
     pub address: RefCell<Option<String>>,
     /// Where connections lead on which bytes arrive before the request is sent, if anywhere.
     pub early_address: RefCell<Option<String>>,
+    /// Where connections lead whose content the test frames itself, if anywhere.
+    pub framed_address: RefCell<Option<String>>,
     /// How many connections were asked for.
     pub asked: Cell<u32>,
 }
@@ -87,7 +89,11 @@
         self.asked.set(self.asked.get() + 1);
         let address = self.address.borrow().clone();
         let early_address = self.early_address.borrow().clone();
+        let framed_address = self.framed_address.borrow().clone();
         Box::pin(async move {
+            if let Some(address) = framed_address {
+                return Ok(TcpStream::connect(address).await.unwrap());
+            }
             if let Some(address) = early_address {
                 let stream = TcpStream::connect(address).await.unwrap();
                 stream.peek(&mut [0; 1]).await.unwrap();
@@ -137,6 +143,8 @@
     pub path_lost: RefCell<Vec<bool>>,
     /// The endpoints reported as excluded.
     pub excluded: RefCell<Vec<String>>,
+    /// The expected time to the first byte, in milliseconds; 0 stands for 10.
+    pub first_byte_ms: Cell<u64>,
 }
 
 impl Placement for RotatingPlacement {
@@ -173,7 +181,10 @@
                 job_id,
                 endpoint,
                 address: address.as_str().into(),
-                first_byte_ms: 10,
+                first_byte_ms: match self.first_byte_ms.get() {
+                    0 => 10,
+                    first_byte_ms => first_byte_ms,
+                },
             }
         })
     }
