tests(dispatch): endpoints that were all silent serve at once when they go on

A dispatcher with 1, 2 or 4 endpoints and the requests of three instances; all endpoints are silent for 1.2 to 2 s, four times over, and each request that takes a second is reported as stalled. From 350 ms after each silence on all requests must be placed and none refused, and nothing may be quarantined.

With the pauses as on it fails: of 32 requests in that second 25 are refused and none is placed ("1 endpoints, 1200 ms: Expected: is equal to 0, Actual: 25"; "Expected: is greater than or equal to 30, Actual: 0"). With four endpoints it held before as well: instances that reach none of three endpoints count as cut off, and are not believed.

--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -15,4 +15,5 @@
 mod rejections;
 mod replay;
 mod share;
+mod silence;
 mod versions;
