tests(proxy): a host that does not respond is no evidence of a crash

Held: an error of a connection that the operating system gave up on is no lost connection for the search for crashing prompts and requests; a reset is one.

--- a/crates/proxy/tests/proxy/lost_hosts.rs
+++ b/crates/proxy/tests/proxy/lost_hosts.rs
@@ -3,10 +3,12 @@
 use crate::support::{get, read_request, run, sleep_ms};
 use googletest::prelude::*;
 use lycheehub_net::keep_alive;
+use lycheehub_proxy::http1::Error;
 use lycheehub_proxy::pool;
 use rustix::net::sockopt;
 use smol::net::{TcpListener, TcpStream};
 use std::cell::Cell;
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -71,3 +73,12 @@
         expect_that!(smol::future::or(probed, answered).await, eq(true));
     });
 }
+
+#[gtest]
+fn a_host_that_does_not_respond_is_no_evidence_of_a_crash() {
+    let is_lost = |kind: ErrorKind| Error::from(io::Error::from(kind)).is_connection_lost();
+    for kind in [ErrorKind::TimedOut, ErrorKind::HostUnreachable, ErrorKind::NetworkUnreachable] {
+        expect_that!(is_lost(kind), eq(false), "{kind}");
+    }
+    expect_that!(is_lost(ErrorKind::ConnectionReset), eq(true));
+}
