tests(soak): a try that is told that it crossed a close is counted apart

A stopping instance closes an idle connection with 408 and reads nothing more. A try that gets it has no line of its own; that is allowed during a planned stop of its instance only, and only if no endpoint ran it.

--- a/crates/cli/tests/soak/lines.rs
+++ b/crates/cli/tests/soak/lines.rs
@@ -8,6 +8,8 @@
 
 /// The messages that name a request which an entry instance has read, or could not read to its end.
 const MESSAGES: [&str; 3] = ["request", "failed to read a request", "refused on a new connection"];
+/// The status of a last response on an idle connection.
+const REQUEST_TIMEOUT: u16 = 408;
 /// The message of an instance that could not write all its lines.
 const DROPPED: &str = "log lines dropped";
 
@@ -44,6 +46,8 @@
 pub struct Unanswered {
     /// The instance has no line of them: they crossed its close and were not read.
     pub crossed: BTreeSet<String>,
+    /// The same, but the instance has told so in a last response.
+    pub told: BTreeSet<String>,
     /// The instance has read them.
     pub lost: BTreeSet<String>,
 }
@@ -70,6 +74,11 @@
                 // Outside of a planned stop the instance closes no connection that it has not stated to close.
                 count > 0 || !is_stopping(inner, entry, sent.at, *at)
             }
+            // A last response on an idle connection: the request crossed it and was not read.
+            Some((End::Refused(REQUEST_TIMEOUT), at)) if count == 0 => {
+                unanswered.told.insert(id.clone());
+                inner.runs.contains_key(id) || !is_stopping(inner, entry, sent.at, *at)
+            }
             Some(_) => count != 1,
             // The caller disconnected, perhaps before the instance had read the request.
             None => count > 1,
