--- a/crates/gateway/src/serve/endpoint.rs
+++ b/crates/gateway/src/serve/endpoint.rs
@@ -1,11 +1,15 @@
 //! Sends a request to one endpoint.
 
+use super::response;
 use crate::Gateway;
 use crate::filters::{Exchange, Payload};
+use crate::http::MessageStream;
 use http_types::{Body, Request, Response, Url};
+use lycheehub_net::keep_alive;
 use lycheehub_types::PeerError;
 use smol::net::TcpStream;
 use std::future::Future;
+use std::io::{self, ErrorKind};
 
 /// Why an attempt at an endpoint failed.
 #[derive(Debug)]
@@ -37,7 +41,8 @@
     let timeout_ms = gateway.settings.connect_timeout_ms;
     let stream =
         with_timeout("connect", address, timeout_ms, connect).await.map_err(Failure::NotReached)?;
-    stream.set_nodelay(true).map_err(|error| Failure::NotRun(fail(error)))?;
+    let is_set = stream.set_nodelay(true).and_then(|()| keep_alive::enable(&stream));
+    is_set.map_err(|error| Failure::NotRun(fail(error)))?;
     Ok(stream)
 }
 
@@ -51,13 +56,13 @@
     payload: &Payload,
     address: &str,
     resume_from: u64,
-) -> Result<(Response, TcpStream), Failure> {
+) -> Result<(Response, MessageStream), Failure> {
     let idle = if payload.idempotent { take_idle(gateway, address).await } else { None };
     let Some(stream) = idle else {
         return send_on_new_connection(gateway, exchange, payload, address, resume_from).await;
     };
-    let error = match send(gateway, exchange, payload, address, &stream, resume_from).await {
-        Ok(response) => return Ok((response, stream)),
+    let error = match send(gateway, exchange, payload, address, stream, resume_from).await {
+        Ok(answered) => return Ok(answered),
         // The statement may be one on an earlier request on the connection.
         Err(
             Failure::NotReached(error)
@@ -95,10 +100,9 @@
     payload: &Payload,
     address: &str,
     resume_from: u64,
-) -> Result<(Response, TcpStream), Failure> {
+) -> Result<(Response, MessageStream), Failure> {
     let stream = connect(gateway, address).await?;
-    let response = send(gateway, exchange, payload, address, &stream, resume_from).await?;
-    Ok((response, stream))
+    send(gateway, exchange, payload, address, stream, resume_from).await
 }
 
 /// Sends a request and receives the head of the response. Any failure after the request is built
@@ -109,14 +113,22 @@
     exchange: &Exchange,
     payload: &Payload,
     address: &str,
-    stream: &TcpStream,
+    stream: TcpStream,
     resume_from: u64,
-) -> Result<Response, Failure> {
+) -> Result<(Response, MessageStream), Failure> {
     let request = build_request(gateway, exchange, payload, address, resume_from)
         .map_err(|cause| Failure::NotRun(PeerError::failed("prepare", address, cause)))?;
+    let request_bytes = exchange.body.len();
+    if let Err(error) = keep_alive::require_confirmation(&stream, request_bytes) {
+        spdlog::debug!("confirmation not required", kv: { address, error: });
+    }
+    let stream = MessageStream::new(stream);
     let exchanged = async {
-        let response = async_h1::connect(stream.clone(), request).await;
-        response.map_err(|error| PeerError::failed("send", address, error))
+        let response = response::exchange(stream.clone(), request).await;
+        response.map_err(|error| match error.downcast::<io::Error>() {
+            Ok(error) => exchange_error("send", address, &error),
+            Err(error) => PeerError::failed("send", address, error),
+        })
     };
     let left_ms = payload.job.deadline_ms.saturating_sub(gateway.clock.now_ms());
     let response =
@@ -130,7 +142,18 @@
         let cause = format!("refused with status {}", response.status());
         return Err(Failure::NotRun(PeerError::failed("send", address, cause)));
     }
-    Ok(response)
+    Ok((response, stream))
+}
+
+/// Returns the error of an exchange whose connection failed. One whose host did not respond may be behind a
+/// partition, which is no loss of the endpoint.
+pub(super) fn exchange_error(step: &'static str, address: &str, cause: &io::Error) -> PeerError {
+    match cause.kind() {
+        ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+            PeerError::TimedOut(step, address.into(), keep_alive::LOST_AFTER_MS.into())
+        }
+        _ => PeerError::failed(step, address, cause),
+    }
 }
 
 /// Runs one step of an attempt with a timeout.
--- a/crates/proxy/src/exchange/guard.rs
+++ b/crates/proxy/src/exchange/guard.rs
@@ -20,6 +20,17 @@
     Stopped,
 }
 
+impl Interrupted {
+    /// Returns how a response ends that was interrupted after a part of it was relayed.
+    pub(super) fn end_of_response(self) -> &'static str {
+        match self {
+            Self::CallerDisconnected => "caller left",
+            Self::TimedOut => "timed out in its stream",
+            Self::Stopped => "stopped in its stream",
+        }
+    }
+}
+
 /// Runs `work` until the caller closes `connection`, until `deadline_ms`, or until the instance ends its
 /// requests.
 pub(super) async fn run_interruptible<T>(
