entry: a long request in a stop does not keep idle connections open until the exit

Found in review.

Cause: idle connections began to close once nothing was in progress. They close now from the time on at which new connections are refused, longest idle first, those that have been idle for a second; those in use stay open and their requests are answered. Their callers go elsewhere at once and are not refused first.

`stops::idle_connections_close_before_the_end_of_a_stop_although_a_request_still_runs` (real program) failed before (Expected: is less than 6s, Actual: 7.622283852s).

--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -210,8 +210,8 @@
 }
 
 /// Stops the instance: it reports that it is not ready, refuses new connections once the balancer has stopped
-/// using it, and then waits for unfinished requests and relayed connections. Idle connections stay open
-/// meanwhile, so that requests on them are answered.
+/// using it, and then waits for unfinished requests and relayed connections. Meanwhile it closes the connections
+/// that are idle for long, one after the other; those in use stay open, and requests on them are answered.
 async fn stop(entry: &Entry, relay: &Server, timeout_ms: u64) {
     let started_ms = entry.clock.now_ms();
     let unfinished = entry.exchanges.get() as u64;
@@ -222,7 +222,6 @@
     poll_until(entry, refuses_from_ms.min(ends_ms), || false).await;
     entry.refuse_new_connections();
     let is_finished = || entry.exchanges.get() == 0 && relay.connections() == 0;
-    poll_until(entry, ends_ms, is_finished).await;
     close_idle_connections(entry, ends_ms, QUIET_MS, is_finished).await;
     entry.end_exchanges();
     entry.end_accepting();
