tests(proxy): an address at which nothing listens is kept from other tests

`heads::a_response_after_interim_ones_that_breaks_off_at_any_byte_is_no_answer` failed twice beside other tests: an attempt ended as broken or rejected that had not reached its endpoint. Traced in the second case by its log (Broken after 218 ms, with the direct address); the port of an address at which nothing was to listen had been free for the endpoints of other tests. The socket stays bound now without listening.

--- a/crates/proxy/tests/proxy/paths.rs
+++ b/crates/proxy/tests/proxy/paths.rs
@@ -7,9 +7,13 @@
 use lycheehub_dispatch::Outcome;
 use lycheehub_relay::{Endpoints, Server};
 use lycheehub_types::EndpointName;
+use rustix::net::{self, AddressFamily, SocketType};
 use smol::net::{TcpListener, TcpStream};
 use smol_str::SmolStr;
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 
 /// The endpoints as another instance knows them.
@@ -33,10 +37,28 @@
     }
 }
 
+thread_local! {
+    /// The addresses at which nothing listens, each with the socket that keeps it from others.
+    static RESERVED: RefCell<BTreeMap<String, OwnedFd>> = RefCell::default();
+}
+
 /// Returns an address at which nothing listens.
 pub async fn closed_address() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap().to_string()
+    let socket = net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    net::bind(&socket, &SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = SocketAddr::try_from(net::getsockname(&socket).unwrap()).unwrap();
+    // Stays bound, so that no other test listens there.
+    RESERVED.with_borrow_mut(|reserved| reserved.insert(address.to_string(), socket));
+    address.to_string()
+}
+
+/// Listens at a reserved address.
+fn listen_at(address: &str) -> TcpListener {
+    let socket = RESERVED.with_borrow_mut(|reserved| reserved.remove(address)).unwrap();
+    net::listen(&socket, 16).unwrap();
+    let listener = std::net::TcpListener::from(socket);
+    listener.set_nonblocking(true).unwrap();
+    listener.try_into().unwrap()
 }
 
 /// Starts another instance that relays connections, and cuts the instance off from `endpoints`
@@ -101,7 +123,7 @@
         // Both endpoints listen again where the instance expects them.
         let addresses = fixture.placement.addresses.borrow().clone();
         for address in addresses {
-            let listener = TcpListener::bind(&address).await.unwrap();
+            let listener = listen_at(&address);
             let task = async move {
                 while let Ok((stream, _)) = listener.accept().await {
                     answer(stream, 0).await;
