--- a/crates/cli/tests/soak/faults.rs
+++ b/crates/cli/tests/soak/faults.rs
@@ -1,12 +1,14 @@
-//! The faults of a run, drawn from its seed. Faults may overlap and may follow each other closely.
+//! Injects the faults of a run. Faults may overlap and may follow each other closely.
 
 use crate::deployment::{Deployment, Process};
 use crate::endpoint::{DRAIN_TIME, Endpoint, Faults};
 use crate::history::{History, Scope};
+use crate::plan::{
+    Fault, PlannedFault, SecondSignal, plan, plan_limits, plan_rejections, plan_silences,
+};
 use lycheehub_standin::proxy::Mode;
-use rand::rngs::StdRng;
-use rand::{RngCore, SeedableRng};
 use std::io::Write;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -14,42 +16,6 @@
 /// How long a process may take to exit after SIGTERM.
 const STOP_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// A fault to inject; the number is the index of the affected process or endpoint.
-#[derive(Clone, Copy, Debug)]
-enum Fault {
-    KillControl(usize),
-    KillAllControls,
-    PauseControl(usize),
-    /// Killed, and restarted with an empty data folder.
-    WipeControl(usize),
-    /// Killed, and restarted with a torn record at the end of its log.
-    TearControl(usize),
-    DisturbControl(usize, Mode),
-    ResetControl(usize),
-    KillEntry(usize),
-    PauseEntry(usize),
-    StopEntry(usize),
-    ReloadEntry(usize),
-    DisturbEntry(usize, Mode),
-    CrashEndpoint(usize),
-    DrainEndpoint(usize),
-    FailEndpoint(usize, Faults),
-    DisturbEndpoint(usize, Mode),
-    ResetEndpoint(usize),
-    /// Names a limit for half of the duration and another one for the rest, in requests per second.
-    LimitEndpoint(usize, f64, f64),
-    /// Says that it fails if it must reject more requests a second, as do all endpoints of its service.
-    LimitRejections(usize, usize),
-}
-
-/// A fault with its start time and duration.
-#[derive(Clone, Copy, Debug)]
-struct PlannedFault {
-    at: Duration,
-    duration: Duration,
-    fault: Fault,
-}
-
 /// The deployment and the endpoints that faults are injected into.
 pub struct Target {
     pub deployment: Mutex<Deployment>,
@@ -59,6 +25,8 @@
     busy: Vec<AtomicBool>,
     controls: usize,
     entries: usize,
+    /// How many faults let the operator change the document in quick succession now.
+    pub document_storms: Arc<AtomicUsize>,
     /// How many data folders may still be lost in this run.
     wipes_left: AtomicUsize,
 }
@@ -74,13 +42,28 @@
         let busy = (0..controls + entries).map(|_| AtomicBool::new(false)).collect();
         let wipes_left = AtomicUsize::new(losses);
         let deployment = Mutex::new(deployment);
-        Self { deployment, endpoints, history, busy, controls, entries, wipes_left }
+        let document_storms = Arc::default();
+        Self {
+            deployment,
+            endpoints,
+            history,
+            busy,
+            controls,
+            entries,
+            document_storms,
+            wipes_left,
+        }
     }
 
     pub fn deployment(&self) -> MutexGuard<'_, Deployment> {
         self.deployment.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Lets sound endpoints fall silent again and again; returns the plan once that is over.
+    pub fn silence(self: &Arc<Self>, seed: u64, run_duration: Duration) -> String {
+        self.inject_all(&plan_silences(seed, run_duration, self.endpoints.len()))
+    }
+
     /// Injects the faults of a seed for about `run_duration`; returns the plan once all faults are over.
     pub fn inject_faults(self: &Arc<Self>, seed: u64, run_duration: Duration) -> String {
         let plan = plan(seed, run_duration, self.controls, self.entries, self.endpoints.len());
@@ -137,7 +120,15 @@
             Fault::KillEntry(place) => self.restart(self.controls + place, duration, |_| {}),
             Fault::PauseControl(place) => self.pause(place, duration),
             Fault::PauseEntry(place) => self.pause(self.controls + place, duration),
-            Fault::StopEntry(place) => self.stop(self.controls + place),
+            Fault::StopEntry(place) => self.stop(self.controls + place, None),
+            Fault::SignalStoppingEntry(place, second) => {
+                self.stop(self.controls + place, Some(second));
+            }
+            Fault::StormDocuments => {
+                self.document_storms.fetch_add(1, Ordering::Relaxed);
+                std::thread::sleep(duration);
+                self.document_storms.fetch_sub(1, Ordering::Relaxed);
+            }
             Fault::ReloadEntry(place) => self.deployment().entries[place].signal("HUP"),
             Fault::DisturbControl(place, mode) => self.disturb_paths(place, mode, duration),
             Fault::DisturbEntry(place, mode) => {
@@ -146,6 +137,11 @@
             Fault::ResetControl(place) => self.reset_paths(place),
             Fault::CrashEndpoint(place) => self.crash_endpoint(place, duration),
             Fault::DrainEndpoint(place) => self.drain_endpoint(place, duration),
+            Fault::DarkenEndpoint(place) => self.darken_endpoint(place, duration),
+            Fault::LoseEndpoint(place) => self.lose_endpoint(place),
+            Fault::SilenceEndpoints(first, count) => {
+                self.silence_endpoints(first, count, duration);
+            }
             Fault::FailEndpoint(place, faults) => {
                 let endpoint = &self.endpoints[place];
                 self.disturb(Scope::Endpoint(place), || {
@@ -215,6 +211,9 @@
 
     fn restart(&self, place: usize, duration: Duration, before_start: impl FnOnce(&Process)) {
         self.run_exclusively(place, || {
+            if let Scope::Entry(entry) = self.scope_of(place) {
+                self.history.add_killed(entry);
+            }
             self.with_process(place, Process::kill);
             std::thread::sleep(duration);
             self.with_process(place, |process| {
@@ -247,13 +246,18 @@
 
     /// Stops an entry instance as the platform does, and restarts it. All guarantees hold until the
     /// process exits, so the disturbance begins only then.
-    fn stop(&self, place: usize) {
+    fn stop(&self, place: usize, second: Option<SecondSignal>) {
         if self.busy[place].swap(true, Ordering::Relaxed) {
             return;
         }
         let from = Instant::now();
         self.with_process(place, |process| process.signal("TERM"));
-        if !self.exits_in_time(place) {
+        if let Some(second) = second {
+            std::thread::sleep(second.after);
+            self.with_process(place, |process| process.signal(second.name));
+        }
+        if !self.exits_in_time(place, from) {
+            self.history.add_killed(place - self.controls);
             self.history.add_violation(format!(
                 "entry instance {place} did not exit within {STOP_TIMEOUT:?} after SIGTERM"
             ));
@@ -268,9 +272,20 @@
         self.busy[place].store(false, Ordering::Relaxed);
     }
 
-    fn exits_in_time(&self, place: usize) -> bool {
-        let began = Instant::now();
-        while began.elapsed() < STOP_TIMEOUT {
+    /// Stops all entry instances, whose callers have left; returns their logs.
+    pub fn stop_entries(&self) -> Vec<PathBuf> {
+        self.deployment().entries.iter().for_each(|entry| entry.signal("TERM"));
+        let stop = |entry: &mut Process| {
+            if entry.exits_within(STOP_TIMEOUT).is_none() {
+                self.history.add_violation(format!("{} did not exit without callers", entry.ip));
+            }
+            entry.log()
+        };
+        self.deployment().entries.iter_mut().map(stop).collect()
+    }
+
+    fn exits_in_time(&self, place: usize, from: Instant) -> bool {
+        while from.elapsed() < STOP_TIMEOUT {
             if self.with_process(place, Process::has_exited) {
                 return true;
             }
@@ -299,20 +314,44 @@
     fn crash_endpoint(&self, place: usize, duration: Duration) {
         let endpoint = &self.endpoints[place];
         self.disturb_endpoint_path(place, || {
-            endpoint.set_crashed(true);
-            endpoint.path.set_mode(Mode::Refused);
-            endpoint.path.reset();
+            endpoint.go_down();
             std::thread::sleep(duration);
-            endpoint.path.set_mode(Mode::Open);
-            endpoint.set_crashed(false);
+            endpoint.come_back();
         });
     }
 
+    fn darken_endpoint(&self, place: usize, duration: Duration) {
+        let endpoint = &self.endpoints[place];
+        self.disturb_endpoint_path(place, || {
+            endpoint.go_dark();
+            std::thread::sleep(duration);
+            endpoint.come_back();
+        });
+    }
+
+    /// Lets an endpoint die in silence that stays gone, unless another fault brings it back.
+    fn lose_endpoint(&self, place: usize) {
+        self.history.disturbance_began(Scope::EndpointPath(place));
+        self.history.disturbance_began(Scope::Endpoint(place));
+        self.endpoints[place].go_dark();
+    }
+
+    /// Drains an endpoint as planned. All guarantees hold until it exits, so the disturbance begins only then.
     fn drain_endpoint(&self, place: usize, duration: Duration) {
         let endpoint = &self.endpoints[place];
-        endpoint.set_draining(true);
+        endpoint.drain();
         std::thread::sleep(DRAIN_TIME + duration);
-        endpoint.set_draining(false);
+        self.disturb_endpoint_path(place, || endpoint.restart_drained());
+    }
+
+    /// Lets sound endpoints fall silent together. That is no disturbance: all guarantees hold.
+    fn silence_endpoints(&self, first: usize, count: usize, duration: Duration) {
+        let silenced = self.endpoints.iter().cycle().skip(first).take(count);
+        std::thread::scope(|scope| {
+            silenced.for_each(|endpoint| {
+                scope.spawn(|| endpoint.be_silent(duration));
+            });
+        });
     }
 }
 
@@ -332,126 +371,3 @@
     let written = file.and_then(|mut file| file.write_all(&bytes));
     written.expect("the log can be written");
 }
-
-/// Draws the faults of a seed.
-fn plan(
-    seed: u64,
-    run_duration: Duration,
-    controls: usize,
-    entries: usize,
-    endpoints: usize,
-) -> Vec<PlannedFault> {
-    const MEAN_GAP_MS: u64 = 900;
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut random_below = |below: usize| (rng.next_u64() % below.max(1) as u64) as usize;
-    let mut planned = Vec::new();
-    let mut at_ms = random_below(500) as u64;
-    while u128::from(at_ms) < run_duration.as_millis() {
-        let (control, entry) = (random_below(controls), random_below(entries));
-        let endpoint = random_below(endpoints);
-        let modes =
-            [Mode::Silent, Mode::SilentForth, Mode::SilentBack, Mode::Delayed(50), Mode::Refused];
-        let mode = modes[random_below(modes.len())];
-        let share = 10 + random_below(50) as u32;
-        let faults = [
-            Faults { failed: share, ..Faults::default() },
-            Faults { rejected: share, ..Faults::default() },
-            Faults { dropped: share, ..Faults::default() },
-            Faults { interrupted: share, ..Faults::default() },
-            Faults { answered_twice: share, ..Faults::default() },
-            Faults { delayed: share, ..Faults::default() },
-        ];
-        let fault = match random_below(24) {
-            0 => Fault::KillControl(control),
-            1 => Fault::KillAllControls,
-            2 => Fault::PauseControl(control),
-            3 => Fault::WipeControl(control),
-            4 => Fault::TearControl(control),
-            5 | 6 => Fault::DisturbControl(control, mode),
-            7 => Fault::ResetControl(control),
-            8 => Fault::KillEntry(entry),
-            9 => Fault::PauseEntry(entry),
-            10 => Fault::StopEntry(entry),
-            11 => Fault::ReloadEntry(entry),
-            12 => Fault::DisturbEntry(entry, mode),
-            13 | 14 => Fault::CrashEndpoint(endpoint),
-            15 => Fault::DrainEndpoint(endpoint),
-            16 | 17 => Fault::FailEndpoint(endpoint, faults[random_below(faults.len())]),
-            18 => Fault::DisturbEndpoint(endpoint, mode),
-            19 | 20 => {
-                Fault::FailEndpoint(endpoint, Faults { dropped: share, ..Faults::default() })
-            }
-            21 | 22 => Fault::StopEntry(entry),
-            _ => Fault::ResetEndpoint(endpoint),
-        };
-        let duration = Duration::from_millis(200 + random_below(2_800) as u64);
-        planned.push(PlannedFault { at: Duration::from_millis(at_ms), duration, fault });
-        // Gaps shorter than the faults make the faults overlap.
-        at_ms += (random_below(2 * MEAN_GAP_MS as usize)) as u64;
-    }
-    planned.extend(plan_notices(seed, run_duration, endpoints));
-    planned
-}
-
-/// Draws the limits that endpoints name, with a random generator of their own for the same reason as
-/// [`plan_notices`]. They last long enough to be checked while other faults come. Each service keeps
-/// endpoints without a limit, so that requests can be served.
-fn plan_limits(seed: u64, endpoints: usize) -> Vec<PlannedFault> {
-    const SALT: u64 = 0x11417;
-    const LIMITED_MAX: u64 = 4;
-    const START_MAX_MS: u64 = 1_500;
-    const DURATION_MIN_MS: u64 = 10_000;
-    const DURATION_SPREAD_MS: u64 = 6_000;
-    const LIMITS_PER_S: [f64; 6] = [0.0, 0.5, 1.0, 2.6, 6.0, 15.0];
-    let mut rng = StdRng::seed_from_u64(seed ^ SALT);
-    let mut random_below = |below: u64| rng.next_u64() % below.max(1);
-    let count = 1 + random_below(LIMITED_MAX);
-    let mut plan_limit = || {
-        let place = 2 * random_below(endpoints as u64 / 2) as usize;
-        let mut limit = || LIMITS_PER_S[random_below(LIMITS_PER_S.len() as u64) as usize];
-        let fault = Fault::LimitEndpoint(place, limit(), limit());
-        let at = Duration::from_millis(random_below(START_MAX_MS));
-        let duration = Duration::from_millis(DURATION_MIN_MS + random_below(DURATION_SPREAD_MS));
-        PlannedFault { at, duration, fault }
-    };
-    (0..count).map(|_| plan_limit()).collect()
-}
-
-/// Draws the time in which the endpoints of a service say how few requests they can reject, with a random
-/// generator of its own.
-fn plan_rejections(seed: u64, endpoints: usize) -> Vec<PlannedFault> {
-    const SALT: u64 = 0xb217;
-    const START_MAX_MS: u64 = 1_000;
-    const DURATION_MS: u64 = 9_000;
-    const PER_S_MAX: u64 = 4;
-    let mut rng = StdRng::seed_from_u64(seed ^ SALT);
-    let first = (rng.next_u64() % 2) as usize * (endpoints / 2);
-    let per_s = 1 + (rng.next_u64() % PER_S_MAX) as usize;
-    let at = Duration::from_millis(rng.next_u64() % START_MAX_MS);
-    let fault = Fault::LimitRejections(first, per_s);
-    vec![PlannedFault { at, duration: Duration::from_millis(DURATION_MS), fault }]
-}
-
-/// Draws the faults in which endpoints ask for pauses, drain, or send endless trailers. They have a
-/// random generator of their own, so that a seed still gives the same faults in [`plan`].
-fn plan_notices(seed: u64, run_duration: Duration, endpoints: usize) -> Vec<PlannedFault> {
-    const SALT: u64 = 0x5eed;
-    const MEAN_GAP_MS: u64 = 2_500;
-    let mut rng = StdRng::seed_from_u64(seed ^ SALT);
-    let mut random_below = |below: u64| rng.next_u64() % below.max(1);
-    let mut planned = Vec::new();
-    let mut at_ms = random_below(MEAN_GAP_MS);
-    while u128::from(at_ms) < run_duration.as_millis() {
-        let endpoint = random_below(endpoints as u64) as usize;
-        let share = 10 + random_below(50) as u32;
-        let fault = match random_below(3) {
-            0 => Fault::DrainEndpoint(endpoint),
-            1 => Fault::FailEndpoint(endpoint, Faults { paused: share, ..Faults::default() }),
-            _ => Fault::FailEndpoint(endpoint, Faults { endless: share, ..Faults::default() }),
-        };
-        let duration = Duration::from_millis(200 + random_below(2_800));
-        planned.push(PlannedFault { at: Duration::from_millis(at_ms), duration, fault });
-        at_ms += random_below(2 * MEAN_GAP_MS);
-    }
-    planned
-}
--- a/crates/cli/tests/soak/history.rs
+++ b/crates/cli/tests/soak/history.rs
@@ -1,31 +1,23 @@
-//! The history of a run as callers, endpoints and the operator observe it, and the checks that
-//! find violated guarantees in it.
+//! The history of a run as callers, endpoints and the operator observe it.
 
-use crate::ENDPOINTS;
+use crate::caller::{PLAIN_TIMEOUT_MS, STREAM_TIMEOUT_MS};
+use crate::checks;
 use crate::endpoint::DRAIN_TIME;
 use crate::limits::Limits;
+use crate::lines::{self, Lines, Unanswered};
 use crate::prompts::{Cause, Crashes};
 use crate::rejections::Rejections;
 use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How long an instance must have been undisturbed before guarantees with a time bound apply to it.
 pub const SETTLE_TIME: Duration = Duration::from_secs(3);
-/// How long a request may run on after its caller has disconnected.
-const DISCONNECT_SLACK: Duration = Duration::from_millis(500);
-/// How many requests may run on for longer than that.
-const RUN_ON_MAX: usize = 3;
 /// How long after an endpoint's notice requests that are already in flight may reach it.
 const IN_FLIGHT_SLACK: Duration = Duration::from_millis(500);
 /// How many requests may reach an endpoint during a pause that it has asked for.
 const PAUSE_ARRIVALS_MAX: usize = 2;
-/// How many replies that an endpoint has sent in full may be interrupted before the caller has them.
-const LOST_REPLIES_MAX: usize = 3;
-
-/// The number of overdue requests that is a violation, if it is also more than a quarter of the
-/// requests that reach their timeout.
-const OVERDUE_MIN: usize = 8;
 
 /// The kind of a request's route, which decides whether the request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +36,36 @@
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream | Self::ResumableStream)
     }
+
+    /// Returns the timeout of its route.
+    pub fn timeout(self) -> Duration {
+        let timeout_ms = if self.is_stream() { STREAM_TIMEOUT_MS } else { PLAIN_TIMEOUT_MS };
+        Duration::from_millis(timeout_ms)
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Served,
+    /// With a status that promises that it did not run.
+    Refused(u16),
+    Failed(u16),
+    /// The connection closed before the end of the reply.
+    Cut,
+    /// The connection closed before the first byte of the reply.
+    Unanswered,
+    /// Neither a reply nor a close came in time.
+    TimedOut,
+}
+
+/// The death of an endpoint that told no peer of it.
+#[derive(Clone, Copy, Debug)]
+pub struct Death {
+    pub endpoint: usize,
+    pub at: Instant,
+    /// When a control instance had acknowledged the announcement of a new start.
+    pub announced_at: Option<Instant>,
 }
 
 /// The part of the deployment that a fault disturbs.
@@ -65,6 +87,10 @@
     pub method: &'static str,
     pub path: String,
     pub body: String,
+    /// Whether it is the first one on its connection.
+    pub is_first: bool,
+    /// The caller's address, by which the instance's lines name the connection.
+    pub caller: String,
     pub at: Instant,
 }
 
@@ -83,7 +109,7 @@
 
 /// A notice that an endpoint has sent to an entry instance in a reply.
 #[derive(Clone, Copy, Debug)]
-struct Notice {
+pub struct Notice {
     endpoint: usize,
     entry: usize,
     at: Instant,
@@ -93,42 +119,80 @@
     arrivals: usize,
 }
 
+/// What was observed so far.
 #[derive(Default)]
-struct Inner {
-    limits: Limits,
-    crashes: BTreeMap<Cause, Crashes>,
-    rejections: Rejections,
-    notices: Vec<Notice>,
-    sent: BTreeMap<String, SentRequest>,
-    runs: BTreeMap<String, Vec<Run>>,
+pub struct Inner {
+    /// Whether the run has no unplanned faults.
+    pub is_calm: bool,
+    pub limits: Limits,
+    pub crashes: BTreeMap<Cause, Crashes>,
+    pub rejections: Rejections,
+    pub notices: Vec<Notice>,
+    pub sent: BTreeMap<String, SentRequest>,
+    pub runs: BTreeMap<String, Vec<Run>>,
     /// The status of each request that was refused, which guarantees that it never runs.
-    refused: BTreeMap<String, u16>,
+    pub refused: BTreeMap<String, u16>,
     /// When callers disconnected without waiting for the reply.
-    disconnected: BTreeMap<String, Instant>,
+    pub disconnected: BTreeMap<String, Instant>,
     /// When connections closed before the complete reply.
-    interrupted: BTreeMap<String, Instant>,
+    pub interrupted: BTreeMap<String, Instant>,
     /// When endpoints had sent their complete reply.
-    completed: BTreeMap<String, Instant>,
-    disturbances: Vec<(Scope, Instant, Option<Instant>)>,
+    pub completed: BTreeMap<String, Instant>,
+    pub disturbances: Vec<(Scope, Instant, Option<Instant>)>,
+    /// The endpoints that each request has reached.
+    pub arrivals: BTreeMap<String, BTreeSet<usize>>,
+    /// How each request ended, and when.
+    pub ends: BTreeMap<String, (End, Instant)>,
+    /// The deaths of endpoints that told no peer, in order of time.
+    pub deaths: Vec<Death>,
+    /// The times in which sound endpoints were silent.
+    pub silences: Vec<(usize, Instant, Option<Instant>)>,
+    /// The entry instances that were killed, so that lines of theirs may be lost.
+    pub killed: BTreeSet<usize>,
     /// The planned stops of entry instances, each from its signal to its exit.
-    stops: Vec<(usize, Instant, Instant)>,
-    violations: BTreeSet<String>,
-    counts: BTreeMap<&'static str, u64>,
+    pub stops: Vec<(usize, Instant, Instant)>,
+    pub violations: BTreeSet<String>,
+    pub counts: BTreeMap<&'static str, u64>,
     /// Requests without a complete reply at their route's timeout.
-    overdue: usize,
+    pub overdue: usize,
     /// Those of them that are still without one after the caller's slack of half a second.
-    overdue_late: usize,
+    pub overdue_late: usize,
 }
 
 impl Inner {
     /// Tells whether a fault disturbed `scope` at any time from `from` to `to`.
-    fn is_disturbed(&self, scope: Scope, from: Instant, to: Instant) -> bool {
+    pub fn is_disturbed(&self, scope: Scope, from: Instant, to: Instant) -> bool {
         self.disturbances.iter().any(|(other, begin, end)| {
             *other == scope && *begin <= to && end.is_none_or(|end| end >= from)
         })
     }
 
-    fn is_settled(&self, entry: usize, from: Instant, to: Instant) -> bool {
+    /// Returns the earliest moment at which an endpoint could have seen what it sees at `at` and was sent at `from`:
+    /// while it was silent, what had arrived waited.
+    pub fn arrival_time(&self, endpoint: usize, from: Instant, at: Instant) -> Instant {
+        let silent = self.silences.iter().filter(|(silent, _, _)| *silent == endpoint);
+        let overlaps = silent.map(|(_, begin, end)| {
+            let end = end.unwrap_or(at).min(at);
+            end.saturating_duration_since((*begin).max(from))
+        });
+        at.checked_sub(overlaps.sum()).unwrap_or(at).max(from)
+    }
+
+    /// Tells whether the instance of a request that an endpoint replies to now does not wait for this reply: the
+    /// request has ended, or it was held up on its way here and has gone to another endpoint meanwhile.
+    fn is_abandoned(&self, endpoint: usize, id: &str) -> bool {
+        let Some(sent) = self.sent.get(id) else { return true };
+        let now = Instant::now();
+        let was_held_up = self.is_disturbed(Scope::EndpointPath(endpoint), sent.at, now)
+            || self.arrival_time(endpoint, sent.at, now) < now;
+        let arrived = self.arrivals.get(id);
+        let has_moved = arrived.is_some_and(|endpoints| endpoints.iter().any(|to| *to != endpoint));
+        self.ends.contains_key(id)
+            || self.disconnected.contains_key(id)
+            || (was_held_up && has_moved)
+    }
+
+    pub fn is_settled(&self, entry: usize, from: Instant, to: Instant) -> bool {
         let from = from.checked_sub(SETTLE_TIME).unwrap_or(from);
         !self.is_disturbed(Scope::Entry(entry), from, to)
             && !self.is_disturbed(Scope::Control, from, to)
@@ -136,12 +200,15 @@
 }
 
 /// Everything observed during a run; shared by all threads.
-#[derive(Default)]
 pub struct History {
     inner: Mutex<Inner>,
 }
 
 impl History {
+    pub fn new(is_calm: bool) -> Self {
+        Self { inner: Mutex::new(Inner { is_calm, ..Inner::default() }) }
+    }
+
     fn inner(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -179,11 +246,35 @@
         self.inner().completed.insert(id.to_owned(), Instant::now());
     }
 
+    /// Records how a request ended for its caller.
+    pub fn add_end(&self, id: &str, end: End) {
+        self.inner().ends.insert(id.to_owned(), (end, Instant::now()));
+    }
+
+    /// Records that an endpoint dies without telling its peers.
+    pub fn add_death(&self, endpoint: usize) {
+        let death = Death { endpoint, at: Instant::now(), announced_at: None };
+        self.inner().deaths.push(death);
+    }
+
+    /// Records that a control instance has acknowledged the announcement of a start of an endpoint.
+    pub fn add_announced(&self, endpoint: usize) {
+        let mut inner = self.inner();
+        let dead = inner.deaths.iter_mut().filter(|death| death.endpoint == endpoint);
+        let now = Instant::now();
+        dead.for_each(|death| {
+            death.announced_at.get_or_insert(now);
+        });
+    }
+
     /// Records a notice in the reply to a request: the endpoint shuts down, or accepts no requests
     /// during `pause`.
     pub fn add_notice(&self, endpoint: usize, id: &str, pause: Option<Duration>) {
         let mut inner = self.inner();
         let Some(entry) = inner.sent.get(id).map(|sent| sent.entry) else { return };
+        if inner.is_abandoned(endpoint, id) {
+            return;
+        }
         inner.notices.push(Notice { endpoint, entry, at: Instant::now(), pause, arrivals: 0 });
     }
 
@@ -197,6 +288,9 @@
         let now = Instant::now();
         let mut inner = self.inner();
         let Some(entry) = inner.sent.get(id).map(|sent| sent.entry) else { return };
+        if inner.is_abandoned(endpoint, id) {
+            return;
+        }
         let mut limits = std::mem::take(&mut inner.limits);
         limits.add_told(endpoint, entry, |from| inner.is_disturbed(Scope::Entry(entry), from, now));
         inner.limits = limits;
@@ -245,6 +339,8 @@
         let Some((entry, sent_at)) = inner.sent.get(id).map(|sent| (sent.entry, sent.at)) else {
             return;
         };
+        inner.arrivals.entry(id.to_owned()).or_default().insert(endpoint);
+        let arrived_at = inner.arrival_time(endpoint, sent_at, now);
         let mut limits = std::mem::take(&mut inner.limits);
         limits.add_arrival(endpoint, entry, |from| {
             inner.is_disturbed(Scope::Entry(entry), from, now)
@@ -253,7 +349,7 @@
         let mut notices = std::mem::take(&mut inner.notices);
         for notice in notices.iter_mut().filter(|n| (n.endpoint, n.entry) == (endpoint, entry)) {
             let is_late = match notice.pause {
-                Some(pause) => now > notice.at + IN_FLIGHT_SLACK && now < notice.at + pause,
+                Some(pause) => arrived_at > notice.at + IN_FLIGHT_SLACK && now < notice.at + pause,
                 None => sent_at > notice.at + DRAIN_TIME,
             };
             if !is_late || inner.is_disturbed(Scope::Entry(entry), notice.at, now) {
@@ -274,11 +370,12 @@
 
     /// Records a violation if an undisturbed entry instance sent this request to an endpoint whose
     /// drain time was over.
-    pub fn check_drained(&self, endpoint: usize, id: &str, at: Instant) {
+    pub fn check_drained(&self, endpoint: usize, id: &str, drained_at: Instant, at: Instant) {
         let mut inner = self.inner();
         let Some(sent) = inner.sent.get(id) else { return };
         let is_settled = inner.is_settled(sent.entry, sent.at, at);
-        if is_settled && !inner.is_disturbed(Scope::Endpoint(endpoint), sent.at, at) {
+        let is_late = inner.arrival_time(endpoint, sent.at, at) > drained_at;
+        if is_late && is_settled && !inner.is_disturbed(Scope::Endpoint(endpoint), sent.at, at) {
             inner
                 .violations
                 .insert(format!("DRAIN: {id} reached endpoint {endpoint} after its drain time"));
@@ -299,6 +396,46 @@
         }
     }
 
+    /// Records that a sound endpoint falls silent; `silence_ended` records that it goes on.
+    pub fn silence_began(&self, endpoint: usize) {
+        self.inner().silences.push((endpoint, Instant::now(), None));
+    }
+
+    pub fn silence_ended(&self, endpoint: usize) {
+        let mut inner = self.inner();
+        let mut silences = inner.silences.iter_mut();
+        let open = silences.find(|(other, _, end)| *other == endpoint && end.is_none());
+        if let Some((_, _, end)) = open {
+            *end = Some(Instant::now());
+        }
+    }
+
+    /// Records that an entry instance is killed.
+    pub fn add_killed(&self, entry: usize) {
+        self.inner().killed.insert(entry);
+    }
+
+    /// Compares the tries of callers with the logs of the entry instances that were never killed.
+    pub fn check_lines(&self, logs: &[PathBuf]) {
+        let mut inner = self.inner();
+        let mut unanswered = Unanswered::default();
+        for (entry, log) in logs.iter().enumerate() {
+            if !inner.killed.contains(&entry) {
+                let found = lines::check(&inner, entry, &Lines::read(log), &mut unanswered);
+                inner.violations.extend(found);
+            }
+        }
+        for id in &unanswered.crossed {
+            let sent = &inner.sent[id];
+            let connection = if sent.is_first { "a new" } else { "a kept" };
+            println!("{id} from {} crossed a close of {connection} connection", sent.caller);
+        }
+        let counts = [("crossed a close", unanswered.crossed), ("read and lost", unanswered.lost)];
+        for (what, ids) in counts {
+            *inner.counts.entry(what).or_default() += ids.len() as u64;
+        }
+    }
+
     /// Records a planned stop of an entry instance that began at `from` and ends now.
     pub fn add_stop(&self, entry: usize, from: Instant) {
         self.inner().stops.push((entry, from, Instant::now()));
@@ -328,134 +465,13 @@
             .collect();
         let crashed = crashed.join(", ");
         let rejected = format!("rejected while limited {}", inner.rejections.count());
-        counts.chain([limited, crashed, rejected]).collect::<Vec<_>>().join(", ")
+        let (ran, checked) = checks::ran_at_silent_endpoints(&inner);
+        let silent = format!("ran at silent endpoints {ran}, {checked} of them checked");
+        counts.chain([limited, crashed, rejected, silent]).collect::<Vec<_>>().join(", ")
     }
 
     /// Checks the whole history; returns each violated guarantee with its evidence.
     pub fn check(&self) -> Vec<String> {
-        let inner = self.inner();
-        let mut violations: Vec<String> = inner.violations.iter().cloned().collect();
-        for (id, runs) in &inner.runs {
-            check_runs(&inner, id, runs, &mut violations);
-        }
-        violations.extend(inner.limits.check(|endpoint, from, to| {
-            inner.is_disturbed(Scope::EndpointPath(endpoint), from, to)
-        }));
-        violations
-            .extend(inner.rejections.check(ENDPOINTS, |entry, at| inner.is_settled(entry, at, at)));
-        for (cause, crashes) in &inner.crashes {
-            let is_settled = |entry, sent_at, at| inner.is_settled(entry, sent_at, at);
-            violations.extend(crashes.check(*cause, is_settled));
-        }
-        if inner.overdue_late >= OVERDUE_MIN && inner.overdue_late * 4 > inner.overdue {
-            let (late, all) = (inner.overdue_late, inner.overdue);
-            violations.push(format!("CONFIG: {late} of {all} without a reply after their timeout"));
-        }
-        let started = started_after_disconnect(&inner);
-        if started.len() > RUN_ON_MAX {
-            violations
-                .push(format!("GONE: started long after their callers disconnected: {started:?}"));
-        }
-        let completed = completed_after_disconnect(&inner);
-        if completed.len() > RUN_ON_MAX {
-            violations.push(format!(
-                "GONE: completed long after their callers disconnected: {completed:?}"
-            ));
-        }
-        let interrupted = interrupted_by_stops(&inner);
-        if !interrupted.is_empty() {
-            violations.push(format!("LOST: interrupted by planned stops: {interrupted:?}"));
-        }
-        let lost = lost_replies(&inner);
-        if lost.len() > LOST_REPLIES_MAX {
-            violations
-                .push(format!("LOST: interrupted though their endpoints had replied: {lost:?}"));
-        }
-        violations
+        checks::check(&self.inner())
     }
 }
-
-fn check_runs(inner: &Inner, id: &str, runs: &[Run], violations: &mut Vec<String>) {
-    let Some(sent) = inner.sent.get(id) else {
-        violations.push(format!("UNASKED: {id} was never sent: {runs:?}"));
-        return;
-    };
-    for run in runs {
-        let same = run.method == sent.method && run.path == sent.path && run.body == sent.body;
-        if !same {
-            violations.push(format!("UNASKED: {id} sent as {sent:?}, run as {run:?}"));
-        }
-        if run.account.as_deref() != Some("packhouse") || run.has_key {
-            violations.push(format!(
-                "UNASKED: {id} ran with the wrong account, or with the API key: {run:?}"
-            ));
-        }
-        if run.resumed && sent.kind != Kind::ResumableStream {
-            violations.push(format!("ORDER: {id} was resumed: {run:?}"));
-        }
-    }
-    if sent.kind.is_idempotent() {
-        return;
-    }
-    if runs.len() > 1 {
-        violations.push(format!("TWICE: {id} {:?}: {runs:?}", sent.kind));
-    }
-    if let Some(status) = inner.refused.get(id) {
-        violations.push(format!("REFUSED: {id} was refused with {status} but ran: {runs:?}"));
-    }
-}
-
-/// Returns the requests that reached an endpoint long after their callers had disconnected.
-fn started_after_disconnect(inner: &Inner) -> Vec<&String> {
-    let is_late = |(id, disconnected): &(&String, &Instant)| {
-        let Some(sent) = inner.sent.get(*id) else { return false };
-        let runs = inner.runs.get(*id).into_iter().flatten();
-        runs.filter(|run| run.at > **disconnected + DISCONNECT_SLACK)
-            .any(|run| inner.is_settled(sent.entry, sent.at, run.at))
-    };
-    inner.disconnected.iter().filter(is_late).map(|(id, _)| id).collect()
-}
-
-/// Returns the requests that endpoints completed long after their callers had disconnected.
-fn completed_after_disconnect(inner: &Inner) -> Vec<&String> {
-    let is_late = |(id, disconnected): &(&String, &Instant)| {
-        let (Some(sent), Some(completed)) = (inner.sent.get(*id), inner.completed.get(*id)) else {
-            return false;
-        };
-        *completed > **disconnected + DISCONNECT_SLACK
-            && inner.is_settled(sent.entry, sent.at, *completed)
-    };
-    inner.disconnected.iter().filter(is_late).map(|(id, _)| id).collect()
-}
-
-/// Returns the requests that ran at undisturbed endpoints and were interrupted by a planned stop.
-fn interrupted_by_stops(inner: &Inner) -> Vec<&String> {
-    let is_interrupted = |(id, interrupted): &(&String, &Instant)| {
-        let (Some(sent), Some(runs)) = (inner.sent.get(*id), inner.runs.get(*id)) else {
-            return false;
-        };
-        let by_stop = inner.stops.iter().any(|(entry, from, to)| {
-            *entry == sent.entry && sent.at <= *to && (*from..=*to).contains(*interrupted)
-        });
-        let undisturbed =
-            |run: &Run| !inner.is_disturbed(Scope::Endpoint(run.endpoint), sent.at, **interrupted);
-        by_stop && runs.iter().all(undisturbed)
-    };
-    inner.interrupted.iter().filter(is_interrupted).map(|(id, _)| id).collect()
-}
-
-/// Returns the requests that were interrupted though an undisturbed endpoint had sent its complete
-/// reply.
-fn lost_replies(inner: &Inner) -> Vec<&String> {
-    let is_lost = |(id, interrupted): &(&String, &Instant)| {
-        let (Some(sent), Some(runs)) = (inner.sent.get(*id), inner.runs.get(*id)) else {
-            return false;
-        };
-        let undisturbed =
-            |run: &Run| !inner.is_disturbed(Scope::Endpoint(run.endpoint), sent.at, **interrupted);
-        inner.completed.contains_key(*id)
-            && runs.iter().all(undisturbed)
-            && inner.is_settled(sent.entry, sent.at, **interrupted)
-    };
-    inner.interrupted.iter().filter(is_lost).map(|(id, _)| id).collect()
-}
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -2,7 +2,7 @@
 
 use futures_lite::AsyncReadExt;
 use lycheehub_auth::DigestKey;
-use lycheehub_clock::Clock;
+use lycheehub_clock::{Clock, Event};
 use lycheehub_gateway::keys::KeyFile;
 use lycheehub_gateway::responses::ResponseStore;
 use lycheehub_gateway::scheduler::SharedScheduler;
@@ -72,6 +72,8 @@
         request_tasks: AtomicUsize::new(0),
         draining: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
+        accepting_ends: Event::default(),
+        ending: Event::default(),
     })
 }
 
