--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -122,10 +122,6 @@
         self.events.set(self.events.get() + 1);
     }
 
-    pub(super) fn record_unreached(&self, unreached: &paths::Unreached) {
-        self.is_confirmed.set(unreached.is_confirmed);
-    }
-
     /// Reports that the response broke off.
     pub(super) fn report_broken(&self, error: &Error) {
         self.is_connection_lost.set(error.is_connection_lost());
@@ -264,17 +260,12 @@
         let connected = run_interruptible(self.entry, caller, self.deadline_ms, connect).await;
         let (mut upstream, is_new) = match connected {
             Err(cause) => return AttemptEnd::Interrupted(cause),
-            Ok(Err(Unusable::SentFirst)) => {
-                spdlog::info!("bytes from endpoint before the request", kv: { id: = self.fields.id, endpoint: = endpoint });
-                return AttemptEnd::SentFirst(endpoint);
-            }
-            Ok(Err(Unusable::Unreached(unreached))) => {
-                spdlog::info!("endpoint not reached", kv: {
-                    id: = self.fields.id, error: = unreached.error, is_confirmed = unreached.is_confirmed,
-                });
-                attempt.record_unreached(&unreached);
-                attempt.report(Outcome::NotConnected);
-                return AttemptEnd::NotConnected(endpoint);
+            Ok(Err(unusable)) => {
+                self.report_unusable(attempt, &unusable);
+                return match unusable {
+                    Unusable::Unreached(_) => AttemptEnd::NotConnected(endpoint),
+                    Unusable::SentFirst => AttemptEnd::SentFirst(endpoint),
+                };
             }
             Ok(Ok(connected)) => connected,
         };
@@ -378,6 +369,26 @@
         }
     }
 
+    /// Reports an attempt at an endpoint for which there is no connection.
+    pub(super) fn report_unusable(&self, attempt: &Attempt, unusable: &Unusable) {
+        let (id, endpoint) = (&self.fields.id, &attempt.endpoint);
+        match unusable {
+            Unusable::Unreached(paths::Unreached { error, is_confirmed }) => {
+                spdlog::info!("endpoint not reached", kv: {
+                    id: = id, error: = error, is_confirmed = *is_confirmed,
+                });
+                attempt.is_confirmed.set(*is_confirmed);
+                attempt.report(Outcome::NotConnected);
+            }
+            Unusable::SentFirst => {
+                spdlog::info!("bytes from endpoint before the request", kv: {
+                    id: = id, endpoint: = endpoint,
+                });
+                attempt.report(Outcome::Failed);
+            }
+        }
+    }
+
     /// Takes an idle connection or opens one; returns whether it is new. A request without id gets a new
     /// one: on another, the response to it could not be told from one to an earlier request.
     pub(super) async fn connect(
--- a/crates/proxy/src/exchange/relocation.rs
+++ b/crates/proxy/src/exchange/relocation.rs
@@ -4,12 +4,12 @@
 //! reached. If none is, because all are silent, or too much is being repeated, the response that arrives
 //! after the silence is used.
 
-use super::attempt::{Attempt, AttemptScope, Unusable};
+use super::attempt::{Attempt, AttemptScope};
 use super::filters::ResolvedRequest;
 use super::guard::PendingDecision;
 use super::{Exchange, Placed};
 use crate::http1::Connection;
-use lycheehub_dispatch::{Decision, Outcome};
+use lycheehub_dispatch::Decision;
 use lycheehub_types::EndpointName;
 use smol::Timer;
 use std::pin::Pin;
@@ -112,16 +112,8 @@
                 Ok(Reached { placed, attempt, connection, is_new })
             }
             Ok(_) => Err(RETRY_AFTER_MIN_MS),
-            Err(Unusable::SentFirst) => {
-                attempt.report(Outcome::Failed);
-                Err(RETRY_AFTER_MIN_MS)
-            }
-            Err(Unusable::Unreached(unreached)) => {
-                spdlog::info!("endpoint not reached", kv: {
-                    id: = self.fields.id, error: = unreached.error, is_confirmed = unreached.is_confirmed,
-                });
-                attempt.record_unreached(&unreached);
-                attempt.report(Outcome::NotConnected);
+            Err(unusable) => {
+                self.report_unusable(&attempt, &unusable);
                 Err(RETRY_AFTER_MIN_MS)
             }
         }
