tests(soak): an idle connection of a stopping instance may end with exactly one last response

The check took any byte without an outstanding request for MIXED. The rule names a success there, and bytes that are no answer. All else stays a violation.

--- a/crates/cli/tests/soak/checks.rs
+++ b/crates/cli/tests/soak/checks.rs
@@ -58,6 +58,15 @@
     if !interrupted.is_empty() {
         violations.push(format!("LOST: interrupted by planned stops: {interrupted:?}"));
     }
+    let unexpected = inner.last_responses.iter().filter(|(entry, idle_from, found)| {
+        !inner
+            .stops
+            .iter()
+            .any(|(stopped, from, to)| stopped == entry && from <= found && to >= idle_from)
+    });
+    violations.extend(unexpected.map(|(entry, _, _)| {
+        format!("MIXED: a last response of entry instance {entry}, which was not stopped")
+    }));
     let lost = lost_replies(inner);
     if lost.len() > LOST_REPLIES_MAX {
         violations.push(format!("LOST: interrupted though their endpoints had replied: {lost:?}"));
--- a/crates/cli/tests/soak/history.rs
+++ b/crates/cli/tests/soak/history.rs
@@ -147,6 +147,9 @@
     pub deaths: Vec<Death>,
     /// The times in which sound endpoints were silent.
     pub silences: Vec<(usize, Instant, Option<Instant>)>,
+    /// The last responses on idle connections of entry instances: since when the connection was idle, and when the
+    /// response was found.
+    pub last_responses: Vec<(usize, Instant, Instant)>,
     /// The entry instances that were killed, so that lines of theirs may be lost.
     pub killed: BTreeSet<usize>,
     /// The planned stops of entry instances, each from its signal to its exit.
@@ -410,6 +413,11 @@
         }
     }
 
+    /// Records that a caller found a last response on a connection that was idle since `idle_from`.
+    pub fn add_last_response(&self, entry: usize, idle_from: Instant) {
+        self.inner().last_responses.push((entry, idle_from, Instant::now()));
+    }
+
     /// Records that an entry instance is killed.
     pub fn add_killed(&self, entry: usize) {
         self.inner().killed.insert(entry);
