gateway: a head that ends in bare line feeds is no answer

What callers saw: a 200 with an empty or shortened body, framed as whole, from an endpoint that ends its lines with LF alone and its body with the connection. Found in review.

Cause: the decoder accepts LF LF as the end of a head, the stream in front of it only CR LF CR LF; what it handed out behind the head was lost with the decoder's buffer. The head must have ended where the stream says so.

`heads::a_response_whose_head_ends_in_bare_line_feeds_is_no_answer` failed before (Actual: "HTTP/1.1 200 OK ... content-length: 0").

--- a/crates/gateway/src/http/message_stream.rs
+++ b/crates/gateway/src/http/message_stream.rs
@@ -88,6 +88,12 @@
         received.discard_timer = None;
     }
 
+    /// Returns whether the head was handed out completely, and nothing behind it.
+    pub(crate) fn has_whole_head(&self) -> bool {
+        let received = self.lock();
+        matches!(received.part, Part::Head(_)) && received.is_at_end()
+    }
+
     /// Continues with the body after a head.
     pub(crate) fn begin_body(&self, framing: Framing) {
         self.lock().part = match framing {
--- a/crates/gateway/src/serve/response.rs
+++ b/crates/gateway/src/serve/response.rs
@@ -20,6 +20,9 @@
     io::copy(&mut Encoder::new(request), &mut stream).await?;
     for _ in 0..=INTERIM_RESPONSES_MAX {
         let response = decode(stream.clone()).await?;
+        if !stream.has_whole_head() {
+            return Err(format_err!("a head that does not end in CR LF CR LF"));
+        }
         if !response.status().is_informational() {
             return with_body(stream, method, response);
         }
--- a/crates/gateway/tests/gateway/heads.rs
+++ b/crates/gateway/tests/gateway/heads.rs
@@ -218,3 +218,13 @@
         });
     }
 }
+
+// The decoder took the head for complete, and a part of the body was lost with it.
+#[gtest]
+fn a_response_whose_head_ends_in_bare_line_feeds_is_no_answer() {
+    let first = b"HTTP/1.1 200 OK\nContent-Type: text/plain\n\nfirst whole";
+    let plans = || vec![Plan::new(first, End::Close, SECOND)];
+    run_each(plans(), &unsafe_request(), |plan, outcome| check_once(&outcome, plan, false));
+    let safe = get("/v1/services/invoices/1");
+    run_each(plans(), &safe, |plan, outcome| check_repeated(&outcome, plan, false));
+}
