proxy: a late request on a connection that is refused is told that it has not run

What callers saw: a new connection to a stopping instance, or beyond the maximum, on which nothing came for a second was closed without a byte; a request that crossed the close got nothing.

`connections::a_late_request_on_a_new_connection_to_a_stopping_instance_is_told_that_it_has_not_run` failed before (Actual: "").

--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -10,7 +10,7 @@
 use crate::caller::Caller;
 use crate::entry::Entry;
 use crate::exchange::{self, ReceivedRequest};
-use crate::http1::{Connection, Error};
+use crate::http1::Connection;
 use crate::idle_time::IdleTime;
 use closing::Waited;
 use idle::WaitEnd;
@@ -212,12 +212,9 @@
             spdlog::info!("no request on a new connection that is refused", kv: {
                 error: = error, code, caller: = caller.address, connection = caller.connection,
             });
-            // A caller that has sent nothing waits for nothing.
-            if !matches!(error, Error::TimedOut) || !connection.buffered().is_empty() {
-                exchange::refuse_unreadable(entry, &mut connection, "", &error).await;
-                closing::close_gracefully(&mut connection).await;
-            }
-            return;
+            // Also to a caller that has sent nothing: its request may cross the close.
+            exchange::refuse_unreadable(entry, &mut connection, "", &error).await;
+            return closing::close_gracefully(&mut connection).await;
         }
     };
     let id = entry.dialect.read_request(&head).id;
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -328,3 +328,18 @@
         expect_that!(fixture.request("").await, eq(""));
     });
 }
+
+// A connection that a stopping instance refuses was closed without a byte if its request came late.
+#[gtest]
+fn a_late_request_on_a_new_connection_to_a_stopping_instance_is_told_that_it_has_not_run() {
+    run(|fixture| async move {
+        let now_ms = fixture.entry.clock.now_ms();
+        fixture.entry.begin_stop(Stop { refuses_from_ms: now_ms, ends_ms: now_ms + 4_000 });
+        fixture.entry.refuse_new_connections();
+        let mut caller = fixture.connect().await;
+        sleep_ms(1_200).await;
+        caller.write_all(post("/unsafe/", "pay").as_bytes()).await.unwrap();
+        expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 408 "));
+        expect_that!(fixture.placement.returning.borrow().len(), eq(0));
+    });
+}
