dispatch: a retry that reaches no endpoint is returned to the budget

What callers saw: a search for another endpoint, while one is silent, submits a retry every half second; each that was refused or withdrawn stayed counted, so that a real retry soon after could be refused with its budget used up.

Cause: a refund gave the quota back and not the retry. `budgets::retries_that_reach_no_endpoint_are_not_counted` failed before (a refusal for each of the withdrawn ones beyond the budget).

--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -126,6 +126,9 @@
 
     /// Refunds the units that a job was charged when it arrived at `since_ms`.
     pub(super) fn refund(&mut self, since_ms: u64, job: &Job, units: f64) {
+        if job.repeat {
+            self.retries.release((&job.service, job.job_id.instance));
+        }
         if let Some(account) = job.account.as_ref().filter(|_| units > 0.0) {
             self.quotas.refund(since_ms, job.job_id.instance, account, units);
         }
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -59,6 +59,15 @@
         }
     }
 
+    /// Removes the latest retry, if it has not left the window.
+    fn remove_retry(&mut self) {
+        let latest = self.spans.iter_mut().rev().find(|span| span.retries > 0);
+        if let Some(span) = latest {
+            span.retries -= 1;
+            self.retries -= 1;
+        }
+    }
+
     /// Removes the spans that ended before `before_ms`.
     fn prune(&mut self, before_ms: u64) {
         while let Some(span) = self.spans.front().copied()
@@ -125,6 +134,25 @@
         true
     }
 
+    /// Returns a retry to the budget that reached no endpoint.
+    ///
+    /// # Examples
+    /// ```
+    /// use lycheehub_dispatch::{Options, retries::Retries};
+    ///
+    /// let options = Options { retry_slack: 2.0, ..Options::default() };
+    /// let mut retries = Retries::default();
+    /// assert!(retries.try_acquire(1, &options, (&"labels".into(), 1)));
+    /// retries.release((&"labels".into(), 1));
+    /// assert!(retries.try_acquire(2, &options, (&"labels".into(), 1)));
+    /// ```
+    pub fn release(&mut self, (service, instance): (&ServiceName, u32)) {
+        let windows = self.windows.get_mut(service);
+        if let Some(window) = windows.and_then(|windows| windows.get_mut(&instance)) {
+            window.remove_retry();
+        }
+    }
+
     /// Returns the requests of an instance within the last window, oldest first for each service.
     pub fn usage(&self, now_ms: u64, options: &Options, instance: u32) -> Vec<RetryUsage> {
         let before_ms = now_ms.saturating_sub(options.retry_window_ms);
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -340,3 +340,21 @@
         expect_that!(placed, all![ge(RETRIES / 2), le(RETRIES)], "{cut_off}");
     }
 }
+
+// Searches for another endpoint that were withdrawn or refused used up the budget of real retries.
+#[gtest]
+fn retries_that_reach_no_endpoint_are_not_counted() {
+    let options = Options { retry_slack: 4.0, retry_ratio: 0.0, ..Options::default() };
+    let mut dispatcher = Dispatcher::new(options);
+    dispatcher.set_document(1, &document(Some(QUOTA)));
+    dispatcher.set_endpoints(1, [record("a", 1)].iter());
+    dispatcher.submit(1, job(1));
+    dispatcher.take_decisions();
+    for number in 2..20 {
+        let repeat =
+            Job { repeat: true, objective_left_ms: 9_000, patience_left_ms: 9_000, ..job(number) };
+        dispatcher.submit(number, repeat);
+        expect_that!(dispatcher.take_decisions(), is_empty());
+        dispatcher.withdraw(number, JobId { instance: 1, number });
+    }
+}
