standin: a process that is stopped and continued does not end the connections of its proxies

The proxy itself took the same for the end of a connection, in both of its loops.

The test reads again after an interruption; its assertion is unchanged.

--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -173,7 +173,7 @@
     while !is_over() {
         let count = match from.read(&mut buffer) {
             Ok(count) => count,
-            Err(error) if looks && error.kind() == io::ErrorKind::WouldBlock => continue,
+            Err(error) if looks && is_pause(&error) => continue,
             Err(_) => break,
         };
         while shared.mode().holds(way) && !is_over() {
@@ -196,6 +196,12 @@
     let _ = (from.shutdown(Shutdown::Both), to.shutdown(Shutdown::Both));
 }
 
+/// Returns whether a read with a timeout ended without bytes on a connection that is open. One whose process was
+/// stopped and continued meanwhile is interrupted.
+fn is_pause(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// Discards what arrives until the side that connected closes, or the proxy resets its connections.
 fn discard(mut near: &TcpStream, start: Start, shared: &Shared) {
     let mut buffer = [0; 16 * 1024];
@@ -204,7 +210,7 @@
     while !shared.is_reset(start) {
         match near.read(&mut buffer) {
             Ok(0) => return,
-            Err(error) if looks && error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) if looks && is_pause(&error) => {}
             Err(_) => return,
             Ok(_) => {}
         }
--- a/crates/standin/tests/standin/proxy.rs
+++ b/crates/standin/tests/standin/proxy.rs
@@ -1,7 +1,7 @@
 //! The proxy's connections to a host that dies without telling its peers.
 
 use lycheehub_standin::proxy::Proxy;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{ErrorKind, Read, Result, Write};
 use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
@@ -16,6 +16,16 @@
     (near, far)
 }
 
+/// Reads a byte, again if the process was stopped and continued meanwhile.
+fn read_uninterrupted(stream: &mut TcpStream) -> Result<usize> {
+    loop {
+        match stream.read(&mut [0]) {
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            result => return result,
+        }
+    }
+}
+
 #[test]
 fn an_abandoned_connection_hangs_for_the_side_that_connected() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -25,7 +35,7 @@
     assert_eq!(far.read(&mut [0]).unwrap(), 0, "the other side has ended");
     near.set_read_timeout(Some(QUIET)).unwrap();
     near.write_all(b"b").unwrap();
-    let error = near.read(&mut [0]).expect_err("neither bytes nor a close");
+    let error = read_uninterrupted(&mut near).expect_err("neither bytes nor a close");
     assert_eq!(error.kind(), ErrorKind::WouldBlock);
     near.write_all(b"c").unwrap();
 }
