dispatch: a retry that is given back frees its own place in the window, not a later one

Found on reading the change again: a retry that waited until it had left the window was taken off the latest one, so that the budget allowed one more than it should. It is looked for by its time now. `budgets::a_retry_that_is_given_back_late_frees_no_other` failed before (a fourth was not refused).

--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -124,10 +124,10 @@
         self.decisions.push(Decision::Refuse { job_id, reason, retry_after_ms });
     }
 
-    /// Refunds the units that a job was charged when it arrived at `since_ms`.
+    /// Refunds the units or the retry that a job was charged when it arrived at `since_ms`.
     pub(super) fn refund(&mut self, since_ms: u64, job: &Job, units: f64) {
         if job.repeat {
-            self.retries.release((&job.service, job.job_id.instance));
+            self.retries.release(since_ms, (&job.service, job.job_id.instance));
         }
         if let Some(account) = job.account.as_ref().filter(|_| units > 0.0) {
             self.quotas.refund(since_ms, job.job_id.instance, account, units);
--- a/crates/dispatch/src/retries.rs
+++ b/crates/dispatch/src/retries.rs
@@ -59,10 +59,11 @@
         }
     }
 
-    /// Removes the latest retry, if it has not left the window.
-    fn remove_retry(&mut self) {
-        let latest = self.spans.iter_mut().rev().find(|span| span.retries > 0);
-        if let Some(span) = latest {
+    /// Removes a retry that was added at `at_ms`, if it has not left the window.
+    fn remove_retry(&mut self, at_ms: u64) {
+        let mut spans = self.spans.iter_mut().rev();
+        let added = spans.find(|span| span.from_ms <= at_ms);
+        if let Some(span) = added.filter(|span| span.retries > 0) {
             span.retries -= 1;
             self.retries -= 1;
         }
@@ -134,7 +135,7 @@
         true
     }
 
-    /// Returns a retry to the budget that reached no endpoint.
+    /// Returns a retry to the budget that was acquired at `at_ms` and reached no endpoint.
     ///
     /// # Examples
     /// ```
@@ -143,13 +144,13 @@
     /// let options = Options { retry_slack: 2.0, ..Options::default() };
     /// let mut retries = Retries::default();
     /// assert!(retries.try_acquire(1, &options, (&"labels".into(), 1)));
-    /// retries.release((&"labels".into(), 1));
+    /// retries.release(1, (&"labels".into(), 1));
     /// assert!(retries.try_acquire(2, &options, (&"labels".into(), 1)));
     /// ```
-    pub fn release(&mut self, (service, instance): (&ServiceName, u32)) {
+    pub fn release(&mut self, at_ms: u64, (service, instance): (&ServiceName, u32)) {
         let windows = self.windows.get_mut(service);
         if let Some(window) = windows.and_then(|windows| windows.get_mut(&instance)) {
-            window.remove_retry();
+            window.remove_retry(at_ms);
         }
     }
 
--- a/crates/dispatch/tests/dispatch/budgets.rs
+++ b/crates/dispatch/tests/dispatch/budgets.rs
@@ -358,3 +358,33 @@
         dispatcher.withdraw(number, JobId { instance: 1, number });
     }
 }
+
+// A retry that had left the window was returned in place of a later one.
+#[gtest]
+fn a_retry_that_is_given_back_late_frees_no_other() {
+    let options = Options { retry_slack: 2.0, retry_ratio: 0.0, ..Options::default() };
+    let mut dispatcher = Dispatcher::new(options);
+    dispatcher.set_document(1, &document(Some(QUOTA)));
+    dispatcher.set_endpoints(1, [record("a", 1)].iter());
+    dispatcher.submit(1, job(1));
+    dispatcher.take_decisions();
+    let repeat = |number| Job {
+        repeat: true,
+        objective_left_ms: 60_000,
+        patience_left_ms: 60_000,
+        deadline_left_ms: 60_000,
+        ..job(number)
+    };
+    dispatcher.submit(2, repeat(2));
+    expect_that!(dispatcher.take_decisions(), is_empty());
+    let later_ms = 2 + dispatcher.options().retry_window_ms + 1_000;
+    dispatcher.submit(later_ms, repeat(3));
+    expect_that!(dispatcher.take_decisions(), is_empty());
+    dispatcher.withdraw(later_ms + 10, JobId { instance: 1, number: 2 });
+    dispatcher.submit(later_ms + 20, repeat(4));
+    let refused = dispatcher.take_decisions();
+    expect_that!(
+        matches!(refused[..], [Decision::Refuse { reason: Reason::RetriesExhausted, .. }]),
+        eq(true)
+    );
+}
