--- a/crates/dispatch/tests/dispatch/crashes.rs
+++ b/crates/dispatch/tests/dispatch/crashes.rs
@@ -1,12 +1,12 @@
 //! Parts of prompts on which endpoints crash are kept from endpoints, and no sound part is.
 
-use crate::replay::{document, finished, job, record};
+use crate::replay::{document, finished, job, records_of};
 use googletest::prelude::*;
 use lycheehub_dispatch::crashes::{CrashReport, QuarantineEvent, RequestDigest, Suspect};
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, Job, JobId, Options, Outcome, PrefixPart, Reason, UsageReport,
 };
-use lycheehub_types::{EndpointName, EndpointRecord};
+use lycheehub_types::EndpointName;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -77,15 +77,7 @@
     }
 
     fn update_endpoints(&mut self) {
-        // An endpoint that crashed is listed until it is up again under a new incarnation.
-        let records: Vec<EndpointRecord> = self
-            .engines
-            .iter()
-            .map(|(name, (incarnation, _))| EndpointRecord {
-                incarnation: *incarnation,
-                ..record(name.as_str(), 9)
-            })
-            .collect();
+        let records = records_of(&self.engines);
         self.dispatcher.set_endpoints(self.now_ms, records.iter());
     }
 
--- a/crates/dispatch/tests/dispatch/crashing_requests/world.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/world.rs
@@ -1,11 +1,11 @@
 //! Engines that crash on one request, and dispatchers that place it.
 
-use crate::replay::{document, finished, job, record};
+use crate::replay::{document, finished, job, records_of};
 use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_dispatch::{
     Decision, Dispatcher, Finished, Job, JobId, Options, Outcome, PrefixPart, Reason,
 };
-use lycheehub_types::{EndpointName, EndpointRecord};
+use lycheehub_types::EndpointName;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -125,15 +125,7 @@
     }
 
     pub(super) fn update_endpoints(&mut self) {
-        // An endpoint that crashed is listed until it is up again under a new incarnation.
-        let records: Vec<EndpointRecord> = self
-            .engines
-            .iter()
-            .map(|(name, (incarnation, _))| EndpointRecord {
-                incarnation: *incarnation,
-                ..record(name.as_str(), 9)
-            })
-            .collect();
+        let records = records_of(&self.engines);
         for dispatcher in &mut self.dispatchers {
             dispatcher.set_endpoints(self.now_ms, records.iter());
         }
--- a/crates/dispatch/tests/dispatch/replay.rs
+++ b/crates/dispatch/tests/dispatch/replay.rs
@@ -5,7 +5,7 @@
     Decision, Dispatcher, Finished, Job, JobId, Options, Outcome, PrefixPart, Reason,
 };
 use lycheehub_routes::{AccountSpec, Document, EngineSpec, Quota, ServiceSpec};
-use lycheehub_types::{EndpointKind, EndpointLoad, EndpointRecord};
+use lycheehub_types::{EndpointKind, EndpointLoad, EndpointName, EndpointRecord};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -17,6 +17,16 @@
 /// The number of tokens per event.
 pub const TOKENS_PER_EVENT: u32 = 5;
 
+/// Returns the records of engines, each with its incarnation first. An endpoint that crashed is listed until it is
+/// up again under a new one.
+pub fn records_of(engines: &BTreeMap<EndpointName, (u64, u64)>) -> Vec<EndpointRecord> {
+    let record = |(name, (incarnation, _)): (&EndpointName, &(u64, u64))| EndpointRecord {
+        incarnation: *incarnation,
+        ..record(name.as_str(), 9)
+    };
+    engines.iter().map(record).collect()
+}
+
 pub fn record(name: &str, slots: u32) -> EndpointRecord {
     EndpointRecord {
         endpoint: name.into(),
