--- a/crates/gateway/src/http/message_stream.rs
+++ b/crates/gateway/src/http/message_stream.rs
@@ -201,7 +201,6 @@
         context: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let mut bytes = [0; READ_BYTES];
         loop {
             let handed_out = self.lock().hand_out(buffer);
             if handed_out > 0 || buffer.is_empty() || self.lock().is_at_end() {
@@ -210,6 +209,7 @@
             if self.lock().poll_discard_timer(context) {
                 return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
             }
+            let mut bytes = [0; READ_BYTES];
             let count = ready!(Pin::new(&mut self.stream).poll_read(context, &mut bytes))?;
             if count == 0 {
                 return Poll::Ready(self.lock().end());
