--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -14,6 +14,7 @@
 mod check;
 mod client;
 mod exit;
+mod poll;
 mod roles;
 mod serve;
 mod settings;
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -2,6 +2,7 @@
 
 use super::{http, load, require_address, serve_metrics, start_thread, wait_for_stop};
 use crate::exit::Error;
+use crate::poll::{POLL_INTERVAL_MS, poll_until};
 use crate::serve::listen;
 use lycheehub_auth::DigestKey;
 use lycheehub_clock::{Clock, TimerService};
@@ -31,8 +32,6 @@
 const BALANCER_DELAY_MS: u64 = 2_700;
 /// How long before the stop timeout the process ends, in milliseconds.
 const STOP_RESERVE_MS: u64 = 400;
-/// The interval between checks for unfinished requests, in milliseconds.
-const POLL_INTERVAL_MS: u64 = 20;
 /// How long a connection is idle before a stopping instance closes it, in milliseconds.
 const QUIET_MS: u64 = 1_000;
 /// The time in which a stopping instance closes its idle connections one after the other, in milliseconds.
@@ -219,7 +218,7 @@
     let ends_ms = started_ms + timeout_ms.saturating_sub(STOP_RESERVE_MS);
     let refuses_from_ms = started_ms + BALANCER_DELAY_MS;
     entry.begin_stop(Stop { refuses_from_ms, ends_ms });
-    poll_until(entry, refuses_from_ms.min(ends_ms), || false).await;
+    poll_until(entry.clock, refuses_from_ms.min(ends_ms), || false).await;
     entry.refuse_new_connections();
     let is_finished = || entry.exchanges.get() == 0 && relay.connections() == 0;
     close_idle_connections(entry, ends_ms, QUIET_MS, is_finished).await;
@@ -254,12 +253,5 @@
         entry.close_longest_idle(per_step, quiet_ms);
         entry.idle_connections() == 0 && is_finished()
     };
-    poll_until(entry, until_ms, is_done).await;
-}
-
-/// Waits until `condition` is true or the time `until_ms` has come.
-async fn poll_until(entry: &Entry, until_ms: u64, mut condition: impl FnMut() -> bool) {
-    while !condition() && entry.clock.now_ms() < until_ms {
-        Timer::after(Duration::from_millis(POLL_INTERVAL_MS)).await;
-    }
+    poll_until(entry.clock, until_ms, is_done).await;
 }
--- a/crates/cli/src/serve/stop.rs
+++ b/crates/cli/src/serve/stop.rs
@@ -1,6 +1,7 @@
 //! Graceful shutdown: requests in flight may finish until the stop timeout.
 
 use crate::exit::{Code, Error};
+use crate::poll::poll_until;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use lycheehub_gateway::Gateway;
@@ -9,8 +10,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// The interval between checks for unfinished requests, in milliseconds.
-const POLL_INTERVAL_MS: u64 = 20;
 /// How long open connections are still answered once no request is unfinished, in milliseconds.
 const QUIET_MS: u64 = 1_000;
 /// How long the last responses may take to be sent, in milliseconds.
@@ -44,11 +43,12 @@
     spdlog::info!("stopping: refusing new requests", kv: { unfinished = gateway.unfinished() as u64 });
     let timeout_at_ms = gateway.clock.now_ms() + timeout_ms;
     let is_finished = || gateway.unfinished() == 0;
-    poll_until(gateway, timeout_at_ms, is_finished).await;
+    poll_until(gateway.clock, timeout_at_ms, is_finished).await;
     gateway.accepting_ends.set();
     let quiet_at_ms = timeout_at_ms.min(gateway.clock.now_ms() + QUIET_MS);
-    poll_until(gateway, quiet_at_ms, || gateway.connections.load(Ordering::Relaxed) == 0).await;
-    if !poll_until(gateway, timeout_at_ms, is_finished).await {
+    poll_until(gateway.clock, quiet_at_ms, || gateway.connections.load(Ordering::Relaxed) == 0)
+        .await;
+    if !poll_until(gateway.clock, timeout_at_ms, is_finished).await {
         return Err(end_requests(gateway).await);
     }
     let connections = gateway.connections.load(Ordering::Relaxed) as u64;
@@ -61,17 +61,6 @@
     let message = format!("{} requests were unfinished at the stop timeout", gateway.unfinished());
     gateway.ending.set();
     let last_ms = gateway.clock.now_ms() + LAST_RESPONSES_MS;
-    poll_until(gateway, last_ms, || gateway.exchanges.load(Ordering::Relaxed) == 0).await;
+    poll_until(gateway.clock, last_ms, || gateway.exchanges.load(Ordering::Relaxed) == 0).await;
     Error::new(Code::Failed, message)
 }
-
-/// Waits until `condition` is true or the time `until_ms` has come; returns whether it is true.
-async fn poll_until(gateway: &Gateway, until_ms: u64, condition: impl Fn() -> bool) -> bool {
-    while !condition() {
-        if gateway.clock.now_ms() >= until_ms {
-            return false;
-        }
-        Timer::after(Duration::from_millis(POLL_INTERVAL_MS)).await;
-    }
-    true
-}
