proxy, clock: one refusal of a stop, one way to wait unless an event happens, and no dead code of the stop

Behaviour is the same. The refusal of a stopping instance and its retry delay stood twice; `Event::interrupt` takes the place of three hand-written races; the events of a shutdown are used directly instead of through a method each; a decision on a job is read in one place. Closing all idle connections for good was used by tests only: they close them like the stop does, with their assertions unchanged.

--- a/crates/clock/src/event.rs
+++ b/crates/clock/src/event.rs
@@ -35,6 +35,23 @@
         self.receiver.is_closed()
     }
 
+    /// Runs a future unless the event happens first; returns `None` then.
+    ///
+    /// # Examples
+    /// ```
+    /// let event = lycheehub_clock::Event::default();
+    /// event.set();
+    /// assert_eq!(smol::block_on(event.interrupt(std::future::pending::<()>())), None);
+    /// ```
+    pub async fn interrupt<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        let done = async { Some(work.await) };
+        let interrupted = async {
+            self.wait().await;
+            None
+        };
+        smol::future::or(done, interrupted).await
+    }
+
     /// Waits until the event happens.
     pub async fn wait(&self) {
         // No value is ever sent; `recv` returns once the channel is closed.
--- a/crates/gateway/src/http/connection.rs
+++ b/crates/gateway/src/http/connection.rs
@@ -87,13 +87,9 @@
 pub async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
     const ACCEPT_RETRY_MS: u64 = 50;
     loop {
-        let accepted = async { Some(listener.accept().await) };
-        let ended = async {
-            gateway.accepting_ends.wait().await;
-            None
-        };
         // Connections that the system has taken are accepted first.
-        let Some(accepted) = accepted.or(ended).await else { return };
+        let accepted = gateway.accepting_ends.interrupt(listener.accept()).await;
+        let Some(accepted) = accepted else { return };
         match accepted {
             Ok((stream, _)) => accept(&gateway, stream),
             Err(error) => {
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -179,7 +179,7 @@
 
     /// Refuses the first request of each connection that is accepted from now on.
     pub fn refuse_new_connections(&self) {
-        self.shutdown.refuse();
+        self.shutdown.refusing.set();
     }
 
     /// Returns the number of connections from callers that wait for a request.
@@ -194,20 +194,14 @@
         self.shutdown.idle.close_longest_idle(count, until_ms);
     }
 
-    /// Closes idle connections from callers, now and whenever one becomes idle, and refuses new ones.
-    pub fn close_idle(&self) {
-        self.refuse_new_connections();
-        self.shutdown.idle.close_all();
-    }
-
     /// Ends all requests in progress: each gets a response that tells whether it may have run. Only a
     /// response that has begun is cut.
     pub fn end_exchanges(&self) {
-        self.shutdown.end();
+        self.shutdown.ending.set();
     }
 
     /// Closes the listener, once the connections that it has are accepted.
     pub fn end_accepting(&self) {
-        self.shutdown.end_accepting();
+        self.shutdown.accepting_ends.set();
     }
 }
--- a/crates/proxy/src/exchange/filters.rs
+++ b/crates/proxy/src/exchange/filters.rs
@@ -1,6 +1,7 @@
 //! Filters that a request passes before it is placed.
 
 use super::Exchange;
+use crate::shutdown;
 use lycheehub_routes::RouteSpec;
 use lycheehub_routes::table::choose_target;
 use lycheehub_types::{AccountName, Refusal, RefusalKind, ServiceName};
@@ -49,14 +50,7 @@
     if !exchange.entry.would_outlast_stop(duration_ms) {
         return Ok(());
     }
-    Err(refusal_of_stop())
-}
-
-/// Returns the refusal of a request that has not run by an instance that is shutting down.
-pub(super) fn refusal_of_stop() -> Refusal {
-    const RETRY_AFTER_MS: u64 = 300;
-    let message = "this instance is being stopped";
-    Refusal::retry(RefusalKind::Stopping, message, RETRY_AFTER_MS)
+    Err(shutdown::refusal())
 }
 
 fn find_account(
--- a/crates/proxy/src/exchange/guard.rs
+++ b/crates/proxy/src/exchange/guard.rs
@@ -50,7 +50,7 @@
         Err(Interrupted::TimedOut)
     };
     let stopped = async {
-        entry.shutdown.ending().await;
+        entry.shutdown.ending.wait().await;
         Err(Interrupted::Stopped)
     };
     let cancelled = smol::future::or(disconnected, smol::future::or(timed_out, stopped));
--- a/crates/proxy/src/exchange/local_response.rs
+++ b/crates/proxy/src/exchange/local_response.rs
@@ -1,9 +1,10 @@
 //! Responses that this instance generates itself.
 
-use super::{BufferedResponse, Exchange, Interrupted, StreamState, filters};
+use super::{BufferedResponse, Exchange, Interrupted, StreamState};
 use crate::entry::Entry;
 use crate::http1::{Connection, Headers};
 use crate::idle_time::IdleTime;
+use crate::shutdown;
 use lycheehub_types::{Refusal, RefusalKind};
 
 /// Returns the bytes of a response that refuses a request; `idle_time` is that of the connection if it
@@ -144,7 +145,7 @@
             (Interrupted::Stopped, true) => {
                 Refusal::new(RefusalKind::OutcomeUnknown, "this instance stops before the answer")
             }
-            (Interrupted::Stopped, false) => filters::refusal_of_stop(),
+            (Interrupted::Stopped, false) => shutdown::refusal(),
             (_, true) => Refusal::new(RefusalKind::TimedOut, "no answer within the request's time"),
             (_, false) => {
                 let message = "no endpoint was free within the request's time";
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -290,24 +290,19 @@
         let decision = decision.flatten().map_err(NotPlaced::Interrupted)?;
         pending.mark_decided();
         self.access_log.record_wait(self.entry.clock.now_ms() - requested_ms);
-        match decision {
-            Decision::Place { endpoint, address, first_byte_ms, .. } => {
-                Ok(Placed { job_id, endpoint, address, first_byte_ms })
-            }
-            Decision::Refuse { reason, retry_after_ms, .. } => {
-                if reason == Reason::Quarantined {
-                    self.access_log.record_parts(&self.fields.prefix);
-                    self.access_log.record_digest(self.digest);
-                }
-                Err(NotPlaced::Refused(refusal_of(reason, retry_after_ms)))
+        Placed::by(job_id, decision).map_err(|(reason, retry_after_ms)| {
+            if reason == Reason::Quarantined {
+                self.access_log.record_parts(&self.fields.prefix);
+                self.access_log.record_digest(self.digest);
             }
-        }
+            NotPlaced::Refused(refusal_of(reason, retry_after_ms))
+        })
     }
 
     /// Waits until a shutdown refuses requests, if this one is a first attempt that may still run when it
     /// ends; otherwise forever.
     async fn outlasts_stop(&self, is_first: bool) {
-        self.entry.shutdown.refusing().await;
+        self.entry.shutdown.refusing.wait().await;
         let left_ms = self.deadline_ms.saturating_sub(self.entry.clock.now_ms());
         if !is_first || !self.entry.would_outlast_stop(left_ms) {
             smol::future::pending::<()>().await;
@@ -386,6 +381,18 @@
     first_byte_ms: u64,
 }
 
+impl Placed {
+    /// Returns what the decision on a job grants, or why it refuses and the retry delay in milliseconds.
+    fn by(job_id: JobId, decision: Decision) -> Result<Self, (Reason, u64)> {
+        match decision {
+            Decision::Place { endpoint, address, first_byte_ms, .. } => {
+                Ok(Self { job_id, endpoint, address, first_byte_ms })
+            }
+            Decision::Refuse { reason, retry_after_ms, .. } => Err((reason, retry_after_ms)),
+        }
+    }
+}
+
 /// Why no endpoint was chosen for a request.
 enum NotPlaced {
     Interrupted(Interrupted),
--- a/crates/proxy/src/exchange/relocation.rs
+++ b/crates/proxy/src/exchange/relocation.rs
@@ -9,7 +9,6 @@
 use super::guard::PendingDecision;
 use super::{Exchange, Placed};
 use crate::http1::Connection;
-use lycheehub_dispatch::Decision;
 use lycheehub_types::EndpointName;
 use smol::Timer;
 use std::pin::Pin;
@@ -96,15 +95,10 @@
         let pending = PendingDecision::new(self.entry, job_id);
         let decision = self.entry.placement.place(job).await;
         pending.mark_decided();
-        let placed = match decision {
-            Decision::Place { endpoint, address, first_byte_ms, .. } => {
-                Placed { job_id, endpoint, address, first_byte_ms }
-            }
-            Decision::Refuse { reason, retry_after_ms, .. } => {
-                spdlog::info!("stays at its silent endpoint", kv: { id: = self.fields.id, reason:? });
-                return Err(retry_after_ms);
-            }
-        };
+        let placed = Placed::by(job_id, decision).map_err(|(reason, retry_after_ms)| {
+            spdlog::info!("stays at its silent endpoint", kv: { id: = self.fields.id, reason:? });
+            retry_after_ms
+        })?;
         // Reports the job as abandoned if the search is cancelled.
         let attempt = Attempt::new(self.entry, &placed);
         match self.connect(&placed, resolved.route.kind.may_repeat()).await {
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -12,6 +12,7 @@
 use crate::exchange::{self, ReceivedRequest};
 use crate::http1::Connection;
 use crate::idle_time::IdleTime;
+use crate::shutdown;
 use closing::Waited;
 use idle::WaitEnd;
 use lycheehub_routes::ClientLimits;
@@ -34,8 +35,6 @@
 const REFUSED_HEAD_MS: u64 = 1_000;
 /// Retry delay sent by an instance with too many connections, in milliseconds.
 const EXCESS_RETRY_AFTER_MS: u64 = 1_000;
-/// Retry delay sent by an instance that is shutting down, in milliseconds: other instances are there.
-const STOPPING_RETRY_AFTER_MS: u64 = 300;
 
 /// Counts an open connection until it is dropped.
 struct OpenConnection(Rc<Entry>);
@@ -56,13 +55,9 @@
 /// Accepts connections and spawns a task for each, until `Entry::end_accepting` is called.
 pub async fn serve(entry: Rc<Entry>, listener: TcpListener) {
     loop {
-        let accepted = async { Some(listener.accept().await) };
-        let ended = async {
-            entry.shutdown.accepting_ends().await;
-            None
-        };
         // Connections that the system has taken are accepted first.
-        let Some(accepted) = smol::future::or(accepted, ended).await else { return };
+        let accepted = entry.shutdown.accepting_ends.interrupt(listener.accept()).await;
+        let Some(accepted) = accepted else { return };
         match accepted {
             Ok((stream, caller)) => accept(&entry, stream, caller),
             Err(error) => {
@@ -112,12 +107,7 @@
         let kind = RefusalKind::TooManyConnections;
         return Some(Refusal::retry(kind, message, EXCESS_RETRY_AFTER_MS));
     }
-    entry.shutdown.is_refusing().then(refusal_of_stop)
-}
-
-fn refusal_of_stop() -> Refusal {
-    let message = "this instance is being stopped";
-    Refusal::retry(RefusalKind::Stopping, message, STOPPING_RETRY_AFTER_MS)
+    entry.shutdown.refusing.is_set().then(shutdown::refusal)
 }
 
 async fn serve_connection(entry: &Rc<Entry>, mut connection: Connection, caller: Caller) {
@@ -150,12 +140,8 @@
     let limits = entry.client_limits();
     let idle_time = IdleTime::of(&limits);
     let started_ms = entry.clock.now_ms();
-    let read = async { Some(receive::read_request(entry, connection, &limits).await) };
-    let ended = async {
-        entry.shutdown.ending().await;
-        None
-    };
-    let keeps_alive = match smol::future::or(read, ended).await {
+    let read = receive::read_request(entry, connection, &limits);
+    let keeps_alive = match entry.shutdown.ending.interrupt(read).await {
         Some(Ok((head, body))) => {
             let read_ms = entry.clock.now_ms() - started_ms;
             let request = ReceivedRequest { head, body, read_ms, caller, idle_time };
@@ -166,7 +152,7 @@
                 read_ms = entry.clock.now_ms() - started_ms,
                 caller: = caller.address, connection = caller.connection,
             });
-            exchange::refuse(entry, connection, "", &refusal_of_stop()).await;
+            exchange::refuse(entry, connection, "", &shutdown::refusal()).await;
             false
         }
         Some(Err(receive::Unread { step, id, error })) => {
@@ -189,10 +175,7 @@
 /// Closes an idle connection sooner than stated. A request that its caller has sent meanwhile is not read, and
 /// this response, the one that HTTP defines for the case, tells so.
 async fn refuse_crossing_request(entry: &Entry, connection: &mut Connection) {
-    let message = "this instance is being stopped and reads no more requests";
-    let kind = RefusalKind::Incomplete;
-    let refusal = Refusal::retry(kind, message, STOPPING_RETRY_AFTER_MS);
-    exchange::refuse(entry, connection, "", &refusal).await;
+    exchange::refuse(entry, connection, "", &shutdown::refusal_of_crossing()).await;
     closing::close_gracefully(connection).await;
 }
 
--- a/crates/proxy/src/shutdown.rs
+++ b/crates/proxy/src/shutdown.rs
@@ -1,10 +1,14 @@
 //! The graceful shutdown of an instance, as its connections and requests see it.
 
 use lycheehub_clock::Event;
+use lycheehub_types::{Refusal, RefusalKind};
 use smol::channel::{Receiver, Sender, bounded};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
+/// Retry delay sent by an instance that is shutting down, in milliseconds: other instances are there.
+const RETRY_AFTER_MS: u64 = 300;
+
 /// Schedule of a graceful shutdown, in milliseconds of the instance's clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
@@ -18,9 +22,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct Shutdown {
     stop: Cell<Option<Stop>>,
-    refusing: Event,
-    ending: Event,
-    accepting_ends: Event,
+    /// The first request of each new connection is refused from then on.
+    pub(crate) refusing: Event,
+    /// All requests in progress are ended.
+    pub(crate) ending: Event,
+    /// The listener closes.
+    pub(crate) accepting_ends: Event,
     pub(crate) idle: IdleConnections,
 }
 
@@ -41,41 +48,17 @@
         let stop = self.stop.get().filter(|stop| now_ms >= stop.refuses_from_ms);
         stop.is_some_and(|stop| now_ms.saturating_add(duration_ms) > stop.ends_ms)
     }
+}
 
-    /// Refuses the first request of each new connection from now on.
-    pub(crate) fn refuse(&self) {
-        self.refusing.set();
-    }
-
-    /// Returns whether `refuse` was called.
-    pub(crate) fn is_refusing(&self) -> bool {
-        self.refusing.is_set()
-    }
-
-    /// Waits until `refuse` is called.
-    pub(crate) async fn refusing(&self) {
-        self.refusing.wait().await;
-    }
-
-    /// Ends all requests in progress.
-    pub(crate) fn end(&self) {
-        self.ending.set();
-    }
-
-    /// Waits until `end` is called.
-    pub(crate) async fn ending(&self) {
-        self.ending.wait().await;
-    }
-
-    /// Ends the accepting of connections.
-    pub(crate) fn end_accepting(&self) {
-        self.accepting_ends.set();
-    }
+/// Returns the refusal of a request that has not run by an instance that is shutting down.
+pub(crate) fn refusal() -> Refusal {
+    Refusal::retry(RefusalKind::Stopping, "this instance is being stopped", RETRY_AFTER_MS)
+}
 
-    /// Waits until `end_accepting` is called.
-    pub(crate) async fn accepting_ends(&self) {
-        self.accepting_ends.wait().await;
-    }
+/// Returns the refusal of a request that crosses the close of its connection in a shutdown.
+pub(crate) fn refusal_of_crossing() -> Refusal {
+    let message = "this instance is being stopped and reads no more requests";
+    Refusal::retry(RefusalKind::Incomplete, message, RETRY_AFTER_MS)
 }
 
 /// An idle connection: the time since which it is idle, in milliseconds, and its number. The one that has been
@@ -87,7 +70,6 @@
 pub(crate) struct IdleConnections {
     /// A connection closes once its sender is dropped.
     waiting: RefCell<BTreeMap<IdleKey, Sender<()>>>,
-    closes_all: Cell<bool>,
 }
 
 impl IdleConnections {
@@ -95,9 +77,7 @@
     pub(crate) fn add(&self, since_ms: u64, connection: u64) -> IdleConnection<'_> {
         let (sender, close_request) = bounded(1);
         let key = (since_ms, connection);
-        if !self.closes_all.get() {
-            self.waiting.borrow_mut().insert(key, sender);
-        }
+        self.waiting.borrow_mut().insert(key, sender);
         IdleConnection { connections: self, key, close_request }
     }
 
@@ -118,12 +98,6 @@
             longest.remove();
         }
     }
-
-    /// Closes all connections, now and whenever one becomes idle.
-    pub(crate) fn close_all(&self) {
-        self.closes_all.set(true);
-        self.waiting.borrow_mut().clear();
-    }
 }
 
 /// A connection that is counted as idle until this is dropped.
--- a/crates/proxy/tests/proxy/callers.rs
+++ b/crates/proxy/tests/proxy/callers.rs
@@ -77,7 +77,7 @@
         sleep_ms(100).await;
         let now_ms = fixture.entry.clock.now_ms();
         fixture.entry.begin_stop(Stop { refuses_from_ms: now_ms + 100, ends_ms: now_ms + 5_000 });
-        fixture.entry.close_idle();
+        fixture.close_idle();
         let refusal = read_all(&mut idle).await;
         expect_that!(refusal, starts_with("HTTP/1.1 408 "));
         expect_that!(refusal, contains_substring("Connection: close\r\n"));
--- a/crates/proxy/tests/proxy/connections.rs
+++ b/crates/proxy/tests/proxy/connections.rs
@@ -198,7 +198,7 @@
         sleep_ms(50).await;
         caller.write_all(get("/safe/").as_bytes()).await.unwrap();
         // The instance's task has not run since the bytes arrived.
-        fixture.entry.close_idle();
+        fixture.close_idle();
         expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
     });
 }
@@ -212,7 +212,7 @@
         let (first, second) = request.split_at(20);
         caller.write_all(first.as_bytes()).await.unwrap();
         sleep_ms(50).await;
-        fixture.entry.close_idle();
+        fixture.close_idle();
         sleep_ms(50).await;
         caller.write_all(second.as_bytes()).await.unwrap();
         expect_that!(read_all(&mut caller).await, starts_with("HTTP/1.1 200 "));
@@ -226,7 +226,7 @@
     run(|fixture| async move {
         let now_ms = fixture.entry.clock.now_ms();
         fixture.entry.begin_stop(Stop { refuses_from_ms: now_ms, ends_ms: now_ms + 1_000 });
-        fixture.entry.close_idle();
+        fixture.close_idle();
         let mut caller = fixture.connect().await;
         sleep_ms(100).await;
         caller.write_all(get("/safe/").as_bytes()).await.unwrap();
--- a/crates/proxy/tests/proxy/silence.rs
+++ b/crates/proxy/tests/proxy/silence.rs
@@ -187,7 +187,7 @@
     expect_answered_beside(|fixture| {
         let now_ms = fixture.entry.clock.now_ms();
         fixture.entry.begin_stop(Stop { refuses_from_ms: now_ms, ends_ms: now_ms + 4_000 });
-        fixture.entry.close_idle();
+        fixture.close_idle();
     });
 }
 
--- a/crates/proxy/tests/proxy/stops.rs
+++ b/crates/proxy/tests/proxy/stops.rs
@@ -98,7 +98,7 @@
         let mut caller = fixture.connect().await;
         sleep_ms(50).await;
         begin_stop(&fixture);
-        fixture.entry.close_idle();
+        fixture.close_idle();
         sleep_ms(50).await;
         caller.write_all(post("/unsafe/", "pay").as_bytes()).await.unwrap();
         let response = read_all(&mut caller).await;
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -402,6 +402,12 @@
         *self.table.borrow_mut() = Arc::new(RouteTable::new(document));
     }
 
+    /// Refuses new connections and closes all that are idle.
+    pub fn close_idle(&self) {
+        self.entry.refuse_new_connections();
+        self.entry.close_longest_idle(usize::MAX, 0);
+    }
+
     pub async fn connect(&self) -> TcpStream {
         TcpStream::connect(&self.address).await.unwrap()
     }
