operators' lists: a revision that a live instance has replaced is not called in force everywhere

What operators saw: a control instance that had not yet applied a document listed its old revision (0 at the start) as in force on every live instance while entry instances already had the new one.

Cause: both lists compared with 'at least', so instances that were ahead of the one that was asked counted as having its revision.

Change: one function of types compares for both lists; the test of the real processes also demands that the listed revision is the document's (before, a list without any document would have passed).

--- a/crates/cli/src/roles/lists.rs
+++ b/crates/cli/src/roles/lists.rs
@@ -3,6 +3,7 @@
 use http_types::{Method, Request, Response, StatusCode};
 use lycheehub_gateway::http::json;
 use lycheehub_peer::{ClusterStatus, Control, EndpointStatus, InstanceStatus};
+use lycheehub_types::instance::is_in_force_everywhere;
 use lycheehub_types::{EndpointRecord, InstanceName};
 use serde::Serialize;
 
@@ -53,11 +54,11 @@
 
 impl<'a> From<&'a ClusterStatus> for Instances<'a> {
     fn from(status: &'a ClusterStatus) -> Self {
-        let is_behind =
-            |seen: &InstanceStatus| seen.is_live && seen.revision_in_force < status.revision;
+        let live = status.instances.iter().filter(|seen| seen.is_live);
+        let live = live.map(|seen| seen.revision_in_force);
         Self {
             revision: status.revision,
-            in_force_everywhere: !status.instances.iter().any(is_behind),
+            in_force_everywhere: is_in_force_everywhere(status.revision, live),
             instances: status.instances.iter().map(Instance::from).collect(),
         }
     }
--- a/crates/cli/tests/platform/lists.rs
+++ b/crates/cli/tests/platform/lists.rs
@@ -36,7 +36,9 @@
             let found = list_json(&deployment, place, "instances");
             let instances = found["instances"].as_array().cloned().unwrap_or_default();
             let live = instances.iter().filter(|instance| instance["live"] == true).count();
-            live == 5 && found["in_force_everywhere"] == true
+            // Without the document the revision is 0.
+            let has_document = found["revision"].as_u64() > Some(0);
+            live == 5 && has_document && found["in_force_everywhere"] == true
         });
     }
     let text = list(&deployment, 0, "endpoints", &[]);
--- a/crates/gateway/src/operators/lists.rs
+++ b/crates/gateway/src/operators/lists.rs
@@ -5,6 +5,7 @@
 use http_types::Response;
 use lycheehub_control::state::{MoveRecord, SectionRecord};
 use lycheehub_peer::CommittedState;
+use lycheehub_types::instance::is_in_force_everywhere;
 use lycheehub_types::{EndpointRecord, InstanceRecord, Refusal, RefusalKind, SectionName};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -118,9 +119,8 @@
     let view = gateway.views.latest();
     let instances: Vec<Instance<'_>> =
         view.instances.iter().map(|(record, live)| Instance { record, live: *live }).collect();
-    let in_force = |instance: &Instance<'_>| {
-        !instance.live || instance.record.revision_in_force >= view.revision
-    };
-    let in_force_everywhere = instances.iter().all(in_force);
+    let live = instances.iter().filter(|instance| instance.live);
+    let live = live.map(|instance| instance.record.revision_in_force);
+    let in_force_everywhere = is_in_force_everywhere(view.revision, live);
     json(200, &Instances { revision: view.revision, in_force_everywhere, instances })
 }
--- a/crates/types/src/instance.rs
+++ b/crates/types/src/instance.rs
@@ -37,3 +37,17 @@
         (self.incarnation, self.sequence)
     }
 }
+
+/// Tells whether the revision known at one instance is in force on every live instance, given the
+/// revisions that they have in force. A live instance with a newer revision shows that the known
+/// one is out of date, and so in force nowhere but where it is still known.
+///
+/// # Examples
+/// ```
+/// use lycheehub_types::instance::is_in_force_everywhere;
+/// assert!(is_in_force_everywhere(3, [3, 3]));
+/// assert!(!is_in_force_everywhere(3, [3, 2]));
+/// ```
+pub fn is_in_force_everywhere(revision: u64, live: impl IntoIterator<Item = u64>) -> bool {
+    live.into_iter().all(|in_force| in_force == revision)
+}
