proxy: a stream that left a silent endpoint returns to it if the other one rejects it

Cause: the endpoint that was left counted as tried for good, so the rejection at the other one was the last attempt that the route allows.

Change: the endpoints that got a request have a type of their own. If those that may still get it do not take it, a stream that has begun returns once to those that it left for their silence and that take requests. The number of endpoints that it is sent to does not grow: a grant of any other one is given back, and the stream ends. Four tests of the proxy; the first failed before (the stream ended after its first event).

Reviewed by one that had not seen it: a request without a response is not held back any more (it is refused at once, as before); an endpoint that is gone or leaving is not waited for; the dispatcher is told that it is the last attempt. Not mended: where a third endpoint is free it is mostly granted and given back, at the cost of a retry, and the stream is cut as before.

Ruled out: to keep the silent run until the other endpoint takes the request would have the request run at both at the same time; not to count rejections would send it to more endpoints than its route allows.

--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -14,6 +14,7 @@
 mod relocation;
 mod send;
 mod stream_state;
+mod tried;
 
 use crate::caller::Caller;
 use crate::dialect::RequestFields;
@@ -22,17 +23,18 @@
 use crate::idle_time::IdleTime;
 use crate::pool;
 use access_log::AccessLog;
-use attempt::{AttemptEnd, AttemptScope, BufferedResponse, Destination};
+use attempt::{Attempt, AttemptEnd, AttemptScope, BufferedResponse, Destination};
 use filters::ResolvedRequest;
 use guard::Interrupted;
 use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_dispatch::{Decision, Job, JobId, Reason};
-use lycheehub_routes::{RequestKind, RouteSpec};
+use lycheehub_routes::RequestKind;
 use lycheehub_types::{EndpointName, Refusal, RefusalKind, ServiceName};
 use smol::Timer;
 use std::rc::Rc;
 use std::time::Duration;
 use stream_state::StreamState;
+use tried::Tried;
 
 /// Deadline in milliseconds of a request that states none. The timeout of its route may shorten it.
 const DEFAULT_TIMEOUT_MS: u64 = 30_000;
@@ -184,7 +186,7 @@
 
     /// Tries endpoints one after another until the request has a response.
     async fn serve(&mut self, connection: &mut Connection, resolved: &ResolvedRequest) -> bool {
-        let mut tried = Vec::new();
+        let mut tried = Tried::default();
         let mut stream = StreamState::new(self.fields.last_event_id.clone());
         let mut buffered: Option<BufferedResponse> = None;
         let mut connect_failures = 0;
@@ -204,10 +206,15 @@
                 Err(NotPlaced::Interrupted(cause)) => {
                     return self.interrupted(connection, cause, may_have_run, &stream).await;
                 }
+                Err(NotPlaced::Refused(_)) if self.can_return(&mut tried, &stream) => continue,
                 Err(NotPlaced::Refused(refusal)) => break refusal,
             };
-            let is_last_attempt = is_last_attempt(&resolved.route, &tried);
-            let scope = AttemptScope { resolved, tried: &tried, is_last_attempt };
+            if !tried.allows(destination.endpoint()) {
+                self.return_grant(destination);
+                break self.outcome_unknown(resolved.route.kind);
+            }
+            let is_last_attempt = tried.is_last_attempt(&resolved.route);
+            let scope = AttemptScope { resolved, tried: tried.excluded(), is_last_attempt };
             match self.attempt(connection, destination, &mut stream, scope).await {
                 AttemptEnd::Answered { keeps_alive } => return keeps_alive,
                 AttemptEnd::Interrupted(cause) => {
@@ -219,22 +226,25 @@
                         break self.unreachable(&endpoint);
                     }
                 }
+                AttemptEnd::Excluded if tried.is_returning() => {
+                    break self.outcome_unknown(resolved.route.kind);
+                }
                 AttemptEnd::Excluded => {}
                 AttemptEnd::NotRun { endpoint, retry_after_ms } => {
-                    tried.push(endpoint);
-                    if is_last_attempt {
+                    tried.record(endpoint);
+                    if is_last_attempt && !self.can_return(&mut tried, &stream) {
                         let kind = RefusalKind::Overloaded;
                         let message = "the endpoint did not take the request";
                         break Refusal::retry(kind, message, retry_after_ms);
                     }
                 }
                 AttemptEnd::Moved { endpoint, reached: next } => {
-                    tried.push(endpoint);
+                    tried.record_silent(endpoint);
                     may_have_run = true;
                     reached = Some(next);
                 }
                 AttemptEnd::Failed { endpoint, response } => {
-                    tried.push(endpoint);
+                    tried.record(endpoint);
                     may_have_run = true;
                     buffered = response.or(buffered);
                     let may_repeat = resolved.route.kind.may_repeat() && stream.can_continue();
@@ -247,6 +257,22 @@
         self.give_up(connection, buffered, may_have_run, &stream, &refusal).await
     }
 
+    /// Lets a stream that has begun return to the endpoints that it left because they were silent, unless
+    /// they take no requests; returns whether there are any. A request without a response is refused
+    /// sooner than it waits there again.
+    fn can_return(&self, tried: &mut Tried, stream: &StreamState) -> bool {
+        let takes_requests = |endpoint: &EndpointName| !self.entry.placement.is_excluded(endpoint);
+        stream.has_started() && tried.return_to_silent(takes_requests)
+    }
+
+    /// Reports that nothing is sent to a granted endpoint.
+    fn return_grant(&self, destination: Destination) {
+        if let Destination::Placed(placed) = destination {
+            // An attempt that is dropped reports its job as abandoned, as one that was reached does.
+            drop(Attempt::new(self.entry, &placed));
+        }
+    }
+
     fn unreachable(&self, endpoint: &EndpointName) -> Refusal {
         const RETRY_AFTER_MS: u64 = 500;
         let message = format!("no endpoint could be reached, {endpoint} the last");
@@ -267,16 +293,17 @@
         &mut self,
         connection: &mut Connection,
         resolved: &ResolvedRequest,
-        tried: &[EndpointName],
+        tried: &Tried,
         resumes_stream: bool,
     ) -> Result<Placed, NotPlaced> {
         let requested_ms = self.entry.clock.now_ms();
         let job_id = self.entry.placement.next_job_id();
-        let job = self.job(resolved, job_id, tried, resumes_stream);
+        let mut job = self.job(resolved, job_id, tried.excluded(), resumes_stream);
+        job.is_last_attempt |= tried.is_returning();
         self.access_log.record_job(&job);
         let pending = guard::PendingDecision::new(self.entry, job_id);
         // Once an endpoint was tried, the request may have run, and goes on.
-        let is_first = tried.is_empty() && !resumes_stream;
+        let is_first = tried.excluded().is_empty() && !resumes_stream;
         let decision = async {
             let decision = async { Ok(self.entry.placement.place(job).await) };
             let refused = async {
@@ -350,7 +377,7 @@
             deadline_left_ms: self.deadline_ms.saturating_sub(now_ms),
             returning,
             resumes_stream,
-            is_last_attempt: !route.kind.may_repeat() || is_last_attempt(route, tried),
+            is_last_attempt: !route.kind.may_repeat() || tried::is_last_attempt(route, tried.len()),
             failure_domain: self.entry.options.failure_domain.clone(),
             tried: tried.to_vec(),
             repeat: !tried.is_empty(),
@@ -399,11 +426,6 @@
     Refused(Refusal),
 }
 
-/// Returns whether the next attempt is the last one that the route allows.
-fn is_last_attempt(route: &RouteSpec, tried: &[EndpointName]) -> bool {
-    tried.len() as u32 + 1 >= route.attempts_max
-}
-
 fn refusal_of(reason: Reason, retry_after_ms: u64) -> Refusal {
     let (kind, message) = match reason {
         Reason::Overloaded => (RefusalKind::Overloaded, "too much waits before this request"),
--- a/crates/proxy/tests/proxy/silence.rs
+++ b/crates/proxy/tests/proxy/silence.rs
@@ -198,3 +198,95 @@
         fixture.entry.pool.remove(&"endpoint-0".into());
     });
 }
+
+/// Adds an endpoint that states that it did not run what it gets, on each connection.
+async fn add_rejecting(fixture: &Fixture) {
+    let script = |mut stream: TcpStream, _| async move {
+        read_request(&mut stream).await;
+        let rejection = "HTTP/1.1 429 No\r\nid: r1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+        stream.write_all(rejection.as_bytes()).await.unwrap();
+    };
+    fixture.add_endpoint(script).await;
+}
+
+/// Adds an endpoint that sends the first event of a stream and is silent; on its next connection it sends
+/// the rest. Records how many requests it gets.
+async fn add_silent_once(fixture: &Fixture, received: Rc<Cell<u32>>) {
+    let (first, rest, _) = two_events();
+    let script = move |mut stream: TcpStream, _| {
+        let (first, rest, received) = (first.clone(), rest.clone(), received.clone());
+        async move {
+            let request = read_request(&mut stream).await.unwrap();
+            received.set(received.get() + 1);
+            if request.contains("last-event-id: 1") {
+                stream.write_all((HEAD.to_owned() + &rest).as_bytes()).await.unwrap();
+            } else {
+                stream.write_all(first.as_bytes()).await.unwrap();
+                sleep_ms(SILENCE_MS * 4).await;
+            }
+        }
+    };
+    fixture.add_endpoint(script).await;
+}
+
+#[gtest]
+fn a_stream_that_moved_returns_to_the_silent_endpoint_if_the_other_one_rejects_it() {
+    run(|fixture| async move {
+        let received = Rc::new(Cell::new(0));
+        add_silent_once(&fixture, received.clone()).await;
+        add_rejecting(&fixture).await;
+        let (_, _, whole) = two_events();
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(whole));
+        expect_that!(received.get(), eq(2));
+        let outcomes = fixture.placement.outcomes.borrow();
+        let expected = [Outcome::Broken, Outcome::Rejected, Outcome::Answered];
+        expect_that!(*outcomes, container_eq(expected));
+    });
+}
+
+/// A request is sent to no more endpoints than its route allows, those that reject it included.
+#[gtest]
+fn a_stream_that_moved_and_was_rejected_goes_to_no_third_endpoint() {
+    run(|fixture| async move {
+        let received = Rc::new(Cell::new(0));
+        add_silent_once(&fixture, received.clone()).await;
+        add_rejecting(&fixture).await;
+        let third = Rc::new(Cell::new(0));
+        add_silent_once(&fixture, third.clone()).await;
+        let first_event = chunk("id: 1\ndata: a\n\n");
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(first_event));
+        expect_that!((received.get(), third.get()), eq((1, 0)));
+        let outcomes = fixture.placement.outcomes.borrow();
+        let expected = [Outcome::Broken, Outcome::Rejected, Outcome::Abandoned];
+        expect_that!(*outcomes, container_eq(expected));
+    });
+}
+
+#[gtest]
+fn a_stream_that_moved_and_was_rejected_does_not_return_to_an_endpoint_that_takes_nothing() {
+    run(|fixture| async move {
+        let received = Rc::new(Cell::new(0));
+        add_silent_once(&fixture, received.clone()).await;
+        add_rejecting(&fixture).await;
+        let mut caller = fixture.connect().await;
+        caller.write_all(stream("/resume/").as_bytes()).await.unwrap();
+        sleep_ms(SILENCE_MS / 10).await;
+        fixture.placement.excluded.borrow_mut().push("endpoint-0".to_owned());
+        let first_event = chunk("id: 1\ndata: a\n\n");
+        expect_that!(read_all(&mut caller).await, ends_with(first_event));
+        expect_that!(received.get(), eq(1));
+    });
+}
+
+/// A request without a response is refused when the endpoint that it moved to rejects it: its caller can
+/// come again sooner than the silence may end.
+#[gtest]
+fn a_request_that_moved_and_was_rejected_is_refused_at_once() {
+    run(|fixture| async move {
+        add_silent(&fixture, SILENCE_MS * 4, String::new(), ANSWER.to_owned()).await;
+        add_rejecting(&fixture).await;
+        let response = fixture.request(&get("/safe/")).await;
+        expect_that!(response, starts_with("HTTP/1.1 502"));
+        expect_that!(fixture.placement.outcomes.borrow().len(), eq(2));
+    });
+}
