dispatch: a job does not wait for a better endpoint that has already got it

What callers saw: a last attempt whose only endpoints left fail often, or are slow, waited up to its objective or deadline for a better one that is full, although that one had got the request already and could not get it again.

Cause: should_wait looked at all endpoints of the service, those of job.tried too.

Change: endpoints that were tried are passed over there.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -99,7 +99,8 @@
     }
 
     /// Returns whether a job that would miss its objective, overrun its deadline or probably fail
-    /// on the free endpoint `key` should wait for a better endpoint that is currently full.
+    /// on the free endpoint `key` should wait for a better endpoint that is currently full, and that it may
+    /// still get.
     fn should_wait(&self, now_ms: u64, key: EndpointKey, queued: &QueuedJob) -> bool {
         let job = &queued.job;
         let Some(service) = self.services.get(&job.service) else { return false };
@@ -123,7 +124,7 @@
         others.any(|other| {
             let is_open = other.health.is_available(now_ms)
                 && self.limit_wait_ms(now_ms, other) as f64 <= SLOT_WAIT_MS;
-            if other.is_leaving() || !is_open {
+            if other.is_leaving() || !is_open || job.tried.contains(other.name()) {
                 return false;
             }
             let first_byte_ms = other.first_byte_ms(now_ms, job);
--- a/crates/dispatch/tests/dispatch/health.rs
+++ b/crates/dispatch/tests/dispatch/health.rs
@@ -109,6 +109,32 @@
     expect_that!(retryable, lt(140));
 }
 
+#[gtest]
+fn a_last_attempt_does_not_wait_for_endpoints_that_have_been_tried() {
+    let names = ["a", "b", "c", "d"];
+    let mut dispatcher = dispatcher(&names.map(|name| record(name, 9)));
+    let only_a = |number| {
+        let tried = ["b", "c", "d"].map(Into::into).to_vec();
+        Job { tried, objective_left_ms: 5_000, patience_left_ms: 5_000, ..job(number) }
+    };
+    for number in 0..60 {
+        let now_ms = 1_000 + number * 20;
+        let job = if number % 2 == 0 { only_a(number) } else { job(number) };
+        dispatcher.submit(now_ms, job);
+        let fails = number % 4 == 0;
+        let outcome = if fails { Outcome::Failed } else { Outcome::Answered };
+        dispatcher.finish(now_ms + 10, finished(job_id(number), outcome));
+    }
+    dispatcher.take_decisions();
+    dispatcher.submit(2_400, Job { is_last_attempt: true, ..only_a(60) });
+    let decisions = dispatcher.take_decisions();
+    let placed = decisions.iter().filter_map(|decision| match decision {
+        Decision::Place { endpoint, .. } => Some(endpoint.as_str()),
+        Decision::Refuse { .. } => None,
+    });
+    expect_that!(placed.collect::<Vec<_>>(), elements_are![eq(&"a")]);
+}
+
 #[gtest]
 fn equal_failures_on_all_endpoints_exclude_none() {
     let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
