dispatch: a trial that was given back unsent, or whose endpoint left the list, is not counted

Found by reading. Cause: only a report of `NotConnected` took a trial back, and only while the endpoint of the trial was listed: with the endpoint, its job was forgotten, and the report after that found none. A withdrawn job counted as one that may have run. Change: trials are kept apart from the jobs on endpoints until they end, for 40 s at most; `NotConnected` takes back, and so does `Dispatcher::withdraw`, which instances call only for a decision that they have not used. The jobs of an instance that is gone are no longer withdrawn but abandoned: they may have run. A trial that ends later than 40 s after it was placed is not taken back, because the next one may have been placed by then and would be taken back in its place. What counts as before: `Abandoned`, `Broken`, `Failed` (they may have run), `Rejected` and `Misdirected` (not run, but the request has arrived at an endpoint; taken back, it would arrive once more each 10 s, and more often than today). Tests, seen to fail before: trials::a_trial_that_is_given_back_unsent_is_not_counted (trials 1 for 0, next trial in 40,000 ms), a_trial_whose_endpoint_left_the_list_* (1 for 0; 39,500 ms), a_trial_that_ends_after_the_next_one_* (1 for 2; 10,000 ms). Two more hold before and after: a_trial_that_may_have_reached_an_endpoint_is_counted, a_trial_of_an_instance_that_is_gone_is_counted.

--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -213,8 +213,8 @@
             first_byte_ms,
         });
         let is_stream = job.output_tokens > 0;
-        let is_trial = self.crashes.service(&job.service).record_sent(now_ms, &content);
-        let placed = PlacedJob { endpoint: key, is_stream, rank: job.rank, content, is_trial };
+        self.record_sent_for_crashes(now_ms, (job.job_id, &job.service), &content);
+        let placed = PlacedJob { endpoint: key, is_stream, rank: job.rank, content };
         self.placed.insert(job.job_id, placed);
     }
 }
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -72,9 +72,6 @@
         } else if has_whole_answer {
             crashes.record_whole_answer(now_ms, &placed.content);
         }
-        if placed.is_trial && finished.outcome == Outcome::NotConnected {
-            crashes.take_back_trial(now_ms, &placed.content);
-        }
         let observer = Observer { instance, is_sole: self.paths.instances() <= 1 };
         match finished.outcome {
             Outcome::Misdirected => crashes.record_gone(&start),
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -7,6 +7,7 @@
 mod refuse;
 mod rejections;
 mod share;
+mod trials;
 mod update;
 mod versions;
 
@@ -22,6 +23,7 @@
 use lycheehub_types::{AccountName, EndpointName, ServiceName};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
+use trials::SentTrial;
 use versions::VersionRouting;
 pub use versions::{VersionMode, VersionRule, VersionSample};
 
@@ -43,8 +45,6 @@
     /// The rank of the job.
     rank: u8,
     content: Content,
-    /// It is a trial of a quarantine.
-    is_trial: bool,
 }
 
 /// A service with its queue and its endpoints.
@@ -107,6 +107,19 @@
     failures.get(failures.len() / BASELINE_DIVISOR).copied().unwrap_or(0.0)
 }
 
+/// Returns the end of a job of which nothing more is known.
+fn abandoned(job_id: JobId) -> Finished {
+    Finished {
+        job_id,
+        outcome: Outcome::Abandoned,
+        first_byte_ms: None,
+        rest_ms: 0,
+        events: 0,
+        is_connection_lost: false,
+        is_confirmed: false,
+    }
+}
+
 /// The load of a service and the free capacity of its endpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceLoad {
@@ -172,6 +185,7 @@
     waiting: BTreeMap<JobId, ServiceName>,
     notices: Notices,
     crashes: Crashes,
+    sent_trials: BTreeMap<JobId, SentTrial>,
     paths: Paths,
     accounts: BTreeMap<AccountName, Quota>,
     quotas: Quotas,
@@ -195,6 +209,7 @@
             waiting: BTreeMap::new(),
             notices: Notices::default(),
             crashes: Crashes::default(),
+            sent_trials: BTreeMap::new(),
             paths: Paths::default(),
             accounts: BTreeMap::new(),
             quotas: Quotas::default(),
@@ -333,6 +348,10 @@
 
     /// Records how a job ended on its endpoint.
     pub fn finish(&mut self, now_ms: u64, finished: Finished) {
+        if finished.outcome == Outcome::NotConnected {
+            self.take_back_trial(now_ms, finished.job_id);
+        }
+        self.sent_trials.remove(&finished.job_id);
         let Some(placed) = self.placed.remove(&finished.job_id) else { return };
         self.record_end_for_crashes(now_ms, &placed, &finished);
         if self.is_believed(&finished) {
@@ -398,7 +417,7 @@
         }
     }
 
-    /// Removes a queued or running job whose caller has left.
+    /// Removes a job that was sent to no endpoint: it is queued, or its instance has not used its decision.
     pub fn withdraw(&mut self, now_ms: u64, job_id: JobId) {
         if let Some(name) = self.waiting.remove(&job_id) {
             let removed = self.services.get_mut(&name).and_then(|s| s.queue.remove(job_id));
@@ -407,19 +426,8 @@
             }
             return;
         }
-        let outcome = Outcome::Abandoned;
-        self.finish(
-            now_ms,
-            Finished {
-                job_id,
-                outcome,
-                first_byte_ms: None,
-                rest_ms: 0,
-                events: 0,
-                is_connection_lost: false,
-                is_confirmed: false,
-            },
-        );
+        self.take_back_trial(now_ms, job_id);
+        self.finish(now_ms, abandoned(job_id));
     }
 
     /// Records requests of an instance that another dispatcher has placed on endpoints.
@@ -436,7 +444,6 @@
                 is_stream: request.is_stream,
                 rank: 0,
                 content: request.content.clone(),
-                is_trial: false,
             };
             self.placed.insert(job_id, placed);
         }
@@ -489,9 +496,14 @@
         let range = JobId { instance, number: 0 }..=JobId { instance, number: u64::MAX };
         let waiting: Vec<JobId> = self.waiting.range(range.clone()).map(|(key, _)| *key).collect();
         let placed: Vec<JobId> = self.placed.range(range).map(|(key, _)| *key).collect();
-        for job_id in waiting.into_iter().chain(placed) {
+        for job_id in waiting {
             self.withdraw(now_ms, job_id);
         }
+        for job_id in placed {
+            // It may have run.
+            self.finish(now_ms, abandoned(job_id));
+        }
+        self.sent_trials.retain(|job_id, _| job_id.instance != instance);
         self.paths.forget(instance);
         self.endpoints.values_mut().for_each(|endpoint| endpoint.reach.forget(instance));
     }
@@ -500,6 +512,7 @@
     /// whose pause has ended.
     pub fn tick(&mut self, now_ms: u64) {
         self.advance_crashes(now_ms);
+        self.expire_trials(now_ms);
         let names: Vec<ServiceName> = self.services.keys().cloned().collect();
         for name in names {
             self.shed(now_ms, &name);
--- /dev/null
+++ b/crates/dispatch/src/dispatcher/trials.rs
@@ -0,0 +1,49 @@
+//! Takes back the trials of quarantines that certainly reached no endpoint.
+//!
+//! The endpoint of a trial may leave the list, or start again, before it is known whether it was reached.
+//! The trials are therefore kept apart from the jobs that run on endpoints.
+
+use super::Dispatcher;
+use crate::crashes::Content;
+use crate::job::JobId;
+use lycheehub_types::ServiceName;
+
+/// How long after it was placed a trial can be taken back, in milliseconds; after that, the next one may have
+/// been placed.
+const SENT_KEPT_MS: u64 = 40_000;
+
+/// A trial that was placed and has not ended.
+#[derive(Clone, Debug)]
+pub(super) struct SentTrial {
+    service: ServiceName,
+    content: Content,
+    sent_ms: u64,
+}
+
+impl Dispatcher {
+    /// Records that a job is placed, for the search for crashing requests.
+    pub(super) fn record_sent_for_crashes(
+        &mut self,
+        now_ms: u64,
+        (job_id, service): (JobId, &ServiceName),
+        content: &Content,
+    ) {
+        if self.crashes.service(service).record_sent(now_ms, content) {
+            let (service, content) = (service.clone(), content.clone());
+            self.sent_trials.insert(job_id, SentTrial { service, content, sent_ms: now_ms });
+        }
+    }
+
+    /// Takes a trial back that reached no endpoint.
+    pub(super) fn take_back_trial(&mut self, now_ms: u64, job_id: JobId) {
+        let Some(trial) = self.sent_trials.remove(&job_id) else { return };
+        if now_ms < trial.sent_ms + SENT_KEPT_MS {
+            self.crashes.service(&trial.service).take_back_trial(now_ms, &trial.content);
+        }
+    }
+
+    /// Forgets the trials that can no longer be taken back.
+    pub(super) fn expire_trials(&mut self, now_ms: u64) {
+        self.sent_trials.retain(|_, trial| now_ms < trial.sent_ms + SENT_KEPT_MS);
+    }
+}
--- a/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
@@ -1,11 +1,18 @@
 //! Trials of a quarantine stay few for as long as it is kept.
 
 use super::world::*;
+use crate::replay::{finished, job};
 use googletest::prelude::*;
+use lycheehub_dispatch::crashes::RequestDigest;
+use lycheehub_dispatch::{Decision, Finished, Job, JobId, Outcome};
 
 const HOUR_MS: u64 = 3_600_000;
 /// The time between the repeats of the caller, in milliseconds.
 const REPEAT_MS: u64 = 20_000;
+/// The number of the first job that a test submits itself.
+const TRIAL: u64 = 1_000_000;
+/// How soon a trial that reached no endpoint is repeated, in milliseconds.
+const SOON_MS: u64 = 10_000;
 
 impl World {
     /// Lets time pass until all engines are up and `until_ms` is reached.
@@ -70,3 +77,136 @@
         world.dispatchers[0].quarantines(world.now_ms).iter().map(|known| known.trials).collect();
     expect_that!(trials, elements_are![le(&1)]);
 }
+
+/// Returns a world with one endpoint, in which the crashing request is quarantined.
+fn quarantined() -> World {
+    let mut world = World::new(1, 1);
+    while world.dispatchers[0].quarantines(world.now_ms).is_empty() {
+        world.repeat_crashing(world.now_ms + REPEAT_MS);
+    }
+    world
+}
+
+impl World {
+    /// The number of trials that are counted.
+    fn trials(&self) -> u32 {
+        let quarantines = self.dispatchers[0].quarantines(self.now_ms);
+        quarantines.iter().map(|known| known.trials).sum()
+    }
+
+    /// How long the next trial is away, in milliseconds.
+    fn next_trial_ms(&self) -> u64 {
+        let quarantines = self.dispatchers[0].quarantines(self.now_ms);
+        quarantines.iter().map(|known| known.next_trial_ms).max().unwrap_or_default()
+    }
+
+    /// Submits the crashing request, and returns the decisions.
+    fn submit_crashing(&mut self, number: u64) -> Vec<Decision> {
+        let digest = Some(RequestDigest::new(CRASHING));
+        let job = Job { digest, is_last_attempt: true, ..job(number) };
+        self.dispatchers[0].submit(self.now_ms, job);
+        self.dispatchers[0].take_decisions()
+    }
+
+    /// Waits until a trial is due, and places it.
+    fn place_trial(&mut self, number: u64) -> JobId {
+        self.now_ms += self.next_trial_ms();
+        self.dispatchers[0].tick(self.now_ms);
+        let decisions = self.submit_crashing(number);
+        expect_that!(decisions, elements_are![matches_pattern!(Decision::Place { .. })]);
+        JobId { instance: 1, number }
+    }
+
+    fn finish(&mut self, job_id: JobId, outcome: Outcome) {
+        let end =
+            Finished { first_byte_ms: None, rest_ms: 0, events: 0, ..finished(job_id, outcome) };
+        self.dispatchers[0].finish(self.now_ms, end);
+    }
+
+    /// Removes all endpoints from the list.
+    fn remove_endpoints(&mut self) {
+        self.dispatchers[0].set_endpoints(self.now_ms, std::iter::empty());
+    }
+}
+
+#[gtest]
+fn a_trial_whose_endpoint_left_the_list_before_it_was_not_reached_is_not_counted() {
+    let mut world = quarantined();
+    let before = world.trials();
+    let job_id = world.place_trial(TRIAL);
+    expect_that!(world.trials(), eq(before + 1));
+    world.remove_endpoints();
+    world.now_ms += 500;
+    world.finish(job_id, Outcome::NotConnected);
+    expect_that!(world.trials(), eq(before));
+    expect_that!(world.next_trial_ms(), le(SOON_MS));
+}
+
+#[gtest]
+fn a_trial_that_is_given_back_unsent_is_not_counted() {
+    for is_listed in [true, false] {
+        let mut world = quarantined();
+        let before = world.trials();
+        let job_id = world.place_trial(TRIAL);
+        if !is_listed {
+            world.remove_endpoints();
+        }
+        let now_ms = world.now_ms;
+        world.dispatchers[0].withdraw(now_ms, job_id);
+        expect_that!(world.trials(), eq(before), "{is_listed}");
+        expect_that!(world.next_trial_ms(), le(SOON_MS), "{is_listed}");
+    }
+}
+
+/// An attempt that ended without an answer may have run; a rejected one has reached an endpoint.
+#[gtest]
+fn a_trial_that_may_have_reached_an_endpoint_is_counted() {
+    let outcomes = [
+        Outcome::Abandoned,
+        Outcome::Broken,
+        Outcome::Failed,
+        Outcome::Rejected,
+        Outcome::Misdirected,
+    ];
+    for outcome in outcomes {
+        for is_listed in [true, false] {
+            let mut world = quarantined();
+            let before = world.trials();
+            let job_id = world.place_trial(TRIAL);
+            if !is_listed {
+                world.remove_endpoints();
+            }
+            world.finish(job_id, outcome);
+            expect_that!(world.trials(), eq(before + 1), "{outcome:?} {is_listed}");
+            // What is reported after the end changes nothing.
+            world.finish(job_id, Outcome::NotConnected);
+            expect_that!(world.trials(), eq(before + 1), "{outcome:?} {is_listed}");
+            expect_that!(world.next_trial_ms(), gt(SOON_MS), "{outcome:?} {is_listed}");
+        }
+    }
+}
+
+#[gtest]
+fn a_trial_of_an_instance_that_is_gone_is_counted() {
+    let mut world = quarantined();
+    let before = world.trials();
+    let job_id = world.place_trial(TRIAL);
+    let now_ms = world.now_ms;
+    world.dispatchers[0].forget_instance(now_ms, job_id.instance);
+    expect_that!(world.trials(), eq(before + 1));
+    expect_that!(world.next_trial_ms(), gt(SOON_MS));
+}
+
+/// Otherwise a trial after it, which may have run, would be taken back with it.
+#[gtest]
+fn a_trial_that_ends_after_the_next_one_may_have_been_placed_is_counted() {
+    let mut world = quarantined();
+    let before = world.trials();
+    let first = world.place_trial(TRIAL);
+    let second = world.place_trial(TRIAL + 1);
+    world.finish(first, Outcome::NotConnected);
+    expect_that!(world.trials(), eq(before + 2));
+    expect_that!(world.next_trial_ms(), gt(SOON_MS));
+    world.finish(second, Outcome::NotConnected);
+    expect_that!(world.trials(), eq(before + 1));
+}
