proxy: an attempt that ends before its request was sent is given back

Found by reading. Cause: an attempt at an endpoint that became excluded while it was connected, and one whose caller left or whose deadline passed before there was a connection, were reported as `Abandoned`, like one whose caller left while the endpoint ran the request. Change: an attempt remembers whether its request was sent, from just before the first byte is written. One that is abandoned before that is withdrawn, as a placement is that nothing waits for any more; the dispatcher then takes a trial back. No change of the wire. Certain, as reported now: `NotConnected`, and a withdrawn job. Not certain, and counted: `Abandoned` (sent), `Broken`, `Failed`. Bytes that come before the request (`SentFirst`) are still reported as `Failed`, as is an answer with an error: such a trial counts though nothing was sent. New: callers::a_request_whose_caller_leaves_before_an_endpoint_is_connected_is_withdrawn.

--- a/crates/dispatch/src/placement.rs
+++ b/crates/dispatch/src/placement.rs
@@ -28,7 +28,7 @@
     /// Records whether this instance has lost its path to the endpoints.
     fn set_path_lost(&self, is_lost: bool);
 
-    /// Removes a waiting job whose caller has left.
+    /// Removes a job whose request was not sent: it waits, or its endpoint is not used.
     fn withdraw(&self, job_id: JobId);
 
     /// Records a notice that this instance received in a response of an endpoint.
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -70,7 +70,8 @@
     SentFirst,
 }
 
-/// An attempt in progress; reported as abandoned if it is dropped without a report.
+/// An attempt in progress. If it is dropped without a report, it is reported as abandoned, or given back if
+/// nothing was sent.
 pub(super) struct Attempt {
     entry: Rc<Entry>,
     job_id: JobId,
@@ -84,6 +85,8 @@
     is_connection_lost: Cell<bool>,
     /// Another instance did not reach the endpoint either.
     is_confirmed: Cell<bool>,
+    /// The request was sent to the endpoint, at least in part.
+    is_sent: Cell<bool>,
     is_reported: Cell<bool>,
 }
 
@@ -100,6 +103,7 @@
             pause_ms: Cell::new(0),
             is_connection_lost: Cell::new(false),
             is_confirmed: Cell::new(false),
+            is_sent: Cell::new(false),
             is_reported: Cell::new(false),
         }
     }
@@ -140,13 +144,18 @@
         self.is_connection_lost.get() && self.first_byte_ms.get().is_none()
     }
 
-    /// Reports the outcome of the attempt, once; returns its duration in milliseconds.
+    /// Reports the outcome of the attempt, once; returns its duration in milliseconds. An attempt that was
+    /// abandoned before the request was sent is given back: it is certain that it has not run.
     pub(super) fn report(&self, outcome: Outcome) -> u64 {
         let now_ms = self.entry.clock.now_ms();
         let took_ms = now_ms - self.started_ms;
         if self.is_reported.replace(true) {
             return took_ms;
         }
+        if outcome == Outcome::Abandoned && !self.is_sent.get() {
+            self.entry.placement.withdraw(self.job_id);
+            return took_ms;
+        }
         let first_ms = self.first_byte_ms.get();
         let to_u32 = |ms: u64| u32::try_from(ms).unwrap_or(u32::MAX);
         self.entry.placement.finish(Finished {
@@ -273,6 +282,7 @@
             return AttemptEnd::Excluded;
         }
         let request = self.request_bytes(resolved, placed, stream);
+        attempt.is_sent.set(true);
         let response = send(&mut upstream, &request, |head, is_first| {
             self.is_own_response(head, is_new && is_first)
         });
--- a/crates/proxy/src/exchange/relocation.rs
+++ b/crates/proxy/src/exchange/relocation.rs
@@ -99,7 +99,7 @@
             spdlog::info!("stays at its silent endpoint", kv: { id: = self.fields.id, reason:? });
             retry_after_ms
         })?;
-        // Reports the job as abandoned if the search is cancelled.
+        // Gives the job back if the search is cancelled.
         let attempt = Attempt::new(self.entry, &placed);
         match self.connect(&placed, resolved.route.kind.may_repeat()).await {
             Ok((connection, is_new)) if !self.entry.placement.is_excluded(&placed.endpoint) => {
--- a/crates/proxy/tests/proxy/callers.rs
+++ b/crates/proxy/tests/proxy/callers.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use lycheehub_dispatch::Outcome;
 use lycheehub_proxy::Stop;
+use smol::net::TcpListener;
 
 #[gtest]
 fn the_endpoint_connection_is_closed_within_half_a_second_of_the_callers_disconnect() {
@@ -33,6 +34,25 @@
     });
 }
 
+/// It is certain that no endpoint has run it.
+#[gtest]
+fn a_request_whose_caller_leaves_before_an_endpoint_is_connected_is_withdrawn() {
+    run(|fixture| async move {
+        fixture.add_unreachable_endpoints(1);
+        // The other instance accepts connections and says nothing.
+        let paused = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        *fixture.relays.address.borrow_mut() = Some(paused.local_addr().unwrap().to_string());
+        let mut caller = fixture.connect().await;
+        caller.write_all(post("/unsafe/", "pay").as_bytes()).await.unwrap();
+        sleep_ms(100).await;
+        expect_that!(fixture.relays.asked.get(), eq(1));
+        drop(caller);
+        sleep_ms(100).await;
+        expect_that!(fixture.placement.withdrawn.get(), eq(1));
+        expect_that!(*fixture.placement.outcomes.borrow(), is_empty());
+    });
+}
+
 #[gtest]
 fn a_request_is_refused_at_its_routes_timeout() {
     run(|fixture| async move {
