dispatch: a trial whose request is refused or leaves before it is placed is due again at once

What callers saw: a quarantined request was told 40 or 160 s though no trial of it had been placed: the one that was due had been reserved for a request that was then refused for its quota, the retry budget or want of an endpoint, was shed, was refused at a further crash, or whose caller left while it waited. Found by reading. Cause: the reservation was a later time of the next trial; the time before it was lost, so it could not be given back. Change: a quarantine keeps the reservation beside the time of the next trial. The dispatcher knows for which waiting job each trial is reserved, and gives it back at every refusal and withdrawal of that job; the refusal of another one gives nothing back. A request that is refused at a further crash is told the time without its own reservation. A trial counts, and is followed by the same pause, when it is placed, as before: no two are let through at a time. Tests, seen to fail before (next trial in 40,000 ms for 0; after a wait 39,150): trials::a_refusal_for_want_of_an_endpoint_costs_no_trial, a_refusal_for_a_quota_or_the_retry_budget_*, a_refusal_after_a_wait_*, a_refusal_at_a_further_crash_*, a_trial_whose_caller_leaves_while_it_waits_*. while_a_trial_waits_no_other_is_let_through holds before and after.

--- a/crates/dispatch/src/crashes/quarantine.rs
+++ b/crates/dispatch/src/crashes/quarantine.rs
@@ -75,13 +75,23 @@
     /// When a request last met it, in milliseconds.
     pub(super) last_met_ms: u64,
     next_trial_ms: u64,
+    /// Until when the trial that is due is reserved for a request that waits, in milliseconds; 0 if it is not.
+    reserved_until_ms: u64,
     trials: u32,
 }
 
 impl InForce {
     pub(super) fn new(id: u64, now_ms: u64, suspects: Vec<Suspect>, first_crash_ms: u64) -> Self {
         let next_trial_ms = now_ms + FIRST_TRIAL_MS;
-        Self { id, suspects, first_crash_ms, last_met_ms: now_ms, next_trial_ms, trials: 0 }
+        Self {
+            id,
+            suspects,
+            first_crash_ms,
+            last_met_ms: now_ms,
+            next_trial_ms,
+            reserved_until_ms: 0,
+            trials: 0,
+        }
     }
 
     pub(super) fn restored(id: u64, now_ms: u64, told: &Quarantine) -> Self {
@@ -91,6 +101,7 @@
             first_crash_ms: now_ms.saturating_sub(told.first_crash_ago_ms),
             last_met_ms: now_ms,
             next_trial_ms: now_ms.saturating_add(told.next_trial_ms),
+            reserved_until_ms: 0,
             trials: told.trials,
         }
     }
@@ -100,7 +111,7 @@
             service: service.clone(),
             suspects: self.suspects.clone(),
             first_crash_ago_ms: now_ms.saturating_sub(self.first_crash_ms),
-            next_trial_ms: self.next_trial_ms.saturating_sub(now_ms),
+            next_trial_ms: self.trial_wait_ms(now_ms),
             trials: self.trials,
         }
     }
@@ -116,17 +127,23 @@
 
     /// Returns how long the next trial is away, in milliseconds.
     pub(super) fn trial_wait_ms(&self, now_ms: u64) -> u64 {
-        self.next_trial_ms.saturating_sub(now_ms)
+        self.next_trial_ms.max(self.reserved_until_ms).saturating_sub(now_ms)
     }
 
-    /// Reserves the trial that is due for a request that is about to be placed.
+    /// Reserves the trial that is due for a request that waits to be placed.
     pub(super) fn reserve_trial(&mut self, now_ms: u64) {
         let factor = TRIAL_FACTOR.pow((self.trials + 1).min(TRIALS - 1));
-        self.next_trial_ms = now_ms + FIRST_TRIAL_MS * factor;
+        self.reserved_until_ms = now_ms + FIRST_TRIAL_MS * factor;
+    }
+
+    /// Gives back the trial that is reserved, if one is.
+    pub(super) fn release_trial(&mut self) {
+        self.reserved_until_ms = 0;
     }
 
     /// Records that a trial was sent to an endpoint.
     pub(super) fn record_trial(&mut self, now_ms: u64) {
+        self.release_trial();
         self.trials = self.trials.saturating_add(1);
         self.next_trial_ms = now_ms + self.pause_ms();
     }
@@ -148,7 +165,8 @@
 
     /// Returns whether it is forgotten: no request has met it for a long time.
     pub(super) fn is_forgotten(&self, now_ms: u64) -> bool {
-        now_ms >= self.next_trial_ms.max(self.last_met_ms).saturating_add(KEPT_MS)
+        let due_ms = self.next_trial_ms.max(self.reserved_until_ms);
+        now_ms >= due_ms.max(self.last_met_ms).saturating_add(KEPT_MS)
     }
 
     /// Merges what another instance knows of the same suspects.
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -171,8 +171,13 @@
         }
     }
 
-    /// Returns whether a request may be placed. `is_repeat` tells that an earlier attempt was made on
-    /// another endpoint.
+    /// Returns whether a request is quarantined: it is placed as a trial only.
+    pub(crate) fn is_quarantined(&self, content: &Content) -> bool {
+        self.quarantines.iter().any(|quarantine| quarantine.is_met_by(content))
+    }
+
+    /// Returns whether a request may be placed; reserves the trial of one that is quarantined. `is_repeat`
+    /// tells that an earlier attempt was made on another endpoint.
     pub fn judge(
         &mut self,
         now_ms: u64,
@@ -225,6 +230,12 @@
         is_trial
     }
 
+    /// Gives back the trial that [`Self::judge`] has reserved for a request, as it is not placed.
+    pub(crate) fn release_trial(&mut self, content: &Content) {
+        let met = self.quarantines.iter_mut().filter(|known| known.is_met_by(content));
+        met.for_each(InForce::release_trial);
+    }
+
     /// Records that a trial reached no endpoint.
     pub fn take_back_trial(&mut self, now_ms: u64, content: &Content) {
         let met = self.quarantines.iter_mut().filter(|known| known.is_met_by(content));
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -2,7 +2,7 @@
 
 use super::{Dispatcher, PlacedJob};
 use crate::crashes::{
-    Content, EndpointStart, Observer, Quarantine, QuarantineEvent, Scope, Verdict,
+    Content, EndpointStart, Observer, Quarantine, QuarantineEvent, Scope, ServiceCrashes, Verdict,
 };
 use crate::endpoints::EndpointKey;
 use crate::job::{Finished, Job, JobId, Outcome, Reason};
@@ -30,10 +30,13 @@
         }
         let scope = self.scope();
         let crashes = self.crashes.service(&job.service);
+        let is_quarantined = crashes.is_quarantined(content);
         match crashes.judge(now_ms, content, job.repeat, scope) {
-            Verdict::Sound => None,
-            Verdict::Refused { retry_after_ms } => Some(retry_after_ms),
+            Verdict::Refused { retry_after_ms } => return Some(retry_after_ms),
+            Verdict::Sound if is_quarantined => self.record_waiting_trial(job, content),
+            Verdict::Sound => {}
         }
+        None
     }
 
     /// Records that the answer to a job began `ago_ms` milliseconds ago.
@@ -123,15 +126,16 @@
     fn refuse_suspects(&mut self, now_ms: u64, name: &ServiceName) {
         let scope = self.scope();
         let Some(service) = self.services.get_mut(name) else { return };
-        let crashes = self.crashes.service(name);
-        let wait_ms = |queued: &QueuedJob| {
+        let wait_ms = |crashes: &ServiceCrashes, queued: &QueuedJob| {
             let (content, is_repeat) = (&queued.content, queued.job.repeat);
             crashes.wait_ms(now_ms, content, is_repeat, scope)
         };
-        let refused = service.queue.take_if(|queued| wait_ms(queued).is_some());
-        let refused: Vec<(u64, QueuedJob)> =
-            refused.into_iter().filter_map(|queued| Some((wait_ms(&queued)?, queued))).collect();
-        for (retry_after_ms, queued) in refused {
+        let crashes = self.crashes.service(name);
+        let refused = service.queue.take_if(|queued| wait_ms(crashes, queued).is_some());
+        // Nobody waits for a trial that was reserved for one of them.
+        refused.iter().for_each(|queued| self.release_trial(queued.job.job_id));
+        for queued in refused {
+            let retry_after_ms = wait_ms(self.crashes.service(name), &queued).unwrap_or_default();
             self.waiting.remove(&queued.job.job_id);
             self.refuse_queued(queued, Reason::Quarantined, retry_after_ms);
         }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -23,7 +23,7 @@
 use lycheehub_types::{AccountName, EndpointName, ServiceName};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
-use trials::SentTrial;
+use trials::{SentTrial, WaitingTrial};
 use versions::VersionRouting;
 pub use versions::{VersionMode, VersionRule, VersionSample};
 
@@ -185,6 +185,7 @@
     waiting: BTreeMap<JobId, ServiceName>,
     notices: Notices,
     crashes: Crashes,
+    waiting_trials: BTreeMap<JobId, WaitingTrial>,
     sent_trials: BTreeMap<JobId, SentTrial>,
     paths: Paths,
     accounts: BTreeMap<AccountName, Quota>,
@@ -209,6 +210,7 @@
             waiting: BTreeMap::new(),
             notices: Notices::default(),
             crashes: Crashes::default(),
+            waiting_trials: BTreeMap::new(),
             sent_trials: BTreeMap::new(),
             paths: Paths::default(),
             accounts: BTreeMap::new(),
@@ -419,6 +421,7 @@
 
     /// Removes a job that was sent to no endpoint: it is queued, or its instance has not used its decision.
     pub fn withdraw(&mut self, now_ms: u64, job_id: JobId) {
+        self.release_trial(job_id);
         if let Some(name) = self.waiting.remove(&job_id) {
             let removed = self.services.get_mut(&name).and_then(|s| s.queue.remove(job_id));
             if let Some(queued) = removed {
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -120,6 +120,7 @@
     }
 
     pub(super) fn refuse(&mut self, job_id: JobId, reason: Reason, retry_after_ms: u64) {
+        self.release_trial(job_id);
         let retry_after_ms = retry_after_ms.max(RETRY_AFTER_MIN_MS);
         self.decisions.push(Decision::Refuse { job_id, reason, retry_after_ms });
     }
--- a/crates/dispatch/src/dispatcher/trials.rs
+++ b/crates/dispatch/src/dispatcher/trials.rs
@@ -1,17 +1,28 @@
-//! Takes back the trials of quarantines that certainly reached no endpoint.
+//! Gives back the trials of quarantines that are not placed, and takes back those that certainly reached no
+//! endpoint.
+//!
+//! A trial is reserved for a request that waits, so that no other one is let through meanwhile. It is given
+//! back if the request is refused or its caller leaves.
 //!
 //! The endpoint of a trial may leave the list, or start again, before it is known whether it was reached.
 //! The trials are therefore kept apart from the jobs that run on endpoints.
 
 use super::Dispatcher;
 use crate::crashes::Content;
-use crate::job::JobId;
+use crate::job::{Job, JobId};
 use lycheehub_types::ServiceName;
 
 /// How long after it was placed a trial can be taken back, in milliseconds; after that, the next one may have
 /// been placed.
 const SENT_KEPT_MS: u64 = 40_000;
 
+/// A trial that waits to be placed.
+#[derive(Clone, Debug)]
+pub(super) struct WaitingTrial {
+    service: ServiceName,
+    content: Content,
+}
+
 /// A trial that was placed and has not ended.
 #[derive(Clone, Debug)]
 pub(super) struct SentTrial {
@@ -21,6 +32,18 @@
 }
 
 impl Dispatcher {
+    /// Records that a trial is reserved for a job.
+    pub(super) fn record_waiting_trial(&mut self, job: &Job, content: &Content) {
+        let (service, content) = (job.service.clone(), content.clone());
+        self.waiting_trials.insert(job.job_id, WaitingTrial { service, content });
+    }
+
+    /// Gives back the trial that is reserved for a job, if one is.
+    pub(super) fn release_trial(&mut self, job_id: JobId) {
+        let Some(trial) = self.waiting_trials.remove(&job_id) else { return };
+        self.crashes.service(&trial.service).release_trial(&trial.content);
+    }
+
     /// Records that a job is placed, for the search for crashing requests.
     pub(super) fn record_sent_for_crashes(
         &mut self,
@@ -28,6 +51,7 @@
         (job_id, service): (JobId, &ServiceName),
         content: &Content,
     ) {
+        self.waiting_trials.remove(&job_id);
         if self.crashes.service(service).record_sent(now_ms, content) {
             let (service, content) = (service.clone(), content.clone());
             self.sent_trials.insert(job_id, SentTrial { service, content, sent_ms: now_ms });
--- a/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
@@ -1,10 +1,11 @@
 //! Trials of a quarantine stay few for as long as it is kept.
 
 use super::world::*;
-use crate::replay::{finished, job};
+use crate::replay::{document, finished, job};
 use googletest::prelude::*;
 use lycheehub_dispatch::crashes::RequestDigest;
-use lycheehub_dispatch::{Decision, Finished, Job, JobId, Outcome};
+use lycheehub_dispatch::{Decision, Finished, Job, JobId, Outcome, Reason};
+use lycheehub_routes::Quota;
 
 const HOUR_MS: u64 = 3_600_000;
 /// The time between the repeats of the caller, in milliseconds.
@@ -110,8 +111,7 @@
 
     /// Waits until a trial is due, and places it.
     fn place_trial(&mut self, number: u64) -> JobId {
-        self.now_ms += self.next_trial_ms();
-        self.dispatchers[0].tick(self.now_ms);
+        self.await_trial();
         let decisions = self.submit_crashing(number);
         expect_that!(decisions, elements_are![matches_pattern!(Decision::Place { .. })]);
         JobId { instance: 1, number }
@@ -210,3 +210,156 @@
     world.finish(second, Outcome::NotConnected);
     expect_that!(world.trials(), eq(before + 1));
 }
+
+/// Returns the reason of a refusal that is the only decision.
+fn refusal(decisions: &[Decision]) -> Option<Reason> {
+    match decisions {
+        [Decision::Refuse { reason, .. }] => Some(*reason),
+        _ => None,
+    }
+}
+
+impl World {
+    /// Waits until a trial is due.
+    fn await_trial(&mut self) {
+        self.now_ms += self.next_trial_ms();
+        self.dispatchers[0].tick(self.now_ms);
+    }
+
+    /// Fills all slots of the endpoint, so that further jobs wait.
+    fn fill(&mut self) {
+        for number in 0..9 {
+            let digest = Some(RequestDigest::new(0x2_0000 + u128::from(number)));
+            self.dispatchers[0].submit(self.now_ms, Job { digest, ..patient(FILLING + number) });
+        }
+        let decisions = self.dispatchers[0].take_decisions();
+        expect_that!(decisions, each(matches_pattern!(Decision::Place { .. })));
+    }
+
+    fn submit_patient(&mut self, number: u64) -> Vec<Decision> {
+        let digest = Some(RequestDigest::new(CRASHING));
+        let job = Job { digest, is_last_attempt: true, ..patient(number) };
+        self.dispatchers[0].submit(self.now_ms, job);
+        self.dispatchers[0].take_decisions()
+    }
+}
+
+/// The number of the first of the jobs that fill an endpoint.
+const FILLING: u64 = 2_000_000;
+
+/// Returns a job whose caller waits for an hour.
+fn patient(number: u64) -> Job {
+    Job {
+        objective_left_ms: HOUR_MS,
+        patience_left_ms: 2 * HOUR_MS,
+        deadline_left_ms: 3 * HOUR_MS,
+        ..job(number)
+    }
+}
+
+/// A quota that a few requests use up for an hour.
+const QUOTA: Quota =
+    Quota { in_tokens: false, untold_tokens: 1, units_per_s: 0.001, burst_units: 3.0 };
+
+#[gtest]
+fn a_refusal_for_want_of_an_endpoint_costs_no_trial() {
+    let mut world = quarantined();
+    world.await_trial();
+    world.remove_endpoints();
+    let refused = refusal(&world.submit_crashing(TRIAL));
+    expect_that!(refused, eq(Some(Reason::NoEndpoint)));
+    expect_that!(world.next_trial_ms(), eq(0));
+    world.update_endpoints();
+    world.place_trial(TRIAL + 1);
+}
+
+#[gtest]
+fn a_refusal_for_a_quota_or_the_retry_budget_costs_no_trial() {
+    for (is_repeat, reason) in [(true, Reason::RetriesExhausted), (false, Reason::QuotaExceeded)] {
+        let mut world = quarantined();
+        world.dispatchers[0].set_document(world.now_ms, &document(Some(QUOTA)));
+        world.await_trial();
+        let sound = Job { account: Some("large".into()), repeat: is_repeat, ..patient(FILLING) };
+        let mut numbers = FILLING..FILLING + 1_000;
+        let is_used_up = numbers.any(|number| {
+            let job_id = JobId { instance: 1, number };
+            world.dispatchers[0].submit(world.now_ms, Job { job_id, ..sound.clone() });
+            refusal(&world.dispatchers[0].take_decisions()).is_some()
+        });
+        expect_that!(is_used_up, eq(true));
+        let crashing = Job { digest: Some(RequestDigest::new(CRASHING)), ..sound };
+        world.dispatchers[0].submit(world.now_ms, crashing);
+        let refused = refusal(&world.dispatchers[0].take_decisions());
+        expect_that!(refused, eq(Some(reason)));
+        expect_that!(world.next_trial_ms(), eq(0), "{reason:?}");
+    }
+}
+
+#[gtest]
+fn a_refusal_after_a_wait_costs_no_trial() {
+    let mut world = quarantined();
+    world.await_trial();
+    world.fill();
+    expect_that!(world.submit_crashing(TRIAL), is_empty());
+    let refused = (0..300).find_map(|_| {
+        world.now_ms += TICK_MS;
+        world.dispatchers[0].tick(world.now_ms);
+        refusal(&world.dispatchers[0].take_decisions())
+    });
+    expect_that!(refused, eq(Some(Reason::Overloaded)));
+    expect_that!(world.next_trial_ms(), eq(0));
+}
+
+/// A further crash, of which it is not known yet what caused it, refuses the requests that wait.
+#[gtest]
+fn a_refusal_at_a_further_crash_costs_no_trial() {
+    let mut world = quarantined();
+    world.await_trial();
+    world.fill();
+    expect_that!(world.submit_patient(TRIAL), is_empty());
+    let job_id = JobId { instance: 1, number: FILLING };
+    let broken = Finished {
+        first_byte_ms: None,
+        is_connection_lost: true,
+        ..finished(job_id, Outcome::Broken)
+    };
+    world.dispatchers[0].finish(world.now_ms, broken);
+    let decisions = world.dispatchers[0].take_decisions();
+    expect_that!(refusal(&decisions), eq(Some(Reason::Quarantined)));
+    let soon = matches_pattern!(Decision::Refuse { retry_after_ms: le(&SOON_MS), .. });
+    expect_that!(decisions, elements_are![soon]);
+    expect_that!(world.next_trial_ms(), eq(0));
+}
+
+#[gtest]
+fn a_trial_whose_caller_leaves_while_it_waits_costs_nothing() {
+    for is_instance_gone in [true, false] {
+        let mut world = quarantined();
+        world.await_trial();
+        world.fill();
+        expect_that!(world.submit_patient(TRIAL), is_empty());
+        let now_ms = world.now_ms;
+        match is_instance_gone {
+            true => world.dispatchers[0].forget_instance(now_ms, 1),
+            false => {
+                world.dispatchers[0].withdraw(now_ms, JobId { instance: 1, number: TRIAL });
+            }
+        }
+        expect_that!(world.next_trial_ms(), eq(0), "{is_instance_gone}");
+    }
+}
+
+/// A refusal gives back no trial but its own.
+#[gtest]
+fn while_a_trial_waits_no_other_is_let_through() {
+    let mut world = quarantined();
+    world.await_trial();
+    world.fill();
+    expect_that!(world.submit_patient(TRIAL), is_empty());
+    for number in 1..20 {
+        let refused = refusal(&world.submit_patient(TRIAL + number));
+        expect_that!(refused, eq(Some(Reason::Quarantined)));
+        world.now_ms += 1_000;
+        world.dispatchers[0].tick(world.now_ms);
+    }
+}
