dispatch: while a trial waits, no second one is reserved

What operators might have seen: two trials of a quarantine at a time, where its requests wait for longer than 40 or 160 s for an endpoint with room. Cause: a trial was reserved for a fixed time, and the next request after that got it too, though the first still waited. Change: before a request is judged, the reservations of the jobs that still wait are renewed if they have ended. Test, seen to fail before: trials::a_trial_that_waits_for_long_is_not_followed_by_a_second_one, 99 requests 20 s apart behind one that waits: each second one was let through to the queue; now none, and the first is the only one placed.

--- a/crates/dispatch/src/crashes/quarantine.rs
+++ b/crates/dispatch/src/crashes/quarantine.rs
@@ -136,6 +136,13 @@
         self.reserved_until_ms = now_ms + FIRST_TRIAL_MS * factor;
     }
 
+    /// Reserves the trial for longer if its reservation has ended before the request was placed.
+    pub(super) fn renew_trial(&mut self, now_ms: u64) {
+        if self.reserved_until_ms > 0 && self.reserved_until_ms <= now_ms {
+            self.reserve_trial(now_ms);
+        }
+    }
+
     /// Gives back the trial that is reserved, if one is.
     pub(super) fn release_trial(&mut self) {
         self.reserved_until_ms = 0;
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -230,6 +230,12 @@
         is_trial
     }
 
+    /// Keeps the trial that [`Self::judge`] has reserved for a request, as it still waits.
+    pub(crate) fn renew_trial(&mut self, now_ms: u64, content: &Content) {
+        let met = self.quarantines.iter_mut().filter(|known| known.is_met_by(content));
+        met.for_each(|quarantine| quarantine.renew_trial(now_ms));
+    }
+
     /// Gives back the trial that [`Self::judge`] has reserved for a request, as it is not placed.
     pub(crate) fn release_trial(&mut self, content: &Content) {
         let met = self.quarantines.iter_mut().filter(|known| known.is_met_by(content));
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -29,6 +29,7 @@
             return None;
         }
         let scope = self.scope();
+        self.renew_trials(now_ms, &job.service);
         let crashes = self.crashes.service(&job.service);
         let is_quarantined = crashes.is_quarantined(content);
         match crashes.judge(now_ms, content, job.repeat, scope) {
--- a/crates/dispatch/src/dispatcher/trials.rs
+++ b/crates/dispatch/src/dispatcher/trials.rs
@@ -1,8 +1,8 @@
 //! Gives back the trials of quarantines that are not placed, and takes back those that certainly reached no
 //! endpoint.
 //!
-//! A trial is reserved for a request that waits, so that no other one is let through meanwhile. It is given
-//! back if the request is refused or its caller leaves.
+//! A trial is reserved for a request for as long as it waits, so that no other one is let through meanwhile.
+//! It is given back if the request is refused or its caller leaves.
 //!
 //! The endpoint of a trial may leave the list, or start again, before it is known whether it was reached.
 //! The trials are therefore kept apart from the jobs that run on endpoints.
@@ -38,6 +38,13 @@
         self.waiting_trials.insert(job.job_id, WaitingTrial { service, content });
     }
 
+    /// Keeps the trials that are reserved for waiting jobs of a service.
+    pub(super) fn renew_trials(&mut self, now_ms: u64, service: &ServiceName) {
+        for trial in self.waiting_trials.values().filter(|trial| trial.service == *service) {
+            self.crashes.service(service).renew_trial(now_ms, &trial.content);
+        }
+    }
+
     /// Gives back the trial that is reserved for a job, if one is.
     pub(super) fn release_trial(&mut self, job_id: JobId) {
         let Some(trial) = self.waiting_trials.remove(&job_id) else { return };
--- a/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
@@ -363,3 +363,26 @@
         world.dispatchers[0].tick(world.now_ms);
     }
 }
+
+#[gtest]
+fn a_trial_that_waits_for_long_is_not_followed_by_a_second_one() {
+    let mut world = quarantined();
+    world.await_trial();
+    world.fill();
+    expect_that!(world.submit_patient(TRIAL), is_empty());
+    for number in 1..100 {
+        world.now_ms += REPEAT_MS;
+        world.dispatchers[0].tick(world.now_ms);
+        let decisions = world.submit_patient(TRIAL + number);
+        expect_that!(refusal(&decisions), eq(Some(Reason::Quarantined)), "{number}");
+    }
+    // It is placed itself once there is room, and is the only one.
+    let job_id = JobId { instance: 1, number: FILLING };
+    world.finish(job_id, Outcome::Answered);
+    let decisions = world.dispatchers[0].take_decisions();
+    let placed =
+        matches_pattern!(Decision::Place { job_id: eq(&JobId { instance: 1, number: TRIAL }), .. });
+    expect_that!(decisions, elements_are![placed]);
+    expect_that!(world.trials(), eq(1));
+    expect_that!(world.next_trial_ms(), ge(30_000));
+}
