--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -5,6 +5,7 @@
     Content, EndpointStart, Observer, Prompt, RequestDigest, Scope, ServiceCrashes, Suspect,
     Verdict,
 };
+use std::time::Instant;
 
 const CRASHING_PART: u64 = 0xdead;
 const CRASHING_REQUEST: u128 = 0xbeef;
@@ -145,3 +146,30 @@
     let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
     expect_that!(verdict, matches_pattern!(Verdict::Refused { retry_after_ms: le(SOON_MS) }));
 }
+
+/// The search was made at each tick: at the bound of what is kept, that took up the whole time of the dispatcher.
+#[gtest]
+fn ticks_at_which_nothing_has_changed_cost_no_search() {
+    const TICKS: u32 = 100;
+    let mut crashes = ServiceCrashes::new("writer".into());
+    for number in 1..=128 {
+        let parts = (0..3_000).map(|part| number * 10_000 + part);
+        let last = Content::new(Prompt::new(parts), Some(RequestDigest::new(number.into())));
+        crash(&mut crashes, number * 4_000, 255, &last);
+    }
+    let now_ms = 128 * 4_000 + 2_000;
+    let started = Instant::now();
+    let start = EndpointStart { endpoint: "c".into(), incarnation: 1 };
+    let one_more = Content::new(Prompt::new([1, 2, 3]), Some(RequestDigest::new(1 << 64)));
+    crashes.record_lost(now_ms, &start, (&one_more, false), (OBSERVER, true));
+    crashes.record_gone(&start);
+    crashes.advance(now_ms + 1_000, Scope::AllInstances);
+    let changed = started.elapsed();
+    let started = Instant::now();
+    for tick in 0..TICKS {
+        crashes.advance(now_ms + 1_001 + u64::from(tick), Scope::AllInstances);
+    }
+    let unchanged = started.elapsed();
+    expect_that!(crashes.crashes(now_ms).count(), eq(128));
+    expect_that!(unchanged, lt(changed * TICKS / 10), "one search {changed:?}");
+}
