--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -268,7 +268,7 @@
     /// Reports that nothing is sent to a granted endpoint.
     fn return_grant(&self, destination: Destination) {
         if let Destination::Placed(placed) = destination {
-            // An attempt that is dropped reports its job as abandoned, as one that was reached does.
+            // An attempt that is dropped gives its job back, as one that was reached does.
             drop(Attempt::new(self.entry, &placed));
         }
     }
