--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -99,7 +99,8 @@
     }
 
     /// Returns whether a job that would miss its objective, overrun its deadline or probably fail
-    /// on the free endpoint `key` should wait for a better endpoint that is currently full.
+    /// on the free endpoint `key` should wait for a better endpoint that is currently full, and that it may
+    /// still get.
     fn should_wait(&self, now_ms: u64, key: EndpointKey, queued: &QueuedJob) -> bool {
         let job = &queued.job;
         let Some(service) = self.services.get(&job.service) else { return false };
@@ -123,7 +124,7 @@
         others.any(|other| {
             let is_open = other.health.is_available(now_ms)
                 && self.limit_wait_ms(now_ms, other) as f64 <= SLOT_WAIT_MS;
-            if other.is_leaving() || !is_open {
+            if other.is_leaving() || !is_open || job.tried.contains(other.name()) {
                 return false;
             }
             let first_byte_ms = other.first_byte_ms(now_ms, job);
@@ -213,8 +214,8 @@
             first_byte_ms,
         });
         let is_stream = job.output_tokens > 0;
-        let is_trial = self.crashes.service(&job.service).record_sent(now_ms, &content);
-        let placed = PlacedJob { endpoint: key, is_stream, rank: job.rank, content, is_trial };
+        self.record_sent_for_crashes(now_ms, (job.job_id, &job.service), &content);
+        let placed = PlacedJob { endpoint: key, is_stream, rank: job.rank, content };
         self.placed.insert(job.job_id, placed);
     }
 }
