log: a line is no longer than one write

What operators saw: the line of a request whose caller sent a long id was as long as the id (12 kB of id: 12,476 bytes), more than a pipe takes at once, so that a reader that drops the rest of a long write lost the line and others with it; lines were bounded in number only.

Change: the longest value of a JSON line is shortened until the line fits in one write; a line of text loses its end. All fields are kept.

--- a/crates/cli/src/serve/bounded.rs
+++ b/crates/cli/src/serve/bounded.rs
@@ -1,6 +1,7 @@
 //! A log sink that never blocks its callers on output: lines go to a bounded buffer, and a
 //! background thread writes them to standard output.
 
+use super::line_limit;
 use spdlog::formatter::FormatterContext;
 use spdlog::sink::{GetSinkProp, Sink, SinkProp};
 use spdlog::{Record, StringBuf};
@@ -12,8 +13,8 @@
 const BUFFER_MAX_BYTES: usize = 256 * 1024;
 /// How long the writer waits after a first line to write lines in batches, in milliseconds.
 const BATCH_DELAY_MS: u64 = 100;
-/// Maximum number of bytes per write, unless a single line is longer: a pipe takes that many at once
-/// (`PIPE_BUF`), and a reader that drops the rest of a long write drops no line.
+/// Maximum number of bytes per write, and so of a line: a pipe takes that many at once (`PIPE_BUF`), and a
+/// reader that drops the rest of a long write drops no line.
 const WRITE_MAX_BYTES: usize = 4_096;
 
 #[derive(Default)]
@@ -94,6 +95,10 @@
         let mut line = StringBuf::new();
         let mut context = FormatterContext::new();
         self.prop.formatter().format(record, &mut line, &mut context)?;
+        let line = match line.len() > WRITE_MAX_BYTES {
+            true => line_limit::shorten(&line, WRITE_MAX_BYTES),
+            false => line.to_string(),
+        };
         let mut buffer = self.lock();
         if buffer.lines.len() + line.len() > BUFFER_MAX_BYTES {
             buffer.dropped += 1;
--- a/crates/cli/src/serve/mod.rs
+++ b/crates/cli/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Runs a standalone instance.
 
 mod bounded;
+mod line_limit;
 pub(crate) mod log;
 mod stop;
 mod wire_up;
--- a/crates/cli/tests/platform/log_output.rs
+++ b/crates/cli/tests/platform/log_output.rs
@@ -71,3 +71,33 @@
     expect_that!(end["kv"]["requests"], eq(&json!(1)));
     expect_that!(end["kv"]["connection"], eq(&request["kv"]["connection"]));
 }
+
+// A caller's id made a line as long as itself, more than one write takes.
+#[gtest]
+fn a_line_with_a_long_id_is_whole_and_no_longer_than_a_write() {
+    const ID_BYTES: usize = 12_000;
+    let layout = Layout { controls: 1, entries: 1, losses: 0, proxied: false };
+    let mut deployment = Deployment::lay_out(layout);
+    deployment.entries[0].start(true);
+    let address = format!("{}:{FRONT_PORT}", deployment.entries[0].ip);
+    eventually("the instance accepts", || TcpStream::connect(&address).is_ok());
+    let id = "\u{e9}".repeat(ID_BYTES / 2);
+    let request =
+        format!("GET /print/1 HTTP/1.1\r\nHost: crates.example\r\nRequest-Id: {id}\r\n\r\n");
+    let mut caller = TcpStream::connect(&address).unwrap();
+    caller.write_all(request.as_bytes()).unwrap();
+    let lines = || -> Vec<String> {
+        let log = std::fs::read_to_string(deployment.entries[0].log()).unwrap_or_default();
+        let is_request = |line: &&str| line.contains(r#""payload":"request""#);
+        log.lines().filter(is_request).map(str::to_owned).collect()
+    };
+    eventually("the request is logged", || lines().len() == 1);
+    let line = &lines()[0];
+    expect_that!(line.len(), lt(WRITE_MAX_BYTES));
+    let fields = &serde_json::from_str::<Value>(line).unwrap()["kv"];
+    let logged = fields["id"].as_str().unwrap();
+    expect_that!(id, starts_with(logged.trim_end_matches('…')));
+    expect_that!(logged.len(), gt(1_000));
+    expect_that!(fields["end"], not(eq(&Value::Null)));
+    expect_that!(fields["keeps_alive"], not(eq(&Value::Null)));
+}
