dispatch: the search for suspects is made when something has changed, not at each tick

What operators might have seen: after many crashes with many requests at work, a leader that decides nothing any more. Cause: the search looked at all crashes at each call of `advance`. Change: it is made if a crash or quarantine is new or changed, if a further crash counts, or is followed by several answers, and once a second for what is left: an answer that is told late or forgotten.

--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -21,8 +21,8 @@
 //!   that is not yet known.
 //! * [`quarantine`] holds what is refused.
 //! * [`scope`] tells whose requests are decided on.
-//! * [`service`] keeps the state of a service, [`accuse`] finds what is quarantined, [`suspicion`] what is
-//!   not placed before that is decided, and [`report`] passes on what is known.
+//! * [`service`] keeps the state of a service, [`accuse`] finds what is quarantined, [`search`] tells when to look
+//!   for it, [`suspicion`] holds what is not placed before that is decided, and [`report`] passes on what is known.
 
 mod accuse;
 mod answers;
@@ -33,6 +33,7 @@
 mod quarantine;
 mod report;
 mod scope;
+mod search;
 mod service;
 mod suspicion;
 
--- a/crates/dispatch/src/crashes/report.rs
+++ b/crates/dispatch/src/crashes/report.rs
@@ -41,6 +41,7 @@
 
     /// Adds a crash that an instance has reported; several instances see the same one.
     pub(super) fn restore_crash(&mut self, now_ms: u64, told: &Crash) {
+        self.last_search.record_change();
         if let Some(known) = self.crashes.iter_mut().find(|crash| crash.start == told.start) {
             for content in &told.contents {
                 if !known.contents.contains(content) {
@@ -61,6 +62,7 @@
 
     /// Adds a quarantine that an instance knows of, unless an answer has disproved it since.
     pub(super) fn restore_quarantine(&mut self, now_ms: u64, told: &Quarantine) {
+        self.last_search.record_change();
         self.last_id += 1;
         let mut restored = InForce::restored(self.last_id, now_ms, told);
         let (answers, first_ms) = (&self.answers, restored.first_crash_ms);
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -4,6 +4,7 @@
 use super::crash::{EndpointStart, Loss, Observer};
 use super::ended::{EndedAnswer, EndedAnswers};
 use super::quarantine::{InForce, QuarantineEvent};
+use super::search::{LastSearch, Progress};
 use super::suspicion::Suspicion;
 use super::{Content, RequestDigest, Scope, Suspect};
 use lycheehub_types::ServiceName;
@@ -62,6 +63,7 @@
     pub(super) crashes: VecDeque<KnownCrash>,
     pub(super) quarantines: Vec<InForce>,
     pub(super) last_id: u64,
+    pub(super) last_search: LastSearch,
     /// The requests that were placed after a suspicion, and when, in milliseconds.
     pub(super) probes: BTreeMap<RequestDigest, u64>,
     events: Vec<QuarantineEvent>,
@@ -78,6 +80,7 @@
             crashes: VecDeque::new(),
             quarantines: Vec::new(),
             last_id: 0,
+            last_search: LastSearch::default(),
             probes: BTreeMap::new(),
             events: Vec::new(),
         }
@@ -279,16 +282,29 @@
             self.crashes.pop_front();
         }
         self.quarantines.retain(|quarantine| !quarantine.is_forgotten(now_ms));
+        let progress = self.progress(now_ms);
+        if !scope.decides_quarantines() || !self.last_search.is_outdated(now_ms, progress) {
+            return false;
+        }
         let mut has_new = false;
-        while scope.decides_quarantines()
-            && let Some(candidate) = self.best_candidate(now_ms)
-        {
+        while let Some(candidate) = self.best_candidate(now_ms) {
             self.quarantine(now_ms, &candidate);
             has_new = true;
         }
+        self.last_search.record(now_ms, progress);
         has_new
     }
 
+    /// Returns what changes the result of the search for suspects as time passes.
+    fn progress(&self, now_ms: u64) -> Progress {
+        let is_counted = |crash: &&KnownCrash| now_ms >= crash.counts_from_ms;
+        let is_followed = |crash: &&KnownCrash| self.answers.has_several_since(crash.at_ms);
+        Progress {
+            counted: self.crashes.iter().filter(is_counted).count(),
+            followed_by_answers: self.crashes.iter().filter(is_followed).count(),
+        }
+    }
+
     fn settle_losses(&mut self, now_ms: u64) {
         let settled: Vec<EndpointStart> = self
             .losses
@@ -322,6 +338,7 @@
     }
 
     pub(super) fn add_crash(&mut self, crash: KnownCrash) {
+        self.last_search.record_change();
         if self.crashes.len() >= CRASHES_MAX {
             self.crashes.pop_front();
         }
@@ -383,6 +400,7 @@
         if !self.quarantines.iter().any(is_answered) {
             return;
         }
+        self.last_search.record_change();
         let mut events = Vec::new();
         for quarantine in self.quarantines.iter_mut().filter(|known| is_answered(known)) {
             let (before, was_of_request) =
@@ -411,6 +429,7 @@
     }
 
     pub(super) fn clear_quarantines(&mut self) {
+        self.last_search.record_change();
         self.quarantines.clear();
     }
 
--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -5,6 +5,7 @@
     Content, EndpointStart, Observer, Prompt, RequestDigest, Scope, ServiceCrashes, Suspect,
     Verdict,
 };
+use std::time::Instant;
 
 const CRASHING_PART: u64 = 0xdead;
 const CRASHING_REQUEST: u128 = 0xbeef;
@@ -145,3 +146,43 @@
     let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
     expect_that!(verdict, matches_pattern!(Verdict::Refused { retry_after_ms: le(SOON_MS) }));
 }
+
+/// Crashes an endpoint with as many requests and parts at work as are kept.
+fn crash_at_the_bound(crashes: &mut ServiceCrashes, now_ms: u64) {
+    let start = EndpointStart { endpoint: "a".into(), incarnation: now_ms };
+    for number in 0..256 {
+        let id = now_ms * 10_000 + number * 20;
+        let digest = RequestDigest::new(id.into());
+        let content = Content::new(Prompt::new(id..id + 17), Some(digest));
+        crashes.record_lost(now_ms, &start, (&content, false), (OBSERVER, false));
+    }
+    crashes.record_gone(&start);
+}
+
+/// The search was made at each tick: at the bound of what is kept, that took up the whole time of the dispatcher.
+#[gtest]
+fn ticks_at_which_nothing_has_changed_cost_no_search() {
+    const CRASHES: u64 = 128;
+    const TICKS: u32 = 100;
+    let mut crashes = ServiceCrashes::new("writer".into());
+    for number in 1..CRASHES {
+        crash_at_the_bound(&mut crashes, number * 10);
+    }
+    crashes.advance(CRASHES * 10 + 1_000, Scope::AllInstances);
+    let now_ms = 10_000;
+    crash_at_the_bound(&mut crashes, now_ms);
+    let started = Instant::now();
+    crashes.advance(now_ms + 1_000, Scope::AllInstances);
+    let changed = started.elapsed();
+    let started = Instant::now();
+    for tick in 1..=TICKS {
+        crashes.advance(now_ms + 1_000 + u64::from(tick), Scope::AllInstances);
+    }
+    let unchanged = started.elapsed();
+    let parts = crashes.crashes(now_ms).map(|crash| {
+        let prompts = crash.contents.iter().map(|content| content.prompt().shared().len());
+        prompts.sum::<usize>()
+    });
+    expect_that!(parts.collect::<Vec<_>>(), eq(&vec![4_096; CRASHES as usize]));
+    expect_that!(unchanged, lt(changed * TICKS / 10), "one search {changed:?}");
+}
