--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -147,29 +147,42 @@
     expect_that!(verdict, matches_pattern!(Verdict::Refused { retry_after_ms: le(SOON_MS) }));
 }
 
+/// Crashes an endpoint with as many requests and parts at work as are kept.
+fn crash_at_the_bound(crashes: &mut ServiceCrashes, now_ms: u64) {
+    let start = EndpointStart { endpoint: "a".into(), incarnation: now_ms };
+    for number in 0..256 {
+        let id = now_ms * 10_000 + number * 20;
+        let digest = RequestDigest::new(id.into());
+        let content = Content::new(Prompt::new(id..id + 17), Some(digest));
+        crashes.record_lost(now_ms, &start, (&content, false), (OBSERVER, false));
+    }
+    crashes.record_gone(&start);
+}
+
 /// The search was made at each tick: at the bound of what is kept, that took up the whole time of the dispatcher.
 #[gtest]
 fn ticks_at_which_nothing_has_changed_cost_no_search() {
+    const CRASHES: u64 = 128;
     const TICKS: u32 = 100;
     let mut crashes = ServiceCrashes::new("writer".into());
-    for number in 1..=128 {
-        let parts = (0..3_000).map(|part| number * 10_000 + part);
-        let last = Content::new(Prompt::new(parts), Some(RequestDigest::new(number.into())));
-        crash(&mut crashes, number * 4_000, 255, &last);
+    for number in 1..CRASHES {
+        crash_at_the_bound(&mut crashes, number * 10);
     }
-    let now_ms = 128 * 4_000 + 2_000;
+    crashes.advance(CRASHES * 10 + 1_000, Scope::AllInstances);
+    let now_ms = 10_000;
+    crash_at_the_bound(&mut crashes, now_ms);
     let started = Instant::now();
-    let start = EndpointStart { endpoint: "c".into(), incarnation: 1 };
-    let one_more = Content::new(Prompt::new([1, 2, 3]), Some(RequestDigest::new(1 << 64)));
-    crashes.record_lost(now_ms, &start, (&one_more, false), (OBSERVER, true));
-    crashes.record_gone(&start);
     crashes.advance(now_ms + 1_000, Scope::AllInstances);
     let changed = started.elapsed();
     let started = Instant::now();
-    for tick in 0..TICKS {
-        crashes.advance(now_ms + 1_001 + u64::from(tick), Scope::AllInstances);
+    for tick in 1..=TICKS {
+        crashes.advance(now_ms + 1_000 + u64::from(tick), Scope::AllInstances);
     }
     let unchanged = started.elapsed();
-    expect_that!(crashes.crashes(now_ms).count(), eq(128));
+    let parts = crashes.crashes(now_ms).map(|crash| {
+        let prompts = crash.contents.iter().map(|content| content.prompt().shared().len());
+        prompts.sum::<usize>()
+    });
+    expect_that!(parts.collect::<Vec<_>>(), eq(&vec![4_096; CRASHES as usize]));
     expect_that!(unchanged, lt(changed * TICKS / 10), "one search {changed:?}");
 }
