peer: an instance that was paused does not place what waits when a request is given back

What callers saw: by reading, no run: after a suspension of the process, the first report to the dispatcher may be of an attempt that is given back unsent, and local waiters were then placed by what was known before the suspension.

Cause: withdraw, alone among the reports, did not check for a pause; since unsent attempts come that way, often first after a suspension, when deadlines have passed. The check is the one that finish makes; no test of its own.

--- a/crates/peer/src/entry/placement/mod.rs
+++ b/crates/peer/src/entry/placement/mod.rs
@@ -386,6 +386,7 @@
     }
 
     fn withdraw(&self, job_id: JobId) {
+        self.check_pause();
         self.pending_decisions.borrow_mut().remove(&job_id.number);
         self.placed.borrow_mut().remove(&job_id.number);
         self.local.borrow_mut().withdraw(self.clock.now_ms(), job_id);
