dispatch: a trial that is taken back brings no later one forward

One more trial than allowed may then reach an endpoint.

Cause: a trial was taken back at every quarantine that its content meets now, whatever had been learned of it since.

Change: a job keeps the trials that it is, each with the quarantine's id and the time of the next one; only what is still the last trial is taken back. The own interface likewise.

Test: trials::a_trial_that_is_given_back_does_not_bring_forward_one_that_was_told_meanwhile: 10,000 ms and 2 trials before, an hour and 3 now. In crash_evidence the calls follow the new signature.

--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -41,7 +41,7 @@
 pub use content::{Content, RequestDigest, Suspect};
 pub use crash::{Crash, EndpointStart, Observer};
 pub use prompt::Prompt;
-pub use quarantine::{Quarantine, QuarantineEvent};
+pub use quarantine::{Quarantine, QuarantineEvent, Trial};
 pub use scope::Scope;
 pub use service::{ServiceCrashes, Verdict};
 
--- a/crates/dispatch/src/crashes/quarantine.rs
+++ b/crates/dispatch/src/crashes/quarantine.rs
@@ -66,6 +66,14 @@
     },
 }
 
+/// A request that was placed as a trial of a quarantine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Trial {
+    quarantine_id: u64,
+    /// When the trial after it is due, in milliseconds.
+    next_trial_ms: u64,
+}
+
 /// A quarantine in force.
 #[derive(Clone, Debug)]
 pub(super) struct InForce {
@@ -155,6 +163,11 @@
         self.next_trial_ms = now_ms + self.pause_ms();
     }
 
+    /// Returns the last trial. Another report of the quarantine replaces it by a later one.
+    pub(super) fn last_trial(&self) -> Trial {
+        Trial { quarantine_id: self.id, next_trial_ms: self.next_trial_ms }
+    }
+
     /// Takes a trial back that reached no endpoint; the next one is due soon.
     pub(super) fn take_back_trial(&mut self, now_ms: u64) {
         self.trials = self.trials.saturating_sub(1);
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -3,7 +3,7 @@
 use super::answers::Answers;
 use super::crash::{EndpointStart, Loss, Observer};
 use super::ended::{EndedAnswer, EndedAnswers};
-use super::quarantine::{InForce, QuarantineEvent};
+use super::quarantine::{InForce, QuarantineEvent, Trial};
 use super::search::{LastSearch, Progress};
 use super::suspicion::Suspicion;
 use super::{Content, RequestDigest, Scope, Suspect};
@@ -219,18 +219,19 @@
         met.map(|quarantine| quarantine.trial_wait_ms(now_ms)).max()
     }
 
-    /// Records that a request was sent to an endpoint; returns whether it is a trial of quarantines that it
-    /// meets.
-    pub fn record_sent(&mut self, now_ms: u64, content: &Content) -> bool {
+    /// Records that a request was sent to an endpoint; returns the trials that it is, of the quarantines that
+    /// it meets.
+    pub fn record_sent(&mut self, now_ms: u64, content: &Content) -> Vec<Trial> {
+        let mut trials = Vec::new();
         let mut events = Vec::new();
         for quarantine in self.quarantines.iter_mut().filter(|known| known.is_met_by(content)) {
             quarantine.record_trial(now_ms);
+            trials.push(quarantine.last_trial());
             let (service, suspects) = (self.service.clone(), quarantine.suspects.clone());
             events.push(QuarantineEvent::Tried { service, suspects });
         }
-        let is_trial = !events.is_empty();
         events.into_iter().for_each(|event| self.push_event(event));
-        is_trial
+        trials
     }
 
     /// Keeps the trial that [`Self::judge`] has reserved for a request, as it still waits.
@@ -245,10 +246,12 @@
         met.for_each(InForce::release_trial);
     }
 
-    /// Records that a trial reached no endpoint.
-    pub fn take_back_trial(&mut self, now_ms: u64, content: &Content) {
-        let met = self.quarantines.iter_mut().filter(|known| known.is_met_by(content));
-        met.for_each(|quarantine| quarantine.take_back_trial(now_ms));
+    /// Records that trials reached no endpoint. One that another trial or a report has followed is not taken
+    /// back: the next trial would come sooner than it may.
+    pub fn take_back_trials(&mut self, now_ms: u64, trials: &[Trial]) {
+        let is_last = |known: &&mut InForce| trials.contains(&known.last_trial());
+        let last = self.quarantines.iter_mut().filter(is_last);
+        last.for_each(|quarantine| quarantine.take_back_trial(now_ms));
     }
 
     /// Returns how long a request must wait, in milliseconds, if it must: it is quarantined, or suspect.
--- a/crates/dispatch/src/dispatcher/trials.rs
+++ b/crates/dispatch/src/dispatcher/trials.rs
@@ -8,12 +8,11 @@
 //! The trials are therefore kept apart from the jobs that run on endpoints.
 
 use super::Dispatcher;
-use crate::crashes::Content;
+use crate::crashes::{Content, Trial};
 use crate::job::{Job, JobId};
 use lycheehub_types::ServiceName;
 
-/// How long after it was placed a trial can be taken back, in milliseconds; after that, the next one may have
-/// been placed.
+/// How long after it was placed a trial can be taken back, in milliseconds: until the next one may be placed.
 const SENT_KEPT_MS: u64 = 40_000;
 
 /// A trial that waits to be placed.
@@ -27,7 +26,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct SentTrial {
     service: ServiceName,
-    content: Content,
+    trials: Vec<Trial>,
     sent_ms: u64,
 }
 
@@ -59,9 +58,10 @@
         content: &Content,
     ) {
         self.waiting_trials.remove(&job_id);
-        if self.crashes.service(service).record_sent(now_ms, content) {
-            let (service, content) = (service.clone(), content.clone());
-            self.sent_trials.insert(job_id, SentTrial { service, content, sent_ms: now_ms });
+        let trials = self.crashes.service(service).record_sent(now_ms, content);
+        if !trials.is_empty() {
+            let service = service.clone();
+            self.sent_trials.insert(job_id, SentTrial { service, trials, sent_ms: now_ms });
         }
     }
 
@@ -69,7 +69,7 @@
     pub(super) fn take_back_trial(&mut self, now_ms: u64, job_id: JobId) {
         let Some(trial) = self.sent_trials.remove(&job_id) else { return };
         if now_ms < trial.sent_ms + SENT_KEPT_MS {
-            self.crashes.service(&trial.service).take_back_trial(now_ms, &trial.content);
+            self.crashes.service(&trial.service).take_back_trials(now_ms, &trial.trials);
         }
     }
 
--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -132,6 +132,7 @@
     let crashing = Content::new(Prompt::default(), Some(RequestDigest::new(CRASHING_REQUEST)));
     (1..=3).for_each(|number| crash(&mut crashes, number * 10_000, 1, &crashing));
     let mut now_ms = 40_000;
+    let mut sent = Vec::new();
     for trial in 1..=4 {
         let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
         if let Verdict::Refused { retry_after_ms } = verdict {
@@ -140,9 +141,10 @@
             let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
             expect_that!(verdict, eq(Verdict::Sound), "trial {trial}");
         }
-        expect_that!(crashes.record_sent(now_ms, &crashing), eq(true));
+        sent = crashes.record_sent(now_ms, &crashing);
+        expect_that!(sent, not(is_empty()), "trial {trial}");
     }
-    crashes.take_back_trial(now_ms, &crashing);
+    crashes.take_back_trials(now_ms, &sent);
     let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
     expect_that!(verdict, matches_pattern!(Verdict::Refused { retry_after_ms: le(SOON_MS) }));
 }
--- a/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
@@ -3,7 +3,7 @@
 use super::world::*;
 use crate::replay::{document, finished, job};
 use googletest::prelude::*;
-use lycheehub_dispatch::crashes::RequestDigest;
+use lycheehub_dispatch::crashes::{Quarantine, RequestDigest};
 use lycheehub_dispatch::{Decision, Finished, Job, JobId, Outcome, Reason};
 use lycheehub_routes::Quota;
 
@@ -158,6 +158,21 @@
     }
 }
 
+/// A new leader places a trial that an instance holds for due, and then hears of another one that has seen more
+/// trials.
+#[gtest]
+fn a_trial_that_is_given_back_does_not_bring_forward_one_that_was_told_meanwhile() {
+    let mut world = quarantined();
+    let job_id = world.place_trial(TRIAL);
+    let (now_ms, dispatcher) = (world.now_ms, &mut world.dispatchers[0]);
+    let told = dispatcher.quarantines(now_ms).into_iter();
+    let told = told.map(|known| Quarantine { next_trial_ms: HOUR_MS, trials: 3, ..known });
+    dispatcher.set_quarantines(now_ms, &told.collect::<Vec<_>>());
+    dispatcher.withdraw(now_ms, job_id);
+    expect_that!(world.next_trial_ms(), eq(HOUR_MS));
+    expect_that!(world.trials(), eq(3));
+}
+
 /// An attempt that ended without an answer may have run; a rejected one has reached an endpoint.
 #[gtest]
 fn a_trial_that_may_have_reached_an_endpoint_is_counted() {
--- a/crates/route/src/scheduler/crashes.rs
+++ b/crates/route/src/scheduler/crashes.rs
@@ -27,9 +27,7 @@
         let Some(running) = &state.running else { return };
         let crashes = self.crashes.service(&state.job.service);
         crashes.record_unreached(&running.start, NOT_REACHED);
-        if running.is_trial {
-            crashes.take_back_trial(now_ms, &state.content);
-        }
+        crashes.take_back_trials(now_ms, &running.trials);
     }
 
     /// Records that the connection of a running request was lost; `has_begun` tells that a part of its
--- a/crates/route/src/scheduler/dispatch.rs
+++ b/crates/route/src/scheduler/dispatch.rs
@@ -38,13 +38,13 @@
         endpoint.in_flight[usize::from(job.tier.rank())] += 1;
         let version = assignment.version.clone();
         let (name, incarnation) = (assignment.name.clone(), endpoint.record.incarnation);
-        let is_trial = self.crashes.service(service).record_sent(now_ms, &state.content);
+        let trials = self.crashes.service(service).record_sent(now_ms, &state.content);
         state.running = Some(Running {
             endpoint: assignment.endpoint,
             version,
             start: EndpointStart { endpoint: name, incarnation },
             since_ms: now_ms,
-            is_trial,
+            trials,
             prefill_tokens,
         });
     }
--- a/crates/route/src/scheduler/mod.rs
+++ b/crates/route/src/scheduler/mod.rs
@@ -17,7 +17,7 @@
 use crate::work::{LengthRatio, Speed};
 use crate::{Decision, EndpointKey, Job, JobKey, Options};
 use lycheehub_control::moves::Observations;
-use lycheehub_dispatch::crashes::{Content, Crashes, EndpointStart};
+use lycheehub_dispatch::crashes::{Content, Crashes, EndpointStart, Trial};
 use lycheehub_types::{EndpointName, ServiceName, Tier, Version};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -90,8 +90,8 @@
     version: Version,
     start: EndpointStart,
     since_ms: u64,
-    /// It is a trial of a quarantine.
-    is_trial: bool,
+    /// The trials of quarantines that it is.
+    trials: Vec<Trial>,
     /// The prompt tokens that were not expected to be cached.
     prefill_tokens: u64,
 }
