dispatch: a quarantine can be ended, and stays ended at instances and a new leader

Change: a dispatcher lists its quarantines with an identity (a digest of service and suspects, so the same at each leader) and the endpoints that crashed, and ends one by that identity. Crashes before the end at which the suspects were are forgotten, also those that become known later, and so is a quarantine of them that an instance which enters still holds. Later crashes count as ever. Instances take a quarantine for ended that the leader tells them no more, forget its crashes too, and report its suspects to a new leader with the answers, which messages have already: no change of the schema, and a leader of an older build understands it. Of a request and its parts only the request is reported. Logged as `quarantine ended: by an operator` with the call.

Limits: a new leader cannot tell such a report from an answer, so it logs `an answer has begun` if an instance that was cut off during the end entered first, and takes a reported part for sound in other quarantines too.

--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -19,7 +19,7 @@
 //! * [`crash`] tells crashes from single lost connections.
 //! * [`answers`] remembers the parts and requests that have been answered, and [`ended`] the answers of which
 //!   that is not yet known.
-//! * [`quarantine`] holds what is refused.
+//! * [`quarantine`] holds what is refused, [`id`] names it, and [`lifted`] ends it without an answer.
 //! * [`scope`] tells whose requests are decided on.
 //! * [`service`] keeps the state of a service, [`accuse`] finds what is quarantined, [`suspicion`] what is
 //!   not placed before that is decided, and [`report`] passes on what is known.
@@ -29,6 +29,8 @@
 mod content;
 mod crash;
 mod ended;
+mod id;
+mod lifted;
 mod prompt;
 mod quarantine;
 mod report;
@@ -39,8 +41,10 @@
 pub use answers::Answer;
 pub use content::{Content, RequestDigest, Suspect};
 pub use crash::{Crash, EndpointStart, Observer};
+pub use id::QuarantineId;
+pub use lifted::Ending;
 pub use prompt::Prompt;
-pub use quarantine::{Quarantine, QuarantineEvent};
+pub use quarantine::{ListedQuarantine, Quarantine, QuarantineEvent};
 pub use scope::Scope;
 pub use service::{ServiceCrashes, Verdict};
 
@@ -105,12 +109,28 @@
 
     /// Replaces the quarantines by those that the leader has passed on.
     pub fn set_quarantines(&mut self, now_ms: u64, quarantines: &[Quarantine]) {
-        for service in self.by_service.values_mut() {
-            service.clear_quarantines();
-        }
         for quarantine in quarantines {
-            self.service(&quarantine.service).restore_quarantine(now_ms, quarantine);
+            self.service(&quarantine.service);
         }
+        for (name, service) in &mut self.by_service {
+            let told = quarantines.iter().filter(|quarantine| quarantine.service == *name);
+            service.replace_quarantines(now_ms, &told.collect::<Vec<_>>());
+        }
+    }
+
+    /// Returns all quarantines with what operators are told of them.
+    pub fn listed(&self, now_ms: u64) -> Vec<ListedQuarantine> {
+        self.by_service.values().flat_map(|service| service.listed(now_ms)).collect()
+    }
+
+    /// Ends a quarantine at the call `by` of an operator.
+    pub fn end_quarantine(&mut self, now_ms: u64, id: QuarantineId, by: &str) -> Ending {
+        let services = self.by_service.values_mut();
+        let endings = services.map(|service| service.end_quarantine(now_ms, id, by));
+        // The identity names a quarantine of one service.
+        endings
+            .reduce(|one, other| if one == Ending::Unknown { other } else { one })
+            .unwrap_or(Ending::Unknown)
     }
 
     /// Returns the changes of quarantines since the last call.
--- a/crates/dispatch/src/crashes/quarantine.rs
+++ b/crates/dispatch/src/crashes/quarantine.rs
@@ -1,7 +1,8 @@
 //! Parts of prompts, and requests, that are kept from endpoints.
 
-use super::{Content, Suspect};
+use super::{Content, QuarantineId, Suspect};
 use lycheehub_types::{EndpointName, ServiceName};
+use smol_str::SmolStr;
 
 /// The time from the start of a quarantine to its first trial, in milliseconds.
 const FIRST_TRIAL_MS: u64 = 10_000;
@@ -31,6 +32,17 @@
     pub trials: u32,
 }
 
+/// A quarantine as operators are told of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedQuarantine {
+    /// Its identity.
+    pub id: QuarantineId,
+    /// The quarantine.
+    pub quarantine: Quarantine,
+    /// The endpoints that crashed, as far as their crashes are remembered here.
+    pub endpoints: Vec<EndpointName>,
+}
+
 /// A change of a quarantine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum QuarantineEvent {
@@ -57,6 +69,15 @@
         /// The suspects.
         suspects: Vec<Suspect>,
     },
+    /// An operator has ended the quarantine; the suspects are no longer refused.
+    Ended {
+        /// The service.
+        service: ServiceName,
+        /// The suspects.
+        suspects: Vec<Suspect>,
+        /// The operator's call.
+        by: SmolStr,
+    },
     /// A request with the suspects is placed as a trial.
     Tried {
         /// The service.
--- a/crates/dispatch/src/crashes/report.rs
+++ b/crates/dispatch/src/crashes/report.rs
@@ -1,8 +1,9 @@
 //! Passes on what a dispatcher knows of a service's crashes, and takes over what others know.
 
+use super::QuarantineId;
 use super::answers::Answer;
 use super::crash::{Crash, SETTLE_MS};
-use super::quarantine::{InForce, Quarantine};
+use super::quarantine::{InForce, ListedQuarantine, Quarantine};
 use super::service::{KnownCrash, ServiceCrashes};
 
 impl ServiceCrashes {
@@ -11,6 +12,19 @@
         self.quarantines.iter().map(move |quarantine| quarantine.told(now_ms, &self.service))
     }
 
+    /// Returns the quarantines with what operators are told of them.
+    pub fn listed(&self, now_ms: u64) -> impl Iterator<Item = ListedQuarantine> {
+        self.quarantines.iter().map(move |known| {
+            let crashes = self.crashes.iter();
+            let explained = crashes.filter(|crash| crash.explained_by == Some(known.id));
+            ListedQuarantine {
+                id: QuarantineId::of(&self.service, &known.suspects),
+                quarantine: known.told(now_ms, &self.service),
+                endpoints: explained.map(|crash| crash.start.endpoint.clone()).collect(),
+            }
+        })
+    }
+
     /// Returns the crashes that no quarantine explains.
     pub fn crashes(&self, now_ms: u64) -> impl Iterator<Item = Crash> {
         let known = self.unexplained().map(|crash| (&crash.start, crash.at_ms, &crash.contents));
@@ -24,9 +38,10 @@
         })
     }
 
-    /// Returns what was answered last.
+    /// Returns what was answered last, and the suspects of quarantines that were ended without an answer:
+    /// another dispatcher takes them for sound, and takes over no older quarantine of them.
     pub fn answers(&self, now_ms: u64) -> impl Iterator<Item = Answer> {
-        self.answers.newest().map(move |(at_ms, suspect)| Answer {
+        self.answers.newest().chain(self.lifted.newest()).map(move |(at_ms, suspect)| Answer {
             service: self.service.clone(),
             suspect,
             ago_ms: now_ms.saturating_sub(at_ms),
@@ -59,11 +74,15 @@
         });
     }
 
-    /// Adds a quarantine that an instance knows of, unless an answer has disproved it since.
+    /// Adds a quarantine that an instance knows of, unless an answer has disproved it since, or it was
+    /// ended.
     pub(super) fn restore_quarantine(&mut self, now_ms: u64, told: &Quarantine) {
         self.last_id += 1;
         let mut restored = InForce::restored(self.last_id, now_ms, told);
         let (answers, first_ms) = (&self.answers, restored.first_crash_ms);
+        if self.lifted.covers(first_ms, &restored.suspects) {
+            return;
+        }
         let was_of_request = restored.is_of_request();
         restored.suspects.retain(|suspect| !answers.is_sound_since(first_ms, *suspect));
         if restored.suspects.is_empty() || was_of_request && !restored.is_of_request() {
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -3,6 +3,7 @@
 use super::answers::Answers;
 use super::crash::{EndpointStart, Loss, Observer};
 use super::ended::{EndedAnswer, EndedAnswers};
+use super::lifted::LiftedQuarantines;
 use super::quarantine::{InForce, QuarantineEvent};
 use super::suspicion::Suspicion;
 use super::{Content, RequestDigest, Scope, Suspect};
@@ -16,7 +17,7 @@
 /// How long a crash is remembered, in milliseconds.
 const CRASH_KEPT_MS: u64 = 600_000;
 /// The maximum number of quarantines.
-const QUARANTINES_MAX: usize = 64;
+pub(super) const QUARANTINES_MAX: usize = 64;
 /// The maximum number of endpoints with lost connections that are watched.
 const LOSSES_MAX: usize = 1_024;
 /// The lower bound of the delay told to the callers of quarantined requests, in milliseconds.
@@ -61,6 +62,7 @@
     ended: EndedAnswers,
     pub(super) crashes: VecDeque<KnownCrash>,
     pub(super) quarantines: Vec<InForce>,
+    pub(super) lifted: LiftedQuarantines,
     pub(super) last_id: u64,
     /// The requests that were placed after a suspicion, and when, in milliseconds.
     pub(super) probes: BTreeMap<RequestDigest, u64>,
@@ -77,6 +79,7 @@
             ended: EndedAnswers::default(),
             crashes: VecDeque::new(),
             quarantines: Vec::new(),
+            lifted: LiftedQuarantines::default(),
             last_id: 0,
             probes: BTreeMap::new(),
             events: Vec::new(),
@@ -305,6 +308,9 @@
     }
 
     pub(super) fn add_crash(&mut self, crash: KnownCrash) {
+        if self.lifted.covers_crash(&crash) {
+            return;
+        }
         if self.crashes.len() >= CRASHES_MAX {
             self.crashes.pop_front();
         }
@@ -393,10 +399,6 @@
         }
     }
 
-    pub(super) fn clear_quarantines(&mut self) {
-        self.quarantines.clear();
-    }
-
     pub(super) fn push_event(&mut self, event: QuarantineEvent) {
         if self.events.len() < EVENTS_MAX {
             self.events.push(event);
--- a/crates/dispatch/src/dispatcher/crashes.rs
+++ b/crates/dispatch/src/dispatcher/crashes.rs
@@ -2,7 +2,8 @@
 
 use super::{Dispatcher, PlacedJob};
 use crate::crashes::{
-    Content, EndpointStart, Observer, Quarantine, QuarantineEvent, Scope, Verdict,
+    Content, Ending, EndpointStart, ListedQuarantine, Observer, Quarantine, QuarantineEvent,
+    QuarantineId, Scope, Verdict,
 };
 use crate::endpoints::EndpointKey;
 use crate::job::{Finished, Job, JobId, Outcome, Reason};
@@ -145,6 +146,27 @@
         self.crashes.quarantines(now_ms)
     }
 
+    /// Returns all quarantines with what operators are told of them.
+    pub fn listed_quarantines(&self, now_ms: u64) -> Vec<ListedQuarantine> {
+        self.crashes.listed(now_ms)
+    }
+
+    /// Ends a quarantine at the call `by` of an operator. What endpoints crashed on before counts no more
+    /// against its suspects, new crashes do.
+    ///
+    /// # Examples
+    /// ```
+    /// use lycheehub_dispatch::crashes::{Ending, QuarantineId};
+    /// use lycheehub_dispatch::{Dispatcher, Options};
+    ///
+    /// let mut dispatcher = Dispatcher::new(Options::default());
+    /// let id = QuarantineId::of(&"labels".into(), &[]);
+    /// assert_eq!(dispatcher.end_quarantine(1_000, id, "an operator"), Ending::Unknown);
+    /// ```
+    pub fn end_quarantine(&mut self, now_ms: u64, id: QuarantineId, by: &str) -> Ending {
+        self.crashes.end_quarantine(now_ms, id, by)
+    }
+
     /// Replaces the quarantines by those that the leader has passed on.
     pub fn set_quarantines(&mut self, now_ms: u64, quarantines: &[Quarantine]) {
         self.crashes.set_quarantines(now_ms, quarantines);
--- a/crates/dispatch/tests/dispatch/crash_evidence.rs
+++ b/crates/dispatch/tests/dispatch/crash_evidence.rs
@@ -2,8 +2,8 @@
 
 use googletest::prelude::*;
 use lycheehub_dispatch::crashes::{
-    Content, EndpointStart, Observer, Prompt, RequestDigest, Scope, ServiceCrashes, Suspect,
-    Verdict,
+    Content, Ending, EndpointStart, Observer, Prompt, QuarantineId, RequestDigest, Scope,
+    ServiceCrashes, Suspect, Verdict,
 };
 
 const CRASHING_PART: u64 = 0xdead;
@@ -145,3 +145,27 @@
     let verdict = crashes.judge(now_ms, &crashing, false, Scope::AllInstances);
     expect_that!(verdict, matches_pattern!(Verdict::Refused { retry_after_ms: le(SOON_MS) }));
 }
+
+/// Crashes that became known after an operator ended the quarantine count no more if they were before.
+#[gtest]
+fn crashes_before_the_end_of_a_quarantine_of_a_part_count_no_more() {
+    let content = |number: u64| {
+        let digest = RequestDigest::new(u128::from(number));
+        Content::new(Prompt::new([CRASHING_PART, number]), Some(digest))
+    };
+    let mut crashes = ServiceCrashes::new("writer".into());
+    (1..=3).for_each(|number| crash(&mut crashes, number * 10_000, 4, &content(number)));
+    let ids: Vec<QuarantineId> = crashes.listed(31_000).map(|listed| listed.id).collect();
+    expect_that!(ids.len(), eq(1));
+    // A connection was lost before the end, and it becomes known as a crash after it.
+    let start = EndpointStart { endpoint: "a".into(), incarnation: 5 };
+    crashes.record_lost(31_500, &start, (&content(4), false), (OBSERVER, true));
+    expect_that!(crashes.end_quarantine(31_600, ids[0], "a call"), eq(Ending::Ended));
+    crashes.record_gone(&start);
+    crashes.advance(32_600, Scope::AllInstances);
+    expect_that!(crashes.crashes(32_600).count(), eq(0));
+    (4..=5).for_each(|number| crash(&mut crashes, number * 10_000, 4, &content(number)));
+    expect_that!(crashes.quarantines(52_000).count(), eq(0), "two crashes since");
+    crash(&mut crashes, 60_000, 4, &content(6));
+    expect_that!(crashes.quarantines(62_000).count(), eq(1), "three");
+}
--- a/crates/dispatch/tests/dispatch/crashing_requests/mod.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/mod.rs
@@ -1,6 +1,7 @@
 //! A request on which endpoints crash is kept from them, whatever its kind, and no sound one is.
 
 mod alone;
+mod ended;
 mod trials;
 mod world;
 
--- a/crates/peer/src/node/dispatch/quarantines.rs
+++ b/crates/peer/src/node/dispatch/quarantines.rs
@@ -4,6 +4,7 @@
 use super::{LeaderDispatch, SessionKey};
 use lycheehub_dispatch::JobId;
 use lycheehub_dispatch::crashes::{Quarantine, QuarantineEvent, Suspect};
+use lycheehub_types::EndpointName;
 
 impl LeaderDispatch {
     /// Logs and counts what has changed since the last call.
@@ -51,16 +52,16 @@
         QuarantineEvent::Began { service, suspects, .. } => ("began", service, suspects),
         QuarantineEvent::Narrowed { service, suspects } => ("narrowed", service, suspects),
         QuarantineEvent::Cleared { service, suspects } => ("cleared", service, suspects),
+        QuarantineEvent::Ended { service, suspects, .. } => ("ended", service, suspects),
         QuarantineEvent::Tried { service, suspects } => ("tried", service, suspects),
     };
     let label = [("service", service.to_string()), ("event", what.to_owned())];
     metrics::counter!("lycheehub_quarantine_events_total", &label).increment(1);
     let (parts, digest) = texts_of(suspects);
-    let endpoints = match event {
-        QuarantineEvent::Began { endpoints, .. } => {
-            endpoints.iter().map(|endpoint| endpoint.as_str()).collect::<Vec<_>>().join(",")
-        }
-        _ => String::new(),
+    let (endpoints, call) = match event {
+        QuarantineEvent::Began { endpoints, .. } => (names_of(endpoints), ""),
+        QuarantineEvent::Ended { by, .. } => (String::new(), by.as_str()),
+        _ => (String::new(), ""),
     };
     match what {
         "began" if digest.is_empty() => {
@@ -74,6 +75,9 @@
         "cleared" => spdlog::info!("quarantine ended: an answer has begun", kv: {
             service: = service, digest, parts,
         }),
+        "ended" => spdlog::info!("quarantine ended: by an operator", kv: {
+            service: = service, digest, parts, call,
+        }),
         "narrowed" => spdlog::info!("quarantine narrowed", kv: {
             service: = service, digest, parts,
         }),
@@ -81,6 +85,10 @@
     }
 }
 
+fn names_of(endpoints: &[EndpointName]) -> String {
+    endpoints.iter().map(|endpoint| endpoint.as_str()).collect::<Vec<_>>().join(",")
+}
+
 /// Returns the parts and the request among suspects, as the lines of requests show them.
 fn texts_of(suspects: &[Suspect]) -> (String, String) {
     let (mut parts, mut digest) = (Vec::new(), String::new());
