peer: the leader's control thread lists quarantines and ends one, and instances learn of each end

Cause: nothing outside the dispatcher could ask for its quarantines or end one.

Change: the handle of the control thread has the calls; they are answered once a quorum has confirmed that the instance leads, and otherwise with the leader's name. No change of the schema: an operator calls the leader.

An instance takes a quarantine for ended that it is told no more.

--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -19,7 +19,8 @@
 //! * [`crash`] tells crashes from single lost connections.
 //! * [`answers`] remembers the parts and requests that have been answered, and [`ended`] the answers of which
 //!   that is not yet known.
-//! * [`quarantine`] holds what is refused, [`id`] names it, and [`lifted`] ends it without an answer.
+//! * [`quarantine`] holds what is refused, [`id`] names it, [`lifted`] ends it without an answer, and
+//!   [`feed`] tells instances.
 //! * [`scope`] tells whose requests are decided on.
 //! * [`service`] keeps the state of a service, [`accuse`] finds what is quarantined, [`suspicion`] what is
 //!   not placed before that is decided, and [`report`] passes on what is known.
@@ -29,6 +30,7 @@
 mod content;
 mod crash;
 mod ended;
+mod feed;
 mod id;
 mod lifted;
 mod prompt;
@@ -41,6 +43,7 @@
 pub use answers::Answer;
 pub use content::{Content, RequestDigest, Suspect};
 pub use crash::{Crash, EndpointStart, Observer};
+pub use feed::QuarantineFeed;
 pub use id::QuarantineId;
 pub use lifted::Ending;
 pub use prompt::Prompt;
--- a/crates/dispatch/tests/dispatch/crashing_requests/ended.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/ended.rs
@@ -3,7 +3,8 @@
 use super::world::*;
 use googletest::prelude::*;
 use lycheehub_dispatch::crashes::{
-    Ending, ListedQuarantine, Quarantine, QuarantineEvent, QuarantineId, RequestDigest, Suspect,
+    Ending, ListedQuarantine, Quarantine, QuarantineEvent, QuarantineFeed, QuarantineId,
+    RequestDigest, Suspect,
 };
 use lycheehub_dispatch::{Options, UsageReport};
 use std::collections::BTreeSet;
@@ -266,3 +267,58 @@
     }
     expect_that!(instance.usage().crashes.answers.len(), le(KEPT_MAX as usize));
 }
+
+/// Returns the digests of the requests that an instance is told, and the revision that it has then.
+fn tell(
+    feed: &QuarantineFeed,
+    (session, known): (u64, u64),
+    in_force: &[u128],
+) -> (u64, Vec<u128>) {
+    let quarantines = || in_force.iter().copied().map(request_quarantine).collect();
+    let (revision, told) = feed.next(5_000, (session, known), quarantines).unwrap_or_default();
+    let digests = told.iter().flat_map(|quarantine| &quarantine.suspects).map(|suspect| {
+        let Suspect::Request(digest) = suspect else { return 0 };
+        u128::from_be_bytes(digest.to_bytes())
+    });
+    (revision, digests.collect())
+}
+
+/// An instance that was told neither the begin nor the end would pass on the crashes.
+#[gtest]
+fn an_instance_that_was_not_told_of_an_ended_quarantine_is_told_of_it_first() {
+    let mut feed = QuarantineFeed::default();
+    let (mut known, _) = tell(&feed, (1, 0), &[]);
+    // Two begin, and are ended one after the other before the instance calls again.
+    (0..2).for_each(|_| feed.record_change());
+    for digest in [1, 2] {
+        feed.record_change();
+        feed.record_end(4_000, 1, request_quarantine(digest));
+    }
+    let steps = std::iter::from_fn(|| {
+        let (revision, told) = tell(&feed, (1, known), &[3]);
+        (revision > 0).then(|| known = revision).map(|()| told)
+    });
+    expect_that!(steps.collect::<Vec<_>>(), elements_are![eq(&vec![3, 1, 2]), eq(&vec![3])]);
+}
+
+#[gtest]
+fn an_instance_that_was_told_of_a_quarantine_is_told_of_its_end_at_once() {
+    let mut feed = QuarantineFeed::default();
+    feed.record_change();
+    let (known, told) = tell(&feed, (1, 1), &[1]);
+    expect_that!(told, elements_are![eq(&1)]);
+    feed.record_change();
+    feed.record_end(4_000, 1, request_quarantine(1));
+    expect_that!(tell(&feed, (1, known), &[]), eq(&(known + 1, vec![])));
+    expect_that!(feed.next(5_000, (1, known + 1), Vec::new), none());
+}
+
+#[gtest]
+fn an_ended_quarantine_is_told_neither_to_new_sessions_nor_beside_the_same_one() {
+    let mut feed = QuarantineFeed::default();
+    (0..2).for_each(|_| feed.record_change());
+    feed.record_end(4_000, 1, request_quarantine(1));
+    expect_that!(tell(&feed, (2, 0), &[]), eq(&(3, vec![])));
+    feed.record_change();
+    expect_that!(tell(&feed, (1, 1), &[1]), eq(&(4, vec![1])), "it began again");
+}
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -2,6 +2,7 @@
 
 use lycheehub_control::placement::LoadOrder;
 use lycheehub_control::state::{Command, DocumentRecord, MoveRecord, RolloutRecord, SectionRecord};
+use lycheehub_dispatch::crashes::{Ending, ListedQuarantine, QuarantineId};
 use lycheehub_route::Demands;
 use lycheehub_types::{
     EndpointName, EndpointRecord, InstanceName, RefusalKind, SectionName, ServiceName,
@@ -72,6 +73,15 @@
     pub instances: Vec<InstanceStatus>,
 }
 
+/// The reply to a call that only the leader can answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaderReply<T> {
+    /// This instance leads, which a quorum has confirmed.
+    Leads(T),
+    /// It does not; nothing was changed. The instance that leads is named if it is known.
+    Elsewhere(Option<InstanceName>),
+}
+
 /// A request to the control thread, with the channel for the reply.
 #[derive(Debug)]
 pub enum ControlRequest {
@@ -81,6 +91,10 @@
     Read(Sender<Option<CommittedState>>),
     /// Reads the status of endpoints and instances.
     ClusterStatus(Sender<ClusterStatus>),
+    /// Reads the quarantines in force at the leader.
+    Quarantines(Sender<LeaderReply<Vec<ListedQuarantine>>>),
+    /// Ends a quarantine at the leader, for this call of an operator.
+    EndQuarantine(QuarantineId, SmolStr, Sender<LeaderReply<Ending>>),
     /// Applies an endpoint's announcement to the registry.
     Announce(EndpointRecord),
     /// Applies an endpoint's announcement to the directory.
@@ -133,6 +147,18 @@
         self.call(ControlRequest::ClusterStatus).await
     }
 
+    /// Returns the quarantines in force if this instance leads.
+    pub async fn quarantines(&self) -> LeaderReply<Vec<ListedQuarantine>> {
+        let reply = self.call(ControlRequest::Quarantines).await;
+        reply.unwrap_or(LeaderReply::Elsewhere(None))
+    }
+
+    /// Ends a quarantine if this instance leads; `by` is the operator's call, for the log.
+    pub async fn end_quarantine(&self, id: QuarantineId, by: SmolStr) -> LeaderReply<Ending> {
+        let reply = self.call(|sender| ControlRequest::EndQuarantine(id, by, sender)).await;
+        reply.unwrap_or(LeaderReply::Elsewhere(None))
+    }
+
     /// Applies an endpoint's announcement to the registry.
     pub async fn announce(&self, record: EndpointRecord) {
         // Sending fails only if the control thread has ended, that is, during process exit.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -24,9 +24,9 @@
 
 pub use control::{
     AnswerSource, ClusterStatus, CommittedState, Control, ControlRequest, EndpointStatus,
-    InstanceStatus, OrderSink,
+    InstanceStatus, LeaderReply, OrderSink,
 };
 pub use lycheehub_wire::{Answer, KeptAnswer, ProposeReply};
-pub use node::{Dependencies, Node, log_quarantine_event};
+pub use node::{Dependencies, Node, log_quarantine_event, suspect_texts};
 pub use settings::{Seed, Settings};
 pub use views::{Latest, Views};
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -119,7 +119,7 @@
     }
 
     /// Returns the leader that the local replica follows, if it had recent contact.
-    fn recent_leader(&self, core: &Core) -> Option<InstanceName> {
+    pub(super) fn recent_leader(&self, core: &Core) -> Option<InstanceName> {
         let is_recent = core.has_leader_contact(self.clock.now_ms(), LEADER_CONTACT_MS);
         if is_recent { core.followed_leader(&self.settings.instance) } else { None }
     }
--- a/crates/peer/src/node/dispatch/mod.rs
+++ b/crates/peer/src/node/dispatch/mod.rs
@@ -4,11 +4,12 @@
 mod quarantines;
 mod relays;
 
-pub use quarantines::log_quarantine_event;
+pub use quarantines::{log_quarantine_event, suspect_texts};
 
 use super::Node;
 use crate::rollouts::{TrafficScope, version_rules};
 use lycheehub_control::moves::RolloutController;
+use lycheehub_dispatch::crashes::QuarantineFeed;
 use lycheehub_dispatch::{Decision, Dispatcher, Finished, InFlight, Job, JobId, UsageReport};
 use lycheehub_types::{AccountName, EndpointName, InstanceName};
 use smol::channel::{Sender, bounded};
@@ -70,8 +71,8 @@
     limits: BTreeMap<(EndpointName, Option<u64>), f64>,
     /// Incremented when `limits` changes.
     limits_revision: u64,
-    /// Incremented when the quarantines change.
-    quarantines_revision: u64,
+    /// What instances are told of quarantines.
+    quarantine_feed: QuarantineFeed,
 }
 
 impl LeaderDispatch {
@@ -182,7 +183,7 @@
             instances: 0,
             limits: BTreeMap::new(),
             limits_revision: 1,
-            quarantines_revision: 1,
+            quarantine_feed: QuarantineFeed::default(),
         });
         spdlog::info!("leadership gained: dispatching started");
         self.update_dispatcher();
@@ -234,7 +235,7 @@
         self.update_instances(now_ms, dispatch);
         dispatch.dispatcher.record_in_flight(now_ms, number, in_flight);
         dispatch.dispatcher.restore_usage(now_ms, number, usage);
-        dispatch.quarantines_revision += 1;
+        dispatch.quarantine_feed.record_change();
         Some(key)
     }
 
--- a/crates/peer/src/node/dispatch/quarantines.rs
+++ b/crates/peer/src/node/dispatch/quarantines.rs
@@ -2,9 +2,13 @@
 
 use super::super::Node;
 use super::{LeaderDispatch, SessionKey};
+use crate::control::LeaderReply;
 use lycheehub_dispatch::JobId;
-use lycheehub_dispatch::crashes::{Quarantine, QuarantineEvent, Suspect};
+use lycheehub_dispatch::crashes::{
+    Ending, ListedQuarantine, Quarantine, QuarantineEvent, QuarantineId, Suspect,
+};
 use lycheehub_types::EndpointName;
+use std::rc::Rc;
 
 impl LeaderDispatch {
     /// Logs and counts what has changed since the last call.
@@ -13,11 +17,24 @@
         if events.is_empty() {
             return;
         }
-        self.quarantines_revision += 1;
+        self.quarantine_feed.record_change();
         events.iter().for_each(log_quarantine_event);
         let count = self.dispatcher.quarantines(now_ms).len();
         metrics::gauge!("lycheehub_quarantines").set(count as f64);
     }
+
+    fn end_quarantine(&mut self, now_ms: u64, id: QuarantineId, by: &str) -> Ending {
+        // What has changed before has a revision of its own.
+        self.update_quarantines(now_ms);
+        let mut listed = self.dispatcher.listed_quarantines(now_ms).into_iter();
+        let named = listed.find(|listed| listed.id == id);
+        let ending = self.dispatcher.end_quarantine(now_ms, id, by);
+        self.update_quarantines(now_ms);
+        if let Some(named) = named {
+            self.quarantine_feed.record_end(now_ms, self.last_connection, named.quarantine);
+        }
+        ending
+    }
 }
 
 impl Node {
@@ -33,15 +50,56 @@
         });
     }
 
-    /// Returns the revision of the quarantines, and the quarantines if it is not `known_revision`.
-    pub(crate) fn quarantines(&self, known_revision: u64) -> (u64, Vec<Quarantine>) {
+    /// Returns a revision of the quarantines, and the quarantines of that revision if it is not
+    /// `known_revision`.
+    pub(crate) fn quarantines(
+        &self,
+        session: SessionKey,
+        known_revision: u64,
+    ) -> (u64, Vec<Quarantine>) {
         let now_ms = self.clock.now_ms();
         let dispatch = self.dispatch.borrow();
-        match dispatch.as_ref() {
-            Some(dispatch) if dispatch.quarantines_revision != known_revision => {
-                (dispatch.quarantines_revision, dispatch.dispatcher.quarantines(now_ms))
-            }
-            _ => (known_revision, Vec::new()),
+        let told = dispatch.as_ref().and_then(|dispatch| {
+            let known = (session.connection, known_revision);
+            let in_force = || dispatch.dispatcher.quarantines(now_ms);
+            dispatch.quarantine_feed.next(now_ms, known, in_force)
+        });
+        told.unwrap_or((known_revision, Vec::new()))
+    }
+
+    /// Returns the quarantines in force if this instance leads.
+    pub(in crate::node) async fn listed_quarantines(
+        self: &Rc<Self>,
+    ) -> LeaderReply<Vec<ListedQuarantine>> {
+        self.at_leader(|dispatch, now_ms| dispatch.dispatcher.listed_quarantines(now_ms)).await
+    }
+
+    /// Ends a quarantine at the call `by` of an operator if this instance leads.
+    pub(in crate::node) async fn end_quarantine(
+        self: &Rc<Self>,
+        id: QuarantineId,
+        by: &str,
+    ) -> LeaderReply<Ending> {
+        self.at_leader(|dispatch, now_ms| dispatch.end_quarantine(now_ms, id, by)).await
+    }
+
+    /// Runs a step of the dispatcher once a quorum has confirmed that this instance leads.
+    async fn at_leader<T>(
+        self: &Rc<Self>,
+        step: impl FnOnce(&mut LeaderDispatch, u64) -> T,
+    ) -> LeaderReply<T> {
+        let elsewhere = || LeaderReply::Elsewhere(self.recent_leader(&self.core.borrow()));
+        let (is_leader, revision) = {
+            let core = self.core.borrow();
+            (core.is_leader(), core.state.revision)
+        };
+        if !is_leader || self.read_local(revision).await.is_none() {
+            return elsewhere();
+        }
+        let now_ms = self.clock.now_ms();
+        match self.dispatch.borrow_mut().as_mut() {
+            Some(dispatch) => LeaderReply::Leads(step(dispatch, now_ms)),
+            None => LeaderReply::Elsewhere(None),
         }
     }
 }
@@ -57,7 +115,7 @@
     };
     let label = [("service", service.to_string()), ("event", what.to_owned())];
     metrics::counter!("lycheehub_quarantine_events_total", &label).increment(1);
-    let (parts, digest) = texts_of(suspects);
+    let (parts, digest) = suspect_texts(suspects);
     let (endpoints, call) = match event {
         QuarantineEvent::Began { endpoints, .. } => (names_of(endpoints), ""),
         QuarantineEvent::Ended { by, .. } => (String::new(), by.as_str()),
@@ -90,7 +148,7 @@
 }
 
 /// Returns the parts and the request among suspects, as the lines of requests show them.
-fn texts_of(suspects: &[Suspect]) -> (String, String) {
+pub fn suspect_texts(suspects: &[Suspect]) -> (String, String) {
     let (mut parts, mut digest) = (Vec::new(), String::new());
     for suspect in suspects {
         match suspect {
--- a/crates/peer/src/node/requests.rs
+++ b/crates/peer/src/node/requests.rs
@@ -18,6 +18,12 @@
                 // The send fails only if the caller no longer waits.
                 let _ = sender.try_send(self.cluster_status());
             }
+            ControlRequest::Quarantines(sender) => {
+                self.spawn_reply(sender, |node| async move { node.listed_quarantines().await });
+            }
+            ControlRequest::EndQuarantine(id, by, sender) => {
+                self.spawn_reply(sender, |node| async move { node.end_quarantine(id, &by).await });
+            }
             ControlRequest::Withdraw(endpoint, sender) => {
                 // The send fails only if the caller no longer waits.
                 let _ = sender.try_send(self.withdraw(&endpoint));
