cli: `lycheehub quarantines` lists what is quarantined, and `--end ID` ends one

Change: control instances answer two calls at port 9464, beside the lists of endpoints and instances and like these without a key: a list (id, service, parts and digest as log lines have them, endpoints that crashed, next trial, trials), and the end of one. An instance that does not lead answers 503 with the leader's name, and the command goes on to the next of its addresses. The log line has the command and the address it came from.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -46,6 +46,11 @@
     /// Shows instances.
     #[options(help = "show instances and what each has in force: lycheehub instances")]
     Instances(List),
+    /// Shows quarantines, or ends one.
+    #[options(
+        help = "show what is quarantined, or end a quarantine: lycheehub quarantines [--end ID]"
+    )]
+    Quarantines(Quarantines),
     /// Follows a request through log files.
     #[options(help = "follow a request's id through log files: lycheehub trace ID FILE...")]
     Trace(Trace),
@@ -211,6 +216,26 @@
     pub json: bool,
 }
 
+/// Options of `quarantines`.
+#[derive(Debug, Default, Options)]
+pub struct Quarantines {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The instances to try in turn.
+    #[options(help = "control instances to try in turn until one leads (or LYCHEEHUB_TO)")]
+    pub to: Option<String>,
+    /// The file with the operator's key.
+    #[options(help = "file with the operator's key (or LYCHEEHUB_KEY_FILE)")]
+    pub key_file: Option<String>,
+    /// Prints JSON.
+    #[options(help = "print JSON", no_short)]
+    pub json: bool,
+    /// The quarantine to end.
+    #[options(help = "end the quarantine with this id; requests are placed again", no_short)]
+    pub end: Option<String>,
+}
+
 /// Returns the help text, including the exit codes.
 pub fn help() -> String {
     format!(
--- a/crates/cli/src/client/mod.rs
+++ b/crates/cli/src/client/mod.rs
@@ -5,6 +5,7 @@
 pub mod get;
 pub mod lists;
 pub mod moves;
+pub mod quarantines;
 mod table;
 
 pub use call::{Call, Client};
--- a/crates/cli/src/roles/http.rs
+++ b/crates/cli/src/roles/http.rs
@@ -42,7 +42,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         return spdlog::debug!("failed to set TCP_NODELAY on a new connection", kv: { error: });
     }
-    let service = |request| {
+    let caller = stream.peer_addr().ok().map(|address| address.to_string());
+    let service = |mut request: Request| {
+        request.set_peer_addr(caller.clone());
         let response = handler(request);
         async move { Ok(response.await) }
     };
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -4,6 +4,7 @@
 mod entry;
 mod http;
 mod lists;
+mod quarantines;
 mod run_marker;
 
 use crate::exit::{Code, Error};
@@ -52,7 +53,8 @@
         .map_err(|error| Error::new(Code::Failed, format!("cannot start a thread: {error}")))
 }
 
-/// Serves metrics to operators and, on a control instance, its lists of endpoints and instances.
+/// Serves metrics to operators and, on a control instance, its lists of endpoints and
+/// instances and the quarantines.
 async fn serve_metrics(
     executor: &Rc<LocalExecutor<'static>>,
     deployment: &Deployment,
@@ -63,10 +65,13 @@
     let handler = move |request| {
         let (handle, control) = (handle.clone(), control.clone());
         async move {
-            if let Some(control) = control
-                && let Some(response) = lists::answer(&control, &request).await
-            {
-                return response;
+            if let Some(control) = control {
+                if let Some(response) = lists::answer(&control, &request).await {
+                    return response;
+                }
+                if let Some(response) = quarantines::answer(&control, &request).await {
+                    return response;
+                }
             }
             http::metrics(&handle, &request)
         }
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -15,6 +15,7 @@
 mod notices;
 mod odd_entries;
 mod planned_work;
+mod quarantines;
 mod rejections;
 mod restarts;
 mod rollouts;
