--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -3,6 +3,7 @@
 use super::answers::Answers;
 use super::crash::{EndpointStart, Loss, Observer};
 use super::ended::{EndedAnswer, EndedAnswers};
+use super::lifted::LiftedQuarantines;
 use super::quarantine::{InForce, QuarantineEvent, Trial};
 use super::search::{LastSearch, Progress};
 use super::suspicion::Suspicion;
@@ -17,7 +18,7 @@
 /// How long a crash is remembered, in milliseconds.
 const CRASH_KEPT_MS: u64 = 600_000;
 /// The maximum number of quarantines.
-const QUARANTINES_MAX: usize = 64;
+pub(super) const QUARANTINES_MAX: usize = 64;
 /// The maximum number of endpoints with lost connections that are watched.
 const LOSSES_MAX: usize = 1_024;
 /// The lower bound of the delay told to the callers of quarantined requests, in milliseconds.
@@ -62,6 +63,7 @@
     ended: EndedAnswers,
     pub(super) crashes: VecDeque<KnownCrash>,
     pub(super) quarantines: Vec<InForce>,
+    pub(super) lifted: LiftedQuarantines,
     pub(super) last_id: u64,
     pub(super) last_search: LastSearch,
     /// The requests that were placed after a suspicion, and when, in milliseconds.
@@ -79,6 +81,7 @@
             ended: EndedAnswers::default(),
             crashes: VecDeque::new(),
             quarantines: Vec::new(),
+            lifted: LiftedQuarantines::default(),
             last_id: 0,
             last_search: LastSearch::default(),
             probes: BTreeMap::new(),
@@ -341,6 +344,9 @@
     }
 
     pub(super) fn add_crash(&mut self, crash: KnownCrash) {
+        if self.lifted.covers_crash(&crash) {
+            return;
+        }
         self.last_search.record_change();
         if self.crashes.len() >= CRASHES_MAX {
             self.crashes.pop_front();
@@ -431,11 +437,6 @@
         }
     }
 
-    pub(super) fn clear_quarantines(&mut self) {
-        self.last_search.record_change();
-        self.quarantines.clear();
-    }
-
     pub(super) fn push_event(&mut self, event: QuarantineEvent) {
         if self.events.len() < EVENTS_MAX {
             self.events.push(event);
