operators' command: an end is the leader's; instances take no missing quarantine for ended

- An instance took each quarantine that its leader told it no more for ended by an operator: also one that was cleared, forgotten or gave way.
It forgot the crashes and reported the suspects as answered at a time when nobody had seen an answer, so that a new leader could lose a quarantine that is rightly in force.
Instances do again what they did: they replace their list.
With it go the two-step telling and the report of ends.
A new leader hears of the answers since an end, not of the end: without an answer it may quarantine again by the crashes that instances remember.
- The end of a quarantine of a part removed crashes that explain another quarantine, and a quarantine of a request with that part.
Test: ended::a_quarantine_of_a_request_outlives_the_end_of_one_of_its_parts fails without the condition.
- Whoever reached the port could end a quarantine, since it has no key.
Now only a caller on the machine of the instance can (401 otherwise).
Test: quarantines::a_quarantine_is_not_ended_from_another_machine.
- The command checks an id before it calls.

--- a/crates/cli/src/client/quarantines.rs
+++ b/crates/cli/src/client/quarantines.rs
@@ -4,6 +4,7 @@
 use crate::arguments::Quarantines;
 use crate::exit::{Code, Error};
 use http_types::Method;
+use lycheehub_dispatch::crashes::QuarantineId;
 use serde::Deserialize;
 
 #[derive(Deserialize)]
@@ -32,7 +33,7 @@
 pub fn run(options: &Quarantines) -> Result<(), Error> {
     let client = Client::new(options.to.as_deref(), options.key_file.as_deref())?;
     match &options.end {
-        Some(id) => end(&client, id, options.json),
+        Some(id) => end(&client, id.trim(), options.json),
         None => list(&client, options.json),
     }
 }
@@ -62,7 +63,10 @@
 }
 
 fn end(client: &Client, id: &str, json: bool) -> Result<(), Error> {
-    let call = Call { method: Method::Delete, ..Call::get(format!("quarantines/{}", id.trim())) };
+    let Ok(id) = id.parse::<QuarantineId>() else {
+        return Err(Error::new(Code::Invalid, format!("{id} is not the id of a quarantine")));
+    };
+    let call = Call { method: Method::Delete, ..Call::get(format!("quarantines/{id}")) };
     let with_repeat = |error: Error| match error.code() {
         Code::Unknown => {
             let repeat = format!("lycheehub quarantines --end {id}");
--- a/crates/cli/src/roles/http.rs
+++ b/crates/cli/src/roles/http.rs
@@ -43,8 +43,10 @@
         return spdlog::debug!("failed to set TCP_NODELAY on a new connection", kv: { error: });
     }
     let caller = stream.peer_addr().ok().map(|address| address.to_string());
+    let own = stream.local_addr().ok().map(|address| address.to_string());
     let service = |mut request: Request| {
         request.set_peer_addr(caller.clone());
+        request.set_local_addr(own.clone());
         let response = handler(request);
         async move { Ok(response.await) }
     };
--- a/crates/cli/src/roles/quarantines.rs
+++ b/crates/cli/src/roles/quarantines.rs
@@ -1,4 +1,6 @@
 //! A control instance's calls for operators that list quarantines and end them.
+//!
+//! The port has no key, and a quarantine protects endpoints: only a caller on the same machine ends one.
 
 use http_types::{Method, Request, Response};
 use lycheehub_dispatch::crashes::{Ending, ListedQuarantine, QuarantineId};
@@ -8,6 +10,7 @@
 use serde::Serialize;
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
+use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
 
 /// The path of the list; that of a quarantine ends with its identity.
 const PATH: &str = "/v1/operators/quarantines";
@@ -49,7 +52,7 @@
     let rest = request.url().path().strip_prefix(PATH)?;
     match (request.method(), rest.strip_prefix('/')) {
         (Method::Get, None) if rest.is_empty() => Some(list(control).await),
-        (Method::Delete, Some(id)) => Some(end(control, id, request.peer_addr()).await),
+        (Method::Delete, Some(id)) => Some(end(control, id, Ends::of(request)).await),
         _ => None,
     }
 }
@@ -64,11 +67,35 @@
     }
 }
 
-async fn end(control: &Control, id: &str, caller: Option<&str>) -> Response {
+/// The ends of a connection.
+#[derive(Clone, Copy)]
+struct Ends {
+    caller: Option<SocketAddr>,
+    own: Option<SocketAddr>,
+}
+
+impl Ends {
+    fn of(request: &Request) -> Self {
+        let parse = |text: Option<&str>| text.and_then(|text| text.parse().ok());
+        Self { caller: parse(request.peer_addr()), own: parse(request.local_addr()) }
+    }
+
+    /// Returns whether both are on the same machine.
+    fn is_same_machine(&self) -> bool {
+        let Some(caller) = self.caller.map(|address| address.ip()) else { return false };
+        let is_local = [Ipv4Addr::LOCALHOST.into(), Ipv6Addr::LOCALHOST.into()].contains(&caller);
+        is_local || self.own.is_some_and(|own| own.ip() == caller)
+    }
+}
+
+async fn end(control: &Control, id: &str, ends: Ends) -> Response {
+    if !ends.is_same_machine() {
+        return refuse(RefusalKind::Unauthorized, "call it on the machine of this instance");
+    }
     let Ok(id) = id.parse::<QuarantineId>() else {
         return refuse(RefusalKind::BadRequest, "expected the identity of a quarantine");
     };
-    match control.end_quarantine(id, call_of(id, caller)).await {
+    match control.end_quarantine(id, call_of(id, ends.caller)).await {
         LeaderReply::Leads(Ending::Unknown) => {
             refuse(RefusalKind::NotFound, &format!("no quarantine in force has the id {id}"))
         }
@@ -81,8 +108,8 @@
 }
 
 /// Returns the text by which the log names an operator's call.
-fn call_of(id: QuarantineId, caller: Option<&str>) -> SmolStr {
-    let caller = caller.unwrap_or("an unknown address");
+fn call_of(id: QuarantineId, caller: Option<SocketAddr>) -> SmolStr {
+    let caller = caller.map_or_else(|| "an unknown address".to_owned(), |at| at.to_string());
     format_smolstr!("quarantines --end {id} from {caller}")
 }
 
--- a/crates/dispatch/src/crashes/lifted.rs
+++ b/crates/dispatch/src/crashes/lifted.rs
@@ -1,20 +1,17 @@
-//! Ends quarantines without an answer: at an operator's call, and where the leader tells an instance no
-//! more of them.
+//! Ends quarantines without an answer, at an operator's call.
 //!
-//! Evidence from before the end counts no more: a crash at which the suspects were is forgotten, also one
-//! that other instances report later, and so is a quarantine of them that an instance still holds. A crash
-//! after the end counts like any other.
+//! Evidence from before the end counts no more: a crash at which the suspects were is forgotten, unless another
+//! quarantine explains it, also one that instances report later, and so is a quarantine of the suspects that an
+//! instance still holds. A crash after the end counts like any other.
 
-use super::quarantine::{InForce, Quarantine, QuarantineEvent};
-use super::service::{KnownCrash, QUARANTINES_MAX, ServiceCrashes};
+use super::quarantine::{InForce, QuarantineEvent};
+use super::service::{KnownCrash, ServiceCrashes};
 use super::{QuarantineId, Suspect};
 use smol_str::SmolStr;
 use std::collections::VecDeque;
 
 /// The maximum number of ended quarantines that are remembered; the first that ended is forgotten first.
 const REMEMBERED_MAX: usize = 64;
-/// The maximum number of suspects of these that are reported to a new dispatcher, the last first.
-const REPORTED_MAX: usize = 512;
 
 /// What came of a call that ends a quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,9 +38,13 @@
         crash.at_ms <= self.at_ms && contents.any(|content| content.has_all(&self.suspects))
     }
 
-    /// Returns whether requests with all of `suspects` were refused by the quarantine.
+    /// Returns whether a quarantine of these suspects is the one that was ended, or was narrowed to it. One of
+    /// a request outlives the end of one of its parts.
     fn covers(&self, suspects: &[Suspect]) -> bool {
+        let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
+        let is_of_part = !self.suspects.iter().any(is_request);
         self.suspects.iter().all(|suspect| suspects.contains(suspect))
+            && !(is_of_part && suspects.iter().any(is_request))
     }
 }
 
@@ -72,18 +73,6 @@
         let mut since = self.lifted.iter().filter(|lifted| first_crash_ms <= lifted.at_ms);
         since.any(|lifted| lifted.covers(suspects))
     }
-
-    /// Returns when suspects were last in a quarantine that was ended, and these. A dispatcher that is told
-    /// takes them for sound at that time. Of a request and its parts only the request is.
-    pub(super) fn newest(&self) -> impl Iterator<Item = (u64, Suspect)> {
-        let told = self.lifted.iter().rev().flat_map(|lifted| {
-            let is_request = |suspect: &&Suspect| matches!(suspect, Suspect::Request(_));
-            let request = lifted.suspects.iter().find(is_request);
-            let suspects = request.map_or(&lifted.suspects[..], std::slice::from_ref);
-            suspects.iter().map(|suspect| (lifted.at_ms, *suspect))
-        });
-        told.take(REPORTED_MAX)
-    }
 }
 
 impl ServiceCrashes {
@@ -113,29 +102,6 @@
         Ending::Ended
     }
 
-    /// Replaces the quarantines by those of this service that the leader has passed on. The leader has
-    /// ended the others, unless they may have given way to further ones.
-    pub(super) fn replace_quarantines(&mut self, now_ms: u64, told: &[&Quarantine]) {
-        let is_told = |known: &InForce| {
-            let covers = |quarantine: &&Quarantine| {
-                quarantine.suspects.iter().all(|suspect| known.suspects.contains(suspect))
-            };
-            told.iter().any(covers)
-        };
-        let missing = self.quarantines.iter().filter(|known| !is_told(known));
-        let missing: Vec<Vec<Suspect>> = missing.map(|known| known.suspects.clone()).collect();
-        if told.len() < QUARANTINES_MAX {
-            missing.iter().for_each(|suspects| self.lift(now_ms, suspects));
-        }
-        self.last_search.record_change();
-        self.quarantines.clear();
-        for quarantine in told {
-            // It began after the end that is remembered, which became known here some time later.
-            self.lifted.lifted.retain(|lifted| !lifted.covers(&quarantine.suspects));
-            self.restore_quarantine(now_ms, quarantine);
-        }
-    }
-
     /// Ends the quarantines of these suspects, and forgets the crashes at which they were.
     fn lift(&mut self, now_ms: u64, suspects: &[Suspect]) {
         let is_meant = |known: &mut InForce| known.suspects == suspects;
@@ -143,9 +109,10 @@
             self.quarantines.extract_if(.., is_meant).map(|known| known.id).collect();
         self.lifted.record(now_ms, suspects.to_vec());
         let lifted = &self.lifted;
-        self.crashes.retain(|crash| {
-            let is_explained = crash.explained_by.is_some_and(|id| ended.contains(&id));
-            !is_explained && !lifted.covers_crash(crash)
+        self.crashes.retain(|crash| match crash.explained_by {
+            Some(id) => !ended.contains(&id),
+            None => !lifted.covers_crash(crash),
         });
+        self.last_search.record_change();
     }
 }
--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -19,8 +19,7 @@
 //! * [`crash`] tells crashes from single lost connections.
 //! * [`answers`] remembers the parts and requests that have been answered, and [`ended`] the answers of which
 //!   that is not yet known.
-//! * [`quarantine`] holds what is refused, [`id`] names it, [`lifted`] ends it without an answer, and
-//!   [`feed`] tells instances.
+//! * [`quarantine`] holds what is refused, [`id`] names it, and [`lifted`] ends it without an answer.
 //! * [`scope`] tells whose requests are decided on.
 //! * [`service`] keeps the state of a service, [`accuse`] finds what is quarantined, [`search`] tells when to look
 //!   for it, [`suspicion`] holds what is not placed before that is decided, and [`report`] passes on what is known.
@@ -30,7 +29,6 @@
 mod content;
 mod crash;
 mod ended;
-mod feed;
 mod id;
 mod lifted;
 mod prompt;
@@ -44,7 +42,6 @@
 pub use answers::Answer;
 pub use content::{Content, RequestDigest, Suspect};
 pub use crash::{Crash, EndpointStart, Observer};
-pub use feed::QuarantineFeed;
 pub use id::QuarantineId;
 pub use lifted::Ending;
 pub use prompt::Prompt;
@@ -113,12 +110,11 @@
 
     /// Replaces the quarantines by those that the leader has passed on.
     pub fn set_quarantines(&mut self, now_ms: u64, quarantines: &[Quarantine]) {
-        for quarantine in quarantines {
-            self.service(&quarantine.service);
+        for service in self.by_service.values_mut() {
+            service.clear_quarantines();
         }
-        for (name, service) in &mut self.by_service {
-            let told = quarantines.iter().filter(|quarantine| quarantine.service == *name);
-            service.replace_quarantines(now_ms, &told.collect::<Vec<_>>());
+        for quarantine in quarantines {
+            self.service(&quarantine.service).restore_quarantine(now_ms, quarantine);
         }
     }
 
--- a/crates/dispatch/src/crashes/report.rs
+++ b/crates/dispatch/src/crashes/report.rs
@@ -38,10 +38,9 @@
         })
     }
 
-    /// Returns what was answered last, and the suspects of quarantines that were ended without an answer:
-    /// another dispatcher takes them for sound, and takes over no older quarantine of them.
+    /// Returns what was answered last.
     pub fn answers(&self, now_ms: u64) -> impl Iterator<Item = Answer> {
-        self.answers.newest().chain(self.lifted.newest()).map(move |(at_ms, suspect)| Answer {
+        self.answers.newest().map(move |(at_ms, suspect)| Answer {
             service: self.service.clone(),
             suspect,
             ago_ms: now_ms.saturating_sub(at_ms),
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -18,7 +18,7 @@
 /// How long a crash is remembered, in milliseconds.
 const CRASH_KEPT_MS: u64 = 600_000;
 /// The maximum number of quarantines.
-pub(super) const QUARANTINES_MAX: usize = 64;
+const QUARANTINES_MAX: usize = 64;
 /// The maximum number of endpoints with lost connections that are watched.
 const LOSSES_MAX: usize = 1_024;
 /// The lower bound of the delay told to the callers of quarantined requests, in milliseconds.
@@ -437,6 +437,11 @@
         }
     }
 
+    pub(super) fn clear_quarantines(&mut self) {
+        self.last_search.record_change();
+        self.quarantines.clear();
+    }
+
     pub(super) fn push_event(&mut self, event: QuarantineEvent) {
         if self.events.len() < EVENTS_MAX {
             self.events.push(event);
--- a/crates/peer/src/node/dispatch/mod.rs
+++ b/crates/peer/src/node/dispatch/mod.rs
@@ -9,7 +9,6 @@
 use super::Node;
 use crate::rollouts::{TrafficScope, version_rules};
 use lycheehub_control::moves::RolloutController;
-use lycheehub_dispatch::crashes::QuarantineFeed;
 use lycheehub_dispatch::{Decision, Dispatcher, Finished, InFlight, Job, JobId, UsageReport};
 use lycheehub_types::{AccountName, EndpointName, InstanceName};
 use smol::channel::{Sender, bounded};
@@ -71,8 +70,8 @@
     limits: BTreeMap<(EndpointName, Option<u64>), f64>,
     /// Incremented when `limits` changes.
     limits_revision: u64,
-    /// What instances are told of quarantines.
-    quarantine_feed: QuarantineFeed,
+    /// Incremented when the quarantines change.
+    quarantines_revision: u64,
 }
 
 impl LeaderDispatch {
@@ -183,7 +182,7 @@
             instances: 0,
             limits: BTreeMap::new(),
             limits_revision: 1,
-            quarantine_feed: QuarantineFeed::default(),
+            quarantines_revision: 1,
         });
         spdlog::info!("leadership gained: dispatching started");
         self.update_dispatcher();
@@ -235,7 +234,7 @@
         self.update_instances(now_ms, dispatch);
         dispatch.dispatcher.record_in_flight(now_ms, number, in_flight);
         dispatch.dispatcher.restore_usage(now_ms, number, usage);
-        dispatch.quarantine_feed.record_change();
+        dispatch.quarantines_revision += 1;
         Some(key)
     }
 
--- a/crates/peer/src/node/dispatch/quarantines.rs
+++ b/crates/peer/src/node/dispatch/quarantines.rs
@@ -17,22 +17,15 @@
         if events.is_empty() {
             return;
         }
-        self.quarantine_feed.record_change();
+        self.quarantines_revision += 1;
         events.iter().for_each(log_quarantine_event);
         let count = self.dispatcher.quarantines(now_ms).len();
         metrics::gauge!("lycheehub_quarantines").set(count as f64);
     }
 
     fn end_quarantine(&mut self, now_ms: u64, id: QuarantineId, by: &str) -> Ending {
-        // What has changed before has a revision of its own.
-        self.update_quarantines(now_ms);
-        let mut listed = self.dispatcher.listed_quarantines(now_ms).into_iter();
-        let named = listed.find(|listed| listed.id == id);
         let ending = self.dispatcher.end_quarantine(now_ms, id, by);
         self.update_quarantines(now_ms);
-        if let Some(named) = named {
-            self.quarantine_feed.record_end(now_ms, self.last_connection, named.quarantine);
-        }
         ending
     }
 }
@@ -50,21 +43,16 @@
         });
     }
 
-    /// Returns a revision of the quarantines, and the quarantines of that revision if it is not
-    /// `known_revision`.
-    pub(crate) fn quarantines(
-        &self,
-        session: SessionKey,
-        known_revision: u64,
-    ) -> (u64, Vec<Quarantine>) {
+    /// Returns the revision of the quarantines, and the quarantines if it is not `known_revision`.
+    pub(crate) fn quarantines(&self, known_revision: u64) -> (u64, Vec<Quarantine>) {
         let now_ms = self.clock.now_ms();
         let dispatch = self.dispatch.borrow();
-        let told = dispatch.as_ref().and_then(|dispatch| {
-            let known = (session.connection, known_revision);
-            let in_force = || dispatch.dispatcher.quarantines(now_ms);
-            dispatch.quarantine_feed.next(now_ms, known, in_force)
-        });
-        told.unwrap_or((known_revision, Vec::new()))
+        match dispatch.as_ref() {
+            Some(dispatch) if dispatch.quarantines_revision != known_revision => {
+                (dispatch.quarantines_revision, dispatch.dispatcher.quarantines(now_ms))
+            }
+            _ => (known_revision, Vec::new()),
+        }
     }
 
     /// Returns the quarantines in force if this instance leads.
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -304,8 +304,7 @@
             for (index, relay) in (0..).zip(&relays) {
                 builder.set(index, relay.as_str());
             }
-            let known = params.get_quarantines_revision();
-            let (revision, quarantines) = self.node.quarantines(self.session, known);
+            let (revision, quarantines) = self.node.quarantines(params.get_quarantines_revision());
             results.get().set_quarantines_revision(revision);
             let builder = results.get().init_quarantines(quarantines.len() as u32);
             lycheehub_wire::write_quarantines(&quarantines, builder);
