--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -3,6 +3,7 @@
 use super::answers::Answers;
 use super::crash::{EndpointStart, Loss, Observer};
 use super::ended::{EndedAnswer, EndedAnswers};
+use super::lifted::LiftedQuarantines;
 use super::quarantine::{InForce, QuarantineEvent, Trial};
 use super::search::{LastSearch, Progress};
 use super::suspicion::Suspicion;
@@ -62,6 +63,7 @@
     ended: EndedAnswers,
     pub(super) crashes: VecDeque<KnownCrash>,
     pub(super) quarantines: Vec<InForce>,
+    pub(super) lifted: LiftedQuarantines,
     pub(super) last_id: u64,
     pub(super) last_search: LastSearch,
     /// The requests that were placed after a suspicion, and when, in milliseconds.
@@ -79,6 +81,7 @@
             ended: EndedAnswers::default(),
             crashes: VecDeque::new(),
             quarantines: Vec::new(),
+            lifted: LiftedQuarantines::default(),
             last_id: 0,
             last_search: LastSearch::default(),
             probes: BTreeMap::new(),
@@ -341,6 +344,9 @@
     }
 
     pub(super) fn add_crash(&mut self, crash: KnownCrash) {
+        if self.lifted.covers_crash(&crash) {
+            return;
+        }
         self.last_search.record_change();
         if self.crashes.len() >= CRASHES_MAX {
             self.crashes.pop_front();
--- a/crates/peer/src/node/dispatch/mod.rs
+++ b/crates/peer/src/node/dispatch/mod.rs
@@ -4,7 +4,7 @@
 mod quarantines;
 mod relays;
 
-pub use quarantines::log_quarantine_event;
+pub use quarantines::{log_quarantine_event, suspect_texts};
 
 use super::Node;
 use crate::rollouts::{TrafficScope, version_rules};
