proxy: a grant that a returning stream may not use is given back where it is granted

Read again: serve() checked each destination, also one that was reached while another endpoint was silent, which a stream that returns never has; and an attempt was made only to be dropped. place() now checks the grant and withdraws the job itself. Destination::endpoint and return_grant go.

--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -194,16 +194,6 @@
     Reached(Box<Reached>),
 }
 
-impl Destination {
-    /// Returns the endpoint.
-    pub(super) fn endpoint(&self) -> &EndpointName {
-        match self {
-            Self::Placed(placed) => &placed.endpoint,
-            Self::Reached(reached) => &reached.placed.endpoint,
-        }
-    }
-}
-
 /// The request of an attempt, and the attempts before it.
 #[derive(Clone, Copy)]
 pub(super) struct AttemptScope<'a> {
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -23,7 +23,7 @@
 use crate::idle_time::IdleTime;
 use crate::pool;
 use access_log::AccessLog;
-use attempt::{Attempt, AttemptEnd, AttemptScope, BufferedResponse, Destination};
+use attempt::{AttemptEnd, AttemptScope, BufferedResponse, Destination};
 use filters::ResolvedRequest;
 use guard::Interrupted;
 use lycheehub_dispatch::crashes::RequestDigest;
@@ -209,10 +209,6 @@
                 Err(NotPlaced::Refused(_)) if self.can_return(&mut tried, &stream) => continue,
                 Err(NotPlaced::Refused(refusal)) => break refusal,
             };
-            if !tried.allows(destination.endpoint()) {
-                self.return_grant(destination);
-                break self.outcome_unknown(resolved.route.kind);
-            }
             let is_last_attempt = tried.is_last_attempt(&resolved.route);
             let scope = AttemptScope { resolved, tried: tried.excluded(), is_last_attempt };
             match self.attempt(connection, destination, &mut stream, scope).await {
@@ -265,14 +261,6 @@
         stream.has_started() && tried.return_to_silent(takes_requests)
     }
 
-    /// Reports that nothing is sent to a granted endpoint.
-    fn return_grant(&self, destination: Destination) {
-        if let Destination::Placed(placed) = destination {
-            // An attempt that is dropped gives its job back, as one that was reached does.
-            drop(Attempt::new(self.entry, &placed));
-        }
-    }
-
     fn unreachable(&self, endpoint: &EndpointName) -> Refusal {
         const RETRY_AFTER_MS: u64 = 500;
         let message = format!("no endpoint could be reached, {endpoint} the last");
@@ -317,13 +305,18 @@
         let decision = decision.flatten().map_err(NotPlaced::Interrupted)?;
         pending.mark_decided();
         self.access_log.record_wait(self.entry.clock.now_ms() - requested_ms);
-        Placed::by(job_id, decision).map_err(|(reason, retry_after_ms)| {
+        let placed = Placed::by(job_id, decision).map_err(|(reason, retry_after_ms)| {
             if reason == Reason::Quarantined {
                 self.access_log.record_parts(&self.fields.prefix);
                 self.access_log.record_digest(self.digest);
             }
             NotPlaced::Refused(refusal_of(reason, retry_after_ms))
-        })
+        })?;
+        if !tried.allows(&placed.endpoint) {
+            self.entry.placement.withdraw(job_id);
+            return Err(NotPlaced::Refused(self.outcome_unknown(resolved.route.kind)));
+        }
+        Ok(placed)
     }
 
     /// Waits until a shutdown refuses requests, if this one is a first attempt that may still run when it
