cli: one text for a call whose outcome is not known; a log line is copied only to shorten it

Read again: apply and quarantines built the same message (now Error::with_repeat), and each log line was copied once more on its way to the buffer, also the short ones. Behaviour as before.

--- a/crates/cli/src/client/apply.rs
+++ b/crates/cli/src/client/apply.rs
@@ -76,12 +76,7 @@
         "lycheehub apply --section {} --base {base} --request-id {request_id} {}",
         options.section, options.file
     );
-    let with_resend = |error: Error| match error.code() {
-        Code::Unknown => {
-            Error::new(Code::Unknown, format!("{error}\nto learn the outcome: {resend}"))
-        }
-        _ => error,
-    };
+    let with_resend = |error: Error| error.with_repeat(&resend);
     let response = client.call(&call).map_err(with_resend)?;
     let accepted: Accepted = response.json().map_err(with_resend)?;
     if options.json {
--- a/crates/cli/src/client/quarantines.rs
+++ b/crates/cli/src/client/quarantines.rs
@@ -67,14 +67,8 @@
         return Err(Error::new(Code::Invalid, format!("{id} is not the id of a quarantine")));
     };
     let call = Call { method: Method::Delete, ..Call::get(format!("quarantines/{id}")) };
-    let with_repeat = |error: Error| match error.code() {
-        Code::Unknown => {
-            let repeat = format!("lycheehub quarantines --end {id}");
-            Error::new(Code::Unknown, format!("{error}\nto learn the outcome: {repeat}"))
-        }
-        _ => error,
-    };
-    let response = client.call(&call).map_err(with_repeat)?;
+    let repeat = format!("lycheehub quarantines --end {id}");
+    let response = client.call(&call).map_err(|error| error.with_repeat(&repeat))?;
     let ended: Ended = response.json()?;
     if json {
         println!("{}", String::from_utf8_lossy(&response.body));
--- a/crates/cli/src/exit.rs
+++ b/crates/cli/src/exit.rs
@@ -50,4 +50,14 @@
         let Self::Exit(code, _) = self;
         *code
     }
+
+    /// Adds the command that learns the outcome, if it is not known.
+    pub fn with_repeat(self, command: &str) -> Self {
+        match self.code() {
+            Code::Unknown => {
+                Self::new(Code::Unknown, format!("{self}\nto learn the outcome: {command}"))
+            }
+            _ => self,
+        }
+    }
 }
--- a/crates/cli/src/serve/bounded.rs
+++ b/crates/cli/src/serve/bounded.rs
@@ -5,6 +5,7 @@
 use spdlog::formatter::FormatterContext;
 use spdlog::sink::{GetSinkProp, Sink, SinkProp};
 use spdlog::{Record, StringBuf};
+use std::borrow::Cow;
 use std::io::Write;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -96,8 +97,8 @@
         let mut context = FormatterContext::new();
         self.prop.formatter().format(record, &mut line, &mut context)?;
         let line = match line.len() > WRITE_MAX_BYTES {
-            true => line_limit::shorten(&line, WRITE_MAX_BYTES),
-            false => line.to_string(),
+            true => Cow::from(line_limit::shorten(&line, WRITE_MAX_BYTES)),
+            false => Cow::from(&*line),
         };
         let mut buffer = self.lock();
         if buffer.lines.len() + line.len() > BUFFER_MAX_BYTES {
