dispatch: what is a request, when a trial is due, and which service a quarantine is of, said once

Read again: the same match on a suspect stood in four places (now Suspect::is_request), the same maximum in two, and the end of a quarantine was passed on to services behind the one that had it. Behaviour as before.

--- a/crates/dispatch/src/crashes/accuse.rs
+++ b/crates/dispatch/src/crashes/accuse.rs
@@ -96,7 +96,7 @@
         at_ms.sort_unstable();
         let first_crash_ms = *at_ms.first()?;
         let is_unproved = self.answers.last_ms(suspect).is_none();
-        let is_new_request = is_unproved && matches!(suspect, Suspect::Request(_));
+        let is_new_request = is_unproved && suspect.is_request();
         // A new request at work on several endpoints at a time has no other cause in common with them
         // than itself, unless all of them crashed; its first trial tells.
         let count = if is_new_request { at_ms.len() } else { count_apart(&at_ms) };
--- a/crates/dispatch/src/crashes/content.rs
+++ b/crates/dispatch/src/crashes/content.rs
@@ -62,6 +62,13 @@
     Request(RequestDigest),
 }
 
+impl Suspect {
+    /// Returns whether it is a single request.
+    pub(super) fn is_request(&self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+}
+
 /// What a request holds that endpoints may crash on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Content {
--- a/crates/dispatch/src/crashes/lifted.rs
+++ b/crates/dispatch/src/crashes/lifted.rs
@@ -41,10 +41,9 @@
     /// Returns whether a quarantine of these suspects is the one that was ended, or was narrowed to it. One of
     /// a request outlives the end of one of its parts.
     fn covers(&self, suspects: &[Suspect]) -> bool {
-        let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
-        let is_of_part = !self.suspects.iter().any(is_request);
+        let is_of_part = !self.suspects.iter().any(Suspect::is_request);
         self.suspects.iter().all(|suspect| suspects.contains(suspect))
-            && !(is_of_part && suspects.iter().any(is_request))
+            && !(is_of_part && suspects.iter().any(Suspect::is_request))
     }
 }
 
--- a/crates/dispatch/src/crashes/mod.rs
+++ b/crates/dispatch/src/crashes/mod.rs
@@ -126,11 +126,9 @@
     /// Ends a quarantine at the call `by` of an operator.
     pub fn end_quarantine(&mut self, now_ms: u64, id: QuarantineId, by: &str) -> Ending {
         let services = self.by_service.values_mut();
-        let endings = services.map(|service| service.end_quarantine(now_ms, id, by));
+        let mut endings = services.map(|service| service.end_quarantine(now_ms, id, by));
         // The identity names a quarantine of one service.
-        endings
-            .reduce(|one, other| if one == Ending::Unknown { other } else { one })
-            .unwrap_or(Ending::Unknown)
+        endings.find(|ending| *ending != Ending::Unknown).unwrap_or(Ending::Unknown)
     }
 
     /// Returns the changes of quarantines since the last call.
--- a/crates/dispatch/src/crashes/quarantine.rs
+++ b/crates/dispatch/src/crashes/quarantine.rs
@@ -151,12 +151,17 @@
 
     /// Returns whether it refuses a single request.
     pub(super) fn is_of_request(&self) -> bool {
-        self.suspects.iter().any(|suspect| matches!(suspect, Suspect::Request(_)))
+        self.suspects.iter().any(Suspect::is_request)
     }
 
     /// Returns how long the next trial is away, in milliseconds.
     pub(super) fn trial_wait_ms(&self, now_ms: u64) -> u64 {
-        self.next_trial_ms.max(self.reserved_until_ms).saturating_sub(now_ms)
+        self.due_ms().saturating_sub(now_ms)
+    }
+
+    /// Returns when the next trial may be placed, in milliseconds.
+    fn due_ms(&self) -> u64 {
+        self.next_trial_ms.max(self.reserved_until_ms)
     }
 
     /// Reserves the trial that is due for a request that waits to be placed.
@@ -206,8 +211,7 @@
 
     /// Returns whether it is forgotten: no request has met it for a long time.
     pub(super) fn is_forgotten(&self, now_ms: u64) -> bool {
-        let due_ms = self.next_trial_ms.max(self.reserved_until_ms);
-        now_ms >= due_ms.max(self.last_met_ms).saturating_add(KEPT_MS)
+        now_ms >= self.due_ms().max(self.last_met_ms).saturating_add(KEPT_MS)
     }
 
     /// Merges what another instance knows of the same suspects.
--- a/crates/dispatch/src/crashes/service.rs
+++ b/crates/dispatch/src/crashes/service.rs
@@ -366,7 +366,6 @@
     /// Narrows the quarantine whose suspects were met only in part at a new crash, and returns it. One of
     /// a request stays one of that request: without it, it would refuse others than before.
     fn narrow(&mut self, contents: &[Content]) -> Option<u64> {
-        let is_request = |suspect: &Suspect| matches!(suspect, Suspect::Request(_));
         for quarantine in &mut self.quarantines {
             let must_have_request = quarantine.is_of_request();
             let common = contents.iter().map(|content| -> Vec<Suspect> {
@@ -374,7 +373,8 @@
                 suspects.filter(|suspect| content.has(*suspect)).collect()
             });
             let common = common.max_by_key(Vec::len).filter(|suspects| {
-                !suspects.is_empty() && (!must_have_request || suspects.iter().any(is_request))
+                !suspects.is_empty()
+                    && (!must_have_request || suspects.iter().any(Suspect::is_request))
             });
             let Some(common) = common else { continue };
             quarantine.suspects = common.clone();
