--- a/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
+++ b/crates/dispatch/tests/dispatch/crashing_requests/trials.rs
@@ -272,6 +272,15 @@
     }
 }
 
+/// Returns a world in which a trial waits for a full endpoint.
+fn waiting_trial() -> World {
+    let mut world = quarantined();
+    world.await_trial();
+    world.fill();
+    expect_that!(world.submit_patient(TRIAL), is_empty());
+    world
+}
+
 /// A quota that a few requests use up for an hour.
 const QUOTA: Quota =
     Quota { in_tokens: false, untold_tokens: 1, units_per_s: 0.001, burst_units: 3.0 };
@@ -328,10 +337,7 @@
 /// A further crash, of which it is not known yet what caused it, refuses the requests that wait.
 #[gtest]
 fn a_refusal_at_a_further_crash_costs_no_trial() {
-    let mut world = quarantined();
-    world.await_trial();
-    world.fill();
-    expect_that!(world.submit_patient(TRIAL), is_empty());
+    let mut world = waiting_trial();
     let job_id = JobId { instance: 1, number: FILLING };
     let broken = Finished {
         first_byte_ms: None,
@@ -349,10 +355,7 @@
 #[gtest]
 fn a_trial_whose_caller_leaves_while_it_waits_costs_nothing() {
     for is_instance_gone in [true, false] {
-        let mut world = quarantined();
-        world.await_trial();
-        world.fill();
-        expect_that!(world.submit_patient(TRIAL), is_empty());
+        let mut world = waiting_trial();
         let now_ms = world.now_ms;
         match is_instance_gone {
             true => world.dispatchers[0].forget_instance(now_ms, 1),
@@ -367,10 +370,7 @@
 /// A refusal gives back no trial but its own.
 #[gtest]
 fn while_a_trial_waits_no_other_is_let_through() {
-    let mut world = quarantined();
-    world.await_trial();
-    world.fill();
-    expect_that!(world.submit_patient(TRIAL), is_empty());
+    let mut world = waiting_trial();
     for number in 1..20 {
         let refused = refusal(&world.submit_patient(TRIAL + number));
         expect_that!(refused, eq(Some(Reason::Quarantined)));
@@ -381,10 +381,7 @@
 
 #[gtest]
 fn a_trial_that_waits_for_long_is_not_followed_by_a_second_one() {
-    let mut world = quarantined();
-    world.await_trial();
-    world.fill();
-    expect_that!(world.submit_patient(TRIAL), is_empty());
+    let mut world = waiting_trial();
     for number in 1..100 {
         world.now_ms += REPEAT_MS;
         world.dispatchers[0].tick(world.now_ms);
