--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -144,14 +144,14 @@
         if not os.path.isfile(PROGRAM):
             raise CannotRun("the release build is missing")
         self.record = record
+        self.choose_addresses()
         self.folder = tempfile.mkdtemp(prefix="review-")
-        self.choose_addresses(controls + entries)
         make = lambda role, place, base: Process(
             self, role, place, f"{self.prefix}.{base + place}", ZONES[place % len(ZONES)])
         self.controls = [make("control", place, 10) for place in range(controls)]
         self.entries = [make("entry", place, 40) for place in range(entries)]
 
-    def choose_addresses(self, machines):
+    def choose_addresses(self):
         for _ in range(50):
             self.prefix = f"127.{random.randint(32, 250)}.{random.randint(1, 250)}"
             base = random.randint(11_000, 28_000)
@@ -474,7 +474,7 @@
     signal.signal(signal.SIGTERM, stop)
     try:
         code = asyncio.run(bounded())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except (Exception, KeyboardInterrupt) as error:  # nothing but a seen break may look like one
         record.say(f"could not run: {error!r}")
         code = NOT_RUN
     record.say({HELD: "the rule held", BROKEN: "the rule was BROKEN", NOT_RUN: "could not run"}[code])
