review: three planned replacements lose the core for good

Disruption: replace_core planned, three times, one machine stopped after the other with 1.3 s between; each successor ran for 6 s or more. Afterwards five machines run, and the acknowledged manifest could not be read nor another be acknowledged for 40 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,10 @@
-"""A core machine is replaced as planned; then the core loses as many disks as it has to bear.
+"""Three machines of the core are replaced as planned, one after the other; nothing fails.
 
-TROUBLE=0 replaces the machine as well and leaves out the loss of the disks.
+Each successor starts first and runs for more than catch_up_s before its predecessor gets SIGTERM.
+TROUBLE=0 starts the successors as well and removes no machine.
+
+For reading only: VARIANT=disks replaces one machine so, and 1 s after its end two others lose their disks at
+once; GAP_S=10 replaces the three machines 10 s apart.
 """
 import asyncio
 import json
@@ -16,9 +20,10 @@
 import deployment as d  # noqa: E402
 
 SERVICE, KEY = "wuno96b", "i9n73hh2b9wu3fexd9dn"
-SUCCESSOR_LEAD_S = 6.0   # the successor runs so long before the old machine is stopped; catch_up_s is 4
-AFTER_REMOVAL_S = 1.0    # from the old machine's end to the loss of the disks
-DOWN_S = 1.0             # as after_ack_wipe in the site file
+SUCCESSOR_LEAD_S = 6.0   # the successors run so long before the first machine is stopped; catch_up_s is 4
+GAP_S = float(os.environ.get("GAP_S", "1.3"))   # from one machine's end to the next one's SIGTERM
+DISKS_AFTER_S = 1.0      # VARIANT=disks: from the machine's end to the loss of two disks
+DISKS_DOWN_S = 1.0
 OBSERVED_S = 40.0        # recovery_s is 12
 
 
@@ -30,16 +35,46 @@
         process = deployment.controls[turn % len(deployment.controls)]
         turn += 1
         status, body = await deployment.call_control(process, "GET", "/-/config")
+        deployment.record.write(f"operator GET /-/config at {process.ip}: {status}")
         if status == 200:
             return json.loads(body)["version"]
-        deployment.record.write(f"operator GET /-/config at {process.ip}: {status}")
         await asyncio.sleep(0.2)
     return None
 
 
+async def put_manifest(deployment, version):
+    await deployment.order("PUT", "/-/config", d.manifest(version, SERVICE), 8)
+    deployment.record.say(f"manifest {version} is acknowledged")
+
+
+async def replace(deployment, place, successor, started):
+    """Stops the machine at `place` for good; its successor takes its place."""
+    removed = deployment.controls[place]
+    deployment.controls[place] = successor
+    removed.signal(signal.SIGTERM)
+    sent = time.monotonic()
+    while removed.is_running():
+        await asyncio.sleep(0.02)
+    deployment.record.say(
+        f"{removed.ip} got SIGTERM {sent - started:.1f} s after the start of its successor {successor.ip}, and "
+        f"has ended by itself {time.monotonic() - sent:.1f} s later")
+
+
+async def lose_disks(deployment, processes):
+    for process in processes:
+        process.kill()
+        shutil.rmtree(os.path.join(deployment.folder, "data-" + process.ip))
+        deployment.record.say(f"{process.ip} is killed and loses its disk")
+    await asyncio.sleep(DISKS_DOWN_S)
+    for process in processes:
+        process.start(bootstrap=False)
+
+
 async def case(record, trouble):
     deployment = d.Deployment(record, controls=5, entries=2)
     runner = d.Runner(deployment, "i-1", SERVICE, "v1")
+    everything = list(deployment.controls)
+    loses_disks = os.environ.get("VARIANT") == "disks"
     try:
         deployment.start()
         await deployment.order("PUT", "/-/config", d.manifest(3, SERVICE), 30)
@@ -47,44 +82,39 @@
         await deployment.wait_until_ready()
         await asyncio.sleep(6)
 
-        successor = d.Process(deployment, "control", 5, f"{deployment.prefix}.15", d.ZONES[0])
-        deployment.extra = [successor]
-        successor.start(bootstrap=False)
         started = time.monotonic()
-        record.say(f"the successor {successor.ip} starts, with an empty disk")
+        successors = [
+            d.Process(deployment, "control", place, f"{deployment.prefix}.{10 + place}", d.ZONES[place % 3])
+            for place in range(5, 6 if loses_disks else 8)]
+        everything += successors
+        for successor in successors:
+            successor.start(bootstrap=False)
+            record.say(f"the successor {successor.ip} starts, with an empty disk")
         await asyncio.sleep(SUCCESSOR_LEAD_S)
+        await put_manifest(deployment, 5)
 
-        removed = deployment.controls[4]
-        removed.signal(signal.SIGTERM)
-        while removed.is_running():
-            await asyncio.sleep(0.02)
-        ended = time.monotonic()
-        deployment.controls = deployment.controls[:4] + [successor]
-        record.say(f"{removed.ip} got SIGTERM and has ended, {ended - started:.1f} s after its successor's "
-                   "start; it doesn't come back")
-        await deployment.order("PUT", "/-/config", d.manifest(7, SERVICE), 8)
-        acked = time.monotonic()
-        record.say(f"manifest 7 is acknowledged {acked - ended:.2f} s after the removed machine's end")
-        await asyncio.sleep(max(0.0, ended + AFTER_REMOVAL_S - time.monotonic()))
         if trouble:
-            for process in deployment.controls[:2]:
-                process.kill()
-                shutil.rmtree(os.path.join(deployment.folder, "data-" + process.ip))
-            record.say(f"{time.monotonic() - ended:.2f} s after that end {deployment.controls[0].ip} and "
-                       f"{deployment.controls[1].ip} are killed and lose their disks")
-            await asyncio.sleep(DOWN_S)
-            for process in deployment.controls[:2]:
-                process.start(bootstrap=False)
-            record.say("both are back, with empty disks: five machines of the core run")
-
-        back = time.monotonic()
+            for turn, successor in enumerate(successors):
+                if turn > 0:
+                    await asyncio.sleep(GAP_S)
+                await replace(deployment, 4 - turn, successor, started)
+                if turn == 0:
+                    await put_manifest(deployment, 7)
+            if loses_disks:
+                await asyncio.sleep(DISKS_AFTER_S)
+                await lose_disks(deployment, deployment.controls[:2])
+        else:
+            await put_manifest(deployment, 7)
+
+        since = time.monotonic()
+        running = sum(process.is_running() for process in deployment.controls)
+        record.say(f"machines of the core that run: {running} of 5")
         version = await version_read(deployment, OBSERVED_S)
-        record.say(f"operator reads manifest {version} {time.monotonic() - back:.1f} s after all machines run")
+        record.say(f"the operator reads manifest {version} after {time.monotonic() - since:.1f} s")
         try:
-            await deployment.order("PUT", "/-/config", d.manifest(9, SERVICE), 10)
-            record.say("manifest 9 is acknowledged")
+            await put_manifest(deployment, 9)
         except d.CannotRun:
-            record.say("manifest 9 is not acknowledged within 10 s")
+            record.say("manifest 9 is not acknowledged within 8 s")
         # A front machine that starts again takes no requests without a quorum.
         front = deployment.entries[0]
         front.kill()
@@ -93,11 +123,11 @@
         ready = front in await deployment.ready_entries()
         record.say(f"a front machine that was started again 5 s ago is {'ready' if ready else 'not ready'}")
         running = sum(process.is_running() for process in deployment.controls)
-        record.say(f"machines of the core that run: {running} of 5")
+        record.say(f"machines of the core that run at the end: {running} of 5")
         return d.HELD if version is not None and version >= 7 else d.BROKEN
     finally:
         runner.stop()
-        for process in getattr(deployment, "extra", []):
+        for process in everything:
             process.kill()
         deployment.end()
 
