--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A rollout of a version that turns bad late, but before the rollout's time limit."""
+"""A runner says farewell; the machine that acknowledged it loses its process right after."""
 import asyncio
 import os
 import random
@@ -12,22 +12,36 @@
 
 SERVICE, KEY = "wuno96b", "i9n73hh2b9wu3fexd9dn"
 CHARGES_PER_S, LOOKUPS_PER_S = 59.0, 23.6   # the darkrooms' booking desk
-DURATION_S = 12                             # as in PROTOCOL.md
-BAD_AFTER_S = 10.0                          # v2 turns bad: "either immediately or later"
-BAD_SHARE = 0.4                             # of its answers are failures from then on
-WATCH_S = 22                                # how long traffic goes on after the order
+DOWN_S = 3.0        # as after_ack_kill in the site file
+SERVES_ON_S = 14.0  # the runner serves on after the ack: "at times many seconds"
+
+
+async def farewell(deployment, runner):
+    """DELETE /-/instances/ID at the machine that the runner's heartbeats go to; kills nothing yet.
+
+    Returns the machine that acknowledged, and when.
+    """
+    order = sorted(deployment.controls, key=lambda process: process.ip != runner.beat_at)
+    for process in order:
+        reader, writer = await asyncio.open_connection(process.ip, deployment.control_port)
+        writer.write((f"DELETE /-/instances/{runner.name} HTTP/1.1\r\nHost: {process.ip}\r\n"
+                      "Content-Length: 0\r\n\r\n").encode())
+        first, _, _ = await asyncio.wait_for(d.read_message(reader), 1.0)
+        acked = time.monotonic()
+        if first.split(" ")[1] == "200":
+            return process, acked, writer
+        writer.close()
+    raise d.CannotRun("no machine took the farewell")
 
 
 async def case(record, trouble):
-    deployment = d.Deployment(record, controls=5, entries=3)
+    deployment = d.Deployment(record, controls=5, entries=7)
     runners = []
     try:
         deployment.start()
         await deployment.order("PUT", "/-/config", d.manifest(3, SERVICE), 30)
-        old = [d.Runner(deployment, f"i-old{n}", SERVICE, "v1") for n in range(3)]
-        new = [d.Runner(deployment, f"i-new{n}", SERVICE, "v2") for n in range(3)]
-        runners += old
-        for runner in old:
+        runners = [d.Runner(deployment, f"i-{n}", SERVICE, "v1") for n in range(4)]
+        for runner in runners:
             await runner.start()
         await deployment.wait_until_ready()
         clients = d.Clients(deployment, KEY, 600)
@@ -36,61 +50,45 @@
         traffic = [asyncio.create_task(clients.send_at(rate, method, path, is_over.is_set))
                    for rate, method, path in ((CHARGES_PER_S, "POST", "/charge/2f"),
                                               (LOOKUPS_PER_S, "GET", "/lookup/2f"))]
-        await asyncio.sleep(5)
+        await asyncio.sleep(8)
 
-        ordered = time.monotonic()
+        leaving = runners[0]
+        leaving.beating.cancel()    # the farewell is the last that it says
+        await asyncio.sleep(0.05)
+        process, acked, writer = await farewell(deployment, leaving)
         if trouble:
-            bad = lambda: time.monotonic() >= ordered + BAD_AFTER_S and random.random() < BAD_SHARE
-            for runner in new:
-                runner.fails = bad
-        order = {"service": SERVICE, "target": "v2", "duration_s": DURATION_S}
-        await deployment.order("POST", "/-/rollouts", order, 4)
-        runners += new
-        for runner in new:
-            await runner.start()
-
-        state = "running"
-        while time.monotonic() < ordered + WATCH_S:
-            status, body = await deployment.call_control(
-                random.choice(deployment.controls), "GET", f"/-/rollouts/{SERVICE}")
-            seen = next((s for s in ("running", "completed", "rolled_back") if s.encode() in body), None)
-            if status == 200 and seen and seen != state:
-                state = seen
-                record.say(f"{time.monotonic() - ordered:.2f} s after the order: {state}")
-                if state == "completed":    # the operator stops the old runners
-                    for runner in old:
-                        runner.stop()
-                if state == "rolled_back":  # and here the new ones, some seconds later
-                    asyncio.get_running_loop().call_later(
-                        4, lambda: [runner.stop() for runner in new])
-            await asyncio.sleep(0.1)
+            process.signal(d.signal.SIGKILL)
+            killed = time.monotonic()
+            record.say(f"{process.name} acknowledged the farewell and was killed "
+                       f"{(killed - acked) * 1000:.1f} ms later")
+            process.kill()
+            await asyncio.sleep(DOWN_S)
+            process.start(bootstrap=False)
+            record.say(f"{process.name} started again {time.monotonic() - acked:.1f} s after the ack")
+        else:
+            record.say(f"{process.name} acknowledged the farewell")
+        writer.close()
+        last_event = time.monotonic() if trouble else acked
+        await asyncio.sleep(max(0.0, acked + SERVES_ON_S - time.monotonic()))
+        leaving.stop()
         is_over.set()
         await asyncio.gather(*traffic)
         balancer.cancel()
 
-        limit = ordered + DURATION_S
-        count = lambda group: sum(
-            1 for r in group for at, *_ in r.arrivals if ordered <= at <= limit)
-        at_new, everything = count(new), count(old + new)
-        allowed = d.BOUNDS["exposure_share"] * everything + d.BOUNDS["exposure_slack"]
-        bad_at = sorted(at for r in new for at in r.bad_answers)
-        fiftieth = bad_at[49] if len(bad_at) >= 50 else None
-        sent_late = 0
-        if fiftieth:
-            late = fiftieth + d.BOUNDS["rollback_ms"] / 1e3
-            sent_late = sum(1 for r in new for _, request, *_ in r.arrivals
-                            if clients.sent.get(request, 0) > late)
+        before = sum(1 for at, *_ in leaving.arrivals if at < acked)
+        after = [at for at, *_ in leaving.arrivals if at > acked + d.BOUNDS["drain_ms"] / 1e3]
+        in_touch_from = last_event + d.BOUNDS["contact_ms"] / 1e3
+        # Taken from the client by machines in touch: sent after the core was stable for contact_ms.
+        counted = sum(1 for at, request, *_ in leaving.arrivals
+                      if at > acked + d.BOUNDS["drain_ms"] / 1e3
+                      and (not trouble or clients.sent.get(request, 0) > in_touch_from))
         record.say(f"answers to clients by status: {clients.counts()}")
-        record.say(f"state at the end: {state}")
-        record.say(f"requests that reached v2 from the order to its time limit: {at_new} of {everything}; "
-                   f"allowed for a bad version: {allowed:.0f}")
-        record.say(f"bad answers of v2: {len(bad_at)}; requests at v2 that were sent later than "
-                   f"rollback_ms after the 50th: {sent_late}")
-        if at_new == 0 or everything < 500:
-            raise d.CannotRun("the rollout got no traffic")
-        if not trouble:
-            return d.HELD   # v2 is good: EXPOSURE binds bad versions only
-        return d.BROKEN if at_new > allowed or sent_late > 0 else d.HELD
+        record.say(f"requests at the leaving runner before the ack: {before}; later than drain_ms after "
+                   f"it: {len(after)}, the last {max(after, default=acked) - acked:.1f} s after it; of "
+                   f"these sent while all machines were in touch: {counted}")
+        if before < 20:
+            raise d.CannotRun("the runner got no traffic before it left")
+        return d.BROKEN if counted > 0 else d.HELD
     finally:
         for runner in runners:
             runner.stop()
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,4 @@
-"""An operator goes back to the old version while the rollout of a bad one runs.
-
-TROUBLE=0 leaves out the second order; the version is as bad.
-"""
+"""A rollout of a version that turns bad late, but before the rollout's time limit."""
 import asyncio
 import os
 import random
@@ -16,9 +13,8 @@
 SERVICE, KEY = "wuno96b", "i9n73hh2b9wu3fexd9dn"
 CHARGES_PER_S, LOOKUPS_PER_S = 59.0, 23.6   # the darkrooms' booking desk
 DURATION_S = 12                             # as in PROTOCOL.md
-BAD_AFTER_S = 4.0                           # v2 turns bad: "either immediately or later"
+BAD_AFTER_S = 10.0                          # v2 turns bad: "either immediately or later"
 BAD_SHARE = 0.4                             # of its answers are failures from then on
-BACK_AFTER_S = 3.0                          # the operator orders the old version again
 WATCH_S = 22                                # how long traffic goes on after the order
 
 
@@ -43,21 +39,16 @@
         await asyncio.sleep(5)
 
         ordered = time.monotonic()
-        bad = lambda: time.monotonic() >= ordered + BAD_AFTER_S and random.random() < BAD_SHARE
-        for runner in new:
-            runner.fails = bad
+        if trouble:
+            bad = lambda: time.monotonic() >= ordered + BAD_AFTER_S and random.random() < BAD_SHARE
+            for runner in new:
+                runner.fails = bad
         order = {"service": SERVICE, "target": "v2", "duration_s": DURATION_S}
         await deployment.order("POST", "/-/rollouts", order, 4)
         runners += new
         for runner in new:
             await runner.start()
 
-        if trouble:
-            await asyncio.sleep(ordered + BACK_AFTER_S - time.monotonic())
-            back = {"service": SERVICE, "target": "v1", "duration_s": DURATION_S}
-            await deployment.order("POST", "/-/rollouts", back, 4)
-            record.say(f"{time.monotonic() - ordered:.2f} s after the order: v1 is ordered")
-
         state = "running"
         while time.monotonic() < ordered + WATCH_S:
             status, body = await deployment.call_control(
@@ -97,7 +88,8 @@
                    f"rollback_ms after the 50th: {sent_late}")
         if at_new == 0 or everything < 500:
             raise d.CannotRun("the rollout got no traffic")
-        # Without the second order v2 is as bad; the system rolls it back and keeps the rule.
+        if not trouble:
+            return d.HELD   # v2 is good: EXPOSURE binds bad versions only
         return d.BROKEN if at_new > allowed or sent_late > 0 else d.HELD
     finally:
         for runner in runners:
