--- a/crates/cli/tests/soak/endpoint.rs
+++ b/crates/cli/tests/soak/endpoint.rs
@@ -24,6 +24,9 @@
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 /// The pause that an endpoint asks for with `Retry-After`.
 const PAUSE: Duration = Duration::from_millis(1_500);
+/// After this time without a request an endpoint has dropped a connection without notice; what is sent on
+/// it then is not read as a request. Only in calm runs, in which nothing may be lost by it.
+const IDLE_DROPPED: Duration = Duration::from_millis(800);
 /// The interval between the lines of an endless trailer.
 const TRAILER_INTERVAL: Duration = Duration::from_millis(20);
 /// The interval between the bytes of a head that is sent slowly.
@@ -357,13 +360,19 @@
 
     fn serve(self: &Arc<Self>, mut stream: TcpStream) {
         let start = self.starts.load(Ordering::Relaxed);
+        let mut idle_since = Instant::now();
         while let Some(request) = Request::read(&mut stream) {
+            let is_dropped = self.history.is_calm() && idle_since.elapsed() > IDLE_DROPPED;
             self.gate.pass();
+            if is_dropped {
+                return;
+            }
             let behavior = self.behavior();
             let mut reply = Reply { endpoint: self, stream: &mut stream, start };
             if !reply.is_current() || self.handle(&mut reply, &request, behavior).is_none() {
                 return;
             }
+            idle_since = Instant::now();
         }
     }
 
--- a/crates/cli/tests/soak/history.rs
+++ b/crates/cli/tests/soak/history.rs
@@ -212,6 +212,11 @@
         Self { inner: Mutex::new(Inner { is_calm, ..Inner::default() }) }
     }
 
+    /// Returns whether only planned work and silences disturb the run.
+    pub fn is_calm(&self) -> bool {
+        self.inner().is_calm
+    }
+
     fn inner(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/proxy/src/exchange/access_log.rs
+++ b/crates/proxy/src/exchange/access_log.rs
@@ -7,6 +7,7 @@
 use lycheehub_dispatch::{Job, Outcome, PrefixPart};
 use lycheehub_types::{EndpointName, Refusal, RefusalKind};
 use smol_str::{SmolStr, format_smolstr};
+use std::cell::{Cell, RefCell};
 use std::fmt::Write;
 
 /// The access log record of a request.
@@ -28,13 +29,13 @@
     write_ms: u64,
     /// The longest time between two events of a stream.
     pause_ms: u64,
-    attempts: String,
+    attempts: RefCell<String>,
     /// The parts of the prompt, if an attempt broke off before the first event.
     parts: String,
     /// The identity of the request, if an attempt broke off or it is quarantined.
     digest: String,
     /// The last limit that an endpoint stated, in requests per second.
-    limit_per_s: Option<f64>,
+    limit_per_s: Cell<Option<f64>>,
     end: SmolStr,
     retry_after_ms: u64,
     /// Number of stream events relayed.
@@ -63,10 +64,10 @@
             read_ms,
             write_ms: 0,
             pause_ms: 0,
-            attempts: String::new(),
+            attempts: RefCell::default(),
             parts: String::new(),
             digest: String::new(),
-            limit_per_s: None,
+            limit_per_s: Cell::new(None),
             end: SmolStr::new("unanswered"),
             retry_after_ms: 0,
             events: 0,
@@ -97,14 +98,9 @@
         self.waited_ms += waited_ms;
     }
 
-    pub(super) fn record_attempt(
-        &mut self,
-        endpoint: &EndpointName,
-        outcome: Outcome,
-        took_ms: u64,
-    ) {
+    pub(super) fn record_attempt(&self, endpoint: &EndpointName, outcome: Outcome, took_ms: u64) {
         // Writing to a string cannot fail.
-        let _ = write!(self.attempts, "{endpoint}={outcome:?}@{took_ms}ms ");
+        let _ = write!(self.attempts.borrow_mut(), "{endpoint}={outcome:?}@{took_ms}ms ");
     }
 
     /// Records the parts of a prompt on which an endpoint broke off before the first event.
@@ -120,8 +116,8 @@
     }
 
     /// Records the limit that an endpoint stated in its response.
-    pub(super) fn record_limit(&mut self, limit_per_s: f64) {
-        self.limit_per_s = Some(limit_per_s);
+    pub(super) fn record_limit(&self, limit_per_s: f64) {
+        self.limit_per_s.set(Some(limit_per_s));
     }
 
     pub(super) fn record_first_byte(&mut self, now_ms: u64) {
@@ -165,7 +161,7 @@
         metrics::counter!("lycheehub_requests_total", &labels).increment(1);
         let service_labels =
             [("service", self.service.to_string()), ("rank", self.rank.to_string())];
-        if self.limit_per_s.is_some() {
+        if self.limit_per_s.get().is_some() {
             let service = [("service", self.service.to_string())];
             metrics::counter!("lycheehub_limited_requests_total", &service).increment(1);
         }
@@ -186,10 +182,10 @@
             pause_ms = self.pause_ms,
             write_ms = self.write_ms,
             total_ms,
-            attempts: = self.attempts.trim_end(),
+            attempts: = self.attempts.borrow().trim_end(),
             parts: = self.parts,
             digest: = self.digest,
-            limit_per_s:serde = self.limit_per_s,
+            limit_per_s:serde = self.limit_per_s.get(),
             retry_after_ms = self.retry_after_ms,
             events = u64::from(self.events),
             tokens = self.tokens,
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -5,6 +5,7 @@
 use super::relocation::{Reached, Relocation};
 use super::send::{ResponseStart, send};
 use super::stream_state::StreamState;
+use super::tried::Tried;
 use super::{Exchange, Placed};
 use crate::dialect::{ForwardedFields, ResponseFields};
 use crate::entry::Entry;
@@ -56,7 +57,7 @@
     Excluded,
     /// The endpoint states that it did not run the request.
     NotRun { endpoint: EndpointName, retry_after_ms: u64 },
-    /// The endpoint is silent, and another one is reached.
+    /// The endpoint is silent, and another one is reached, which has taken the request if it is a stream.
     Moved { endpoint: EndpointName, reached: Box<Reached> },
     /// The endpoint failed, and may have run the request.
     Failed { endpoint: EndpointName, response: Option<BufferedResponse> },
@@ -182,8 +183,33 @@
 struct StallWatch<'a> {
     stall_ms: u64,
     scope: AttemptScope<'a>,
-    /// The caller has received part of the stream.
-    resumes_stream: bool,
+    stream: &'a StreamState,
+}
+
+/// How far an attempt has got when it begins.
+pub(super) enum Progress {
+    /// There is no connection to the endpoint.
+    Unconnected,
+    /// There is one, and whether nothing was sent on it before.
+    Connected(Connection, bool),
+    /// The endpoint has begun its response.
+    Answering(Box<Begun>),
+}
+
+/// A response that has begun, and its connection.
+pub(super) struct Begun {
+    pub(super) connection: Connection,
+    pub(super) response: ResponseStart,
+}
+
+/// How an endpoint answers a request, by the head of its response.
+pub(super) enum Start {
+    /// With a response to the request.
+    Answering(Box<Begun>),
+    /// It states that it did not run the request.
+    NotRun { retry_after_ms: u64 },
+    /// With none, or one that is no answer.
+    Failed,
 }
 
 /// Where an attempt is made.
@@ -198,7 +224,7 @@
 #[derive(Clone, Copy)]
 pub(super) struct AttemptScope<'a> {
     pub(super) resolved: &'a ResolvedRequest,
-    pub(super) tried: &'a [EndpointName],
+    pub(super) tried: &'a Tried,
     pub(super) is_last_attempt: bool,
 }
 
@@ -218,17 +244,17 @@
         stream: &mut StreamState,
         scope: AttemptScope<'_>,
     ) -> AttemptEnd {
-        let (placed, attempt, connected) = match destination {
+        let (placed, attempt, progress) = match destination {
             Destination::Placed(placed) => {
                 let attempt = Attempt::new(self.entry, &placed);
-                (placed, attempt, None)
+                (placed, attempt, Progress::Unconnected)
             }
             Destination::Reached(reached) => {
-                let Reached { placed, attempt, connection, is_new } = *reached;
-                (placed, attempt, Some((connection, is_new)))
+                let Reached { placed, attempt, progress } = *reached;
+                (placed, attempt, progress)
             }
         };
-        let end = self.try_endpoint(caller, &placed, &attempt, connected, stream, scope).await;
+        let end = self.try_endpoint(caller, &placed, &attempt, progress, stream, scope).await;
         let outcome = outcome_of(&end);
         let took_ms = attempt.report(outcome);
         self.access_log.record_attempt(&placed.endpoint, outcome, took_ms);
@@ -253,51 +279,100 @@
         caller: &mut Connection,
         placed: &Placed,
         attempt: &Attempt,
-        connected: Option<(Connection, bool)>,
+        progress: Progress,
         stream: &mut StreamState,
         scope: AttemptScope<'_>,
     ) -> AttemptEnd {
-        let resolved = scope.resolved;
-        let kind = resolved.route.kind;
+        let kind = scope.resolved.route.kind;
+        let stall_ms = stall_ms(placed.first_byte_ms, kind.is_stream());
+        let received = stream.clone();
+        let watch = StallWatch { stall_ms, scope, stream: &received };
+        let begun = self.begin(caller, placed, attempt, progress, watch).await;
+        let Begun { connection: upstream, response } = match begun {
+            Ok(begun) => *begun,
+            Err(end) => return end,
+        };
+        if kind.is_stream() && response.head.status == 200 && stream.accepts(&response.head) {
+            return self.relay_stream(caller, upstream, response, attempt, stream, scope).await;
+        }
+        if stream.has_started() {
+            self.report_no_continuation(attempt, &response.head);
+            return AttemptEnd::Failed { endpoint: placed.endpoint.clone(), response: None };
+        }
+        self.buffer_and_relay(caller, upstream, response, attempt, watch).await
+    }
+
+    /// Connects to the endpoint and sends the request, as far as that has not happened; returns the response
+    /// that has begun.
+    async fn begin(
+        &self,
+        caller: &mut Connection,
+        placed: &Placed,
+        attempt: &Attempt,
+        progress: Progress,
+        watch: StallWatch<'_>,
+    ) -> Result<Box<Begun>, AttemptEnd> {
         let endpoint = placed.endpoint.clone();
-        let connect = async {
-            match connected {
-                Some(connected) => Ok(connected),
-                None => self.connect(placed, kind.may_repeat()).await,
+        let resolved = watch.scope.resolved;
+        let may_repeat = resolved.route.kind.may_repeat();
+        let connected = match progress {
+            Progress::Answering(begun) => return Ok(begun),
+            Progress::Connected(connection, is_new) => Ok((connection, is_new)),
+            Progress::Unconnected => {
+                let connect = self.connect(placed, may_repeat);
+                run_interruptible(self.entry, caller, self.deadline_ms, connect)
+                    .await
+                    .map_err(AttemptEnd::Interrupted)?
             }
         };
-        let connected = run_interruptible(self.entry, caller, self.deadline_ms, connect).await;
-        let (mut upstream, is_new) = match connected {
-            Err(cause) => return AttemptEnd::Interrupted(cause),
-            Ok(Err(unusable)) => {
+        let connection = match connected {
+            Ok(connection) => connection,
+            Err(unusable) => {
                 self.report_unusable(attempt, &unusable);
-                return match unusable {
+                return Err(match unusable {
                     Unusable::Unreached(_) => AttemptEnd::NotConnected(endpoint),
                     Unusable::SentFirst => AttemptEnd::SentFirst(endpoint),
-                };
+                });
             }
-            Ok(Ok(connected)) => connected,
         };
         if self.entry.placement.is_excluded(&endpoint) {
-            return AttemptEnd::Excluded;
+            return Err(AttemptEnd::Excluded);
         }
+        let start = self.start(resolved, placed, attempt, connection, watch.stream);
+        let start = self.watch_stall(attempt, watch, start);
+        match run_interruptible(self.entry, caller, self.deadline_ms, start).await {
+            Err(cause) => Err(AttemptEnd::Interrupted(cause)),
+            Ok(Err(reached)) => Err(AttemptEnd::Moved { endpoint, reached }),
+            Ok(Ok(Start::Answering(begun))) => Ok(begun),
+            Ok(Ok(Start::NotRun { retry_after_ms })) => {
+                Err(AttemptEnd::NotRun { endpoint, retry_after_ms })
+            }
+            Ok(Ok(Start::Failed)) => Err(AttemptEnd::Failed { endpoint, response: None }),
+        }
+    }
+
+    /// Sends the request to an endpoint and waits until its response begins; reports an attempt that ends
+    /// without one.
+    pub(super) async fn start(
+        &self,
+        resolved: &ResolvedRequest,
+        placed: &Placed,
+        attempt: &Attempt,
+        (mut upstream, is_new): (Connection, bool),
+        stream: &StreamState,
+    ) -> Start {
         let request = self.request_bytes(resolved, placed, stream);
         attempt.is_sent.set(true);
         let response = send(&mut upstream, &request, |head, is_first| {
             self.is_own_response(head, is_new && is_first)
         });
-        let stall_ms = stall_ms(placed.first_byte_ms, kind.is_stream());
-        let watch = StallWatch { stall_ms, scope, resumes_stream: stream.has_started() };
-        let work = self.watch_stall(attempt, watch, response);
-        let response = match run_interruptible(self.entry, caller, self.deadline_ms, work).await {
-            Err(cause) => return AttemptEnd::Interrupted(cause),
-            Ok(Ok(Ok(response))) => response,
-            Ok(Ok(Err(error))) => {
+        let response = match response.await {
+            Ok(response) => response,
+            Err(error) => {
                 spdlog::info!("no answer from endpoint", kv: { id: = self.fields.id, error: = error });
                 attempt.report_broken(&error);
-                return AttemptEnd::Failed { endpoint, response: None };
+                return Start::Failed;
             }
-            Ok(Err(reached)) => return AttemptEnd::Moved { endpoint, reached },
         };
         if !upstream.is_relayed() {
             self.entry.paths.record_reached(self.entry.clock.now_ms());
@@ -305,9 +380,10 @@
         let fields = self.entry.dialect.read_response(&response.head);
         self.record_notice(attempt, &response.head, &fields);
         if fields.not_run && response.head.is_success() {
+            let endpoint = &attempt.endpoint;
             spdlog::warn!("success that claims not to have run", kv: { id: = self.fields.id, endpoint: = endpoint });
             attempt.report(Outcome::Broken);
-            return AttemptEnd::Failed { endpoint, response: None };
+            return Start::Failed;
         }
         if fields.not_run || fields.misdirected {
             let misdirected = Outcome::Misdirected;
@@ -315,22 +391,20 @@
             let retry_after_ms = response.head.retry_after_ms().unwrap_or(RETRY_AFTER_MS);
             let retry_after_ms = retry_after_ms.min(RETRY_AFTER_MAX_MS);
             self.discard_and_release(attempt, upstream, response).await;
-            return AttemptEnd::NotRun { endpoint, retry_after_ms };
+            return Start::NotRun { retry_after_ms };
         }
         if response.is_cut {
             spdlog::info!("answer not whole", kv: { id: = self.fields.id, error: = Error::Truncated });
             attempt.report_broken(&Error::Truncated);
-            return AttemptEnd::Failed { endpoint, response: None };
-        }
-        if kind.is_stream() && response.head.status == 200 && stream.accepts(&response.head) {
-            return self.relay_stream(caller, upstream, response, attempt, stream, scope).await;
-        }
-        if stream.has_started() {
-            spdlog::info!("stream not continued", kv: { id: = self.fields.id, status = response.head.status });
-            attempt.report(Outcome::Failed);
-            return AttemptEnd::Failed { endpoint, response: None };
+            return Start::Failed;
         }
-        self.buffer_and_relay(caller, upstream, response, attempt, watch).await
+        Start::Answering(Box::new(Begun { connection: upstream, response }))
+    }
+
+    /// Reports an endpoint whose response does not go on with the stream.
+    pub(super) fn report_no_continuation(&self, attempt: &Attempt, head: &ResponseHead) {
+        spdlog::info!("stream not continued", kv: { id: = self.fields.id, status = head.status });
+        attempt.report(Outcome::Failed);
     }
 
     /// Returns whether a response is the one to this request. One without id is taken only if it `must_be`,
@@ -348,7 +422,7 @@
 
     /// Reports to the placement that the endpoint is leaving, asks for a pause, or states a limit or
     /// none.
-    fn record_notice(&mut self, attempt: &Attempt, head: &ResponseHead, fields: &ResponseFields) {
+    fn record_notice(&self, attempt: &Attempt, head: &ResponseHead, fields: &ResponseFields) {
         const UNAVAILABLE: u16 = 503;
         if fields.misdirected {
             return;
@@ -414,7 +488,12 @@
         {
             return Ok((connection, false));
         }
-        let connected = paths::connect(self.entry, endpoint, &placed.address).await;
+        Ok((self.connect_anew(placed).await?, true))
+    }
+
+    /// Opens a connection.
+    pub(super) async fn connect_anew(&self, placed: &Placed) -> Result<Connection, Unusable> {
+        let connected = paths::connect(self.entry, &placed.endpoint, &placed.address).await;
         let (stream, is_relayed) = connected.map_err(Unusable::Unreached)?;
         let mut connection =
             if is_relayed { Connection::relayed(stream) } else { Connection::new(stream) };
@@ -422,7 +501,7 @@
         if !connection.is_idle().await && !connection.buffered().is_empty() {
             return Err(Unusable::SentFirst);
         }
-        Ok((connection, true))
+        Ok(connection)
     }
 
     /// Returns the bytes of the request to send to the endpoint.
@@ -456,11 +535,12 @@
     }
 
     /// Reports an attempt that takes much longer than expected. If the request can move to another endpoint,
-    /// fails once one is reached; until then, and otherwise, the attempt continues.
+    /// fails once that is reached or, for a stream, has taken it; until then, and otherwise, the attempt
+    /// continues.
     async fn watch_stall<T>(
         &self,
         attempt: &Attempt,
-        StallWatch { stall_ms, scope, resumes_stream }: StallWatch<'_>,
+        StallWatch { stall_ms, scope, stream }: StallWatch<'_>,
         work: impl Future<Output = T>,
     ) -> Result<T, Box<Reached>> {
         let done = async { Ok(work.await) };
@@ -475,7 +555,7 @@
                 smol::future::pending::<()>().await;
             }
             let mut relocation = Relocation::new(self, scope, &attempt.endpoint);
-            Err(Box::new(relocation.reached(resumes_stream).await))
+            Err(Box::new(relocation.reached(stream).await))
         };
         smol::future::or(done, stalled).await
     }
@@ -563,7 +643,7 @@
     }
 }
 
-fn stall_ms(expected_ms: u64, is_stream: bool) -> u64 {
+pub(super) fn stall_ms(expected_ms: u64, is_stream: bool) -> u64 {
     let margin_ms = if is_stream { STALL_EVENT_MARGIN_MS } else { STALL_RESPONSE_MARGIN_MS };
     expected_ms.saturating_mul(STALL_FACTOR).saturating_add(margin_ms)
 }
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -210,7 +210,7 @@
                 Err(NotPlaced::Refused(refusal)) => break refusal,
             };
             let is_last_attempt = tried.is_last_attempt(&resolved.route);
-            let scope = AttemptScope { resolved, tried: tried.excluded(), is_last_attempt };
+            let scope = AttemptScope { resolved, tried: &tried, is_last_attempt };
             match self.attempt(connection, destination, &mut stream, scope).await {
                 AttemptEnd::Answered { keeps_alive } => return keeps_alive,
                 AttemptEnd::Interrupted(cause) => {
@@ -286,7 +286,7 @@
     ) -> Result<Placed, NotPlaced> {
         let requested_ms = self.entry.clock.now_ms();
         let job_id = self.entry.placement.next_job_id();
-        let mut job = self.job(resolved, job_id, tried.excluded(), resumes_stream);
+        let mut job = self.job(resolved, job_id, &tried.excluded(), resumes_stream);
         job.is_last_attempt |= tried.is_returning();
         self.access_log.record_job(&job);
         let pending = guard::PendingDecision::new(self.entry, job_id);
--- a/crates/proxy/src/exchange/relay.rs
+++ b/crates/proxy/src/exchange/relay.rs
@@ -143,7 +143,7 @@
                 let elapsed_ms = clock.now_ms() - last_progress_ms;
                 let left_ms = (can_move && stream.can_continue())
                     .then(|| PROGRESS_TIMEOUT_MS.saturating_sub(elapsed_ms));
-                let read = read_or_move(left_ms, read, &mut relocation, stream.has_started());
+                let read = read_or_move(left_ms, read, &mut relocation, stream);
                 let has_more = match read.await {
                     Err(reached) => return StreamEnd::Moved(reached),
                     Ok(Err(error)) => return StreamEnd::Broken(error),
@@ -287,12 +287,12 @@
     is_sent
 }
 
-/// Reads from the endpoint. After `left_ms` without a result, fails once another endpoint is reached.
+/// Reads from the endpoint. After `left_ms` without a result, fails once another endpoint has taken the stream.
 async fn read_or_move<T>(
     left_ms: Option<u64>,
     read: impl Future<Output = T>,
     relocation: &mut Relocation<'_>,
-    resumes_stream: bool,
+    stream: &StreamState,
 ) -> Result<T, Box<Reached>> {
     let Some(left_ms) = left_ms else {
         relocation.cancel();
@@ -301,7 +301,7 @@
     let done = async { Ok(read.await) };
     let moved = async {
         Timer::after(Duration::from_millis(left_ms)).await;
-        Err(Box::new(relocation.reached(resumes_stream).await))
+        Err(Box::new(relocation.reached(stream).await))
     };
     smol::future::or(done, moved).await
 }
--- a/crates/proxy/src/exchange/tried.rs
+++ b/crates/proxy/src/exchange/tried.rs
@@ -2,6 +2,7 @@
 
 use lycheehub_routes::RouteSpec;
 use lycheehub_types::EndpointName;
+use std::cell::RefCell;
 
 /// The endpoints to which a request was sent, each once.
 ///
@@ -11,7 +12,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Tried {
     /// The endpoints that do not get the request again.
-    excluded: Vec<EndpointName>,
+    excluded: RefCell<Vec<EndpointName>>,
     /// Those of them that were left because they were silent.
     silent: Vec<EndpointName>,
     /// The endpoints to which it returns, the only ones that may get it from now on.
@@ -20,24 +21,32 @@
 
 impl Tried {
     /// Returns the endpoints that must not get the request.
-    pub(super) fn excluded(&self) -> &[EndpointName] {
-        &self.excluded
+    pub(super) fn excluded(&self) -> Vec<EndpointName> {
+        self.excluded.borrow().clone()
     }
 
     /// Records an endpoint that failed or did not take the request.
-    pub(super) fn record(&mut self, endpoint: EndpointName) {
-        self.excluded.push(endpoint);
+    pub(super) fn record(&self, endpoint: EndpointName) {
+        let mut excluded = self.excluded.borrow_mut();
+        if !excluded.contains(&endpoint) {
+            excluded.push(endpoint);
+        }
     }
 
     /// Records an endpoint that was left because it was silent.
     pub(super) fn record_silent(&mut self, endpoint: EndpointName) {
         self.silent.push(endpoint.clone());
-        self.excluded.push(endpoint);
+        self.record(endpoint);
     }
 
     /// Returns whether the next attempt is the last one that the route allows.
     pub(super) fn is_last_attempt(&self, route: &RouteSpec) -> bool {
-        self.is_returning() || is_last_attempt(route, self.excluded.len())
+        self.is_returning() || is_last_attempt(route, self.excluded.borrow().len())
+    }
+
+    /// Returns whether the route allows more endpoints than those recorded and `further` ones.
+    pub(super) fn allows_more_than(&self, further: usize, route: &RouteSpec) -> bool {
+        self.excluded.borrow().len() + further < route.attempts_max as usize
     }
 
     /// Lets the request return, once, to those endpoints that it left because they were silent and that
@@ -48,7 +57,7 @@
     ) -> bool {
         self.returning_to = std::mem::take(&mut self.silent);
         self.returning_to.retain(takes_requests);
-        self.excluded.retain(|endpoint| !self.returning_to.contains(endpoint));
+        self.excluded.get_mut().retain(|endpoint| !self.returning_to.contains(endpoint));
         self.is_returning()
     }
 
--- a/crates/proxy/tests/proxy/silence.rs
+++ b/crates/proxy/tests/proxy/silence.rs
@@ -1,6 +1,6 @@
 //! An endpoint that is silent for a second or so and goes on is sound: nothing that it holds is lost.
 
-use crate::support::{Fixture, get, read_all, read_request, run, sleep_ms, stream};
+use crate::support::{Fixture, get, read_all, read_request, reset, run, sleep_ms, stream};
 use futures_lite::AsyncWriteExt;
 use futures_lite::future::poll_once;
 use googletest::prelude::*;
@@ -13,6 +13,8 @@
 
 /// A silence after which a response that is not the last attempt counts as stalled, in milliseconds.
 const SILENCE_MS: u64 = 1_500;
+/// A silence in which a further endpoint is requested, in milliseconds. The routes' timeout is longer.
+const LONG_SILENCE_MS: u64 = 1_800;
 const HEAD: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nTransfer-Encoding: chunked\r\n\r\n";
 const ANSWER: &str = "HTTP/1.1 200 OK\r\nid: r1\r\nContent-Length: 2\r\n\r\nok";
 
@@ -209,9 +211,9 @@
     fixture.add_endpoint(script).await;
 }
 
-/// Adds an endpoint that sends the first event of a stream and is silent; on its next connection it sends
-/// the rest. Records how many requests it gets.
-async fn add_silent_once(fixture: &Fixture, received: Rc<Cell<u32>>) {
+/// Adds an endpoint that sends the first event of a stream, is silent and sends the rest; on its next
+/// connection it sends the rest at once. Records how many requests it gets.
+async fn add_silent_once(fixture: &Fixture, silence_ms: u64, received: Rc<Cell<u32>>) {
     let (first, rest, _) = two_events();
     let script = move |mut stream: TcpStream, _| {
         let (first, rest, received) = (first.clone(), rest.clone(), received.clone());
@@ -219,62 +221,160 @@
             let request = read_request(&mut stream).await.unwrap();
             received.set(received.get() + 1);
             if request.contains("last-event-id: 1") {
-                stream.write_all((HEAD.to_owned() + &rest).as_bytes()).await.unwrap();
-            } else {
-                stream.write_all(first.as_bytes()).await.unwrap();
-                sleep_ms(SILENCE_MS * 4).await;
+                return stream.write_all((HEAD.to_owned() + &rest).as_bytes()).await.unwrap();
             }
+            stream.write_all(first.as_bytes()).await.unwrap();
+            sleep_ms(silence_ms).await;
+            // The instance may have closed the connection.
+            let _ = stream.write_all(rest.as_bytes()).await;
         }
     };
     fixture.add_endpoint(script).await;
 }
 
+/// What an endpoint does that does not take a stream.
+#[derive(Clone, Copy, Debug)]
+enum Refusal {
+    /// It states with this status that it did not run it.
+    NotRun(&'static str),
+    /// It fails.
+    Fails,
+    /// It resets the connection.
+    Resets,
+    /// It sends nothing.
+    IsSilent,
+}
+
+async fn add_refusing(fixture: &Fixture, refusal: Refusal) {
+    let script = move |mut stream: TcpStream, _| async move {
+        read_request(&mut stream).await;
+        let head = match refusal {
+            Refusal::NotRun(status) => format!("{status}\r\nnot-run: 1"),
+            Refusal::Fails => "500 Broke".to_owned(),
+            Refusal::Resets => return reset(stream),
+            Refusal::IsSilent => return sleep_ms(SILENCE_MS * 2).await,
+        };
+        let response = format!("HTTP/1.1 {head}\r\nid: r1\r\nContent-Length: 0\r\n\r\n");
+        stream.write_all(response.as_bytes()).await.unwrap();
+    };
+    fixture.add_endpoint(script).await;
+}
+
+/// Guards against a stream that is cut in a planned stop: its sound endpoint was left before the next one
+/// had taken the stream (review/2).
 #[gtest]
-fn a_stream_that_moved_returns_to_the_silent_endpoint_if_the_other_one_rejects_it() {
+fn a_stream_keeps_its_silent_endpoint_until_another_one_has_taken_it() {
+    let refusals = [
+        Refusal::NotRun("503 Full"),
+        Refusal::NotRun("421 Other"),
+        Refusal::Fails,
+        Refusal::Resets,
+        Refusal::IsSilent,
+    ];
+    for refusal in refusals {
+        run(move |fixture| async move {
+            let received = Rc::new(Cell::new(0));
+            add_silent_once(&fixture, SILENCE_MS, received.clone()).await;
+            add_refusing(&fixture, refusal).await;
+            let (_, _, whole) = two_events();
+            let mut caller = fixture.connect().await;
+            caller.write_all(stream("/resume/").as_bytes()).await.unwrap();
+            sleep_ms(SILENCE_MS / 10).await;
+            let now_ms = fixture.entry.clock.now_ms();
+            fixture.entry.begin_stop(Stop { refuses_from_ms: now_ms, ends_ms: now_ms + 8_000 });
+            expect_that!(read_all(&mut caller).await, ends_with(whole), "{refusal:?}");
+            expect_that!(received.get(), eq(1), "{refusal:?}");
+            let outcomes = fixture.placement.outcomes.borrow();
+            expect_that!(*outcomes, contains(eq(&Outcome::Answered)), "{refusal:?}");
+        });
+    }
+}
+
+/// Guards against a stream that has not begun and is given up for an endpoint that does not take it
+/// (review/2).
+#[gtest]
+fn a_stream_without_an_event_keeps_its_silent_endpoint_until_another_one_has_taken_it() {
+    run(|fixture| async move {
+        let (first, rest, whole) = two_events();
+        add_silent(&fixture, SILENCE_MS, String::new(), first + &rest).await;
+        add_refusing(&fixture, Refusal::NotRun("503 Full")).await;
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(whole));
+    });
+}
+
+/// Guards against a stream that is moved to a connection which the endpoint dropped while it was idle
+/// (review/2).
+#[gtest]
+fn a_stream_moves_on_a_connection_of_its_own() {
+    run(|fixture| async move {
+        let (first, rest, whole) = two_events();
+        // The first connection serves one request and resets the next one.
+        let script = move |mut stream: TcpStream, number| {
+            let rest = rest.clone();
+            async move {
+                read_request(&mut stream).await;
+                if number > 1 {
+                    return stream.write_all((HEAD.to_owned() + &rest).as_bytes()).await.unwrap();
+                }
+                stream.write_all(ANSWER.as_bytes()).await.unwrap();
+                if read_request(&mut stream).await.is_some() {
+                    reset(stream);
+                }
+            }
+        };
+        fixture.add_endpoint(script).await;
+        expect_that!(fixture.request(&get("/safe/")).await, ends_with("ok"));
+        add_silent(&fixture, SILENCE_MS * 2, first, String::new()).await;
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(whole));
+    });
+}
+
+#[gtest]
+fn a_stream_returns_to_its_silent_endpoint_if_the_other_one_rejects_it() {
     run(|fixture| async move {
         let received = Rc::new(Cell::new(0));
-        add_silent_once(&fixture, received.clone()).await;
+        add_silent_once(&fixture, SILENCE_MS * 2, received.clone()).await;
         add_rejecting(&fixture).await;
         let (_, _, whole) = two_events();
         expect_that!(fixture.request(&stream("/resume/")).await, ends_with(whole));
         expect_that!(received.get(), eq(2));
         let outcomes = fixture.placement.outcomes.borrow();
-        let expected = [Outcome::Broken, Outcome::Rejected, Outcome::Answered];
+        let expected = [Outcome::Rejected, Outcome::Broken, Outcome::Answered];
         expect_that!(*outcomes, container_eq(expected));
     });
 }
 
 /// A request is sent to no more endpoints than its route allows, those that reject it included.
 #[gtest]
-fn a_stream_that_moved_and_was_rejected_goes_to_no_third_endpoint() {
+fn a_stream_that_was_rejected_goes_to_no_third_endpoint() {
     run(|fixture| async move {
         let received = Rc::new(Cell::new(0));
-        add_silent_once(&fixture, received.clone()).await;
+        add_silent_once(&fixture, LONG_SILENCE_MS, received.clone()).await;
         add_rejecting(&fixture).await;
         let third = Rc::new(Cell::new(0));
-        add_silent_once(&fixture, third.clone()).await;
-        let first_event = chunk("id: 1\ndata: a\n\n");
-        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(first_event));
+        add_silent_once(&fixture, LONG_SILENCE_MS, third.clone()).await;
+        let (_, _, whole) = two_events();
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(whole));
         expect_that!((received.get(), third.get()), eq((1, 0)));
         // The grant of the third one is given back.
         expect_that!(fixture.placement.withdrawn.get(), eq(1));
         let outcomes = fixture.placement.outcomes.borrow();
-        expect_that!(*outcomes, container_eq([Outcome::Broken, Outcome::Rejected]));
+        expect_that!(*outcomes, container_eq([Outcome::Rejected, Outcome::Answered]));
     });
 }
 
 #[gtest]
-fn a_stream_that_moved_and_was_rejected_does_not_return_to_an_endpoint_that_takes_nothing() {
+fn a_stream_that_was_rejected_is_not_sent_again_to_an_endpoint_that_takes_nothing() {
     run(|fixture| async move {
         let received = Rc::new(Cell::new(0));
-        add_silent_once(&fixture, received.clone()).await;
+        add_silent_once(&fixture, LONG_SILENCE_MS, received.clone()).await;
         add_rejecting(&fixture).await;
         let mut caller = fixture.connect().await;
         caller.write_all(stream("/resume/").as_bytes()).await.unwrap();
         sleep_ms(SILENCE_MS / 10).await;
         fixture.placement.excluded.borrow_mut().push("endpoint-0".to_owned());
-        let first_event = chunk("id: 1\ndata: a\n\n");
-        expect_that!(read_all(&mut caller).await, ends_with(first_event));
+        let (_, _, whole) = two_events();
+        expect_that!(read_all(&mut caller).await, ends_with(whole));
         expect_that!(received.get(), eq(1));
     });
 }
