--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -153,10 +153,18 @@
         self.entries.contains_key(name)
     }
 
-    /// Withdraws an endpoint for good; tells whether this changed a known endpoint.
+    /// Returns the number of the local change that lists an endpoint as it is known; `None` if the endpoint
+    /// is unknown or its last change came from another replica.
+    pub fn local_change(&self, name: &EndpointName) -> Option<u64> {
+        let known = self.entries.get(name)?;
+        (known.source == Source::Local).then_some(known.change)
+    }
+
+    /// Withdraws an endpoint for good; tells whether this changed a known endpoint. A withdrawal that is
+    /// known from another replica becomes a local change, too: that replica may be gone.
     pub fn withdraw(&mut self, now_ms: u64, name: &EndpointName) -> bool {
         let Some(known) = self.entries.get(name) else { return false };
-        if known.listing.withdrawn {
+        if known.listing.withdrawn && known.source == Source::Local {
             return false;
         }
         let mut listing = known.listing.clone();
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -97,9 +97,9 @@
     EndQuarantine(QuarantineId, SmolStr, Sender<LeaderReply<Ending>>),
     /// Applies an endpoint's announcement to the registry.
     Announce(EndpointRecord),
-    /// Applies an endpoint's announcement to the directory.
-    AnnounceToDirectory(EndpointRecord),
-    /// Withdraws an endpoint that leaves permanently; replies whether that took effect.
+    /// Applies an endpoint's announcement to the directory; replies whether it may be acknowledged.
+    AnnounceToDirectory(EndpointRecord, Sender<bool>),
+    /// Withdraws an endpoint that leaves permanently; replies whether that may be acknowledged.
     Withdraw(EndpointName, Sender<bool>),
     /// Reports the scheduler's demands and observations.
     Report(Demands),
@@ -165,13 +165,15 @@
         let _ = self.sender.send(ControlRequest::Announce(record)).await;
     }
 
-    /// Applies an endpoint's announcement to the directory.
-    pub async fn announce_to_directory(&self, record: EndpointRecord) {
-        // Sending fails only if the control thread has ended, that is, during process exit.
-        let _ = self.sender.send(ControlRequest::AnnounceToDirectory(record)).await;
+    /// Applies an endpoint's announcement to the directory. Returns whether it may be acknowledged: what
+    /// says that an endpoint leaves is held by enough replicas.
+    pub async fn announce_to_directory(&self, record: EndpointRecord) -> bool {
+        let reply = self.call(|sender| ControlRequest::AnnounceToDirectory(record, sender)).await;
+        reply.unwrap_or(false)
     }
 
-    /// Withdraws an endpoint that leaves permanently. Returns whether that took effect.
+    /// Withdraws an endpoint that leaves permanently. Returns whether that may be acknowledged: it took
+    /// effect, and enough replicas hold it.
     pub async fn withdraw(&self, endpoint: EndpointName) -> bool {
         let is_withdrawn = self.call(|sender| ControlRequest::Withdraw(endpoint, sender)).await;
         is_withdrawn.unwrap_or(false)
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -2,11 +2,12 @@
 
 use super::{Core, Node};
 use crate::watch::{self, REVISION_FROM_LOG, ReplicaPositions, WatchUpdate, Watcher};
+use lycheehub_clock::within;
 use lycheehub_control::directory::batching::{self, Backlog};
 use lycheehub_control::directory::{ChangePosition, Changes, LEASE_MS, Listing};
 use lycheehub_types::{CountGuard, EndpointName, EndpointRecord, InstanceName};
 use smol::Timer;
-use smol::channel::bounded;
+use smol::channel::{Sender, bounded};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -18,6 +19,36 @@
 /// watchers, in milliseconds: it may have missed changes accepted since.
 const LEADER_CONTACT_MS: u64 = 1_500;
 
+/// The longest time for which changes for other replicas are batched, in milliseconds: endpoints that
+/// leave wait until replicas hold that.
+const REPLICA_BATCH_DELAY_MAX_MS: u64 = 20;
+/// How long an endpoint that leaves waits for other replicas to hold that, in milliseconds. An endpoint
+/// asks elsewhere after a second.
+const COPIES_TIMEOUT_MS: u64 = 700;
+
+/// Up to where other replicas have this instance's local changes, as their watch requests state.
+#[derive(Debug, Default)]
+pub(super) struct Copies {
+    reached: BTreeMap<InstanceName, u64>,
+    /// Senders that wake the tasks waiting for a replica to reach a change.
+    waiters: Vec<Sender<()>>,
+}
+
+impl Copies {
+    fn record(&mut self, replica: InstanceName, change: u64) {
+        self.reached.insert(replica, change);
+        for waiter in self.waiters.drain(..) {
+            // The send fails only if the task no longer waits.
+            let _ = waiter.try_send(());
+        }
+    }
+
+    /// Returns the number of other replicas that have reached a change.
+    fn holders(&self, change: u64) -> usize {
+        self.reached.values().filter(|reached| **reached >= change).count()
+    }
+}
+
 /// What a watcher already knows.
 #[derive(Clone, Debug)]
 pub(crate) struct WatchPosition {
@@ -47,8 +78,15 @@
 }
 
 impl Node {
-    /// Applies an announcement that an endpoint sent to this instance.
-    pub(super) fn announce_endpoint(self: &Rc<Self>, record: EndpointRecord) {
+    /// Applies an announcement that an endpoint sent to this instance; returns whether it may be
+    /// acknowledged. One that says that the endpoint leaves may be only once enough replicas hold it.
+    pub(super) async fn announce_endpoint(self: Rc<Self>, record: EndpointRecord) -> bool {
+        let (endpoint, leaving) = (record.endpoint.clone(), record.leaving);
+        self.apply_endpoint(record);
+        !leaving || self.is_held(&endpoint).await
+    }
+
+    fn apply_endpoint(&self, record: EndpointRecord) {
         let now_ms = self.clock.now_ms();
         let (endpoint, leaving) = (record.endpoint.clone(), record.leaving);
         let change = {
@@ -61,26 +99,67 @@
         }
     }
 
-    /// Withdraws an endpoint that leaves permanently; returns whether the withdrawal takes effect.
+    /// Withdraws an endpoint that leaves permanently; returns whether the withdrawal takes effect and
+    /// enough replicas hold it.
     ///
     /// A replica that has just started may not know an endpoint that entry instances still send
     /// requests to, so it cannot tell them about the withdrawal. Within one lease after the start,
     /// it therefore rejects the withdrawal of an unknown endpoint.
-    pub(super) fn withdraw(self: &Rc<Self>, endpoint: &EndpointName) -> bool {
+    pub(super) async fn withdraw(self: Rc<Self>, endpoint: EndpointName) -> bool {
         let now_ms = self.clock.now_ms();
         let (is_known, changed) = {
             let directory = &mut self.core.borrow_mut().directory;
-            (directory.contains(endpoint), directory.withdraw(now_ms, endpoint))
+            (directory.contains(&endpoint), directory.withdraw(now_ms, &endpoint))
         };
         if changed {
             spdlog::info!("endpoint withdrawn", kv: { endpoint: = endpoint });
             self.notify_directory_changed();
         }
+        if is_known {
+            return self.is_held(&endpoint).await;
+        }
         let has_full_directory = now_ms >= self.started_ms + LEASE_MS;
-        if !is_known && !has_full_directory {
+        if !has_full_directory {
             spdlog::info!("farewell not taken: endpoint not known yet", kv: { endpoint: = endpoint });
         }
-        is_known || has_full_directory
+        has_full_directory
+    }
+
+    /// Waits until as many replicas hold the last change of an endpoint as must survive the losses that the
+    /// settings name; returns false if that takes too long. A change from another replica is that
+    /// one's to pass on.
+    async fn is_held(&self, endpoint: &EndpointName) -> bool {
+        let copies_min = self.settings.copies_min;
+        let give_up_ms = self.clock.now_ms() + COPIES_TIMEOUT_MS;
+        loop {
+            let change = self.core.borrow().directory.local_change(endpoint);
+            let Some(change) = change else { return true };
+            // This replica holds one copy.
+            let copies = 1 + self.copies.borrow().holders(change);
+            if copies >= copies_min {
+                return true;
+            }
+            let left_ms = give_up_ms.saturating_sub(self.clock.now_ms());
+            if left_ms == 0 {
+                let copies = copies as u64;
+                spdlog::warn!("endpoint's leaving not acknowledged: too few replicas hold it", kv: {
+                    endpoint: = endpoint, change, copies,
+                });
+                return false;
+            }
+            let (sender, receiver) = bounded(1);
+            self.copies.borrow_mut().waiters.push(sender);
+            // Without a report of a replica the time ends the wait.
+            let _ = within(left_ms, receiver.recv()).await;
+        }
+    }
+
+    /// Records the position that another replica has reached in this instance's local changes. One that has
+    /// restarted has none.
+    pub(crate) fn record_copies(&self, replica: InstanceName, position: ChangePosition) {
+        let is_this_run = position.epoch == self.incarnation();
+        let change = if is_this_run { position.change } else { 0 };
+        self.copies.borrow_mut().record(replica, change);
     }
 
     fn notify_directory_changed(&self) {
@@ -160,7 +239,10 @@
         if self.backlog(position) == Backlog::Empty {
             self.wait_for_change(wait_ms).await;
         }
-        let delay_ms = batching::batch_delay_ms(self.backlog(position), self.watchers.get());
+        let mut delay_ms = batching::batch_delay_ms(self.backlog(position), self.watchers.get());
+        if position.revision == REVISION_FROM_LOG {
+            delay_ms = delay_ms.min(REPLICA_BATCH_DELAY_MAX_MS);
+        }
         if delay_ms > 0 {
             Timer::after(Duration::from_millis(delay_ms)).await;
         }
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -83,6 +83,8 @@
     watched_replicas: RefCell<BTreeSet<InstanceName>>,
     /// The position reached in the local changes of each watched replica.
     replica_positions: ReplicaPositions,
+    /// Up to where other replicas have the local changes.
+    copies: RefCell<directory::Copies>,
     /// Dispatches requests while this instance leads.
     dispatch: RefCell<Option<LeaderDispatch>>,
 }
@@ -210,6 +212,7 @@
             polls: RefCell::default(),
             watched_replicas: RefCell::default(),
             replica_positions: ReplicaPositions::default(),
+            copies: RefCell::default(),
             dispatch: RefCell::default(),
         }))
     }
--- a/crates/peer/src/node/requests.rs
+++ b/crates/peer/src/node/requests.rs
@@ -13,7 +13,12 @@
     pub(super) fn handle_request(self: &Rc<Self>, request: ControlRequest) {
         match request {
             ControlRequest::Announce(record) => self.apply_announcement(record),
-            ControlRequest::AnnounceToDirectory(record) => self.announce_endpoint(record),
+            ControlRequest::AnnounceToDirectory(record, sender) => {
+                self.spawn_reply(
+                    sender,
+                    |node| async move { node.announce_endpoint(record).await },
+                );
+            }
             ControlRequest::ClusterStatus(sender) => {
                 // The send fails only if the caller no longer waits.
                 let _ = sender.try_send(self.cluster_status());
@@ -25,8 +30,7 @@
                 self.spawn_reply(sender, |node| async move { node.end_quarantine(id, &by).await });
             }
             ControlRequest::Withdraw(endpoint, sender) => {
-                // The send fails only if the caller no longer waits.
-                let _ = sender.try_send(self.withdraw(&endpoint));
+                self.spawn_reply(sender, |node| async move { node.withdraw(endpoint).await });
             }
             ControlRequest::Report(demands) => self.apply_demands(demands),
             ControlRequest::Propose(command, sender) => {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -207,8 +207,10 @@
             revision: params.get_revision(),
             leader: (!leader.is_empty()).then(|| InstanceName::new(leader)),
         };
-        if position.revision != REVISION_FROM_LOG {
-            let sender = InstanceName::from(read_text(params.get_sender())?);
+        let sender = InstanceName::from(read_text(params.get_sender())?);
+        if position.revision == REVISION_FROM_LOG {
+            self.node.record_copies(sender, position.local);
+        } else {
             self.node.record_poll(&sender, position.revision);
         }
         let changes = self.node.wait_for_changes(&position, u64::from(params.get_wait_ms())).await;
