--- a/crates/cli/src/settings/load.rs
+++ b/crates/cli/src/settings/load.rs
@@ -166,6 +166,7 @@
             replacement_timeout_ms: limits.stop_timeout_ms,
             runs_controllers: true,
             consensus: lycheehub_consensus::Options::default(),
+            rollouts: Default::default(),
             dispatch: lycheehub_dispatch::Options::default(),
         },
         gateway: lycheehub_gateway::Settings {
--- a/crates/cli/tests/platform/rollouts.rs
+++ b/crates/cli/tests/platform/rollouts.rs
@@ -71,3 +71,41 @@
     expect_that!(start_rollout(&deployment, "v2", 4), eq(200));
     expect_that!(rollout_state(&deployment), contains_substring("completed"));
 }
+
+/// Guards against an order for the version in service that sends most requests to the one on trial
+/// (review/4, second order).
+#[gtest]
+fn an_order_for_the_version_in_service_takes_back_the_one_on_trial() {
+    let (deployment, old) = start_deployment();
+    let new = Endpoint::start(&deployment);
+    let is_stopped = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let (deployment, is_stopped) = (&deployment, &is_stopped);
+            scope.spawn(move || {
+                while !is_stopped.load(Ordering::Relaxed) {
+                    send_request(deployment, caller % 2, "POST", "/print/1", "key-1", "label");
+                }
+            });
+        }
+        scope.spawn(|| {
+            let mut sequence = 10;
+            while !is_stopped.load(Ordering::Relaxed) {
+                sequence += 1;
+                announce(&deployment, 0, &old, sequence, "ready");
+                announce_as(&deployment, 0, ("i-2", "v2"), &new, sequence, "ready");
+                std::thread::sleep(HEARTBEAT);
+            }
+        });
+        eventually("the rollout is accepted", || start_rollout(&deployment, "v2", 20) == 200);
+        let before = new.count();
+        eventually("the new version gets requests", || new.count() > before + 5);
+        eventually("the old version is ordered", || start_rollout(&deployment, "v1", 20) == 200);
+        std::thread::sleep(Duration::from_millis(500));
+        let (old_count, new_count) = (old.count(), new.count());
+        std::thread::sleep(Duration::from_secs(2));
+        is_stopped.store(true, Ordering::Relaxed);
+        expect_that!(new.count(), eq(new_count));
+        expect_that!(old.count(), gt(old_count));
+    });
+}
--- a/crates/control/src/moves/failures.rs
+++ b/crates/control/src/moves/failures.rs
@@ -9,6 +9,8 @@
 const RISES: [f64; 3] = [0.02, 0.10, 0.50];
 /// The index of the increase that a version must be cleared of before it receives more traffic.
 const CLEARING_INDEX: usize = 1;
+/// The number of requests to the new version that fills a window.
+const FULL_NEW_REQUESTS: u64 = 10;
 /// The alarm threshold. A good version crosses it with a probability of about `exp(-16)` per
 /// request, if its failures are independent of each other.
 const ALARM_THRESHOLD: f64 = 16.0;
@@ -25,7 +27,9 @@
     /// Adds outcomes; `old` is the sum over all outcomes of the old version, these included.
     pub(super) fn add(&mut self, side: Side, observation: Observation, old: &Observation) {
         self.window.add(side, observation);
-        if self.window.is_full() {
+        // Where the new version gets most requests, its failures are compared with the old version's
+        // long-term rate.
+        if self.window.is_full() || self.window.new.requests >= FULL_NEW_REQUESTS {
             self.close_window(old);
         }
     }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod document;
 mod false_alarms;
 mod fixtures;
+mod late_regressions;
 mod moves;
 mod pauses;
 mod placement;
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -25,7 +25,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use trials::{SentTrial, WaitingTrial};
 use versions::VersionRouting;
-pub use versions::{VersionMode, VersionRule, VersionSample};
+pub use versions::{PlacedRequests, VersionMode, VersionRule, VersionSample};
 
 /// How long after the first endpoint list some endpoints may still be missing, in milliseconds;
 /// endpoints announce themselves about once a second.
--- a/crates/dispatch/src/dispatcher/versions.rs
+++ b/crates/dispatch/src/dispatcher/versions.rs
@@ -61,6 +61,17 @@
     rule: VersionRule,
     placed: u64,
     placed_new: u64,
+    /// All requests placed while the target version was the same.
+    total: PlacedRequests,
+}
+
+/// The requests of a service that were placed while it is divided between versions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlacedRequests {
+    /// Those on endpoints of the target version.
+    pub new: u64,
+    /// Those on other endpoints.
+    pub old: u64,
 }
 
 /// The group of versions that the next request is intended for.
@@ -118,8 +129,23 @@
 
     fn record_placed(&mut self, version: &Version) {
         let VersionMode::Split { target, .. } = &self.rule.mode else { return };
+        let is_new = version == target;
         self.placed += 1;
-        self.placed_new += u64::from(version == target);
+        self.placed_new += u64::from(is_new);
+        self.total.new += u64::from(is_new);
+        self.total.old += u64::from(!is_new);
+    }
+
+    /// Returns the requests placed so far, if `rule` has the same target version.
+    fn total_for(&self, rule: &VersionRule) -> PlacedRequests {
+        match (&self.rule.mode, &rule.mode) {
+            (VersionMode::Split { target, .. }, VersionMode::Split { target: next, .. })
+                if target == next =>
+            {
+                self.total
+            }
+            _ => PlacedRequests::default(),
+        }
     }
 }
 
@@ -144,8 +170,12 @@
             let known =
                 service.version_routing.as_ref().map(|version_routing| &version_routing.rule);
             if rule.as_ref() != known {
-                let new = |rule| VersionRouting { rule, placed: 0, placed_new: 0 };
-                service.version_routing = rule.map(new);
+                let before = service.version_routing.take();
+                service.version_routing = rule.map(|rule| {
+                    let total = before.as_ref().map(|before| before.total_for(&rule));
+                    let total = total.unwrap_or_default();
+                    VersionRouting { rule, placed: 0, placed_new: 0, total }
+                });
             }
         }
     }
@@ -155,6 +185,14 @@
         std::mem::take(&mut self.samples)
     }
 
+    /// Returns the requests of a service that this dispatcher has placed since its requests are divided
+    /// between the same versions.
+    pub fn placed_requests(&self, service: &ServiceName) -> PlacedRequests {
+        let routing =
+            self.services.get(service).and_then(|service| service.version_routing.as_ref());
+        routing.map_or_else(PlacedRequests::default, |routing| routing.total)
+    }
+
     /// Returns the number of requests running on endpoints of a service whose version satisfies
     /// `matches_version`.
     pub fn running_count(
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -26,7 +26,8 @@
 pub mod retries;
 
 pub use dispatcher::{
-    Dispatcher, InFlight, ServiceLoad, UsageReport, VersionMode, VersionRule, VersionSample,
+    Dispatcher, InFlight, PlacedRequests, ServiceLoad, UsageReport, VersionMode, VersionRule,
+    VersionSample,
 };
 pub use endpoints::{Limit, LimitKind, Notice, StatedLimit};
 pub use job::{Decision, Finished, Job, JobId, Outcome, PrefixPart, Reason};
--- a/crates/peer/src/node/dispatch/mod.rs
+++ b/crates/peer/src/node/dispatch/mod.rs
@@ -175,7 +175,7 @@
             instance_numbers: BTreeMap::new(),
             last_connection: 0,
             load_recorded_ms: 0,
-            rollouts: RolloutController::default(),
+            rollouts: RolloutController::new(self.settings.rollouts),
             document_revision: 0,
             started_ms: self.clock.now_ms(),
             ticked_ms: self.clock.now_ms(),
--- a/crates/peer/src/node/propose.rs
+++ b/crates/peer/src/node/propose.rs
@@ -6,7 +6,7 @@
 use lycheehub_clock::within;
 use lycheehub_consensus::Position;
 use lycheehub_control::Command;
-use lycheehub_control::state::Feed;
+use lycheehub_control::state::{Feed, RolloutState, RolloutStep};
 use lycheehub_types::InstanceName;
 use lycheehub_wire::ProposeReply;
 use lycheehub_wire::peer_capnp::peer;
@@ -98,14 +98,44 @@
         if !self.has_enough_replicas(&command) {
             return ProposeReply::NotLeader;
         }
-        let command = command.with_leader_time(self.clock.now_unix_ms()).encode();
+        if let Some(step) = self.end_of_overtaken_rollout(&command) {
+            spdlog::info!("rollout step", kv: {
+                service: = step.service, state:? = step.state, reason: = step.reason,
+            });
+            let reply = self.commit(&Command::StepRollout(step)).await;
+            if !matches!(reply, ProposeReply::Done(_)) {
+                return reply;
+            }
+        }
+        self.commit(&command.with_leader_time(self.clock.now_unix_ms())).await
+    }
+
+    async fn commit(self: &Rc<Self>, command: &Command) -> ProposeReply {
         let (sender, receiver) = bounded(1);
-        self.core.borrow_mut().proposals.push((command, sender));
+        self.core.borrow_mut().proposals.push((command.encode(), sender));
         self.schedule_flush();
         let reply = within(PROPOSE_ATTEMPT_MS, receiver.recv()).await;
         reply.and_then(Result::ok).unwrap_or(ProposeReply::Unknown)
     }
 
+    /// Returns the step that takes back the rollout that a new order overtakes: its version is still on
+    /// trial, and must not be taken for the one in service.
+    fn end_of_overtaken_rollout(&self, command: &Command) -> Option<RolloutStep> {
+        let Command::StartRollout(order) = command else { return None };
+        let core = self.core.borrow();
+        let record = core.state.rollouts.get(&order.service)?;
+        let is_overtaken =
+            record.state == RolloutState::Running && record.order.target != order.target;
+        is_overtaken.then(|| RolloutStep {
+            service: order.service.clone(),
+            after_revision: record.revision,
+            state: RolloutState::RolledBack,
+            share_permille: 0,
+            reason: "another version is ordered".into(),
+            now_unix_ms: self.clock.now_unix_ms(),
+        })
+    }
+
     /// Returns whether a committed entry is stored on enough replicas to survive the number of disk
     /// losses that the settings require.
     fn has_enough_replicas(&self, command: &Command) -> bool {
--- a/crates/peer/src/node/rollouts.rs
+++ b/crates/peer/src/node/rollouts.rs
@@ -6,10 +6,11 @@
 use lycheehub_control::moves::VersionCapacity;
 use lycheehub_control::state::{RolloutRecord, RolloutStep};
 use lycheehub_dispatch::Dispatcher;
+use lycheehub_types::Version;
 use std::rc::Rc;
 
 /// Interval between decisions on rollout steps, in milliseconds.
-pub(super) const ROLLOUT_TICK_MS: u64 = 200;
+pub(super) const ROLLOUT_TICK_MS: u64 = 100;
 
 impl Node {
     /// Compares the versions of services and proposes the rollout steps that are due.
@@ -47,14 +48,23 @@
     }
 }
 
-/// Returns the slots of the new version and the running requests of the other versions.
+/// Returns the slots of the versions, and their requests so far.
 fn capacity(core: &Core, dispatcher: &Dispatcher, record: &RolloutRecord) -> VersionCapacity {
     let order = &record.order;
-    let new = core.directory.live().filter(|endpoint| {
-        endpoint.service == order.service && endpoint.version == order.target && !endpoint.leaving
-    });
+    let slots = |matches_version: &dyn Fn(&Version) -> bool| {
+        let endpoints = core.directory.live().filter(|endpoint| {
+            endpoint.service == order.service
+                && !endpoint.leaving
+                && matches_version(&endpoint.version)
+        });
+        endpoints.map(|endpoint| endpoint.slots).sum()
+    };
+    let is_new = |version: &Version| *version == order.target;
+    let placed = dispatcher.placed_requests(&order.service);
     VersionCapacity {
-        new_slots: new.map(|endpoint| endpoint.slots).sum(),
-        old_running: dispatcher.running_count(&order.service, |version| *version != order.target),
+        new_slots: slots(&is_new),
+        new_placed: placed.new,
+        old_placed: placed.old,
+        old_slots: slots(&|version| !is_new(version) && !record.barred.contains(version)),
     }
 }
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -43,6 +43,8 @@
     pub runs_controllers: bool,
     /// The timeouts and limits of the control replica.
     pub consensus: lycheehub_consensus::Options,
+    /// How many requests a bad version may receive in a rollout.
+    pub rollouts: lycheehub_control::moves::RolloutOptions,
     /// The options of this instance's dispatcher.
     pub dispatch: lycheehub_dispatch::Options,
 }
