--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -143,6 +143,15 @@
         let _ = kill.args([&format!("-{name}"), &id]).stderr(Stdio::null()).status();
     }
 
+    /// Returns the memory that the process uses, in bytes.
+    pub fn memory_used(&self) -> u64 {
+        let id = self.child.as_ref().expect("the process was started").id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        let kibibytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+        kibibytes * 1_024
+    }
+
     /// Waits until the process exits; kills it after `timeout`.
     pub fn exits_within(&mut self, timeout: Duration) -> Option<ExitStatus> {
         let started = Instant::now();
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -8,6 +8,7 @@
 mod crashing_requests;
 #[path = "../deployment/mod.rs"]
 mod deployment;
+mod endless_heads;
 mod farewells;
 mod handover;
 mod limits;
