--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -228,6 +228,7 @@
                 AttemptEnd::Excluded => {}
                 AttemptEnd::NotRun { endpoint, retry_after_ms } => {
                     tried.record(endpoint);
+                    let is_last_attempt = is_last_attempt || tried.is_exhausted(&resolved.route);
                     if is_last_attempt && !self.can_return(&mut tried, &stream) {
                         let kind = RefusalKind::Overloaded;
                         let message = "the endpoint did not take the request";
@@ -243,6 +244,8 @@
                     tried.record(endpoint);
                     may_have_run = true;
                     buffered = response.or(buffered);
+                    // A search for another endpoint during the attempt may have used up the others.
+                    let is_last_attempt = is_last_attempt || tried.is_exhausted(&resolved.route);
                     let may_repeat = resolved.route.kind.may_repeat() && stream.can_continue();
                     if is_last_attempt || !may_repeat {
                         break self.outcome_unknown(resolved.route.kind);
--- a/crates/proxy/src/exchange/tried.rs
+++ b/crates/proxy/src/exchange/tried.rs
@@ -49,6 +49,11 @@
         self.excluded.borrow().len() + further < route.attempts_max as usize
     }
 
+    /// Returns whether the request was sent to as many endpoints as the route allows.
+    pub(super) fn is_exhausted(&self, route: &RouteSpec) -> bool {
+        !self.allows_more_than(0, route)
+    }
+
     /// Lets the request return, once, to those endpoints that it left because they were silent and that
     /// take requests; returns whether there are any.
     pub(super) fn return_to_silent(
--- a/crates/proxy/tests/proxy/silence.rs
+++ b/crates/proxy/tests/proxy/silence.rs
@@ -363,6 +363,21 @@
     });
 }
 
+/// Guards against one endpoint too many: the silent one breaks off after another one has rejected the stream.
+#[gtest]
+fn a_stream_that_breaks_off_after_a_rejection_goes_to_no_third_endpoint() {
+    run(|fixture| async move {
+        let (first, _, _) = two_events();
+        add_silent(&fixture, SILENCE_MS, first, String::new()).await;
+        add_rejecting(&fixture).await;
+        let third = Rc::new(Cell::new(0));
+        add_silent_once(&fixture, 0, third.clone()).await;
+        let first_event = chunk("id: 1\ndata: a\n\n");
+        expect_that!(fixture.request(&stream("/resume/")).await, ends_with(first_event));
+        expect_that!(third.get(), eq(0));
+    });
+}
+
 #[gtest]
 fn a_stream_that_was_rejected_is_not_sent_again_to_an_endpoint_that_takes_nothing() {
     run(|fixture| async move {
