--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -63,7 +63,8 @@
     fn due_change(&self, now_ms: u64, members: &Members) -> Option<Change> {
         let voters = &self.log.config().voters;
         if voters.len() > self.options.voters_max {
-            return self.surplus_voter(now_ms, members).map(Change::Remove);
+            let surplus = self.stopping_voter(members).or_else(|| self.unresponsive_voter(now_ms));
+            return surplus.map(Change::Remove);
         }
         let mut successors = members.successors(self.log.config());
         let (id, name) = successors.find(|(id, _)| self.is_caught_up(*id))?;
@@ -88,13 +89,6 @@
         self.other_voters().find(|id| members.stopping.contains(id))
     }
 
-    /// Returns the voter that is removed where there is one more than the maximum: one that stops,
-    /// or else the one that has not replied for the longest time.
-    fn surplus_voter(&self, now_ms: u64, members: &Members) -> Option<ReplicaId> {
-        self.stopping_voter(members)
-            .or_else(|| self.other_voters().min_by_key(|id| self.last_reply_ms(now_ms, *id)))
-    }
-
     /// Returns the voter that has not replied for the longest time, if that time exceeds the limit.
     fn unresponsive_voter(&self, now_ms: u64) -> Option<ReplicaId> {
         let id = self.other_voters().min_by_key(|id| self.last_reply_ms(now_ms, *id))?;
