--- a/crates/cli/tests/platform/rollouts.rs
+++ b/crates/cli/tests/platform/rollouts.rs
@@ -2,7 +2,7 @@
 
 use crate::deployment::{Deployment, eventually};
 use crate::start_deployment;
-use crate::support::{Endpoint, announce, announce_as, send_request};
+use crate::support::{Endpoint, announce_as, send_request};
 use googletest::prelude::*;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -21,18 +21,20 @@
     deployment.control(1, "GET", "/-/rollouts/labels", "").body
 }
 
-#[gtest]
-fn a_good_version_is_rolled_out_and_a_bad_one_is_rolled_back() {
-    let (deployment, old) = start_deployment();
-    let (good, bad) = (Endpoint::start(&deployment), Endpoint::start(&deployment));
-    bad.fail_requests();
+/// Runs `act` while callers send requests and these endpoints, each with its name and version, announce
+/// themselves.
+fn run_under_requests(
+    deployment: &Deployment,
+    endpoints: &[(&str, &str, &Endpoint)],
+    act: impl FnOnce(),
+) {
     let is_stopped = AtomicBool::new(false);
     std::thread::scope(|scope| {
         for caller in 0..CALLERS {
-            let (deployment, is_stopped) = (&deployment, &is_stopped);
+            let is_stopped = &is_stopped;
             scope.spawn(move || {
                 while !is_stopped.load(Ordering::Relaxed) {
-                    // Replies of the failing version reach the callers; their status is not checked.
+                    // Replies of a failing version reach the callers; their status is not checked.
                     send_request(deployment, caller % 2, "POST", "/print/1", "key-1", "label");
                 }
             });
@@ -41,12 +43,24 @@
             let mut sequence = 10;
             while !is_stopped.load(Ordering::Relaxed) {
                 sequence += 1;
-                announce(&deployment, 0, &old, sequence, "ready");
-                announce_as(&deployment, 0, ("i-2", "v2"), &good, sequence, "ready");
-                announce_as(&deployment, 0, ("i-3", "v3"), &bad, sequence, "ready");
+                for (name, version, endpoint) in endpoints {
+                    announce_as(deployment, 0, (name, version), endpoint, sequence, "ready");
+                }
                 std::thread::sleep(HEARTBEAT);
             }
         });
+        act();
+        is_stopped.store(true, Ordering::Relaxed);
+    });
+}
+
+#[gtest]
+fn a_good_version_is_rolled_out_and_a_bad_one_is_rolled_back() {
+    let (deployment, old) = start_deployment();
+    let (good, bad) = (Endpoint::start(&deployment), Endpoint::start(&deployment));
+    bad.fail_requests();
+    let endpoints = [("i-1", "v1", &old), ("i-2", "v2", &good), ("i-3", "v3", &bad)];
+    run_under_requests(&deployment, &endpoints, || {
         // The failing version is rolled out first; once rolled back, it gets no requests.
         eventually("the rollout is accepted", || start_rollout(&deployment, "v3", 6) == 200);
         eventually("the rollout is rolled back", || {
@@ -63,7 +77,6 @@
         let (old_count, good_count) = (old.count(), good.count());
         expect_that!(bad.count(), eq(before));
         std::thread::sleep(Duration::from_millis(500));
-        is_stopped.store(true, Ordering::Relaxed);
         expect_that!(old.count(), eq(old_count));
         expect_that!(good.count(), gt(good_count));
     });
@@ -78,25 +91,7 @@
 fn an_order_for_the_version_in_service_takes_back_the_one_on_trial() {
     let (deployment, old) = start_deployment();
     let new = Endpoint::start(&deployment);
-    let is_stopped = AtomicBool::new(false);
-    std::thread::scope(|scope| {
-        for caller in 0..CALLERS {
-            let (deployment, is_stopped) = (&deployment, &is_stopped);
-            scope.spawn(move || {
-                while !is_stopped.load(Ordering::Relaxed) {
-                    send_request(deployment, caller % 2, "POST", "/print/1", "key-1", "label");
-                }
-            });
-        }
-        scope.spawn(|| {
-            let mut sequence = 10;
-            while !is_stopped.load(Ordering::Relaxed) {
-                sequence += 1;
-                announce(&deployment, 0, &old, sequence, "ready");
-                announce_as(&deployment, 0, ("i-2", "v2"), &new, sequence, "ready");
-                std::thread::sleep(HEARTBEAT);
-            }
-        });
+    run_under_requests(&deployment, &[("i-1", "v1", &old), ("i-2", "v2", &new)], || {
         eventually("the rollout is accepted", || start_rollout(&deployment, "v2", 20) == 200);
         let before = new.count();
         eventually("the new version gets requests", || new.count() > before + 5);
@@ -104,7 +99,6 @@
         std::thread::sleep(Duration::from_millis(500));
         let (old_count, new_count) = (old.count(), new.count());
         std::thread::sleep(Duration::from_secs(2));
-        is_stopped.store(true, Ordering::Relaxed);
         expect_that!(new.count(), eq(new_count));
         expect_that!(old.count(), gt(old_count));
     });
--- a/crates/dispatch/src/dispatcher/versions.rs
+++ b/crates/dispatch/src/dispatcher/versions.rs
@@ -193,20 +193,6 @@
         routing.map_or_else(PlacedRequests::default, |routing| routing.total)
     }
 
-    /// Returns the number of requests running on endpoints of a service whose version satisfies
-    /// `matches_version`.
-    pub fn running_count(
-        &self,
-        service: &ServiceName,
-        matches_version: impl Fn(&Version) -> bool,
-    ) -> usize {
-        let endpoints = self.endpoints.values();
-        let meant = endpoints.filter(|endpoint| {
-            endpoint.record.service == *service && matches_version(&endpoint.record.version)
-        });
-        meant.map(|endpoint| endpoint.running.len()).sum()
-    }
-
     /// Records the result of a request for the comparison of versions, if its service compares
     /// them.
     pub(super) fn record_sample(&mut self, key: EndpointKey, rank: u8, finished: &Finished) {
--- a/crates/proxy/src/exchange/tried.rs
+++ b/crates/proxy/src/exchange/tried.rs
@@ -41,7 +41,7 @@
 
     /// Returns whether the next attempt is the last one that the route allows.
     pub(super) fn is_last_attempt(&self, route: &RouteSpec) -> bool {
-        self.is_returning() || is_last_attempt(route, self.excluded.borrow().len())
+        self.is_returning() || !self.allows_more_than(1, route)
     }
 
     /// Returns whether the route allows more endpoints than those recorded and `further` ones.
