--- a/crates/cli/tests/cli/control.rs
+++ b/crates/cli/tests/cli/control.rs
@@ -1,13 +1,12 @@
 //! The replicated control state under failure, with instances as separate processes.
 
 use crate::operators::{Operators, accepted, is_linearizable};
-use crate::support::{BINARY, PATIENCE, Site, TRUCK_KEY, document, folder};
+use crate::support::{BINARY, PATIENCE, Site, StopFlag, TRUCK_KEY, document, folder};
 use lycheehub_standin::caller::{Call, send};
 use lycheehub_standin::cluster::{Cluster, Layout, OPERATOR_KEY, eventually, submit_to};
 use std::path::Path;
 use std::process::{Command, Stdio};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 const FAULT_INTERVAL: Duration = Duration::from_millis(1_500);
@@ -18,15 +17,15 @@
 
 /// Checks that the revision in force at an instance never decreases, also across restarts.
 struct RevisionMonitor {
-    stop: Arc<AtomicBool>,
+    stop: StopFlag,
     threads: Vec<std::thread::JoinHandle<Vec<u64>>>,
 }
 
 impl RevisionMonitor {
     fn start(addresses: &[String]) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
+        let stop = StopFlag::new();
         let monitor = |address: &String| {
-            let (address, stop) = (address.clone(), stop.clone());
+            let (address, stop) = (address.clone(), stop.share());
             std::thread::spawn(move || {
                 let mut seen = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
@@ -47,7 +46,7 @@
     }
 
     fn finish(self) {
-        self.stop.store(true, Ordering::Relaxed);
+        drop(self.stop);
         for thread in self.threads {
             let seen = thread.join().expect("watch");
             assert!(seen.is_sorted(), "a revision in force decreased");
--- a/crates/cli/tests/cli/crashing_requests.rs
+++ b/crates/cli/tests/cli/crashing_requests.rs
@@ -1,13 +1,13 @@
 //! On the own interface, a request on which endpoints crash is kept from them.
 
-use crate::support::{PATIENCE, Site, TRUCK_KEY};
+use crate::support::{PATIENCE, Site, StopFlag, TRUCK_KEY};
 use googletest::prelude::*;
 use lycheehub_standin::caller::{Call, Reply};
 use lycheehub_standin::cluster::{ENDPOINT_KEY, Layout, eventually};
 use lycheehub_standin::endpoint::{Endpoint, Options, Ran};
 use lycheehub_types::EndpointKind;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -23,17 +23,17 @@
 
 /// Endpoints of a plain service that crash with all their connections on one path.
 struct CrashingEndpoints {
-    stop: Arc<AtomicBool>,
+    stop: StopFlag,
     crashes: Arc<AtomicUsize>,
     threads: Vec<JoinHandle<()>>,
 }
 
 impl CrashingEndpoints {
     fn start(site: &Site) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
+        let stop = StopFlag::new();
         let crashes = Arc::new(AtomicUsize::new(0));
         let run = |number: u32| {
-            let (stop, crashes) = (stop.clone(), crashes.clone());
+            let (stop, crashes) = (stop.share(), crashes.clone());
             let (records, announce_to) = (site.records.clone(), site.cluster.addresses());
             std::thread::spawn(move || {
                 let mut options = Options {
@@ -72,7 +72,7 @@
     }
 
     fn finish(self) -> usize {
-        self.stop.store(true, Ordering::Relaxed);
+        drop(self.stop);
         self.threads.into_iter().for_each(|thread| thread.join().unwrap());
         self.crashes.load(Ordering::Relaxed)
     }
--- a/crates/cli/tests/cli/moves.rs
+++ b/crates/cli/tests/cli/moves.rs
@@ -1,11 +1,12 @@
 //! Version moves and load orders with real processes, while leaders are killed.
 
-use crate::support::{PATIENCE, Site, TRUCK_KEY, document, rfc3339_in, stdout};
+use crate::support::{
+    NO_REPLY_PAUSE, PATIENCE, Site, StopFlag, TRUCK_KEY, document, rfc3339_in, stdout,
+};
 use lycheehub_standin::caller::{Call, send};
 use lycheehub_standin::cluster::{Cluster, Layout, eventually};
 use lycheehub_standin::endpoint::{Faults, Options};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 fn order(id: &str, to: &str, seconds: u64) -> String {
@@ -13,11 +14,11 @@
     format!("\n[move.{id}]\nservice = \"label-writer\"\nto = \"{to}\"\nby = \"{by}\"\n")
 }
 
-/// Starts callers that send requests until the returned flag is set.
-fn start_traffic(site: &Site) -> (Arc<AtomicBool>, Vec<std::thread::JoinHandle<()>>) {
-    let stop = Arc::new(AtomicBool::new(false));
+/// Starts callers that send requests until the returned flag is dropped.
+fn start_traffic(site: &Site) -> (StopFlag, Vec<std::thread::JoinHandle<()>>) {
+    let stop = StopFlag::new();
     let caller = |number: usize| {
-        let (stop, addresses) = (stop.clone(), site.cluster.addresses());
+        let (stop, addresses) = (stop.share(), site.cluster.addresses());
         std::thread::spawn(move || {
             let mut turn = number;
             while !stop.load(Ordering::Relaxed) {
@@ -25,7 +26,9 @@
                 let call = Call::chat("label-writer", &format!("{number} {turn}"), 4, false)
                     .key(TRUCK_KEY);
                 // The test checks the records of the endpoints, not the replies.
-                let _ = smol::block_on(send(&addresses[turn % addresses.len()], &call));
+                if smol::block_on(send(&addresses[turn % addresses.len()], &call)).is_err() {
+                    std::thread::sleep(NO_REPLY_PAUSE);
+                }
             }
         })
     };
@@ -63,7 +66,7 @@
     for at in 0..3 {
         assert!(eventually(PATIENCE, || phase(&site, at, "bad") == "reverted"));
     }
-    stop.store(true, Ordering::Relaxed);
+    drop(stop);
     threads.into_iter().for_each(|thread| thread.join().expect("caller"));
     let to_bad = site.records.ran().iter().filter(|ran| ran.version == "v2").count();
     assert_eq!(to_bad, after_revert, "requests after the revert");
@@ -99,7 +102,7 @@
         endpoints.len() == 3 && endpoints.iter().all(|endpoint| endpoint["version"] == "v2")
     };
     assert!(eventually(PATIENCE, loaded));
-    stop.store(true, Ordering::Relaxed);
+    drop(stop);
     threads.into_iter().for_each(|thread| thread.join().expect("caller"));
     let orders = site.records.ordered();
     for number in 1..=3 {
--- a/crates/cli/tests/cli/operators.rs
+++ b/crates/cli/tests/cli/operators.rs
@@ -1,6 +1,7 @@
 //! Concurrent operators that submit, read and resend, and record a history for the linearizability
 //! checker.
 
+use crate::support::StopFlag;
 use lycheehub_standin::caller::{Call, Reply, send};
 use lycheehub_standin::cluster::{OPERATOR_KEY, submit_to};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -46,7 +47,7 @@
 /// Operator threads that run until [`Operators::finish`].
 pub struct Operators {
     events: Events,
-    stop: Arc<AtomicBool>,
+    stop: StopFlag,
     threads: Vec<std::thread::JoinHandle<()>>,
 }
 
@@ -54,14 +55,14 @@
     /// Starts `count` operators that compete for one section through all addresses.
     pub fn start(count: usize, addresses: &[String], section: &str) -> Self {
         let events = Events::default();
-        let stop = Arc::new(AtomicBool::new(false));
+        let stop = StopFlag::new();
         let start = |number| {
             let operator = Operator {
                 number,
                 addresses: addresses.to_vec(),
                 section: section.to_owned(),
                 events: events.clone(),
-                stop: stop.clone(),
+                stop: stop.share(),
             };
             std::thread::spawn(move || operator.run())
         };
@@ -71,7 +72,7 @@
 
     /// Stops the operators and returns their history.
     pub fn finish(self) -> Vec<(usize, Action<Operation>)> {
-        self.stop.store(true, Ordering::Relaxed);
+        drop(self.stop);
         for thread in self.threads {
             thread.join().expect("operator");
         }
--- a/crates/cli/tests/cli/requests.rs
+++ b/crates/cli/tests/cli/requests.rs
@@ -1,14 +1,14 @@
 //! Requests under failure. The tests compare the replies that callers received with the stand-in
 //! endpoints' records of what actually ran.
 
-use crate::support::{BATCH_KEY, PATIENCE, Site, TRUCK_KEY};
+use crate::support::{BATCH_KEY, PATIENCE, Site, StopFlag, TRUCK_KEY};
 use lycheehub_standin::caller::{Call, Reply, Streamed, chat_messages, send, stream};
 use lycheehub_standin::cluster::{Layout, eventually};
 use lycheehub_standin::endpoint::{Faults, Options, token_text};
 use lycheehub_types::EndpointKind;
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
@@ -34,17 +34,17 @@
 
 /// Caller threads that run until [`Callers::finish`].
 struct Callers<T> {
-    stop: Arc<AtomicBool>,
+    stop: StopFlag,
     threads: Vec<JoinHandle<Vec<T>>>,
 }
 
 impl<T: Send + 'static> Callers<T> {
     /// Starts `count` callers, each of which calls `one` in a loop; every call gets a unique number.
     fn start(count: u64, one: impl Fn(u64) -> T + Clone + Send + 'static) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
+        let stop = StopFlag::new();
         let next = Arc::new(AtomicU64::new(1));
         let caller = |_| {
-            let (stop, next, one) = (stop.clone(), next.clone(), one.clone());
+            let (stop, next, one) = (stop.share(), next.clone(), one.clone());
             std::thread::spawn(move || {
                 let mut seen = Vec::new();
                 while !stop.load(Ordering::Relaxed) {
@@ -58,7 +58,7 @@
     }
 
     fn finish(self) -> Vec<T> {
-        self.stop.store(true, Ordering::Relaxed);
+        drop(self.stop);
         self.threads.into_iter().flat_map(|thread| thread.join().expect("caller")).collect()
     }
 }
--- a/crates/cli/tests/cli/support.rs
+++ b/crates/cli/tests/cli/support.rs
@@ -6,12 +6,16 @@
 use sha2::{Digest, Sha256};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 use time::OffsetDateTime;
 use time::format_description::well_known::Rfc3339;
 
 /// How long a test waits for an expected condition.
 pub const PATIENCE: Duration = Duration::from_secs(30);
+/// How long a caller waits after a call that got no reply: the instance may be down.
+pub const NO_REPLY_PAUSE: Duration = Duration::from_millis(20);
 /// The binary under test.
 pub const BINARY: &str = env!("CARGO_BIN_EXE_lycheehub");
 /// The API key of the client account in the highest tier.
@@ -146,3 +150,23 @@
     let at = SystemTime::now() + Duration::from_secs(seconds);
     OffsetDateTime::from(at).format(&Rfc3339).expect("a time of this century")
 }
+
+/// A flag that ends threads; it is set when it is dropped, so also if a test panics.
+pub struct StopFlag(Arc<AtomicBool>);
+
+impl StopFlag {
+    pub fn new() -> Self {
+        Self(Arc::new(AtomicBool::new(false)))
+    }
+
+    /// Returns the flag for a thread.
+    pub fn share(&self) -> Arc<AtomicBool> {
+        self.0.clone()
+    }
+}
+
+impl Drop for StopFlag {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -3,6 +3,10 @@
 #![allow(dead_code, reason = "each test binary uses a subset")]
 
 pub mod http;
+mod watchdog;
+
+pub use watchdog::StopOnDrop;
+use watchdog::Watchdog;
 
 use lycheehub_standin::proxy::Proxy;
 use std::collections::BTreeMap;
@@ -122,6 +126,7 @@
             .stderr(log)
             .spawn()
             .unwrap();
+        watchdog::add_process(child.id());
         self.child = Some(child);
     }
 
@@ -131,6 +136,7 @@
             // Fails if the process has already exited.
             let _ = child.kill();
             let _ = child.wait();
+            watchdog::remove_process(child.id());
         }
     }
 
@@ -158,6 +164,7 @@
         let child = self.child.as_mut()?;
         loop {
             if let Ok(Some(status)) = child.try_wait() {
+                watchdog::remove_process(child.id());
                 self.child = None;
                 return Some(status);
             }
@@ -186,6 +193,8 @@
     pub entries: Vec<Process>,
     /// The proxies, by the addresses of the connecting process and the destination.
     pub paths: BTreeMap<(String, String), Proxy>,
+    /// Ends the test if it takes too long.
+    _watchdog: Watchdog,
 }
 
 impl Deployment {
@@ -250,7 +259,7 @@
             })
             .collect();
         let paths = if layout.proxied { proxies(&controls, &entries) } else { BTreeMap::new() };
-        Self { prefix, folder, controls, spares, entries, paths }
+        Self { prefix, folder, controls, spares, entries, paths, _watchdog: Watchdog::start() }
     }
 
     /// Returns the proxies on all network paths from and to an instance.
--- a/crates/cli/tests/platform/handover.rs
+++ b/crates/cli/tests/platform/handover.rs
@@ -1,7 +1,9 @@
 //! Leaders and entry instances that stop or are suspended while requests run.
 
-use crate::deployment::{Deployment, PATIENCE, eventually};
-use crate::support::{Endpoint, announce, announce_as, next_id, send_request_as};
+use crate::deployment::{Deployment, FRONT_PORT, PATIENCE, Process, StopOnDrop, eventually};
+use crate::support::{
+    Endpoint, announce_as, announce_at, next_id, send_request_as, send_request_to,
+};
 use crate::{start_deployment, times_logged_ms};
 use googletest::prelude::*;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -12,6 +14,10 @@
 pub const STOPPED: &str = "\"stopped\"";
 /// The number of concurrent callers, half of them at each entry instance.
 const CALLERS: usize = 6;
+/// How long a caller waits after a call that got no reply: the instance may be down.
+const NO_REPLY_PAUSE: Duration = Duration::from_millis(20);
+/// The most replies that a test keeps; more than any test gets in its time.
+const REPLIES_MAX: usize = 1_000_000;
 /// The interval between announcements of an endpoint.
 const HEARTBEAT: Duration = Duration::from_millis(800);
 /// How long an instance is suspended: longer than the leader waits before it drops a silent instance.
@@ -23,7 +29,9 @@
 
 impl Replies {
     fn add(&self, id: String, status: u16) {
-        self.0.lock().unwrap().push((id, status));
+        let mut replies = self.0.lock().unwrap();
+        assert!(replies.len() < REPLIES_MAX, "more than {REPLIES_MAX} replies");
+        replies.push((id, status));
     }
 
     pub fn count(&self, status: u16) -> usize {
@@ -48,51 +56,54 @@
 }
 
 /// Runs `disturb` while callers send requests that may run only once and the endpoint announces
-/// itself; returns the replies.
+/// itself; returns the replies. The callers end with `disturb`, also if it panics.
 pub fn run_under_load(
     deployment: &RwLock<Deployment>,
     endpoint: &Endpoint,
     disturb: impl FnOnce(&Replies),
 ) -> Replies {
     let (replies, is_stopped) = (Replies::default(), AtomicBool::new(false));
+    // Addresses outlive restarts, so that nobody holds the lock during a call.
+    let (entries, controls) = {
+        let deployment = deployment.read().unwrap();
+        let front = |entry: &Process| format!("{}:{FRONT_PORT}", entry.ip);
+        let entries: Vec<String> = deployment.entries.iter().map(front).collect();
+        let controls = deployment.controls.iter().map(|control| control.ip.clone());
+        (entries, controls.collect::<Vec<_>>())
+    };
     std::thread::scope(|scope| {
+        let _stop = StopOnDrop(&is_stopped);
         for caller in 0..CALLERS {
             let (replies, is_stopped) = (&replies, &is_stopped);
-            scope.spawn(move || {
-                while !is_stopped.load(Ordering::Relaxed) {
-                    let deployment = deployment.read().unwrap();
-                    let id = next_id();
-                    let place = caller % deployment.entries.len();
-                    let reply = send_request_as(
-                        &deployment,
-                        place,
-                        &id,
-                        "POST",
-                        "/print/1",
-                        "key-1",
-                        "label",
-                    );
-                    replies.add(id, reply.status);
-                }
-            });
+            let address = &entries[caller % entries.len()];
+            scope.spawn(move || keep_sending(address, replies, is_stopped));
         }
-        let is_stopped = &is_stopped;
-        scope.spawn(move || keep_announcing(deployment, endpoint, is_stopped));
+        let (controls, is_stopped) = (&controls, &is_stopped);
+        scope.spawn(move || keep_announcing(controls, endpoint, is_stopped));
         disturb(&replies);
-        is_stopped.store(true, Ordering::Relaxed);
     });
     replies
 }
 
-fn keep_announcing(deployment: &RwLock<Deployment>, endpoint: &Endpoint, is_stopped: &AtomicBool) {
+fn keep_sending(address: &str, replies: &Replies, is_stopped: &AtomicBool) {
+    while !is_stopped.load(Ordering::Relaxed) {
+        let id = next_id();
+        let reply = send_request_to(address, &id, "POST", "/print/1", "key-1", "label");
+        replies.add(id, reply.status);
+        if reply.status == 0 {
+            std::thread::sleep(NO_REPLY_PAUSE);
+        }
+    }
+}
+
+fn keep_announcing(controls: &[String], endpoint: &Endpoint, is_stopped: &AtomicBool) {
     let mut sequence = 10;
     while !is_stopped.load(Ordering::Relaxed) {
         sequence += 1;
-        let is_acknowledged = |place: usize| {
-            announce(&deployment.read().unwrap(), place, endpoint, sequence, "ready").status == 200
-        };
+        let is_acknowledged =
+            |ip: &String| announce_at(ip, ("i-1", "v1"), endpoint, sequence, "ready").status == 200;
         // A stopped control instance does not reply; the next one is tried.
-        let _ = (0..3).any(is_acknowledged);
+        let _ = controls.iter().any(is_acknowledged);
         std::thread::sleep(HEARTBEAT);
     }
 }
--- a/crates/cli/tests/platform/planned_work.rs
+++ b/crates/cli/tests/platform/planned_work.rs
@@ -1,7 +1,7 @@
 //! Documents in quick succession beside planned work: settings read again, an endpoint drained and removed, its
 //! address used by another service, and both entry instances stopped in turn.
 
-use crate::deployment::{Deployment, FRONT_PORT};
+use crate::deployment::{Deployment, FRONT_PORT, StopOnDrop};
 use crate::stops::{Ending, Pattern, unanswered, use_connections};
 use crate::support::{Endpoint, announce_as};
 use crate::{document, put_document, start_deployment};
@@ -118,6 +118,7 @@
     let (signalled, is_finished) = (Mutex::new(None), AtomicBool::new(false));
     std::thread::scope(|scope| {
         let (signalled, is_finished) = (&signalled, &is_finished);
+        let stop = StopOnDrop(is_finished);
         let documents = scope.spawn(move || send_documents(deployment, is_finished));
         scope.spawn(move || keep_announcing(deployment, staying, is_finished));
         let mut callers = Vec::new();
@@ -131,7 +132,7 @@
         deployment.read().unwrap().entries.iter().for_each(|entry| entry.signal("HUP"));
         stop_entry(deployment, 0);
         stop_entry(deployment, 0);
-        is_finished.store(true, Ordering::Relaxed);
+        drop(stop);
         expect_that!(documents.join().unwrap(), ge(DOCUMENTS_MIN));
         callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
     })
--- a/crates/cli/tests/platform/rollouts.rs
+++ b/crates/cli/tests/platform/rollouts.rs
@@ -1,6 +1,6 @@
 //! Rollouts ordered by an operator, with real processes.
 
-use crate::deployment::{Deployment, eventually};
+use crate::deployment::{Deployment, StopOnDrop, eventually};
 use crate::start_deployment;
 use crate::support::{Endpoint, announce_as, send_request};
 use googletest::prelude::*;
@@ -30,6 +30,7 @@
 ) {
     let is_stopped = AtomicBool::new(false);
     std::thread::scope(|scope| {
+        let _stop = StopOnDrop(&is_stopped);
         for caller in 0..CALLERS {
             let is_stopped = &is_stopped;
             scope.spawn(move || {
@@ -50,7 +51,6 @@
             }
         });
         act();
-        is_stopped.store(true, Ordering::Relaxed);
     });
 }
 
--- a/crates/cli/tests/platform/stops.rs
+++ b/crates/cli/tests/platform/stops.rs
@@ -1,7 +1,7 @@
 //! Callers that use their connections to an entry instance until it has exited.
 
 use crate::deployment::http::field;
-use crate::deployment::{Deployment, FRONT_PORT, eventually};
+use crate::deployment::{Deployment, FRONT_PORT, StopOnDrop, eventually};
 use crate::support::{Endpoint, announce, next_id};
 use crate::{document, put_document, start_deployment};
 use googletest::prelude::*;
@@ -114,6 +114,7 @@
     let deployment = &*deployment;
     std::thread::scope(|scope| {
         let (signalled, is_stopped) = (&signalled, &is_stopped);
+        let stop = StopOnDrop(is_stopped);
         scope.spawn(move || {
             let mut sequence = 10;
             while !is_stopped.load(Ordering::Relaxed) {
@@ -136,7 +137,7 @@
         }
         let status = stopping.exits_within(STOP_TIMEOUT);
         let duration = started.elapsed();
-        is_stopped.store(true, Ordering::Relaxed);
+        drop(stop);
         expect_that!(status.map(|status| status.success()), eq(Some(true)));
         let endings = callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect();
         (endings, duration)
--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -2,7 +2,7 @@
 //! endpoints and callers do.
 
 use crate::deployment::http::{chunk, field, read_request};
-use crate::deployment::{Deployment, FRONT_PORT, Reply, call};
+use crate::deployment::{Deployment, FRONT_PORT, Reply, StopOnDrop, call, control_call};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
@@ -44,6 +44,17 @@
 pub fn announce_as(
     deployment: &Deployment,
     place: usize,
+    identity: (&str, &str),
+    endpoint: &Endpoint,
+    sequence: u64,
+    state: &str,
+) -> Reply {
+    announce_at(&deployment.controls[place].ip, identity, endpoint, sequence, state)
+}
+
+/// Announces the endpoint at the control instance with this address.
+pub fn announce_at(
+    control_ip: &str,
     (name, version): (&str, &str),
     endpoint: &Endpoint,
     sequence: u64,
@@ -53,7 +64,8 @@
         "service": "labels", "address": endpoint.address, "zone": "salto", "version": version,
         "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": sequence, "born": 1,
     });
-    deployment.control(place, "PUT", &format!("/-/instances/{name}"), &body.to_string())
+    let path = format!("/-/instances/{name}");
+    control_call(control_ip, "PUT", &path, &body.to_string(), CALL_TIMEOUT)
 }
 
 /// Sends a caller's request under a new identifier.
@@ -84,13 +96,25 @@
     body: &str,
 ) -> Reply {
     let address = format!("{}:{FRONT_PORT}", deployment.entries[place].ip);
+    send_request_to(&address, id, method, path, key, body)
+}
+
+/// Sends a caller's request to the entry instance at this address.
+pub fn send_request_to(
+    address: &str,
+    id: &str,
+    method: &str,
+    path: &str,
+    key: &str,
+    body: &str,
+) -> Reply {
     let length = body.len();
     let request = format!(
         "{method} {path} HTTP/1.1\r\nHost: crates.example\r\nRequest-Id: {id}\r\n\
          Deadline-Ms: 5000\r\nX-Api-Key: {key}\r\nTenant: forged\r\nConnection: close\r\n\
          Content-Length: {length}\r\n\r\n{body}"
     );
-    call(&address, &request, CALL_TIMEOUT).unwrap_or_default()
+    call(address, &request, CALL_TIMEOUT).unwrap_or_default()
 }
 
 /// The requests that callers send one after the other.
@@ -111,6 +135,7 @@
 ) {
     let is_stopped = AtomicBool::new(false);
     std::thread::scope(|scope| {
+        let _stop = StopOnDrop(&is_stopped);
         scope.spawn(|| {
             while !is_stopped.load(Ordering::Relaxed) {
                 let sequence = SEQUENCE.fetch_add(1, Ordering::Relaxed);
@@ -134,7 +159,6 @@
         let started = Instant::now();
         act();
         std::thread::sleep(duration.saturating_sub(started.elapsed()));
-        is_stopped.store(true, Ordering::Relaxed);
     });
 }
 
--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -22,7 +22,7 @@
 mod rejections;
 
 use caller::Caller;
-use deployment::{Deployment, Layout, eventually};
+use deployment::{Deployment, Layout, StopOnDrop, eventually};
 use endpoint::Endpoint;
 use faults::Target;
 use history::History;
@@ -30,7 +30,7 @@
 use plan::is_calm;
 use rand::RngCore;
 use std::ops::Range;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -131,6 +131,7 @@
     eventually("the first request is served", || probe.send_request(0));
 
     let is_stopped = Arc::new(AtomicBool::new(false));
+    let stop = StopOnDrop(&is_stopped);
     let callers: Vec<_> = (0..CALLERS)
         .map(|number| {
             let caller = Caller::new(number, entries.clone(), history.clone(), seed);
@@ -161,7 +162,7 @@
     await_recovery(&mut probe, layout.entries, &history, last_fault_ended);
     let limits = limits.join().expect("the thread of the limits does not panic")
         + &rejections.join().expect("the thread of the rejections does not panic");
-    is_stopped.store(true, Ordering::Relaxed);
+    drop(stop);
     let mut operator = operator_thread.join().expect("the operator thread does not panic");
     for caller in callers {
         caller.join().expect("caller threads do not panic");
