--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -46,6 +46,11 @@
     /// Shows instances.
     #[options(help = "show instances and what each has in force: lycheehub instances")]
     Instances(List),
+    /// Shows evacuations, begins or ends one.
+    #[options(
+        help = "show, begin or end evacuations: lycheehub evacuations [--begin DOMAIN | --end DOMAIN]"
+    )]
+    Evacuations(Evacuations),
     /// Shows quarantines, or ends one.
     #[options(
         help = "show what is quarantined, or end a quarantine: lycheehub quarantines [--end ID]"
@@ -236,6 +241,29 @@
     pub end: Option<String>,
 }
 
+/// Options of `evacuations`.
+#[derive(Debug, Default, Options)]
+pub struct Evacuations {
+    /// Shows help.
+    #[options(help = "show this help")]
+    pub help: bool,
+    /// The instances to try in turn.
+    #[options(help = "instances to try in turn, as address:port[,...] (or LYCHEEHUB_TO)")]
+    pub to: Option<String>,
+    /// The file with the operator's key.
+    #[options(help = "file with the operator's key (or LYCHEEHUB_KEY_FILE)")]
+    pub key_file: Option<String>,
+    /// Prints JSON.
+    #[options(help = "print JSON", no_short)]
+    pub json: bool,
+    /// The failure domain to evacuate.
+    #[options(help = "send nothing new to the endpoints of this failure domain", no_short)]
+    pub begin: Option<String>,
+    /// The failure domain to take back into use.
+    #[options(help = "take this failure domain back into use", no_short)]
+    pub end: Option<String>,
+}
+
 /// Returns the help text, including the exit codes.
 pub fn help() -> String {
     format!(
--- a/crates/cli/src/client/mod.rs
+++ b/crates/cli/src/client/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 mod call;
+pub mod evacuations;
 pub mod get;
 pub mod lists;
 pub mod moves;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -40,6 +40,7 @@
         Some(Command::Moves(options)) => client::moves::run(&options),
         Some(Command::Endpoints(options)) => client::lists::endpoints(&options),
         Some(Command::Instances(options)) => client::lists::instances(&options),
+        Some(Command::Evacuations(options)) => client::evacuations::run(&options),
         Some(Command::Quarantines(options)) => client::quarantines::run(&options),
         Some(Command::Trace(options)) => trace::run(&options),
         Some(Command::Summary(options)) => trace::summary::run(&options),
--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -39,7 +39,9 @@
         may_found = deployment.peer.may_found,
         copies_min = deployment.peer.copies_min as u64,
     });
-    let answers = Rc::new(ControlCalls::new(control.clone(), address.to_string(), Clock::new()));
+    let regions = deployment.peer.regions.clone();
+    let calls_to = ControlCalls::new(control.clone(), address.to_string(), regions, Clock::new());
+    let answers = Rc::new(calls_to);
     let handler = move |request| {
         let answers = answers.clone();
         async move { answers.answer(request).await }
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -123,6 +123,7 @@
     let options = Options {
         instance: deployment.peer.instance.clone(),
         failure_domain: deployment.peer.failure_domain.clone(),
+        has_several_regions: deployment.peer.has_several_regions(),
         connections_max: deployment.connections_max,
         connect_timeout_ms: CONNECT_TIMEOUT_MS,
         body_timeout_ms: BODY_TIMEOUT_MS,
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod entry;
+mod evacuations;
 mod http;
 mod lists;
 mod quarantines;
@@ -54,7 +55,7 @@
 }
 
 /// Serves metrics to operators and, on a control instance, its lists of endpoints and
-/// instances and the quarantines.
+/// instances, the quarantines and the evacuations.
 async fn serve_metrics(
     executor: &Rc<LocalExecutor<'static>>,
     deployment: &Deployment,
@@ -62,13 +63,17 @@
 ) -> Result<(), Error> {
     let listener = listen("metrics", SocketAddr::new(deployment.ip, METRICS_PORT)).await?;
     let handle = start_metrics()?;
+    let domains = Rc::new(deployment.peer.regions.clone());
     let handler = move |request| {
-        let (handle, control) = (handle.clone(), control.clone());
+        let (handle, control, domains) = (handle.clone(), control.clone(), domains.clone());
         async move {
             if let Some(control) = control {
                 if let Some(response) = lists::answer(&control, &request).await {
                     return response;
                 }
+                if let Some(response) = evacuations::answer(&control, &domains, &request).await {
+                    return response;
+                }
                 if let Some(response) = quarantines::answer(&control, &request).await {
                     return response;
                 }
--- a/crates/cli/src/roles/quarantines.rs
+++ b/crates/cli/src/roles/quarantines.rs
@@ -69,23 +69,28 @@
 
 /// The ends of a connection.
 #[derive(Clone, Copy)]
-struct Ends {
+pub(super) struct Ends {
     caller: Option<SocketAddr>,
     own: Option<SocketAddr>,
 }
 
 impl Ends {
-    fn of(request: &Request) -> Self {
+    pub(super) fn of(request: &Request) -> Self {
         let parse = |text: Option<&str>| text.and_then(|text| text.parse().ok());
         Self { caller: parse(request.peer_addr()), own: parse(request.local_addr()) }
     }
 
     /// Returns whether both are on the same machine.
-    fn is_same_machine(&self) -> bool {
+    pub(super) fn is_same_machine(&self) -> bool {
         let Some(caller) = self.caller.map(|address| address.ip()) else { return false };
         let is_local = [Ipv4Addr::LOCALHOST.into(), Ipv6Addr::LOCALHOST.into()].contains(&caller);
         is_local || self.own.is_some_and(|own| own.ip() == caller)
     }
+
+    /// Returns the caller's address for log lines.
+    pub(super) fn caller_text(&self) -> String {
+        self.caller.map_or_else(|| "an unknown address".to_owned(), |at| at.to_string())
+    }
 }
 
 async fn end(control: &Control, id: &str, ends: Ends) -> Response {
@@ -95,7 +100,7 @@
     let Ok(id) = id.parse::<QuarantineId>() else {
         return refuse(RefusalKind::BadRequest, "expected the identity of a quarantine");
     };
-    match control.end_quarantine(id, call_of(id, ends.caller)).await {
+    match control.end_quarantine(id, call_of(id, ends)).await {
         LeaderReply::Leads(Ending::Unknown) => {
             refuse(RefusalKind::NotFound, &format!("no quarantine in force has the id {id}"))
         }
@@ -108,9 +113,8 @@
 }
 
 /// Returns the text by which the log names an operator's call.
-fn call_of(id: QuarantineId, caller: Option<SocketAddr>) -> SmolStr {
-    let caller = caller.map_or_else(|| "an unknown address".to_owned(), |at| at.to_string());
-    format_smolstr!("quarantines --end {id} from {caller}")
+fn call_of(id: QuarantineId, ends: Ends) -> SmolStr {
+    format_smolstr!("quarantines --end {id} from {}", ends.caller_text())
 }
 
 fn elsewhere(leader: Option<InstanceName>) -> Response {
--- a/crates/cli/src/settings/load.rs
+++ b/crates/cli/src/settings/load.rs
@@ -167,6 +167,7 @@
             runs_controllers: true,
             consensus: lycheehub_consensus::Options::default(),
             rollouts: Default::default(),
+            regions: Default::default(),
             dispatch: lycheehub_dispatch::Options::default(),
         },
         gateway: lycheehub_gateway::Settings {
--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -241,7 +241,8 @@
                  internal_port_range = [{peer_port}, {PEER_PORT}]\nseeds = [{seeds}]\n{data}\n\
                  [listen]\n{listen}\n[limits]\nmax_fds = 1000\n\
                  [fault_tolerance]\nmachines = {}\n[bounds]\ngrace_s = 8\n\
-                 retry_budget_ratio = 0.2\nbudget_min_retries = 50\n",
+                 retry_budget_ratio = 0.2\nbudget_min_retries = 50\n\
+                 [zones]\nsalto = \"north\"\nmontevideo = \"south\"\n",
                 layout.losses
             );
             let (binary, folder) = (PathBuf::from(THIS_BUILD), folder.clone());
--- a/crates/cli/tests/platform/main.rs
+++ b/crates/cli/tests/platform/main.rs
@@ -9,6 +9,7 @@
 #[path = "../deployment/mod.rs"]
 mod deployment;
 mod endless_heads;
+mod evacuations;
 mod farewells;
 mod handover;
 mod limits;
--- a/crates/cli/tests/platform/support.rs
+++ b/crates/cli/tests/platform/support.rs
@@ -55,13 +55,25 @@
 /// Announces the endpoint at the control instance with this address.
 pub fn announce_at(
     control_ip: &str,
+    identity: (&str, &str),
+    endpoint: &Endpoint,
+    sequence: u64,
+    state: &str,
+) -> Reply {
+    announce_in(control_ip, "salto", identity, endpoint, sequence, state)
+}
+
+/// Announces the endpoint as one in this failure domain.
+pub fn announce_in(
+    control_ip: &str,
+    domain: &str,
     (name, version): (&str, &str),
     endpoint: &Endpoint,
     sequence: u64,
     state: &str,
 ) -> Reply {
     let body = serde_json::json!({
-        "service": "labels", "address": endpoint.address, "zone": "salto", "version": version,
+        "service": "labels", "address": endpoint.address, "zone": domain, "version": version,
         "slots": 8, "state": state, "cold_remaining_ms": 0, "sequence": sequence, "born": 1,
     });
     let path = format!("/-/instances/{name}");
--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -21,6 +21,9 @@
 /// How long endpoints stay listed after their replica is lost, in milliseconds: a lease, and the
 /// time for endpoints to find another replica.
 pub const ORPHAN_MS: u64 = LEASE_MS + 4_000;
+/// By how much two statements of the same cold time differ at most, in milliseconds: the delay of an
+/// announcement.
+const COLD_TOLERANCE_MS: u64 = 700;
 /// How long the entry of a gone endpoint is kept, in milliseconds.
 const GONE_RETENTION_MS: u64 = 120_000;
 
@@ -65,6 +68,22 @@
     source: Source,
     change: u64,
     changed_ms: u64,
+    /// Until when the endpoint is cold, as it last announced, in milliseconds.
+    cold_until_ms: u64,
+}
+
+impl Entry {
+    /// Returns whether an announcement states another end of the endpoint's cold time than is known.
+    fn is_cold_time_changed(&self, now_ms: u64, record: &EndpointRecord) -> bool {
+        let stated_ms = now_ms + u64::from(record.cold_ms);
+        stated_ms.abs_diff(self.cold_until_ms.max(now_ms)) > COLD_TOLERANCE_MS
+    }
+
+    /// Sets how much longer the endpoint is cold in its record.
+    fn update_cold_time(&mut self, now_ms: u64) {
+        let left_ms = self.cold_until_ms.saturating_sub(now_ms);
+        self.listing.record.cold_ms = u32::try_from(left_ms).unwrap_or(u32::MAX);
+    }
 }
 
 /// All known endpoints.
@@ -127,12 +146,16 @@
         let renewed = EndpointRecord {
             sequence: record.sequence,
             load: record.load,
+            cold_ms: record.cold_ms,
             ..listing.record.clone()
         };
-        let is_renewal =
-            renewed == record && !listing.gone && matches!(known.monitor, LeaseMonitor::Local(_));
+        let is_renewal = renewed == record
+            && !listing.gone
+            && matches!(known.monitor, LeaseMonitor::Local(_))
+            && !known.is_cold_time_changed(now_ms, &record);
         if is_renewal {
             known.listing.record = record;
+            known.update_cold_time(now_ms);
             known.monitor = LeaseMonitor::Local(now_ms);
             return false;
         }
@@ -255,7 +278,9 @@
         self.change += 1;
         let endpoint = listing.record.endpoint.clone();
         self.index.insert(self.change, endpoint.clone(), &source);
-        let entry = Entry { listing, monitor, source, change: self.change, changed_ms: now_ms };
+        let cold_until_ms = now_ms + u64::from(listing.record.cold_ms);
+        let (change, changed_ms) = (self.change, now_ms);
+        let entry = Entry { listing, monitor, source, change, changed_ms, cold_until_ms };
         if let Some(before) = self.entries.insert(endpoint, entry) {
             self.index.remove(before.change);
         }
@@ -276,11 +301,13 @@
         }
     }
 
-    /// Expires leases; returns the endpoints that were removed from the list.
+    /// Expires leases, and updates the cold times in records; returns the endpoints that were removed
+    /// from the list.
     ///
     /// An endpoint that no replica monitors any more is removed here only and not propagated,
     /// because other replicas may still be in contact with its monitor.
     pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointName> {
+        self.entries.values_mut().for_each(|entry| entry.update_cold_time(now_ms));
         let mut expired = self.expire_leases(now_ms);
         let unreachable = &self.unreachable_since_ms;
         let is_orphan = |entry: &Entry| {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`state`] is the state machine behind the replicated log: sections, moves and claims.
 //! * [`directory`] tracks endpoints by their announcements and propagates changes between replicas.
 //! * [`registry`] tracks instances and endpoints by their leases.
+//! * [`room`] tells what room evacuations leave to services.
 //! * [`slots`] allocates endpoint slots to instances.
 //! * [`moves`] schedules version moves and compares versions.
 //! * [`placement`] decides which endpoints load which version.
@@ -14,6 +15,7 @@
 pub mod moves;
 pub mod placement;
 pub mod registry;
+pub mod room;
 pub mod slots;
 pub mod state;
 pub mod view;
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -1,8 +1,10 @@
 //! Commands and their replies.
 
 use super::{
-    ClaimKey, ClaimState, Claimant, DecodeError, DocumentRecord, Phase, RolloutOrder, RolloutStep,
+    ClaimKey, ClaimState, Claimant, DecodeError, DocumentRecord, EvacuationOrder, Phase,
+    RolloutOrder, RolloutStep, supplement,
 };
+use lycheehub_routes::Supplement as DocumentSupplement;
 use lycheehub_types::SectionName;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -40,6 +42,8 @@
     StartRollout(RolloutOrder),
     /// The next step of a rollout, decided by the leader's controller.
     StepRollout(RolloutStep),
+    /// An operator's order to evacuate a failure domain, or to end that.
+    Evacuate(EvacuationOrder),
 }
 
 /// An operator's new text for a section.
@@ -93,6 +97,8 @@
     },
     /// The reply to [`Command::StartRollout`].
     Rollout,
+    /// The reply to [`Command::Evacuate`].
+    Evacuation,
 }
 
 /// The outcome of a submission.
@@ -151,7 +157,11 @@
     /// assert_eq!(Command::decode(&command.encode()).unwrap(), command);
     /// ```
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        let later = match self {
+            Self::ReplaceDocument(record) => Some(record.document.supplement()),
+            _ => None,
+        };
+        supplement::encode(self, later.as_ref().filter(|later| !later.is_empty()))
     }
 
     /// Sets the leader's time in a command, in milliseconds since the Unix epoch.
@@ -161,6 +171,7 @@
         match &mut self {
             Self::Claim { now_unix_ms, .. } => *now_unix_ms = leader_unix_ms,
             Self::StartRollout(order) => order.now_unix_ms = leader_unix_ms,
+            Self::Evacuate(order) => order.now_unix_ms = leader_unix_ms,
             _ => {}
         }
         self
@@ -183,6 +194,8 @@
             Self::ReplaceDocument(_) => "replace document",
             Self::StartRollout(_) => "start rollout",
             Self::StepRollout(_) => "step rollout",
+            Self::Evacuate(order) if order.begins => "begin evacuation",
+            Self::Evacuate(_) => "end evacuation",
         }
     }
 
@@ -191,7 +204,12 @@
     /// # Errors
     /// Fails if the bytes are not a command of this version.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        postcard::from_bytes(bytes)
-            .map_err(|cause| DecodeError::Malformed("command", cause.to_string().into()))
+        let decoded = supplement::decode::<Self, DocumentSupplement>(bytes);
+        let (mut command, later) =
+            decoded.map_err(|cause| DecodeError::Malformed("command", cause.to_string().into()))?;
+        if let Self::ReplaceDocument(record) = &mut command {
+            record.document.add_supplement(later);
+        }
+        Ok(command)
     }
 }
--- a/crates/control/src/state/feed.rs
+++ b/crates/control/src/state/feed.rs
@@ -1,7 +1,10 @@
 //! The change feed for instances without a replica: changes of the control state, without claims.
 
-use super::{DecodeError, DocumentRecord, MoveRecord, RolloutRecord, SectionRecord, State};
-use lycheehub_types::{SectionName, ServiceName, Version};
+use super::supplement::{self, Supplement};
+use super::{
+    DecodeError, DocumentRecord, EvacuationRecord, MoveRecord, RolloutRecord, SectionRecord, State,
+};
+use lycheehub_types::{FailureDomain, SectionName, ServiceName, Version};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
@@ -21,12 +24,20 @@
     pub document: Option<DocumentRecord>,
     /// The changed rollouts.
     pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
+    /// All evacuations in force. Sent after the other parts.
+    #[serde(skip)]
+    pub evacuations: BTreeMap<FailureDomain, EvacuationRecord>,
 }
 
 impl Feed {
     /// Encodes the feed.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        let document = self.document.as_ref().map(|record| record.document.supplement());
+        let supplement = Supplement {
+            evacuations: self.evacuations.clone(),
+            document: document.unwrap_or_default(),
+        };
+        supplement::encode(self, (!supplement.is_empty()).then_some(&supplement))
     }
 
     /// Decodes a feed.
@@ -34,8 +45,13 @@
     /// # Errors
     /// Fails if the bytes are not a feed of this version.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        postcard::from_bytes(bytes)
-            .map_err(|cause| DecodeError::Malformed("feed", cause.to_string().into()))
+        let (mut feed, supplement): (Self, Supplement) = supplement::decode(bytes)
+            .map_err(|cause| DecodeError::Malformed("feed", cause.to_string().into()))?;
+        if let Some(record) = &mut feed.document {
+            record.document.add_supplement(supplement.document);
+        }
+        feed.evacuations = supplement.evacuations;
+        Ok(feed)
     }
 }
 
@@ -58,6 +74,7 @@
             serving: self.serving.clone(),
             document: (self.document.revision > revision).then(|| self.document.clone()),
             rollouts: rollouts.map(|(name, record)| (name.clone(), record.clone())).collect(),
+            evacuations: self.evacuations.clone(),
         }
     }
 
@@ -72,6 +89,7 @@
         self.moves.extend(feed.moves);
         self.serving = feed.serving;
         self.rollouts.extend(feed.rollouts);
+        self.evacuations = feed.evacuations;
         if let Some(document) = feed.document {
             self.document = document;
         }
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -6,25 +6,29 @@
 mod claims;
 mod command;
 mod document;
+mod evacuations;
 mod feed;
 mod moves;
 mod rollouts;
 mod sections;
+mod supplement;
 
 pub use claims::{Claim, ClaimKey, ClaimState, Claimant, Claims};
 pub use command::{ApplyOutcome, ClaimOutcome, Command, MoveStep, Reply, Submission};
 pub use document::DocumentRecord;
+pub use evacuations::{EvacuationOrder, EvacuationRecord};
 pub use feed::Feed;
 pub use moves::{MoveRecord, Phase};
 pub use rollouts::{RolloutOrder, RolloutRecord, RolloutState, RolloutStep};
 pub use sections::{SectionRecord, SubmissionReplies};
 
 use lycheehub_estate::MergedSections;
-use lycheehub_types::{SectionName, ServiceName, Version};
+use lycheehub_types::{FailureDomain, SectionName, ServiceName, Version};
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
+use supplement::Supplement;
 
 quick_error! {
     /// An error for bytes that are not a state or command of this version.
@@ -72,6 +76,9 @@
     pub document: DocumentRecord,
     /// The latest rollout of each service.
     pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
+    /// The evacuations in force. Stored after the other parts.
+    #[serde(skip)]
+    pub evacuations: BTreeMap<FailureDomain, EvacuationRecord>,
     /// The estate described by the sections.
     #[serde(skip)]
     pub estate: MergedSections,
@@ -98,6 +105,10 @@
                 Reply::Rollout
             }
             Command::StepRollout(step) => Reply::Stepped(self.step_rollout(index, &step)),
+            Command::Evacuate(order) => {
+                self.evacuate(index, order);
+                Reply::Evacuation
+            }
         }
     }
 
@@ -109,7 +120,11 @@
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        let supplement = Supplement {
+            evacuations: self.evacuations.clone(),
+            document: self.document.document.supplement(),
+        };
+        supplement::encode(self, (!supplement.is_empty()).then_some(&supplement))
     }
 
     /// Decodes a snapshot; empty bytes decode to the empty state.
@@ -120,8 +135,10 @@
         if bytes.is_empty() {
             return Ok(Self::default());
         }
-        let mut state: Self = postcard::from_bytes(bytes)
+        let (mut state, supplement): (Self, Supplement) = supplement::decode(bytes)
             .map_err(|cause| DecodeError::Malformed("snapshot", cause.to_string().into()))?;
+        state.document.document.add_supplement(supplement.document);
+        state.evacuations = supplement.evacuations;
         state.rebuild_estate();
         Ok(state)
     }
--- a/crates/control/tests/control/directory.rs
+++ b/crates/control/tests/control/directory.rs
@@ -8,7 +8,7 @@
 use lycheehub_types::{EndpointKind, EndpointLoad, EndpointRecord, InstanceName};
 use std::collections::BTreeMap;
 
-fn record(name: &str, incarnation: u64, sequence: u64) -> EndpointRecord {
+pub fn record(name: &str, incarnation: u64, sequence: u64) -> EndpointRecord {
     EndpointRecord {
         endpoint: name.into(),
         address: format!("{name}:1").into(),
@@ -24,6 +24,7 @@
         sequence,
         leaving: false,
         load: EndpointLoad::default(),
+        cold_ms: 0,
     }
 }
 
@@ -489,3 +490,43 @@
     }
     expect_that!(live(&directory), is_empty());
 }
+
+fn cold_ms(directory: &Directory) -> u32 {
+    directory.live().next().expect("an endpoint").cold_ms
+}
+
+#[gtest]
+fn a_cold_time_is_propagated_once_and_runs_off() {
+    let (mut here, mut there) = (Directory::default(), Directory::default());
+    let cold = |sequence, cold_ms| EndpointRecord { cold_ms, ..record("e", 1, sequence) };
+    here.announce(1_000, cold(1, 3_000));
+    let told = here.change();
+    propagate(1_010, &here, &"here".into(), &mut there);
+    // The next announcements state what is left of the same time, sooner or later on their way.
+    expect_that!(here.announce(2_200, cold(2, 1_850)), eq(false));
+    expect_that!(here.announce(3_400, cold(3, 500)), eq(false));
+    expect_that!(local_changes_after(&here, told), is_empty());
+    there.expire(2_010);
+    expect_that!(cold_ms(&there), eq(2_000));
+    there.expire(9_000);
+    expect_that!(cold_ms(&there), eq(0));
+    // A replica that hears of the endpoint late is told what is left.
+    here.expire(3_500);
+    let mut late = Directory::default();
+    propagate(3_500, &here, &"here".into(), &mut late);
+    expect_that!(cold_ms(&late), eq(500));
+}
+
+#[gtest]
+fn an_endpoint_that_turns_cold_again_or_is_warm_sooner_is_propagated() {
+    let mut directory = Directory::default();
+    let cold = |sequence, cold_ms| EndpointRecord { cold_ms, ..record("e", 1, sequence) };
+    directory.announce(1_000, cold(1, 3_000));
+    expect_that!(directory.announce(2_200, cold(2, 0)), eq(true));
+    expect_that!(directory.announce(3_400, cold(3, 3_000)), eq(true));
+    // An older statement that arrives late changes nothing.
+    expect_that!(directory.announce(3_500, cold(2, 0)), eq(false));
+    expect_that!(directory.announce(4_600, cold(4, 3_000)), eq(true));
+    // Once it is over, that it is warm is no news.
+    expect_that!(directory.announce(9_000, cold(5, 0)), eq(false));
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod decode;
 mod directory;
 mod document;
+mod evacuations;
 mod false_alarms;
 mod fixtures;
 mod late_regressions;
--- a/crates/control/tests/control/placement.rs
+++ b/crates/control/tests/control/placement.rs
@@ -49,6 +49,7 @@
         sequence: 1,
         leaving: false,
         load: EndpointLoad::default(),
+        cold_ms: 0,
     }
 }
 
--- a/crates/control/tests/control/registry.rs
+++ b/crates/control/tests/control/registry.rs
@@ -19,6 +19,7 @@
         sequence,
         leaving,
         load: EndpointLoad::default(),
+        cold_ms: 0,
     }
 }
 
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -66,7 +66,7 @@
 impl Dispatcher {
     /// Places queued jobs of a service while its endpoints accept them.
     pub(super) fn place_queued(&mut self, now_ms: u64, name: &ServiceName) {
-        let slots = self.slots_of(name);
+        let slots = self.slots_of(now_ms, name);
         let mut skipped = Vec::new();
         let mut unplaceable = BTreeSet::new();
         let mut evaluated = 0;
@@ -138,7 +138,11 @@
         others.any(|other| {
             let is_open = other.health.is_available(now_ms)
                 && self.limit_wait_ms(now_ms, other) as f64 <= SLOT_WAIT_MS;
-            if other.is_leaving() || !is_open || job.tried.contains(other.name()) {
+            if !other.takes_requests()
+                || !is_open
+                || !self.is_in_region(other, job)
+                || job.tried.contains(other.name())
+            {
                 return false;
             }
             let first_byte_ms = other.first_byte_ms(now_ms, job);
@@ -152,7 +156,7 @@
 
     fn has_free_slot(&self, now_ms: u64, name: &ServiceName) -> bool {
         let has_free_slot = |endpoint: &Endpoint| {
-            !endpoint.is_leaving()
+            endpoint.takes_requests()
                 && endpoint.running.len() < endpoint.usable_slots(now_ms)
                 && self.is_permitted(now_ms, endpoint)
                 && self.has_room(now_ms, endpoint)
@@ -170,6 +174,7 @@
             let usable = service.endpoints.iter().copied().filter(|key| {
                 let endpoint = &self.endpoints[*key];
                 endpoint.accepts(now_ms, job)
+                    && self.is_in_region(endpoint, job)
                     && !self.is_reserved(now_ms, endpoint, queued)
                     && self.is_permitted(now_ms, endpoint)
                     && self.has_room(now_ms, endpoint)
@@ -221,10 +226,15 @@
         if let Some(service) = self.services.get_mut(&job.service) {
             service.record_version_placed(&self.endpoints[key].record.version);
         }
+        let cold_start = self.cold_start_of(&job.service);
+        let pace = self.pace(self.endpoints[key].name());
         let endpoint = &mut self.endpoints[key];
         let first_byte_ms = endpoint.begin(now_ms, &job) as u64;
         endpoint.end_reservation(job.tier, job.rank);
         self.notices.take_permit(now_ms, endpoint.name());
+        if let Some(cold_start) = cold_start {
+            endpoint.warmth.record_sent(now_ms, cold_start, pace);
+        }
         self.decisions.push(Decision::Place {
             job_id: job.job_id,
             endpoint: endpoint.name().clone(),
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -2,16 +2,19 @@
 
 mod choose;
 mod crashes;
+mod evacuations;
 mod fair_share;
 mod notices;
 mod reach;
 mod refuse;
+mod regions;
 mod rejections;
 mod reserve;
 mod share;
 mod trials;
 mod update;
 mod versions;
+mod warmth;
 
 use crate::crashes::{Content, CrashReport, Crashes};
 use crate::endpoints::{Endpoint, EndpointKey, Notices, Speed, is_failure};
@@ -23,8 +26,8 @@
 use crate::refusal::{RefusalBasis, Rule};
 use crate::retries::{Retries, RetryUsage};
 use fair_share::classes_of;
-use lycheehub_routes::{EngineSpec, Quota};
-use lycheehub_types::{AccountName, EndpointName, ServiceName};
+use lycheehub_routes::{ColdStart, EngineSpec, Quota};
+use lycheehub_types::{AccountName, EndpointName, FailureDomain, Region, ServiceName};
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
 use trials::{SentTrial, WaitingTrial};
@@ -54,6 +57,8 @@
     queue: Queue,
     endpoints: BTreeSet<EndpointKey>,
     engine: Option<EngineSpec>,
+    /// What endpoints bear after their start, if that is less than later.
+    cold_start: Option<ColdStart>,
     /// The mean speed of the endpoints.
     speed: Speed,
     /// The best value of each speed estimate among the endpoints.
@@ -138,6 +143,10 @@
     pub closed_slots: usize,
     /// The number of endpoints that have stated a limit.
     pub limited_endpoints: usize,
+    /// The number of endpoints that are cold.
+    pub cold_endpoints: usize,
+    /// The number of endpoints whose failure domain is evacuated.
+    pub evacuated_endpoints: usize,
     /// By how much the class of size that is served the least often is behind, in thousandths of its
     /// requests.
     pub size_lag_permille: u32,
@@ -195,6 +204,10 @@
     sent_trials: BTreeMap<JobId, SentTrial>,
     paths: Paths,
     accounts: BTreeMap<AccountName, Quota>,
+    /// The failure domains whose endpoints are sent no new requests.
+    evacuated: BTreeSet<FailureDomain>,
+    /// The regions of the failure domains.
+    regions: BTreeMap<FailureDomain, Region>,
     quotas: Quotas,
     retries: Retries,
     /// Until when the endpoint list may be incomplete, in milliseconds; `None` before the first
@@ -220,6 +233,8 @@
             sent_trials: BTreeMap::new(),
             paths: Paths::default(),
             accounts: BTreeMap::new(),
+            evacuated: BTreeSet::new(),
+            regions: BTreeMap::new(),
             quotas: Quotas::default(),
             retries: Retries::default(),
             discovery_ends_ms: None,
@@ -236,7 +251,9 @@
     /// Replaces the options.
     pub fn set_options(&mut self, now_ms: u64, options: Options) {
         self.options = options;
-        self.notices.set_limit_share(now_ms, options.present_rate_share());
+        let share = options.present_rate_share();
+        self.notices.set_limit_share(now_ms, share);
+        self.endpoints.values_mut().for_each(|known| known.warmth.set_share(now_ms, share));
         self.assign_slots();
     }
 
@@ -313,10 +330,14 @@
         const RETRY_AFTER_MS: u64 = 1_000;
         let no_endpoint = Some((Reason::NoEndpoint, RETRY_AFTER_MS));
         let Some(service) = self.services.get(&job.service) else { return no_endpoint };
-        let mut endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-        if !self.is_discovering(now_ms) && endpoints.all(Endpoint::is_leaving) {
+        let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
+        let mut usable = endpoints.filter(|endpoint| endpoint.takes_requests()).peekable();
+        if !self.is_discovering(now_ms) && usable.peek().is_none() {
             return no_endpoint;
         }
+        if !self.is_discovering(now_ms) && !usable.any(|known| self.is_in_region(known, job)) {
+            return Some((Reason::NoEndpointInRegion, RETRY_AFTER_MS));
+        }
         let all_closed_ms = self.all_closed_ms(now_ms, job);
         let first_byte_ms = first_byte_ms_at(service.speed, job) as u64;
         let patience_ms = job.patience_left_ms.min(job.deadline_left_ms);
@@ -379,6 +400,7 @@
         let Some(endpoint) = self.endpoints.get_mut(placed.endpoint) else { return };
         if let (Some(first_byte_ms), Some(running)) = (finished.first_byte_ms, running)
             && is_failure(finished.outcome) != Some(true)
+            && !running.is_cold
         {
             if placed.is_stream {
                 endpoint.speed.learn_first_event(running.expected_ms, f64::from(first_byte_ms));
@@ -418,6 +440,9 @@
         };
         if let Some(endpoint) = self.endpoints.get_mut(key).filter(|_| is_believed) {
             endpoint.health.record(now_ms, since_ms, finished.outcome);
+            if finished.outcome == Outcome::NotConnected {
+                endpoint.warmth.record_refused_connection();
+            }
         }
     }
 
@@ -546,14 +571,14 @@
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         service.speed = Speed::mean(endpoints.clone().map(|endpoint| &endpoint.speed));
         let usable = endpoints.clone().filter(|endpoint| endpoint.usable_slots(now_ms) > 0);
-        let usable = usable.filter(|endpoint| !endpoint.is_leaving());
+        let usable = usable.filter(|endpoint| endpoint.takes_requests());
         let has_usable = usable.clone().next().is_some();
         service.fastest = match has_usable {
             true => Speed::fastest(usable.map(|endpoint| &endpoint.speed)),
             false => Speed::fastest(endpoints.map(|endpoint| &endpoint.speed)),
         };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
+        let usable = endpoints.filter(|endpoint| endpoint.takes_requests());
         let failures = usable.map(|endpoint| endpoint.health.failure_share()).collect();
         service.baseline_failures = baseline_of(failures);
     }
@@ -581,11 +606,17 @@
                 free_slots: 0,
                 closed_slots: 0,
                 limited_endpoints: 0,
+                cold_endpoints: 0,
+                evacuated_endpoints: 0,
                 size_lag_permille: service.size_lag_permille(),
             };
-            let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-            for endpoint in endpoints.filter(|endpoint| !endpoint.is_leaving()) {
+            for endpoint in service.endpoints.iter().map(|key| &self.endpoints[*key]) {
+                load.evacuated_endpoints += usize::from(endpoint.is_evacuated);
+                if !endpoint.takes_requests() {
+                    continue;
+                }
                 load.running += endpoint.running.len();
+                load.cold_endpoints += usize::from(endpoint.warmth.is_cold(now_ms));
                 let usable = endpoint.usable_slots(now_ms);
                 let is_limited = self.notices.limit(endpoint.name()).is_some();
                 load.limited_endpoints += usize::from(is_limited);
--- a/crates/dispatch/src/dispatcher/notices.rs
+++ b/crates/dispatch/src/dispatcher/notices.rs
@@ -94,13 +94,15 @@
     }
 
     /// Returns how this dispatcher paces its requests to an endpoint with a limit.
-    fn pace(&self, name: &EndpointName) -> Pace {
+    pub(super) fn pace(&self, name: &EndpointName) -> Pace {
         Pace { share: self.options.present_rate_share(), phase: draw(name, self.options.slot_salt) }
     }
 
     /// Returns how long the limit of an endpoint delays the next request, in milliseconds.
     pub(super) fn limit_wait_ms(&self, now_ms: u64, endpoint: &Endpoint) -> u64 {
-        self.notices.limit(endpoint.name()).map_or(0, |limit| limit.wait_ms(now_ms))
+        let stated = self.notices.limit(endpoint.name());
+        let stated_ms = stated.map_or(0, |limit| limit.wait_ms(now_ms));
+        stated_ms.max(endpoint.warmth.wait_ms(now_ms))
     }
 
     /// Returns whether the limit of an endpoint permits a request now.
@@ -109,10 +111,12 @@
     }
 
     /// Returns how many slots of an endpoint this dispatcher can fill with jobs of `slot_ms`.
-    pub(super) fn fillable_slots(&self, endpoint: &Endpoint, slot_ms: f64) -> usize {
-        let limit = self.notices.limit(endpoint.name());
-        let filled = limit.map(|limit| (limit.concurrency(slot_ms).ceil() as usize).max(1));
-        filled.map_or(endpoint.slot_limit, |filled| filled.min(endpoint.slot_limit))
+    pub(super) fn fillable_slots(&self, now_ms: u64, endpoint: &Endpoint, slot_ms: f64) -> usize {
+        let stated = self.notices.limit(endpoint.name());
+        let stated = stated.map(|limit| limit.concurrency(slot_ms));
+        let limits = stated.into_iter().chain(endpoint.warmth.concurrency(now_ms, slot_ms));
+        let filled = limits.map(|filled| (filled.ceil() as usize).max(1));
+        filled.fold(endpoint.slot_limit, usize::min)
     }
 
     /// Returns for how long no endpoint of the service accepts requests of the instance of `job`,
@@ -120,7 +124,7 @@
     pub(super) fn all_closed_ms(&self, now_ms: u64, job: &Job) -> u64 {
         let Some(service) = self.services.get(&job.service) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
+        let usable = endpoints.filter(|endpoint| endpoint.takes_requests());
         let closed_ms = usable.map(|endpoint| {
             let instance = job.job_id.instance;
             let until_ms = self.notices.paused_until_ms(now_ms, instance, endpoint.name());
--- a/crates/dispatch/src/dispatcher/refuse.rs
+++ b/crates/dispatch/src/dispatcher/refuse.rs
@@ -83,7 +83,7 @@
     /// Refuses a new job because of overload.
     pub(super) fn refuse_new(&mut self, now_ms: u64, queued: QueuedJob, rule: Rule) {
         let name = &queued.job.service;
-        let slots = self.slots_of(name);
+        let slots = self.slots_of(now_ms, name);
         let backlog_ms = self.services.get(name).map_or(0, |service| service.backlog_ms(slots));
         let basis = queued.refusal_basis(rule, backlog_ms);
         let retry_after_ms = spread_retry_after_ms(now_ms, &queued);
@@ -98,16 +98,16 @@
             .is_some_and(|service| !service.queue.is_empty() && queued.is_infeasible(now_ms))
     }
 
-    pub(super) fn slots_of(&self, name: &ServiceName) -> usize {
+    pub(super) fn slots_of(&self, now_ms: u64, name: &ServiceName) -> usize {
         let Some(service) = self.services.get(name) else { return 0 };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-        let usable = endpoints.filter(|endpoint| !endpoint.is_leaving());
-        usable.map(|endpoint| self.fillable_slots(endpoint, service.slot_ms)).sum()
+        let usable = endpoints.filter(|endpoint| endpoint.takes_requests());
+        usable.map(|endpoint| self.fillable_slots(now_ms, endpoint, service.slot_ms)).sum()
     }
 
     /// Refuses the jobs of a service that can no longer finish in time.
     pub(super) fn shed(&mut self, now_ms: u64, name: &ServiceName) {
-        let slots = self.slots_of(name);
+        let slots = self.slots_of(now_ms, name);
         let may_discover_endpoints = slots == 0 && self.is_discovering(now_ms);
         let Some(service) = self.services.get_mut(name) else { return };
         let has_long_backlog = service.has_long_backlog(slots);
--- a/crates/dispatch/src/dispatcher/reserve.rs
+++ b/crates/dispatch/src/dispatcher/reserve.rs
@@ -36,7 +36,7 @@
         let lacks_only_memory = |key: &EndpointKey| {
             let endpoint = &self.endpoints[*key];
             endpoint.usable_slots(now_ms) > 0
-                && !endpoint.is_leaving()
+                && endpoint.takes_requests()
                 && !endpoint.has_memory_for(job)
                 && !job.tried.contains(endpoint.name())
         };
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -4,7 +4,7 @@
 use crate::endpoints::{Endpoint, EndpointKey, Speed};
 use crate::job::{JobId, Reason};
 use crate::refusal::RefusalBasis;
-use lycheehub_routes::{Document, EngineSpec};
+use lycheehub_routes::{Document, ServiceSpec};
 use lycheehub_types::{EndpointName, EndpointRecord, ServiceName};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -14,10 +14,12 @@
         let quotas = document.accounts.iter();
         self.accounts =
             quotas.filter_map(|account| Some((account.name.clone(), account.quota?))).collect();
-        let known: BTreeMap<&ServiceName, Option<EngineSpec>> =
-            document.services.iter().map(|service| (&service.name, service.engine)).collect();
-        for (name, engine) in &known {
-            self.services.entry((*name).clone()).or_default().engine = *engine;
+        let known: BTreeMap<&ServiceName, &ServiceSpec> =
+            document.services.iter().map(|service| (&service.name, service)).collect();
+        for (name, spec) in &known {
+            let service = self.services.entry((*name).clone()).or_default();
+            service.engine = spec.engine;
+            service.cold_start = spec.cold_start;
         }
         let gone: Vec<ServiceName> =
             self.services.keys().filter(|name| !known.contains_key(name)).cloned().collect();
@@ -27,6 +29,9 @@
         let names: Vec<EndpointName> = self.by_name.keys().cloned().collect();
         for name in names {
             self.link_to_service(&name);
+            if let Some(key) = self.by_name.get(&name).copied() {
+                self.update_warmth(now_ms, key);
+            }
         }
         self.assign_slots();
         self.tick(now_ms);
@@ -82,6 +87,10 @@
                 self.link_to_service(&record.endpoint);
             }
         }
+        if let Some(key) = self.by_name.get(&record.endpoint).copied() {
+            self.update_warmth(now_ms, key);
+            self.update_evacuated(now_ms, key);
+        }
     }
 
     fn initial_speed(&self, record: &EndpointRecord) -> Speed {
--- a/crates/dispatch/src/dispatcher/versions.rs
+++ b/crates/dispatch/src/dispatcher/versions.rs
@@ -92,7 +92,7 @@
             return VersionGroup::New;
         };
         let wants_new = (self.placed_new + 1) as f64 <= (self.placed + 1) as f64 * share;
-        let mut live = endpoints.filter(|endpoint| !endpoint.is_leaving());
+        let mut live = endpoints.filter(|endpoint| endpoint.takes_requests());
         if wants_new || !live.any(|endpoint| self.is_old(endpoint, target)) {
             return VersionGroup::New;
         }
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -8,6 +8,7 @@
 mod room;
 mod speed;
 mod statement;
+mod warmth;
 
 pub use health::Health;
 pub use notices::{Limit, Notice, Notices};
@@ -17,6 +18,7 @@
 pub use room::{Room, is_current, is_on_the_way, on_the_way_max};
 pub use speed::Speed;
 pub use statement::{LimitKind, Statement};
+pub use warmth::Warmth;
 
 use crate::job::{Job, JobId, Outcome};
 use crate::queue::Classes;
@@ -40,6 +42,8 @@
     pub expected_ms: f64,
     /// When the request was placed, in milliseconds.
     pub since_ms: u64,
+    /// Whether the endpoint was cold then, so that its speed says nothing about later requests.
+    pub is_cold: bool,
 }
 
 /// The memory of an endpoint is kept for the large jobs of a rank.
@@ -62,6 +66,10 @@
     pub record: EndpointRecord,
     /// The endpoint announced in a response that it is leaving.
     pub announced_leaving: bool,
+    /// The failure domain of the endpoint is evacuated.
+    pub is_evacuated: bool,
+    /// Whether the endpoint is cold, and the pace of its requests meanwhile.
+    pub warmth: Warmth,
     /// The maximum number of requests that this dispatcher may run on the endpoint.
     pub slot_limit: usize,
     /// The same number while the endpoint fails by rejecting too many requests: those that it runs at
@@ -97,6 +105,8 @@
             sparing_slot_limit: record.slots as usize,
             record,
             announced_leaving: false,
+            is_evacuated: false,
+            warmth: Warmth::default(),
             memory_tokens,
             running: BTreeMap::new(),
             used_tokens: 0,
@@ -120,6 +130,12 @@
         self.record.leaving || self.announced_leaving
     }
 
+    /// Returns whether the endpoint may be sent new requests at all: it neither leaves nor is its failure
+    /// domain evacuated.
+    pub fn takes_requests(&self) -> bool {
+        !self.is_leaving() && !self.is_evacuated
+    }
+
     /// Returns the number of requests that this dispatcher may run on the endpoint given its
     /// health.
     pub fn usable_slots(&self, now_ms: u64) -> usize {
@@ -134,7 +150,7 @@
 
     /// Returns whether the endpoint accepts `job` now.
     pub fn accepts(&self, now_ms: u64, job: &Job) -> bool {
-        !self.is_leaving()
+        self.takes_requests()
             && self.running.len() < self.usable_slots(now_ms)
             && self.has_memory_for(job)
             && !job.tried.contains(&self.record.endpoint)
@@ -194,7 +210,12 @@
         self.prefix_cache.record(&job.prefix);
         self.add(
             job.job_id,
-            Running { memory_tokens: memory_tokens_of(job), expected_ms, since_ms: now_ms },
+            Running {
+                memory_tokens: memory_tokens_of(job),
+                expected_ms,
+                since_ms: now_ms,
+                is_cold: self.warmth.is_cold(now_ms),
+            },
         );
         expected_ms
     }
@@ -207,7 +228,8 @@
     /// Records a request that another dispatcher placed on the endpoint at `since_ms`.
     pub fn add_external(&mut self, since_ms: u64, job_id: JobId, memory_tokens: u64) {
         let memory_tokens = memory_tokens.min(JOB_TOKENS_MAX);
-        self.add(job_id, Running { memory_tokens, expected_ms: 0.0, since_ms });
+        let is_cold = self.warmth.is_cold(since_ms);
+        self.add(job_id, Running { memory_tokens, expected_ms: 0.0, since_ms, is_cold });
     }
 
     fn add(&mut self, job_id: JobId, running: Running) {
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -2,7 +2,7 @@
 
 use crate::crashes::RequestDigest;
 use crate::refusal::RefusalBasis;
-use lycheehub_types::{AccountName, EndpointName, FailureDomain, ServiceName};
+use lycheehub_types::{AccountName, EndpointName, FailureDomain, Region, ServiceName};
 use smol_str::SmolStr;
 
 /// Identifies a job: the number that this process gave to the instance that received the request,
@@ -64,6 +64,8 @@
     pub failure_domain: FailureDomain,
     /// The endpoints that have already been tried.
     pub tried: Vec<EndpointName>,
+    /// The regions in which the request may run; `None` if it may run anywhere.
+    pub regions: Option<Vec<Region>>,
     /// The job is a retry that counts towards the retry budget: an earlier attempt may have run, or
     /// an endpoint rejected it.
     pub repeat: bool,
@@ -81,7 +83,7 @@
     /// #     prompt_tokens: 0, output_tokens: 0, prefix: vec![], digest: None, objective_left_ms: 100,
     /// #     patience_left_ms: 500, deadline_left_ms: 500, returning: false,
     /// #     resumes_stream: false, is_last_attempt: false, failure_domain: "salto".into(), tried: vec![],
-    /// #     repeat: false,
+    /// #     regions: None, repeat: false,
     /// # };
     /// let later = job.after(200);
     /// assert_eq!((later.objective_left_ms, later.deadline_left_ms), (0, 300));
@@ -130,6 +132,8 @@
     Overloaded,
     /// The service has no endpoint that accepts requests.
     NoEndpoint,
+    /// It has none in the regions to which the request is bound.
+    NoEndpointInRegion,
     /// The client account has exceeded its quota.
     QuotaExceeded,
     /// The service has used up its retry budget.
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -1,10 +1,12 @@
 //! Tests of the dispatcher: replays of extreme load, and tests of its parts.
 
 mod budgets;
+mod cold;
 mod crash_evidence;
 mod crashes;
 mod crashing_requests;
 mod documents;
+mod evacuations;
 mod health;
 mod limits;
 mod notices;
--- a/crates/dispatch/tests/dispatch/replay.rs
+++ b/crates/dispatch/tests/dispatch/replay.rs
@@ -43,6 +43,7 @@
         sequence: 1,
         leaving: false,
         load: EndpointLoad::default(),
+        cold_ms: 0,
     }
 }
 
@@ -54,12 +55,14 @@
 pub fn document_with_memory(quota: Option<Quota>, memory_tokens: u64) -> Document {
     let engine = EngineSpec { slots: 9, memory_tokens, tokens_per_event: TOKENS_PER_EVENT };
     let writer = ServiceSpec {
+        cold_start: None,
         name: "writer".into(),
         health_path: "/health".into(),
         connections_max: None,
         engine: Some(engine),
     };
-    let account = AccountSpec { name: "large".into(), keys: vec![], tier: None, quota };
+    let account =
+        AccountSpec { regions: vec![], name: "large".into(), keys: vec![], tier: None, quota };
     Document { version: 1, services: vec![writer], accounts: vec![account], ..Document::default() }
 }
 
@@ -83,6 +86,7 @@
         is_last_attempt: false,
         failure_domain: "salto".into(),
         tried: vec![],
+        regions: None,
         repeat: false,
     }
 }
--- a/crates/gateway/tests/gateway/endpoints.rs
+++ b/crates/gateway/tests/gateway/endpoints.rs
@@ -207,6 +207,7 @@
         sequence: 1,
         leaving: false,
         load: EndpointLoad::default(),
+        cold_ms: 0,
     };
     let live = LiveEndpoint { record, lease_until_ms: LEASE_MS, granted_slots: 8 };
     view.endpoints.insert(name.into(), live);
--- a/crates/peer/src/control.rs
+++ b/crates/peer/src/control.rs
@@ -1,16 +1,21 @@
 //! The handle through which traffic threads call the control thread.
 
 use lycheehub_control::placement::LoadOrder;
-use lycheehub_control::state::{Command, DocumentRecord, MoveRecord, RolloutRecord, SectionRecord};
+use lycheehub_control::room::{ServiceRoom, room_by_service};
+use lycheehub_control::state::{
+    Command, DocumentRecord, EvacuationOrder, EvacuationRecord, MoveRecord, RolloutRecord,
+    SectionRecord,
+};
 use lycheehub_dispatch::crashes::{Ending, ListedQuarantine, QuarantineId};
 use lycheehub_route::Demands;
 use lycheehub_types::{
-    EndpointName, EndpointRecord, InstanceName, RefusalKind, SectionName, ServiceName,
+    EndpointName, EndpointRecord, FailureDomain, InstanceName, RefusalKind, SectionName,
+    ServiceName,
 };
 use lycheehub_wire::{KeptAnswer, ProposeReply};
 use smol::channel::{Sender, bounded};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The store of answers to the requests that this instance dispatched.
 pub trait AnswerSource: Send + Sync {
@@ -38,6 +43,8 @@
     pub document: DocumentRecord,
     /// The latest rollout of each service.
     pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
+    /// The evacuations in force.
+    pub evacuations: BTreeMap<FailureDomain, EvacuationRecord>,
 }
 
 /// The status of an endpoint, as a control instance knows it.
@@ -69,10 +76,19 @@
     pub revision: u64,
     /// The live endpoints, including those that are leaving.
     pub endpoints: Vec<EndpointStatus>,
+    /// The failure domains that are evacuated, as this control instance knows.
+    pub evacuated: BTreeSet<FailureDomain>,
     /// The instances that were heard from within the last minute.
     pub instances: Vec<InstanceStatus>,
 }
 
+impl ClusterStatus {
+    /// Returns the room that evacuations leave to each service.
+    pub fn room_by_service(&self) -> BTreeMap<ServiceName, ServiceRoom> {
+        room_by_service(self.endpoints.iter().map(|known| &known.record), &self.evacuated)
+    }
+}
+
 /// The reply to a call that only the leader can answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaderReply<T> {
@@ -134,6 +150,27 @@
         reply.unwrap_or(ProposeReply::Unknown)
     }
 
+    /// Commits an order to evacuate a failure domain, or to end that, and logs what room it leaves to each
+    /// service.
+    pub async fn evacuate(&self, order: EvacuationOrder) -> ProposeReply {
+        let (domain, begins, by) = (order.domain.clone(), order.begins, order.by.clone());
+        let reply = self.propose(Command::Evacuate(order)).await;
+        if matches!(reply, ProposeReply::Done(_)) {
+            spdlog::info!("evacuation acknowledged", kv: { domain: = domain, begins, by: = by });
+            self.log_room().await;
+        }
+        reply
+    }
+
+    async fn log_room(&self) {
+        let Some(status) = self.cluster_status().await else { return };
+        for (service, room) in status.room_by_service() {
+            spdlog::info!("room beside evacuations", kv: {
+                service: = service, slots = room.slots, slots_left = room.slots_left,
+            });
+        }
+    }
+
     /// Reads the committed state.
     ///
     /// # Errors
--- a/crates/peer/src/entry/placement/mod.rs
+++ b/crates/peer/src/entry/placement/mod.rs
@@ -91,7 +91,8 @@
     ) -> Rc<Self> {
         let settings = Rc::new(settings);
         let links = Links::new(settings.clone(), clock, executor.clone());
-        let local = RefCell::new(Dispatcher::new(local_options(&settings, DEFAULT_INSTANCES)));
+        let mut local = Dispatcher::new(local_options(&settings, DEFAULT_INSTANCES));
+        local.set_regions(settings.regions.clone());
         Rc::new(Self {
             settings,
             clock,
@@ -99,7 +100,7 @@
             links,
             views,
             session: RefCell::default(),
-            local,
+            local: RefCell::new(local),
             pending_decisions: RefCell::default(),
             placed: RefCell::default(),
             begun: RefCell::default(),
@@ -129,6 +130,7 @@
                 local.set_document(now_ms, view.table.document());
             }
             local.set_version_rules(version_rules(&view.rollouts, TrafficScope::OneInstance));
+            local.set_evacuated(now_ms, view.evacuated.clone());
             local.set_endpoints(now_ms, view.endpoints.iter());
         }
         self.deliver_local();
--- a/crates/peer/src/entry/view.rs
+++ b/crates/peer/src/entry/view.rs
@@ -4,9 +4,9 @@
 use lycheehub_control::directory::Directory;
 use lycheehub_control::state::RolloutRecord;
 use lycheehub_routes::RouteTable;
-use lycheehub_types::{EndpointRecord, InstanceName, ServiceName};
+use lycheehub_types::{EndpointRecord, FailureDomain, InstanceName, ServiceName};
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// An immutable snapshot; each update publishes a new one.
@@ -22,6 +22,8 @@
     pub endpoints: Vec<EndpointRecord>,
     /// The newest rollout of each service.
     pub rollouts: BTreeMap<ServiceName, RolloutRecord>,
+    /// The evacuated failure domains.
+    pub evacuated: BTreeSet<FailureDomain>,
     /// The leader and its peer address.
     pub leader: Option<(InstanceName, SmolStr)>,
     /// Whether a quorum has confirmed the state since this process started.
@@ -48,6 +50,7 @@
             table,
             endpoints: directory.live().cloned().collect(),
             rollouts: state.rollouts.clone(),
+            evacuated: state.evacuations.keys().cloned().collect(),
             leader,
             confirmed,
         }
--- a/crates/peer/src/node/cluster_status.rs
+++ b/crates/peer/src/node/cluster_status.rs
@@ -70,6 +70,7 @@
         ClusterStatus {
             revision: core.state.revision,
             endpoints: endpoints.collect(),
+            evacuated: core.state.evacuations.keys().cloned().collect(),
             instances: instances.collect(),
         }
     }
--- a/crates/peer/src/node/dispatch/mod.rs
+++ b/crates/peer/src/node/dispatch/mod.rs
@@ -100,6 +100,9 @@
             metrics::gauge!("lycheehub_closed_slots", &service).set(load.closed_slots as f64);
             metrics::gauge!("lycheehub_limited_endpoints", &service)
                 .set(load.limited_endpoints as f64);
+            metrics::gauge!("lycheehub_cold_endpoints", &service).set(load.cold_endpoints as f64);
+            metrics::gauge!("lycheehub_evacuated_endpoints", &service)
+                .set(load.evacuated_endpoints as f64);
             metrics::gauge!("lycheehub_size_lag_permille", &service)
                 .set(f64::from(load.size_lag_permille));
             if load.waiting > 0 {
@@ -109,6 +112,8 @@
                     running = load.running as u64,
                     free_slots = load.free_slots as u64,
                     closed_slots = load.closed_slots as u64,
+                    cold_endpoints = load.cold_endpoints as u64,
+                    evacuated_endpoints = load.evacuated_endpoints as u64,
                     size_lag_permille = load.size_lag_permille,
                 });
             }
@@ -170,7 +175,8 @@
     }
 
     fn start_dispatch(&self) {
-        let dispatcher = Dispatcher::new(self.settings.dispatch);
+        let mut dispatcher = Dispatcher::new(self.settings.dispatch);
+        dispatcher.set_regions(self.settings.regions.clone());
         *self.dispatch.borrow_mut() = Some(LeaderDispatch {
             dispatcher,
             decision_senders: BTreeMap::new(),
@@ -204,6 +210,8 @@
         }
         let rules = version_rules(&core.state.rollouts, TrafficScope::AllInstances);
         dispatch.dispatcher.set_version_rules(rules);
+        let evacuated = core.state.evacuations.keys().cloned().collect();
+        dispatch.dispatcher.set_evacuated(now_ms, evacuated);
         dispatch.dispatcher.set_endpoints(now_ms, core.directory.live());
         dispatch.deliver_decisions();
     }
--- a/crates/peer/src/node/requests.rs
+++ b/crates/peer/src/node/requests.rs
@@ -114,6 +114,7 @@
             moves: feed.moves.clone(),
             document: feed.document.clone().unwrap_or_default(),
             rollouts: feed.rollouts.clone(),
+            evacuations: feed.evacuations.clone(),
         };
         self.apply_feed(feed);
         Some(statement)
--- a/crates/peer/src/settings.rs
+++ b/crates/peer/src/settings.rs
@@ -1,7 +1,8 @@
 //! The settings of the control thread.
 
-use lycheehub_types::{FailureDomain, InstanceName};
+use lycheehub_types::{FailureDomain, InstanceName, Region};
 use smol_str::SmolStr;
+use std::collections::BTreeMap;
 use std::path::PathBuf;
 
 /// An instance whose address is configured.
@@ -47,9 +48,18 @@
     pub rollouts: lycheehub_control::moves::RolloutOptions,
     /// The options of this instance's dispatcher.
     pub dispatch: lycheehub_dispatch::Options,
+    /// The regions of the failure domains; empty if the settings name none.
+    pub regions: BTreeMap<FailureDomain, Region>,
 }
 
 impl Settings {
+    /// Returns whether instances and endpoints are in more than one region.
+    pub fn has_several_regions(&self) -> bool {
+        let mut regions = self.regions.values();
+        let first = regions.next();
+        regions.any(|region| Some(region) != first)
+    }
+
     /// Returns the names of the replicas that form the initial configuration.
     pub fn bootstrap_replicas(&self) -> Vec<InstanceName> {
         let replicas = self.seeds.iter().filter(|seed| seed.replica);
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -30,6 +30,8 @@
     pub instance: InstanceName,
     /// The failure domain in which this instance runs.
     pub failure_domain: FailureDomain,
+    /// Whether instances and endpoints are in more than one region.
+    pub has_several_regions: bool,
     /// Maximum number of concurrent connections from callers.
     pub connections_max: usize,
     /// Time limit for connecting to an endpoint, in milliseconds.
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -493,7 +493,8 @@
 
     /// Opens a connection.
     pub(super) async fn connect_anew(&self, placed: &Placed) -> Result<Connection, Unusable> {
-        let connected = paths::connect(self.entry, &placed.endpoint, &placed.address).await;
+        let connected =
+            paths::connect(self.entry, &placed.endpoint, &placed.address, self.may_relay).await;
         let (stream, is_relayed) = connected.map_err(Unusable::Unreached)?;
         let mut connection =
             if is_relayed { Connection::relayed(stream) } else { Connection::new(stream) };
--- a/crates/proxy/src/exchange/filters.rs
+++ b/crates/proxy/src/exchange/filters.rs
@@ -4,7 +4,7 @@
 use crate::shutdown;
 use lycheehub_routes::RouteSpec;
 use lycheehub_routes::table::choose_target;
-use lycheehub_types::{AccountName, Refusal, RefusalKind, ServiceName};
+use lycheehub_types::{AccountName, Refusal, RefusalKind, Region, ServiceName};
 
 /// The route, service and account of a request.
 #[derive(Clone, Debug)]
@@ -13,6 +13,8 @@
     pub(super) service: ServiceName,
     pub(super) account: Option<AccountName>,
     pub(super) tier: u8,
+    /// The regions in which the request may run; `None` if it may run anywhere.
+    pub(super) regions: Option<Vec<Region>>,
 }
 
 /// Applies all filters to a request.
@@ -22,7 +24,8 @@
     check_stop(exchange, route)?;
     let (account, tier) = find_account(exchange, route)?;
     let service = choose_service(exchange, route)?;
-    Ok(ResolvedRequest { route: route.clone(), service, account, tier })
+    let regions = exchange.snapshot.table.regions_of(route, account.as_ref());
+    Ok(ResolvedRequest { route: route.clone(), service, account, tier, regions })
 }
 
 /// Refuses all requests while the route document is not known to be recent.
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -79,6 +79,8 @@
     deadline_ms: u64,
     /// How many idle connections to an endpoint of the service may be kept.
     idle_max: usize,
+    /// Whether the request may pass through another instance.
+    may_relay: bool,
     idle_time: IdleTime,
     access_log: AccessLog,
 }
@@ -104,6 +106,7 @@
         started_ms,
         deadline_ms: started_ms.saturating_add(timeout_ms),
         idle_max: 0,
+        may_relay: true,
         idle_time,
     };
     let keeps_alive = exchange.run(connection).await;
@@ -145,6 +148,8 @@
         let route_ends_ms = self.started_ms.saturating_add(resolved.route.timeout_ms);
         self.deadline_ms = self.deadline_ms.min(route_ends_ms);
         self.idle_max = self.idle_max_of(&resolved.service);
+        // Another instance may be in a region to which the body must not be sent.
+        self.may_relay = resolved.regions.is_none() || !self.entry.options.has_several_regions;
         self.access_log.record_route(&resolved);
         self.digest = Some(self.digest_of(&resolved));
         self.serve(connection, &resolved).await
@@ -377,6 +382,7 @@
             is_last_attempt: !route.kind.may_repeat() || tried::is_last_attempt(route, tried.len()),
             failure_domain: self.entry.options.failure_domain.clone(),
             tried: tried.to_vec(),
+            regions: resolved.regions.clone(),
             repeat: !tried.is_empty(),
         }
     }
@@ -436,6 +442,11 @@
     let (kind, message) = match reason {
         Reason::Overloaded => (RefusalKind::Overloaded, "too much waits before this request"),
         Reason::NoEndpoint => (RefusalKind::NoEndpoint, "no endpoint of the service takes work"),
+        Reason::NoEndpointInRegion => (
+            RefusalKind::NoEndpoint,
+            "no endpoint of the service takes work in the regions to which the route or the client \
+             account is bound",
+        ),
         Reason::QuotaExceeded => (RefusalKind::QuotaExceeded, "the quota is used up"),
         Reason::Quarantined => {
             (RefusalKind::Quarantined, "endpoints crash on this request or on a part of its prompt")
--- a/crates/proxy/src/paths.rs
+++ b/crates/proxy/src/paths.rs
@@ -139,15 +139,17 @@
     pub(crate) is_confirmed: bool,
 }
 
-/// Connects to an endpoint: directly, or through another instance if the path is lost. Returns the
-/// stream, and whether it is relayed.
+/// Connects to an endpoint: directly, or through another instance if the path is lost and the request
+/// `may_relay`. Returns the stream, and whether it is relayed.
 pub(crate) async fn connect(
     entry: &Rc<Entry>,
     endpoint: &EndpointName,
     address: &SmolStr,
+    may_relay: bool,
 ) -> Result<(TcpStream, bool), Unreached> {
     let paths = &entry.paths;
-    if paths.is_lost(endpoint)
+    if may_relay
+        && paths.is_lost(endpoint)
         && let Ok(stream) = connect_relayed(entry, endpoint, address).await
     {
         return Ok((stream, true));
@@ -156,6 +158,9 @@
         Ok(stream) => return Ok((stream, false)),
         Err(error) => error,
     };
+    if !may_relay {
+        return Err(Unreached { error, is_confirmed: false });
+    }
     match connect_relayed(entry, endpoint, address).await {
         Ok(stream) => {
             spdlog::info!("path to endpoint lost", kv: {
--- a/crates/proxy/tests/proxy/documents.rs
+++ b/crates/proxy/tests/proxy/documents.rs
@@ -35,6 +35,7 @@
     let mut keys_needed = current.clone();
     keys_needed.routes.iter_mut().for_each(|route| route.anonymous = false);
     keys_needed.accounts = vec![AccountSpec {
+        regions: vec![],
         name: "harbour".into(),
         keys: vec!["other".into()],
         tier: None,
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -246,6 +246,7 @@
 
 fn route(name: &str, kind: RequestKind, attempts_max: u32) -> RouteSpec {
     RouteSpec {
+        regions: vec![],
         name: name.into(),
         host: "salto.example".into(),
         path_prefix: format!("/{name}/").into(),
@@ -274,6 +275,7 @@
             RouteSpec { patience_ms: Some(10), ..route("resume", stream(true), 2) },
         ],
         services: vec![ServiceSpec {
+            cold_start: None,
             name: "labels".into(),
             health_path: "/health".into(),
             connections_max: Some(100),
@@ -308,6 +310,7 @@
         let relays = Rc::new(TestRelays::default());
         let entry = Entry::new(
             Options {
+                has_several_regions: false,
                 instance: "entry-1".into(),
                 failure_domain: "salto".into(),
                 connections_max: 100,
--- a/crates/route/tests/route/fixtures.rs
+++ b/crates/route/tests/route/fixtures.rs
@@ -50,6 +50,7 @@
         sequence: 1,
         leaving: false,
         load: EndpointLoad::default(),
+        cold_ms: 0,
     };
     LiveEndpoint { record, lease_until_ms, granted_slots: slots }
 }
--- a/crates/routes/src/document.rs
+++ b/crates/routes/src/document.rs
@@ -1,7 +1,7 @@
 //! The route document that operators submit as a whole: routes, services, limits and client
 //! accounts.
 
-use lycheehub_types::{AccountName, ServiceName};
+use lycheehub_types::{AccountName, Region, ServiceName};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
@@ -89,6 +89,10 @@
     pub attempts_max: u32,
     /// Whether requests are accepted without a key.
     pub anonymous: bool,
+    /// The regions in which its requests may run; all if there are none. Stored in the
+    /// [`Supplement`](crate::Supplement).
+    #[serde(skip)]
+    pub regions: Vec<Region>,
 }
 
 /// A service and the properties of its endpoints.
@@ -102,6 +106,19 @@
     pub connections_max: Option<u32>,
     /// The capacity of the endpoints, if they are model engines.
     pub engine: Option<EngineSpec>,
+    /// What endpoints bear after they have started, if that is less than later. Stored in the
+    /// [`Supplement`](crate::Supplement).
+    #[serde(skip)]
+    pub cold_start: Option<ColdStart>,
+}
+
+/// How an endpoint that has just started is spared.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdStart {
+    /// How long an endpoint is cold after its start, in milliseconds.
+    pub duration_ms: u64,
+    /// The requests per second that it bears meanwhile, from all instances together.
+    pub per_s: f64,
 }
 
 /// The capacity of a model engine.
@@ -150,6 +167,10 @@
     pub tier: Option<u8>,
     /// The account's quota; usage is unlimited if there is none.
     pub quota: Option<Quota>,
+    /// The regions in which its requests may run; all if there are none. Stored in the
+    /// [`Supplement`](crate::Supplement).
+    #[serde(skip)]
+    pub regions: Vec<Region>,
 }
 
 /// A token-bucket limit on the usage of a client account, over all instances together.
--- a/crates/routes/tests/routes/main.rs
+++ b/crates/routes/tests/routes/main.rs
@@ -9,6 +9,7 @@
 
 fn route(name: &str, host: &str, path_prefix: &str) -> RouteSpec {
     RouteSpec {
+        regions: vec![],
         name: name.into(),
         host: host.into(),
         path_prefix: path_prefix.into(),
@@ -26,6 +27,7 @@
 
 fn document(routes: Vec<RouteSpec>) -> Document {
     let labels = ServiceSpec {
+        cold_start: None,
         name: "labels".into(),
         health_path: "/health".into(),
         connections_max: None,
@@ -36,7 +38,7 @@
 
 fn account(name: &str, keys: &[&str]) -> AccountSpec {
     let keys = keys.iter().map(|key| (*key).into()).collect();
-    AccountSpec { name: name.into(), keys, tier: None, quota: None }
+    AccountSpec { regions: vec![], name: name.into(), keys, tier: None, quota: None }
 }
 
 #[gtest]
--- a/crates/standin/src/bin/lycheehub-measure/place.rs
+++ b/crates/standin/src/bin/lycheehub-measure/place.rs
@@ -39,6 +39,7 @@
 fn dispatcher(endpoints: usize) -> Dispatcher {
     let engine = EngineSpec { slots: SLOTS, memory_tokens: 400_000, tokens_per_event: 7 };
     let service = ServiceSpec {
+        cold_start: None,
         name: "writer".into(),
         health_path: "/health".into(),
         connections_max: None,
@@ -68,6 +69,7 @@
         sequence: 1,
         leaving: false,
         load: EndpointLoad::default(),
+        cold_ms: 0,
     }
 }
 
@@ -96,6 +98,7 @@
         is_last_attempt: false,
         failure_domain: DOMAINS[number as usize % DOMAINS.len()].into(),
         tried: vec![],
+        regions: None,
         repeat: false,
     }
 }
--- a/crates/standin/src/endpoint/announce.rs
+++ b/crates/standin/src/endpoint/announce.rs
@@ -82,5 +82,6 @@
         sequence,
         leaving,
         load,
+        cold_ms: 0,
     }
 }
--- a/crates/types/src/endpoint.rs
+++ b/crates/types/src/endpoint.rs
@@ -9,6 +9,8 @@
 /// The most slots that an endpoint may announce, on the project's own interface and on the platform's.
 /// A larger number would attract all requests of its service.
 const SLOTS_MAX: u32 = 65_536;
+/// The longest time for which an endpoint may announce to be cold, in milliseconds: an hour.
+pub const COLD_MAX_MS: u32 = 3_600_000;
 /// The highest incarnation and sequence. Every writer of JSON can state numbers up to here exactly, and
 /// a difference or a sum of two does not overflow.
 pub const COUNT_MAX: u64 = (1 << 53) - 1;
@@ -91,6 +93,10 @@
     /// The load last reported by the endpoint.
     #[serde(default)]
     pub load: EndpointLoad,
+    /// How much longer the endpoint bears only few requests per second, in milliseconds; it has just
+    /// started, or been idle.
+    #[serde(default)]
+    pub cold_ms: u32,
 }
 
 impl EndpointRecord {
@@ -126,6 +132,7 @@
             ("slots", u64::from(self.slots), 1..=u64::from(SLOTS_MAX)),
             ("incarnation", self.incarnation, 0..=COUNT_MAX),
             ("sequence", self.sequence, 0..=COUNT_MAX),
+            ("cold time", u64::from(self.cold_ms), 0..=u64::from(COLD_MAX_MS)),
         ];
         match numbers.into_iter().find(|(_, value, range)| !range.contains(value)) {
             Some((field, value, _)) => Err(InvalidRecord::Number(field, value)),
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -21,8 +21,8 @@
 pub use error::PeerError;
 pub use instance::InstanceRecord;
 pub use name::{
-    AccountName, EndpointName, FailureDomain, InstanceName, Route, SectionName, ServiceName,
-    Version,
+    AccountName, EndpointName, FailureDomain, InstanceName, Region, Route, SectionName,
+    ServiceName, Version,
 };
 pub use refusal::{Refusal, RefusalKind};
 pub use tier::Tier;
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -52,6 +52,8 @@
     FailureDomain;
     /// An instance, as named in its settings.
     InstanceName;
+    /// A region, as named in settings and documents; it consists of failure domains.
+    Region;
     /// The path of a request below its service. Versions are compared route by route.
     Route;
     /// A section of the operators' document.
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -60,6 +60,8 @@
   waiting @13 :UInt32;
   ageMs @14 :UInt64;
   takesOrders @15 :Bool;
+  # How much longer the endpoint takes only a few requests per second after its start.
+  coldMs @16 :UInt32;
 }
 
 struct ServiceCount { service @0 :Text; count @1 :UInt32; }
@@ -153,6 +155,7 @@
     # The version of the route document that is in force.
     document @11 :UInt64;
     rollout @12 :Void;
+    evacuation @13 :Void;
   }
 }
 
@@ -213,6 +216,9 @@
   isFinal @17 :Bool;
   # The identity of the request; empty where the sender tells none.
   digest @18 :Data;
+  # The regions in which the request may run, if `regionBound`.
+  regions @19 :List(Text);
+  regionBound @20 :Bool;
 }
 
 struct Decision {
@@ -226,6 +232,7 @@
 
 enum Reason {
   overloaded @0; noEndpoint @1; quotaExceeded @2; retriesExhausted @3; quarantined @4;
+  noEndpointInRegion @5;
 }
 
 # Which rule refused the request.
--- a/crates/wire/src/convert/placement.rs
+++ b/crates/wire/src/convert/placement.rs
@@ -8,7 +8,7 @@
     Decision, Finished, InFlight, Job, JobId, Limit, LimitKind, Notice, Outcome, PrefixPart,
     Reason, RefusalBasis, RetryUsage, Rule, StatedLimit, Usage, UsageReport,
 };
-use lycheehub_types::{AccountName, EndpointName};
+use lycheehub_types::{AccountName, EndpointName, Region};
 
 /// The most units that one entry of usage can state.
 const UNITS_MAX: f64 = 1e15;
@@ -25,6 +25,10 @@
     for name in reader.get_tried()? {
         tried.push(EndpointName::from(text(name)?));
     }
+    let mut regions = Vec::new();
+    for region in reader.get_regions()? {
+        regions.push(Region::from(text(region)?));
+    }
     Ok(Job {
         job_id: JobId { instance, number: reader.get_number() },
         service: text(reader.get_service())?.into(),
@@ -46,6 +50,7 @@
         is_last_attempt: reader.get_is_final(),
         failure_domain: text(reader.get_failure_domain())?.into(),
         tried,
+        regions: reader.get_region_bound().then_some(regions),
         repeat: reader.get_repeat(),
     })
 }
@@ -69,6 +74,12 @@
     builder.set_is_final(job.is_last_attempt);
     builder.set_failure_domain(job.failure_domain.as_str());
     builder.set_repeat(job.repeat);
+    builder.set_region_bound(job.regions.is_some());
+    let bound_to = job.regions.as_deref().unwrap_or_default();
+    let mut regions = builder.reborrow().init_regions(bound_to.len() as u32);
+    for (index, region) in (0..).zip(bound_to) {
+        regions.set(index, region.as_str());
+    }
     let mut prefix = builder.reborrow().init_prefix(job.prefix.len() as u32);
     for (index, part) in (0..).zip(&job.prefix) {
         let mut entry = prefix.reborrow().get(index);
@@ -289,6 +300,7 @@
             schema::Reason::QuotaExceeded => Self::QuotaExceeded,
             schema::Reason::RetriesExhausted => Self::RetriesExhausted,
             schema::Reason::Quarantined => Self::Quarantined,
+            schema::Reason::NoEndpointInRegion => Self::NoEndpointInRegion,
         }
     }
 }
@@ -301,6 +313,7 @@
             Reason::QuotaExceeded => Self::QuotaExceeded,
             Reason::RetriesExhausted => Self::RetriesExhausted,
             Reason::Quarantined => Self::Quarantined,
+            Reason::NoEndpointInRegion => Self::NoEndpointInRegion,
         }
     }
 }
--- a/crates/wire/src/convert/records.rs
+++ b/crates/wire/src/convert/records.rs
@@ -3,6 +3,7 @@
 use super::{WireError, read_each, text};
 use crate::peer_capnp as schema;
 use lycheehub_control::registry::{Delta, InstanceRenewal, Renewal};
+use lycheehub_types::endpoint::COLD_MAX_MS;
 use lycheehub_types::{
     EndpointKind, EndpointLoad, EndpointRecord, InstanceRecord, ServiceName, Tier,
 };
@@ -28,6 +29,7 @@
             sequence: reader.get_sequence(),
             leaving: reader.get_leaving(),
             load: EndpointLoad { running: reader.get_running(), waiting: reader.get_waiting() },
+            cold_ms: reader.get_cold_ms().min(COLD_MAX_MS),
         })
     }
 }
@@ -162,6 +164,7 @@
     builder.set_running(record.load.running);
     builder.set_waiting(record.load.waiting);
     builder.set_age_ms(age_ms);
+    builder.set_cold_ms(record.cold_ms);
 }
 
 fn write_instance(
--- a/crates/wire/src/convert/replies.rs
+++ b/crates/wire/src/convert/replies.rs
@@ -75,6 +75,7 @@
             Which::Settled(()) => Self::Done(Reply::Settled),
             Which::Document(version) => Self::Done(Reply::Document { version }),
             Which::Rollout(()) => Self::Done(Reply::Rollout),
+            Which::Evacuation(()) => Self::Done(Reply::Evacuation),
         })
     }
 }
@@ -90,6 +91,7 @@
         ProposeReply::Done(Reply::Settled) => builder.set_settled(()),
         ProposeReply::Done(Reply::Document { version }) => builder.set_document(*version),
         ProposeReply::Done(Reply::Rollout) => builder.set_rollout(()),
+        ProposeReply::Done(Reply::Evacuation) => builder.set_evacuation(()),
     }
 }
 
--- a/crates/wire/tests/digests.rs
+++ b/crates/wire/tests/digests.rs
@@ -36,6 +36,7 @@
         is_last_attempt: true,
         failure_domain: "salto".into(),
         tried: vec![],
+        regions: None,
         repeat: false,
     }
 }
