--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -149,6 +149,18 @@
         let _ = kill.args([&format!("-{name}"), &id]).stderr(Stdio::null()).status();
     }
 
+    /// Names the memory of its machine in its settings, from its next start on.
+    pub fn set_machine_memory(&mut self, mebibytes: u64) {
+        let limits = format!("[limits]\nmemory_mb = {mebibytes}\n");
+        self.settings = self.settings.replacen("[limits]\n", &limits, 1);
+    }
+
+    /// Returns how many descriptors the process has open.
+    pub fn open_descriptors(&self) -> usize {
+        let id = self.child.as_ref().expect("the process was started").id();
+        std::fs::read_dir(format!("/proc/{id}/fd")).unwrap().count()
+    }
+
     /// Returns the memory that the process uses, in bytes.
     pub fn memory_used(&self) -> u64 {
         let id = self.child.as_ref().expect("the process was started").id();
