--- /dev/null
+++ b/crates/budget/src/budget.rs
@@ -0,0 +1,238 @@
+//! Lets connections wait for room in memory.
+
+use crate::ledger::{BodyKey, Ledger, Limits, Part};
+use lycheehub_clock::Clock;
+use quick_error::quick_error;
+use smol::Timer;
+use smol::channel::{Receiver, Sender, bounded};
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How long a body waits for room before it is refused, in milliseconds. A body that stalls gives way
+/// sooner.
+const PATIENCE_MS: u64 = 3_000;
+/// How often the first body that waits looks for one that gives way, in milliseconds.
+const LOOK_INTERVAL_MS: u64 = 100;
+
+quick_error! {
+    /// There is no room in memory for a body.
+    #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+    pub enum NoRoom {
+        /// None came free in time.
+        Waited(part: Part, held: u64, limit: u64) {
+            display(
+                "no memory for the body: {} of {} bytes for {} bodies are taken",
+                held, limit, part.name()
+            )
+        }
+        /// The body made no progress, or was the largest that waited, and others waited too.
+        GaveWay(part: Part, held: u64, limit: u64) {
+            display(
+                "the body made way for others: {} of {} bytes for {} bodies are taken",
+                held, limit, part.name()
+            )
+        }
+    }
+}
+
+/// The bodies that wait for a part, first come first served.
+#[derive(Debug, Default)]
+struct Waiting {
+    wakers: VecDeque<(u64, Sender<()>)>,
+}
+
+impl Waiting {
+    fn is_first(&self, number: u64) -> bool {
+        self.wakers.front().is_none_or(|(first, _)| *first == number)
+    }
+
+    fn wake_first(&self) {
+        if let Some((_, waker)) = self.wakers.front() {
+            // A full channel has woken it already.
+            let _ = waker.try_send(());
+        }
+    }
+}
+
+/// The memory for bodies, shared by the connections of a thread.
+#[derive(Debug)]
+pub struct Budget {
+    clock: Clock,
+    ledger: RefCell<Ledger>,
+    waiting: RefCell<BTreeMap<Part, Waiting>>,
+    /// The senders that tell bodies to give way.
+    notices: RefCell<BTreeMap<BodyKey, Sender<()>>>,
+    last_number: Cell<u64>,
+}
+
+impl Budget {
+    /// Creates a budget of `bytes` for all bodies.
+    pub fn new(clock: Clock, bytes: u64) -> Rc<Self> {
+        Rc::new(Self {
+            clock,
+            ledger: RefCell::new(Ledger::new(Limits::new(bytes))),
+            waiting: RefCell::default(),
+            notices: RefCell::default(),
+            last_number: Cell::new(0),
+        })
+    }
+
+    /// Opens an account for the body of one message.
+    pub fn open(self: &Rc<Self>) -> Room {
+        let key = self.ledger.borrow_mut().open(self.clock.now_ms());
+        let (notice, given_way) = bounded(1);
+        self.notices.borrow_mut().insert(key, notice);
+        Room { budget: self.clone(), key, given_way }
+    }
+
+    /// Returns the bytes that are charged to a part.
+    pub fn held(&self, part: Part) -> u64 {
+        self.ledger.borrow().held(part)
+    }
+
+    fn limit(&self, part: Part) -> u64 {
+        self.ledger.borrow().limits().of(part)
+    }
+
+    fn record_gauges(&self) {
+        for part in Part::ALL {
+            let labels = [("part", part.name())];
+            metrics::gauge!("lycheehub_body_memory_bytes", &labels).set(self.held(part) as f64);
+            let limit = self.limit(part) as f64;
+            metrics::gauge!("lycheehub_body_memory_limit_bytes", &labels).set(limit);
+            let waiting = self.waiting.borrow();
+            let waiting = waiting.get(&part).map_or(0, |waiting| waiting.wakers.len());
+            metrics::gauge!("lycheehub_bodies_waiting", &labels).set(waiting as f64);
+        }
+    }
+
+    /// Makes a body give way to the first one that waits for `part`, if one makes no progress.
+    fn make_room(&self, part: Part) {
+        let chosen = self.ledger.borrow_mut().choose_to_give_way(self.clock.now_ms(), part);
+        if let Some(notice) = chosen.and_then(|key| self.notices.borrow_mut().remove(&key)) {
+            // The body may have ended meanwhile.
+            let _ = notice.try_send(());
+        }
+    }
+
+    /// Returns whether no body waits for a part.
+    fn is_unwanted(&self, part: Part) -> bool {
+        let waiting = self.waiting.borrow();
+        waiting.get(&part).is_none_or(|waiting| waiting.wakers.is_empty())
+    }
+
+    fn wake_first(&self) {
+        self.waiting.borrow().values().for_each(Waiting::wake_first);
+    }
+}
+
+/// A place in the queue for a part, until it is dropped.
+struct Place<'a> {
+    budget: &'a Budget,
+    part: Part,
+    number: u64,
+    woken: Receiver<()>,
+}
+
+impl<'a> Place<'a> {
+    fn take(budget: &'a Budget, part: Part) -> Self {
+        let number = budget.last_number.get() + 1;
+        budget.last_number.set(number);
+        let (waker, woken) = bounded(1);
+        let mut waiting = budget.waiting.borrow_mut();
+        waiting.entry(part).or_default().wakers.push_back((number, waker));
+        Self { budget, part, number, woken }
+    }
+
+    fn is_first(&self) -> bool {
+        let waiting = self.budget.waiting.borrow();
+        waiting.get(&self.part).is_none_or(|waiting| waiting.is_first(self.number))
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        if let Some(waiting) = self.budget.waiting.borrow_mut().get_mut(&self.part) {
+            waiting.wakers.retain(|(number, _)| *number != self.number);
+        }
+        self.budget.wake_first();
+    }
+}
+
+/// The account of one body; dropping it frees its memory.
+#[derive(Debug)]
+pub struct Room {
+    budget: Rc<Budget>,
+    key: BodyKey,
+    given_way: Receiver<()>,
+}
+
+impl Room {
+    /// Charges the body, which grows to `bytes` and may reach `most_bytes`; waits for room for a limited
+    /// time.
+    ///
+    /// # Errors
+    /// Fails if no room comes free in time.
+    pub async fn hold(&self, bytes: u64, most_bytes: u64) -> Result<(), NoRoom> {
+        let budget = &*self.budget;
+        let is_held = budget.ledger.borrow().is_held(self.key, bytes);
+        let part = Part::for_bytes(bytes);
+        if (is_held || budget.is_unwanted(part)) && self.try_hold(bytes, most_bytes) {
+            return Ok(());
+        }
+        let place = Place::take(budget, part);
+        budget.record_gauges();
+        let give_up_ms = budget.clock.now_ms() + PATIENCE_MS;
+        while budget.clock.now_ms() < give_up_ms {
+            if place.is_first() {
+                if self.try_hold(bytes, most_bytes) {
+                    return Ok(());
+                }
+                budget.make_room(part);
+            }
+            let wait_ms = if place.is_first() { LOOK_INTERVAL_MS } else { PATIENCE_MS };
+            let left_ms = give_up_ms.saturating_sub(budget.clock.now_ms());
+            let woken = async {
+                // The channel stays open as long as the place is taken.
+                let _ = place.woken.recv().await;
+            };
+            let timer = async {
+                Timer::after(Duration::from_millis(wait_ms.min(left_ms))).await;
+            };
+            smol::future::or(woken, timer).await;
+        }
+        Err(NoRoom::Waited(part, budget.held(part), budget.limit(part)))
+    }
+
+    /// Records that the body was received whole: it no longer gives way.
+    pub fn record_received(&self) {
+        self.budget.ledger.borrow_mut().record_received(self.key);
+        self.budget.notices.borrow_mut().remove(&self.key);
+    }
+
+    /// Completes when the body must give way to others.
+    pub async fn given_way(&self) -> NoRoom {
+        if self.given_way.recv().await.is_err() {
+            // It was received.
+            std::future::pending::<()>().await;
+        }
+        let part = self.budget.ledger.borrow().part_of(self.key);
+        NoRoom::GaveWay(part, self.budget.held(part), self.budget.limit(part))
+    }
+
+    fn try_hold(&self, bytes: u64, most_bytes: u64) -> bool {
+        let now_ms = self.budget.clock.now_ms();
+        self.budget.ledger.borrow_mut().hold(now_ms, self.key, bytes, most_bytes)
+    }
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        self.budget.ledger.borrow_mut().close(self.key);
+        self.budget.notices.borrow_mut().remove(&self.key);
+        self.budget.record_gauges();
+        self.budget.wake_first();
+    }
+}
--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -2,9 +2,13 @@
 //! requests while it is the leader.
 
 use super::run_marker::RunMarker;
-use super::{http, require_address, serve_metrics, start_thread, wait_for_stop};
+use super::{
+    CONTROL_BODY_SHARE, body_memory_bytes, http, require_address, serve_metrics, start_thread,
+    wait_for_stop,
+};
 use crate::exit::{Code, Error};
 use crate::serve::listen;
+use lycheehub_budget::Budget;
 use lycheehub_clock::{Clock, TimerService};
 use lycheehub_gateway::orders::OrderSender;
 use lycheehub_gateway::responses::ResponseStore;
@@ -28,7 +32,8 @@
     let peers = listen("peers", deployment.peers).await?;
     let (sender, requests) = unbounded();
     let control = Control::new(sender);
-    serve_metrics(&executor, &deployment, Some(control.clone())).await?;
+    let bodies = Budget::new(Clock::new(), body_memory_bytes(&deployment, CONTROL_BODY_SHARE));
+    serve_metrics(&executor, &deployment, bodies.clone(), Some(control.clone())).await?;
     start_control(&deployment, peers, requests).await?;
     // The data folder exists now.
     let marker = deployment.peer.data_folder.as_deref();
@@ -46,7 +51,8 @@
         let answers = answers.clone();
         async move { answers.answer(request).await }
     };
-    executor.spawn(http::serve(executor.clone(), calls, handler)).detach();
+    let limits = http::Limits { bodies, connections_max: deployment.connections_max };
+    executor.spawn(http::serve(executor.clone(), calls, limits, handler)).detach();
     wait_for_stop(|| spdlog::info!("reload ignored: a control instance has no settings to reload"))
         .await?;
     spdlog::info!("stopping");
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -1,6 +1,9 @@
 //! An entry instance: it serves the requests of callers.
 
-use super::{http, load, require_address, serve_metrics, start_thread, wait_for_stop};
+use super::{
+    ENTRY_BODY_SHARE, WATCHING_CONNECTIONS_MAX, body_memory_bytes, http, load, require_address,
+    serve_metrics, start_thread, wait_for_stop,
+};
 use crate::exit::Error;
 use crate::poll::{POLL_INTERVAL_MS, poll_until};
 use crate::serve::listen;
@@ -111,7 +114,6 @@
     let callers = listen("callers", callers_address).await?;
     let readiness =
         listen("readiness", require_address(deployment.readiness, "readiness")?).await?;
-    serve_metrics(&executor, &deployment, None).await?;
     let clock = Clock::new();
     let views = Arc::new(Latest::new(EntryView::default()));
     let (seeds, seed_changes) = bounded(1);
@@ -127,6 +129,7 @@
         connections_max: deployment.connections_max,
         connect_timeout_ms: CONNECT_TIMEOUT_MS,
         body_timeout_ms: BODY_TIMEOUT_MS,
+        body_memory_bytes: body_memory_bytes(&deployment, ENTRY_BODY_SHARE),
         digest_key: DigestKey::derive(&deployment.peer.peer_key),
     };
     let entry = Entry::new(
@@ -142,6 +145,7 @@
         }),
         executor.clone(),
     );
+    serve_metrics(&executor, &deployment, entry.bodies.clone(), None).await?;
     let relay_listener = listen("relayed connections", deployment.peers).await?;
     let endpoints = RelayedEndpoints { views, entry: entry.clone() };
     let relay = Server::new(deployment.peer.peer_key.clone(), Box::new(endpoints));
@@ -153,7 +157,9 @@
         let response = calls::answer_ready(readiness_entry.is_ready(), &request);
         async move { response }
     };
-    executor.spawn(http::serve(executor.clone(), readiness, handler)).detach();
+    let limits =
+        http::Limits { bodies: entry.bodies.clone(), connections_max: WATCHING_CONNECTIONS_MAX };
+    executor.spawn(http::serve(executor.clone(), readiness, limits, handler)).detach();
     spdlog::info!("entry instance started", kv: {
         machine = deployment.machine,
         callers: = callers_address,
--- a/crates/cli/src/roles/http.rs
+++ b/crates/cli/src/roles/http.rs
@@ -1,9 +1,17 @@
-//! A minimal HTTP server for requests of endpoints and operators, readiness checks and metrics.
+//! An HTTP server for requests of endpoints and operators, readiness checks and metrics.
+//!
+//! Anybody may connect, so all that a connection costs is bounded: its head, the time that it takes, and,
+//! together with all other connections, its body and its response.
 
-use http_types::{Request, Response, StatusCode};
+use http_types::headers::{HeaderName, HeaderValue};
+use http_types::{Method, Request, Response, StatusCode, Url};
+use lycheehub_budget::{Budget, Room};
+use lycheehub_clock::within;
+use lycheehub_proxy::http1::{Body, Connection, Error, RequestHead};
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,20 +19,69 @@
 const ACCEPT_RETRY_MS: u64 = 50;
 /// The path of the metrics.
 const METRICS_PATH: &str = "/metrics";
+/// The maximum length of a request head, in bytes.
+const HEAD_MAX_BYTES: usize = 16 * 1024;
+/// The longest body, in bytes: that of a document.
+const BODY_MAX_BYTES: usize = 8 * 1024 * 1024;
+/// How long a connection may be idle between requests, in milliseconds.
+const IDLE_TIMEOUT_MS: u64 = 60_000;
+/// How long a head may take from its first byte, in milliseconds.
+const HEAD_TIMEOUT_MS: u64 = 5_000;
+/// How long a body may take, in milliseconds.
+const BODY_TIMEOUT_MS: u64 = 10_000;
+/// How long a caller may take to read a response, in milliseconds.
+const RESPONSE_TIMEOUT_MS: u64 = 10_000;
+/// How long a caller may take to close its side after the last response, in milliseconds.
+const LINGER_MS: u64 = 1_000;
+/// The most bytes that are discarded meanwhile.
+const LINGER_MAX_BYTES: usize = 1024 * 1024;
+/// The interim response for a caller that waits for it before it sends its body.
+const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// What the connections of a listener share.
+#[derive(Clone)]
+pub(super) struct Limits {
+    /// The memory for bodies and responses.
+    pub(super) bodies: Rc<Budget>,
+    /// The most concurrent connections.
+    pub(super) connections_max: usize,
+}
+
+/// A request that was received whole.
+struct Received {
+    request: Request,
+    /// Whether the connection can be used for another request.
+    keeps_alive: bool,
+    /// Keeps the body's memory charged until the request is answered.
+    _room: Room,
+}
 
 /// Accepts connections on `listener` and answers each request with `handler`.
 pub(super) async fn serve<H, F>(
     executor: Rc<LocalExecutor<'static>>,
     listener: TcpListener,
+    limits: Limits,
     handler: H,
 ) where
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response> + 'static,
 {
+    let connections = Rc::new(Cell::new(0));
     loop {
         match listener.accept().await {
+            Ok(_) if connections.get() >= limits.connections_max => {
+                metrics::counter!("lycheehub_connections_refused_total").increment(1);
+            }
             Ok((stream, _)) => {
-                executor.spawn(serve_connection(stream, handler.clone())).detach();
+                let (connections, bodies) = (connections.clone(), limits.bodies.clone());
+                let handler = handler.clone();
+                // Counted here, since a burst is accepted before the first of its tasks runs.
+                connections.set(connections.get() + 1);
+                let task = async move {
+                    serve_connection(stream, &bodies, handler).await;
+                    connections.set(connections.get() - 1);
+                };
+                executor.spawn(task).detach();
             }
             Err(error) => {
                 spdlog::warn!("failed to accept a connection", kv: { error: });
@@ -34,7 +91,7 @@
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, handler: H)
+async fn serve_connection<H, F>(stream: TcpStream, bodies: &Rc<Budget>, handler: H)
 where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
@@ -44,14 +101,132 @@
     }
     let caller = stream.peer_addr().ok().map(|address| address.to_string());
     let own = stream.local_addr().ok().map(|address| address.to_string());
-    let service = |mut request: Request| {
-        request.set_peer_addr(caller.clone());
-        request.set_local_addr(own.clone());
-        let response = handler(request);
-        async move { Ok(response.await) }
+    let mut connection = Connection::new(stream);
+    while await_request(&mut connection).await {
+        let (response, keeps_alive) = match read_request(&mut connection, bodies).await {
+            Ok(Received { mut request, keeps_alive, _room }) => {
+                request.set_peer_addr(caller.clone());
+                request.set_local_addr(own.clone());
+                (handler(request).await, keeps_alive)
+            }
+            Err(error) => match refusal(&error) {
+                Some(response) => (response, false),
+                None => return spdlog::debug!("connection ended", kv: { error: }),
+            },
+        };
+        match send_response(&mut connection, bodies, response, keeps_alive).await {
+            Ok(()) if keeps_alive => {}
+            Ok(()) => return close(&mut connection).await,
+            Err(error) => return spdlog::debug!("connection ended", kv: { error: }),
+        }
+    }
+}
+
+/// Waits for the first byte of a request; returns false if the connection ends instead.
+async fn await_request(connection: &mut Connection) -> bool {
+    if !connection.buffered().is_empty() {
+        return true;
+    }
+    matches!(within(IDLE_TIMEOUT_MS, connection.fill()).await, Some(Ok(1..)))
+}
+
+async fn read_request(connection: &mut Connection, bodies: &Rc<Budget>) -> Result<Received, Error> {
+    let head = within(HEAD_TIMEOUT_MS, connection.read_request_head(HEAD_MAX_BYTES)).await;
+    let head = head.ok_or(Error::TimedOut)??;
+    let mut request = request_of(&head)?;
+    if head.expects_continue() {
+        connection.send(CONTINUE_RESPONSE).await?;
+    }
+    let room = bodies.open();
+    let body = Body::new(head.framing).read_charged(connection, BODY_MAX_BYTES, &room);
+    let body = within(BODY_TIMEOUT_MS, body).await.ok_or(Error::TimedOut)??;
+    request.set_body(body);
+    Ok(Received { request, keeps_alive: head.keeps_alive, _room: room })
+}
+
+/// Converts the head of a request.
+fn request_of(head: &RequestHead) -> Result<Request, Error> {
+    let method: Method = head.method.parse().map_err(|_| Error::Malformed("method"))?;
+    let host = head.headers.text("host").unwrap_or("localhost");
+    let url = match head.target.starts_with('/') {
+        true => Url::parse(&format!("http://{host}{}", head.target)),
+        false => Url::parse(&head.target),
     };
-    if let Err(error) = async_h1::accept(stream, service).await {
-        spdlog::debug!("connection ended", kv: { error: });
+    let mut request = Request::new(method, url.map_err(|_| Error::Malformed("target"))?);
+    for (name, value) in head.headers.iter() {
+        let name = HeaderName::from_bytes(name.as_bytes().to_vec());
+        let value = HeaderValue::from_bytes(value.to_vec());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            request.append_header(name, value);
+        }
+    }
+    Ok(request)
+}
+
+/// Returns the response to a request that was not received, unless its sender is gone.
+fn refusal(error: &Error) -> Option<Response> {
+    let status = match error {
+        Error::HeadTooLong => StatusCode::RequestHeaderFieldsTooLarge,
+        Error::BodyTooLong => StatusCode::PayloadTooLarge,
+        Error::Malformed(_) => StatusCode::BadRequest,
+        Error::TimedOut | Error::Truncated => StatusCode::RequestTimeout,
+        Error::NoRoom(_) => StatusCode::ServiceUnavailable,
+        Error::Io(_) | Error::Closed => return None,
+    };
+    spdlog::info!("request not received", kv: { error: = error, status = u64::from(status as u16) });
+    let mut response = Response::new(status);
+    if status == StatusCode::ServiceUnavailable {
+        response.insert_header("retry-after", "1");
+    }
+    Some(response)
+}
+
+/// Sends a response, whose body is charged until its caller has read it.
+async fn send_response(
+    connection: &mut Connection,
+    bodies: &Rc<Budget>,
+    mut response: Response,
+    keeps_alive: bool,
+) -> Result<(), Error> {
+    let body = response.take_body().into_bytes().await;
+    let mut body = body.map_err(|_| Error::Malformed("own response"))?;
+    let room = bodies.open();
+    let bytes = body.len() as u64;
+    if let Err(error) = room.hold(bytes, bytes).await {
+        spdlog::info!("response not sent", kv: { error: = error });
+        body = Vec::new();
+        response = Response::new(StatusCode::ServiceUnavailable);
+        response.insert_header("retry-after", "1");
+    }
+    room.record_received();
+    let head = response_head(&response, body.len(), keeps_alive);
+    let send = async {
+        connection.send(head.as_bytes()).await?;
+        connection.send(&body).await
+    };
+    within(RESPONSE_TIMEOUT_MS, send).await.ok_or(Error::TimedOut)?
+}
+
+fn response_head(response: &Response, length: usize, keeps_alive: bool) -> String {
+    let status = response.status();
+    let mut head = format!("HTTP/1.1 {} {}\r\n", status as u16, status.canonical_reason());
+    for (name, values) in response.iter() {
+        for value in values {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+    }
+    if !keeps_alive {
+        head.push_str("connection: close\r\n");
+    }
+    head.push_str(&format!("content-length: {length}\r\n\r\n"));
+    head
+}
+
+/// Closes a connection after its last response, so that the caller can read that.
+async fn close(connection: &mut Connection) {
+    // Fails if the caller has closed the connection already.
+    if connection.close_sending().is_ok() {
+        within(LINGER_MS, connection.discard_until_closed(LINGER_MAX_BYTES)).await;
     }
 }
 
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -13,6 +13,7 @@
 use crate::settings::LogFormat;
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
+use lycheehub_budget::Budget;
 use lycheehub_peer::Control;
 use lycheehub_platform::settings::{self, Deployment};
 use smol::LocalExecutor;
@@ -29,6 +30,21 @@
     run(control::serve)
 }
 
+/// The part of a machine's memory for the bodies that clients of a process send.
+const ENTRY_BODY_SHARE: f64 = 1.0 / 3.0;
+/// The same part on a control instance, where a document takes several times its size while it is read.
+const CONTROL_BODY_SHARE: f64 = 1.0 / 8.0;
+/// The memory for bodies if the settings do not name the memory of the machine, in bytes.
+const BODY_MEMORY_DEFAULT_BYTES: u64 = 64 * 1024 * 1024;
+/// The most connections for readiness checks, and for metrics and operators.
+const WATCHING_CONNECTIONS_MAX: usize = 256;
+
+/// Returns the memory for bodies on a machine, of which they may take a `share`.
+fn body_memory_bytes(deployment: &Deployment, share: f64) -> u64 {
+    let memory_bytes = deployment.memory_bytes;
+    memory_bytes.map_or(BODY_MEMORY_DEFAULT_BYTES, |bytes| (bytes as f64 * share) as u64)
+}
+
 /// The metrics port, as set in the platform's deployment file.
 const METRICS_PORT: u16 = 9464;
 
@@ -59,6 +75,7 @@
 async fn serve_metrics(
     executor: &Rc<LocalExecutor<'static>>,
     deployment: &Deployment,
+    bodies: Rc<Budget>,
     control: Option<Control>,
 ) -> Result<(), Error> {
     let listener = listen("metrics", SocketAddr::new(deployment.ip, METRICS_PORT)).await?;
@@ -81,7 +98,8 @@
             http::metrics(&handle, &request)
         }
     };
-    executor.spawn(http::serve(executor.clone(), listener, handler)).detach();
+    let limits = http::Limits { bodies, connections_max: WATCHING_CONNECTIONS_MAX };
+    executor.spawn(http::serve(executor.clone(), listener, limits, handler)).detach();
     Ok(())
 }
 
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -8,6 +8,7 @@
 use crate::server::IdleLimits;
 use crate::shutdown::{Shutdown, Stop};
 use lycheehub_auth::DigestKey;
+use lycheehub_budget::Budget;
 use lycheehub_clock::Clock;
 use lycheehub_dispatch::Placement;
 use lycheehub_routes::{ClientLimits, RouteTable};
@@ -38,6 +39,8 @@
     pub connect_timeout_ms: u64,
     /// Time limit for receiving a request body, in milliseconds.
     pub body_timeout_ms: u64,
+    /// The memory for the bodies of callers' requests, in bytes.
+    pub body_memory_bytes: u64,
     /// The key of the identities of requests; the same at all instances.
     pub digest_key: DigestKey,
 }
@@ -73,6 +76,8 @@
     pub placement: Rc<dyn Placement>,
     /// Idle connections to endpoints.
     pub pool: Pool,
+    /// The memory for the bodies of callers' requests.
+    pub bodies: Rc<Budget>,
     /// The paths to endpoints.
     pub paths: Paths,
     /// Connects to endpoints through other instances.
@@ -109,6 +114,7 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Rc<Self> {
         Rc::new(Self {
+            bodies: Budget::new(clock, options.body_memory_bytes),
             options,
             clock,
             dialect,
--- a/crates/proxy/src/exchange/attempt.rs
+++ b/crates/proxy/src/exchange/attempt.rs
@@ -3,7 +3,7 @@
 use super::filters::ResolvedRequest;
 use super::guard::{Interrupted, run_interruptible};
 use super::relocation::{Reached, Relocation};
-use super::send::{ResponseStart, send};
+use super::send::{RequestBytes, ResponseStart, send};
 use super::stream_state::StreamState;
 use super::tried::Tried;
 use super::{Exchange, Placed};
@@ -511,7 +511,7 @@
         resolved: &ResolvedRequest,
         placed: &Placed,
         stream: &StreamState,
-    ) -> Vec<u8> {
+    ) -> RequestBytes<'_> {
         let dialect = &self.entry.dialect;
         let mut headers = self.head.headers.forwarded(|name| dialect.is_stripped(name));
         let left_ms = self.deadline_ms.saturating_sub(self.entry.clock.now_ms());
@@ -531,8 +531,7 @@
             format!("{} {} HTTP/1.1\r\n", self.head.method, self.head.target).into_bytes();
         headers.write(&mut bytes);
         bytes.extend_from_slice(b"\r\n");
-        bytes.extend_from_slice(&self.body);
-        bytes
+        RequestBytes::new(bytes, &self.body)
     }
 
     /// Reports an attempt that takes much longer than expected. If the request can move to another endpoint,
--- a/crates/proxy/src/exchange/mod.rs
+++ b/crates/proxy/src/exchange/mod.rs
@@ -26,6 +26,7 @@
 use attempt::{AttemptEnd, AttemptScope, BufferedResponse, Destination};
 use filters::ResolvedRequest;
 use guard::Interrupted;
+use lycheehub_budget::Room;
 use lycheehub_dispatch::crashes::RequestDigest;
 use lycheehub_dispatch::{Decision, Job, JobId, Reason, RefusalBasis};
 use lycheehub_routes::RequestKind;
@@ -57,6 +58,8 @@
     pub head: RequestHead,
     /// The complete body.
     pub body: Vec<u8>,
+    /// The account of the body's memory.
+    pub room: Room,
     /// Time from the first to the last byte, in milliseconds.
     pub read_ms: u64,
     /// Who sent it, and on which connection.
@@ -70,6 +73,8 @@
     entry: &'a Rc<Entry>,
     head: RequestHead,
     body: Vec<u8>,
+    /// Frees the body's memory in the end.
+    _room: Room,
     fields: RequestFields,
     /// The identity of the request, once its client account is known.
     digest: Option<RequestDigest>,
@@ -91,7 +96,7 @@
     connection: &mut Connection,
     request: ReceivedRequest,
 ) -> bool {
-    let ReceivedRequest { head, body, read_ms, caller, idle_time } = request;
+    let ReceivedRequest { head, body, room, read_ms, caller, idle_time } = request;
     let started_ms = entry.clock.now_ms();
     let fields = entry.dialect.read_request(&head);
     let timeout_ms = fields.deadline_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
@@ -101,6 +106,7 @@
         access_log: AccessLog::new(&fields.id, started_ms, read_ms, caller),
         head,
         body,
+        _room: room,
         fields,
         digest: None,
         started_ms,
@@ -121,7 +127,13 @@
     id: &str,
     error: &Error,
 ) {
+    const NO_ROOM_RETRY_AFTER_MS: u64 = 1_000;
     let kind = match error {
+        Error::NoRoom(_) => {
+            let (kind, retry_after_ms) = (RefusalKind::Overloaded, NO_ROOM_RETRY_AFTER_MS);
+            let refusal = Refusal::retry(kind, error.to_string(), retry_after_ms);
+            return refuse(entry, connection, id, &refusal).await;
+        }
         Error::HeadTooLong | Error::BodyTooLong => RefusalKind::TooLarge,
         Error::Malformed(_) => RefusalKind::BadRequest,
         Error::TimedOut | Error::Truncated => RefusalKind::Incomplete,
--- a/crates/proxy/src/exchange/send.rs
+++ b/crates/proxy/src/exchange/send.rs
@@ -12,6 +12,27 @@
 /// Lowest status code of a final response.
 const FINAL_STATUS_MIN: u16 = 200;
 
+/// Maximum size of a body that is sent in one write with its head, in bytes. A longer one is not copied.
+const COPIED_BODY_MAX_BYTES: usize = 16 * 1024;
+
+/// The bytes of a request.
+pub(super) struct RequestBytes<'a> {
+    /// The head, and a short body.
+    head: Vec<u8>,
+    /// A longer body.
+    body: &'a [u8],
+}
+
+impl<'a> RequestBytes<'a> {
+    pub(super) fn new(mut head: Vec<u8>, body: &'a [u8]) -> Self {
+        if body.len() > COPIED_BODY_MAX_BYTES {
+            return Self { head, body };
+        }
+        head.extend_from_slice(body);
+        Self { head, body: &[] }
+    }
+}
+
 /// The head of a response, and how it arrived.
 pub(super) struct ResponseStart {
     pub(super) head: ResponseHead,
@@ -36,15 +57,19 @@
 /// is the first one to arrive.
 pub(super) async fn send(
     upstream: &mut Connection,
-    request: &[u8],
+    request: &RequestBytes<'_>,
     is_expected: impl Fn(&ResponseHead, bool) -> bool,
 ) -> Result<ResponseStart, Error> {
-    upstream.require_confirmation(request.len())?;
+    upstream.require_confirmation(request.head.len() + request.body.len())?;
     let written = Cell::new(None);
     let mut writer = upstream.writer();
     let write = async {
         use futures_lite::AsyncWriteExt;
-        written.set(Some(writer.write_all(request).await));
+        let result = match writer.write_all(&request.head).await {
+            Ok(()) => writer.write_all(request.body).await,
+            failed => failed,
+        };
+        written.set(Some(result));
         // The endpoint may have answered before it closed the connection; its response decides.
         smol::future::pending().await
     };
--- a/crates/proxy/src/http1/body.rs
+++ b/crates/proxy/src/http1/body.rs
@@ -1,6 +1,9 @@
 //! Reads message bodies incrementally and removes their framing.
 
+use super::connection::READ_BYTES;
 use super::{Connection, Error};
+use futures_lite::future;
+use lycheehub_budget::Room;
 
 /// Maximum length of a chunk size line, in bytes.
 const CHUNK_LINE_MAX_BYTES: usize = 256;
@@ -109,6 +112,47 @@
         Ok(body)
     }
 
+    /// Reads a complete body of at most `max_bytes`, each part of it once there is `room`.
+    ///
+    /// # Errors
+    /// Fails if the body is longer, truncated or malformed, or if there is no room for it.
+    pub async fn read_charged(
+        self,
+        connection: &mut Connection,
+        max_bytes: usize,
+        room: &Room,
+    ) -> Result<Vec<u8>, Error> {
+        let most_bytes = match self.state {
+            State::Rest(length) if length > max_bytes as u64 => return Err(Error::BodyTooLong),
+            State::Rest(length) => length,
+            _ => max_bytes as u64,
+        };
+        let read = self.read_parts(connection, most_bytes, room);
+        let given_way = async { Err(Error::NoRoom(room.given_way().await)) };
+        let body = future::or(read, given_way).await?;
+        room.record_received();
+        Ok(body)
+    }
+
+    async fn read_parts(
+        mut self,
+        connection: &mut Connection,
+        most_bytes: u64,
+        room: &Room,
+    ) -> Result<Vec<u8>, Error> {
+        let mut body = Vec::new();
+        loop {
+            let next_bytes = (body.len() + READ_BYTES) as u64;
+            room.hold(next_bytes.min(most_bytes), most_bytes).await?;
+            if !self.next(connection, &mut body).await? {
+                return Ok(body);
+            }
+            if body.len() as u64 > most_bytes {
+                return Err(Error::BodyTooLong);
+            }
+        }
+    }
+
     /// Consumes buffered bytes up to the next state change; returns whether to call it again at once.
     fn step(&mut self, connection: &mut Connection, out: &mut Vec<u8>) -> Result<bool, Error> {
         match self.state {
--- a/crates/proxy/src/http1/connection.rs
+++ b/crates/proxy/src/http1/connection.rs
@@ -12,7 +12,7 @@
 use std::task::{Context, Poll, ready};
 
 /// Maximum number of bytes per read.
-const READ_BYTES: usize = 16 * 1024;
+pub(super) const READ_BYTES: usize = 16 * 1024;
 /// Capacity that an empty receive buffer keeps, in bytes.
 const EMPTY_BUFFER_BYTES: usize = 1_024;
 /// Maximum number of header fields in a head.
--- a/crates/proxy/src/http1/mod.rs
+++ b/crates/proxy/src/http1/mod.rs
@@ -10,6 +10,7 @@
 pub use events::{Event, EventParser};
 pub use head::{Headers, RequestHead, ResponseHead};
 
+use lycheehub_budget::NoRoom;
 use quick_error::quick_error;
 use std::io::ErrorKind;
 
@@ -47,6 +48,12 @@
         BodyTooLong {
             display("the body is too long")
         }
+        /// There is no memory for the body.
+        NoRoom(cause: NoRoom) {
+            display("{}", cause)
+            source(cause)
+            from()
+        }
     }
 }
 
@@ -62,7 +69,11 @@
                     | ErrorKind::BrokenPipe
                     | ErrorKind::UnexpectedEof
             ),
-            Self::TimedOut | Self::Malformed(_) | Self::HeadTooLong | Self::BodyTooLong => false,
+            Self::TimedOut
+            | Self::Malformed(_)
+            | Self::HeadTooLong
+            | Self::BodyTooLong
+            | Self::NoRoom(_) => false,
         }
     }
 }
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -142,9 +142,9 @@
     let started_ms = entry.clock.now_ms();
     let read = receive::read_request(entry, connection, &limits);
     let keeps_alive = match entry.shutdown.ending.interrupt(read).await {
-        Some(Ok((head, body))) => {
+        Some(Ok((head, body, room))) => {
             let read_ms = entry.clock.now_ms() - started_ms;
-            let request = ReceivedRequest { head, body, read_ms, caller, idle_time };
+            let request = ReceivedRequest { head, body, room, read_ms, caller, idle_time };
             exchange::handle_request(entry, connection, request).await
         }
         None => {
--- a/crates/proxy/src/server/receive.rs
+++ b/crates/proxy/src/server/receive.rs
@@ -2,6 +2,7 @@
 
 use crate::entry::Entry;
 use crate::http1::{Body, Connection, Error, RequestHead};
+use lycheehub_budget::Room;
 use lycheehub_clock::within;
 use lycheehub_routes::ClientLimits;
 use smol_str::SmolStr;
@@ -19,18 +20,20 @@
     pub(super) error: Error,
 }
 
-/// Receives a request.
+/// Receives a request, and returns the account of its body's memory.
 pub(super) async fn read_request(
     entry: &Entry,
     connection: &mut Connection,
     limits: &ClientLimits,
-) -> Result<(RequestHead, Vec<u8>), Unread> {
+) -> Result<(RequestHead, Vec<u8>, Room), Unread> {
     let head = read_head(connection, limits).await;
     let head = head.map_err(|error| Unread { step: "head", id: SmolStr::default(), error })?;
-    let body = read_body(connection, limits, &head, entry.options.body_timeout_ms).await;
+    let room = entry.bodies.open();
+    let timeout_ms = entry.options.body_timeout_ms;
+    let body = read_body(connection, limits, &head, &room, timeout_ms).await;
     let id = || entry.dialect.read_request(&head).id;
     let body = body.map_err(|error| Unread { step: "body", id: id(), error })?;
-    Ok((head, body))
+    Ok((head, body, room))
 }
 
 /// Receives the head of a request.
@@ -46,11 +49,12 @@
     connection: &mut Connection,
     limits: &ClientLimits,
     head: &RequestHead,
+    room: &Room,
     timeout_ms: u64,
 ) -> Result<Vec<u8>, Error> {
     if head.expects_continue() {
         connection.send(CONTINUE_RESPONSE).await?;
     }
-    let read = Body::new(head.framing).read_whole(connection, limits.body_max_bytes);
+    let read = Body::new(head.framing).read_charged(connection, limits.body_max_bytes, room);
     within(timeout_ms, read).await.ok_or(Error::TimedOut)?
 }
--- a/crates/proxy/tests/proxy/support.rs
+++ b/crates/proxy/tests/proxy/support.rs
@@ -310,6 +310,7 @@
         let relays = Rc::new(TestRelays::default());
         let entry = Entry::new(
             Options {
+                body_memory_bytes: 64 * 1024 * 1024,
                 has_several_regions: false,
                 instance: "entry-1".into(),
                 failure_domain: "salto".into(),
