--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -96,7 +96,8 @@
         self.ledger.borrow().limits().of(part)
     }
 
-    fn record_gauges(&self) {
+    /// Records the gauges of what is held, of its limits and of what waits.
+    pub fn record_gauges(&self) {
         for part in Part::ALL {
             let labels = [("part", part.name())];
             metrics::gauge!("lycheehub_body_memory_bytes", &labels).set(self.held(part) as f64);
@@ -183,7 +184,6 @@
             return Ok(());
         }
         let place = Place::take(budget, part);
-        budget.record_gauges();
         let give_up_ms = budget.clock.now_ms() + PATIENCE_MS;
         while budget.clock.now_ms() < give_up_ms {
             if place.is_first() {
@@ -232,7 +232,6 @@
     fn drop(&mut self) {
         self.budget.ledger.borrow_mut().close(self.key);
         self.budget.notices.borrow_mut().remove(&self.key);
-        self.budget.record_gauges();
         self.budget.wake_first();
     }
 }
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -81,8 +81,10 @@
     let listener = listen("metrics", SocketAddr::new(deployment.ip, METRICS_PORT)).await?;
     let handle = start_metrics()?;
     let domains = Rc::new(deployment.peer.regions.clone());
+    let limits = http::Limits { bodies: bodies.clone(), connections_max: WATCHING_CONNECTIONS_MAX };
     let handler = move |request| {
         let (handle, control, domains) = (handle.clone(), control.clone(), domains.clone());
+        let bodies = bodies.clone();
         async move {
             if let Some(control) = control {
                 if let Some(response) = lists::answer(&control, &request).await {
@@ -95,10 +97,10 @@
                     return response;
                 }
             }
+            bodies.record_gauges();
             http::metrics(&handle, &request)
         }
     };
-    let limits = http::Limits { bodies, connections_max: WATCHING_CONNECTIONS_MAX };
     executor.spawn(http::serve(executor.clone(), listener, limits, handler)).detach();
     Ok(())
 }
