cli: the oldest connection that waits gives way at the maximum of a port

A bound that refuses new connections lets a crowd that holds them keep readiness checks out, and the balancer takes the instance for dead.

--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -45,8 +45,8 @@
         copies_min = deployment.peer.copies_min as u64,
     });
     let regions = deployment.peer.regions.clone();
-    let calls_to = ControlCalls::new(control.clone(), address.to_string(), regions, Clock::new());
-    let answers = Rc::new(calls_to);
+    let answers = ControlCalls::new(control.clone(), address.to_string(), regions, Clock::new());
+    let answers = Rc::new(answers);
     let handler = move |request| {
         let answers = answers.clone();
         async move { answers.answer(request).await }
--- a/crates/cli/src/roles/http.rs
+++ b/crates/cli/src/roles/http.rs
@@ -3,6 +3,7 @@
 //! Anybody may connect, so all that a connection costs is bounded: its head, the time that it takes, and,
 //! together with all other connections, its body and its response.
 
+use super::connections::{OpenConnection, OpenConnections};
 use http_types::headers::{HeaderName, HeaderValue};
 use http_types::{Method, Request, Response, StatusCode, Url};
 use lycheehub_budget::{Budget, Room};
@@ -11,7 +12,6 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -66,21 +66,14 @@
     H: Fn(Request) -> F + Clone + 'static,
     F: Future<Output = Response> + 'static,
 {
-    let connections = Rc::new(Cell::new(0));
+    let connections = OpenConnections::new(limits.connections_max);
     loop {
         match listener.accept().await {
-            Ok(_) if connections.get() >= limits.connections_max => {
-                metrics::counter!("lycheehub_connections_refused_total").increment(1);
-            }
             Ok((stream, _)) => {
-                let (connections, bodies) = (connections.clone(), limits.bodies.clone());
-                let handler = handler.clone();
                 // Counted here, since a burst is accepted before the first of its tasks runs.
-                connections.set(connections.get() + 1);
-                let task = async move {
-                    serve_connection(stream, &bodies, handler).await;
-                    connections.set(connections.get() - 1);
-                };
+                let Some(open) = connections.add() else { continue };
+                let (bodies, handler) = (limits.bodies.clone(), handler.clone());
+                let task = async move { serve_connection(stream, &open, &bodies, handler).await };
                 executor.spawn(task).detach();
             }
             Err(error) => {
@@ -91,8 +84,12 @@
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, bodies: &Rc<Budget>, handler: H)
-where
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    open: &OpenConnection,
+    bodies: &Rc<Budget>,
+    handler: H,
+) where
     H: Fn(Request) -> F,
     F: Future<Output = Response>,
 {
@@ -102,8 +99,8 @@
     let caller = stream.peer_addr().ok().map(|address| address.to_string());
     let own = stream.local_addr().ok().map(|address| address.to_string());
     let mut connection = Connection::new(stream);
-    while await_request(&mut connection).await {
-        let (response, keeps_alive) = match read_request(&mut connection, bodies).await {
+    while let Some(received) = open.unless_closed(next_request(&mut connection, bodies)).await {
+        let (response, keeps_alive) = match received {
             Ok(Received { mut request, keeps_alive, _room }) => {
                 request.set_peer_addr(caller.clone());
                 request.set_local_addr(own.clone());
@@ -122,12 +119,16 @@
     }
 }
 
-/// Waits for the first byte of a request; returns false if the connection ends instead.
-async fn await_request(connection: &mut Connection) -> bool {
-    if !connection.buffered().is_empty() {
-        return true;
+/// Receives the next request; returns `None` if the connection ends before its first byte.
+async fn next_request(
+    connection: &mut Connection,
+    bodies: &Rc<Budget>,
+) -> Option<Result<Received, Error>> {
+    if connection.buffered().is_empty() {
+        let filled = within(IDLE_TIMEOUT_MS, connection.fill()).await;
+        matches!(filled, Some(Ok(1..))).then_some(())?;
     }
-    matches!(within(IDLE_TIMEOUT_MS, connection.fill()).await, Some(Ok(1..)))
+    Some(read_request(connection, bodies).await)
 }
 
 async fn read_request(connection: &mut Connection, bodies: &Rc<Budget>) -> Result<Received, Error> {
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -1,5 +1,6 @@
 //! Runs entry and control instances on the deployment platform.
 
+mod connections;
 mod control;
 mod entry;
 mod evacuations;
--- a/crates/cli/tests/crowds/main.rs
+++ b/crates/cli/tests/crowds/main.rs
@@ -12,9 +12,11 @@
 mod support;
 
 use crowd::{Crowd, Form};
-use deployment::{CONTROL_PORT, Deployment, FRONT_PORT, Layout, Process, eventually};
+use deployment::{CONTROL_PORT, Deployment, FRONT_PORT, Layout, Process, READY_PORT, eventually};
 use googletest::prelude::*;
 use serde_json::{Value, json};
+use std::io::Write;
+use std::net::TcpStream;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use support::{Endpoint, announce, send_request};
 
@@ -31,6 +33,8 @@
 const CONTROL_CROWD: usize = 24;
 /// The descriptors of a process beside those of a crowd, each member of which may cost two.
 const OTHER_DESCRIPTORS: usize = 100;
+/// The connections that a crowd holds at the readiness port: more than it takes at once.
+const HELD_CONNECTIONS: usize = 400;
 const MIB: u64 = 1024 * 1024;
 
 /// Lets one test run at a time.
@@ -173,6 +177,21 @@
     crowd_at_control(Form::SentTooLong);
 }
 
+#[gtest]
+fn readiness_is_told_beside_a_crowd_that_holds_connections() {
+    let _turn = turn();
+    let (mut deployment, _endpoint) = start();
+    let address = format!("{}:{READY_PORT}", deployment.entries[0].ip);
+    let silent: Vec<TcpStream> =
+        (0..HELD_CONNECTIONS).filter_map(|_| TcpStream::connect(&address).ok()).collect();
+    for mut stream in &silent[..HELD_CONNECTIONS / 2] {
+        // Fails if the connection is closed already.
+        let _ = stream.write_all(b"GET /-/ready HTTP/1.1\r\nHost: ");
+    }
+    eventually("the instance tells that it is ready", || deployment.ready(0) == 200);
+    check(&mut deployment.entries[0], ENTRY_MEMORY_MIB, HELD_CONNECTIONS, 0);
+}
+
 #[gtest]
 fn one_request_of_the_largest_size_is_served_in_calm() {
     let _turn = turn();
