soak: an operator evacuates a domain and takes it back; the last acknowledged order is in force

The domain has no endpoints. The opposite order waits until an order without a clear answer is no longer tried (docs/design/evacuations.md).

--- a/crates/cli/tests/soak/main.rs
+++ b/crates/cli/tests/soak/main.rs
@@ -11,6 +11,7 @@
 #[path = "../deployment/mod.rs"]
 mod deployment;
 mod endpoint;
+mod evacuations;
 mod faults;
 mod gate;
 mod history;
@@ -24,6 +25,7 @@
 use caller::Caller;
 use deployment::{Deployment, Layout, StopOnDrop, eventually};
 use endpoint::Endpoint;
+use evacuations::Evacuator;
 use faults::Target;
 use history::History;
 use operator::Operator;
@@ -120,6 +122,7 @@
     let (controls, entries) = (ips(&deployment.controls), ips(&deployment.entries));
     let folder = deployment.folder.clone();
     let endpoints = start_endpoints(&deployment.prefix, &controls, &history, seed);
+    let evacuator = Evacuator::new(controls.clone(), history.clone(), seed);
     let mut operator = Operator::new(controls, history.clone(), seed);
     let is_cancelled = AtomicBool::new(false);
     operator.apply_next_version(&is_cancelled);
@@ -143,6 +146,10 @@
         let (is_stopped, storms) = (is_stopped.clone(), target.document_storms.clone());
         std::thread::spawn(move || operator.run(&is_stopped, &storms))
     };
+    let evacuator_thread = {
+        let is_stopped = is_stopped.clone();
+        std::thread::spawn(move || evacuator.run(&is_stopped))
+    };
     let duration = Duration::from_secs(env_number("LYCHEEHUB_SOAK_SECONDS", 8));
     let limits = {
         let target = target.clone();
@@ -164,10 +171,13 @@
         + &rejections.join().expect("the thread of the rejections does not panic");
     drop(stop);
     let mut operator = operator_thread.join().expect("the operator thread does not panic");
+    let mut evacuator =
+        evacuator_thread.join().expect("the thread of the evacuations does not panic");
     for caller in callers {
         caller.join().expect("caller threads do not panic");
     }
     operator.read_back_until(last_fault_ended + RECOVERY);
+    evacuator.check();
     target.endpoints.iter().for_each(|endpoint| endpoint.stop_announcing());
     check_exits(&target, &history);
     drop(probe);
