dispatch: an endpoint without cold time or evacuation costs no further look-ups

Cause: each change of the directory looked up service, pace and evacuation of every endpoint, though most deployments have none. Change: only endpoints that state to be cold, are, or may be evacuated.

--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -69,13 +69,15 @@
     }
 
     fn set_endpoint(&mut self, now_ms: u64, record: &EndpointRecord) {
-        let known = self.by_name.get(&record.endpoint).map(|key| &mut self.endpoints[*key]);
+        let known = self.by_name.get(&record.endpoint).copied();
+        let known = known.map(|key| (key, &mut self.endpoints[key]));
         match known {
-            Some(known)
+            Some((key, known))
                 if known.record.incarnation == record.incarnation
                     && known.record.service == record.service =>
             {
                 known.record = record.clone();
+                self.update_closed(now_ms, key);
             }
             _ => {
                 self.remove_endpoint(&record.endpoint);
@@ -85,10 +87,18 @@
                 let key = self.endpoints.insert(endpoint);
                 self.by_name.insert(record.endpoint.clone(), key);
                 self.link_to_service(&record.endpoint);
+                self.update_closed(now_ms, key);
             }
         }
-        if let Some(key) = self.by_name.get(&record.endpoint).copied() {
+    }
+
+    /// Applies to an endpoint what its record says of its warmth, and the evacuations.
+    fn update_closed(&mut self, now_ms: u64, key: EndpointKey) {
+        let endpoint = &self.endpoints[key];
+        if endpoint.record.cold_ms > 0 || endpoint.warmth.is_cold(now_ms) {
             self.update_warmth(now_ms, key);
+        }
+        if !self.evacuated.is_empty() || self.endpoints[key].is_evacuated {
             self.update_evacuated(now_ms, key);
         }
     }
