--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -77,7 +77,7 @@
                     && known.record.service == record.service =>
             {
                 known.record = record.clone();
-                self.update_closed(now_ms, key);
+                self.update_availability(now_ms, key);
             }
             _ => {
                 self.remove_endpoint(&record.endpoint);
@@ -87,13 +87,13 @@
                 let key = self.endpoints.insert(endpoint);
                 self.by_name.insert(record.endpoint.clone(), key);
                 self.link_to_service(&record.endpoint);
-                self.update_closed(now_ms, key);
+                self.update_availability(now_ms, key);
             }
         }
     }
 
-    /// Applies to an endpoint what its record says of its warmth, and the evacuations.
-    fn update_closed(&mut self, now_ms: u64, key: EndpointKey) {
+    /// Applies to an endpoint the cold time that its record states, and the evacuations in force.
+    fn update_availability(&mut self, now_ms: u64, key: EndpointKey) {
         let endpoint = &self.endpoints[key];
         if endpoint.record.cold_ms > 0 || endpoint.warmth.is_cold(now_ms) {
             self.update_warmth(now_ms, key);
