tidy: what reading the whole change again has found; behaviour as before

Written twice: the graceful close and the reading of a body with its interim response stood in the callers' server and in the one of control instances; both are functions of http1::Connection now. The check that a call comes from the same machine stood in two calls of operators, one of them in the other's module: roles::ends. The tolerance of cold times stood in control and dispatch: types::endpoint. More than needed: the queue for room in memory was a list searched at each end, and is an ordered map; three look-ups of what a cold endpoint bears are one. In the wrong place: each request of an entry instance searched all client accounts by name for its regions, though its key had just found the account; the route answers that now.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -6,7 +6,8 @@
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,31 +38,13 @@
     }
 }
 
-/// The bodies that wait for a part, first come first served.
-#[derive(Debug, Default)]
-struct Waiting {
-    wakers: VecDeque<(u64, Sender<()>)>,
-}
-
-impl Waiting {
-    fn is_first(&self, number: u64) -> bool {
-        self.wakers.front().is_none_or(|(first, _)| *first == number)
-    }
-
-    fn wake_first(&self) {
-        if let Some((_, waker)) = self.wakers.front() {
-            // A full channel has woken it already.
-            let _ = waker.try_send(());
-        }
-    }
-}
-
 /// The memory for bodies, shared by the connections of a thread.
 #[derive(Debug)]
 pub struct Budget {
     clock: Clock,
     ledger: RefCell<Ledger>,
-    waiting: RefCell<BTreeMap<Part, Waiting>>,
+    /// The senders that wake the bodies that wait for a part, by number: first come, first served.
+    waiting: RefCell<BTreeMap<(Part, u64), Sender<()>>>,
     /// The senders that tell bodies to give way.
     notices: RefCell<BTreeMap<BodyKey, Sender<()>>>,
     last_number: Cell<u64>,
@@ -103,8 +86,7 @@
             metrics::gauge!("lycheehub_body_memory_bytes", &labels).set(self.held(part) as f64);
             let limit = self.limit(part) as f64;
             metrics::gauge!("lycheehub_body_memory_limit_bytes", &labels).set(limit);
-            let waiting = self.waiting.borrow();
-            let waiting = waiting.get(&part).map_or(0, |waiting| waiting.wakers.len());
+            let waiting = self.waiting.borrow().range(places_of(part)).count();
             metrics::gauge!("lycheehub_bodies_waiting", &labels).set(waiting as f64);
         }
     }
@@ -118,17 +100,29 @@
         }
     }
 
-    /// Returns whether no body waits for a part.
-    fn is_unwanted(&self, part: Part) -> bool {
+    /// Returns the number of the first body that waits for a part.
+    fn first_waiting(&self, part: Part) -> Option<u64> {
         let waiting = self.waiting.borrow();
-        waiting.get(&part).is_none_or(|waiting| waiting.wakers.is_empty())
+        waiting.range(places_of(part)).next().map(|((_, number), _)| *number)
     }
 
+    /// Wakes the first body that waits for each part.
     fn wake_first(&self) {
-        self.waiting.borrow().values().for_each(Waiting::wake_first);
+        let waiting = self.waiting.borrow();
+        for part in Part::ALL {
+            if let Some((_, waker)) = waiting.range(places_of(part)).next() {
+                // A full channel has woken it already.
+                let _ = waker.try_send(());
+            }
+        }
     }
 }
 
+/// Returns the keys of all bodies that may wait for a part.
+fn places_of(part: Part) -> RangeInclusive<(Part, u64)> {
+    (part, 0)..=(part, u64::MAX)
+}
+
 /// A place in the queue for a part, until it is dropped.
 struct Place<'a> {
     budget: &'a Budget,
@@ -142,22 +136,18 @@
         let number = budget.last_number.get() + 1;
         budget.last_number.set(number);
         let (waker, woken) = bounded(1);
-        let mut waiting = budget.waiting.borrow_mut();
-        waiting.entry(part).or_default().wakers.push_back((number, waker));
+        budget.waiting.borrow_mut().insert((part, number), waker);
         Self { budget, part, number, woken }
     }
 
     fn is_first(&self) -> bool {
-        let waiting = self.budget.waiting.borrow();
-        waiting.get(&self.part).is_none_or(|waiting| waiting.is_first(self.number))
+        self.budget.first_waiting(self.part) == Some(self.number)
     }
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        if let Some(waiting) = self.budget.waiting.borrow_mut().get_mut(&self.part) {
-            waiting.wakers.retain(|(number, _)| *number != self.number);
-        }
+        self.budget.waiting.borrow_mut().remove(&(self.part, self.number));
         self.budget.wake_first();
     }
 }
@@ -180,7 +170,7 @@
         let budget = &*self.budget;
         let is_held = budget.ledger.borrow().is_held(self.key, bytes);
         let part = Part::for_bytes(bytes);
-        if (is_held || budget.is_unwanted(part)) && self.try_hold(bytes, most_bytes) {
+        if (is_held || budget.first_waiting(part).is_none()) && self.try_hold(bytes, most_bytes) {
             return Ok(());
         }
         let place = Place::take(budget, part);
--- a/crates/cli/src/roles/evacuations.rs
+++ b/crates/cli/src/roles/evacuations.rs
@@ -2,7 +2,7 @@
 //!
 //! The port has no key: only a caller on the same machine begins or ends one.
 
-use super::quarantines::Ends;
+use super::ends::Ends;
 use http_types::{Method, Request, Response};
 use lycheehub_gateway::http::{json, refusal_response};
 use lycheehub_peer::{ClusterStatus, Control, ProposeReply};
@@ -42,10 +42,7 @@
     request: &Request,
 ) -> Result<(), Refusal> {
     let ends = Ends::of(request);
-    if !ends.is_same_machine() {
-        let message = "call it on the machine of this instance";
-        return Err(Refusal::new(RefusalKind::Unauthorized, message));
-    }
+    ends.require_same_machine()?;
     let order = evacuation::read(domain, begins, Some(&[]), domains);
     let mut order =
         order.map_err(|error| Refusal::new(RefusalKind::BadRequest, error.to_string()))?;
--- a/crates/cli/src/roles/http.rs
+++ b/crates/cli/src/roles/http.rs
@@ -8,7 +8,7 @@
 use http_types::{Method, Request, Response, StatusCode, Url};
 use lycheehub_budget::{Budget, Room};
 use lycheehub_clock::within;
-use lycheehub_proxy::http1::{Body, Connection, Error, RequestHead};
+use lycheehub_proxy::http1::{Connection, Error, RequestHead};
 use metrics_exporter_prometheus::PrometheusHandle;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
@@ -31,12 +31,6 @@
 const BODY_TIMEOUT_MS: u64 = 10_000;
 /// How long a caller may take to read a response, in milliseconds.
 const RESPONSE_TIMEOUT_MS: u64 = 10_000;
-/// How long a caller may take to close its side after the last response, in milliseconds.
-const LINGER_MS: u64 = 1_000;
-/// The most bytes that are discarded meanwhile.
-const LINGER_MAX_BYTES: usize = 1024 * 1024;
-/// The interim response for a caller that waits for it before it sends its body.
-const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
 /// What the connections of a listener share.
 #[derive(Clone)]
@@ -113,7 +107,7 @@
         };
         match send_response(&mut connection, bodies, response, keeps_alive).await {
             Ok(()) if keeps_alive => {}
-            Ok(()) => return close(&mut connection).await,
+            Ok(()) => return connection.close_gracefully().await,
             Err(error) => return spdlog::debug!("connection ended", kv: { error: }),
         }
     }
@@ -135,12 +129,8 @@
     let head = within(HEAD_TIMEOUT_MS, connection.read_request_head(HEAD_MAX_BYTES)).await;
     let head = head.ok_or(Error::TimedOut)??;
     let mut request = request_of(&head)?;
-    if head.expects_continue() {
-        connection.send(CONTINUE_RESPONSE).await?;
-    }
     let room = bodies.open();
-    let body = Body::new(head.framing).read_charged(connection, BODY_MAX_BYTES, &room);
-    let body = within(BODY_TIMEOUT_MS, body).await.ok_or(Error::TimedOut)??;
+    let body = connection.read_request_body(&head, BODY_MAX_BYTES, BODY_TIMEOUT_MS, &room).await?;
     request.set_body(body);
     Ok(Received { request, keeps_alive: head.keeps_alive, _room: room })
 }
@@ -223,14 +213,6 @@
     head
 }
 
-/// Closes a connection after its last response, so that the caller can read that.
-async fn close(connection: &mut Connection) {
-    // Fails if the caller has closed the connection already.
-    if connection.close_sending().is_ok() {
-        within(LINGER_MS, connection.discard_until_closed(LINGER_MAX_BYTES)).await;
-    }
-}
-
 /// Answers a request for the metrics; any other path is not found.
 pub(super) fn metrics(handle: &PrometheusHandle, request: &Request) -> Response {
     if request.url().path() != METRICS_PATH {
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -2,6 +2,7 @@
 
 mod connections;
 mod control;
+mod ends;
 mod entry;
 mod evacuations;
 mod http;
--- a/crates/cli/src/roles/quarantines.rs
+++ b/crates/cli/src/roles/quarantines.rs
@@ -2,6 +2,7 @@
 //!
 //! The port has no key, and a quarantine protects endpoints: only a caller on the same machine ends one.
 
+use super::ends::Ends;
 use http_types::{Method, Request, Response};
 use lycheehub_dispatch::crashes::{Ending, ListedQuarantine, QuarantineId};
 use lycheehub_gateway::http::{json, refusal_response};
@@ -10,7 +11,6 @@
 use serde::Serialize;
 use serde_json::json;
 use smol_str::{SmolStr, format_smolstr};
-use std::net::{Ipv4Addr, Ipv6Addr, SocketAddr};
 
 /// The path of the list; that of a quarantine ends with its identity.
 const PATH: &str = "/v1/operators/quarantines";
@@ -67,35 +67,9 @@
     }
 }
 
-/// The ends of a connection.
-#[derive(Clone, Copy)]
-pub(super) struct Ends {
-    caller: Option<SocketAddr>,
-    own: Option<SocketAddr>,
-}
-
-impl Ends {
-    pub(super) fn of(request: &Request) -> Self {
-        let parse = |text: Option<&str>| text.and_then(|text| text.parse().ok());
-        Self { caller: parse(request.peer_addr()), own: parse(request.local_addr()) }
-    }
-
-    /// Returns whether both are on the same machine.
-    pub(super) fn is_same_machine(&self) -> bool {
-        let Some(caller) = self.caller.map(|address| address.ip()) else { return false };
-        let is_local = [Ipv4Addr::LOCALHOST.into(), Ipv6Addr::LOCALHOST.into()].contains(&caller);
-        is_local || self.own.is_some_and(|own| own.ip() == caller)
-    }
-
-    /// Returns the caller's address for log lines.
-    pub(super) fn caller_text(&self) -> String {
-        self.caller.map_or_else(|| "an unknown address".to_owned(), |at| at.to_string())
-    }
-}
-
 async fn end(control: &Control, id: &str, ends: Ends) -> Response {
-    if !ends.is_same_machine() {
-        return refuse(RefusalKind::Unauthorized, "call it on the machine of this instance");
+    if let Err(refusal) = ends.require_same_machine() {
+        return refusal_response(&refusal);
     }
     let Ok(id) = id.parse::<QuarantineId>() else {
         return refuse(RefusalKind::BadRequest, "expected the identity of a quarantine");
--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -12,6 +12,7 @@
 pub use changes::{ChangePosition, Changes};
 use overtaken::Overtaken;
 
+use lycheehub_types::endpoint::COLD_TOLERANCE_MS;
 use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
 use std::collections::BTreeMap;
 
@@ -21,9 +22,6 @@
 /// How long endpoints stay listed after their replica is lost, in milliseconds: a lease, and the
 /// time for endpoints to find another replica.
 pub const ORPHAN_MS: u64 = LEASE_MS + 4_000;
-/// By how much two statements of the same cold time differ at most, in milliseconds: the delay of an
-/// announcement.
-const COLD_TOLERANCE_MS: u64 = 700;
 /// How long the entry of a gone endpoint is kept, in milliseconds.
 const GONE_RETENTION_MS: u64 = 120_000;
 
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -226,13 +226,12 @@
         if let Some(service) = self.services.get_mut(&job.service) {
             service.record_version_placed(&self.endpoints[key].record.version);
         }
-        let cold_start = self.cold_start_of(&job.service);
-        let cold_start = cold_start.map(|start| (start, self.pace(self.endpoints[key].name())));
+        let cold_pace = self.cold_pace(key);
         let endpoint = &mut self.endpoints[key];
         let first_byte_ms = endpoint.begin(now_ms, &job) as u64;
         endpoint.end_reservation(job.tier, job.rank);
         self.notices.take_permit(now_ms, endpoint.name());
-        if let Some((cold_start, pace)) = cold_start {
+        if let Some((cold_start, pace)) = cold_pace {
             endpoint.warmth.record_sent(now_ms, cold_start, pace);
         }
         self.decisions.push(Decision::Place {
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -332,11 +332,13 @@
         let Some(service) = self.services.get(&job.service) else { return no_endpoint };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         let mut usable = endpoints.filter(|endpoint| endpoint.takes_requests()).peekable();
-        if !self.is_discovering(now_ms) && usable.peek().is_none() {
-            return no_endpoint;
-        }
-        if !self.is_discovering(now_ms) && !usable.any(|known| self.is_in_region(known, job)) {
-            return Some((Reason::NoEndpointInRegion, RETRY_AFTER_MS));
+        if !self.is_discovering(now_ms) {
+            if usable.peek().is_none() {
+                return no_endpoint;
+            }
+            if !usable.any(|known| self.is_in_region(known, job)) {
+                return Some((Reason::NoEndpointInRegion, RETRY_AFTER_MS));
+            }
         }
         let all_closed_ms = self.all_closed_ms(now_ms, job);
         let first_byte_ms = first_byte_ms_at(service.speed, job) as u64;
--- a/crates/dispatch/src/endpoints/warmth.rs
+++ b/crates/dispatch/src/endpoints/warmth.rs
@@ -12,12 +12,11 @@
 
 use super::{Pace, RateLimit, StatedLimit};
 use lycheehub_routes::ColdStart;
+use lycheehub_types::endpoint::COLD_TOLERANCE_MS;
 use std::collections::VecDeque;
 
 /// The time in which an endpoint counts its requests, in milliseconds.
 const COUNTED_MS: u64 = 1_000;
-/// By how much two statements of the same cold time differ at most, in milliseconds.
-const TOLERANCE_MS: u64 = 700;
 
 /// Whether an endpoint is cold, and the pace of its requests meanwhile.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -61,7 +60,7 @@
             return;
         }
         let until_ms = now_ms + left_ms;
-        if self.stated_until_ms.abs_diff(until_ms) > TOLERANCE_MS {
+        if self.stated_until_ms.abs_diff(until_ms) > COLD_TOLERANCE_MS {
             self.begin(now_ms, cold_start, pace);
             self.stated_until_ms = until_ms;
         }
--- a/crates/proxy/src/exchange/filters.rs
+++ b/crates/proxy/src/exchange/filters.rs
@@ -2,8 +2,8 @@
 
 use super::Exchange;
 use crate::shutdown;
-use lycheehub_routes::RouteSpec;
 use lycheehub_routes::table::choose_target;
+use lycheehub_routes::{AccountSpec, RouteSpec};
 use lycheehub_types::{AccountName, Refusal, RefusalKind, Region, ServiceName};
 
 /// The route, service and account of a request.
@@ -22,10 +22,15 @@
     check_ready(exchange)?;
     let route = find_route(exchange)?;
     check_stop(exchange, route)?;
-    let (account, tier) = find_account(exchange, route)?;
+    let account = find_account(exchange, route)?;
     let service = choose_service(exchange, route)?;
-    let regions = exchange.snapshot.table.regions_of(route, account.as_ref());
-    Ok(ResolvedRequest { route: route.clone(), service, account, tier, regions })
+    Ok(ResolvedRequest {
+        route: route.clone(),
+        service,
+        account: account.map(|account| account.name.clone()),
+        tier: account.and_then(|account| account.tier).unwrap_or(route.rank),
+        regions: route.regions_for(account),
+    })
 }
 
 /// Refuses all requests while the route document is not known to be recent.
@@ -56,17 +61,18 @@
     Err(shutdown::refusal())
 }
 
-fn find_account(
-    exchange: &Exchange<'_>,
+/// Returns the client account of the request's key, if it has one.
+fn find_account<'a>(
+    exchange: &'a Exchange<'_>,
     route: &RouteSpec,
-) -> Result<(Option<AccountName>, u8), Refusal> {
+) -> Result<Option<&'a AccountSpec>, Refusal> {
     let table = &exchange.snapshot.table;
     let key = exchange.fields.key.as_deref();
     if let Some(account) = key.and_then(|key| table.account_of(key)) {
-        return Ok((Some(account.name.clone()), account.tier.unwrap_or(route.rank)));
+        return Ok(Some(account));
     }
     if route.anonymous || table.document().accounts.is_empty() {
-        return Ok((None, route.rank));
+        return Ok(None);
     }
     Err(Refusal::new(RefusalKind::Unauthorized, "the key belongs to no client account"))
 }
--- a/crates/proxy/src/http1/connection.rs
+++ b/crates/proxy/src/http1/connection.rs
@@ -1,7 +1,9 @@
 //! A TCP connection with a receive buffer.
 
-use super::{Error, RequestHead, ResponseHead};
+use super::{Body, Error, RequestHead, ResponseHead};
 use futures_lite::{AsyncRead, AsyncWriteExt, future};
+use lycheehub_budget::Room;
+use lycheehub_clock::within;
 use lycheehub_net::keep_alive;
 use lycheehub_relay::FrameDecoder;
 use smol::net::TcpStream;
@@ -21,6 +23,13 @@
 /// peer that sends faster than its bytes are processed would starve all other tasks of the thread
 /// and the timeouts of its own connection.
 const CONSECUTIVE_READS_MAX: u32 = 8;
+/// Time for which a caller may take to read the last response and to close its side, in milliseconds.
+const LINGER_MS: u64 = 1_000;
+/// Maximum number of bytes that are discarded meanwhile: several windows of a connection. A caller that
+/// sends more does not read.
+const LINGER_MAX_BYTES: usize = 1024 * 1024;
+/// Interim response for a caller that sent `Expect: 100-continue`.
+const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 /// Maximum size of a response head, in bytes.
 const RESPONSE_HEAD_MAX_BYTES: usize = 32 * 1024;
 
@@ -159,6 +168,20 @@
         }
     }
 
+    /// Closes the connection after its last response.
+    ///
+    /// Closing a connection with unread bytes resets it, and the caller may lose the response. Therefore
+    /// the sending side is closed first, and what still arrives is discarded for a limited time.
+    pub async fn close_gracefully(&mut self) {
+        if let Err(error) = self.close_sending() {
+            // The caller has closed or reset the connection already.
+            return spdlog::debug!("connection not open any more", kv: { error: });
+        }
+        if within(LINGER_MS, self.discard_until_closed(LINGER_MAX_BYTES)).await.is_none() {
+            spdlog::debug!("the caller kept its side of the connection open");
+        }
+    }
+
     /// Returns whether the connection is open and nothing was received since the last message.
     pub async fn is_idle(&mut self) -> bool {
         if !self.buffered().is_empty() {
@@ -205,6 +228,25 @@
         }
     }
 
+    /// Reads the body that follows a request head within a time, each part of it once there is `room`.
+    ///
+    /// # Errors
+    /// Fails if the body is longer than `max_bytes`, truncated, malformed or late, or if there is no room
+    /// for it.
+    pub async fn read_request_body(
+        &mut self,
+        head: &RequestHead,
+        max_bytes: usize,
+        timeout_ms: u64,
+        room: &Room,
+    ) -> Result<Vec<u8>, Error> {
+        if head.expects_continue() {
+            self.send(CONTINUE_RESPONSE).await?;
+        }
+        let read = Body::new(head.framing).read_charged(self, max_bytes, room);
+        within(timeout_ms, read).await.ok_or(Error::TimedOut)?
+    }
+
     /// Reads a response head.
     ///
     /// # Errors
--- a/crates/proxy/src/server/closing.rs
+++ b/crates/proxy/src/server/closing.rs
@@ -1,30 +1,9 @@
-//! Closes callers' connections.
+//! Logs that callers' connections end.
 
 use super::idle::WaitEnd;
 use crate::caller::Caller;
 use crate::entry::Entry;
-use crate::http1::{Connection, Error};
-use lycheehub_clock::within;
-
-/// Time for which a caller may take to read the last response and to close its side, in milliseconds.
-const LINGER_MS: u64 = 1_000;
-/// Maximum number of bytes that are discarded meanwhile: several windows of a connection. A caller that
-/// sends more does not read.
-const LINGER_MAX_BYTES: usize = 1024 * 1024;
-
-/// Closes a connection after its last response.
-///
-/// Closing a connection with unread bytes resets it, and the caller may lose the response. Therefore the
-/// sending side is closed first, and what still arrives is discarded for a limited time.
-pub(super) async fn close_gracefully(connection: &mut Connection) {
-    if let Err(error) = connection.close_sending() {
-        // The caller has closed or reset the connection already.
-        return spdlog::debug!("connection not open any more", kv: { error: });
-    }
-    if within(LINGER_MS, connection.discard_until_closed(LINGER_MAX_BYTES)).await.is_none() {
-        spdlog::debug!("the caller kept its side of the connection open");
-    }
-}
+use crate::http1::Error;
 
 /// What a connection had carried when a wait for a request on it ended.
 #[derive(Clone, Copy, Debug)]
--- a/crates/proxy/src/server/mod.rs
+++ b/crates/proxy/src/server/mod.rs
@@ -167,7 +167,7 @@
         }
     };
     if !keeps_alive {
-        closing::close_gracefully(connection).await;
+        connection.close_gracefully().await;
     }
     keeps_alive.then_some(idle_time)
 }
@@ -176,7 +176,7 @@
 /// this response, the one that HTTP defines for the case, tells so.
 async fn refuse_crossing_request(entry: &Entry, connection: &mut Connection) {
     exchange::refuse(entry, connection, "", &shutdown::refusal_of_crossing()).await;
-    closing::close_gracefully(connection).await;
+    connection.close_gracefully().await;
 }
 
 /// Refuses the first request of a connection. It is not counted as in progress: a shutdown does not wait for
@@ -197,7 +197,7 @@
             });
             // Also to a caller that has sent nothing: its request may cross the close.
             exchange::refuse_unreadable(entry, &mut connection, "", &error).await;
-            return closing::close_gracefully(&mut connection).await;
+            return connection.close_gracefully().await;
         }
     };
     let id = entry.dialect.read_request(&head).id;
@@ -205,5 +205,5 @@
     spdlog::info!("refused on a new connection", kv: {
         id: = id, code, caller: = caller.address, connection = caller.connection,
     });
-    closing::close_gracefully(&mut connection).await;
+    connection.close_gracefully().await;
 }
--- a/crates/proxy/src/server/receive.rs
+++ b/crates/proxy/src/server/receive.rs
@@ -1,15 +1,12 @@
 //! Receives a complete request within the limits of the document.
 
 use crate::entry::Entry;
-use crate::http1::{Body, Connection, Error, RequestHead};
+use crate::http1::{Connection, Error, RequestHead};
 use lycheehub_budget::Room;
 use lycheehub_clock::within;
 use lycheehub_routes::ClientLimits;
 use smol_str::SmolStr;
 
-/// Interim response for a caller that sent `Expect: 100-continue`.
-const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
-
 /// A request that was not received completely.
 pub(super) struct Unread {
     /// What was being received.
@@ -29,8 +26,8 @@
     let head = read_head(connection, limits).await;
     let head = head.map_err(|error| Unread { step: "head", id: SmolStr::default(), error })?;
     let room = entry.bodies.open();
-    let timeout_ms = entry.options.body_timeout_ms;
-    let body = read_body(connection, limits, &head, &room, timeout_ms).await;
+    let (max_bytes, timeout_ms) = (limits.body_max_bytes, entry.options.body_timeout_ms);
+    let body = connection.read_request_body(&head, max_bytes, timeout_ms, &room).await;
     let id = || entry.dialect.read_request(&head).id;
     let body = body.map_err(|error| Unread { step: "body", id: id(), error })?;
     Ok((head, body, room))
@@ -44,17 +41,3 @@
     let read = connection.read_request_head(limits.head_max_bytes);
     within(limits.head_timeout_ms, read).await.ok_or(Error::TimedOut)?
 }
-
-async fn read_body(
-    connection: &mut Connection,
-    limits: &ClientLimits,
-    head: &RequestHead,
-    room: &Room,
-    timeout_ms: u64,
-) -> Result<Vec<u8>, Error> {
-    if head.expects_continue() {
-        connection.send(CONTINUE_RESPONSE).await?;
-    }
-    let read = Body::new(head.framing).read_charged(connection, limits.body_max_bytes, room);
-    within(timeout_ms, read).await.ok_or(Error::TimedOut)?
-}
--- a/crates/routes/src/document.rs
+++ b/crates/routes/src/document.rs
@@ -95,6 +95,34 @@
     pub regions: Vec<Region>,
 }
 
+impl RouteSpec {
+    /// Returns the regions in which requests of a client account on this route may run; `None` if they
+    /// may run anywhere. Where both are bound to regions, both bind.
+    ///
+    /// # Examples
+    /// ```
+    /// # use lycheehub_routes::{RequestKind, RouteSpec};
+    /// let route = RouteSpec {
+    ///     regions: vec!["south".into()],
+    /// #     name: "labels".into(), host: "salto.example".into(), path_prefix: "/".into(),
+    /// #     kind: RequestKind::Unsafe, timeout_ms: 1_000, objective_ms: 100, gap_objective_ms: None,
+    /// #     patience_ms: None, rank: 0, targets: vec![], attempts_max: 1, anonymous: true,
+    /// };
+    /// assert_eq!(route.regions_for(None), Some(vec!["south".into()]));
+    /// ```
+    pub fn regions_for(&self, account: Option<&AccountSpec>) -> Option<Vec<Region>> {
+        let by_account = account.map_or(&[][..], |account| &account.regions);
+        match (self.regions.as_slice(), by_account) {
+            ([], []) => None,
+            (regions, []) | ([], regions) => Some(regions.to_vec()),
+            (by_route, _) => {
+                let both = by_route.iter().filter(|region| by_account.contains(region));
+                Some(both.cloned().collect())
+            }
+        }
+    }
+}
+
 /// A service and the properties of its endpoints.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSpec {
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -1,7 +1,7 @@
 //! Looks up the route of a request and the client account of a key.
 
 use crate::{AccountSpec, Document, RouteSpec, ServiceSpec, Target};
-use lycheehub_types::{AccountName, Region, ServiceName};
+use lycheehub_types::{AccountName, ServiceName};
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 
@@ -76,38 +76,6 @@
         self.document.accounts.iter().find(|account| account.name == *name)
     }
 
-    /// Returns the regions in which requests of a client account on a route may run; `None` if they may
-    /// run anywhere. Where both are bound to regions, both bind.
-    ///
-    /// # Examples
-    /// ```
-    /// # use lycheehub_routes::{Document, RequestKind, RouteSpec, RouteTable};
-    /// # let route = RouteSpec {
-    /// #     name: "labels".into(), host: "salto.example".into(), path_prefix: "/".into(),
-    /// #     kind: RequestKind::Unsafe, timeout_ms: 1_000, objective_ms: 100, gap_objective_ms: None,
-    /// #     patience_ms: None, rank: 0, targets: vec![], attempts_max: 1, anonymous: true,
-    /// #     regions: vec!["south".into()],
-    /// # };
-    /// let table = RouteTable::new(Document::default());
-    /// assert_eq!(table.regions_of(&route, None), Some(vec!["south".into()]));
-    /// ```
-    pub fn regions_of(
-        &self,
-        route: &RouteSpec,
-        account: Option<&AccountName>,
-    ) -> Option<Vec<Region>> {
-        let account = account.and_then(|name| self.account(name));
-        let by_account = account.map_or(&[][..], |account| &account.regions);
-        match (route.regions.as_slice(), by_account) {
-            ([], []) => None,
-            (regions, []) | ([], regions) => Some(regions.to_vec()),
-            (by_route, _) => {
-                let both = by_route.iter().filter(|region| by_account.contains(region));
-                Some(both.cloned().collect())
-            }
-        }
-    }
-
     /// Returns the service with this name.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSpec> {
         self.services.get(name).map(|index| &self.document.services[*index])
--- a/crates/types/src/endpoint.rs
+++ b/crates/types/src/endpoint.rs
@@ -9,6 +9,9 @@
 /// The most slots that an endpoint may announce, on the project's own interface and on the platform's.
 /// A larger number would attract all requests of its service.
 const SLOTS_MAX: u32 = 65_536;
+/// By how much two statements of the same cold time differ at most, in milliseconds: the delay of an
+/// announcement.
+pub const COLD_TOLERANCE_MS: u64 = 700;
 /// The longest time for which an endpoint may announce to be cold, in milliseconds: an hour.
 pub const COLD_MAX_MS: u32 = 3_600_000;
 /// The highest incarnation and sequence. Every writer of JSON can state numbers up to here exactly, and
