log: lines that callers cause leave room for those of the instance itself

The log's buffer, 256 KiB, was written each 100 ms however full it was; an entry instance that refuses thousands of new connections a second at the end of its stop fills it, and the line "stopped" was dropped.

Change: lines with a caller's address may fill three quarters of the buffer; a quarter full, it is written at once.

Result: the new test fails before ("stopping: not ready" not logged) and passes after.

--- a/crates/cli/src/serve/bounded.rs
+++ b/crates/cli/src/serve/bounded.rs
@@ -1,5 +1,9 @@
 //! A log sink that never blocks its callers on output: lines go to a bounded buffer, and a
 //! background thread writes them to standard output.
+//!
+//! Load pattern: thousands of requests or refused connections a second, each with a line, or an output that is
+//! not read for a while. The lines that callers cause leave a part of the buffer to all others, which tell what
+//! the instance itself does.
 
 use super::line_limit;
 use spdlog::formatter::FormatterContext;
@@ -12,6 +16,12 @@
 
 /// The capacity of the buffer, in bytes; lines that do not fit are dropped and counted.
 const BUFFER_MAX_BYTES: usize = 256 * 1024;
+/// How much of the buffer lines that callers cause may fill, in bytes.
+const CALLERS_MAX_BYTES: usize = BUFFER_MAX_BYTES / 4 * 3;
+/// The length of the buffer from which on the writer does not wait for more lines, in bytes.
+const BATCH_BYTES: usize = BUFFER_MAX_BYTES / 4;
+/// The key of the caller's address in a line that a caller causes.
+const CALLER_KEY: &str = "caller";
 /// How long the writer waits after a first line to write lines in batches, in milliseconds.
 const BATCH_DELAY_MS: u64 = 100;
 /// Maximum number of bytes per write, and so of a line: a pipe takes that many at once (`PIPE_BUF`), and a
@@ -28,13 +38,14 @@
 pub(super) struct BoundedSink {
     prop: SinkProp,
     buffer: Mutex<Buffer>,
-    not_empty: Condvar,
+    /// Notified of the first line of a batch, and once the batch is large.
+    grown: Condvar,
 }
 
 impl BoundedSink {
     /// Creates a sink and starts its writer thread.
     pub(super) fn start(prop: SinkProp) -> std::io::Result<Arc<Self>> {
-        let sink = Arc::new(Self { prop, buffer: Mutex::default(), not_empty: Condvar::new() });
+        let sink = Arc::new(Self { prop, buffer: Mutex::default(), grown: Condvar::new() });
         let writer = sink.clone();
         let thread = std::thread::Builder::new().name("log".to_owned());
         thread.spawn(move || writer.write_loop())?;
@@ -47,16 +58,21 @@
 
     fn write_loop(&self) {
         loop {
-            let mut buffer = self.lock();
-            while buffer.lines.is_empty() {
-                buffer = self.not_empty.wait(buffer).unwrap_or_else(PoisonError::into_inner);
-            }
-            drop(buffer);
-            std::thread::sleep(Duration::from_millis(BATCH_DELAY_MS));
+            self.await_batch();
             self.write_buffered();
         }
     }
 
+    /// Waits for a first line, and then for more lines: for a limited time, or until there are many.
+    fn await_batch(&self) {
+        let buffer = self.grown.wait_while(self.lock(), |buffer| buffer.lines.is_empty());
+        let buffer = buffer.unwrap_or_else(PoisonError::into_inner);
+        let delay = Duration::from_millis(BATCH_DELAY_MS);
+        let is_small = |buffer: &mut Buffer| buffer.lines.len() < BATCH_BYTES;
+        // The writer needs no lock here; a poisoned one is handled by the next user.
+        let _ = self.grown.wait_timeout_while(buffer, delay, is_small);
+    }
+
     fn write_buffered(&self) {
         let Buffer { mut lines, dropped } = std::mem::take(&mut *self.lock());
         if dropped > 0 {
@@ -100,16 +116,19 @@
             true => Cow::from(line_limit::shorten(&line, WRITE_MAX_BYTES)),
             false => Cow::from(&*line),
         };
+        let is_by_caller = record.key_values().iter().any(|(key, _)| key.as_str() == CALLER_KEY);
+        let max_bytes = if is_by_caller { CALLERS_MAX_BYTES } else { BUFFER_MAX_BYTES };
         let mut buffer = self.lock();
-        if buffer.lines.len() + line.len() > BUFFER_MAX_BYTES {
+        let length_before = buffer.lines.len();
+        if length_before + line.len() > max_bytes {
             buffer.dropped += 1;
             return Ok(());
         }
-        let was_empty = buffer.lines.is_empty();
         buffer.lines.extend_from_slice(line.as_bytes());
+        let becomes_large = length_before < BATCH_BYTES && buffer.lines.len() >= BATCH_BYTES;
         drop(buffer);
-        if was_empty {
-            self.not_empty.notify_one();
+        if length_before == 0 || becomes_large {
+            self.grown.notify_one();
         }
         Ok(())
     }
--- a/crates/cli/tests/platform/log_output.rs
+++ b/crates/cli/tests/platform/log_output.rs
@@ -3,7 +3,7 @@
 use crate::deployment::{Deployment, FRONT_PORT, Layout, eventually};
 use googletest::prelude::*;
 use serde_json::{Value, json};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixDatagram;
@@ -101,3 +101,40 @@
     expect_that!(fields["end"], not(eq(&Value::Null)));
     expect_that!(fields["keeps_alive"], not(eq(&Value::Null)));
 }
+
+// Lines that callers cause filled the buffer, since the output was not read or there were many within a tenth of a
+// second, and the lines that the instance stops and has stopped were dropped.
+#[gtest]
+fn that_an_instance_stops_is_logged_although_lines_of_requests_are_dropped() {
+    // Each line is nearly as long as one may be; together they are twice the buffer.
+    const REQUESTS: usize = 128;
+    const ID_BYTES: usize = 12_000;
+    let layout = Layout { controls: 1, entries: 1, losses: 0, proxied: false };
+    let mut deployment = Deployment::lay_out(layout);
+    let (mut output, stdout) = std::io::pipe().unwrap();
+    deployment.entries[0].start_writing(true, stdout.into());
+    let address = format!("{}:{FRONT_PORT}", deployment.entries[0].ip);
+    eventually("the instance accepts", || TcpStream::connect(&address).is_ok());
+    let id = "x".repeat(ID_BYTES);
+    let request = format!(
+        "GET /print/1 HTTP/1.1\r\nHost: crates.example\r\nRequest-Id: {id}\r\nConnection: close\r\n\r\n"
+    );
+    let send = |_| {
+        let mut caller = TcpStream::connect(&address).unwrap();
+        caller.write_all(request.as_bytes()).unwrap();
+        caller
+    };
+    let callers = (0..REQUESTS).map(send).collect::<Vec<_>>();
+    for mut caller in callers {
+        caller.read_to_end(&mut Vec::new()).unwrap();
+    }
+    deployment.entries[0].signal("TERM");
+    // It ends once its log is read; until then it accepts connections, but does not answer.
+    eventually("the instance has stopped", || deployment.ready(0) == 0);
+    let mut log = String::new();
+    output.read_to_string(&mut log).unwrap();
+    for message in ["log lines dropped", "stopping: not ready", "stopped"] {
+        let is_logged = log.contains(&format!(r#""payload":"{message}""#));
+        expect_true!(is_logged, "not logged: {message}");
+    }
+}
