--- a/crates/cli/tests/crowds/crowd.rs
+++ b/crates/cli/tests/crowds/crowd.rs
@@ -1,6 +1,5 @@
 //! A crowd of connections that send bodies and stay open.
 
-use crate::deployment::Process;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -67,11 +66,11 @@
         Self { threads: (0..count).map(start).collect(), sending }
     }
 
-    /// Waits until all have sent what they send; returns the most memory that the process used, in bytes.
-    pub fn most_memory_while_sending(&self, process: &Process) -> u64 {
+    /// Waits until all have sent what they send; returns the most memory that was used, in bytes.
+    pub fn most_memory_while_sending(&self, memory_used: impl Fn() -> u64) -> u64 {
         let mut most_bytes = 0;
         while self.sending.load(Ordering::Relaxed) > 0 {
-            most_bytes = most_bytes.max(process.memory_used());
+            most_bytes = most_bytes.max(memory_used());
             std::thread::sleep(LOOK);
         }
         most_bytes
--- a/crates/cli/tests/crowds/main.rs
+++ b/crates/cli/tests/crowds/main.rs
@@ -7,6 +7,10 @@
 mod crowd;
 #[path = "../deployment/mod.rs"]
 mod deployment;
+mod own_interface;
+#[allow(dead_code, reason = "only the site is used")]
+#[path = "../cli/support.rs"]
+mod site;
 #[allow(dead_code, reason = "only the stand-in endpoint is used")]
 #[path = "../platform/support.rs"]
 mod support;
@@ -97,7 +101,7 @@
     let head = "POST /print/crowd HTTP/1.1\r\nHost: crates.example\r\nRequest-Id: crowd\r\n\
                 X-Api-Key: key-1\r\nDeadline-Ms: 5000\r\n";
     let crowd = Crowd::start(&address, head, form, ENTRY_CROWD, BODY_MAX_BYTES);
-    let most_bytes = crowd.most_memory_while_sending(&deployment.entries[0]);
+    let most_bytes = crowd.most_memory_while_sending(|| deployment.entries[0].memory_used());
     check(&mut deployment.entries[0], ENTRY_MEMORY_MIB, ENTRY_CROWD, most_bytes);
     // While all of them are still open.
     let mut sequence = 1;
@@ -117,7 +121,7 @@
     let address = format!("{}:{CONTROL_PORT}", deployment.controls[0].ip);
     let head = "PUT /-/config HTTP/1.1\r\nHost: control.example\r\n";
     let crowd = Crowd::start(&address, head, form, CONTROL_CROWD, DOCUMENT_BYTES);
-    let most_bytes = crowd.most_memory_while_sending(&deployment.controls[0]);
+    let most_bytes = crowd.most_memory_while_sending(|| deployment.controls[0].memory_used());
     check(&mut deployment.controls[0], CONTROL_MEMORY_MIB, CONTROL_CROWD, most_bytes);
     eventually("an operator reads the document", || {
         deployment.control(0, "GET", "/-/config", "").status == 200
--- a/crates/cli/tests/deployment/mod.rs
+++ b/crates/cli/tests/deployment/mod.rs
@@ -48,6 +48,19 @@
     }
 }
 
+/// Returns how many descriptors a process has open.
+pub fn descriptors_of(process: u32) -> usize {
+    std::fs::read_dir(format!("/proc/{process}/fd")).unwrap().count()
+}
+
+/// Returns the memory that a process uses, in bytes.
+pub fn memory_of(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+    let kibibytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
+    kibibytes * 1_024
+}
+
 /// A reply; its status is 0 if there was none.
 #[derive(Debug, Default)]
 pub struct Reply {
@@ -157,17 +170,12 @@
 
     /// Returns how many descriptors the process has open.
     pub fn open_descriptors(&self) -> usize {
-        let id = self.child.as_ref().expect("the process was started").id();
-        std::fs::read_dir(format!("/proc/{id}/fd")).unwrap().count()
+        descriptors_of(self.child.as_ref().expect("the process was started").id())
     }
 
     /// Returns the memory that the process uses, in bytes.
     pub fn memory_used(&self) -> u64 {
-        let id = self.child.as_ref().expect("the process was started").id();
-        let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
-        let kibibytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
-        kibibytes * 1_024
+        memory_of(self.child.as_ref().expect("the process was started").id())
     }
 
     /// Waits until the process exits; kills it after `timeout`.
