--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -5,10 +5,9 @@
 use quick_error::quick_error;
 use smol::Timer;
 use smol::channel::{Receiver, Sender, bounded};
-use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::ops::RangeInclusive;
-use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 /// How long a body waits for room before it is refused, in milliseconds. A body that stalls gives way
@@ -38,79 +37,92 @@
     }
 }
 
-/// The memory for bodies, shared by the connections of a thread.
+/// The memory for bodies, shared by the connections of a process.
 #[derive(Debug)]
 pub struct Budget {
     clock: Clock,
-    ledger: RefCell<Ledger>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    ledger: Ledger,
     /// The senders that wake the bodies that wait for a part, by number: first come, first served.
-    waiting: RefCell<BTreeMap<(Part, u64), Sender<()>>>,
+    waiting: BTreeMap<(Part, u64), Sender<()>>,
     /// The senders that tell bodies to give way.
-    notices: RefCell<BTreeMap<BodyKey, Sender<()>>>,
-    last_number: Cell<u64>,
+    notices: BTreeMap<BodyKey, Sender<()>>,
+    last_number: u64,
 }
 
 impl Budget {
     /// Creates a budget of `bytes` for all bodies.
-    pub fn new(clock: Clock, bytes: u64) -> Rc<Self> {
-        Rc::new(Self {
-            clock,
-            ledger: RefCell::new(Ledger::new(Limits::new(bytes))),
-            waiting: RefCell::default(),
-            notices: RefCell::default(),
-            last_number: Cell::new(0),
-        })
+    pub fn new(clock: Clock, bytes: u64) -> Arc<Self> {
+        let state = State {
+            ledger: Ledger::new(Limits::new(bytes)),
+            waiting: BTreeMap::new(),
+            notices: BTreeMap::new(),
+            last_number: 0,
+        };
+        Arc::new(Self { clock, state: Mutex::new(state) })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Opens an account for the body of one message.
-    pub fn open(self: &Rc<Self>) -> Room {
-        let key = self.ledger.borrow_mut().open(self.clock.now_ms());
+    pub fn open(self: &Arc<Self>) -> Room {
+        let mut state = self.lock();
+        let key = state.ledger.open(self.clock.now_ms());
         let (notice, given_way) = bounded(1);
-        self.notices.borrow_mut().insert(key, notice);
+        state.notices.insert(key, notice);
         Room { budget: self.clone(), key, given_way }
     }
 
     /// Returns the bytes that are charged to a part.
     pub fn held(&self, part: Part) -> u64 {
-        self.ledger.borrow().held(part)
+        self.lock().ledger.held(part)
     }
 
     fn limit(&self, part: Part) -> u64 {
-        self.ledger.borrow().limits().of(part)
+        self.lock().ledger.limits().of(part)
     }
 
     /// Records the gauges of what is held, of its limits and of what waits.
     pub fn record_gauges(&self) {
+        let state = self.lock();
         for part in Part::ALL {
             let labels = [("part", part.name())];
-            metrics::gauge!("lycheehub_body_memory_bytes", &labels).set(self.held(part) as f64);
-            let limit = self.limit(part) as f64;
+            let held = state.ledger.held(part) as f64;
+            metrics::gauge!("lycheehub_body_memory_bytes", &labels).set(held);
+            let limit = state.ledger.limits().of(part) as f64;
             metrics::gauge!("lycheehub_body_memory_limit_bytes", &labels).set(limit);
-            let waiting = self.waiting.borrow().range(places_of(part)).count();
+            let waiting = state.waiting.range(places_of(part)).count();
             metrics::gauge!("lycheehub_bodies_waiting", &labels).set(waiting as f64);
         }
     }
 
     /// Makes a body give way to the first one that waits for `part`, if one makes no progress.
     fn make_room(&self, part: Part) {
-        let chosen = self.ledger.borrow_mut().choose_to_give_way(self.clock.now_ms(), part);
-        if let Some(notice) = chosen.and_then(|key| self.notices.borrow_mut().remove(&key)) {
+        let mut state = self.lock();
+        let chosen = state.ledger.choose_to_give_way(self.clock.now_ms(), part);
+        if let Some(notice) = chosen.and_then(|key| state.notices.remove(&key)) {
             // The body may have ended meanwhile.
             let _ = notice.try_send(());
         }
     }
+}
 
+impl State {
     /// Returns the number of the first body that waits for a part.
     fn first_waiting(&self, part: Part) -> Option<u64> {
-        let waiting = self.waiting.borrow();
-        waiting.range(places_of(part)).next().map(|((_, number), _)| *number)
+        self.waiting.range(places_of(part)).next().map(|((_, number), _)| *number)
     }
 
     /// Wakes the first body that waits for each part.
     fn wake_first(&self) {
-        let waiting = self.waiting.borrow();
         for part in Part::ALL {
-            if let Some((_, waker)) = waiting.range(places_of(part)).next() {
+            if let Some((_, waker)) = self.waiting.range(places_of(part)).next() {
                 // A full channel has woken it already.
                 let _ = waker.try_send(());
             }
@@ -133,29 +145,31 @@
 
 impl<'a> Place<'a> {
     fn take(budget: &'a Budget, part: Part) -> Self {
-        let number = budget.last_number.get() + 1;
-        budget.last_number.set(number);
+        let mut state = budget.lock();
+        state.last_number += 1;
+        let number = state.last_number;
         let (waker, woken) = bounded(1);
-        budget.waiting.borrow_mut().insert((part, number), waker);
+        state.waiting.insert((part, number), waker);
         Self { budget, part, number, woken }
     }
 
     fn is_first(&self) -> bool {
-        self.budget.first_waiting(self.part) == Some(self.number)
+        self.budget.lock().first_waiting(self.part) == Some(self.number)
     }
 }
 
 impl Drop for Place<'_> {
     fn drop(&mut self) {
-        self.budget.waiting.borrow_mut().remove(&(self.part, self.number));
-        self.budget.wake_first();
+        let mut state = self.budget.lock();
+        state.waiting.remove(&(self.part, self.number));
+        state.wake_first();
     }
 }
 
 /// The account of one body; dropping it frees its memory.
 #[derive(Debug)]
 pub struct Room {
-    budget: Rc<Budget>,
+    budget: Arc<Budget>,
     key: BodyKey,
     given_way: Receiver<()>,
 }
@@ -168,9 +182,12 @@
     /// Fails if no room comes free in time.
     pub async fn hold(&self, bytes: u64, most_bytes: u64) -> Result<(), NoRoom> {
         let budget = &*self.budget;
-        let is_held = budget.ledger.borrow().is_held(self.key, bytes);
         let part = Part::for_bytes(bytes);
-        if (is_held || budget.first_waiting(part).is_none()) && self.try_hold(bytes, most_bytes) {
+        let may_go_first = {
+            let state = budget.lock();
+            state.ledger.is_held(self.key, bytes) || state.first_waiting(part).is_none()
+        };
+        if may_go_first && self.try_hold(bytes, most_bytes) {
             return Ok(());
         }
         let place = Place::take(budget, part);
@@ -198,8 +215,9 @@
 
     /// Records that the body was received whole: it no longer gives way.
     pub fn record_received(&self) {
-        self.budget.ledger.borrow_mut().record_received(self.key);
-        self.budget.notices.borrow_mut().remove(&self.key);
+        let mut state = self.budget.lock();
+        state.ledger.record_received(self.key);
+        state.notices.remove(&self.key);
     }
 
     /// Completes when the body must give way to others.
@@ -208,20 +226,21 @@
             // It was received.
             std::future::pending::<()>().await;
         }
-        let part = self.budget.ledger.borrow().part_of(self.key);
+        let part = self.budget.lock().ledger.part_of(self.key);
         NoRoom::GaveWay(part, self.budget.held(part), self.budget.limit(part))
     }
 
     fn try_hold(&self, bytes: u64, most_bytes: u64) -> bool {
         let now_ms = self.budget.clock.now_ms();
-        self.budget.ledger.borrow_mut().hold(now_ms, self.key, bytes, most_bytes)
+        self.budget.lock().ledger.hold(now_ms, self.key, bytes, most_bytes)
     }
 }
 
 impl Drop for Room {
     fn drop(&mut self) {
-        self.budget.ledger.borrow_mut().close(self.key);
-        self.budget.notices.borrow_mut().remove(&self.key);
-        self.budget.wake_first();
+        let mut state = self.budget.lock();
+        state.ledger.close(self.key);
+        state.notices.remove(&self.key);
+        state.wake_first();
     }
 }
--- a/crates/budget/tests/budget/main.rs
+++ b/crates/budget/tests/budget/main.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use smol::Timer;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 const KIB: u64 = 1024;
@@ -195,7 +195,7 @@
     }
 }
 
-fn budget(bytes: u64) -> Rc<Budget> {
+fn budget(bytes: u64) -> Arc<Budget> {
     Budget::new(Clock::new(), bytes)
 }
 
--- a/crates/cli/src/roles/http.rs
+++ b/crates/cli/src/roles/http.rs
@@ -13,6 +13,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Timer};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// The delay after a failed accept, in milliseconds.
@@ -36,7 +37,7 @@
 #[derive(Clone)]
 pub(super) struct Limits {
     /// The memory for bodies and responses.
-    pub(super) bodies: Rc<Budget>,
+    pub(super) bodies: Arc<Budget>,
     /// The most concurrent connections.
     pub(super) connections_max: usize,
 }
@@ -81,7 +82,7 @@
 async fn serve_connection<H, F>(
     stream: TcpStream,
     open: &OpenConnection,
-    bodies: &Rc<Budget>,
+    bodies: &Arc<Budget>,
     handler: H,
 ) where
     H: Fn(Request) -> F,
@@ -116,7 +117,7 @@
 /// Receives the next request; returns `None` if the connection ends before its first byte.
 async fn next_request(
     connection: &mut Connection,
-    bodies: &Rc<Budget>,
+    bodies: &Arc<Budget>,
 ) -> Option<Result<Received, Error>> {
     if connection.buffered().is_empty() {
         let filled = within(IDLE_TIMEOUT_MS, connection.fill()).await;
@@ -125,7 +126,10 @@
     Some(read_request(connection, bodies).await)
 }
 
-async fn read_request(connection: &mut Connection, bodies: &Rc<Budget>) -> Result<Received, Error> {
+async fn read_request(
+    connection: &mut Connection,
+    bodies: &Arc<Budget>,
+) -> Result<Received, Error> {
     let head = within(HEAD_TIMEOUT_MS, connection.read_request_head(HEAD_MAX_BYTES)).await;
     let head = head.ok_or(Error::TimedOut)??;
     let mut request = request_of(&head)?;
@@ -175,7 +179,7 @@
 /// Sends a response, whose body is charged until its caller has read it.
 async fn send_response(
     connection: &mut Connection,
-    bodies: &Rc<Budget>,
+    bodies: &Arc<Budget>,
     mut response: Response,
     keeps_alive: bool,
 ) -> Result<(), Error> {
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -21,6 +21,7 @@
 use smol::LocalExecutor;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// Runs an entry instance until a signal stops it.
 pub fn run_entry() -> Result<(), Error> {
@@ -77,7 +78,7 @@
 async fn serve_metrics(
     executor: &Rc<LocalExecutor<'static>>,
     deployment: &Deployment,
-    bodies: Rc<Budget>,
+    bodies: Arc<Budget>,
     control: Option<Control>,
 ) -> Result<(), Error> {
     let listener = listen("metrics", SocketAddr::new(deployment.ip, METRICS_PORT)).await?;
--- a/crates/cli/src/serve/wire_up.rs
+++ b/crates/cli/src/serve/wire_up.rs
@@ -2,6 +2,7 @@
 
 use crate::exit::{Code, Error};
 use crate::settings::InstanceSettings;
+use lycheehub_budget::Budget;
 use lycheehub_clock::{Clock, Event, TimerService};
 use lycheehub_gateway::orders::OrderSender;
 use lycheehub_gateway::responses::ResponseStore;
@@ -59,6 +60,7 @@
     };
     let incarnation = start_control(parts).await?;
     let scheduler = Scheduler::new(settings.route, rand::rng().next_u64());
+    let bodies = Budget::new(clock, limits.body_memory_bytes);
     let gateway = Arc::new(Gateway {
         settings: settings.gateway,
         clock,
@@ -66,6 +68,7 @@
         control: Control::new(sender),
         scheduler: SharedScheduler::new(clock, scheduler),
         responses,
+        bodies,
         pool: ConnectionPool::default(),
         metrics: start_metrics()?,
         executor,
--- a/crates/cli/src/settings/file.rs
+++ b/crates/cli/src/settings/file.rs
@@ -74,6 +74,8 @@
 pub struct Limits {
     /// The longest request body, in bytes.
     pub body_max_bytes: usize,
+    /// The memory for all request bodies, in bytes.
+    pub body_memory_bytes: u64,
     /// The longest non-streamed response, in bytes.
     pub answer_max_bytes: usize,
     /// The timeout for reading a request's head, in milliseconds.
@@ -103,6 +105,7 @@
     fn default() -> Self {
         Self {
             body_max_bytes: 4 * 1024 * 1024,
+            body_memory_bytes: 256 * 1024 * 1024,
             answer_max_bytes: 16 * 1024 * 1024,
             header_timeout_ms: 10_000,
             body_timeout_ms: 30_000,
--- a/crates/cli/src/settings/load.rs
+++ b/crates/cli/src/settings/load.rs
@@ -173,6 +173,7 @@
         gateway: lycheehub_gateway::Settings {
             instance: name,
             body_max_bytes: limits.body_max_bytes,
+            body_memory_bytes: limits.body_memory_bytes,
             answer_max_bytes: limits.answer_max_bytes,
             header_timeout_ms: limits.header_timeout_ms,
             body_timeout_ms: limits.body_timeout_ms,
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -58,7 +58,7 @@
 async fn accept_announcement(gateway: &Gateway, request: &mut Request) -> Result<(), Refusal> {
     authenticate(gateway, request)?;
     let body = read_body(gateway, request).await?;
-    let record: EndpointRecord = serde_json::from_slice(&body)
+    let record: EndpointRecord = serde_json::from_slice(&body.bytes)
         .map_err(|error| bad_request(format!("no announcement: {error}")))?;
     let names = [record.endpoint.as_str(), record.service.as_str(), record.version.as_str()];
     if !names.into_iter().all(name::is_valid) {
@@ -72,7 +72,7 @@
 async fn record_cache_event(gateway: &Gateway, request: &mut Request) -> Result<(), Refusal> {
     authenticate(gateway, request)?;
     let body = read_body(gateway, request).await?;
-    let event: CacheEvent = serde_json::from_slice(&body)
+    let event: CacheEvent = serde_json::from_slice(&body.bytes)
         .map_err(|error| bad_request(format!("no cache event: {error}")))?;
     if event.stored.len() + event.dropped.len() > EVENT_BLOCKS_MAX {
         return Err(bad_request(format!("an event has at most {EVENT_BLOCKS_MAX} blocks")));
--- a/crates/gateway/src/filters/exchange.rs
+++ b/crates/gateway/src/filters/exchange.rs
@@ -3,6 +3,7 @@
 use crate::Gateway;
 use crate::http::{bearer_key, header};
 use http_types::{Method, Request};
+use lycheehub_budget::Room;
 use lycheehub_route::Job;
 use lycheehub_types::{AccountName, EndpointKind, Tier};
 use smol_str::SmolStr;
@@ -37,7 +38,7 @@
 }
 
 /// A caller's request, as the filters complete it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Exchange {
     /// The number of the request on this instance.
     pub request_number: u64,
@@ -49,6 +50,8 @@
     pub path: String,
     /// The body.
     pub body: Vec<u8>,
+    /// The account of the body's memory, once it is received.
+    pub body_room: Option<Room>,
     /// The body's content type.
     pub content_type: Option<SmolStr>,
     /// The bearer key of the client account.
@@ -77,6 +80,7 @@
             method: request.method(),
             path: format!("{}{query}", url.path()),
             body: Vec::new(),
+            body_room: None,
             content_type: header_value("content-type"),
             api_key: bearer_key(request).map(str::to_owned),
             idempotency_key: header_value("idempotency-key"),
--- a/crates/gateway/src/filters/mod.rs
+++ b/crates/gateway/src/filters/mod.rs
@@ -64,7 +64,9 @@
     exchange: &mut Exchange,
 ) -> Result<(), Rejection> {
     let body = read_body(gateway, request).await;
-    exchange.body = body.map_err(|refusal| Rejection { step: "read", refusal })?;
+    let body = body.map_err(|refusal| Rejection { step: "read", refusal })?;
+    exchange.body = body.bytes;
+    exchange.body_room = Some(body.room);
     Ok(())
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -4,6 +4,7 @@
 use crate::scheduler::SharedScheduler;
 use crate::serve::ConnectionPool;
 use crate::settings::Settings;
+use lycheehub_budget::Budget;
 use lycheehub_clock::{Clock, Event, Timers};
 use lycheehub_peer::{Control, Views};
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -30,6 +31,8 @@
     pub scheduler: Arc<SharedScheduler>,
     /// The responses kept for resends.
     pub responses: Arc<ResponseStore>,
+    /// The memory for request bodies.
+    pub bodies: Arc<Budget>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
     /// Renders the metrics in the Prometheus text format.
--- a/crates/gateway/src/http/mod.rs
+++ b/crates/gateway/src/http/mod.rs
@@ -10,4 +10,4 @@
 pub use connection::serve;
 pub use error::{json, refusal_response};
 pub(crate) use message_stream::{Framing, MessageStream};
-pub use read::{bearer_key, header, read_body};
+pub use read::{ReceivedBody, bearer_key, header, read_body};
--- a/crates/gateway/src/http/routes.rs
+++ b/crates/gateway/src/http/routes.rs
@@ -127,6 +127,7 @@
 }
 
 fn metrics_text(gateway: &Gateway) -> Response {
+    gateway.bodies.record_gauges();
     let mut response = Response::new(StatusCode::Ok);
     response.set_body(gateway.metrics.render());
     response.insert_header("content-type", "text/plain; version=0.0.4");
--- a/crates/gateway/src/operators/apply.rs
+++ b/crates/gateway/src/operators/apply.rs
@@ -1,7 +1,7 @@
 //! Submits a new text of a configuration section.
 
 use crate::Gateway;
-use crate::http::{header, json, read_body};
+use crate::http::{ReceivedBody, header, json, read_body};
 use http_types::{Request, Response};
 use lycheehub_control::Command;
 use lycheehub_control::state::{ApplyOutcome, Reply, Submission};
@@ -44,7 +44,8 @@
     let request_id = request_id
         .ok_or_else(|| bad_request("expected x-request-id, a name that a resend repeats"))?;
     let body = read_body(gateway, &mut request).await?;
-    let text = String::from_utf8(body).map_err(|_| bad_request("the section is not UTF-8"))?;
+    let ReceivedBody { bytes, room: _room } = body;
+    let text = String::from_utf8(bytes).map_err(|_| bad_request("the section is not UTF-8"))?;
     let submission = Submission {
         section: SectionName::from(section),
         base_revision,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,8 @@
     pub instance: InstanceName,
     /// The maximum size of a request body, in bytes.
     pub body_max_bytes: usize,
+    /// The memory for all request bodies, in bytes.
+    pub body_memory_bytes: u64,
     /// The maximum size of a response that is not streamed, in bytes.
     pub answer_max_bytes: usize,
     /// The timeout for receiving the head of a request, in milliseconds.
--- a/crates/gateway/tests/gateway/support.rs
+++ b/crates/gateway/tests/gateway/support.rs
@@ -2,6 +2,7 @@
 
 use futures_lite::AsyncReadExt;
 use lycheehub_auth::DigestKey;
+use lycheehub_budget::Budget;
 use lycheehub_clock::{Clock, Event};
 use lycheehub_gateway::keys::KeyFile;
 use lycheehub_gateway::responses::ResponseStore;
@@ -21,6 +22,8 @@
 pub const TIMEOUT_MS: u64 = 10_000;
 /// The timeouts for receiving requests, in milliseconds.
 pub const RECEIVE_TIMEOUT_MS: u64 = 200;
+/// The memory for request bodies.
+const BODY_MEMORY_BYTES: u64 = 100_000;
 /// The maximum number of connections.
 pub const CONNECTIONS_MAX: usize = 4;
 
@@ -28,6 +31,7 @@
     Settings {
         instance: "alpha".into(),
         body_max_bytes: 1_000,
+        body_memory_bytes: BODY_MEMORY_BYTES,
         answer_max_bytes: 1_000,
         header_timeout_ms,
         body_timeout_ms: RECEIVE_TIMEOUT_MS,
@@ -62,6 +66,7 @@
         control,
         scheduler: SharedScheduler::new(clock, Scheduler::new(Options::default(), 1)),
         responses: Arc::new(ResponseStore::new(clock, 1_000, 1_000)),
+        bodies: Budget::new(clock, BODY_MEMORY_BYTES),
         pool: ConnectionPool::default(),
         metrics: PrometheusBuilder::new().build_recorder().handle(),
         executor,
--- a/crates/proxy/src/entry.rs
+++ b/crates/proxy/src/entry.rs
@@ -77,7 +77,7 @@
     /// Idle connections to endpoints.
     pub pool: Pool,
     /// The memory for the bodies of callers' requests.
-    pub bodies: Rc<Budget>,
+    pub bodies: Arc<Budget>,
     /// The paths to endpoints.
     pub paths: Paths,
     /// Connects to endpoints through other instances.
