--- a/crates/dispatch/src/dispatcher/fair_share.rs
+++ b/crates/dispatch/src/dispatcher/fair_share.rs
@@ -28,7 +28,8 @@
         slots: usize,
         unplaceable: &BTreeSet<Classes>,
     ) -> Option<QueuedJob> {
-        self.queue.pop(now_ms, &Order { slots, shares: &self.shares, unplaceable })
+        let order = Order { slots, shares: &self.shares, usage: &self.usage, unplaceable };
+        self.queue.pop(now_ms, &order)
     }
 
     /// Adds a job to the queue, in the place that its class has now.
@@ -88,6 +89,7 @@
             return;
         }
         let Some(service) = self.services.get_mut(&job.service) else { return };
+        service.usage.record(now_ms, job.account.as_ref(), queued.slot_ms as f64);
         let shares = service.shares.entry((job.tier, job.rank)).or_default();
         shares.record_served(now_ms, &queued.classes);
     }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -17,6 +17,7 @@
 mod versions;
 mod warmth;
 
+use crate::accounts::AccountUsage;
 use crate::crashes::{Content, CrashReport, Crashes};
 use crate::endpoints::{Endpoint, EndpointKey, Notices, Speed, is_failure};
 use crate::job::{Decision, Finished, Job, JobId, Outcome, Reason};
@@ -76,6 +77,8 @@
     slot_ms: f64,
     /// The served shares of each tier and rank, by class of size.
     shares: SharesByRank,
+    /// What client accounts have used lately.
+    usage: AccountUsage,
     /// The highest tier that was shed recently, and until when jobs of lower tiers are not
     /// admitted, in milliseconds.
     tier_floor: Option<(u8, u64)>,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,12 +10,14 @@
 //! * [`queue`] orders the waiting jobs.
 //! * [`crashes`] finds the parts of prompts, and the requests, on which endpoints crash.
 //! * [`shares`] finds the classes of size that are served less often than others.
+//! * [`accounts`] keeps what client accounts have used, for equal shares in overload.
 //! * [`refusal`] states which rule refused a job.
 //! * [`quota`] and [`retries`] limit client accounts and retries.
 //! * [`dispatcher`] combines these, and [`placement`] is the interface for request handlers.
 #![deny(missing_docs, rust_2018_idioms)]
 #![forbid(unsafe_code)]
 
+pub mod accounts;
 pub mod crashes;
 pub mod dispatcher;
 pub mod endpoints;
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -6,6 +6,10 @@
 //! longer than the newest of them can wait, or jobs already expire, the newest job goes first: jobs
 //! that are served start well in time, and only the remaining ones expire.
 //!
+//! Load pattern: one account sends many times as much as the others in such a burst. The newest job of the
+//! account that has used the least goes first, so that an account is refused for what it wants beyond an equal
+//! share, and not for what others want.
+//!
 //! Load pattern: urgent requests become late in a burst. They are served after urgent requests that
 //! can still be on time and before all less urgent ones, which would otherwise be served more often
 //! than they are.
@@ -24,10 +28,12 @@
 //! promoted with the short ones of its rank if its class is behind; while a class of longer ones is behind,
 //! none of the rank is promoted.
 
+use crate::accounts::AccountUsage;
 use crate::crashes::Content;
 use crate::job::{Job, JobId};
 use crate::refusal::{RefusalBasis, Rule};
 use crate::shares::{Class, ServedShares};
+use lycheehub_types::AccountName;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Jobs are served in arrival order if the backlog ends within this fraction of the newest job's
@@ -66,6 +72,8 @@
     pub slots: usize,
     /// The served shares by class of size.
     pub shares: &'a SharesByRank,
+    /// What client accounts have used lately.
+    pub usage: &'a AccountUsage,
     /// The classes of jobs that no endpoint can take now.
     pub unplaceable: &'a BTreeSet<Classes>,
 }
@@ -175,9 +183,9 @@
 #[derive(Clone, Debug, Default)]
 struct DeadlineQueue {
     jobs: BTreeMap<(u64, JobId), QueuedJob>,
-    /// The keys of the jobs, by arrival: the newest is last. By the time until which it should be placed, a
-    /// long prompt would always seem older than a short one.
-    arrivals: BTreeMap<(u64, JobId), u64>,
+    /// The keys of the jobs of each account, by arrival: the newest is last. By the time until which it should
+    /// be placed, a long prompt would always seem older than a short one.
+    arrivals: BTreeMap<Option<AccountName>, BTreeMap<(u64, JobId), u64>>,
     /// The total slot time that the jobs need, in milliseconds.
     slot_ms: u64,
     /// When a job last expired, in milliseconds.
@@ -187,27 +195,41 @@
 impl DeadlineQueue {
     fn push(&mut self, until_ms: u64, queued: QueuedJob) {
         self.slot_ms += queued.slot_ms;
-        self.arrivals.insert((queued.since_ms, queued.job.job_id), until_ms);
+        let arrivals = self.arrivals.entry(queued.job.account.clone()).or_default();
+        arrivals.insert((queued.since_ms, queued.job.job_id), until_ms);
         self.jobs.insert((until_ms, queued.job.job_id), queued);
     }
 
     fn take(&mut self, key: (u64, JobId)) -> Option<QueuedJob> {
         let queued = self.jobs.remove(&key)?;
-        self.arrivals.remove(&(queued.since_ms, queued.job.job_id));
+        if let Some(arrivals) = self.arrivals.get_mut(&queued.job.account) {
+            arrivals.remove(&(queued.since_ms, queued.job.job_id));
+            if arrivals.is_empty() {
+                self.arrivals.remove(&queued.job.account);
+            }
+        }
         self.slot_ms -= queued.slot_ms;
         Some(queued)
     }
 
-    /// Removes the job to be served next, given the number of slots of the service.
-    fn pop(&mut self, now_ms: u64, slots: usize) -> Option<QueuedJob> {
+    /// Removes the job to be served next, given the number of slots of the service and what accounts used.
+    fn pop(&mut self, now_ms: u64, slots: usize, usage: &AccountUsage) -> Option<QueuedJob> {
         let (first, last) = (*self.jobs.first_key_value()?.0, *self.jobs.last_key_value()?.0);
         let backlog_ms = self.slot_ms as f64 / slots.max(1) as f64;
         let newest_left_ms = last.0.saturating_sub(now_ms) as f64;
         let is_shedding = self.expired_ms.is_some_and(|at_ms| now_ms < at_ms + SHEDDING_MS);
         let share = if is_shedding { FIFO_BACKLOG_SHARE_SHEDDING } else { FIFO_BACKLOG_SHARE };
         let is_fifo = backlog_ms <= newest_left_ms * share;
-        let (newest, until_ms) = self.arrivals.last_key_value()?;
-        self.take(if is_fifo { first } else { (*until_ms, newest.1) })
+        self.take(if is_fifo { first } else { self.newest(usage)? })
+    }
+
+    /// Returns the key of the newest job of the account that has used the least.
+    fn newest(&self, usage: &AccountUsage) -> Option<(u64, JobId)> {
+        let used = |account: &Option<AccountName>| usage.used_ms(account.as_ref());
+        let accounts = self.arrivals.iter().map(|(account, arrivals)| (used(account), arrivals));
+        let (_, arrivals) = accounts.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let (arrival, until_ms) = arrivals.last_key_value()?;
+        Some((*until_ms, arrival.1))
     }
 
     /// Removes the expired jobs.
@@ -254,7 +276,7 @@
             !queue.jobs.is_empty() && !order.unplaceable.contains(*classes)
         });
         let (_, queue) = waiting.max_by(|(a, _), (b, _)| lag(a).total_cmp(&lag(b)))?;
-        queue.pop(now_ms, slots_per_class)
+        queue.pop(now_ms, slots_per_class, order.usage)
     }
 }
 
@@ -287,8 +309,8 @@
     ) -> Option<QueuedJob> {
         let behind = self.behind.pop(now_ms, shares, order);
         behind
-            .or_else(|| self.on_time.pop(now_ms, order.slots))
-            .or_else(|| self.late.pop(now_ms, order.slots))
+            .or_else(|| self.on_time.pop(now_ms, order.slots, order.usage))
+            .or_else(|| self.late.pop(now_ms, order.slots, order.usage))
     }
 
     /// Removes the jobs that have been kept for the maximum time although they are late.
--- a/crates/dispatch/tests/dispatch/main.rs
+++ b/crates/dispatch/tests/dispatch/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the dispatcher: replays of extreme load, and tests of its parts.
 
+mod accounts;
 mod budgets;
 mod cold;
 mod crash_evidence;
