--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -45,8 +45,6 @@
 const FINAL_FAILURE_COST_MS: f64 = 8_000.0;
 /// The cost of an endpoint that is on probation after a failure, in milliseconds of waiting.
 const PROBATION_COST_MS: f64 = 300.0;
-/// The cost of a stream that becomes late by a pause, in milliseconds of waiting.
-const LATE_STREAM_COST_MS: f64 = 300.0;
 /// The expected time until a full endpoint frees a slot, in milliseconds.
 pub(super) const SLOT_WAIT_MS: f64 = 60.0;
 /// The cost of a response that is not finished by its deadline, in milliseconds of waiting: part of
@@ -233,10 +231,7 @@
         let first_byte_ms = endpoint.first_byte_ms(now_ms, job);
         let overrun = endpoint.overrun_probability(first_byte_ms, events, job.deadline_left_ms);
         let overrun_ms = overrun * OVERRUN_COST_MS;
-        let service = self.services.get(&job.service);
-        let late_streams =
-            service.map_or(0, |service| self.streams_made_late(service, now_ms, endpoint, job));
-        let late_streams_ms = late_streams as f64 * LATE_STREAM_COST_MS;
+        let late_streams_ms = self.late_streams_cost_ms(now_ms, endpoint, job, first_byte_ms);
         let waits_ms = first_byte_ms + cross_domain_ms + load;
         waits_ms + failure_ms + probation_ms + overrun_ms + late_streams_ms
     }
--- a/crates/dispatch/src/dispatcher/pauses.rs
+++ b/crates/dispatch/src/dispatcher/pauses.rs
@@ -14,8 +14,13 @@
 use crate::queue::QueuedJob;
 use lycheehub_types::ServiceName;
 
+/// The cost of a stream that becomes late by a pause, in milliseconds of waiting.
+const LATE_STREAM_COST_MS: f64 = 300.0;
 /// How many jobs may yield their turn at a time; each costs an evaluation of all endpoints.
 pub(super) const YIELDING_MAX: usize = 4;
+/// For how long a job yields, in milliseconds: some slots become free in that time, and its own first event is
+/// hardly later.
+const YIELDING_MS: u64 = 120;
 
 impl Dispatcher {
     /// Returns how many streams on an endpoint become late by a pause if `job` is placed there.
@@ -32,6 +37,26 @@
         endpoint.streams_made_late(now_ms, job)
     }
 
+    /// Returns the cost of the streams that become late by a pause if `job` is placed on an endpoint, in
+    /// milliseconds of waiting. An endpoint at which the job itself is late costs as much as if all streams
+    /// there became late: none is made late to spare others.
+    pub(super) fn late_streams_cost_ms(
+        &self,
+        now_ms: u64,
+        endpoint: &Endpoint,
+        job: &Job,
+        first_byte_ms: f64,
+    ) -> f64 {
+        let Some(service) = self.services.get(&job.service) else { return 0.0 };
+        if service.pause_objectives_ms.is_empty() {
+            return 0.0;
+        }
+        let is_late = first_byte_ms > job.objective_left_ms as f64;
+        let own = if is_late { endpoint.record.slots as usize } else { 0 };
+        let late = own + self.streams_made_late(service, now_ms, endpoint, job);
+        late as f64 * LATE_STREAM_COST_MS
+    }
+
     /// Counts the streams that become late by a pause as `job` is placed on an endpoint.
     pub(super) fn record_streams_made_late(&mut self, now_ms: u64, key: EndpointKey, job: &Job) {
         let Some(service) = self.services.get(&job.service) else { return };
@@ -42,15 +67,19 @@
     }
 
     /// Returns whether a job would make streams late on the free endpoint `key`, and fewer of them on another
-    /// endpoint at which it can still be on time.
+    /// endpoint at which it can still be on time. It waits for that a short time, and
+    /// only while it can be on time here as well.
     pub(super) fn yields(&self, now_ms: u64, key: EndpointKey, queued: &QueuedJob) -> bool {
         let job = &queued.job;
         let left_ms = queued.objective_ms.saturating_sub(now_ms) as f64;
         let Some(service) = self.services.get(&job.service) else { return false };
         let made_late =
             |endpoint: &Endpoint| self.streams_made_late(service, now_ms, endpoint, job);
-        let made_late_here = made_late(&self.endpoints[key]);
-        if left_ms <= SLOT_WAIT_MS || made_late_here == 0 {
+        let endpoint = &self.endpoints[key];
+        let spare_ms = left_ms - endpoint.first_byte_ms(now_ms, job);
+        let made_late_here = made_late(endpoint);
+        let has_yielded = now_ms >= queued.since_ms + YIELDING_MS;
+        if has_yielded || spare_ms <= SLOT_WAIT_MS || made_late_here == 0 {
             return false;
         }
         let mut others = service.endpoints.iter().map(|key| &self.endpoints[*key]);
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -13,7 +13,7 @@
 
 pub use health::Health;
 pub use notices::{Limit, Notice, Notices};
-pub use pauses::StreamPauses;
+pub use pauses::{Prefill, StreamPauses};
 pub use prefix_cache::PrefixCache;
 pub use rate_limit::{Pace, RateLimit, StatedLimit};
 pub use reach::Reach;
@@ -30,6 +30,9 @@
 /// The most tokens that a job can occupy: those of the longest prompt and the longest response.
 const JOB_TOKENS_MAX: u64 = 2 * u32::MAX as u64;
 
+/// How many tokens of prompts an endpoint prefills between two tokens of a stream, as engines usually do.
+const PREFILL_CHUNK_TOKENS: u32 = 2_048;
+
 slotmap::new_key_type! {
     /// The key of an endpoint in the dispatcher's arena.
     pub struct EndpointKey;
@@ -83,6 +86,8 @@
     pub sparing_slot_limit: usize,
     /// The memory for prompts and responses, in tokens; `None` if it is unlimited or unknown.
     pub memory_tokens: Option<u64>,
+    /// The number of tokens per event of a stream.
+    pub tokens_per_event: u32,
     /// The requests that are placed on the endpoint and have not ended.
     pub running: BTreeMap<JobId, Running>,
     /// The memory occupied by the running requests, in tokens.
@@ -114,6 +119,7 @@
             is_evacuated: false,
             warmth: Warmth::default(),
             memory_tokens,
+            tokens_per_event: 1,
             running: BTreeMap::new(),
             used_tokens: 0,
             reservation: None,
@@ -217,22 +223,33 @@
         self.prefill_until_ms.max(now_ms as f64) + prefill_ms
     }
 
+    /// Returns what the endpoint is at work on if `job` is placed there.
+    fn prefill_with(&self, now_ms: u64, job: &Job) -> Prefill {
+        let per_event = PREFILL_CHUNK_TOKENS.saturating_mul(self.tokens_per_event);
+        Prefill {
+            now_ms,
+            ends_ms: self.prefill_ends_ms(now_ms, job),
+            event_ms: self.speed.events_ms(1.0),
+            most_per_event_ms: self.speed.prefill_ms(per_event),
+        }
+    }
+
     /// Returns how many streams that run on the endpoint are on time so far and would be late by a pause
     /// if `job` was placed there.
     pub fn streams_made_late(&self, now_ms: u64, job: &Job) -> usize {
-        let (ends_ms, event_ms) = (self.prefill_ends_ms(now_ms, job), self.speed.events_ms(1.0));
+        let prefill = self.prefill_with(now_ms, job);
         let pauses = self.running.values().filter_map(|running| running.pauses);
-        pauses.filter(|pauses| pauses.becomes_late(now_ms, ends_ms, event_ms)).count()
+        pauses.filter(|pauses| pauses.becomes_late(prefill)).count()
     }
 
     /// Records that `job` was placed on the endpoint, whose pauses are limited to `pause_ms`, if they are.
     /// Returns the expected time to its first byte, in milliseconds.
     pub fn begin(&mut self, now_ms: u64, job: &Job, pause_ms: Option<u64>) -> f64 {
         let expected_ms = self.first_byte_ms(now_ms, job);
-        self.prefill_until_ms = self.prefill_ends_ms(now_ms, job);
-        let (ends_ms, event_ms) = (self.prefill_until_ms, self.speed.events_ms(1.0));
+        let prefill = self.prefill_with(now_ms, job);
+        self.prefill_until_ms = prefill.ends_ms;
         for pauses in self.running.values_mut().filter_map(|running| running.pauses.as_mut()) {
-            pauses.record(now_ms, ends_ms, event_ms);
+            pauses.record(prefill);
         }
         self.prefix_cache.record(&job.prefix);
         self.add(
@@ -243,7 +260,7 @@
                 speed: self.speed,
                 since_ms: now_ms,
                 is_cold: self.warmth.is_cold(now_ms),
-                pauses: pause_ms.map(|limit_ms| StreamPauses::new(ends_ms, limit_ms)),
+                pauses: pause_ms.map(|limit_ms| StreamPauses::new(prefill.ends_ms, limit_ms)),
             },
         );
         expected_ms
--- a/crates/dispatch/src/endpoints/pauses.rs
+++ b/crates/dispatch/src/endpoints/pauses.rs
@@ -1,9 +1,22 @@
 //! Foresees the pauses that a prompt causes in the streams of its endpoint.
 //!
 //! Load pattern: prompts differ up to 100:1 in length and endpoints 5:1 in speed. An endpoint prefills a
-//! prompt between the tokens of its streams, and their events come late until it is done. A long prompt on a
-//! slow endpoint delays every stream there by more than its callers accept, although each first event was in
-//! time.
+//! prompt in chunks between the tokens of its streams, and an event of several tokens comes late by as many
+//! chunks, or by the whole prompt if it is shorter. A long prompt on a slow endpoint delays every stream there
+//! by more than its callers accept, although each first event was in time.
+
+/// The prompts that an endpoint is at work on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Prefill {
+    /// The present time, in milliseconds.
+    pub now_ms: u64,
+    /// When the prompts will be prefilled, in milliseconds.
+    pub ends_ms: f64,
+    /// How long the endpoint takes for an event otherwise, in milliseconds.
+    pub event_ms: f64,
+    /// For how long it prefills within one event at most, in milliseconds.
+    pub most_per_event_ms: f64,
+}
 
 /// The pauses of a stream that runs on an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,32 +35,32 @@
         Self { first_event_ms, objective_ms: objective_ms as f64, longest_ms: 0.0 }
     }
 
-    /// Returns the pause, in milliseconds, if the endpoint is at work on prompts from now until
-    /// `prefill_ends_ms`, and needs `event_ms` for an event otherwise.
-    fn pause_ms(&self, now_ms: u64, prefill_ends_ms: f64, event_ms: f64) -> f64 {
-        (prefill_ends_ms - self.first_event_ms.max(now_ms as f64)).max(0.0) + event_ms
+    /// Returns the longest pause while the endpoint is at work on prompts, in milliseconds.
+    fn pause_ms(&self, prefill: Prefill) -> f64 {
+        let from_ms = self.first_event_ms.max(prefill.now_ms as f64);
+        (prefill.ends_ms - from_ms).clamp(0.0, prefill.most_per_event_ms) + prefill.event_ms
     }
 
-    /// Returns whether the response is on time so far, and would be late with this pause.
-    pub fn becomes_late(&self, now_ms: u64, prefill_ends_ms: f64, event_ms: f64) -> bool {
-        self.longest_ms <= self.objective_ms
-            && self.pause_ms(now_ms, prefill_ends_ms, event_ms) > self.objective_ms
+    /// Returns whether the response is on time so far, and is late with this work.
+    pub fn becomes_late(&self, prefill: Prefill) -> bool {
+        self.longest_ms <= self.objective_ms && self.pause_ms(prefill) > self.objective_ms
     }
 
-    /// Records that the endpoint is at work on prompts until `prefill_ends_ms`.
+    /// Records what the endpoint is at work on.
     ///
     /// # Examples
     /// ```
-    /// use lycheehub_dispatch::endpoints::StreamPauses;
+    /// use lycheehub_dispatch::endpoints::{Prefill, StreamPauses};
     ///
     /// let mut pauses = StreamPauses::new(1_100.0, 300);
-    /// assert!(pauses.becomes_late(1_200, 1_600.0, 20.0));
-    /// pauses.record(1_200, 1_600.0, 20.0);
+    /// let prefill =
+    ///     Prefill { now_ms: 1_200, ends_ms: 1_600.0, event_ms: 20.0, most_per_event_ms: 350.0 };
+    /// assert!(pauses.becomes_late(prefill));
+    /// pauses.record(prefill);
     /// // It is late already.
-    /// assert!(!pauses.becomes_late(1_200, 1_700.0, 20.0));
+    /// assert!(!pauses.becomes_late(prefill));
     /// ```
-    pub fn record(&mut self, now_ms: u64, prefill_ends_ms: f64, event_ms: f64) {
-        let pause_ms = self.pause_ms(now_ms, prefill_ends_ms, event_ms);
-        self.longest_ms = self.longest_ms.max(pause_ms);
+    pub fn record(&mut self, prefill: Prefill) {
+        self.longest_ms = self.longest_ms.max(self.pause_ms(prefill));
     }
 }
