dispatch: short requests are promoted unless long classes are behind together

Short requests are promoted only while no class of long ones is behind; with finer classes one nearly always is. Change: the deficits of all classes of long jobs are added up.

--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -110,6 +110,17 @@
         balance.lag() > BEHIND_SHARE * share && balance.deficit >= self.least + BEHIND_DIFFERENCE
     }
 
+    /// Returns whether the classes of long jobs are behind together, given the share of all jobs that is served.
+    fn are_long_behind(&self, share: f64) -> bool {
+        let long = self.by_class.values().filter(|balance| balance.long * 2.0 >= balance.came);
+        let sum = long.fold(Balance::default(), |sum, balance| Balance {
+            came: sum.came + balance.came,
+            deficit: sum.deficit + balance.deficit,
+            ..sum
+        });
+        sum.lag() > BEHIND_SHARE * share && sum.deficit >= BEHIND_DIFFERENCE
+    }
+
     /// Returns the classes that are behind, given the share of all jobs that is served.
     fn behind(&self, share: f64) -> impl Iterator<Item = &Balance> {
         self.by_class.values().filter(move |balance| self.is_behind(balance, share))
@@ -197,11 +208,10 @@
         self.deficits.values().any(|deficits| deficits.behind(share).next().is_some())
     }
 
-    /// Returns whether a class is behind most of whose jobs are longer than the mean.
+    /// Returns whether the classes are behind, taken together, most of whose jobs are longer than the mean.
     pub fn is_long_behind(&self) -> bool {
         let share = self.share();
-        let mut behind = self.deficits.values().flat_map(|deficits| deficits.behind(share));
-        behind.any(|balance| balance.long * 2.0 >= balance.came)
+        self.deficits.values().any(|deficits| deficits.are_long_behind(share))
     }
 
     /// Returns the share of the jobs that is served at present, from 0 to 1.
