tidy: what reading the whole change again has found; behaviour as before

* A cost was worked out for both endpoints of each comparison, and looked up the service each time; now once for each endpoint.
What a placement makes late was counted by a scan of its own before the scan that records it; begin tells it now.
* The decay of accounts' use stood beside that of served shares; both use Decay.
Which endpoint may serve a job later stood in should_wait and in yields.
That a body gives way while it is read stood in proxy and gateway: Room::receive.
* Accounts are compared without copying their names.
Deficits::behind, which only told whether it is empty, goes.
A module comment told a prompt to yield for longer than it does.
One difference: a stream that was placed under a limit of its route keeps it when a document drops the limit.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -213,6 +213,19 @@
         Err(NoRoom::Waited(part, budget.held(part), budget.limit(part)))
     }
 
+    /// Receives the body; ends early if it must give way to others before it is whole. After that it no longer
+    /// gives way.
+    ///
+    /// # Errors
+    /// Fails if the body gives way.
+    pub async fn receive<T>(&self, read: impl Future<Output = T>) -> Result<T, NoRoom> {
+        let read = async { Ok(read.await) };
+        let given_way = async { Err(self.given_way().await) };
+        let received = smol::future::or(read, given_way).await?;
+        self.record_received();
+        Ok(received)
+    }
+
     /// Records that the body was received whole: it no longer gives way.
     pub fn record_received(&self) {
         let mut state = self.budget.lock();
--- a/crates/dispatch/src/accounts.rs
+++ b/crates/dispatch/src/accounts.rs
@@ -8,13 +8,12 @@
 //! An account is charged by how much it got, not by how much it asked for. What was used long ago is
 //! forgotten, so that an account that was alone for a while does not wait for that later.
 
+use crate::decay::Decay;
 use lycheehub_types::AccountName;
 use std::collections::BTreeMap;
 
 /// The time in which half of what was used is forgotten, in milliseconds.
 const HALF_LIFE_MS: f64 = 5_000.0;
-/// How often what was used is reduced accordingly, in milliseconds.
-const DECAY_INTERVAL_MS: u64 = 100;
 /// What is left of the use of an account when it is forgotten, in milliseconds of a slot.
 const FORGOTTEN_MS: f64 = 1.0;
 
@@ -24,41 +23,35 @@
 /// ```
 /// use lycheehub_dispatch::accounts::AccountUsage;
 ///
-/// let large = "packhouse".into();
+/// let large = Some("packhouse".into());
 /// let mut usage = AccountUsage::default();
-/// usage.record(1_000, Some(&large), 800.0);
-/// assert!(usage.used_ms(Some(&large)) > usage.used_ms(None));
-/// usage.record(6_000, None, 500.0);
-/// assert!(usage.used_ms(Some(&large)) < usage.used_ms(None));
+/// usage.record(1_000, &large, 800.0);
+/// assert!(usage.used_ms(&large) > usage.used_ms(&None));
+/// usage.record(6_000, &None, 500.0);
+/// assert!(usage.used_ms(&large) < usage.used_ms(&None));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct AccountUsage {
     used_ms: BTreeMap<Option<AccountName>, f64>,
-    /// Until when the use was reduced, in milliseconds.
-    decayed_ms: u64,
+    decay: Decay,
 }
 
 impl AccountUsage {
     /// Records that a request of an account will hold a slot for `slot_ms`.
-    pub fn record(&mut self, now_ms: u64, account: Option<&AccountName>, slot_ms: f64) {
+    pub fn record(&mut self, now_ms: u64, account: &Option<AccountName>, slot_ms: f64) {
         self.decay(now_ms);
-        *self.used_ms.entry(account.cloned()).or_default() += slot_ms;
+        *self.used_ms.entry(account.clone()).or_default() += slot_ms;
     }
 
     /// Returns what an account has used lately, in milliseconds of a slot.
-    pub fn used_ms(&self, account: Option<&AccountName>) -> f64 {
-        self.used_ms.get(&account.cloned()).copied().unwrap_or_default()
+    pub fn used_ms(&self, account: &Option<AccountName>) -> f64 {
+        self.used_ms.get(account).copied().unwrap_or_default()
     }
 
     /// Forgets what was used long ago, and the accounts of which nothing is left.
     fn decay(&mut self, now_ms: u64) {
-        let age_ms = now_ms.saturating_sub(self.decayed_ms);
-        if age_ms < DECAY_INTERVAL_MS {
-            return;
-        }
-        let left = (-(age_ms as f64) / HALF_LIFE_MS).exp2();
+        let Some(left) = self.decay.part_left(now_ms, HALF_LIFE_MS) else { return };
         self.used_ms.values_mut().for_each(|used_ms| *used_ms *= left);
         self.used_ms.retain(|_, used_ms| *used_ms >= FORGOTTEN_MS);
-        self.decayed_ms = now_ms;
     }
 }
--- a/crates/dispatch/src/dispatcher/choose.rs
+++ b/crates/dispatch/src/dispatcher/choose.rs
@@ -21,7 +21,7 @@
 //! evaluated again only after a short delay.
 
 use super::pauses::YIELDING_MAX;
-use super::{Dispatcher, PlacedJob};
+use super::{Dispatcher, PlacedJob, Service};
 use crate::endpoints::{Endpoint, EndpointKey};
 use crate::job::{Decision, Job};
 use crate::queue::QueuedJob;
@@ -146,13 +146,8 @@
         }
         let mut others = service.endpoints.iter().map(|key| &self.endpoints[*key]);
         others.any(|other| {
-            let is_open = other.health.is_available(now_ms)
-                && self.limit_wait_ms(now_ms, other) as f64 <= SLOT_WAIT_MS;
-            if !other.takes_requests()
-                || !is_open
-                || !self.is_in_region(other, job)
-                || job.tried.contains(other.name())
-            {
+            let is_limited = self.limit_wait_ms(now_ms, other) as f64 > SLOT_WAIT_MS;
+            if is_limited || !self.may_serve_later(now_ms, other, job) {
                 return false;
             }
             let first_byte_ms = other.first_byte_ms(now_ms, job);
@@ -164,6 +159,14 @@
         })
     }
 
+    /// Returns whether an endpoint may serve `job` once it has a free slot.
+    pub(super) fn may_serve_later(&self, now_ms: u64, endpoint: &Endpoint, job: &Job) -> bool {
+        endpoint.takes_requests()
+            && endpoint.health.is_available(now_ms)
+            && self.is_in_region(endpoint, job)
+            && !job.tried.contains(endpoint.name())
+    }
+
     pub(super) fn has_free_slot(&self, now_ms: u64, name: &ServiceName) -> bool {
         let has_free_slot = |endpoint: &Endpoint| {
             endpoint.takes_requests()
@@ -183,8 +186,6 @@
     ) -> Option<EndpointKey> {
         let job = &queued.job;
         let service = self.services.get(name)?;
-        let tolerated_failures = service.baseline_failures + FAILURE_TOLERANCE;
-        let events = service.events_of(job.output_tokens);
         let best = |is_candidate: &dyn Fn(&Endpoint) -> bool| {
             let usable = service.endpoints.iter().copied().filter(|key| {
                 let endpoint = &self.endpoints[*key];
@@ -197,11 +198,8 @@
                     && !self.is_unreached(now_ms, job.job_id.instance, *key)
                     && is_candidate(endpoint)
             });
-            usable.min_by(|a, b| {
-                let cost =
-                    |key: &EndpointKey| self.cost_ms(now_ms, *key, job, events, tolerated_failures);
-                cost(a).total_cmp(&cost(b))
-            })
+            let costs = usable.map(|key| (self.cost_ms(now_ms, service, key, job), key));
+            costs.min_by(|(a, _), (b, _)| a.total_cmp(b)).map(|(_, key)| key)
         };
         let Some(version_routing) = &service.version_routing else { return best(&|_| true) };
         let endpoints = service.endpoints.iter().map(|key| &self.endpoints[*key]);
@@ -211,27 +209,22 @@
     }
 
     /// Returns the cost of placing `job` on an endpoint, in milliseconds of waiting.
-    fn cost_ms(
-        &self,
-        now_ms: u64,
-        key: EndpointKey,
-        job: &Job,
-        events: f64,
-        tolerated_failures: f64,
-    ) -> f64 {
+    fn cost_ms(&self, now_ms: u64, service: &Service, key: EndpointKey, job: &Job) -> f64 {
         let endpoint = &self.endpoints[key];
         let is_cross_domain = endpoint.record.failure_domain != job.failure_domain;
         let cross_domain_ms = if is_cross_domain { self.options.cross_domain_cost_ms } else { 0.0 };
         let failure_ms = if job.is_last_attempt { FINAL_FAILURE_COST_MS } else { FAILURE_COST_MS };
+        let tolerated_failures = service.baseline_failures + FAILURE_TOLERANCE;
         let failure_ms =
             (endpoint.health.failure_share() - tolerated_failures).max(0.0) * failure_ms;
         let probation_ms =
             if endpoint.health.is_on_probation(now_ms) { PROBATION_COST_MS } else { 0.0 };
         let load = endpoint.running.len() as f64 / f64::from(endpoint.record.slots.max(1));
         let first_byte_ms = endpoint.first_byte_ms(now_ms, job);
+        let events = service.events_of(job.output_tokens);
         let overrun = endpoint.overrun_probability(first_byte_ms, events, job.deadline_left_ms);
         let overrun_ms = overrun * OVERRUN_COST_MS;
-        let late_streams_ms = self.late_streams_cost_ms(now_ms, endpoint, job, first_byte_ms);
+        let late_streams_ms = service.late_streams_cost_ms(now_ms, endpoint, job, first_byte_ms);
         let waits_ms = first_byte_ms + cross_domain_ms + load;
         waits_ms + failure_ms + probation_ms + overrun_ms + late_streams_ms
     }
@@ -240,15 +233,16 @@
         self.record_served(now_ms, &queued);
         let QueuedJob { job, content, .. } = queued;
         self.waiting.remove(&job.job_id);
-        let mut pause_ms = None;
-        if let Some(service) = self.services.get_mut(&job.service) {
-            service.record_version_placed(&self.endpoints[key].record.version);
-            pause_ms = service.pause_objectives_ms.get(&job.rank).copied();
-        }
-        self.record_streams_made_late(now_ms, key, &job);
         let cold_pace = self.cold_pace(key);
         let endpoint = &mut self.endpoints[key];
-        let first_byte_ms = endpoint.begin(now_ms, &job, pause_ms) as u64;
+        let mut service = self.services.get_mut(&job.service);
+        let pauses_ms = service.as_ref().map(|service| &service.pause_objectives_ms);
+        let pause_ms = pauses_ms.and_then(|by_rank| by_rank.get(&job.rank)).copied();
+        let begun = endpoint.begin(now_ms, &job, pause_ms);
+        if let Some(service) = &mut service {
+            service.record_version_placed(&endpoint.record.version);
+            service.streams_made_late += begun.streams_made_late as u64;
+        }
         endpoint.end_reservation(job.tier, job.rank);
         self.notices.take_permit(now_ms, endpoint.name());
         if let Some((cold_start, pace)) = cold_pace {
@@ -258,7 +252,7 @@
             job_id: job.job_id,
             endpoint: endpoint.name().clone(),
             address: endpoint.record.address.clone(),
-            first_byte_ms,
+            first_byte_ms: begun.first_byte_ms as u64,
         });
         let is_stream = job.output_tokens > 0;
         self.record_sent_for_crashes(now_ms, (job.job_id, &job.service), &content);
--- a/crates/dispatch/src/dispatcher/fair_share.rs
+++ b/crates/dispatch/src/dispatcher/fair_share.rs
@@ -89,7 +89,7 @@
             return;
         }
         let Some(service) = self.services.get_mut(&job.service) else { return };
-        service.usage.record(now_ms, job.account.as_ref(), queued.slot_ms as f64);
+        service.usage.record(now_ms, &job.account, queued.slot_ms as f64);
         let shares = service.shares.entry((job.tier, job.rank)).or_default();
         shares.record_served(now_ms, &queued.classes);
     }
--- a/crates/dispatch/src/dispatcher/mod.rs
+++ b/crates/dispatch/src/dispatcher/mod.rs
@@ -106,8 +106,11 @@
 
     /// Returns the number of events in a response of `output_tokens`.
     fn events_of(&self, output_tokens: u32) -> f64 {
-        let per_event = self.engine.map_or(1, |engine| engine.tokens_per_event.max(1));
-        (f64::from(output_tokens) / f64::from(per_event)).ceil()
+        (f64::from(output_tokens) / f64::from(self.tokens_per_event())).ceil()
+    }
+
+    fn tokens_per_event(&self) -> u32 {
+        self.engine.map_or(1, |engine| engine.tokens_per_event.max(1))
     }
 }
 
--- a/crates/dispatch/src/dispatcher/pauses.rs
+++ b/crates/dispatch/src/dispatcher/pauses.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: long prompts among streams whose pauses are limited. Each stream that a prompt would make late
 //! is a caller let down, as one whose first event is late. An endpoint where this happens costs more, and a
-//! prompt yields its turn there as long as it can still be on time at another one.
+//! prompt yields its turn there for a moment if another one would let fewer callers down.
 //!
 //! Load pattern: the same in an overload. A slot that stays empty helps nobody: the prompt yields only to jobs
 //! that wait behind it, and takes the slot if none of them does.
@@ -22,21 +22,7 @@
 /// hardly later.
 const YIELDING_MS: u64 = 120;
 
-impl Dispatcher {
-    /// Returns how many streams on an endpoint become late by a pause if `job` is placed there.
-    pub(super) fn streams_made_late(
-        &self,
-        service: &Service,
-        now_ms: u64,
-        endpoint: &Endpoint,
-        job: &Job,
-    ) -> usize {
-        if service.pause_objectives_ms.is_empty() {
-            return 0;
-        }
-        endpoint.streams_made_late(now_ms, job)
-    }
-
+impl Service {
     /// Returns the cost of the streams that become late by a pause if `job` is placed on an endpoint, in
     /// milliseconds of waiting. An endpoint at which the job itself is late costs as much as if all streams
     /// there became late: none is made late to spare others.
@@ -47,50 +33,38 @@
         job: &Job,
         first_byte_ms: f64,
     ) -> f64 {
-        let Some(service) = self.services.get(&job.service) else { return 0.0 };
-        if service.pause_objectives_ms.is_empty() {
+        if self.pause_objectives_ms.is_empty() {
             return 0.0;
         }
         let is_late = first_byte_ms > job.objective_left_ms as f64;
         let own = if is_late { endpoint.record.slots as usize } else { 0 };
-        let late = own + self.streams_made_late(service, now_ms, endpoint, job);
+        let late = own + endpoint.streams_made_late(now_ms, job);
         late as f64 * LATE_STREAM_COST_MS
     }
+}
 
-    /// Counts the streams that become late by a pause as `job` is placed on an endpoint.
-    pub(super) fn record_streams_made_late(&mut self, now_ms: u64, key: EndpointKey, job: &Job) {
-        let Some(service) = self.services.get(&job.service) else { return };
-        let count = self.streams_made_late(service, now_ms, &self.endpoints[key], job);
-        if let Some(service) = self.services.get_mut(&job.service) {
-            service.streams_made_late += count as u64;
-        }
-    }
-
+impl Dispatcher {
     /// Returns whether a job would make streams late on the free endpoint `key`, and fewer of them on another
-    /// endpoint at which it can still be on time. It waits for that a short time, and
-    /// only while it can be on time here as well.
+    /// endpoint at which it can still be on time. It waits for that a short time, and only while it can be on
+    /// time here as well.
     pub(super) fn yields(&self, now_ms: u64, key: EndpointKey, queued: &QueuedJob) -> bool {
         let job = &queued.job;
-        let left_ms = queued.objective_ms.saturating_sub(now_ms) as f64;
         let Some(service) = self.services.get(&job.service) else { return false };
-        let made_late =
-            |endpoint: &Endpoint| self.streams_made_late(service, now_ms, endpoint, job);
         let endpoint = &self.endpoints[key];
+        let left_ms = queued.objective_ms.saturating_sub(now_ms) as f64;
         let spare_ms = left_ms - endpoint.first_byte_ms(now_ms, job);
-        let made_late_here = made_late(endpoint);
         let has_yielded = now_ms >= queued.since_ms + YIELDING_MS;
-        if has_yielded || spare_ms <= SLOT_WAIT_MS || made_late_here == 0 {
+        if has_yielded || spare_ms <= SLOT_WAIT_MS {
             return false;
         }
+        let made_late_here = endpoint.streams_made_late(now_ms, job);
         let mut others = service.endpoints.iter().map(|key| &self.endpoints[*key]);
-        others.any(|other| {
-            other.takes_requests()
-                && other.health.is_available(now_ms)
-                && self.is_in_region(other, job)
-                && !job.tried.contains(other.name())
-                && other.first_byte_ms(now_ms, job) + SLOT_WAIT_MS <= left_ms
-                && made_late(other) < made_late_here
-        })
+        made_late_here > 0
+            && others.any(|other| {
+                self.may_serve_later(now_ms, other, job)
+                    && other.first_byte_ms(now_ms, job) + SLOT_WAIT_MS <= left_ms
+                    && other.streams_made_late(now_ms, job) < made_late_here
+            })
     }
 
     /// Places jobs that have yielded on slots that nobody else took, if others wait for a slot; otherwise they
--- a/crates/dispatch/src/dispatcher/update.rs
+++ b/crates/dispatch/src/dispatcher/update.rs
@@ -126,8 +126,7 @@
         let endpoint = &mut self.endpoints[key];
         let Some(service) = self.services.get_mut(&endpoint.record.service) else { return };
         endpoint.memory_tokens = service.engine.map(|engine| engine.memory_tokens);
-        endpoint.tokens_per_event =
-            service.engine.map_or(1, |engine| engine.tokens_per_event.max(1));
+        endpoint.tokens_per_event = service.tokens_per_event();
         service.endpoints.insert(key);
     }
 
--- a/crates/dispatch/src/endpoints/mod.rs
+++ b/crates/dispatch/src/endpoints/mod.rs
@@ -55,6 +55,15 @@
     pub pauses: Option<StreamPauses>,
 }
 
+/// What follows from placing a request on an endpoint.
+#[derive(Clone, Copy, Debug)]
+pub struct Begun {
+    /// The expected time to its first byte, in milliseconds.
+    pub first_byte_ms: f64,
+    /// How many streams on the endpoint become late by a pause.
+    pub streams_made_late: usize,
+}
+
 /// The memory of an endpoint is kept for the large jobs of a rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reservation {
@@ -242,15 +251,14 @@
         pauses.filter(|pauses| pauses.becomes_late(prefill)).count()
     }
 
-    /// Records that `job` was placed on the endpoint, whose pauses are limited to `pause_ms`, if they are.
-    /// Returns the expected time to its first byte, in milliseconds.
-    pub fn begin(&mut self, now_ms: u64, job: &Job, pause_ms: Option<u64>) -> f64 {
+    /// Records that `job` was placed on the endpoint; its pauses are limited to `pause_ms`, if they are.
+    pub fn begin(&mut self, now_ms: u64, job: &Job, pause_ms: Option<u64>) -> Begun {
         let expected_ms = self.first_byte_ms(now_ms, job);
         let prefill = self.prefill_with(now_ms, job);
         self.prefill_until_ms = prefill.ends_ms;
-        for pauses in self.running.values_mut().filter_map(|running| running.pauses.as_mut()) {
-            pauses.record(prefill);
-        }
+        let pauses = self.running.values_mut().filter_map(|running| running.pauses.as_mut());
+        let became_late = pauses.map(|pauses| pauses.record(prefill));
+        let streams_made_late = became_late.filter(|became_late| *became_late).count();
         self.prefix_cache.record(&job.prefix);
         self.add(
             job.job_id,
@@ -263,7 +271,7 @@
                 pauses: pause_ms.map(|limit_ms| StreamPauses::new(prefill.ends_ms, limit_ms)),
             },
         );
-        expected_ms
+        Begun { first_byte_ms: expected_ms, streams_made_late }
     }
 
     /// Ends the reservation for a rank, as a job of the rank was placed.
--- a/crates/dispatch/src/endpoints/pauses.rs
+++ b/crates/dispatch/src/endpoints/pauses.rs
@@ -41,12 +41,12 @@
         (prefill.ends_ms - from_ms).clamp(0.0, prefill.most_per_event_ms) + prefill.event_ms
     }
 
-    /// Returns whether the response is on time so far, and is late with this work.
+    /// Returns whether the response is on time so far, and becomes late by this work.
     pub fn becomes_late(&self, prefill: Prefill) -> bool {
         self.longest_ms <= self.objective_ms && self.pause_ms(prefill) > self.objective_ms
     }
 
-    /// Records what the endpoint is at work on.
+    /// Records what the endpoint is at work on; returns whether the response becomes late by it.
     ///
     /// # Examples
     /// ```
@@ -56,11 +56,13 @@
     /// let prefill =
     ///     Prefill { now_ms: 1_200, ends_ms: 1_600.0, event_ms: 20.0, most_per_event_ms: 350.0 };
     /// assert!(pauses.becomes_late(prefill));
-    /// pauses.record(prefill);
+    /// assert!(pauses.record(prefill));
     /// // It is late already.
     /// assert!(!pauses.becomes_late(prefill));
     /// ```
-    pub fn record(&mut self, prefill: Prefill) {
+    pub fn record(&mut self, prefill: Prefill) -> bool {
+        let becomes_late = self.becomes_late(prefill);
         self.longest_ms = self.longest_ms.max(self.pause_ms(prefill));
+        becomes_late
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod accounts;
 pub mod crashes;
+mod decay;
 pub mod dispatcher;
 pub mod endpoints;
 pub mod job;
--- a/crates/dispatch/src/queue.rs
+++ b/crates/dispatch/src/queue.rs
@@ -25,8 +25,8 @@
 //! Load pattern: requests of one rank differ in size, and the larger ones fit fewer endpoints and for a
 //! shorter time. Those of a class that is served less often than the others of its rank go first in their
 //! rank, and are kept for some time when they are late. A request that is no longer than the mean is
-//! promoted with the short ones of its rank if its class is behind; while a class of longer ones is behind,
-//! none of the rank is promoted.
+//! promoted with the short ones of its rank if its class is behind; while the classes of longer ones are behind
+//! together, none of the rank is promoted.
 
 use crate::accounts::AccountUsage;
 use crate::crashes::Content;
@@ -225,8 +225,8 @@
 
     /// Returns the key of the newest job of the account that has used the least.
     fn newest(&self, usage: &AccountUsage) -> Option<(u64, JobId)> {
-        let used = |account: &Option<AccountName>| usage.used_ms(account.as_ref());
-        let accounts = self.arrivals.iter().map(|(account, arrivals)| (used(account), arrivals));
+        let used = |(account, arrivals)| (usage.used_ms(account), arrivals);
+        let accounts = self.arrivals.iter().map(used);
         let (_, arrivals) = accounts.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         let (arrival, until_ms) = arrivals.last_key_value()?;
         Some((*until_ms, arrival.1))
--- a/crates/dispatch/src/shares.rs
+++ b/crates/dispatch/src/shares.rs
@@ -7,12 +7,11 @@
 //! requests that is served at present, and a served one subtracts one. A class whose deficit is large for
 //! what came of it is behind, and goes before the others of its rank.
 
+use crate::decay::Decay;
 use std::collections::BTreeMap;
 
 /// The time in which half of what was counted is forgotten, in milliseconds.
 const HALF_LIFE_MS: f64 = 15_000.0;
-/// How often what was counted is reduced accordingly, in milliseconds.
-const DECAY_INTERVAL_MS: u64 = 100;
 /// A class is behind if it lacks more than this fraction of the share of all jobs that is served.
 const BEHIND_SHARE: f64 = 0.05;
 /// How much larger its deficit is than that of another class by the same size, in requests.
@@ -121,9 +120,9 @@
         sum.lag() > BEHIND_SHARE * share && sum.deficit >= BEHIND_DIFFERENCE
     }
 
-    /// Returns the classes that are behind, given the share of all jobs that is served.
-    fn behind(&self, share: f64) -> impl Iterator<Item = &Balance> {
-        self.by_class.values().filter(move |balance| self.is_behind(balance, share))
+    /// Returns whether any class is behind, given the share of all jobs that is served.
+    fn is_any_behind(&self, share: f64) -> bool {
+        self.by_class.values().any(|balance| self.is_behind(balance, share))
     }
 }
 
@@ -149,8 +148,7 @@
     came: f64,
     served: f64,
     deficits: BTreeMap<Size, Deficits>,
-    /// Until when the counts were reduced, in milliseconds.
-    decayed_ms: u64,
+    decay: Decay,
 }
 
 impl ServedShares {
@@ -205,7 +203,7 @@
     /// Returns whether any class is behind.
     pub fn is_any_behind(&self) -> bool {
         let share = self.share();
-        self.deficits.values().any(|deficits| deficits.behind(share).next().is_some())
+        self.deficits.values().any(|deficits| deficits.is_any_behind(share))
     }
 
     /// Returns whether the classes are behind, taken together, most of whose jobs are longer than the mean.
@@ -225,14 +223,9 @@
     }
 
     fn decay(&mut self, now_ms: u64) {
-        let age_ms = now_ms.saturating_sub(self.decayed_ms);
-        if age_ms < DECAY_INTERVAL_MS {
-            return;
-        }
-        let left = (-(age_ms as f64) / HALF_LIFE_MS).exp2();
+        let Some(left) = self.decay.part_left(now_ms, HALF_LIFE_MS) else { return };
         self.came *= left;
         self.served *= left;
         self.deficits.values_mut().for_each(|deficits| deficits.scale(left));
-        self.decayed_ms = now_ms;
     }
 }
--- a/crates/gateway/src/http/read.rs
+++ b/crates/gateway/src/http/read.rs
@@ -5,7 +5,6 @@
 use lycheehub_budget::{NoRoom, Room};
 use lycheehub_clock::within;
 use lycheehub_types::{Refusal, RefusalKind};
-use smol::future;
 use smol::io::{AsyncRead, AsyncReadExt};
 
 /// The maximum number of bytes per read.
@@ -45,18 +44,16 @@
     }
     let most_bytes = expected_length.unwrap_or(max_bytes);
     let room = gateway.bodies.open();
-    let read = read_charged(request.take_body(), most_bytes, &room);
-    let given_way = async { Err(no_room(room.given_way().await)) };
-    let timed_out = || Err(Refusal::new(RefusalKind::Incomplete, "the body did not come in time"));
-    let read = within(gateway.settings.body_timeout_ms, future::or(read, given_way)).await;
-    let bytes = read.unwrap_or_else(timed_out)?;
+    let read = room.receive(read_charged(request.take_body(), most_bytes, &room));
+    let timed_out = || Refusal::new(RefusalKind::Incomplete, "the body did not come in time");
+    let read = within(gateway.settings.body_timeout_ms, read).await.ok_or_else(timed_out)?;
+    let bytes = read.map_err(no_room)??;
     if bytes.len() > max_bytes {
         return Err(too_large(max_bytes));
     }
     if expected_length.is_some_and(|length| length != bytes.len()) {
         return Err(Refusal::new(RefusalKind::Incomplete, "the body ends too soon"));
     }
-    room.record_received();
     Ok(ReceivedBody { bytes, room })
 }
 
--- a/crates/proxy/src/http1/body.rs
+++ b/crates/proxy/src/http1/body.rs
@@ -2,7 +2,6 @@
 
 use super::connection::READ_BYTES;
 use super::{Connection, Error};
-use futures_lite::future;
 use lycheehub_budget::Room;
 
 /// Maximum length of a chunk size line, in bytes.
@@ -127,11 +126,7 @@
             State::Rest(length) => length,
             _ => max_bytes as u64,
         };
-        let read = self.read_parts(connection, most_bytes, room);
-        let given_way = async { Err(Error::NoRoom(room.given_way().await)) };
-        let body = future::or(read, given_way).await?;
-        room.record_received();
-        Ok(body)
+        room.receive(self.read_parts(connection, most_bytes, room)).await?
     }
 
     async fn read_parts(
