--- a/review/lib-2/rollout.py
+++ b/review/lib-2/rollout.py
@@ -58,7 +58,7 @@
         runner.close()
 
 
-def run(cluster, make_new, disturb=None):
+def run(cluster, make_new, disturb=None, path_of=lambda: "/a/x"):
     """Plays the rollout. `disturb(new runners, seconds since the order)` is called often; it returns when the core
     was disturbed last, or None."""
     cluster.start()
@@ -66,7 +66,7 @@
     old = [h.Runner(cluster, 60 + i, f"i-old{i}", "desk", work_s=0.06) for i in range(3)]
     cluster.wait_ready()
     over = threading.Event()
-    h.load(cluster.entries, RATE_PER_S, over.is_set, lambda entry: h.send(entry, "/a/x", 1500))
+    h.load(cluster.entries, RATE_PER_S, over.is_set, lambda entry: h.send(entry, path_of(), 1500))
     time.sleep(5.0)
     ordered = order(cluster)
     new = [make_new(cluster, i) for i in range(3)]
