--- a/crates/control/src/moves/rollout.rs
+++ b/crates/control/src/moves/rollout.rs
@@ -255,7 +255,8 @@
             return self.capacity.new_slots > 0;
         }
         let is_in_budget = || self.exposure.allows_all(&self.tracker.traffic);
-        self.is_quiet(alarm_level) && (self.is_full() || (self.is_compared() && is_in_budget()))
+        // A share that another leader gave says nothing to this one.
+        self.is_compared() && self.is_quiet(alarm_level) && (self.is_full() || is_in_budget())
     }
 
     /// Returns how long before the deadline the new version may receive all requests at most, in
--- a/crates/control/tests/control/late_regressions.rs
+++ b/crates/control/tests/control/late_regressions.rs
@@ -35,8 +35,10 @@
     bad_from_ms: u64,
     /// The version fails only while it gets more than this share, in thousandths.
     bad_above_permille: u32,
-    /// When another leader takes over, which knows nothing of what was observed.
+    /// When the leader is lost, and how long it takes until another one leads, which knows nothing of what
+    /// was observed.
     leader_lost_ms: Option<u64>,
+    leaderless_ms: u64,
 }
 
 const CASE: Case = Case {
@@ -47,6 +49,7 @@
     bad_from_ms: 0,
     bad_above_permille: 0,
     leader_lost_ms: None,
+    leaderless_ms: 0,
 };
 
 #[derive(Debug)]
@@ -85,7 +88,12 @@
         if record.revision != revision {
             (revision, all_since, new_since) = (record.revision, 0, 0);
         }
+        let is_led = case
+            .leader_lost_ms
+            .is_none_or(|lost_ms| !(lost_ms..lost_ms + case.leaderless_ms).contains(&at_ms));
         let share_permille = match record.state {
+            // Instances without a leader withhold a version under comparison.
+            RolloutState::Running if !is_led && record.share_permille < 1_000 => 0,
             RolloutState::Running => record.share_permille,
             RolloutState::Completed => 1_000,
             RolloutState::RolledBack => 0,
@@ -127,6 +135,9 @@
             rollouts = RolloutController::new(OPTIONS);
             (new_placed, old_placed) = (0, 0);
         }
+        if !is_led {
+            continue;
+        }
         rollouts.observe(&state, &seen);
         if !at_ms.is_multiple_of(TICK_MS) {
             continue;
@@ -177,6 +188,18 @@
     expect_rolled_back(Case { bad_above_permille, failures_percent: 40, ..CASE });
 }
 
+/// Guards against a new leader that completes a rollout of which it has seen nothing (review/6).
+#[gtest]
+fn a_version_that_fails_under_load_is_rolled_back_though_the_leader_is_lost() {
+    let case = Case { bad_above_permille: 500, failures_percent: 50, ..CASE };
+    for lost_before_ms in (300..=1_500).step_by(100) {
+        for leaderless_ms in [0, 200, 800] {
+            let leader_lost_ms = Some(case.duration_ms - lost_before_ms);
+            expect_rolled_back(Case { leader_lost_ms, leaderless_ms, ..case });
+        }
+    }
+}
+
 /// Guards against too many requests at a version that has not shown yet whether it is bad, whatever comes of
 /// it (review/4).
 #[gtest]
