--- a/crates/control/src/moves/failures.rs
+++ b/crates/control/src/moves/failures.rs
@@ -75,7 +75,7 @@
 }
 
 /// Returns the failure rate of the old version: the higher of its long-term one and the window's.
-fn baseline_rate(old: &Observation, window_old: &Observation) -> f64 {
+pub(super) fn baseline_rate(old: &Observation, window_old: &Observation) -> f64 {
     const PRIOR_FAILURES: f64 = 0.5;
     const PRIOR_TRIALS: f64 = 100.0;
     const RATE_MAX: f64 = 0.98;
--- a/crates/control/src/moves/mod.rs
+++ b/crates/control/src/moves/mod.rs
@@ -1,11 +1,10 @@
 //! Version moves: the schedule, the comparison of versions and the controllers.
 
 mod controller;
-mod exposure;
 mod failures;
 mod observation;
 mod plan;
-mod rollout;
+mod rollouts;
 mod sequential;
 mod slowdowns;
 mod window;
@@ -13,5 +12,5 @@
 pub use controller::{MoveController, SlotsByVersion};
 pub use observation::{Observation, ObservationKey, Observations};
 pub use plan::{Plan, is_on_schedule, next_share_permille};
-pub use rollout::{RolloutController, RolloutOptions, VersionCapacity};
+pub use rollouts::{RolloutController, RolloutOptions, VersionCapacity};
 pub use sequential::{Comparison, Side, Verdict};
--- a/crates/control/src/state/command.rs
+++ b/crates/control/src/state/command.rs
@@ -2,7 +2,7 @@
 
 use super::{
     ClaimKey, ClaimState, Claimant, DecodeError, DocumentRecord, EvacuationOrder, Phase,
-    RolloutOrder, RolloutStep, supplement,
+    RolloutEvidence, RolloutOrder, RolloutStep, supplement,
 };
 use lycheehub_routes::Supplement as DocumentSupplement;
 use lycheehub_types::SectionName;
@@ -161,7 +161,13 @@
             Self::ReplaceDocument(record) => Some(record.document.supplement()),
             _ => None,
         };
-        supplement::encode(self, later.as_ref().filter(|later| !later.is_empty()))
+        let evidence = match self {
+            Self::StepRollout(step) => Some(step.evidence),
+            _ => None,
+        };
+        let evidence = evidence.filter(|evidence| *evidence != RolloutEvidence::default());
+        let later = later.as_ref().filter(|later| !later.is_empty());
+        supplement::encode(self, later, evidence.as_ref())
     }
 
     /// Sets the leader's time in a command, in milliseconds since the Unix epoch.
@@ -204,11 +210,13 @@
     /// # Errors
     /// Fails if the bytes are not a command of this version.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let decoded = supplement::decode::<Self, DocumentSupplement>(bytes);
-        let (mut command, later) =
+        let decoded = supplement::decode::<Self, DocumentSupplement, RolloutEvidence>(bytes);
+        let (mut command, later, evidence) =
             decoded.map_err(|cause| DecodeError::Malformed("command", cause.to_string().into()))?;
-        if let Self::ReplaceDocument(record) = &mut command {
-            record.document.add_supplement(later);
+        match &mut command {
+            Self::ReplaceDocument(record) => record.document.add_supplement(later),
+            Self::StepRollout(step) => step.evidence = evidence,
+            _ => {}
         }
         Ok(command)
     }
--- a/crates/control/src/state/feed.rs
+++ b/crates/control/src/state/feed.rs
@@ -37,7 +37,7 @@
             evacuations: self.evacuations.clone(),
             document: document.unwrap_or_default(),
         };
-        supplement::encode(self, (!supplement.is_empty()).then_some(&supplement))
+        supplement::encode(self, (!supplement.is_empty()).then_some(&supplement), None::<&()>)
     }
 
     /// Decodes a feed.
@@ -45,7 +45,7 @@
     /// # Errors
     /// Fails if the bytes are not a feed of this version.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let (mut feed, supplement): (Self, Supplement) = supplement::decode(bytes)
+        let (mut feed, supplement, ()): (Self, Supplement, ()) = supplement::decode(bytes)
             .map_err(|cause| DecodeError::Malformed("feed", cause.to_string().into()))?;
         if let Some(record) = &mut feed.document {
             record.document.add_supplement(supplement.document);
--- a/crates/control/src/state/mod.rs
+++ b/crates/control/src/state/mod.rs
@@ -19,7 +19,7 @@
 pub use evacuations::{EvacuationOrder, EvacuationRecord};
 pub use feed::Feed;
 pub use moves::{MoveRecord, Phase};
-pub use rollouts::{RolloutOrder, RolloutRecord, RolloutState, RolloutStep};
+pub use rollouts::{RolloutEvidence, RolloutOrder, RolloutRecord, RolloutState, RolloutStep};
 pub use sections::{SectionRecord, SubmissionReplies};
 
 use lycheehub_estate::MergedSections;
@@ -124,7 +124,10 @@
             evacuations: self.evacuations.clone(),
             document: self.document.document.supplement(),
         };
-        supplement::encode(self, (!supplement.is_empty()).then_some(&supplement))
+        let supplement = (!supplement.is_empty()).then_some(supplement);
+        let evidence = self.rollout_evidence();
+        let evidence = (!evidence.is_empty()).then_some(evidence);
+        supplement::encode(self, supplement.as_ref(), evidence.as_ref())
     }
 
     /// Decodes a snapshot; empty bytes decode to the empty state.
@@ -135,10 +138,11 @@
         if bytes.is_empty() {
             return Ok(Self::default());
         }
-        let (mut state, supplement): (Self, Supplement) = supplement::decode(bytes)
+        let (mut state, supplement, evidence) = supplement::decode::<Self, Supplement, _>(bytes)
             .map_err(|cause| DecodeError::Malformed("snapshot", cause.to_string().into()))?;
         state.document.document.add_supplement(supplement.document);
         state.evacuations = supplement.evacuations;
+        state.set_rollout_evidence(evidence);
         state.rebuild_estate();
         Ok(state)
     }
--- a/crates/control/src/state/rollouts.rs
+++ b/crates/control/src/state/rollouts.rs
@@ -4,6 +4,7 @@
 use lycheehub_types::{ServiceName, Version};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
+use std::collections::BTreeMap;
 
 /// The number of rolled-back versions that are remembered per service. Platforms stop the endpoints
 /// of such versions only some seconds later.
@@ -22,6 +23,21 @@
     pub now_unix_ms: u64,
 }
 
+/// What a rollout has shown so far. Leaders state it with each step, so that the next one knows it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RolloutEvidence {
+    /// When a leader stated it, in milliseconds since the Unix epoch; 0 if none has.
+    pub stated_unix_ms: u64,
+    /// The number of requests to the new version since the order.
+    pub new_requests: u64,
+    /// The number of requests to other versions since the order.
+    pub old_requests: u64,
+    /// The number of trials that the version has passed since it last failed one.
+    pub passed: u32,
+    /// The number of trials that it has failed since it last passed one.
+    pub failed: u32,
+}
+
 /// The state of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RolloutState {
@@ -48,6 +64,9 @@
     pub ended_unix_ms: u64,
     /// The last rolled-back versions. They receive no requests unless they are ordered again.
     pub barred: Vec<Version>,
+    /// What it has shown so far. Stored after the other parts.
+    #[serde(skip)]
+    pub evidence: RolloutEvidence,
 }
 
 /// A step of a rollout, decided by the leader's controller.
@@ -65,6 +84,9 @@
     pub reason: SmolStr,
     /// The leader's time, in milliseconds since the Unix epoch.
     pub now_unix_ms: u64,
+    /// What the rollout has shown so far. Stored after the command.
+    #[serde(skip)]
+    pub evidence: RolloutEvidence,
 }
 
 impl State {
@@ -89,6 +111,7 @@
             share_permille: 0,
             ended_unix_ms: 0,
             barred,
+            evidence: RolloutEvidence::default(),
         };
         self.rollouts.insert(record.order.service.clone(), record);
     }
@@ -104,9 +127,26 @@
         record.revision = index;
         record.state = step.state;
         record.share_permille = step.share_permille;
+        record.evidence = step.evidence;
         if step.state != RolloutState::Running {
             record.ended_unix_ms = step.now_unix_ms;
         }
         true
     }
+
+    /// Returns what running rollouts have shown so far.
+    pub(super) fn rollout_evidence(&self) -> BTreeMap<ServiceName, RolloutEvidence> {
+        let records = self.rollouts.iter().filter(|(_, record)| {
+            record.state == RolloutState::Running && record.evidence != RolloutEvidence::default()
+        });
+        records.map(|(service, record)| (service.clone(), record.evidence)).collect()
+    }
+
+    pub(super) fn set_rollout_evidence(&mut self, all: BTreeMap<ServiceName, RolloutEvidence>) {
+        for (service, evidence) in all {
+            if let Some(record) = self.rollouts.get_mut(&service) {
+                record.evidence = evidence;
+            }
+        }
+    }
 }
--- a/crates/control/tests/control/late_regressions.rs
+++ b/crates/control/tests/control/late_regressions.rs
@@ -23,6 +23,10 @@
 const ROLLBACK_MS: u64 = 5_000;
 const BAD_ANSWERS: u64 = 50;
 const SEEDS: u64 = 10;
+/// The endpoints of the new version; a request goes to the one that runs the fewest.
+const NEW_ENDPOINTS: usize = 3;
+/// An endpoint is under load while it runs this many requests.
+const LOADED_REQUESTS: usize = 2;
 
 /// A rollout and what is wrong with its version.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +39,8 @@
     bad_from_ms: u64,
     /// The version fails only while it gets more than this share, in thousandths.
     bad_above_permille: u32,
+    /// How many times as long a request to the new version takes at an endpoint under load.
+    slowdown_under_load: f64,
     /// When the leader is lost, and how long it takes until another one leads, which knows nothing of what
     /// was observed.
     leader_lost_ms: Option<u64>,
@@ -48,10 +54,21 @@
     failures_percent: 0,
     bad_from_ms: 0,
     bad_above_permille: 0,
+    slowdown_under_load: 1.0,
     leader_lost_ms: None,
     leaderless_ms: 0,
 };
 
+/// A request that runs.
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    ends_ms: u64,
+    is_failed: bool,
+    slowdown: f64,
+    /// The endpoint of the new version, unless it runs at the old one.
+    endpoint: Option<usize>,
+}
+
 #[derive(Debug)]
 struct Outcome {
     state: RolloutState,
@@ -74,7 +91,7 @@
     };
     state.apply(1, Command::StartRollout(order));
     let mut rollouts = RolloutController::new(OPTIONS);
-    let mut in_flight: Vec<(u64, bool, bool)> = Vec::new();
+    let mut in_flight: Vec<Request> = Vec::new();
     let mut committing: Vec<(u64, Command)> = Vec::new();
     let (mut new_placed, mut old_placed) = (0, 0);
     // The requests since the last step.
@@ -103,13 +120,22 @@
             let is_new = (1 + new_since) * 1_000 <= (1 + all_since) * u64::from(share_permille);
             all_since += 1;
             new_since += u64::from(is_new);
-            let is_bad = is_new
+            let is_failed = is_new
                 && at_ms >= case.bad_from_ms
                 && share_permille > case.bad_above_permille
                 && rng.random_ratio(case.failures_percent, 100);
+            let running = |endpoint: usize| {
+                in_flight.iter().filter(|request| request.endpoint == Some(endpoint)).count()
+            };
+            let endpoint = (0..NEW_ENDPOINTS).min_by_key(|endpoint| running(*endpoint));
+            let endpoint = endpoint.filter(|_| is_new);
+            let is_loaded =
+                endpoint.is_some_and(|endpoint| running(endpoint) + 1 >= LOADED_REQUESTS);
+            let slowdown = if is_loaded { case.slowdown_under_load } else { 1.0 };
+            let ends_ms = at_ms + (case.request_ms as f64 * slowdown) as u64;
             new_placed += u64::from(is_new);
             old_placed += u64::from(!is_new);
-            in_flight.push((at_ms + case.request_ms, is_new, is_bad));
+            in_flight.push(Request { ends_ms, is_failed, slowdown, endpoint });
             if at_ms < case.duration_ms {
                 all += 1.0;
                 received += f64::from(u8::from(is_new));
@@ -117,24 +143,20 @@
             late += u64::from(is_new && fiftieth_ms.is_some_and(|ms| at_ms > ms + ROLLBACK_MS));
         }
         let mut seen = Observations::new();
-        for (_, is_new, is_bad) in in_flight.extract_if(.., |(ends_ms, ..)| *ends_ms <= at_ms) {
-            bad += u64::from(is_bad);
+        for request in in_flight.extract_if(.., |request| request.ends_ms <= at_ms) {
+            bad += u64::from(request.is_failed || request.slowdown > 1.0);
             if bad == BAD_ANSWERS {
                 fiftieth_ms.get_or_insert(at_ms);
             }
-            let version = if is_new { "v2" } else { "v1" }.into();
+            let version = if request.endpoint.is_some() { "v2" } else { "v1" }.into();
             let route = Route::new("rank 0");
             let key = ObservationKey { service: writer.clone(), version, route };
-            let pace_ms = rng.random_range(15.0..25.0);
-            *seen.entry(key).or_default() += match is_bad {
+            let pace_ms = rng.random_range(15.0..25.0) * request.slowdown;
+            *seen.entry(key).or_default() += match request.is_failed {
                 true => Observation::failure(),
                 false => Observation::success(pace_ms),
             };
         }
-        if case.leader_lost_ms == Some(at_ms) {
-            rollouts = RolloutController::new(OPTIONS);
-            (new_placed, old_placed) = (0, 0);
-        }
         if !is_led {
             continue;
         }
@@ -143,7 +165,13 @@
             continue;
         }
         let new_slots = if at_ms < ENDPOINTS_MS { 0 } else { 9 };
-        let capacity = |_: &_| VersionCapacity { new_slots, old_slots: 9, new_placed, old_placed };
+        let capacity = |_: &_| VersionCapacity {
+            new_slots,
+            cold_slots: 0,
+            old_slots: 9,
+            new_placed,
+            old_placed,
+        };
         let steps = rollouts.tick(BEGIN_UNIX_MS + at_ms, &state, capacity);
         committing
             .extend(steps.into_iter().map(|step| (at_ms + COMMIT_MS, Command::StepRollout(step))));
@@ -188,6 +216,21 @@
     expect_rolled_back(Case { bad_above_permille, failures_percent: 40, ..CASE });
 }
 
+/// Guards against a version that is judged where it is not loaded, and is slow where it is (review/7).
+#[gtest]
+fn a_version_that_is_slow_only_under_load_is_rolled_back() {
+    let case = Case { requests_per_s: 60.0, request_ms: 60, slowdown_under_load: 4.0, ..CASE };
+    for duration_ms in [6_000, 12_000, 20_000, 60_000] {
+        for slowdown_under_load in [3.0, 4.0, 6.0] {
+            expect_rolled_back(Case { duration_ms, slowdown_under_load, ..case });
+        }
+    }
+    for lost_before_ms in [10_500, 8_000, 6_000, 1_000, 600] {
+        let leader_lost_ms = Some(case.duration_ms - lost_before_ms);
+        expect_rolled_back(Case { leader_lost_ms, leaderless_ms: 800, ..case });
+    }
+}
+
 /// Guards against a new leader that completes a rollout of which it has seen nothing (review/6).
 #[gtest]
 fn a_version_that_fails_under_load_is_rolled_back_though_the_leader_is_lost() {
@@ -219,6 +262,28 @@
     }
 }
 
+/// Guards against sound versions that are taken back because their leader is lost (review/6).
+#[gtest]
+fn good_versions_are_completed_though_the_leader_is_lost() {
+    for (requests_per_s, duration_ms, request_ms) in
+        [(60.0, 12_000, 60), (20.0, 12_000, 60), (60.0, 6_000, 60), (83.0, 12_000, 20)]
+    {
+        for lost_before_ms in [6_000, 4_000, 2_000, 1_000, 950, 900, 800, 600, 400] {
+            if lost_before_ms + 1_000 > duration_ms {
+                continue;
+            }
+            let leader_lost_ms = Some(duration_ms - lost_before_ms);
+            let case = Case { requests_per_s, duration_ms, request_ms, leader_lost_ms, ..CASE };
+            let case = Case { leaderless_ms: 800, ..case };
+            for seed in 0..SEEDS {
+                let outcome = simulate(seed, case);
+                expect_that!(outcome.state, eq(RolloutState::Completed), "{case:?} {seed}");
+                expect_that!(outcome.received, le(outcome.allowed), "{case:?} {seed}");
+            }
+        }
+    }
+}
+
 #[gtest]
 fn good_versions_are_completed_by_their_time_limit() {
     for (requests_per_s, duration_ms) in
--- a/crates/control/tests/control/pauses.rs
+++ b/crates/control/tests/control/pauses.rs
@@ -287,7 +287,8 @@
         let new_slots = if at_ms < 1_500 { 0 } else { ENDPOINTS as u32 * SLOTS };
         let old_slots = ENDPOINTS as u32 * SLOTS;
         let (new_placed, old_placed) = (service.to_new, service.to_old);
-        let capacity = |_: &_| VersionCapacity { new_slots, old_slots, new_placed, old_placed };
+        let capacity =
+            |_: &_| VersionCapacity { new_slots, cold_slots: 0, old_slots, new_placed, old_placed };
         let mut reason = SmolStr::default();
         for step in controller.tick(BEGIN_UNIX_MS + at_ms, &state, capacity) {
             reason = first_word(&step.reason);
--- a/crates/control/tests/control/rollouts.rs
+++ b/crates/control/tests/control/rollouts.rs
@@ -5,7 +5,9 @@
 use lycheehub_control::moves::{
     Observation, ObservationKey, Observations, RolloutController, VersionCapacity,
 };
-use lycheehub_control::state::{Command, RolloutOrder, RolloutState, RolloutStep, State};
+use lycheehub_control::state::{
+    Command, RolloutEvidence, RolloutOrder, RolloutState, RolloutStep, State,
+};
 use lycheehub_types::{Route, ServiceName};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -85,7 +87,13 @@
         }
         rollouts.observe(&state, &seen);
         let new_slots = if at_ms < 1_500 { 0 } else { 9 };
-        let versions = |_: &_| VersionCapacity { new_slots, old_slots: 9, new_placed, old_placed };
+        let versions = |_: &_| VersionCapacity {
+            new_slots,
+            cold_slots: 0,
+            old_slots: 9,
+            new_placed,
+            old_placed,
+        };
         let now_unix_ms = BEGIN_UNIX_MS + at_ms;
         for step in rollouts.tick(now_unix_ms, &state, versions) {
             index += 1;
@@ -152,6 +160,7 @@
         share_permille: 0,
         reason: "".into(),
         now_unix_ms: BEGIN_UNIX_MS + 100,
+        evidence: RolloutEvidence::default(),
     };
     state.apply(5, Command::StepRollout(step(4, RolloutState::RolledBack)));
     state.apply(6, Command::StepRollout(step(4, RolloutState::Completed)));
--- a/crates/control/tests/control/state.rs
+++ b/crates/control/tests/control/state.rs
@@ -1,7 +1,10 @@
 //! Replicated sections and moves.
 
 use lycheehub_control::State;
-use lycheehub_control::state::{ApplyOutcome, Command, MoveStep, Phase, Reply, Submission};
+use lycheehub_control::state::{
+    ApplyOutcome, Command, MoveStep, Phase, Reply, RolloutEvidence, RolloutOrder, RolloutState,
+    RolloutStep, Submission,
+};
 
 const BASE: &str = "owner = \"ana\"\n[service.writer]\nkind = \"engine\"\nversion = \"v1\"\n";
 
@@ -102,3 +105,44 @@
     // An older feed changes nothing.
     assert!(!follower.apply_feed(state.feed_after(0)));
 }
+
+/// Guards against evidence of a rollout that is lost with its leader, or that an earlier build cannot read over
+/// (review/7).
+#[test]
+fn what_a_rollout_has_shown_is_kept_behind_the_bytes_of_earlier_builds() {
+    let order = RolloutOrder {
+        service: "writer".into(),
+        target: "v2".into(),
+        duration_ms: 12_000,
+        now_unix_ms: 5,
+    };
+    let evidence = RolloutEvidence {
+        stated_unix_ms: 7,
+        new_requests: 24,
+        old_requests: 300,
+        passed: 1,
+        failed: 0,
+    };
+    let step = |evidence| {
+        Command::StepRollout(RolloutStep {
+            service: "writer".into(),
+            after_revision: 1,
+            state: RolloutState::Running,
+            share_permille: 900,
+            reason: "trial".into(),
+            now_unix_ms: 7,
+            evidence,
+        })
+    };
+    let bytes = step(evidence).encode();
+    assert_eq!(Command::decode(&bytes), Ok(step(evidence)));
+    // An earlier build reads the first form, and nothing behind a mark that it doesn't know.
+    assert!(bytes.starts_with(&step(RolloutEvidence::default()).encode()));
+    let mut state = State::default();
+    state.apply(1, Command::StartRollout(order));
+    let earlier = state.encode();
+    state.apply(2, step(evidence));
+    assert_eq!(State::decode(&state.encode()).unwrap(), state);
+    assert_eq!(state.rollouts[&"writer".into()].evidence, evidence);
+    assert_eq!(State::decode(&earlier).unwrap().rollouts[&"writer".into()].evidence.passed, 0);
+}
--- a/crates/peer/src/node/propose.rs
+++ b/crates/peer/src/node/propose.rs
@@ -133,6 +133,7 @@
             share_permille: 0,
             reason: "another version is ordered".into(),
             now_unix_ms: self.clock.now_unix_ms(),
+            evidence: record.evidence,
         })
     }
 
--- a/crates/peer/src/node/rollouts.rs
+++ b/crates/peer/src/node/rollouts.rs
@@ -6,7 +6,7 @@
 use lycheehub_control::moves::VersionCapacity;
 use lycheehub_control::state::{RolloutRecord, RolloutStep};
 use lycheehub_dispatch::Dispatcher;
-use lycheehub_types::Version;
+use lycheehub_types::EndpointRecord;
 use std::rc::Rc;
 
 /// Interval between decisions on rollout steps, in milliseconds.
@@ -51,20 +51,21 @@
 /// Returns the slots of the versions, and their requests so far.
 fn capacity(core: &Core, dispatcher: &Dispatcher, record: &RolloutRecord) -> VersionCapacity {
     let order = &record.order;
-    let slots = |matches_version: &dyn Fn(&Version) -> bool| {
+    let slots = |matches: &dyn Fn(&EndpointRecord) -> bool| {
         let endpoints = core.directory.live().filter(|endpoint| {
-            endpoint.service == order.service
-                && !endpoint.leaving
-                && matches_version(&endpoint.version)
+            endpoint.service == order.service && !endpoint.leaving && matches(endpoint)
         });
         endpoints.map(|endpoint| endpoint.slots).sum()
     };
-    let is_new = |version: &Version| *version == order.target;
+    let is_new = |endpoint: &EndpointRecord| endpoint.version == order.target;
+    let is_old =
+        |endpoint: &EndpointRecord| !is_new(endpoint) && !record.barred.contains(&endpoint.version);
     let placed = dispatcher.placed_requests(&order.service);
     VersionCapacity {
         new_slots: slots(&is_new),
+        cold_slots: slots(&|endpoint| is_new(endpoint) && endpoint.cold_ms > 0),
+        old_slots: slots(&is_old),
         new_placed: placed.new,
         old_placed: placed.old,
-        old_slots: slots(&|version| !is_new(version) && !record.barred.contains(version)),
     }
 }
