--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -13,7 +13,11 @@
 use overtaken::Overtaken;
 
 use lycheehub_types::endpoint::COLD_TOLERANCE_MS;
-use lycheehub_types::{EndpointName, EndpointRecord, InstanceName};
+use lycheehub_types::{
+    EndpointKind, EndpointLoad, EndpointName, EndpointRecord, FailureDomain, InstanceName,
+    ServiceName, Version,
+};
+use smol_str::SmolStr;
 use std::collections::BTreeMap;
 
 /// The lease duration of an announcement at the replica that received it, in milliseconds: three
@@ -24,6 +28,9 @@
 pub const ORPHAN_MS: u64 = LEASE_MS + 4_000;
 /// How long the entry of a gone endpoint is kept, in milliseconds.
 const GONE_RETENTION_MS: u64 = 120_000;
+/// How much later than a farewell an incarnation may seem to have started that says it, in milliseconds, since
+/// clocks differ. An endpoint that starts again under its name has served on for longer than that.
+pub const FAREWELL_MARGIN_MS: u64 = 1_000;
 
 /// An endpoint as propagated between replicas.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,9 +75,41 @@
     changed_ms: u64,
     /// Until when the endpoint is cold, as it last announced, in milliseconds.
     cold_until_ms: u64,
+    /// The incarnation that was known when the endpoint was withdrawn.
+    left: Option<u64>,
+}
+
+impl Listing {
+    /// Returns the listing of an endpoint of which only the farewell is known.
+    fn of_farewell(endpoint: EndpointName, incarnation: u64) -> Self {
+        let record = EndpointRecord {
+            endpoint,
+            address: SmolStr::default(),
+            service: ServiceName::from(""),
+            version: Version::from(""),
+            kind: EndpointKind::Plain,
+            hardware: SmolStr::default(),
+            failure_domain: FailureDomain::from(""),
+            slots: 0,
+            fencing: false,
+            takes_orders: false,
+            incarnation,
+            sequence: 0,
+            leaving: true,
+            load: EndpointLoad::default(),
+            cold_ms: 0,
+        };
+        Self { record, gone: true, withdrawn: true }
+    }
 }
 
 impl Entry {
+    /// Returns whether an announcement of this incarnation is one of an endpoint that was withdrawn.
+    fn is_withdrawn(&self, incarnation: u64) -> bool {
+        self.listing.withdrawn
+            && (self.listing.record.incarnation == incarnation || self.left == Some(incarnation))
+    }
+
     /// Returns whether an announcement states another end of the endpoint's cold time than is known.
     fn is_cold_time_changed(&self, now_ms: u64, record: &EndpointRecord) -> bool {
         let stated_ms = now_ms + u64::from(record.cold_ms);
@@ -122,7 +161,7 @@
             None => announced.clone(),
         };
         same_incarnation |= listing.record.incarnation == record.incarnation;
-        if same_incarnation && listing.withdrawn {
+        if known.is_withdrawn(announced.incarnation) || known.is_withdrawn(record.incarnation) {
             return false;
         }
         if listing.record.freshness() >= record.freshness() {
@@ -130,10 +169,10 @@
             let overtaken = overtaken
                 .and_modify(|overtaken| overtaken.record(now_ms, &announced))
                 .or_insert_with(|| Overtaken::new(now_ms, &announced));
-            if !listing.gone || listing.withdrawn || !overtaken.is_proved(now_ms) {
+            if !listing.gone || !overtaken.is_proved(now_ms, listing) {
                 return false;
             }
-            overtaken.continue_from(&listing.record);
+            overtaken.continue_from(listing);
             record = overtaken.translate(announced);
         } else if let Some(overtaken) = self.overtaken.get_mut(&announced.endpoint)
             && !overtaken.record_newer()
@@ -181,18 +220,19 @@
         (known.source == Source::Local).then_some(known.change)
     }
 
-    /// Withdraws an endpoint for good; tells whether this changed a known endpoint. A withdrawal that is
-    /// known from another replica becomes a local change, too: that replica may be gone.
-    pub fn withdraw(&mut self, now_ms: u64, name: &EndpointName) -> bool {
-        let Some(known) = self.entries.get(name) else { return false };
-        if known.listing.withdrawn && known.source == Source::Local {
-            return false;
-        }
-        let mut listing = known.listing.clone();
+    /// Withdraws an endpoint for good, known or not: the known incarnation, and each one that was started
+    /// before `started_before`. A farewell names no incarnation, and may come before the first
+    /// announcement of the one that says it.
+    pub fn withdraw(&mut self, now_ms: u64, name: &EndpointName, started_before: u64) {
+        let mut listing = match self.entries.get(name) {
+            Some(known) => known.listing.clone(),
+            None => Listing::of_farewell(name.clone(), started_before),
+        };
+        listing.record.incarnation = listing.record.incarnation.max(started_before);
         listing.record.leaving = true;
         listing.gone = true;
         listing.withdrawn = true;
-        self.insert(now_ms, listing, LeaseMonitor::Local(now_ms), Source::Local)
+        self.insert(now_ms, listing, LeaseMonitor::Local(now_ms), Source::Local);
     }
 
     /// Applies changes that another replica detected itself, up to `position`; tells whether
@@ -278,8 +318,14 @@
         self.index.insert(self.change, endpoint.clone(), &source);
         let cold_until_ms = now_ms + u64::from(listing.record.cold_ms);
         let (change, changed_ms) = (self.change, now_ms);
-        let entry = Entry { listing, monitor, source, change, changed_ms, cold_until_ms };
-        if let Some(before) = self.entries.insert(endpoint, entry) {
+        let before = self.entries.remove(&endpoint);
+        let left = before.as_ref().and_then(|before| match listing.withdrawn {
+            true => before.left.or(Some(before.listing.record.incarnation)),
+            false => None,
+        });
+        let entry = Entry { listing, monitor, source, change, changed_ms, cold_until_ms, left };
+        self.entries.insert(endpoint, entry);
+        if let Some(before) = before {
             self.index.remove(before.change);
         }
         true
--- a/crates/control/src/directory/overtaken.rs
+++ b/crates/control/src/directory/overtaken.rs
@@ -5,8 +5,12 @@
 //! renewed until their lease ends, and announcements with lower numbers keep arriving in order, these
 //! are the true ones. The endpoint is then listed again under the known numbers, continued, so that
 //! every replica and watcher takes the listing for a newer one.
+//!
+//! A farewell names no incarnation, so it also holds for a later start if the clocks of the endpoint and of
+//! the replica differ, or if it comes late. An endpoint that goes on to announce itself for long after it is
+//! listed again, too.
 
-use super::LEASE_MS;
+use super::{LEASE_MS, Listing};
 use lycheehub_types::EndpointRecord;
 
 /// The least number of rising announcements that prove an endpoint.
@@ -14,6 +18,8 @@
 /// The least time over which they arrive, in milliseconds: announcements that a broken path held back
 /// arrive together, perhaps after the endpoint has ended.
 const PROOF_MIN_MS: u64 = LEASE_MS / 2;
+/// The least time for an endpoint that said farewell: longer than one goes on after that.
+const WITHDRAWN_PROOF_MIN_MS: u64 = 30_000;
 
 /// The announcements of an endpoint that looked outdated.
 #[derive(Clone, Debug)]
@@ -66,15 +72,17 @@
         self.listed_as.is_some()
     }
 
-    /// Returns whether the announcements prove that the endpoint runs.
-    pub(super) fn is_proved(&self, now_ms: u64) -> bool {
-        self.announcements >= ANNOUNCEMENTS_MIN
-            && now_ms >= self.since_ms.saturating_add(PROOF_MIN_MS)
+    /// Returns whether the announcements prove that the endpoint runs, though its listing is newer.
+    pub(super) fn is_proved(&self, now_ms: u64, known: &Listing) -> bool {
+        let least_ms = if known.withdrawn { WITHDRAWN_PROOF_MIN_MS } else { PROOF_MIN_MS };
+        self.announcements >= ANNOUNCEMENTS_MIN && now_ms >= self.since_ms.saturating_add(least_ms)
     }
 
-    /// Lists the endpoint under the numbers of `known`, continued.
-    pub(super) fn continue_from(&mut self, known: &EndpointRecord) {
-        let next = known.sequence.saturating_add(1);
-        self.listed_as = Some((known.incarnation, next.saturating_sub(self.sequence)));
+    /// Lists the endpoint under the numbers of `known`, continued. A farewell ends an incarnation.
+    pub(super) fn continue_from(&mut self, known: &Listing) {
+        let record = &known.record;
+        let incarnation = record.incarnation.saturating_add(u64::from(known.withdrawn));
+        let next = record.sequence.saturating_add(1);
+        self.listed_as = Some((incarnation, next.saturating_sub(self.sequence)));
     }
 }
--- a/crates/control/tests/control/directory.rs
+++ b/crates/control/tests/control/directory.rs
@@ -108,7 +108,7 @@
 fn outdated_announcements_do_not_restore_a_withdrawn_endpoint() {
     let mut directory = Directory::default();
     directory.announce(0, record("e", 1, 5));
-    directory.withdraw(100, &"e".into());
+    directory.withdraw(100, &"e".into(), 0);
     expect_that!(directory.announce(200, record("e", 1, 4)), eq(false));
     expect_that!(directory.announce(200, record("e", 1, 6)), eq(false));
     expect_that!(live(&directory), is_empty());
@@ -144,7 +144,7 @@
     here.announce(0, record("e", 1, 1));
     propagate(0, &here, &"here".into(), &mut there);
     there.announce(50, record("e", 1, 2));
-    here.withdraw(60, &"e".into());
+    here.withdraw(60, &"e".into(), 0);
     propagate(70, &here, &"here".into(), &mut there);
     expect_that!(live(&there), is_empty());
     let listing: Vec<Listing> = local_changes_after(&there, 0)
@@ -176,7 +176,7 @@
         parts += 1;
         if parts == 2 {
             here.announce(10, EndpointRecord { leaving: true, ..record("e0", 1, 2) });
-            here.withdraw(10, &"e9".into());
+            here.withdraw(10, &"e9".into(), 0);
         }
     }
     expect_that!(live(&there), eq(&live(&here)));
@@ -189,7 +189,7 @@
 fn removed_endpoints_are_not_propagated() {
     let mut directory = Directory::default();
     directory.announce(0, record("e", 1, 1));
-    directory.withdraw(0, &"e".into());
+    directory.withdraw(0, &"e".into(), 0);
     directory.expire(1_000_000);
     expect_that!(local_changes_after(&directory, 0), is_empty());
     expect_that!(directory.pending_local_changes(0, 9), none());
@@ -483,7 +483,7 @@
 fn a_withdrawn_endpoint_is_not_listed_again_by_its_own_announcements() {
     let mut directory = Directory::default();
     directory.announce(0, record("e", 7, 50));
-    directory.withdraw(100, &"e".into());
+    directory.withdraw(100, &"e".into(), 0);
     for sequence in 1..49 {
         directory.announce(sequence * 1_200, record("e", 7, sequence));
         directory.expire(sequence * 1_200);
--- /dev/null
+++ b/crates/control/tests/control/farewells.rs
@@ -0,0 +1,174 @@
+//! What was acknowledged of an endpoint that leaves: no later event lists the incarnation that left.
+
+use super::directory::record;
+use googletest::prelude::*;
+use lycheehub_control::directory::{ChangePosition, Directory, FAREWELL_MARGIN_MS, LEASE_MS};
+use lycheehub_types::{EndpointRecord, InstanceName};
+
+/// When the endpoint starts, and when it says farewell by the replica's clock, in milliseconds since the
+/// Unix epoch.
+const STARTED_UNIX_MS: u64 = 1_000_000;
+const FAREWELL_UNIX_MS: u64 = STARTED_UNIX_MS + 300;
+/// The interval between announcements, in milliseconds.
+const INTERVAL_MS: u64 = 1_200;
+
+/// What the replica that takes a farewell knows of the endpoint.
+#[derive(Clone, Copy, Debug)]
+enum Known {
+    Nothing,
+    ThisIncarnation,
+    AnOlderOne,
+    ANewerOne,
+    ByARelayOnly,
+}
+
+const ALL_KNOWN: [Known; 5] = [
+    Known::Nothing,
+    Known::ThisIncarnation,
+    Known::AnOlderOne,
+    Known::ANewerOne,
+    Known::ByARelayOnly,
+];
+
+fn replica(known: Known) -> Directory {
+    let mut directory = Directory::default();
+    let relay = InstanceName::from("relay");
+    match known {
+        Known::Nothing => {}
+        Known::ThisIncarnation => {
+            directory.announce(0, record("e", STARTED_UNIX_MS, 5));
+        }
+        Known::AnOlderOne => {
+            directory.announce(0, record("e", STARTED_UNIX_MS - 20_000, 9));
+        }
+        Known::ANewerOne => {
+            directory.announce(0, record("e", STARTED_UNIX_MS + 50, 1));
+        }
+        Known::ByARelayOnly => {
+            let mut from = Directory::default();
+            from.announce(0, record("e", STARTED_UNIX_MS, 5));
+            let listings = from.local_changes_after(0, usize::MAX).listings;
+            directory.apply_relayed(0, &relay, listings);
+        }
+    }
+    directory
+}
+
+fn withdraw(directory: &mut Directory, now_ms: u64, now_unix_ms: u64) {
+    directory.withdraw(now_ms, &"e".into(), now_unix_ms + FAREWELL_MARGIN_MS);
+}
+
+/// Sends all changes of `from` to `to`.
+fn propagate(now_ms: u64, from: &Directory, to: &mut Directory) {
+    let own = from.local_changes_after(0, usize::MAX);
+    let position = ChangePosition { epoch: 1, change: own.up_to };
+    to.apply_direct(now_ms, &"from".into(), position, own.listings);
+}
+
+fn is_listed(directory: &Directory) -> bool {
+    directory.live().any(|endpoint| !endpoint.leaving)
+}
+
+/// Guards against an acknowledged farewell of an unknown endpoint that is forgotten, so that its late
+/// announcement lists it (review/8).
+#[gtest]
+fn a_late_announcement_does_not_list_an_endpoint_that_said_farewell() {
+    for known in ALL_KNOWN {
+        let mut directory = replica(known);
+        withdraw(&mut directory, 100, FAREWELL_UNIX_MS);
+        for (sequence, at_ms) in (1..).zip((200..5_000).step_by(500)) {
+            directory.announce(at_ms, record("e", STARTED_UNIX_MS, sequence));
+            directory.expire(at_ms);
+            expect_that!(is_listed(&directory), eq(false), "{known:?} at {at_ms}");
+        }
+    }
+}
+
+/// Guards against an acknowledged farewell that another replica does not know of, which takes the late
+/// announcement (review/8).
+#[gtest]
+fn a_late_announcement_elsewhere_does_not_list_an_endpoint_that_said_farewell() {
+    for known in ALL_KNOWN {
+        for other_knows in ALL_KNOWN {
+            for is_told_before in [true, false] {
+                let (mut here, mut there) = (replica(known), replica(other_knows));
+                withdraw(&mut here, 100, FAREWELL_UNIX_MS);
+                if is_told_before {
+                    propagate(150, &here, &mut there);
+                }
+                there.announce(200, record("e", STARTED_UNIX_MS, 1));
+                propagate(250, &there, &mut here);
+                propagate(300, &here, &mut there);
+                let what = format!("{known:?}, {other_knows:?}, {is_told_before}");
+                expect_that!(is_listed(&here), eq(false), "{what}");
+                expect_that!(is_listed(&there), eq(false), "{what}");
+            }
+        }
+    }
+}
+
+/// Guards against an endpoint that starts again under its name and is taken for the one that left.
+#[gtest]
+fn an_endpoint_that_starts_again_after_its_farewell_is_listed_at_once() {
+    for known in ALL_KNOWN {
+        let mut directory = replica(known);
+        withdraw(&mut directory, 100, FAREWELL_UNIX_MS);
+        let again = record("e", FAREWELL_UNIX_MS + 2_500, 1);
+        expect_that!(directory.announce(2_600, again), eq(true), "{known:?}");
+        expect_that!(is_listed(&directory), eq(true), "{known:?}");
+    }
+}
+
+/// Guards against an endpoint that is never listed again because the clocks of a replica and of the endpoint
+/// differ: it started later, but states an earlier time than that of the farewell.
+#[gtest]
+fn an_endpoint_that_starts_again_with_a_clock_behind_is_listed_in_the_end() {
+    for known in ALL_KNOWN {
+        let (mut directory, mut other) = (replica(known), replica(known));
+        withdraw(&mut directory, 100, FAREWELL_UNIX_MS);
+        propagate(100, &directory, &mut other);
+        let started_unix_ms = FAREWELL_UNIX_MS - 3_000;
+        let mut at_ms = 2_600;
+        for sequence in 1..40 {
+            directory.announce(at_ms, record("e", started_unix_ms, sequence));
+            directory.expire(at_ms);
+            propagate(at_ms, &directory, &mut other);
+            at_ms += INTERVAL_MS;
+        }
+        expect_that!(is_listed(&directory), eq(true), "{known:?}");
+        expect_that!(is_listed(&other), eq(true), "{known:?}");
+    }
+}
+
+/// Guards against an endpoint that goes on to announce itself after its farewell and is listed for it.
+#[gtest]
+fn an_endpoint_that_announces_itself_after_its_farewell_stays_withdrawn() {
+    for known in [Known::ThisIncarnation, Known::ByARelayOnly] {
+        let mut directory = replica(known);
+        withdraw(&mut directory, 100, FAREWELL_UNIX_MS);
+        let (mut at_ms, mut sequence) = (200, 6);
+        while at_ms < 60_000 {
+            directory.announce(at_ms, record("e", STARTED_UNIX_MS, sequence));
+            directory.expire(at_ms);
+            expect_that!(is_listed(&directory), eq(false), "{known:?} at {at_ms}");
+            (at_ms, sequence) = (at_ms + INTERVAL_MS, sequence + 1);
+        }
+    }
+}
+
+/// Guards against an older announcement that takes back what an endpoint said last: that it drains.
+#[gtest]
+fn a_late_announcement_does_not_take_back_that_an_endpoint_drains() {
+    for known in [Known::Nothing, Known::ThisIncarnation, Known::AnOlderOne, Known::ByARelayOnly] {
+        let mut directory = replica(known);
+        let draining = EndpointRecord { leaving: true, ..record("e", STARTED_UNIX_MS, 9) };
+        directory.announce(100, draining);
+        directory.announce(2_000, record("e", STARTED_UNIX_MS, 8));
+        expect_that!(is_listed(&directory), eq(false), "{known:?}");
+        directory.expire(100 + LEASE_MS);
+        for (sequence, at_ms) in [(6, 4_700), (7, 5_900), (8, 7_100)] {
+            directory.announce(at_ms, record("e", STARTED_UNIX_MS, sequence));
+            expect_that!(is_listed(&directory), eq(false), "{known:?} at {at_ms}");
+        }
+    }
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod document;
 mod evacuations;
 mod false_alarms;
+mod farewells;
 mod fixtures;
 mod late_regressions;
 mod moves;
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -4,7 +4,7 @@
 use crate::watch::{self, REVISION_FROM_LOG, ReplicaPositions, WatchUpdate, Watcher};
 use lycheehub_clock::within;
 use lycheehub_control::directory::batching::{self, Backlog};
-use lycheehub_control::directory::{ChangePosition, Changes, LEASE_MS, Listing};
+use lycheehub_control::directory::{ChangePosition, Changes, FAREWELL_MARGIN_MS, Listing};
 use lycheehub_types::{CountGuard, EndpointName, EndpointRecord, InstanceName};
 use smol::Timer;
 use smol::channel::{Sender, bounded};
@@ -99,30 +99,17 @@
         }
     }
 
-    /// Withdraws an endpoint that leaves permanently; returns whether the withdrawal takes effect and
-    /// enough replicas hold it.
-    ///
-    /// A replica that has just started may not know an endpoint that entry instances still send
-    /// requests to, so it cannot tell them about the withdrawal. Within one lease after the start,
-    /// it therefore rejects the withdrawal of an unknown endpoint.
+    /// Withdraws an endpoint that leaves permanently, known or not; returns whether enough replicas hold that.
     pub(super) async fn withdraw(self: Rc<Self>, endpoint: EndpointName) -> bool {
-        let now_ms = self.clock.now_ms();
-        let (is_known, changed) = {
+        let started_before = self.clock.now_unix_ms() + FAREWELL_MARGIN_MS;
+        let change = {
             let directory = &mut self.core.borrow_mut().directory;
-            (directory.contains(&endpoint), directory.withdraw(now_ms, &endpoint))
+            directory.withdraw(self.clock.now_ms(), &endpoint, started_before);
+            directory.change()
         };
-        if changed {
-            spdlog::info!("endpoint withdrawn", kv: { endpoint: = endpoint });
-            self.notify_directory_changed();
-        }
-        if is_known {
-            return self.is_held(&endpoint).await;
-        }
-        let has_full_directory = now_ms >= self.started_ms + LEASE_MS;
-        if !has_full_directory {
-            spdlog::info!("farewell not taken: endpoint not known yet", kv: { endpoint: = endpoint });
-        }
-        has_full_directory
+        spdlog::info!("endpoint withdrawn", kv: { endpoint: = endpoint, change });
+        self.notify_directory_changed();
+        self.is_held(&endpoint).await
     }
 
     /// Waits until as many replicas hold the last change of an endpoint as must survive the losses that the
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -72,7 +72,6 @@
     core: RefCell<Core>,
     /// Senders that wake the tasks waiting for a new revision or a directory change.
     change_waiters: RefCell<Vec<Sender<()>>>,
-    started_ms: u64,
     /// The leader that was last announced to watchers.
     announced_leader: RefCell<Option<InstanceName>>,
     /// The number of watch requests that are waiting for a reply.
@@ -206,7 +205,6 @@
             orders: dependencies.orders,
             core: RefCell::new(core),
             change_waiters: RefCell::default(),
-            started_ms: clock.now_ms(),
             announced_leader: RefCell::default(),
             watchers: Cell::new(0),
             polls: RefCell::default(),
