--- a/crates/cli/tests/platform/farewells.rs
+++ b/crates/cli/tests/platform/farewells.rs
@@ -87,3 +87,29 @@
         expect_that!(started.elapsed(), lt(ACK_MAX), "{controls}");
     }
 }
+
+/// Guards against requests at an endpoint whose farewell, or whose word that it drains, was acknowledged
+/// before all control instances were killed, because an older announcement arrives late (review/9).
+#[gtest]
+fn what_was_acknowledged_of_a_leaving_endpoint_outlives_all_control_instances() {
+    for drains in [false, true] {
+        let (mut deployment, endpoint) = start(layout(3, 1, false));
+        eventually("it is acknowledged", || say_last(&deployment, &endpoint, drains) == 200);
+        for control in &mut deployment.controls {
+            control.kill();
+        }
+        for control in &mut deployment.controls {
+            control.start(false);
+        }
+        eventually("the late announcement arrives", || {
+            announce(&deployment, MONITOR, &endpoint, 8, "ready").status == 200
+        });
+        std::thread::sleep(DRAIN);
+        let before = endpoint.count();
+        let watched = Instant::now();
+        while watched.elapsed() < WATCHED {
+            send_request(&deployment, 0, "GET", "/press/1", "key-1", "");
+        }
+        expect_that!(endpoint.count(), eq(before), "drains: {drains}");
+    }
+}
--- a/crates/consensus/src/storage/disk.rs
+++ b/crates/consensus/src/storage/disk.rs
@@ -1,13 +1,10 @@
 //! Storage of a replica's state as files in one folder.
 
-use super::{Error, Storage, record};
+use super::file::{RecordFile, load_record, save_record};
+use super::{Error, Storage};
 use crate::{Entry, Persisted, ReplicaId, Snapshot, Vote};
 use rand::Rng;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
-use std::fs::{self, File, OpenOptions};
-use std::io::{ErrorKind, Seek, SeekFrom, Write};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 
 const IDENTITY_FILE: &str = "identity";
 const VOTE_FILE: &str = "vote";
@@ -18,8 +15,7 @@
 #[derive(Debug)]
 pub struct Disk {
     folder: PathBuf,
-    log: File,
-    log_bytes: u64,
+    log: RecordFile,
     /// The entries in the log file, from which the file is rewritten after a snapshot.
     entries: Vec<Entry>,
 }
@@ -31,10 +27,8 @@
     /// Fails if the folder cannot be created or its log cannot be opened for writing.
     pub fn open(folder: impl Into<PathBuf>) -> Result<Self, Error> {
         let folder = folder.into();
-        fs::create_dir_all(&folder)
-            .map_err(|cause| Error::Io("create folder", folder.clone(), cause))?;
-        let log = open_log(&folder.join(LOG_FILE))?;
-        Ok(Self { folder, log, log_bytes: 0, entries: Vec::new() })
+        let log = RecordFile::open(&folder, LOG_FILE)?;
+        Ok(Self { folder, log, entries: Vec::new() })
     }
 
     fn path(&self, file: &str) -> PathBuf {
@@ -42,26 +36,11 @@
     }
 
     fn load_log(&mut self, snapshot: &Snapshot) -> Result<(), Error> {
-        let path = self.path(LOG_FILE);
-        let bytes = fs::read(&path).map_err(|cause| Error::Io("read", path.clone(), cause))?;
-        let mut offset = 0;
         self.entries.clear();
-        while offset < bytes.len() {
-            match record::read(&bytes, offset) {
-                record::Read::Record(payload, next) => {
-                    let entries: Vec<Entry> = decode(&path, offset, payload)?;
-                    for entry in entries {
-                        self.push_replacing(entry);
-                    }
-                    offset = next;
-                }
-                record::Read::Torn => break,
-                record::Read::Corrupt(reason) => {
-                    return Err(Error::Corrupt(path, offset as u64, reason.to_owned()));
-                }
-            }
+        let batches: Vec<Vec<Entry>> = self.log.load()?;
+        for entry in batches.into_iter().flatten() {
+            self.push_replacing(entry);
         }
-        self.truncate_log(offset as u64)?;
         self.entries.retain(|entry| entry.position.index > snapshot.position.index);
         self.check_contiguous(snapshot)
     }
@@ -71,7 +50,7 @@
         for (expected, entry) in (snapshot.position.index + 1..).zip(&self.entries) {
             if entry.position.index != expected {
                 let message = format!("entry {expected} is missing");
-                return Err(Error::Corrupt(self.path(LOG_FILE), 0, message));
+                return Err(Error::Corrupt(self.log.path(), 0, message));
             }
         }
         Ok(())
@@ -85,31 +64,6 @@
         }
         self.entries.push(entry);
     }
-
-    /// Truncates the log file to `length` bytes.
-    fn truncate_log(&mut self, length: u64) -> Result<(), Error> {
-        let path = self.path(LOG_FILE);
-        let io_error = |cause| Error::Io("truncate", path.clone(), cause);
-        self.log.set_len(length).map_err(io_error)?;
-        self.log.seek(SeekFrom::Start(length)).map_err(io_error)?;
-        self.log.sync_data().map_err(io_error)?;
-        self.log_bytes = length;
-        Ok(())
-    }
-
-    fn rewrite_log(&mut self) -> Result<(), Error> {
-        let mut bytes = Vec::new();
-        for entry in &self.entries {
-            record::write(&mut bytes, &encode(&std::slice::from_ref(entry)));
-        }
-        let path = self.path(LOG_FILE);
-        replace_file(&self.folder, LOG_FILE, &bytes)?;
-        self.log = open_log(&path)?;
-        self.log_bytes = bytes.len() as u64;
-        let seek = self.log.seek(SeekFrom::Start(self.log_bytes));
-        seek.map_err(|cause| Error::Io("open", path, cause))?;
-        Ok(())
-    }
 }
 
 impl Storage for Disk {
@@ -134,15 +88,7 @@
 
     fn append(&mut self, entries: &[Entry]) -> Result<(), Error> {
         // All entries go into one record, so an interrupted write stores all of them or none.
-        let mut bytes = Vec::new();
-        record::write(&mut bytes, &encode(&entries));
-        let written = self.log.write_all(&bytes).and_then(|()| self.log.sync_data());
-        if let Err(cause) = written {
-            let length = self.log_bytes;
-            self.truncate_log(length)?;
-            return Err(Error::Io("append to", self.path(LOG_FILE), cause));
-        }
-        self.log_bytes += bytes.len() as u64;
+        self.log.append(&entries)?;
         for entry in entries {
             self.push_replacing(entry.clone());
         }
@@ -153,54 +99,6 @@
         save_record(&self.folder, SNAPSHOT_FILE, snapshot)?;
         let index = snapshot.position.index;
         self.entries.retain(|entry| !reset && entry.position.index > index);
-        self.rewrite_log()
+        self.log.replace(self.entries.iter().map(std::slice::from_ref))
     }
 }
-
-fn open_log(path: &Path) -> Result<File, Error> {
-    let mut options = OpenOptions::new();
-    let options = options.read(true).write(true).create(true).truncate(false);
-    options.open(path).map_err(|cause| Error::Io("open", path.to_owned(), cause))
-}
-
-fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    postcard::to_stdvec(value).unwrap_or_default()
-}
-
-fn decode<T: DeserializeOwned>(path: &Path, offset: usize, payload: &[u8]) -> Result<T, Error> {
-    postcard::from_bytes(payload)
-        .map_err(|cause| Error::Corrupt(path.to_owned(), offset as u64, cause.to_string()))
-}
-
-fn load_record<T: DeserializeOwned>(path: &Path) -> Result<Option<T>, Error> {
-    let bytes = match fs::read(path) {
-        Ok(bytes) => bytes,
-        Err(cause) if cause.kind() == ErrorKind::NotFound => return Ok(None),
-        Err(cause) => return Err(Error::Io("read", path.to_owned(), cause)),
-    };
-    match record::read(&bytes, 0) {
-        record::Read::Record(payload, _) => decode(path, 0, payload).map(Some),
-        record::Read::Torn => {
-            Err(Error::Corrupt(path.to_owned(), 0, "record is truncated".to_owned()))
-        }
-        record::Read::Corrupt(reason) => Err(Error::Corrupt(path.to_owned(), 0, reason.to_owned())),
-    }
-}
-
-fn save_record<T: Serialize>(folder: &Path, file: &str, value: &T) -> Result<(), Error> {
-    let mut bytes = Vec::new();
-    record::write(&mut bytes, &encode(value));
-    replace_file(folder, file, &bytes)
-}
-
-/// Replaces a file atomically: a crash leaves either the old or the new content.
-fn replace_file(folder: &Path, file: &str, bytes: &[u8]) -> Result<(), Error> {
-    let temporary = folder.join(format!("{file}.new"));
-    let target = folder.join(file);
-    let io_error = |cause| Error::Io("replace", target.clone(), cause);
-    let mut new = File::create(&temporary).map_err(io_error)?;
-    new.write_all(bytes).map_err(io_error)?;
-    new.sync_all().map_err(io_error)?;
-    fs::rename(&temporary, &target).map_err(io_error)?;
-    File::open(folder).and_then(|folder| folder.sync_all()).map_err(io_error)
-}
--- a/crates/consensus/src/storage/mod.rs
+++ b/crates/consensus/src/storage/mod.rs
@@ -1,9 +1,11 @@
 //! Durable storage of a replica: its identity, vote, snapshot and log.
 
 mod disk;
+mod file;
 mod record;
 
 pub use disk::Disk;
+pub use file::RecordFile;
 
 use crate::{Entry, Persisted, ReplicaId, Snapshot, Vote};
 use quick_error::quick_error;
--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -6,10 +6,12 @@
 
 pub mod batching;
 mod changes;
+mod departures;
 mod overtaken;
 
 use changes::ChangeIndex;
 pub use changes::{ChangePosition, Changes};
+pub use departures::Departure;
 use overtaken::Overtaken;
 
 use lycheehub_types::endpoint::COLD_TOLERANCE_MS;
@@ -18,7 +20,7 @@
     ServiceName, Version,
 };
 use smol_str::SmolStr;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The lease duration of an announcement at the replica that received it, in milliseconds: three
 /// announcement intervals of 1,200 ms and some delay.
@@ -142,6 +144,8 @@
     unreachable_since_ms: BTreeMap<InstanceName, u64>,
     /// The known endpoints whose announcements to this replica look outdated, or did.
     overtaken: BTreeMap<EndpointName, Overtaken>,
+    /// The endpoints that are known to leave since departures were last stored.
+    unsaved: BTreeSet<EndpointName>,
 }
 
 impl Directory {
@@ -319,6 +323,13 @@
         let cold_until_ms = now_ms + u64::from(listing.record.cold_ms);
         let (change, changed_ms) = (self.change, now_ms);
         let before = self.entries.remove(&endpoint);
+        let state = |listing: &Listing| {
+            (listing.record.incarnation, listing.record.leaving, listing.withdrawn)
+        };
+        let is_new = before.as_ref().is_none_or(|before| state(&before.listing) != state(&listing));
+        if listing.record.leaving && is_new {
+            self.unsaved.insert(endpoint.clone());
+        }
         let left = before.as_ref().and_then(|before| match listing.withdrawn {
             true => before.left.or(Some(before.listing.record.incarnation)),
             false => None,
@@ -364,7 +375,7 @@
         };
         let is_outdated =
             |entry: &Entry| entry.listing.gone && now_ms >= entry.changed_ms + GONE_RETENTION_MS;
-        let (index, overtaken) = (&mut self.index, &mut self.overtaken);
+        let (index, overtaken, unsaved) = (&mut self.index, &mut self.overtaken, &mut self.unsaved);
         self.entries.retain(|name, entry| {
             let is_lost = is_orphan(entry) && !entry.listing.gone;
             let is_removed = is_lost || is_outdated(entry);
@@ -374,6 +385,7 @@
             if is_removed {
                 index.remove(entry.change);
                 overtaken.remove(name);
+                unsaved.remove(name);
             }
             !is_removed
         });
--- a/crates/control/tests/control/farewells.rs
+++ b/crates/control/tests/control/farewells.rs
@@ -172,3 +172,66 @@
         }
     }
 }
+
+/// Returns a replica that has stored what `directory` knows, and restarted.
+fn restarted(directory: &mut Directory, now_ms: u64, now_unix_ms: u64) -> Directory {
+    let mut after = Directory::default();
+    for departure in directory.unsaved_departures(now_unix_ms) {
+        after.restore(now_ms, departure);
+    }
+    directory.mark_saved();
+    after
+}
+
+/// Guards against what was acknowledged of an endpoint that leaves, and is forgotten when all replicas restart:
+/// an older announcement that arrives late lists it (review/9).
+#[gtest]
+fn what_was_acknowledged_of_a_leaving_endpoint_outlives_a_restart_of_all_replicas() {
+    for known in ALL_KNOWN {
+        for drains in [false, true] {
+            let (mut here, mut there) = (replica(known), replica(Known::Nothing));
+            match drains {
+                true => {
+                    let draining =
+                        EndpointRecord { leaving: true, ..record("e", STARTED_UNIX_MS, 9) };
+                    here.announce(100, draining);
+                }
+                false => withdraw(&mut here, 100, FAREWELL_UNIX_MS),
+            }
+            propagate(150, &here, &mut there);
+            let mut here = restarted(&mut here, 0, FAREWELL_UNIX_MS + 1_000);
+            let mut there = restarted(&mut there, 0, FAREWELL_UNIX_MS + 1_000);
+            // The third one held nothing of it, and takes the late announcement.
+            let mut third = Directory::default();
+            let what = format!("{known:?}, drains: {drains}");
+            for directory in [&mut here, &mut there, &mut third] {
+                directory.announce(2_000, record("e", STARTED_UNIX_MS, 8));
+            }
+            propagate(2_050, &third, &mut here);
+            propagate(2_050, &here, &mut third);
+            for directory in [&mut here, &mut there, &mut third] {
+                directory.expire(2_100);
+                // A newer incarnation than the one that drains is in service.
+                let is_newer = drains && matches!(known, Known::ANewerOne);
+                expect_that!(is_listed(directory) && !is_newer, eq(false), "{what}");
+            }
+            let again = record("e", FAREWELL_UNIX_MS + 2_500, 1);
+            here.announce(2_600, again);
+            expect_that!(is_listed(&here), eq(true), "{what}");
+        }
+    }
+}
+
+/// Guards against an endpoint that drains and is not listed as such after a restart of all replicas: what runs
+/// there goes on.
+#[gtest]
+fn an_endpoint_that_drains_says_so_again_after_a_restart() {
+    let mut directory = replica(Known::ThisIncarnation);
+    let draining =
+        |sequence| EndpointRecord { leaving: true, ..record("e", STARTED_UNIX_MS, sequence) };
+    directory.announce(100, draining(9));
+    let mut directory = restarted(&mut directory, 0, FAREWELL_UNIX_MS);
+    directory.announce(500, draining(9));
+    expect_that!(directory.live().all(|endpoint| endpoint.leaving), eq(true));
+    expect_that!(directory.live().count(), eq(1));
+}
--- a/crates/peer/src/entry/mod.rs
+++ b/crates/peer/src/entry/mod.rs
@@ -311,7 +311,7 @@
         self.0.known.borrow().addresses.get(peer).cloned()
     }
 
-    fn apply_update(&self, from: &InstanceName, update: WatchUpdate) {
+    fn apply_update(&self, from: &InstanceName, update: WatchUpdate) -> bool {
         let node = &self.0;
         let now_ms = node.clock.now_ms();
         let (changed, must_fetch, new_replicas) = {
@@ -322,6 +322,8 @@
             }
             changed |= known.directory.apply_direct(now_ms, from, update.position, update.listings);
             changed |= known.directory.apply_relayed(now_ms, from, update.relays);
+            // An entry instance stores nothing.
+            known.directory.mark_saved();
             if update.leader.is_some() && known.leader != update.leader {
                 known.leader = update.leader;
                 changed = true;
@@ -343,6 +345,7 @@
         if must_fetch {
             node.executor.spawn(node.clone().fetch(from.clone())).detach();
         }
+        true
     }
 
     fn mark_unreachable(&self, peer: &InstanceName) {
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -112,10 +112,30 @@
         self.is_held(&endpoint).await
     }
 
+    /// Stores what endpoints that leave have said since the last call; returns whether all of it is stored.
+    fn save_departures(&self) -> bool {
+        let now_unix_ms = self.clock.now_unix_ms();
+        let directory = &mut self.core.borrow_mut().directory;
+        let unsaved = directory.unsaved_departures(now_unix_ms);
+        let saved = self.departures.borrow_mut().save(&unsaved, now_unix_ms);
+        match saved {
+            Ok(()) => directory.mark_saved(),
+            Err(error) => {
+                let count = unsaved.len() as u64;
+                spdlog::warn!("departures of endpoints not stored", kv: { count, error: });
+                return false;
+            }
+        }
+        true
+    }
+
     /// Waits until as many replicas hold the last change of an endpoint as must survive the losses that the
-    /// settings name; returns false if that takes too long. A change from another replica is that
-    /// one's to pass on.
+    /// settings name; returns false if that takes too long. Each stores it first. A change from another
+    /// replica is that one's to pass on.
     async fn is_held(&self, endpoint: &EndpointName) -> bool {
+        if !self.save_departures() {
+            return false;
+        }
         let copies_min = self.settings.copies_min;
         let give_up_ms = self.clock.now_ms() + COPIES_TIMEOUT_MS;
         loop {
@@ -336,7 +356,7 @@
         self.core.borrow().address_of(self, peer)
     }
 
-    fn apply_update(&self, from: &InstanceName, update: WatchUpdate) {
+    fn apply_update(&self, from: &InstanceName, update: WatchUpdate) -> bool {
         let now_ms = self.clock.now_ms();
         let changed = {
             let mut core = self.core.borrow_mut();
@@ -352,6 +372,7 @@
             // a relayed change with their next request.
             self.update_dispatcher();
         }
+        self.save_departures()
     }
 
     fn mark_unreachable(&self, peer: &InstanceName) {
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod bootstrap;
 mod calls;
 mod cluster_status;
+mod departures;
 mod directory;
 mod dispatch;
 mod driver;
@@ -21,6 +22,7 @@
 use crate::settings::Settings;
 use crate::views::Views;
 use crate::watch::ReplicaPositions;
+use departures::DepartureStore;
 pub(crate) use directory::WatchPosition;
 use dispatch::LeaderDispatch;
 pub(crate) use dispatch::{Entered, SessionKey};
@@ -81,6 +83,8 @@
     /// The replicas whose directories are watched.
     watched_replicas: RefCell<BTreeSet<InstanceName>>,
     /// The position reached in the local changes of each watched replica.
+    /// What must outlive this instance of endpoints that leave.
+    departures: RefCell<DepartureStore>,
     replica_positions: ReplicaPositions,
     /// Up to where other replicas have the local changes.
     copies: RefCell<directory::Copies>,
@@ -158,6 +162,11 @@
             }
             None => None,
         };
+        let mut directory = Directory::default();
+        let mut departures = DepartureStore::open(settings.data_folder.as_deref())?;
+        for departure in departures.load(clock.now_unix_ms())? {
+            directory.restore(clock.now_ms(), departure);
+        }
         let own_record = InstanceRecord {
             instance: settings.instance.clone(),
             peer_address: settings.peer_address.clone(),
@@ -173,7 +182,7 @@
         let has_peers = settings.seeds.iter().any(|seed| seed.instance != settings.instance);
         let core = Core {
             registry: Registry::default(),
-            directory: Directory::default(),
+            directory,
             own_record,
             cursors: BTreeMap::new(),
             driver,
@@ -211,6 +220,7 @@
             watched_replicas: RefCell::default(),
             replica_positions: ReplicaPositions::default(),
             copies: RefCell::default(),
+            departures: RefCell::new(departures),
             dispatch: RefCell::default(),
         }))
     }
--- a/crates/peer/src/watch.rs
+++ b/crates/peer/src/watch.rs
@@ -55,8 +55,9 @@
     fn revision(&self) -> u64;
     /// Returns the peer address of a replica.
     fn address_of(&self, peer: &InstanceName) -> Option<SmolStr>;
-    /// Applies an update from a replica.
-    fn apply_update(&self, from: &InstanceName, update: WatchUpdate);
+    /// Applies an update from a replica; returns whether what must outlive a restart of it is stored.
+    /// Otherwise the replica is asked for the same update again.
+    fn apply_update(&self, from: &InstanceName, update: WatchUpdate) -> bool;
     /// Marks a replica that does not reply as unreachable.
     fn mark_unreachable(&self, peer: &InstanceName);
 }
@@ -81,14 +82,20 @@
     let mut last_reply_ms = clock.now_ms();
     let mut is_reachable = true;
     loop {
-        match poll(&*watcher, links, &to, &mut cursor).await {
-            Ok(update) => {
+        match poll(&*watcher, links, &to, &cursor).await {
+            Ok((next_cursor, update)) => {
                 if !is_reachable {
                     spdlog::info!("replica heard again", kv: { replica: = to });
                 }
                 is_reachable = true;
                 last_reply_ms = clock.now_ms();
-                watcher.apply_update(&to, update);
+                let position = update.position;
+                if watcher.apply_update(&to, update) {
+                    watcher.replica_positions().borrow_mut().insert(to.clone(), position);
+                    cursor = next_cursor;
+                } else {
+                    Timer::after(Duration::from_millis(RETRY_MS)).await;
+                }
             }
             Err(error) => {
                 if is_reachable {
@@ -112,8 +119,8 @@
     watcher: &impl Watcher,
     links: &Links,
     to: &InstanceName,
-    cursor: &mut Cursor,
-) -> Result<WatchUpdate, PeerError> {
+    cursor: &Cursor,
+) -> Result<(Cursor, WatchUpdate), PeerError> {
     const STEP: &str = "watch";
     let replica_positions = watcher.replica_positions().borrow().clone();
     let position = replica_positions.get(to).copied().unwrap_or_default();
@@ -130,9 +137,7 @@
     let (next_cursor, mut update) =
         links.call(STEP, to, watcher.address_of(to), timeout_ms, poll).await?;
     update.restarted = position.epoch != 0 && position.epoch != update.position.epoch;
-    watcher.replica_positions().borrow_mut().insert(to.clone(), update.position);
-    *cursor = next_cursor;
-    Ok(update)
+    Ok((next_cursor, update))
 }
 
 /// The parameters of a watch request.
