--- a/crates/gateway/tests/gateway/heads.rs
+++ b/crates/gateway/tests/gateway/heads.rs
@@ -228,3 +228,25 @@
     let safe = get("/v1/services/invoices/1");
     run_each(plans(), &safe, |plan, outcome| check_repeated(&outcome, plan, false));
 }
+
+/// Guards against a response with a status that is none: it is passed on as an answer, or its caller waits for
+/// another one until the time limit.
+#[gtest]
+fn a_response_whose_status_is_none_is_no_answer() {
+    for status in ["000", "001", "099", "600", "700", "999", "2000"] {
+        for rest in ["Content-Length: 2\r\n\r\nok", "\r\nok", "\r\n"] {
+            let first = format!("HTTP/1.1 {status} Odd\r\n{rest}");
+            let plans = || {
+                [End::Close, End::Reset, End::Open]
+                    .map(|end| Plan::new(first.as_bytes(), end, SECOND))
+            };
+            let started = std::time::Instant::now();
+            for request in [unsafe_request(), keyed_request(), generation("teller", false)] {
+                run_each(plans(), &request, |plan, outcome| check_once(&outcome, plan, false));
+            }
+            let safe = get("/v1/services/invoices/1");
+            run_each(plans(), &safe, |plan, outcome| check_repeated(&outcome, plan, false));
+            expect_that!(started.elapsed().as_millis(), lt(4_000), "{first:?}");
+        }
+    }
+}
--- a/crates/proxy/src/http1/head.rs
+++ b/crates/proxy/src/http1/head.rs
@@ -2,6 +2,7 @@
 
 use super::{Error, Framing};
 use smol_str::SmolStr;
+use std::ops::RangeInclusive;
 
 /// Hop-by-hop header fields, which are not forwarded.
 const HOP_BY_HOP_FIELDS: [&str; 8] = [
@@ -134,6 +135,10 @@
     text.and_then(|text| text.parse().ok()).ok_or(Error::Malformed("length"))
 }
 
+/// The status codes that HTTP defines classes for (RFC 9110, section 15). A response with another one says
+/// nothing that a caller could rely on, and is handled like an error of the endpoint.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// The head of a request.
 #[derive(Clone, Debug)]
 pub struct RequestHead {
@@ -204,6 +209,9 @@
     pub(super) fn new(parsed: &httparse::Response<'_, '_>) -> Result<Self, Error> {
         let headers = Headers::new(parsed.headers);
         let status = parsed.code.unwrap_or_default();
+        if !STATUSES.contains(&status) {
+            return Err(Error::Malformed("status code"));
+        }
         let has_no_body = matches!(status, 100..=199 | 204 | 304);
         let declared = headers.framing()?;
         let framing =
--- a/crates/proxy/tests/proxy/main.rs
+++ b/crates/proxy/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod connections;
 mod documents;
+mod early_resets;
 mod endless;
 mod framing;
 mod heads;
@@ -16,6 +17,7 @@
 mod responses;
 mod resumption;
 mod silence;
+mod statuses;
 mod stops;
 mod strays;
 mod streams;
