--- a/crates/control/src/moves/rollouts/budget.rs
+++ b/crates/control/src/moves/rollouts/budget.rs
@@ -15,13 +15,17 @@
 const USED_PART: f64 = 0.85;
 /// The part of those that the trials before the last one may use.
 const EARLY_PART: f64 = 0.45;
-/// The number of requests of a trial that is aimed at.
+/// The number of requests of a trial that is aimed at, and the greatest one, unless the trial would be too short
+/// with it: a bad version is known before it has given many bad answers.
 const TRIAL_REQUESTS: f64 = 24.0;
+const TRIAL_REQUESTS_MAX: f64 = 48.0;
 /// The least and the greatest number of trials before the last one.
 const TRIALS_MIN: f64 = 2.0;
 const TRIALS_MAX: f64 = 6.0;
 /// The shortest trial that loads endpoints, in milliseconds.
 const TRIAL_MIN_MS: f64 = 250.0;
+/// How many times as many requests as planned a trial may have: it is ended by a decision and a commit.
+const TRIAL_EXCESS: f64 = 1.3;
 /// The longest trial, as a part of the rollout's duration.
 const TRIAL_MAX_PART: f64 = 0.25;
 /// The shortest last trial that is worth keeping a part for, in milliseconds.
@@ -49,7 +53,7 @@
 
     /// Returns the number of requests to the new version in a trial.
     pub(super) fn trial_requests(&self) -> f64 {
-        let requests = self.usable() * EARLY_PART / self.trials();
+        let requests = (self.usable() * EARLY_PART / self.trials()).min(TRIAL_REQUESTS_MAX);
         let least = self.trial_per_ms() * TRIAL_MIN_MS;
         let most = self.trial_per_ms() * self.duration_ms as f64 * TRIAL_MAX_PART;
         requests.max(least).min(most)
@@ -61,11 +65,14 @@
     }
 
     /// Returns true if there are requests for another trial. Once the version `has_passed` one, a part is kept
-    /// for the last trial.
+    /// for the last trial; until then there is nothing else to keep any for.
     pub(super) fn allows_trial(&self, has_passed: bool) -> bool {
+        if !has_passed {
+            let most = self.trial_requests() * TRIAL_EXCESS;
+            return self.received() + most <= self.allowed();
+        }
         let last = (self.trial_per_ms() * self.last_max_ms as f64).min(self.usable() * EARLY_PART);
-        let kept = if has_passed { last } else { 0.0 };
-        self.received() + self.trial_requests() + kept <= self.usable()
+        self.received() + self.trial_requests() + last <= self.usable()
     }
 
     /// Returns true if the new version may receive nearly all requests until the time limit. Shortly before
--- a/crates/control/src/moves/rollouts/decision.rs
+++ b/crates/control/src/moves/rollouts/decision.rs
@@ -41,6 +41,8 @@
 /// The time that a new leader has beyond the deadline to compare a version that has passed trials, in
 /// milliseconds.
 const NEW_LEADER_MS: u64 = 1_000;
+/// How much sooner a trial is ended than its time is over, in milliseconds: half of the interval between decisions.
+const END_EARLY_MS: u64 = 50;
 /// How long a step may take to be committed before it counts as lost, in milliseconds.
 const COMMIT_MAX_MS: u64 = 1_000;
 
@@ -129,7 +131,7 @@
             return None;
         }
         let judgement = match progress {
-            Progress::TooFewEnded => Judgement::Open,
+            Progress::TooFewEnded => Judgement::Disturbed,
             Progress::MostEnded | Progress::Ended => trial.judge(&self.tracker.baseline),
         };
         self.tracker.record_judgement(judgement);
@@ -152,12 +154,13 @@
             return None;
         }
         if self.is_last_trial_due() && self.may_begin_last_trial() {
-            return self.begin_last_trial();
+            return Some(self.begin_last_trial());
         }
         let budget = self.budget();
         let has_passed = self.tracker.evidence.passed > 0;
         let later_ms = if has_passed { self.last_trial_max_ms() } else { DEADLINE_MARGIN_MS };
-        let is_in_time = self.left_ms() >= budget.trial_ms() + JUDGEMENT_MS + later_ms;
+        let needed_ms = budget.trial_ms().saturating_add(JUDGEMENT_MS + later_ms);
+        let is_in_time = self.left_ms() >= needed_ms;
         if self.now_unix_ms < self.tracker.next_trial_unix_ms
             || !is_in_time
             || !budget.allows_trial(has_passed)
@@ -166,7 +169,8 @@
             return None;
         }
         let pause_ms = self.pause_ms(&budget);
-        self.tracker.next_trial_unix_ms = self.now_unix_ms + budget.trial_ms() + pause_ms;
+        self.tracker.next_trial_unix_ms =
+            self.now_unix_ms.saturating_add(budget.trial_ms()).saturating_add(pause_ms);
         self.begin_trial(false);
         let reason = format_smolstr!("trial under load: {}", self.summary());
         Some(NextStep::share(TRIAL_PERMILLE, reason))
@@ -182,8 +186,8 @@
         if let Some(trial) = &self.tracker.trial {
             let budget = self.budget();
             let began_unix_ms = trial.began_unix_ms.unwrap_or(self.now_unix_ms);
-            // The next decision may come too late.
-            let is_over = self.now_unix_ms + TICK_HALF_MS >= began_unix_ms + budget.trial_ms()
+            let until_unix_ms = began_unix_ms.saturating_add(budget.trial_ms());
+            let is_over = self.now_unix_ms + END_EARLY_MS >= until_unix_ms
                 || self.placed_in(trial) as f64 >= budget.trial_requests();
             if trial.is_last || !is_over {
                 return None;
@@ -194,20 +198,20 @@
         Some(NextStep::share(0, reason.into()))
     }
 
-    fn begin_last_trial(&mut self) -> Option<NextStep> {
-        if !self.may_begin_last_trial() {
-            return None;
-        }
+    fn begin_last_trial(&mut self) -> NextStep {
         self.begin_trial(true);
         let reason = format_smolstr!("nothing speaks against it: {}", self.summary());
-        Some(NextStep::share(TRIAL_PERMILLE, reason))
+        NextStep::share(TRIAL_PERMILLE, reason)
     }
 
     fn begin_trial(&mut self, is_last: bool) {
         let placed_before = self.tracker.traffic.to_new_here();
-        let open = self.tracker.open.take().filter(|_| !is_last);
         let trial = Trial::new(self.now_unix_ms, placed_before, is_last);
-        self.tracker.trial = Some(open.map_or(trial.clone(), |open| trial.continuing(open)));
+        let trial = match self.tracker.open.take() {
+            Some(open) if !is_last => trial.continuing(open),
+            _ => trial,
+        };
+        self.tracker.trial = Some(trial);
     }
 
     /// Completes the rollout if the new version may serve alone, or rolls it back if there is no time left.
@@ -215,8 +219,8 @@
         if self.may_complete() {
             return Some(NextStep::complete(format_smolstr!("done: {}", self.summary())));
         }
-        if let Some(step) = self.last_trial_of_new_leader() {
-            return step;
+        if self.may_take_longer() {
+            return self.last_trial_of_new_leader();
         }
         if self.left_ms() > LAST_STEP_MS {
             return None;
@@ -225,23 +229,27 @@
         Some(NextStep::roll_back(reason))
     }
 
-    /// Returns the step of a leader that has just begun, and that may still compare a version that passed
-    /// trials under another leader; `None` if there is no such comparison.
-    fn last_trial_of_new_leader(&mut self) -> Option<Option<NextStep>> {
-        let is_new = self.tracker.traffic.observed_ms() < NEW_LEADER_MS;
-        if self.tracker.has_judged || !is_new || !self.has_old() || !self.may_begin_last_trial() {
-            return None;
-        }
+    /// Returns whether this leader has just begun, and may still compare a version that has passed trials under
+    /// another one.
+    fn may_take_longer(&self) -> bool {
+        self.tracker.traffic.observed_ms() < NEW_LEADER_MS
+            && !self.tracker.has_judged
+            && self.may_begin_last_trial()
+    }
+
+    /// Begins the last trial of a new leader, or goes on with that of the lost one.
+    fn last_trial_of_new_leader(&mut self) -> Option<NextStep> {
         if self.tracker.trial.is_some() {
-            return Some(None);
+            return None;
         }
         if self.is_on_trial() {
             self.begin_trial(true);
-            return Some(None);
+            return None;
         }
         Some(self.begin_last_trial())
     }
 
+    /// Returns whether the new version may serve alone, for good.
     fn may_complete(&self) -> bool {
         if self.capacity.new_slots == 0 {
             return false;
@@ -346,6 +354,3 @@
         format_smolstr!("trials passed {passed}, failed {failed}; {comparison}")
     }
 }
-
-/// Half of the interval between decisions, in milliseconds.
-const TICK_HALF_MS: u64 = 50;
--- a/crates/control/src/moves/rollouts/mod.rs
+++ b/crates/control/src/moves/rollouts/mod.rs
@@ -80,7 +80,7 @@
         if side == Side::Old {
             *self.baseline.entry(route.clone()).or_default() += observation;
         }
-        if let Some(trial) = &mut self.trial {
+        if let Some(trial) = self.trial.as_mut().or(self.open.as_mut()) {
             trial.add(side, route, observation);
         }
     }
--- a/crates/control/src/moves/rollouts/trial.rs
+++ b/crates/control/src/moves/rollouts/trial.rs
@@ -13,7 +13,7 @@
 /// The part of a trial's requests after which it counts as ended; some outcomes are never known.
 const ENDED_PART: f64 = 0.9;
 /// The part below which what has ended tells nothing: what ends first is what is fast.
-const ENDED_PART_MIN: f64 = 0.6;
+const ENDED_PART_MIN: f64 = 0.7;
 /// The increase of the failure rate that is tested for.
 const RISE: f64 = 0.1;
 /// The log-likelihood ratio for that increase above which a trial is failed.
@@ -192,10 +192,10 @@
             if count == 0.0 {
                 continue;
             }
-            let is_slowed = sides.old.timed >= SAME_TIME_MIN;
             // What slows both versions at once says nothing about the new one.
-            let same_time = if is_slowed { sides.old.log_mean() } else { old.log_mean() };
-            let reference = old.log_mean().max(same_time);
+            let same_time = Some(sides.old).filter(|old| old.timed >= SAME_TIME_MIN);
+            let reference =
+                same_time.map_or(old.log_mean(), |same| same.log_mean().max(old.log_mean()));
             let of_request = old.log_variance().max(LOG_STDDEV_MIN * LOG_STDDEV_MIN);
             requests += count;
             sum += count * (sides.new.log_mean() - reference);
--- a/crates/control/tests/control/late_regressions.rs
+++ b/crates/control/tests/control/late_regressions.rs
@@ -220,7 +220,7 @@
 #[gtest]
 fn a_version_that_is_slow_only_under_load_is_rolled_back() {
     let case = Case { requests_per_s: 60.0, request_ms: 60, slowdown_under_load: 4.0, ..CASE };
-    for duration_ms in [6_000, 12_000, 20_000, 60_000] {
+    for duration_ms in [6_000, 12_000, 20_000, 60_000, 600_000] {
         for slowdown_under_load in [3.0, 4.0, 6.0] {
             expect_rolled_back(Case { duration_ms, slowdown_under_load, ..case });
         }
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -4,7 +4,9 @@
 use crate::watch::{self, REVISION_FROM_LOG, ReplicaPositions, WatchUpdate, Watcher};
 use lycheehub_clock::within;
 use lycheehub_control::directory::batching::{self, Backlog};
-use lycheehub_control::directory::{ChangePosition, Changes, FAREWELL_MARGIN_MS, Listing};
+use lycheehub_control::directory::{
+    ChangePosition, Changes, FAREWELL_MARGIN_MS, LEASE_MS, Listing,
+};
 use lycheehub_types::{CountGuard, EndpointName, EndpointRecord, InstanceName};
 use smol::Timer;
 use smol::channel::{Sender, bounded};
@@ -99,16 +101,30 @@
         }
     }
 
-    /// Withdraws an endpoint that leaves permanently, known or not; returns whether enough replicas hold that.
+    /// Withdraws an endpoint that leaves permanently, known or not; returns whether that may be acknowledged:
+    /// whether enough replicas hold it.
+    ///
+    /// Within one lease after the start of a replica, entry instances may still send requests to an endpoint that
+    /// it does not know, and may not have heard of it again themselves. It takes the farewell, but does not
+    /// acknowledge it.
     pub(super) async fn withdraw(self: Rc<Self>, endpoint: EndpointName) -> bool {
+        let now_ms = self.clock.now_ms();
         let started_before = self.clock.now_unix_ms() + FAREWELL_MARGIN_MS;
-        let change = {
+        let (is_known, change) = {
             let directory = &mut self.core.borrow_mut().directory;
-            directory.withdraw(self.clock.now_ms(), &endpoint, started_before);
-            directory.change()
+            let is_known = directory.contains(&endpoint);
+            directory.withdraw(now_ms, &endpoint, started_before);
+            (is_known, directory.change())
         };
-        spdlog::info!("endpoint withdrawn", kv: { endpoint: = endpoint, change });
+        spdlog::info!("endpoint withdrawn", kv: { endpoint: = endpoint, is_known, change });
         self.notify_directory_changed();
+        let has_full_directory = now_ms >= self.started_ms + LEASE_MS;
+        if !is_known && !has_full_directory {
+            spdlog::info!("farewell not acknowledged: endpoint not known yet", kv: {
+                endpoint: = endpoint,
+            });
+            return false;
+        }
         self.is_held(&endpoint).await
     }
 
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -74,6 +74,7 @@
     core: RefCell<Core>,
     /// Senders that wake the tasks waiting for a new revision or a directory change.
     change_waiters: RefCell<Vec<Sender<()>>>,
+    started_ms: u64,
     /// The leader that was last announced to watchers.
     announced_leader: RefCell<Option<InstanceName>>,
     /// The number of watch requests that are waiting for a reply.
@@ -82,9 +83,9 @@
     polls: RefCell<cluster_status::Polls>,
     /// The replicas whose directories are watched.
     watched_replicas: RefCell<BTreeSet<InstanceName>>,
-    /// The position reached in the local changes of each watched replica.
     /// What must outlive this instance of endpoints that leave.
     departures: RefCell<DepartureStore>,
+    /// The position reached in the local changes of each watched replica.
     replica_positions: ReplicaPositions,
     /// Up to where other replicas have the local changes.
     copies: RefCell<directory::Copies>,
@@ -214,6 +215,7 @@
             orders: dependencies.orders,
             core: RefCell::new(core),
             change_waiters: RefCell::default(),
+            started_ms: clock.now_ms(),
             announced_leader: RefCell::default(),
             watchers: Cell::new(0),
             polls: RefCell::default(),
