--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -27,6 +27,8 @@
 /// How long an endpoint that leaves waits for other replicas to hold that, in milliseconds. An endpoint
 /// asks elsewhere after a second.
 const COPIES_TIMEOUT_MS: u64 = 700;
+/// The time to store departures from which on a line says so, in milliseconds.
+const SLOW_STORE_MS: u64 = 200;
 
 /// Up to where other replicas have this instance's local changes, as their watch requests state.
 #[derive(Debug, Default)]
@@ -130,10 +132,14 @@
 
     /// Stores what endpoints that leave have said since the last call; returns whether all of it is stored.
     fn save_departures(&self) -> bool {
-        let now_unix_ms = self.clock.now_unix_ms();
+        let (began_ms, now_unix_ms) = (self.clock.now_ms(), self.clock.now_unix_ms());
         let directory = &mut self.core.borrow_mut().directory;
         let unsaved = directory.unsaved_departures(now_unix_ms);
         let saved = self.departures.borrow_mut().save(&unsaved, now_unix_ms);
+        let took_ms = self.clock.now_ms().saturating_sub(began_ms);
+        if took_ms >= SLOW_STORE_MS {
+            spdlog::warn!("departures of endpoints stored slowly", kv: { took_ms });
+        }
         match saved {
             Ok(()) => directory.mark_saved(),
             Err(error) => {
