--- a/crates/cli/tests/platform/farewells.rs
+++ b/crates/cli/tests/platform/farewells.rs
@@ -42,6 +42,17 @@
     }
 }
 
+/// Expects that the endpoint gets nothing once its time to drain is over.
+fn expect_no_requests_after_drain(deployment: &Deployment, endpoint: &Endpoint, drains: bool) {
+    std::thread::sleep(DRAIN);
+    let before = endpoint.count();
+    let watched = Instant::now();
+    while watched.elapsed() < WATCHED {
+        send_request(deployment, 0, "GET", "/press/1", "key-1", "");
+    }
+    expect_that!(endpoint.count(), eq(before), "drains: {drains}");
+}
+
 /// Guards against an acknowledged farewell that only the control instance knows that took it (review/3).
 #[gtest]
 fn what_a_leaving_endpoint_says_is_acknowledged_only_if_others_hold_it() {
@@ -66,13 +77,7 @@
         expect_that!(say_last(&deployment, &endpoint, drains), eq(200), "drains: {drains}");
         deployment.controls[MONITOR].kill();
         expect_that!(started.elapsed(), lt(ACK_MAX));
-        std::thread::sleep(DRAIN);
-        let before = endpoint.count();
-        let watched = Instant::now();
-        while watched.elapsed() < WATCHED {
-            send_request(&deployment, 0, "GET", "/press/1", "key-1", "");
-        }
-        expect_that!(endpoint.count(), eq(before), "drains: {drains}");
+        expect_no_requests_after_drain(&deployment, &endpoint, drains);
     }
 }
 
@@ -104,12 +109,6 @@
         eventually("the late announcement arrives", || {
             announce(&deployment, MONITOR, &endpoint, 8, "ready").status == 200
         });
-        std::thread::sleep(DRAIN);
-        let before = endpoint.count();
-        let watched = Instant::now();
-        while watched.elapsed() < WATCHED {
-            send_request(&deployment, 0, "GET", "/press/1", "key-1", "");
-        }
-        expect_that!(endpoint.count(), eq(before), "drains: {drains}");
+        expect_no_requests_after_drain(&deployment, &endpoint, drains);
     }
 }
--- a/crates/control/src/moves/failures.rs
+++ b/crates/control/src/moves/failures.rs
@@ -60,12 +60,8 @@
             return;
         }
         let baseline = baseline_rate(old, &window_old);
-        let failed = new.failures as f64;
-        let answered = (new.requests - new.failures) as f64;
         for (index, rise) in RISES.iter().enumerate() {
-            let raised = (baseline + rise).min((1.0 + baseline) / 2.0);
-            let ratio = failed * (raised / baseline).ln()
-                + answered * ((1.0 - raised) / (1.0 - baseline)).ln();
+            let ratio = rise_evidence(baseline, *rise, &new);
             self.alarm[index] = (self.alarm[index] + ratio).max(0.0);
             if index == CLEARING_INDEX {
                 self.clearing += ratio;
@@ -74,6 +70,15 @@
     }
 }
 
+/// Returns the log-likelihood ratio of these outcomes for a failure rate that is higher by `rise` than
+/// `baseline`.
+pub(super) fn rise_evidence(baseline: f64, rise: f64, outcomes: &Observation) -> f64 {
+    let raised = (baseline + rise).min((1.0 + baseline) / 2.0);
+    let failed = outcomes.failures as f64;
+    let answered = (outcomes.requests - outcomes.failures) as f64;
+    failed * (raised / baseline).ln() + answered * ((1.0 - raised) / (1.0 - baseline)).ln()
+}
+
 /// Returns the failure rate of the old version: the higher of its long-term one and the window's.
 pub(super) fn baseline_rate(old: &Observation, window_old: &Observation) -> f64 {
     const PRIOR_FAILURES: f64 = 0.5;
--- a/crates/control/src/moves/rollouts/decision.rs
+++ b/crates/control/src/moves/rollouts/decision.rs
@@ -132,7 +132,7 @@
         }
         let judgement = match progress {
             Progress::TooFewEnded => Judgement::Disturbed,
-            Progress::MostEnded | Progress::Ended => trial.judge(&self.tracker.baseline),
+            Progress::MostEnded | Progress::Ended => trial.judge(&self.tracker.comparison),
         };
         self.tracker.record_judgement(judgement);
         if judgement != Judgement::Passed {
@@ -233,7 +233,7 @@
     /// another one.
     fn may_take_longer(&self) -> bool {
         self.tracker.traffic.observed_ms() < NEW_LEADER_MS
-            && !self.tracker.has_judged
+            && !self.tracker.has_passed_here
             && self.may_begin_last_trial()
     }
 
@@ -263,10 +263,10 @@
         }
         match &tracker.trial {
             // There were no requests left for a last one.
-            None => tracker.has_judged,
+            None => tracker.has_passed_here,
             Some(trial) => {
-                let is_compared_here = tracker.has_judged || trial.outcomes() >= OUTCOMES_MIN;
-                let judgement = trial.judge(&tracker.baseline);
+                let is_compared_here = tracker.has_passed_here || trial.outcomes() >= OUTCOMES_MIN;
+                let judgement = trial.judge(&tracker.comparison);
                 trial.is_last && is_compared_here && judgement != Judgement::Failed
             }
         }
--- a/crates/control/src/moves/rollouts/mod.rs
+++ b/crates/control/src/moves/rollouts/mod.rs
@@ -24,7 +24,7 @@
 use lycheehub_types::{Route, ServiceName};
 use std::collections::BTreeMap;
 use traffic::Traffic;
-use trial::{Baseline, Judgement, Trial};
+use trial::{Judgement, Trial};
 
 /// How often comparison windows are closed, in milliseconds.
 const WINDOW_INTERVAL_MS: u64 = 500;
@@ -42,8 +42,6 @@
 struct RolloutTracker {
     ordered_unix_ms: u64,
     comparison: Comparison,
-    /// The old version's outcomes.
-    baseline: Baseline,
     traffic: Traffic,
     windows_closed_unix_ms: u64,
     /// What this and earlier leaders have found.
@@ -54,8 +52,8 @@
     open: Option<Trial>,
     /// When the next trial may begin, in milliseconds since the Unix epoch.
     next_trial_unix_ms: u64,
-    /// Whether this leader has passed the version in a trial.
-    has_judged: bool,
+    /// Whether the version has passed a trial that this leader judged.
+    has_passed_here: bool,
 }
 
 impl RolloutTracker {
@@ -64,22 +62,18 @@
         Self {
             ordered_unix_ms,
             comparison: Comparison::default(),
-            baseline: Baseline::new(),
             traffic: Traffic::default(),
             windows_closed_unix_ms: ordered_unix_ms,
             evidence: record.evidence,
             trial: None,
             open: None,
             next_trial_unix_ms: 0,
-            has_judged: false,
+            has_passed_here: false,
         }
     }
 
     fn add(&mut self, side: Side, route: &Route, observation: Observation) {
         self.comparison.add(side, route, observation);
-        if side == Side::Old {
-            *self.baseline.entry(route.clone()).or_default() += observation;
-        }
         if let Some(trial) = self.trial.as_mut().or(self.open.as_mut()) {
             trial.add(side, route, observation);
         }
@@ -102,7 +96,7 @@
         match judgement {
             Judgement::Passed => {
                 (*passed, *failed) = (*passed + 1, 0);
-                self.has_judged = true;
+                self.has_passed_here = true;
             }
             Judgement::Open | Judgement::Disturbed => {}
             Judgement::Failed => (*passed, *failed) = (0, *failed + 1),
--- a/crates/control/src/moves/rollouts/trial.rs
+++ b/crates/control/src/moves/rollouts/trial.rs
@@ -3,8 +3,8 @@
 //! A trial is judged by what ended since it began, against the old version at the same time and before.
 //! Times are compared route by route, since routes differ in length more than versions in speed.
 
-use super::super::failures::baseline_rate;
-use super::super::{Observation, Side};
+use crate::moves::failures::{baseline_rate, rise_evidence};
+use crate::moves::{Comparison, Observation, Side};
 use lycheehub_types::Route;
 use std::collections::BTreeMap;
 
@@ -44,7 +44,7 @@
     Passed,
     /// Too little is known; what is goes on to count.
     Open,
-    /// The version is a little slower, as if something had disturbed it.
+    /// The version is a little slower, or much still runs, as if something had disturbed it.
     Disturbed,
     /// The version is worse.
     Failed,
@@ -96,9 +96,6 @@
     }
 }
 
-/// The old version's outcomes since the order, by route.
-pub(super) type Baseline = BTreeMap<Route, Observation>;
-
 impl Trial {
     pub(super) fn new(now_unix_ms: u64, placed_before: u64, is_last: bool) -> Self {
         Self {
@@ -141,9 +138,9 @@
         }
     }
 
-    /// Judges the new version by what has ended so far.
-    pub(super) fn judge(&self, baseline: &Baseline) -> Judgement {
-        let failures = self.failure_evidence(baseline);
+    /// Judges the new version by what has ended so far, against all that `comparison` has of the old one.
+    pub(super) fn judge(&self, comparison: &Comparison) -> Judgement {
+        let failures = self.failure_evidence(comparison);
         let (failures_failed, slowdown_failed, deviations_failed) = if self.is_last {
             (FAILURES_FAILED_LAST, SLOWDOWN_FAILED_LAST, DEVIATIONS_FAILED_LAST)
         } else {
@@ -155,7 +152,7 @@
         if self.outcomes() < OUTCOMES_MIN {
             return Judgement::Open;
         }
-        match self.difference(baseline) {
+        match self.difference(comparison) {
             Some(difference) if difference.exceeds(slowdown_failed, deviations_failed) => {
                 Judgement::Failed
             }
@@ -168,26 +165,22 @@
     }
 
     /// Returns the log-likelihood ratio for a failure rate that is higher by [`RISE`].
-    fn failure_evidence(&self, baseline: &Baseline) -> f64 {
-        let mut all_old = Observation::default();
-        baseline.values().for_each(|old| all_old += *old);
+    fn failure_evidence(&self, comparison: &Comparison) -> f64 {
         let mut in_trial = Sides::default();
         for sides in self.routes.values() {
             in_trial.old += sides.old;
             in_trial.new += sides.new;
         }
-        let rate = baseline_rate(&all_old, &in_trial.old);
-        let raised = (rate + RISE).min((1.0 + rate) / 2.0);
-        let failed = in_trial.new.failures as f64;
-        let answered = in_trial.new.requests as f64 - failed;
-        failed * (raised / rate).ln() + answered * ((1.0 - raised) / (1.0 - rate)).ln()
+        let rate = baseline_rate(comparison.old(), &in_trial.old);
+        rise_evidence(rate, RISE, &in_trial.new)
     }
 
     /// Returns the mean difference of times over the new version's requests; `None` if no route can be compared.
-    fn difference(&self, baseline: &Baseline) -> Option<Difference> {
+    fn difference(&self, comparison: &Comparison) -> Option<Difference> {
         let (mut requests, mut sum, mut variance) = (0.0, 0.0, 0.0);
         for (route, sides) in &self.routes {
-            let Some(old) = baseline.get(route).filter(|old| old.timed > 0) else { continue };
+            let old = comparison.old_on(route).filter(|old| old.timed > 0);
+            let Some(old) = old else { continue };
             let count = sides.new.timed as f64;
             if count == 0.0 {
                 continue;
--- a/crates/control/src/moves/sequential.rs
+++ b/crates/control/src/moves/sequential.rs
@@ -112,6 +112,16 @@
         self.all.new.requests
     }
 
+    /// Returns all outcomes of the old version on one route.
+    pub(super) fn old_on(&self, route: &Route) -> Option<&Observation> {
+        self.routes.get(route).map(|evidence| &evidence.old)
+    }
+
+    /// Returns all outcomes of the old version.
+    pub(super) fn old(&self) -> &Observation {
+        &self.all.old
+    }
+
     /// Returns the highest alarm as a fraction of its threshold; 1 or above is an alarm.
     pub fn alarm_level(&self) -> f64 {
         let tests = self.slowdown_tests();
--- a/crates/control/tests/control/directory.rs
+++ b/crates/control/tests/control/directory.rs
@@ -33,7 +33,7 @@
 }
 
 /// Sends all changes detected by `from` to `to`.
-fn propagate(now_ms: u64, from: &Directory, name: &InstanceName, to: &mut Directory) {
+pub fn propagate(now_ms: u64, from: &Directory, name: &InstanceName, to: &mut Directory) {
     let own = from.local_changes_after(0, usize::MAX);
     to.apply_direct(now_ms, name, ChangePosition { epoch: 1, change: own.up_to }, own.listings);
 }
--- a/crates/control/tests/control/farewells.rs
+++ b/crates/control/tests/control/farewells.rs
@@ -1,8 +1,8 @@
 //! What was acknowledged of an endpoint that leaves: no later event lists the incarnation that left.
 
-use super::directory::record;
+use super::directory::{self, record};
 use googletest::prelude::*;
-use lycheehub_control::directory::{ChangePosition, Directory, FAREWELL_MARGIN_MS, LEASE_MS};
+use lycheehub_control::directory::{Directory, FAREWELL_MARGIN_MS, LEASE_MS};
 use lycheehub_types::{EndpointRecord, InstanceName};
 
 /// When the endpoint starts, and when it says farewell by the replica's clock, in milliseconds since the
@@ -60,9 +60,7 @@
 
 /// Sends all changes of `from` to `to`.
 fn propagate(now_ms: u64, from: &Directory, to: &mut Directory) {
-    let own = from.local_changes_after(0, usize::MAX);
-    let position = ChangePosition { epoch: 1, change: own.up_to };
-    to.apply_direct(now_ms, &"from".into(), position, own.listings);
+    directory::propagate(now_ms, from, &"from".into(), to);
 }
 
 fn is_listed(directory: &Directory) -> bool {
--- a/crates/peer/src/node/departures.rs
+++ b/crates/peer/src/node/departures.rs
@@ -50,9 +50,6 @@
         now_unix_ms: u64,
     ) -> Result<(), StorageError> {
         let Some(file) = &mut self.file else { return Ok(()) };
-        if departures.is_empty() {
-            return Ok(());
-        }
         file.append(&departures)?;
         self.stored.extend_from_slice(departures);
         if self.stored.len() >= self.compact_at {
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -135,6 +135,9 @@
         let (began_ms, now_unix_ms) = (self.clock.now_ms(), self.clock.now_unix_ms());
         let directory = &mut self.core.borrow_mut().directory;
         let unsaved = directory.unsaved_departures(now_unix_ms);
+        if unsaved.is_empty() {
+            return true;
+        }
         let saved = self.departures.borrow_mut().save(&unsaved, now_unix_ms);
         let took_ms = self.clock.now_ms().saturating_sub(began_ms);
         if took_ms >= SLOW_STORE_MS {
