--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -27,6 +27,6 @@
     InstanceStatus, LeaderReply, OrderSink,
 };
 pub use lycheehub_wire::{Answer, KeptAnswer, ProposeReply};
-pub use node::{Dependencies, Node, log_quarantine_event, suspect_texts};
+pub use node::{DepartureStore, Dependencies, Node, log_quarantine_event, suspect_texts};
 pub use settings::{Seed, Settings};
 pub use views::{Latest, Views};
--- a/crates/peer/src/node/mod.rs
+++ b/crates/peer/src/node/mod.rs
@@ -22,7 +22,7 @@
 use crate::settings::Settings;
 use crate::views::Views;
 use crate::watch::ReplicaPositions;
-use departures::DepartureStore;
+pub use departures::DepartureStore;
 pub(crate) use directory::WatchPosition;
 use dispatch::LeaderDispatch;
 pub(crate) use dispatch::{Entered, SessionKey};
