--- a/review/12/case.py
+++ b/review/12/case.py
@@ -16,15 +16,15 @@
     controls = deployment.controls
     if not put_manifest(record, controls, manifest(3), 15):
         raise CannotRun("the first manifest was not acknowledged")
-    runners = [Runner(record, controls, f"{deployment.prefix}.60", f"i-7f3a91c{n}", "booking-desk") for n in (1, 2)]
+    runners = [Runner(record, controls, f"{deployment.prefix}.60", f"i-7f3a91c{n}", "booking-desk", work_ms=120) for n in (1, 2)]
     leaving = runners[0]
     for runner in runners:
         if runner.report() is None:
             raise CannotRun("a runner's first report was not acknowledged")
         runner.report_always()
     time.sleep(8)  # past contact_ms and catch_up_s of the start
-    clients = [Client(f"q{n}", deployment.entries[n % 2].ip, "desk.example", "/lookup/7") for n in range(4)]
-    clients += [Client(f"w{n}", deployment.entries[n % 2].ip, "desk.example", "/charge/7", method="POST") for n in range(4)]
+    clients = [Client(f"q{n}", deployment.entries[n % 2].ip, "desk.example", "/lookup/7") for n in range(2)]
+    clients += [Client(f"w{n}", deployment.entries[n % 2].ip, "desk.example", "/charge/7", method="POST", pause_s=0.005) for n in range(10)]
     time.sleep(2)
 
     if TROUBLE and FOREIGN:
