--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""A runner whose id a foreign report has used leaves, after the control machine that it reported to was restarted."""
+"""A runner that was restarted in place leaves, after the control machine that it reports to was restarted, too."""
 import os, sys, time
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common-3"))
@@ -6,8 +6,11 @@
 from runners import *
 
 CONTACT_S, DRAIN_S, MARGIN_S = 3.0, 2.0, 0.2
-FOREIGN = os.environ.get("FOREIGN", "1") != "0"
+# What comes before the restart of the control machine: "inplace" (a runner is restarted under its id), "foreign"
+# (another writer reports under its id, as a second way to the same fault) or "none".
+FIRST = os.environ.get("FIRST", "inplace")
 RESTART = os.environ.get("RESTART", "1") != "0"
+LISTED_AGAIN_S = 34.0
 
 
 def case(record):
@@ -27,7 +30,22 @@
     clients += [Client(f"w{n}", deployment.entries[n % 2].ip, "desk.example", "/charge/7", method="POST", pause_s=0.005) for n in range(10)]
     time.sleep(2)
 
-    if TROUBLE and FOREIGN:
+    if TROUBLE and FIRST == "inplace":
+        # Planned work: the runner leaves as the pages say, and starts again under its id 0.4 s after its exit.
+        leaving.state = "draining"
+        record(f"{leaving.name} reports draining: acknowledged by {leaving.report()}")
+        time.sleep(DRAIN_S + 0.5)
+        record(f"{leaving.name} sends DELETE: acknowledged by {leaving.farewell()}; it exits")
+        leaving.end()
+        time.sleep(0.4)
+        leaving = Runner(record, controls, f"{deployment.prefix}.62", leaving.name, "booking-desk", work_ms=120)
+        runners[0] = leaving
+        record(f"{leaving.name} starts again, born {leaving.born}, and reports ready: acknowledged by {leaving.report()}")
+        leaving.report_always()
+        time.sleep(LISTED_AGAIN_S)
+        first = leaving.arrivals[0][0] - leaving.beats[0][0] if leaving.arrivals else None
+        record(f"the first request reached it {first and round(first, 1)} s after its first report")
+    elif TROUBLE and FIRST == "foreign":
         # Another writer's report: its service is not named in the manifest. It names no runner to use.
         other = next(p for p in reversed(controls) if p.ip != leaving.beats[-1][1])
         foreign = {"service": "billing-archive", "address": leaving.address, "zone": "tt-north-a", "version": "v1", "slots": 6,
@@ -35,7 +53,9 @@
         status, _, _ = call(other.ip, "PUT", f"/-/instances/{leaving.name}", foreign)
         record(f"another writer: PUT /-/instances/{leaving.name} to {other.name}, service billing-archive, sequence "
                f"{foreign['sequence']}: {status or 'no answer'}")
-    time.sleep(9)  # the runner is used again by now
+        time.sleep(9)
+    else:
+        time.sleep(9)
 
     if TROUBLE and RESTART:
         # Planned work: the machine to which the runner reports is stopped and started again.
