--- a/review/common-3/runners.py
+++ b/review/common-3/runners.py
@@ -17,6 +17,7 @@
         self.lock, self.open = threading.Lock(), set()
         self.listener = socket.create_server((ip, 0))
         self.address = "%s:%d" % self.listener.getsockname()
+        self.quiet = False           # set: it sends no further reports
         self.ended = threading.Event()
         threading.Thread(target=self.accept, daemon=True).start()
 
@@ -87,7 +88,7 @@
 
     def report_always(self, interval_s=1.2):
         def loop():
-            while not self.ended.wait(interval_s):
+            while not self.ended.wait(interval_s) and not self.quiet:
                 self.report()
         threading.Thread(target=loop, daemon=True).start()
 
