--- a/review/common-3/deployment.py
+++ b/review/common-3/deployment.py
@@ -261,6 +261,9 @@
     except CannotRun as error:
         record(f"cannot run: {error}")
         verdict = NOT_RUN
+    except Exception as error:  # a fault of the script or the machine is not a break of the rule
+        record(f"the script failed: {type(error).__name__}: {error}")
+        verdict = NOT_RUN
     record({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN", NOT_RUN: "not run"}[verdict])
     print({HELD: "held", BROKEN: "broken", NOT_RUN: "not run"}[verdict])
     sys.exit(verdict)
