--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -62,12 +62,14 @@
 
     fn due_change(&self, now_ms: u64, members: &Members) -> Option<Change> {
         let voters = &self.log.config().voters;
+        let leaving = || self.stopping_voter(members).or_else(|| self.unresponsive_voter(now_ms));
         if voters.len() > self.options.voters_max {
-            let surplus = self.stopping_voter(members).or_else(|| self.unresponsive_voter(now_ms));
-            return surplus.map(Change::Remove);
+            return leaving().map(Change::Remove);
         }
         let mut successors = members.successors(self.log.config());
-        let (id, name) = successors.find(|(id, _)| self.is_caught_up(*id))?;
+        let Some((id, name)) = successors.find(|(id, _)| self.is_caught_up(*id)) else {
+            return leaving().filter(|_| self.has_surplus_voter()).map(Change::Remove);
+        };
         if let Some((earlier, _)) = voters.iter().find(|(_, instance)| *instance == name) {
             return Some(Change::Remove(*earlier));
         }
@@ -84,6 +86,15 @@
         })
     }
 
+    /// Returns true if as many losses can be borne without one of the voters: there are more than the
+    /// maximum, or their number is even.
+    fn has_surplus_voter(&self) -> bool {
+        /// With fewer voters no loss can be borne.
+        const VOTERS_MIN: usize = 3;
+        let voters = self.log.config().voters.len();
+        voters > self.options.voters_max || (voters > VOTERS_MIN && voters.is_multiple_of(2))
+    }
+
     /// Returns another voter that stops.
     fn stopping_voter(&self, members: &Members) -> Option<ReplicaId> {
         self.other_voters().find(|id| members.stopping.contains(id))
@@ -115,15 +126,18 @@
         self.log.config().voters.keys().copied().filter(|id| *id != self.id)
     }
 
-    /// Returns true if this replica, which is about to stop, should keep running until the leader has
-    /// replaced it: it is a voter, and a live replica can take its place.
+    /// Returns true if this replica, which is about to stop, should keep running: it is a voter, and
+    /// the leader removes it or lets a live replica take its place.
     ///
-    /// A voter that ends before it is replaced counts until it has been unresponsive for long. With
-    /// further voters that end in that time the quorum would be lost for good.
+    /// It waits until it knows that its removal is committed. Until then a quorum may need it: beside
+    /// its successor it is one of an even number of voters, and an entry that is not committed may be
+    /// lost with the leader.
     pub fn awaits_replacement(&self, members: &Members) -> bool {
-        let committed = self.log.config_at(self.commit);
-        let is_voter = self.log.config().is_voter(self.id) || committed.is_voter(self.id);
-        is_voter && members.successors(self.log.config()).next().is_some()
+        let newest = self.log.config();
+        if !newest.is_voter(self.id) {
+            return self.log.config_at(self.commit).is_voter(self.id);
+        }
+        self.has_surplus_voter() || members.successors(newest).next().is_some()
     }
 
     /// Promotes a learner to a voter; does nothing unless it holds every committed entry.
@@ -136,13 +150,15 @@
         self.change_config(now_ms, config)
     }
 
-    /// Removes a voter; does nothing if it is the last one.
+    /// Removes a voter; does nothing if it is the last one. It remains a learner for now, so that it
+    /// learns of its removal.
     pub fn remove_voter(&mut self, now_ms: u64, id: ReplicaId) -> Vec<Action> {
         let mut config = self.log.config().clone();
         config.voters.remove(&id);
         if config.voters.is_empty() {
             return Vec::new();
         }
+        self.learners.insert(id);
         self.change_config(now_ms, config)
     }
 
--- a/crates/consensus/src/replica/replication.rs
+++ b/crates/consensus/src/replica/replication.rs
@@ -61,8 +61,9 @@
 
     /// Returns the replicas that the leader replicates to: the other voters and the learners.
     pub(super) fn followers(&self) -> Vec<ReplicaId> {
-        let voters = self.log.config().voters.keys();
-        voters.chain(&self.learners).copied().filter(|id| *id != self.id).collect()
+        let voters = &self.log.config().voters;
+        let learners = self.learners.iter().filter(|id| !voters.contains_key(id));
+        voters.keys().chain(learners).copied().filter(|id| *id != self.id).collect()
     }
 
     pub(super) fn tick_leader(&mut self, now_ms: u64) {
--- a/crates/consensus/tests/consensus/membership.rs
+++ b/crates/consensus/tests/consensus/membership.rs
@@ -1,8 +1,8 @@
 //! A voter that is lost for good is replaced by a learner that holds every committed entry.
 
 use lycheehub_consensus::{
-    Action, Config, Members, Message, Options, Payload, Persisted, Position, Replica, ReplicaId,
-    Snapshot,
+    Action, Config, Entry, Members, Message, Options, Payload, Persisted, Position, Replica,
+    ReplicaId, Snapshot,
 };
 use lycheehub_types::InstanceName;
 use std::collections::BTreeMap;
@@ -13,7 +13,7 @@
     (1..=5).map(|id| (ReplicaId(id), InstanceName::from(format!("core-{id}")))).collect()
 }
 
-/// An established leader of five voters, with simulated replies from the other replicas.
+/// An established leader of five voters or less, with simulated replies from the other replicas.
 struct Group {
     leader: Replica,
     now_ms: u64,
@@ -25,13 +25,11 @@
 
 impl Group {
     fn new() -> Self {
-        let snapshot = Snapshot {
-            position: Position { term: 1, index: 1 },
-            config: Config { voters: voters() },
-            ..Snapshot::default()
-        };
-        let persisted = Persisted { snapshot, ..Persisted::default() };
-        let leader = Replica::new(ReplicaId(1), Options::default(), persisted, 7, 0);
+        Self::of(5)
+    }
+
+    fn of(size: usize) -> Self {
+        let leader = follower(ReplicaId(1), voters().into_iter().take(size).collect());
         let mut group = Self { leader, now_ms: 0, appended: None, stopping: Vec::new() };
         group.advance(4_000, &[2, 3, 4, 5]);
         assert!(group.leader.is_established());
@@ -177,3 +175,56 @@
     group.reconcile_voters(&[1, 2, 3, 4], &[1, 2, 3, 4]);
     assert_eq!(group.voter_ids(), [1, 2, 3, 4, 5]);
 }
+
+/// Guards against a voter that ends as planned while it is one of six, of which four are a quorum: its
+/// removal was not committed yet, and two lost disks took the quorum for good (review/11).
+#[test]
+fn a_voter_that_stops_waits_until_its_removal_is_committed() {
+    let mut leaver = follower(ReplicaId(5), voters());
+    let stopping = [ReplicaId(5)].into();
+    let mut members = Members { live: voters(), stopping };
+    assert!(!leaver.awaits_replacement(&members), "no replica can take its place");
+    members.live.insert(LEARNER, "core-9".into());
+    assert!(leaver.awaits_replacement(&members), "the learner can take its place");
+
+    let mut config = Config { voters: voters() };
+    config.voters.insert(LEARNER, "core-9".into());
+    append_config(&mut leaver, 2, config.clone(), 1);
+    assert!(leaver.awaits_replacement(&members), "it is one of six voters");
+    config.voters.remove(&ReplicaId(5));
+    append_config(&mut leaver, 3, config.clone(), 2);
+    assert!(leaver.awaits_replacement(&members), "its removal may be lost with the leader");
+    append_config(&mut leaver, 4, config, 4);
+    assert!(!leaver.awaits_replacement(&members));
+}
+
+fn follower(id: ReplicaId, voters: BTreeMap<ReplicaId, InstanceName>) -> Replica {
+    let position = Position { term: 1, index: 1 };
+    let snapshot = Snapshot { position, config: Config { voters }, ..Snapshot::default() };
+    let persisted = Persisted { snapshot, ..Persisted::default() };
+    Replica::new(id, Options::default(), persisted, 7, 0)
+}
+
+/// Sends a configuration as the entry `index` of the leader 1, which has committed up to `commit`.
+fn append_config(follower: &mut Replica, index: u64, config: Config, commit: u64) {
+    let position = Position { term: 1, index };
+    let entries = vec![Entry { position, payload: Payload::Config(config) }];
+    let previous = Position { term: 1, index: index - 1 };
+    let append = Message::Append { term: 1, previous, entries, commit, round: index };
+    follower.receive(100, ReplicaId(1), append);
+}
+
+/// Guards against a group of three that keeps a voter which left as planned: a fourth voter took its place,
+/// and then the quorum was one of four.
+#[test]
+fn a_voter_of_three_that_stops_is_removed_once_its_successor_has_joined() {
+    let all = [1, 2, 3, 9];
+    let mut group = Group::of(3);
+    group.reconcile_voters(&all, &all);
+    group.advance(200, &all);
+    group.reconcile_voters(&all, &all);
+    assert_eq!(group.voter_ids(), [1, 2, 3, 9]);
+    group.stopping = vec![3];
+    group.reconcile_voters(&all, &all);
+    assert_eq!(group.voter_ids(), [1, 2, 9]);
+}
