--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -20,9 +20,9 @@
     pub append_max_bytes: usize,
     /// The maximum number of voters; further replicas are learners.
     pub voters_max: usize,
-    /// How long a voter may fail to reply before another replica replaces it, in milliseconds. A voter
-    /// that said that it stops is replaced at once.
-    pub voter_unresponsive_ms: u64,
+    /// The number of heartbeats that a voter may leave without a reply before another replica replaces
+    /// it. A voter that said that it stops is replaced at once.
+    pub silent_heartbeats: u64,
 }
 
 impl Default for Options {
@@ -35,8 +35,7 @@
             clock_drift_permille: 50,
             append_max_bytes: 512 * 1024,
             voters_max: 5,
-            // Longer than a restart takes.
-            voter_unresponsive_ms: 5_000,
+            silent_heartbeats: 3,
         }
     }
 }
--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -28,10 +28,10 @@
     /// Reconciles the voters with the known replicas, one membership change at a time.
     ///
     /// A live replica that is not a voter is a learner until it has caught up. If its instance has an
-    /// earlier replica among the voters, that one is removed first. Otherwise the learner becomes a
-    /// voter or, at the maximum number of voters, takes the place of one that stops or has been
-    /// unresponsive for too long. A voter that still replies leaves only after its successor has
-    /// joined, so that at no moment fewer losses can be borne.
+    /// earlier replica among the voters, that one has lost its disk and is removed first. Otherwise the
+    /// learner becomes a voter or, at the maximum number of voters, takes the place of one that stops or
+    /// is silent. That one leaves only after its successor has joined: it may still be needed, and one
+    /// that was only out of reach may come back.
     pub fn reconcile_voters(&mut self, now_ms: u64, members: &Members) -> Vec<Action> {
         if !self.is_established() {
             return Vec::new();
@@ -56,34 +56,28 @@
             Change::Add(id, name) => drop(config.voters.insert(*id, name.clone())),
             Change::Remove(id) => drop(config.voters.remove(id)),
         }
-        let replies = |id: &&ReplicaId| **id == self.id || !self.is_silent(now_ms, **id);
+        let replies = |id: &&ReplicaId| **id == self.id || self.replies(now_ms, **id);
         config.voters.keys().filter(replies).count() >= config.quorum()
     }
 
     fn due_change(&self, now_ms: u64, members: &Members) -> Option<Change> {
-        let voters = &self.log.config().voters;
-        let leaving = || self.stopping_voter(members).or_else(|| self.unresponsive_voter(now_ms));
-        if voters.len() > self.options.voters_max {
-            return leaving().map(Change::Remove);
+        let config = self.log.config();
+        let superseded = self.superseded_voter(members);
+        let leaving = superseded
+            .or_else(|| self.stopping_voter(members))
+            .or_else(|| self.silent_voter(now_ms));
+        if config.voters.len() > self.options.voters_max {
+            return leaving.map(Change::Remove);
         }
-        let mut successors = members.successors(self.log.config());
-        let Some((id, name)) = successors.find(|(id, _)| self.is_caught_up(*id)) else {
-            return leaving().filter(|_| self.has_surplus_voter()).map(Change::Remove);
+        let can_join = |id| self.is_caught_up(id) && self.replies(now_ms, id);
+        let Some((id, name)) = members.successors(config).find(|(id, _)| can_join(*id)) else {
+            return leaving.filter(|_| self.has_surplus_voter()).map(Change::Remove);
         };
-        if let Some((earlier, _)) = voters.iter().find(|(_, instance)| *instance == name) {
-            return Some(Change::Remove(*earlier));
-        }
-        if voters.len() < self.options.voters_max {
-            return Some(Change::Add(id, name.clone()));
+        if let Some(superseded) = superseded {
+            return Some(Change::Remove(superseded));
         }
-        if let Some(unresponsive) = self.unresponsive_voter(now_ms) {
-            return Some(Change::Remove(unresponsive));
-        }
-        let stopping = self.stopping_voter(members)?;
-        Some(match self.is_silent(now_ms, stopping) {
-            true => Change::Remove(stopping),
-            false => Change::Add(id, name.clone()),
-        })
+        let has_room = config.voters.len() < self.options.voters_max;
+        (has_room || leaving.is_some()).then(|| Change::Add(id, name.clone()))
     }
 
     /// Returns true if as many losses can be borne without one of the voters: there are more than the
@@ -95,31 +89,41 @@
         voters > self.options.voters_max || (voters > VOTERS_MIN && voters.is_multiple_of(2))
     }
 
+    /// Returns a voter that has lost its disk: its instance runs another replica now.
+    fn superseded_voter(&self, members: &Members) -> Option<ReplicaId> {
+        let config = self.log.config();
+        let mut voters = config.voters.iter();
+        voters
+            .find(|(_, instance)| members.successors(config).any(|(_, name)| name == *instance))
+            .map(|(id, _)| *id)
+    }
+
     /// Returns another voter that stops.
     fn stopping_voter(&self, members: &Members) -> Option<ReplicaId> {
         self.other_voters().find(|id| members.stopping.contains(id))
     }
 
-    /// Returns the voter that has not replied for the longest time, if that time exceeds the limit.
-    fn unresponsive_voter(&self, now_ms: u64) -> Option<ReplicaId> {
-        let id = self.other_voters().min_by_key(|id| self.last_reply_ms(now_ms, *id))?;
-        let limit_ms = self.options.voter_unresponsive_ms;
-        (now_ms >= self.last_reply_ms(now_ms, id) + limit_ms).then_some(id)
+    /// Returns the voter that has been silent for the longest time.
+    fn silent_voter(&self, now_ms: u64) -> Option<ReplicaId> {
+        let silent = self.other_voters().filter(|id| self.is_silent(now_ms, *id));
+        silent.min_by_key(|id| self.leader_state.progress.get(id).map(|known| known.last_reply_ms))
     }
 
-    /// Returns true if a replica has left several heartbeats without a reply, or has not replied to
-    /// this leader at all.
+    /// Returns true if a replica has left several heartbeats of this leader without a reply. Both their
+    /// number and the time count: a leader that was paused itself has sent none meanwhile.
     fn is_silent(&self, now_ms: u64, id: ReplicaId) -> bool {
-        const HEARTBEATS: u64 = 3;
-        let silence_max_ms = self.options.heartbeat_ms * HEARTBEATS;
+        let heartbeats = self.options.silent_heartbeats;
         let progress = self.leader_state.progress.get(&id);
-        progress.is_none_or(|progress| {
-            progress.acked_round == 0 || now_ms > progress.last_reply_ms + silence_max_ms
+        progress.is_some_and(|progress| {
+            self.leader_state.round >= progress.acked_round + heartbeats
+                && now_ms > progress.last_reply_ms + self.options.heartbeat_ms * heartbeats
         })
     }
 
-    fn last_reply_ms(&self, now_ms: u64, id: ReplicaId) -> u64 {
-        self.leader_state.progress.get(&id).map_or(now_ms, |progress| progress.last_reply_ms)
+    /// Returns true if a replica has replied to this leader, and is not silent.
+    pub(super) fn replies(&self, now_ms: u64, id: ReplicaId) -> bool {
+        let progress = self.leader_state.progress.get(&id);
+        progress.is_some_and(|progress| progress.acked_round > 0) && !self.is_silent(now_ms, id)
     }
 
     fn other_voters(&self) -> impl Iterator<Item = ReplicaId> {
