--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -218,26 +218,25 @@
         self.broadcast(now_ms);
     }
 
-    /// Steps down and asks the voter with the most complete log to campaign, one that stops only if
-    /// there is no other.
+    /// Steps down and asks the voter with the most complete log to campaign, of those that reply and do
+    /// not stop. Without one this replica leads on: nobody else could, so nobody would replace it.
     ///
     /// The lease ends before the successor is asked to campaign.
-    pub fn transfer_leadership(&mut self, members: &Members) -> Vec<Action> {
+    pub fn transfer_leadership(&mut self, now_ms: u64, members: &Members) -> Vec<Action> {
         if self.role != Role::Leader {
             return Vec::new();
         }
-        let config = self.log.config().clone();
-        let voters = self.leader_state.progress.iter().filter(|(id, _)| config.is_voter(**id));
-        let fitness = |(id, progress): &(&ReplicaId, &Progress)| {
-            (!members.stopping.contains(id), progress.matched)
+        let can_lead = |id: &ReplicaId| {
+            let is_voter = self.log.config().is_voter(*id);
+            is_voter && !members.stopping.contains(id) && self.replies(now_ms, *id)
         };
-        let successor = voters.max_by_key(fitness).map(|(id, _)| *id);
+        let progress = self.leader_state.progress.iter().filter(|(id, _)| can_lead(id));
+        let successor = progress.max_by_key(|(_, progress)| progress.matched).map(|(id, _)| *id);
+        let Some(successor) = successor else { return Vec::new() };
         let term = self.vote.term;
         self.leader_state.transferring_leadership = true;
         self.become_follower(term);
-        if let Some(successor) = successor {
-            self.send(successor, Message::CampaignNow { term });
-        }
+        self.send(successor, Message::CampaignNow { term });
         self.take_actions()
     }
 
--- a/crates/consensus/tests/consensus/membership.rs
+++ b/crates/consensus/tests/consensus/membership.rs
@@ -275,3 +275,19 @@
     group.reconcile_voters(&all, &all);
     assert_eq!(group.voter_ids(), [1, 2, 9]);
 }
+
+/// Guards against voters that stop and hand over to each other, or to one that is gone, until they end: nobody
+/// leads for long enough to replace them.
+#[test]
+fn a_leader_that_stops_leads_on_where_no_other_voter_can() {
+    let mut group = Group::of(3);
+    group.advance(SILENCE_MS, &[2]);
+    let members = |stopping: &[u64]| Members {
+        live: voters(),
+        stopping: stopping.iter().copied().map(ReplicaId).collect(),
+    };
+    group.leader.transfer_leadership(group.now_ms, &members(&[1, 2]));
+    assert!(group.leader.is_established(), "2 stops, too, and 3 is silent");
+    group.leader.transfer_leadership(group.now_ms, &members(&[1]));
+    assert!(!group.leader.is_established());
+}
--- a/crates/consensus/tests/consensus/schedules.rs
+++ b/crates/consensus/tests/consensus/schedules.rs
@@ -37,13 +37,16 @@
     ]
 }
 
-fn runner(cases: u32) -> TestRunner {
+/// How often a schedule that fails is shortened.
+const SHRINKS_MAX: u32 = 400;
+
+fn runner(cases: u32, shrinks_max: u32) -> TestRunner {
     TestRunner::new(Config {
         cases,
         rng_algorithm: RngAlgorithm::ChaCha,
         rng_seed: RngSeed::Fixed(SEED),
         failure_persistence: None,
-        max_shrink_iters: 400,
+        max_shrink_iters: shrinks_max,
         ..Config::default()
     })
 }
@@ -70,9 +73,18 @@
     steps: impl Strategy<Value = Vec<Step>>,
     schedules: u32,
     converge: bool,
+) -> Result<(), TestError<(u64, Vec<Step>)>> {
+    run_with(runner(schedules, SHRINKS_MAX), world, steps, converge)
+}
+
+fn run_with(
+    mut runner: TestRunner,
+    world: impl Fn(u64) -> World,
+    steps: impl Strategy<Value = Vec<Step>>,
+    converge: bool,
 ) -> Result<(), TestError<(u64, Vec<Step>)>> {
     let strategy = (any::<u64>(), steps);
-    runner(schedules).run(&strategy, |(seed, steps)| {
+    runner.run(&strategy, |(seed, steps)| {
         let mut world = world(seed);
         for step in steps {
             world.step(step);
@@ -129,6 +141,12 @@
     assert_found(run(injected_bug, SCHEDULES * 2, false));
 }
 
+/// Asserts that an injected bug keeps replicas from converging in one of the schedules.
+#[track_caller]
+pub fn assert_found_in(world: impl Fn(u64) -> World, steps: impl Strategy<Value = Vec<Step>>) {
+    assert_found(run_with(runner(schedules(), 0), world, steps, true));
+}
+
 /// Asserts that an injected bug was detected.
 #[track_caller]
 pub fn assert_found(found: Result<(), TestError<(u64, Vec<Step>)>>) {
--- a/crates/consensus/tests/consensus/world/machines.rs
+++ b/crates/consensus/tests/consensus/world/machines.rs
@@ -2,13 +2,9 @@
 
 use super::{InjectedBug, Node, World};
 use crate::world::StopKind;
-use lycheehub_consensus::{Members, Options, Persisted, ReplicaId};
+use lycheehub_consensus::{Members, Options, Persisted, Replica, ReplicaId};
 use lycheehub_types::InstanceName;
 
-/// The number of voters that create the group.
-const VOTERS: usize = 5;
-/// The number of disks and machines that may be lost for good at the same time.
-const FAULT_TOLERANCE: usize = 2;
 /// How long a machine counts as lost after it has started.
 const CATCH_UP_MS: u64 = 4_000;
 /// How long a stopping machine hands over, as in the product.
@@ -17,15 +13,30 @@
 const GRACE_MS: u64 = 8_000;
 /// How long a machine that was stopped as planned is down before it starts again.
 const DOWN_MS: u64 = 1_000;
-/// The number of machines at most, without those that are gone.
-const MACHINES_MAX: usize = 9;
+/// How long it takes at most until other machines learn that one stops.
+const NOTICE_MAX_MS: u64 = 400;
+/// The number of spare machines at most.
+const SPARES_MAX: usize = 4;
 
 /// The rules by which machines come and go.
 #[derive(Clone, Copy, Debug)]
 pub struct Core {
-    /// Whether a machine that is gone without a signal counts as lost for the catch-up time, also if
-    /// its successor has run for long. The leader learns of it only by its silence.
-    pub counts_unannounced: bool,
+    /// The number of voters that create the group.
+    pub voters: usize,
+    /// The maximum number of voters.
+    pub voters_max: usize,
+    /// How long a machine that is gone without a signal counts as lost, also if its successor has run
+    /// for long: the leader learns of it only by its silence.
+    pub unannounced_ms: u64,
+    /// The number of heartbeats that a voter may leave without a reply.
+    pub silent_heartbeats: u64,
+}
+
+impl Core {
+    /// Returns the number of disks and machines that may be lost at the same time.
+    fn fault_tolerance(self) -> usize {
+        (self.voters - 1) / 2
+    }
 }
 
 /// What a machine is about to do, beside its replica.
@@ -42,6 +53,10 @@
     successor: Option<usize>,
     /// The planned stop in progress, with its start.
     stop: Option<(u64, StopKind)>,
+    /// When other machines learn that it stops.
+    noticed_ms: u64,
+    /// How long it has waited in its stop while no more machines were lost than must be borne.
+    waited_ms: u64,
     /// When it ended after a planned stop, in order to start again.
     ended_ms: Option<u64>,
 }
@@ -61,15 +76,21 @@
     pub(super) fn begin_run(&mut self) {
         self.age_ms = 0;
         self.stop = None;
+        self.waited_ms = 0;
         self.ended_ms = None;
     }
 }
 
 impl World {
-    /// Creates a world of five voters in which machines come and go.
-    pub fn of_core(seed: u64, injected_bug: InjectedBug, voters_max: usize, core: Core) -> Self {
-        let options = Options { leases: seed.is_multiple_of(2), voters_max, ..Options::default() };
-        let mut world = Self::of_size(VOTERS, seed, injected_bug, options);
+    /// Creates a world in which machines come and go.
+    pub fn of_core(seed: u64, injected_bug: InjectedBug, core: Core) -> Self {
+        let options = Options {
+            leases: seed.is_multiple_of(2),
+            voters_max: core.voters_max,
+            silent_heartbeats: core.silent_heartbeats,
+            ..crate::network::OPTIONS
+        };
+        let mut world = Self::of_size(core.voters, seed, injected_bug, options);
         world.core = Some(core);
         world.nodes.iter_mut().for_each(|node| node.machine.age_ms = CATCH_UP_MS);
         world
@@ -89,7 +110,8 @@
         let running = self.nodes.iter().filter(|node| node.replica.is_some());
         let stopping = self.nodes.iter().filter(|node| {
             let machine = node.machine;
-            machine.stop.is_some() || machine.ended_ms.is_some()
+            let is_noticed = node.id == own || self.now_ms >= machine.noticed_ms;
+            (machine.stop.is_some() || machine.ended_ms.is_some()) && is_noticed
         });
         Members {
             live: running.filter(is_heard).map(|node| (node.id, node.name.clone())).collect(),
@@ -99,7 +121,7 @@
 
     pub(super) fn join(&mut self) {
         let present = self.nodes.iter().filter(|node| !node.machine.is_gone).count();
-        if self.core.is_none() || present >= MACHINES_MAX {
+        if self.core.is_none_or(|core| present >= core.voters + SPARES_MAX) {
             return;
         }
         let id = ReplicaId(self.next_id);
@@ -140,17 +162,19 @@
         if kind == StopKind::ForGood {
             self.choose_successor(at);
         }
-        self.nodes[at].machine.stop = Some((self.now_ms, kind));
+        let machine = &mut self.nodes[at].machine;
+        machine.stop = Some((self.now_ms, kind));
+        // Differs from stop to stop, and is the same in each run of a schedule.
+        machine.noticed_ms = self.now_ms + (self.now_ms * 13 + at as u64 * 97) % NOTICE_MAX_MS;
         self.hand_over(at);
     }
 
     /// Removes a machine for good at once.
     pub(super) fn remove(&mut self, at: usize) {
         let Some(core) = self.core else { return };
-        let unseen_ms = if core.counts_unannounced { CATCH_UP_MS } else { 0 };
-        if self.may_go(at, unseen_ms) {
+        if self.may_go(at, core.unannounced_ms) {
             self.choose_successor(at);
-            self.leave(at, unseen_ms);
+            self.leave(at, core.unannounced_ms);
         }
     }
 
@@ -189,8 +213,9 @@
                 continue;
             }
             self.hand_over(at);
-            let elapsed_ms = self.now_ms - began_ms;
-            if elapsed_ms < HANDOVER_MS || (elapsed_ms < GRACE_MS && self.awaits_replacement(at)) {
+            let is_handing_over = self.now_ms - began_ms < HANDOVER_MS;
+            let may_wait = machine.waited_ms < GRACE_MS;
+            if is_handing_over || (may_wait && self.awaits_replacement(at)) {
                 continue;
             }
             match kind {
@@ -207,36 +232,57 @@
 
     fn hand_over(&mut self, at: usize) {
         let members = self.members(at);
-        self.drive(at, |replica, _| replica.transfer_leadership(&members));
+        self.drive(at, |replica, now_ms| replica.transfer_leadership(now_ms, &members));
     }
 
     fn awaits_replacement(&self, at: usize) -> bool {
         let members = self.members(at);
-        let replica = self.nodes[at].replica.as_ref();
-        self.injected_bug != InjectedBug::VoterEndsAtOnce
-            && replica.is_some_and(|replica| replica.awaits_replacement(&members))
+        let Some(replica) = &self.nodes[at].replica else { return false };
+        let has_successor = members.successors(replica.config()).next().is_some();
+        match self.injected_bug {
+            InjectedBug::VoterEndsAtOnce => false,
+            InjectedBug::VoterEndsBeforeItsRemoval => {
+                has_successor && replica.awaits_replacement(&members)
+            }
+            _ => replica.awaits_replacement(&members),
+        }
     }
 
-    /// Lets the time of machines count while nothing disturbs them.
+    /// Lets the time of running machines count while no link is blocked and no more are lost than must
+    /// be borne.
     pub(super) fn age_machines(&mut self, ms: u64) {
-        if !self.is_calm() {
+        let Some(core) = self.core else { return };
+        let lost = (0..self.nodes.len()).filter(|at| self.is_lost(*at)).count();
+        if !self.blocked_links.is_empty() || lost > core.fault_tolerance() {
             return;
         }
         for node in &mut self.nodes {
-            node.machine.age_ms += ms;
+            if node.replica.is_some() && !node.paused {
+                node.machine.age_ms += ms;
+                node.machine.waited_ms += if node.machine.stop.is_some() { ms } else { 0 };
+            }
             node.machine.unseen_ms = node.machine.unseen_ms.saturating_sub(ms);
         }
     }
 
-    fn is_calm(&self) -> bool {
-        let runs = |node: &Node| node.machine.is_gone || (node.replica.is_some() && !node.paused);
-        self.blocked_links.is_empty() && self.nodes.iter().all(runs)
+    /// Lets the times that are not over begin again: for a while no message arrives.
+    pub(super) fn restart_ages(&mut self) {
+        let Some(core) = self.core else { return };
+        for machine in self.nodes.iter_mut().map(|node| &mut node.machine) {
+            if machine.age_ms < CATCH_UP_MS {
+                machine.age_ms = 0;
+            }
+            if machine.unseen_ms > 0 {
+                machine.unseen_ms = core.unannounced_ms;
+            }
+        }
     }
 
-    /// Returns true if a machine counts as lost.
+    /// Returns true if a machine counts as lost. One that is gone, or goes in order, counts until its
+    /// successor has run for the catch-up time, and both count once while the successor runs.
     fn is_lost(&self, at: usize) -> bool {
         let node = &self.nodes[at];
-        if node.machine.is_gone || node.machine.goes() {
+        if node.machine.is_gone || (node.machine.goes() && node.replica.is_some()) {
             let successor = node.machine.successor.map(|at| &self.nodes[at]);
             let has_successor = successor.is_some_and(|successor| {
                 successor.machine.age_ms >= CATCH_UP_MS || successor.machine.is_gone
@@ -244,7 +290,15 @@
             return node.machine.unseen_ms > 0 || !has_successor;
         }
         let is_down = node.replica.is_none() || node.paused;
-        is_down || (node.machine.age_ms < CATCH_UP_MS && !node.machine.is_spare)
+        let is_young = node.machine.age_ms < CATCH_UP_MS && !node.machine.is_spare;
+        is_down || (is_young && !self.is_successor(at))
+    }
+
+    /// Returns true if a machine takes the place of one that goes or is gone.
+    fn is_successor(&self, at: usize) -> bool {
+        let mut leaving =
+            self.nodes.iter().filter(|node| node.machine.is_gone || node.machine.goes());
+        leaving.any(|node| node.machine.successor == Some(at))
     }
 
     fn losses_without(&self, at: usize) -> usize {
@@ -253,25 +307,34 @@
 
     /// Returns true if the disk of this machine may be lost now.
     pub(super) fn may_lose(&self, at: usize) -> bool {
-        let is_running = self.nodes[at].replica.is_some();
-        is_running && self.blocked_links.is_empty() && self.losses_without(at) < FAULT_TOLERANCE
+        let Some(core) = self.core else { return false };
+        let node = &self.nodes[at];
+        let is_running = node.replica.is_some() && !node.machine.goes();
+        is_running
+            && self.blocked_links.is_empty()
+            && self.losses_without(at) < core.fault_tolerance()
     }
 
     /// Returns true if this machine may go for good now. It does not count if a spare machine has
     /// caught up and it has said that it goes.
     fn may_go(&self, at: usize, unseen_ms: u64) -> bool {
+        let Some(core) = self.core else { return false };
         let has_successor = (0..self.nodes.len()).any(|other| {
             let node = &self.nodes[other];
             let is_ready = node.replica.is_some() && node.machine.age_ms >= CATCH_UP_MS;
             let is_free = node.machine.is_spare && !node.machine.is_gone && !node.machine.goes();
             other != at && is_free && is_ready
         });
-        let present = self.nodes.iter().filter(|node| !node.machine.is_gone).count();
         let counts = usize::from(!has_successor || unseen_ms > 0);
         let is_running = self.nodes[at].replica.is_some();
-        present > VOTERS
-            && is_running
+        is_running
             && self.blocked_links.is_empty()
-            && self.losses_without(at) + counts <= FAULT_TOLERANCE
+            && self.losses_without(at) + counts <= core.fault_tolerance()
+    }
+
+    /// Returns the machine that leads.
+    pub(super) fn leading(&self) -> Option<usize> {
+        let leads = |node: &Node| node.replica.as_ref().is_some_and(Replica::is_established);
+        self.nodes.iter().position(leads)
     }
 }
--- a/crates/consensus/tests/consensus/world/mod.rs
+++ b/crates/consensus/tests/consensus/world/mod.rs
@@ -176,7 +176,10 @@
 
     pub fn step(&mut self, step: Step) {
         match step {
-            Step::Advance(ms) => self.advance(u64::from(ms % 400) + 1),
+            Step::Advance(ms) => {
+                self.advance(u64::from(ms % 400) + 1);
+                self.restart_ages();
+            }
             Step::AdvanceDelivering(ms) => {
                 const STEP_MS: u64 = 40;
                 for _ in 0..u64::from(ms % 1_500) / STEP_MS {
@@ -204,6 +207,11 @@
             }
             Step::Restart(node) => self.restart(self.pick(node)),
             Step::LoseDisk(node) => self.lose_disk(self.pick(node)),
+            Step::LoseDiskOfLeader => {
+                if let Some(at) = self.leading() {
+                    self.lose_disk(at);
+                }
+            }
             Step::Propose(node) => self.propose(self.pick(node)),
             Step::Read(node) => self.read(self.pick(node)),
             Step::BlockLink(from, to) => {
@@ -245,7 +253,7 @@
             Step::TransferLeadership(node) => {
                 let at = self.pick(node);
                 let members = self.members(at);
-                self.drive(at, |replica, _| replica.transfer_leadership(&members));
+                self.drive(at, |replica, now_ms| replica.transfer_leadership(now_ms, &members));
             }
             Step::Join => self.join(),
             Step::Stop(node, how) => self.stop(self.pick(node), how),
--- a/crates/consensus/tests/consensus/world/steps.rs
+++ b/crates/consensus/tests/consensus/world/steps.rs
@@ -22,6 +22,8 @@
     UnknownCommandSkipped,
     /// A voter that stops ends without waiting until it is replaced.
     VoterEndsAtOnce,
+    /// A voter that stops ends once its successor is a voter, before its own removal is committed.
+    VoterEndsBeforeItsRemoval,
 }
 
 /// A step of a schedule.
@@ -48,6 +50,8 @@
     Restart(u8),
     /// A replica loses its disk.
     LoseDisk(u8),
+    /// The replica that leads loses its disk.
+    LoseDiskOfLeader,
     /// A command is proposed on a replica.
     Propose(u8),
     /// A read is started on a replica.
--- a/crates/peer/src/node/membership.rs
+++ b/crates/peer/src/node/membership.rs
@@ -55,7 +55,7 @@
 
     fn transfer_leadership(self: &Rc<Self>) {
         let members = self.core.borrow().members(self.clock.now_ms());
-        self.drive(|driver, _| driver.replica.transfer_leadership(&members));
+        self.drive(|driver, now_ms| driver.replica.transfer_leadership(now_ms, &members));
     }
 
     fn awaits_replacement(&self) -> bool {
