A group does not shrink below the voters with which changes are acknowledged

With two losses to bear a quorum of three voters is too small for an acknowledgement, so changes would be refused until another replica joins, where four voters with a silent one acknowledge them.

Test: membership::a_silent_voter_of_the_minimum_stays_where_no_replica_can_take_its_place. The option is new, so the test could not run before; by the rule before, four voters became three.

--- a/crates/consensus/src/options.rs
+++ b/crates/consensus/src/options.rs
@@ -18,6 +18,9 @@
     pub clock_drift_permille: u64,
     /// The maximum size of the entries in one message, in bytes.
     pub append_max_bytes: usize,
+    /// The number of voters that remain in any case: none of them is removed unless another replica
+    /// takes its place.
+    pub voters_min: usize,
     /// The maximum number of voters; further replicas are learners.
     pub voters_max: usize,
     /// The number of heartbeats that a voter may leave without a reply before another replica replaces
@@ -34,6 +37,7 @@
             leases: true,
             clock_drift_permille: 50,
             append_max_bytes: 512 * 1024,
+            voters_min: 3,
             voters_max: 5,
             silent_heartbeats: 3,
         }
--- a/crates/consensus/src/replica/membership.rs
+++ b/crates/consensus/src/replica/membership.rs
@@ -1,7 +1,7 @@
 //! Membership changes: learners, and adding or removing one voter at a time.
 
 use super::{Replica, Role};
-use crate::{Action, Config, Entry, Members, Payload, Position, ReplicaId};
+use crate::{Action, Config, Entry, Members, Options, Payload, Position, ReplicaId};
 use lycheehub_types::InstanceName;
 
 /// A membership change that brings the voters closer to the live replicas.
@@ -81,12 +81,11 @@
     }
 
     /// Returns true if as many losses can be borne without one of the voters: there are more than the
-    /// maximum, or their number is even.
+    /// maximum, or their number is even and above the minimum.
     fn has_surplus_voter(&self) -> bool {
-        /// With fewer voters no loss can be borne.
-        const VOTERS_MIN: usize = 3;
+        let Options { voters_min, voters_max, .. } = self.options;
         let voters = self.log.config().voters.len();
-        voters > self.options.voters_max || (voters > VOTERS_MIN && voters.is_multiple_of(2))
+        voters > voters_max || (voters > voters_min && voters.is_multiple_of(2))
     }
 
     /// Returns a voter that has lost its disk: its instance runs another replica now.
--- a/crates/consensus/tests/consensus/membership.rs
+++ b/crates/consensus/tests/consensus/membership.rs
@@ -35,7 +35,12 @@
     }
 
     fn of(size: usize) -> Self {
-        let leader = follower(ReplicaId(1), voters().into_iter().take(size).collect());
+        Self::with(size, Options::default())
+    }
+
+    fn with(size: usize, options: Options) -> Self {
+        let voters = voters().into_iter().take(size).collect();
+        let leader = replica(ReplicaId(1), voters, options);
         let mut group = Self { leader, now_ms: 0, appended: None, stopping: Vec::new() };
         group.advance(4_000, &[2, 3, 4, 5]);
         assert!(group.leader.is_established());
@@ -246,10 +251,14 @@
 }
 
 fn follower(id: ReplicaId, voters: BTreeMap<ReplicaId, InstanceName>) -> Replica {
+    replica(id, voters, Options::default())
+}
+
+fn replica(id: ReplicaId, voters: BTreeMap<ReplicaId, InstanceName>, options: Options) -> Replica {
     let position = Position { term: 1, index: 1 };
     let snapshot = Snapshot { position, config: Config { voters }, ..Snapshot::default() };
     let persisted = Persisted { snapshot, ..Persisted::default() };
-    Replica::new(id, Options::default(), persisted, 7, 0)
+    Replica::new(id, options, persisted, 7, 0)
 }
 
 /// Sends a configuration as the entry `index` of the leader 1, which has committed up to `commit`.
@@ -276,6 +285,16 @@
     assert_eq!(group.voter_ids(), [1, 2, 9]);
 }
 
+/// Guards against a group that shrinks until a quorum no longer outlives the losses.
+#[test]
+fn a_silent_voter_of_the_minimum_stays_where_no_replica_can_take_its_place() {
+    let options = Options { voters_min: 4, ..Options::default() };
+    let mut group = Group::with(4, options);
+    group.advance(SILENCE_MS, &[2, 3]);
+    group.reconcile_voters(&[1, 2, 3], &[2, 3]);
+    assert_eq!(group.voter_ids(), [1, 2, 3, 4]);
+}
+
 /// Guards against voters that stop and hand over to each other, or to one that is gone, until they end: nobody
 /// leads for long enough to replace them.
 #[test]
--- a/crates/consensus/tests/consensus/network.rs
+++ b/crates/consensus/tests/consensus/network.rs
@@ -18,6 +18,7 @@
     leases: false,
     clock_drift_permille: 50,
     append_max_bytes: 512 * 1024,
+    voters_min: 4,
     voters_max: 5,
     silent_heartbeats: 3,
 };
--- a/crates/consensus/tests/consensus/world/machines.rs
+++ b/crates/consensus/tests/consensus/world/machines.rs
@@ -91,6 +91,7 @@
     pub fn of_core(seed: u64, injected_bug: InjectedBug, core: Core) -> Self {
         let options = Options {
             leases: seed.is_multiple_of(2),
+            voters_min: core.voters_max - 1,
             voters_max: core.voters_max,
             silent_heartbeats: core.silent_heartbeats,
             ..crate::network::OPTIONS
