--- a/crates/consensus/tests/consensus/membership.rs
+++ b/crates/consensus/tests/consensus/membership.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 
 const LEARNER: ReplicaId = ReplicaId(9);
+/// The voters and the learner.
+const ALL: [u64; 6] = [1, 2, 3, 4, 5, LEARNER.0];
 /// The interval between heartbeats, a silence for which a voter is not replaced yet, and one for which it is.
 const HEARTBEAT_MS: u64 = 200;
 const LATE_MS: u64 = 2 * HEARTBEAT_MS;
@@ -40,13 +42,25 @@
 
     fn with(size: usize, options: Options) -> Self {
         let voters = voters().into_iter().take(size).collect();
-        let leader = replica(ReplicaId(1), voters, options);
-        let mut group = Self { leader, now_ms: 0, appended: None, stopping: Vec::new() };
+        let mut group = Self::starting(replica(ReplicaId(1), voters, options));
         group.advance(4_000, &[2, 3, 4, 5]);
         assert!(group.leader.is_established());
         group
     }
 
+    /// Returns the group of a replica that leads as soon as it is elected.
+    fn starting(leader: Replica) -> Self {
+        Self { leader, now_ms: 0, appended: None, stopping: Vec::new() }
+    }
+
+    /// Returns a group of five voters and a learner that has caught up.
+    fn with_learner() -> Self {
+        let mut group = Self::new();
+        group.reconcile_voters(&ALL, &ALL);
+        group.advance(HEARTBEAT_MS, &ALL);
+        group
+    }
+
     /// Advances time while the `responsive` replicas reply at once.
     fn advance(&mut self, for_ms: u64, responsive: &[u64]) {
         for _ in 0..for_ms / 50 {
@@ -150,8 +164,7 @@
 #[test]
 fn a_new_leader_replaces_a_silent_voter_within_half_of_the_catch_up_time() {
     let others = [1, 2, 3, 4, 9];
-    let leader = follower(ReplicaId(1), voters());
-    let mut group = Group { leader, now_ms: 0, appended: None, stopping: Vec::new() };
+    let mut group = Group::starting(follower(ReplicaId(1), voters()));
     while !group.leader.is_established() {
         group.advance(50, &others);
     }
@@ -166,40 +179,36 @@
 /// Guards against voters that are replaced as silent because the leader was paused itself.
 #[test]
 fn a_leader_that_was_paused_itself_replaces_no_voter() {
-    let all = [1, 2, 3, 4, 5, 9];
-    let mut group = Group::new();
-    group.reconcile_voters(&all, &all);
-    group.advance(SILENCE_MS, &all);
+    let mut group = Group::with_learner();
     group.now_ms += 2 * SILENCE_MS;
-    group.reconcile_voters(&all, &all);
+    group.reconcile_voters(&ALL, &ALL);
+    assert_eq!(group.voter_ids(), [1, 2, 3, 4, 5]);
+
+    // One reply comes later than the others.
+    group.advance(HEARTBEAT_MS, &[2, 3, 4, 9]);
+    group.reconcile_voters(&ALL, &[2, 3, 4, 9]);
     assert_eq!(group.voter_ids(), [1, 2, 3, 4, 5]);
 }
 
 /// Guards against a learner that becomes a voter after it has fallen silent itself.
 #[test]
 fn a_silent_learner_replaces_no_voter() {
-    let all = [1, 2, 3, 4, 5, 9];
-    let mut group = Group::new();
-    group.reconcile_voters(&all, &all);
-    group.advance(SILENCE_MS, &all);
+    let mut group = Group::with_learner();
     group.advance(2 * SILENCE_MS, &[2, 3, 4]);
-    group.reconcile_voters(&all, &[2, 3, 4]);
+    group.reconcile_voters(&ALL, &[2, 3, 4]);
     assert_eq!(group.voter_ids(), [1, 2, 3, 4, 5]);
 }
 
 /// Guards against a voter that counts for seconds after it has left as planned (review/1).
 #[test]
 fn a_voter_that_stops_is_replaced_before_it_leaves() {
-    let all = [1, 2, 3, 4, 5, 9];
-    let mut group = Group::new();
-    group.reconcile_voters(&all, &all);
-    group.advance(200, &all);
+    let mut group = Group::with_learner();
     group.stopping = vec![5];
-    group.reconcile_voters(&all, &all);
+    group.reconcile_voters(&ALL, &ALL);
     assert_eq!(group.voter_ids(), [1, 2, 3, 4, 5, 9], "its successor joins first");
-    group.reconcile_voters(&all, &all);
+    group.reconcile_voters(&ALL, &ALL);
     assert_eq!(group.voter_ids(), [1, 2, 3, 4, 9]);
-    group.reconcile_voters(&all, &all);
+    group.reconcile_voters(&ALL, &ALL);
     assert_eq!(group.voter_ids(), [1, 2, 3, 4, 9], "a replica that stops does not join again");
 }
 
