--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -330,6 +330,10 @@
         if listing.record.leaving && is_new {
             self.unsaved.insert(endpoint.clone());
         }
+        if listing.withdrawn && is_new {
+            // What was announced before a farewell is no evidence that the endpoint runs after it.
+            self.overtaken.remove(&endpoint);
+        }
         let left = before.as_ref().and_then(|before| match listing.withdrawn {
             true => before.left.or(Some(before.listing.record.incarnation)),
             false => None,
--- a/crates/control/tests/control/farewells.rs
+++ b/crates/control/tests/control/farewells.rs
@@ -154,6 +154,33 @@
     }
 }
 
+/// Guards against announcements from before a farewell that count as evidence that the endpoint runs, so that a
+/// late one lists it (review/14).
+#[gtest]
+fn announcements_from_before_a_farewell_do_not_list_the_endpoint_after_it() {
+    for known in ALL_KNOWN {
+        let (mut directory, mut other) = (replica(known), replica(known));
+        withdraw(&mut directory, 100, FAREWELL_UNIX_MS);
+        propagate(100, &directory, &mut other);
+        // It starts again, with a clock behind, and is not listed before it says farewell once more.
+        let started_unix_ms = STARTED_UNIX_MS + 100;
+        let (mut at_ms, mut sequence) = (2_600, 1);
+        while at_ms < 31_500 {
+            for replica in [&mut directory, &mut other] {
+                replica.announce(at_ms, record("e", started_unix_ms, sequence));
+                expect_that!(is_listed(replica), eq(false), "{known:?} at {at_ms}");
+            }
+            (at_ms, sequence) = (at_ms + INTERVAL_MS, sequence + 1);
+        }
+        withdraw(&mut directory, 31_600, FAREWELL_UNIX_MS + 31_500);
+        propagate(31_650, &directory, &mut other);
+        for replica in [&mut directory, &mut other] {
+            replica.announce(33_400, record("e", started_unix_ms, sequence));
+            expect_that!(is_listed(replica), eq(false), "{known:?}");
+        }
+    }
+}
+
 /// Guards against an older announcement that takes back what an endpoint said last: that it drains.
 #[gtest]
 fn a_late_announcement_does_not_take_back_that_an_endpoint_drains() {
