--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -31,8 +31,10 @@
 /// How long the entry of a gone endpoint is kept, in milliseconds.
 const GONE_RETENTION_MS: u64 = 120_000;
 /// How much later than a farewell an incarnation may seem to have started that says it, in milliseconds, since
-/// clocks differ. An endpoint that starts again under its name has served on for longer than that.
-pub const FAREWELL_MARGIN_MS: u64 = 1_000;
+/// clocks differ: where no incarnation is listed that can have said it.
+const FAREWELL_MARGIN_MS: u64 = 1_000;
+/// The longest time after which an endpoint repeats a farewell that was not acknowledged, in milliseconds.
+const FAREWELL_REPEAT_MS: u64 = 1_500;
 
 /// An endpoint as propagated between replicas.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -112,6 +114,11 @@
             && (self.listing.record.incarnation == incarnation || self.left == Some(incarnation))
     }
 
+    /// Returns whether it was withdrawn so recently that another farewell repeats that one.
+    fn was_withdrawn(&self, now_ms: u64) -> bool {
+        self.listing.withdrawn && now_ms < self.changed_ms + FAREWELL_REPEAT_MS
+    }
+
     /// Returns whether an announcement states another end of the endpoint's cold time than is known.
     fn is_cold_time_changed(&self, now_ms: u64, record: &EndpointRecord) -> bool {
         let stated_ms = now_ms + u64::from(record.cold_ms);
@@ -225,14 +232,20 @@
     }
 
     /// Withdraws an endpoint for good, known or not: the known incarnation, and each one that was started
-    /// before `started_before`. A farewell names no incarnation, and may come before the first
-    /// announcement of the one that says it.
-    pub fn withdraw(&mut self, now_ms: u64, name: &EndpointName, started_before: u64) {
-        let mut listing = match self.entries.get(name) {
+    /// until `now_unix_ms`. A farewell names no incarnation, and may come before the first announcement of
+    /// the one that says it.
+    pub fn withdraw(&mut self, now_ms: u64, name: &EndpointName, now_unix_ms: u64) {
+        let known = self.entries.get(name);
+        // A listed incarnation has most likely said it itself, and may be started again at once.
+        let is_attributed =
+            known.is_some_and(|known| !known.listing.gone || known.was_withdrawn(now_ms));
+        let margin_ms = if is_attributed { 0 } else { FAREWELL_MARGIN_MS };
+        let started_until = now_unix_ms + margin_ms;
+        let mut listing = match known {
             Some(known) => known.listing.clone(),
-            None => Listing::of_farewell(name.clone(), started_before),
+            None => Listing::of_farewell(name.clone(), started_until),
         };
-        listing.record.incarnation = listing.record.incarnation.max(started_before);
+        listing.record.incarnation = listing.record.incarnation.max(started_until);
         listing.record.leaving = true;
         listing.gone = true;
         listing.withdrawn = true;
--- a/crates/control/tests/control/farewells.rs
+++ b/crates/control/tests/control/farewells.rs
@@ -2,7 +2,7 @@
 
 use super::directory::{self, record};
 use googletest::prelude::*;
-use lycheehub_control::directory::{Directory, FAREWELL_MARGIN_MS, LEASE_MS};
+use lycheehub_control::directory::{Directory, LEASE_MS};
 use lycheehub_types::{EndpointRecord, InstanceName};
 
 /// When the endpoint starts, and when it says farewell by the replica's clock, in milliseconds since the
@@ -55,7 +55,7 @@
 }
 
 fn withdraw(directory: &mut Directory, now_ms: u64, now_unix_ms: u64) {
-    directory.withdraw(now_ms, &"e".into(), now_unix_ms + FAREWELL_MARGIN_MS);
+    directory.withdraw(now_ms, &"e".into(), now_unix_ms);
 }
 
 /// Sends all changes of `from` to `to`.
@@ -117,6 +117,32 @@
     }
 }
 
+/// Guards against a new start that is taken for the one that said farewell, because it follows at once
+/// (review/13).
+#[gtest]
+fn an_endpoint_that_starts_again_at_once_after_its_farewell_is_listed_at_once() {
+    let listed = [Known::ThisIncarnation, Known::AnOlderOne, Known::ANewerOne, Known::ByARelayOnly];
+    for known in listed {
+        for repeats in 0..3 {
+            let (mut directory, mut other) = (replica(known), replica(known));
+            // A farewell whose acknowledgement was lost is repeated elsewhere.
+            let mut at_ms = 100;
+            withdraw(&mut directory, at_ms, FAREWELL_UNIX_MS);
+            propagate(at_ms, &directory, &mut other);
+            for repeat in 1..=repeats {
+                at_ms = 100 + repeat * 1_000;
+                withdraw(&mut other, at_ms, FAREWELL_UNIX_MS + repeat * 1_000);
+                directory::propagate(at_ms, &other, &"other".into(), &mut directory);
+            }
+            let again = record("e", FAREWELL_UNIX_MS + at_ms - 100 + 400, 1);
+            expect_that!(directory.announce(at_ms + 400, again), eq(true), "{known:?} {repeats}");
+            propagate(at_ms + 400, &directory, &mut other);
+            expect_that!(is_listed(&directory), eq(true), "{known:?} {repeats}");
+            expect_that!(is_listed(&other), eq(true), "{known:?} {repeats}");
+        }
+    }
+}
+
 /// Guards against an endpoint that is never listed again because the clocks of a replica and of the endpoint
 /// differ: it started later, but states an earlier time than that of the farewell.
 #[gtest]
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -4,9 +4,7 @@
 use crate::watch::{self, REVISION_FROM_LOG, ReplicaPositions, WatchUpdate, Watcher};
 use lycheehub_clock::within;
 use lycheehub_control::directory::batching::{self, Backlog};
-use lycheehub_control::directory::{
-    ChangePosition, Changes, FAREWELL_MARGIN_MS, LEASE_MS, Listing,
-};
+use lycheehub_control::directory::{ChangePosition, Changes, LEASE_MS, Listing};
 use lycheehub_types::{CountGuard, EndpointName, EndpointRecord, InstanceName};
 use smol::Timer;
 use smol::channel::{Sender, bounded};
@@ -111,11 +109,11 @@
     /// acknowledge it.
     pub(super) async fn withdraw(self: Rc<Self>, endpoint: EndpointName) -> bool {
         let now_ms = self.clock.now_ms();
-        let started_before = self.clock.now_unix_ms() + FAREWELL_MARGIN_MS;
+        let now_unix_ms = self.clock.now_unix_ms();
         let (is_known, change) = {
             let directory = &mut self.core.borrow_mut().directory;
             let is_known = directory.contains(&endpoint);
-            directory.withdraw(now_ms, &endpoint, started_before);
+            directory.withdraw(now_ms, &endpoint, now_unix_ms);
             (is_known, directory.change())
         };
         spdlog::info!("endpoint withdrawn", kv: { endpoint: = endpoint, is_known, change });
