--- a/crates/cli/tests/platform/farewells.rs
+++ b/crates/cli/tests/platform/farewells.rs
@@ -5,6 +5,7 @@
 use crate::{document, put_document};
 use googletest::prelude::*;
 use lycheehub_standin::proxy::Mode;
+use serde_json::json;
 use std::time::{Duration, Instant};
 
 /// The time after which a leaving endpoint gets nothing new.
@@ -81,6 +82,28 @@
     }
 }
 
+/// Guards against an endpoint's word that it drains, which is acknowledged though it was dropped: another writer's
+/// entry with later numbers is listed (review/13).
+#[gtest]
+fn a_word_that_is_dropped_is_not_acknowledged() {
+    let (deployment, endpoint) = start(layout(3, 1, false));
+    let later = json!({
+        "service": "foreign", "address": endpoint.address, "zone": "salto", "version": "v1",
+        "slots": 8, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 9_000,
+    });
+    let path = "/-/instances/i-1";
+    let written = deployment.control(MONITOR, "PUT", path, &later.to_string());
+    expect_that!(written.status, eq(200));
+    expect_that!(say_last(&deployment, &endpoint, true), eq(503));
+    // It goes on to say so, and is heard once nothing renews the other entry.
+    let mut sequence = 9;
+    eventually("it is acknowledged", || {
+        sequence += 1;
+        announce(&deployment, MONITOR, &endpoint, sequence, "draining").status == 200
+    });
+    expect_no_requests_after_drain(&deployment, &endpoint, true);
+}
+
 /// Guards against an endpoint that gets no acknowledgement because one control instance is suspended.
 #[gtest]
 fn a_farewell_is_acknowledged_in_time_beside_suspended_control_instances() {
--- a/crates/control/src/directory/departures.rs
+++ b/crates/control/src/directory/departures.rs
@@ -39,7 +39,7 @@
             incarnation: record.incarnation,
             sequence: record.sequence,
             withdrawn: entry.listing.withdrawn,
-            left: entry.left,
+            left: entry.listing.left,
             since_unix_ms: now_unix_ms,
         }
     }
@@ -66,10 +66,8 @@
         listing.withdrawn = withdrawn;
         // Who knows the announcement itself knows more than this.
         listing.record.sequence = sequence.saturating_sub(1);
+        listing.left = left;
         self.insert(now_ms, listing, LeaseMonitor::Local(now_ms), Source::Local);
-        if let Some(entry) = self.entries.get_mut(&endpoint) {
-            entry.left = left;
-        }
         self.unsaved.remove(&endpoint);
     }
 }
--- a/crates/control/tests/control/directory.rs
+++ b/crates/control/tests/control/directory.rs
@@ -4,7 +4,9 @@
 use lycheehub_control::directory::batching::{
     Backlog, MAX_CHANGES_PER_REPLY, batch_delay_ms, relay_delay_ms,
 };
-use lycheehub_control::directory::{ChangePosition, Directory, LEASE_MS, Listing, ORPHAN_MS};
+use lycheehub_control::directory::{
+    Announced, ChangePosition, Directory, LEASE_MS, Listing, ORPHAN_MS,
+};
 use lycheehub_types::{EndpointKind, EndpointLoad, EndpointRecord, InstanceName};
 use std::collections::BTreeMap;
 
@@ -49,12 +51,12 @@
 #[gtest]
 fn changes_are_propagated_and_renewals_are_not() {
     let mut directory = Directory::default();
-    expect_that!(directory.announce(0, record("e", 1, 1)), eq(true));
+    expect_that!(directory.announce(0, record("e", 1, 1)), eq(Announced::Listed));
     let told = directory.change();
-    expect_that!(directory.announce(1_000, record("e", 1, 2)), eq(false));
+    expect_that!(directory.announce(1_000, record("e", 1, 2)), eq(Announced::Renewed));
     expect_that!(local_changes_after(&directory, told), is_empty());
     let leaving = EndpointRecord { leaving: true, ..record("e", 1, 3) };
-    expect_that!(directory.announce(2_000, leaving), eq(true));
+    expect_that!(directory.announce(2_000, leaving), eq(Announced::Listed));
     expect_that!(local_changes_after(&directory, told).len(), eq(1));
 }
 
@@ -109,13 +111,13 @@
     let mut directory = Directory::default();
     directory.announce(0, record("e", 1, 5));
     directory.withdraw(100, &"e".into(), 0);
-    expect_that!(directory.announce(200, record("e", 1, 4)), eq(false));
-    expect_that!(directory.announce(200, record("e", 1, 6)), eq(false));
+    expect_that!(directory.announce(200, record("e", 1, 4)), eq(Announced::Left));
+    expect_that!(directory.announce(200, record("e", 1, 6)), eq(Announced::Left));
     expect_that!(live(&directory), is_empty());
     // A restarted endpoint with the same name has a new sequence.
-    expect_that!(directory.announce(300, record("e", 2, 1)), eq(true));
+    expect_that!(directory.announce(300, record("e", 2, 1)), eq(Announced::Listed));
     expect_that!(live(&directory), elements_are![eq("e")]);
-    expect_that!(directory.announce(400, record("e", 1, 9)), eq(false));
+    expect_that!(directory.announce(400, record("e", 1, 9)), eq(Announced::Left));
 }
 
 #[gtest]
@@ -503,8 +505,8 @@
     let told = here.change();
     propagate(1_010, &here, &"here".into(), &mut there);
     // The next announcements state what is left of the same time, sooner or later on their way.
-    expect_that!(here.announce(2_200, cold(2, 1_850)), eq(false));
-    expect_that!(here.announce(3_400, cold(3, 500)), eq(false));
+    expect_that!(here.announce(2_200, cold(2, 1_850)), eq(Announced::Renewed));
+    expect_that!(here.announce(3_400, cold(3, 500)), eq(Announced::Renewed));
     expect_that!(local_changes_after(&here, told), is_empty());
     there.expire(2_010);
     expect_that!(cold_ms(&there), eq(2_000));
@@ -522,11 +524,11 @@
     let mut directory = Directory::default();
     let cold = |sequence, cold_ms| EndpointRecord { cold_ms, ..record("e", 1, sequence) };
     directory.announce(1_000, cold(1, 3_000));
-    expect_that!(directory.announce(2_200, cold(2, 0)), eq(true));
-    expect_that!(directory.announce(3_400, cold(3, 3_000)), eq(true));
+    expect_that!(directory.announce(2_200, cold(2, 0)), eq(Announced::Listed));
+    expect_that!(directory.announce(3_400, cold(3, 3_000)), eq(Announced::Listed));
     // An older statement that arrives late changes nothing.
-    expect_that!(directory.announce(3_500, cold(2, 0)), eq(false));
-    expect_that!(directory.announce(4_600, cold(4, 3_000)), eq(true));
+    expect_that!(directory.announce(3_500, cold(2, 0)), eq(Announced::Outdated));
+    expect_that!(directory.announce(4_600, cold(4, 3_000)), eq(Announced::Listed));
     // Once it is over, that it is warm is no news.
-    expect_that!(directory.announce(9_000, cold(5, 0)), eq(false));
+    expect_that!(directory.announce(9_000, cold(5, 0)), eq(Announced::Renewed));
 }
--- a/crates/control/tests/control/farewells.rs
+++ b/crates/control/tests/control/farewells.rs
@@ -2,7 +2,7 @@
 
 use super::directory::{self, record};
 use googletest::prelude::*;
-use lycheehub_control::directory::{Directory, LEASE_MS};
+use lycheehub_control::directory::{Announced, Directory, LEASE_MS};
 use lycheehub_types::{EndpointRecord, InstanceName};
 
 /// When the endpoint starts, and when it says farewell by the replica's clock, in milliseconds since the
@@ -112,7 +112,7 @@
         let mut directory = replica(known);
         withdraw(&mut directory, 100, FAREWELL_UNIX_MS);
         let again = record("e", FAREWELL_UNIX_MS + 2_500, 1);
-        expect_that!(directory.announce(2_600, again), eq(true), "{known:?}");
+        expect_that!(directory.announce(2_600, again), eq(Announced::Listed), "{known:?}");
         expect_that!(is_listed(&directory), eq(true), "{known:?}");
     }
 }
@@ -135,7 +135,8 @@
                 directory::propagate(at_ms, &other, &"other".into(), &mut directory);
             }
             let again = record("e", FAREWELL_UNIX_MS + at_ms - 100 + 400, 1);
-            expect_that!(directory.announce(at_ms + 400, again), eq(true), "{known:?} {repeats}");
+            let announced = directory.announce(at_ms + 400, again);
+            expect_that!(announced, eq(Announced::Listed), "{known:?} {repeats}");
             propagate(at_ms + 400, &directory, &mut other);
             expect_that!(is_listed(&directory), eq(true), "{known:?} {repeats}");
             expect_that!(is_listed(&other), eq(true), "{known:?} {repeats}");
@@ -207,6 +208,56 @@
     }
 }
 
+/// Guards against an endpoint that is listed under numbers which one replica alone knows: once that one has
+/// restarted, the endpoint's own numbers look outdated, and its word that it drains is dropped (review/13).
+#[gtest]
+fn what_a_leaving_endpoint_says_holds_at_each_replica_though_later_numbers_were_known() {
+    let foreign = EndpointRecord { service: "foreign".into(), ..record("e", 9_000_000, 100_000) };
+    let crashed = record("e", STARTED_UNIX_MS + 3_000, 7);
+    for overtaking in [foreign, crashed] {
+        for restarts in [false, true] {
+            let (mut here, mut there) = (Directory::default(), Directory::default());
+            here.announce(0, overtaking.clone());
+            propagate(0, &here, &mut there);
+            let mut sequence = 0;
+            for at_ms in (400..20_000).step_by(INTERVAL_MS as usize) {
+                sequence += 1;
+                here.expire(at_ms);
+                here.announce(at_ms, record("e", STARTED_UNIX_MS, sequence));
+                propagate(at_ms, &here, &mut there);
+            }
+            let what = format!("{}, restarts: {restarts}", overtaking.service);
+            expect_that!(is_listed(&here) && is_listed(&there), eq(true), "{what}");
+            if restarts {
+                here = Directory::default();
+                there.mark_restarted(20_000, &"from".into());
+            }
+            let draining =
+                EndpointRecord { leaving: true, ..record("e", STARTED_UNIX_MS, sequence + 1) };
+            there.announce(20_100, draining);
+            propagate(20_100, &there, &mut here);
+            expect_that!(is_listed(&here) || is_listed(&there), eq(false), "{what}");
+        }
+    }
+}
+
+/// Guards against a word that is dropped and looks applied, so that it is acknowledged (review/13).
+#[gtest]
+fn what_became_of_an_announcement_is_told() {
+    let draining =
+        |incarnation| EndpointRecord { leaving: true, ..record("e", incarnation, 1_000) };
+    let mut directory = replica(Known::ThisIncarnation);
+    expect_that!(directory.announce(50, draining(STARTED_UNIX_MS - 1)), eq(Announced::Outdated));
+    expect_that!(directory.is_in_service(&"e".into()), eq(true));
+    // Of the listed incarnation it holds even if it comes late.
+    let late = EndpointRecord { leaving: true, ..record("e", STARTED_UNIX_MS, 2) };
+    expect_that!(directory.announce(60, late), eq(Announced::Listed));
+    expect_that!(directory.announce(70, draining(STARTED_UNIX_MS)), eq(Announced::Renewed));
+    expect_that!(directory.is_in_service(&"e".into()), eq(false));
+    withdraw(&mut directory, 100, FAREWELL_UNIX_MS);
+    expect_that!(directory.announce(150, draining(STARTED_UNIX_MS)), eq(Announced::Left));
+}
+
 /// Guards against an older announcement that takes back what an endpoint said last: that it drains.
 #[gtest]
 fn a_late_announcement_does_not_take_back_that_an_endpoint_drains() {
--- a/crates/peer/src/node/directory.rs
+++ b/crates/peer/src/node/directory.rs
@@ -4,7 +4,7 @@
 use crate::watch::{self, REVISION_FROM_LOG, ReplicaPositions, WatchUpdate, Watcher};
 use lycheehub_clock::within;
 use lycheehub_control::directory::batching::{self, Backlog};
-use lycheehub_control::directory::{ChangePosition, Changes, LEASE_MS, Listing};
+use lycheehub_control::directory::{Announced, ChangePosition, Changes, LEASE_MS, Listing};
 use lycheehub_types::{CountGuard, EndpointName, EndpointRecord, InstanceName};
 use smol::Timer;
 use smol::channel::{Sender, bounded};
@@ -84,21 +84,39 @@
     /// acknowledged. One that says that the endpoint leaves may be only once enough replicas hold it.
     pub(super) async fn announce_endpoint(self: Rc<Self>, record: EndpointRecord) -> bool {
         let (endpoint, leaving) = (record.endpoint.clone(), record.leaving);
-        self.apply_endpoint(record);
-        !leaving || self.is_held(&endpoint).await
+        let announced = self.apply_endpoint(record);
+        if !leaving {
+            return true;
+        }
+        match announced {
+            Announced::Listed | Announced::Renewed | Announced::Left => {
+                self.is_held(&endpoint).await
+            }
+            // Another incarnation is listed, and may still get requests.
+            Announced::Outdated => {
+                spdlog::warn!("endpoint's leaving not acknowledged: it looks outdated", kv: {
+                    endpoint: = endpoint,
+                });
+                false
+            }
+        }
     }
 
-    fn apply_endpoint(&self, record: EndpointRecord) {
+    fn apply_endpoint(&self, record: EndpointRecord) -> Announced {
         let now_ms = self.clock.now_ms();
         let (endpoint, leaving) = (record.endpoint.clone(), record.leaving);
-        let change = {
-            let mut core = self.core.borrow_mut();
-            core.directory.announce(now_ms, record).then(|| core.directory.change())
+        let (incarnation, sequence) = record.freshness();
+        let (announced, change) = {
+            let directory = &mut self.core.borrow_mut().directory;
+            (directory.announce(now_ms, record), directory.change())
         };
-        if let Some(change) = change {
-            spdlog::info!("endpoint announced", kv: { endpoint: = endpoint, leaving, change });
+        if announced == Announced::Listed {
+            spdlog::info!("endpoint announced", kv: {
+                endpoint: = endpoint, leaving, change, incarnation, sequence,
+            });
             self.notify_directory_changed();
         }
+        announced
     }
 
     /// Withdraws an endpoint that leaves permanently, known or not; returns whether that may be acknowledged:
@@ -152,9 +170,9 @@
         true
     }
 
-    /// Waits until as many replicas hold the last change of an endpoint as must survive the losses that the
-    /// settings name; returns false if that takes too long. Each stores it first. A change from another
-    /// replica is that one's to pass on.
+    /// Waits until as many replicas hold that an endpoint leaves as must survive the losses that the settings
+    /// name; returns false if that takes too long, or if another start of it holds meanwhile. Each replica
+    /// stores first that the endpoint leaves.
     async fn is_held(&self, endpoint: &EndpointName) -> bool {
         if !self.save_departures() {
             return false;
@@ -162,8 +180,13 @@
         let copies_min = self.settings.copies_min;
         let give_up_ms = self.clock.now_ms() + COPIES_TIMEOUT_MS;
         loop {
-            let change = self.core.borrow().directory.local_change(endpoint);
-            let Some(change) = change else { return true };
+            if self.core.borrow().directory.is_in_service(endpoint) {
+                spdlog::warn!("endpoint's leaving not acknowledged: another start is listed", kv: {
+                    endpoint: = endpoint,
+                });
+                return false;
+            }
+            let Some(change) = self.propagate_listing(endpoint) else { return true };
             // This replica holds one copy.
             let copies = 1 + self.copies.borrow().holders(change);
             if copies >= copies_min {
@@ -184,6 +207,21 @@
         }
     }
 
+    /// Returns the number of the local change that lists an endpoint, which watchers are sent; `None` if the
+    /// endpoint is unknown.
+    fn propagate_listing(&self, endpoint: &EndpointName) -> Option<u64> {
+        let now_ms = self.clock.now_ms();
+        let (change, is_new) = {
+            let directory = &mut self.core.borrow_mut().directory;
+            let before = directory.change();
+            (directory.propagate(now_ms, endpoint), directory.change() != before)
+        };
+        if is_new {
+            self.wake_waiters();
+        }
+        change
+    }
+
     /// Records the position that another replica has reached in this instance's local changes. One that has
     /// restarted has none.
     pub(crate) fn record_copies(&self, replica: InstanceName, position: ChangePosition) {
--- a/crates/wire/schema/peer.capnp
+++ b/crates/wire/schema/peer.capnp
@@ -185,7 +185,18 @@
 struct Neighbour { instance @0 :Text; address @1 :Text; }
 
 # An endpoint as control replicas pass it on.
-struct Listing { record @0 :EndpointRecord; gone @1 :Bool; withdrawn @2 :Bool; }
+struct Listing {
+  record @0 :EndpointRecord;
+  gone @1 :Bool;
+  withdrawn @2 :Bool;
+  # The last incarnation that is known to have left; absent if there is none.
+  left @3 :Incarnation;
+  # The listing that was replaced by one with earlier numbers; absent if there is none.
+  overridden @4 :Overridden;
+}
+
+struct Incarnation { number @0 :UInt64; }
+struct Overridden { count @0 :UInt32; incarnation @1 :UInt64; sequence @2 :UInt64; }
 
 # How far the sender has been told by a replica itself, in one run of it.
 struct Heard { replica @0 :Text; epoch @1 :UInt64; change @2 :UInt64; }
--- a/crates/wire/tests/builds/messages.rs
+++ b/crates/wire/tests/builds/messages.rs
@@ -119,6 +119,8 @@
         let states: Vec<_> = listings.iter().map(|entry| (entry.gone, entry.withdrawn)).collect();
         expect_that!(states, eq(&[(false, false), (true, true)]));
         check_endpoint(&listings[0].record, "e-1");
+        let facts: Vec<_> = listings.iter().map(|entry| (entry.left, entry.overridden)).collect();
+        expect_that!(facts, eq(&[(None, None); 2]));
         let relays = lycheehub_wire::read_listings(reply.get_relays().unwrap());
         expect_that!(relays.len(), eq(1));
 
--- a/crates/wire/tests/wire/main.rs
+++ b/crates/wire/tests/wire/main.rs
@@ -3,12 +3,13 @@
 use capnp::message::{Builder, ReaderOptions};
 use googletest::prelude::*;
 use lycheehub_consensus::{Entry, Message, Payload, Position, Snapshot};
-use lycheehub_control::directory::Listing;
+use lycheehub_control::directory::{Listing, Overridden};
 use lycheehub_dispatch::{Decision, JobId, Reason, RefusalBasis, Rule};
+use lycheehub_types::EndpointRecord;
 use lycheehub_wire::peer_capnp as schema;
 use lycheehub_wire::{
     Report, read_decision, read_finished, read_in_flight, read_job, read_limits, read_message,
-    read_notice, read_quarantines, read_usage, write_message,
+    read_notice, read_quarantines, read_usage, write_listings, write_message,
 };
 use proptest::prelude::*;
 
@@ -52,6 +53,26 @@
     expect_that!(quarantines[0].trials, lt(u32::MAX));
 }
 
+/// Guards against facts about an endpoint that one replica alone knows, because they are not sent (review/13).
+#[gtest]
+fn which_start_has_left_and_which_listing_was_overridden_arrive() {
+    let mut message = Builder::new_default();
+    let record = message.init_root::<schema::endpoint_record::Builder<'_>>();
+    let record: EndpointRecord = record.into_reader().try_into().unwrap();
+    let overridden = Overridden { count: 2, incarnation: 0, sequence: 5 };
+    let listings = [
+        Listing::announced(record.clone()),
+        Listing { left: Some(0), ..Listing::announced(record.clone()) },
+        Listing { overridden: Some(overridden), ..Listing::announced(record) },
+    ];
+    let mut message = Builder::new_default();
+    let reply = message.init_root::<schema::peer::watch_results::Builder<'_>>();
+    write_listings(&listings, reply.init_listings(listings.len() as u32));
+    let reply = message.get_root_as_reader::<schema::peer::watch_results::Reader<'_>>().unwrap();
+    let read = lycheehub_wire::read_listings(reply.get_listings().unwrap());
+    expect_that!(read, eq(&listings));
+}
+
 #[gtest]
 fn usage_that_is_no_number_leaves_the_other_entries_in_force() {
     let odd = [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, f64::MAX];
