A replica answers an outdated listing with what it knows

What callers saw: nothing yet; found by the exploration of short orders of events. An endpoint that announces itself to one replica, and of which one late announcement reaches another one, was gone for all others when the lease ended there, and not listed again until something about it changed.

Cause: renewals are not propagated, and a replica that knew a later one dropped the other's listing without a word.

Change: it propagates what it knows again, if it has detected that itself.

--- a/crates/control/src/directory/mod.rs
+++ b/crates/control/src/directory/mod.rs
@@ -190,7 +190,12 @@
         };
         let merged = known.listing.clone().merge(listing.clone());
         if merged.is_equivalent(&known.listing) {
-            if listing.is_same_announcement(&merged) && known.source == Source::Relayed {
+            if !listing.is_same_announcement(&merged) {
+                // The other replica, and all that have heard it, lack what only renewals told this one.
+                if known.source == Source::Local && matches!(source, Source::Replica(..)) {
+                    self.propagate_again(now_ms, &listing.record.endpoint);
+                }
+            } else if known.source == Source::Relayed {
                 // A replica that received the announcement directly replaces one that relayed it;
                 // among relays, the latest one counts.
                 known.monitor = monitor;
--- a/crates/control/tests/control/directory.rs
+++ b/crates/control/tests/control/directory.rs
@@ -493,6 +493,32 @@
     expect_that!(live(&directory), is_empty());
 }
 
+/// Guards against an endpoint that one replica heard once, late, and that is gone for all others when its lease
+/// ends there, though it announces itself elsewhere all the time.
+#[gtest]
+fn an_endpoint_that_another_replica_hears_once_stays_listed() {
+    let names = ["here", "there", "watcher"].map(InstanceName::from);
+    let [mut here, mut there, mut watcher] = [(); 3].map(|()| Instance::default());
+    here.directory.announce(0, record("e", 1, 1));
+    there.receive_direct(10, &names[0], 1, &here.directory);
+    watcher.receive_direct(10, &names[0], 1, &here.directory);
+    here.directory.announce(1_000, record("e", 1, 3));
+    there.directory.announce(1_100, record("e", 1, 2));
+    for (sequence, now_ms) in (4..20).zip((1_200..).step_by(1_200)) {
+        here.directory.announce(now_ms, record("e", 1, sequence));
+        for instance in [&mut here, &mut there, &mut watcher] {
+            instance.directory.expire(now_ms);
+        }
+        here.receive_direct(now_ms, &names[1], 1, &there.directory);
+        there.receive_direct(now_ms, &names[0], 1, &here.directory);
+        watcher.receive_direct(now_ms, &names[1], 1, &there.directory);
+        watcher.receive_direct(now_ms, &names[0], 1, &here.directory);
+        for instance in [&here, &there, &watcher] {
+            expect_that!(live(&instance.directory), elements_are![eq("e")], "{now_ms}");
+        }
+    }
+}
+
 fn cold_ms(directory: &Directory) -> u32 {
     directory.live().next().expect("an endpoint").cold_ms
 }
