That an endpoint's monitor restarted and nobody heard it since is propagated

A replica that had learned of an endpoint by a relay kept it listed for good if the endpoint ended while its monitor restarted: the relaying replica removed it after 8.5 s, and told nobody.

Cause: a lost monitor was treated like an unreachable one, of which other replicas may know more. A restart holds for all of them.

Change: the lease of an endpoint whose monitor has restarted ends after the same 8.5 s as a change that is relayed.

Measured: the new test failed on the code before, and passes.

--- a/crates/control/src/directory/leases.rs
+++ b/crates/control/src/directory/leases.rs
@@ -7,22 +7,22 @@
 use std::collections::BTreeMap;
 
 impl Entry {
-    /// Returns whether no replica has monitored the lease for [`ORPHAN_MS`].
-    fn is_orphan(&self, now_ms: u64, unreachable_since_ms: &BTreeMap<InstanceName, u64>) -> bool {
-        let since_ms = match &self.monitor {
-            LeaseMonitor::Local(_) => None,
-            LeaseMonitor::Peer(peer) => unreachable_since_ms.get(peer).copied(),
-            LeaseMonitor::Lost(since_ms) => Some(*since_ms),
-        };
-        since_ms.is_some_and(|since_ms| now_ms >= since_ms + ORPHAN_MS)
-    }
-
+    /// Returns whether the lease ended: at this replica, which monitored it, or because the replica that did so has
+    /// restarted and no other one has heard the endpoint for [`ORPHAN_MS`].
     fn is_lease_over(&self, now_ms: u64) -> bool {
         match self.monitor {
             LeaseMonitor::Local(heard_ms) => now_ms >= heard_ms + LEASE_MS,
-            LeaseMonitor::Peer(_) | LeaseMonitor::Lost(_) => false,
+            LeaseMonitor::Lost(since_ms) => now_ms >= since_ms + ORPHAN_MS,
+            LeaseMonitor::Peer(_) => false,
         }
     }
+
+    /// Returns whether the replica that monitors the lease has been unreachable for [`ORPHAN_MS`].
+    fn is_orphan(&self, now_ms: u64, unreachable_since_ms: &BTreeMap<InstanceName, u64>) -> bool {
+        let LeaseMonitor::Peer(peer) = &self.monitor else { return false };
+        let since_ms = unreachable_since_ms.get(peer);
+        since_ms.is_some_and(|since_ms| now_ms >= since_ms + ORPHAN_MS)
+    }
 }
 
 impl Directory {
@@ -43,8 +43,9 @@
     /// Expires leases, and updates the cold times in records; returns the endpoints that were removed
     /// from the list.
     ///
-    /// An endpoint that no replica monitors any more is removed here only and not propagated,
-    /// because other replicas may still be in contact with its monitor.
+    /// An endpoint whose monitor is unreachable is removed here only and not propagated, because other
+    /// replicas may still be in contact with its monitor. That the monitor restarted holds for all of them: they
+    /// may have heard of the endpoint from this replica only.
     pub fn expire(&mut self, now_ms: u64) -> Vec<EndpointName> {
         self.entries.values_mut().for_each(|entry| entry.update_cold_time(now_ms));
         let mut expired = self.expire_leases(now_ms);
@@ -79,7 +80,11 @@
             let Some(entry) = self.entries.get(name) else { continue };
             let listing = Listing { gone: true, ..entry.listing.clone() };
             let monitor = entry.monitor.clone();
-            self.insert(now_ms, listing, monitor, Source::Local);
+            let source = match monitor {
+                LeaseMonitor::Local(_) => Source::Local,
+                LeaseMonitor::Peer(_) | LeaseMonitor::Lost(_) => Source::Relayed,
+            };
+            self.insert(now_ms, listing, monitor, source);
         }
         expired
     }
--- a/crates/control/tests/control/directory.rs
+++ b/crates/control/tests/control/directory.rs
@@ -519,6 +519,25 @@
     }
 }
 
+/// Guards against an endpoint that a replica heard of by a relay, and that stays listed there for good after it ended
+/// while its monitor restarted.
+#[gtest]
+fn an_endpoint_known_by_a_relay_is_gone_some_time_after_its_monitor_restarted() {
+    let (mut before, mut relay) = (Directory::default(), Directory::default());
+    let (monitor_name, relay_name) = (InstanceName::from("monitor"), InstanceName::from("relay"));
+    before.announce(0, record("e", 1, 1));
+    propagate(0, &before, &monitor_name, &mut relay);
+    let mut restarted = Directory::default();
+    restarted.apply_relayed(1_000, &relay_name, relayed_changes_after(&relay, 0));
+    relay.mark_restarted(1_000, &monitor_name);
+    expect_that!(live(&restarted), elements_are![eq("e")]);
+    let told = relay.change();
+    expect_that!(relay.expire(1_000 + ORPHAN_MS), elements_are![eq(&"e".into())]);
+    let relayed = relayed_changes_after(&relay, told);
+    restarted.apply_relayed(1_000 + ORPHAN_MS, &relay_name, relayed);
+    expect_that!(live(&restarted), is_empty());
+}
+
 fn cold_ms(directory: &Directory) -> u32 {
     directory.live().next().expect("an endpoint").cold_ms
 }
