All short orders of events against the promises of the directory

Cause: each fault of the directory so far was an order of a handful of events that nobody had thought of; random schedules had not met them.

Change: control: orders plays all orders of four events over two replicas (starts, soon and with clocks behind; announcements, late or elsewhere; drains, farewells, crashes; another writer; restarts with and without disk; time), from an endpoint unknown and one listed, and checks that what was acknowledged to leave is not listed and what runs is. LYCHEEHUB_ORDERS_EVENTS sets another length.

--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -10,6 +10,7 @@
 mod fixtures;
 mod late_regressions;
 mod moves;
+mod orders;
 mod pauses;
 mod placement;
 mod registry;
