Instances register for signals before they listen

Cause: the roles registered for signals as the last step of their start, after they listened; until then SIGHUP ends the process.

Change: they register first. What comes during the start is acted on when it is done.

--- a/crates/cli/src/roles/control.rs
+++ b/crates/cli/src/roles/control.rs
@@ -3,8 +3,8 @@
 
 use super::run_marker::RunMarker;
 use super::{
-    CONTROL_BODY_SHARE, body_memory_bytes, http, require_address, serve_metrics, start_thread,
-    wait_for_stop,
+    CONTROL_BODY_SHARE, body_memory_bytes, http, register_signals, require_address, serve_metrics,
+    start_thread, wait_for_stop,
 };
 use crate::exit::{Code, Error};
 use crate::serve::listen;
@@ -27,6 +27,7 @@
     executor: Rc<LocalExecutor<'static>>,
     deployment: Deployment,
 ) -> Result<(), Error> {
+    let signals = register_signals()?;
     let address = require_address(deployment.control, "endpoints and operators")?;
     let calls = listen("endpoints and operators", address).await?;
     let peers = listen("peers", deployment.peers).await?;
@@ -53,8 +54,8 @@
     };
     let limits = http::Limits { bodies, connections_max: deployment.connections_max };
     executor.spawn(http::serve(executor.clone(), calls, limits, handler)).detach();
-    wait_for_stop(|| spdlog::info!("reload ignored: a control instance has no settings to reload"))
-        .await?;
+    let reload = || spdlog::info!("reload ignored: a control instance has no settings to reload");
+    wait_for_stop(signals, reload).await;
     spdlog::info!("stopping");
     control.stop().await;
     if let Some(marker) = marker {
--- a/crates/cli/src/roles/entry.rs
+++ b/crates/cli/src/roles/entry.rs
@@ -1,8 +1,8 @@
 //! An entry instance: it serves the requests of callers.
 
 use super::{
-    ENTRY_BODY_SHARE, WATCHING_CONNECTIONS_MAX, body_memory_bytes, http, load, require_address,
-    serve_metrics, start_thread, wait_for_stop,
+    ENTRY_BODY_SHARE, WATCHING_CONNECTIONS_MAX, body_memory_bytes, http, load, register_signals,
+    require_address, serve_metrics, start_thread, wait_for_stop,
 };
 use crate::exit::Error;
 use crate::poll::{POLL_INTERVAL_MS, poll_until};
@@ -110,6 +110,7 @@
     executor: Rc<LocalExecutor<'static>>,
     deployment: Deployment,
 ) -> Result<(), Error> {
+    let signals = register_signals()?;
     let callers_address = require_address(deployment.callers, "callers")?;
     let callers = listen("callers", callers_address).await?;
     let readiness =
@@ -165,7 +166,7 @@
         callers: = callers_address,
         seeds = deployment.peer.seeds.len() as u64,
     });
-    wait_for_stop(|| reload(&seeds)).await?;
+    wait_for_stop(signals, || reload(&seeds)).await;
     stop(&entry, &relay, deployment.stop_timeout_ms).await;
     Ok(())
 }
--- a/crates/cli/src/roles/mod.rs
+++ b/crates/cli/src/roles/mod.rs
@@ -123,12 +123,16 @@
     address.ok_or_else(|| Error::new(Code::Invalid, format!("settings: no address for {purpose}")))
 }
 
-/// Waits for a signal that stops the process; calls `reload` on each SIGHUP.
-async fn wait_for_stop(mut reload: impl FnMut()) -> Result<(), Error> {
+/// Registers for the signals that stop the process or reload its settings. A role does so before it listens: until then a
+/// signal ends the process, with all that has been accepted.
+fn register_signals() -> Result<Signals, Error> {
     let fail = |error| Error::new(Code::Failed, format!("cannot register for signals: {error}"));
-    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(fail)?;
+    Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(fail)
+}
+
+/// Waits for a signal that stops the process; calls `reload` on each SIGHUP.
+async fn wait_for_stop(mut signals: Signals, mut reload: impl FnMut()) {
     while let Some(Ok(Signal::Hup)) = signals.next().await {
         reload();
     }
-    Ok(())
 }
--- a/crates/cli/tests/platform/restarts.rs
+++ b/crates/cli/tests/platform/restarts.rs
@@ -1,8 +1,10 @@
-//! What a control instance says about the end of its run before.
+//! Starts of instances: what they say about the end of the run before, and signals that meet them.
 
-use crate::deployment::{Deployment, Layout, PATIENCE, eventually};
+use crate::deployment::{CONTROL_PORT, Deployment, FRONT_PORT, Layout, PATIENCE, eventually};
 use crate::times_logged_ms;
 use googletest::prelude::*;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 const NOT_IN_ORDER: &str = "the run before did not stop in order";
 const STARTED: &str = "control instance started";
@@ -21,3 +23,26 @@
         expect_that!(times_logged_ms(control, NOT_IN_ORDER).len(), eq(told), "{signal}");
     }
 }
+
+/// Guards against an instance that a reload ends, with all connections that it has accepted, because it registers for
+/// signals only after it listens (soak, seed 141).
+#[gtest]
+fn a_reload_that_meets_a_start_does_not_end_the_instance() {
+    let mut deployment =
+        Deployment::start(Layout { controls: 1, entries: 1, losses: 0, proxied: false });
+    let controls = deployment.controls.iter_mut().map(|process| (process, CONTROL_PORT));
+    let entries = deployment.entries.iter_mut().map(|process| (process, FRONT_PORT));
+    for (process, port) in controls.chain(entries) {
+        for start in 0..3 {
+            process.kill();
+            process.start(false);
+            let started = Instant::now();
+            while TcpStream::connect((process.ip.as_str(), port)).is_err() {
+                assert!(started.elapsed() < PATIENCE, "{} does not listen", process.role);
+            }
+            ["STOP", "HUP", "CONT"].into_iter().for_each(|signal| process.signal(signal));
+            std::thread::sleep(Duration::from_millis(500));
+            expect_that!(process.has_exited(), eq(false), "{} start {start}", process.role);
+        }
+    }
+}
