--- a/crates/cli/src/serve/mod.rs
+++ b/crates/cli/src/serve/mod.rs
@@ -34,10 +34,10 @@
 }
 
 async fn serve(executor: Arc<Executor<'static>>, settings: InstanceSettings) -> Result<(), Error> {
+    let signals = stop::signals()?;
     let http = listen("HTTP", settings.http).await?;
     let peer = listen("peers", settings.listen_peer).await?;
     let (drain_ms, stop_timeout_ms) = (settings.drain_ms, settings.stop_timeout_ms);
-    let signals = stop::signals()?;
     let gateway = wire_up::start(executor, settings, http, peer).await?;
     stop::wait(signals).await;
     stop::stop(&gateway, drain_ms, stop_timeout_ms).await
