The restart test resends a change whose outcome is not known

The test refused landings twice: a writer got an answer without a revision.

It resends the same submission now, and each must be accepted in the end; what it checks after the restart is unchanged. Any other answer without a revision fails it as before.

--- a/crates/cli/tests/cli/control.rs
+++ b/crates/cli/tests/cli/control.rs
@@ -242,9 +242,18 @@
             for count in 0..CHANGES / OPERATORS {
                 let text = format!("owner = \"operator\"\n# {count}\n");
                 let id = format!("{number}-{count}");
-                let reply = submit_to(&address, OPERATOR_KEY, &section, base, &id, &text)
-                    .expect("answered");
-                base = reply.json()["revision"].as_u64().expect("accepted");
+                // While a disk is slow the answer may be that the outcome is not known; the same submission is sent
+                // again then, as the answer asks for, and must be accepted.
+                let is_accepted = eventually(PATIENCE, || {
+                    let reply = submit_to(&address, OPERATOR_KEY, &section, base, &id, &text)
+                        .expect("answered");
+                    if matches!(reply.status, 503 | 504) {
+                        return false;
+                    }
+                    base = reply.json()["revision"].as_u64().expect("accepted");
+                    true
+                });
+                assert!(is_accepted, "submission {id}");
             }
             base
         })
