--- a/crates/control/src/directory/announcements.rs
+++ b/crates/control/src/directory/announcements.rs
@@ -51,7 +51,9 @@
         let standing = known.map_or(Standing::Current, |known| known.listing.standing(&record));
         match standing {
             Standing::Current => self.announce_current(now_ms, record),
-            Standing::Left | Standing::Outdated => self.announce_outdated(now_ms, record, standing),
+            _ if self.list_if_proved(now_ms, record, standing) => Announced::Listed,
+            Standing::Left => Announced::Left,
+            Standing::Outdated => Announced::Outdated,
         }
     }
 
@@ -71,29 +73,26 @@
         Announced::Listed
     }
 
-    /// Records an announcement that looks outdated, and lists the endpoint once it is proved to run.
-    fn announce_outdated(
+    /// Records an announcement that is not current as evidence, and lists the endpoint if that proves that it
+    /// runs; returns whether it did.
+    fn list_if_proved(
         &mut self,
         now_ms: u64,
         mut record: EndpointRecord,
         standing: Standing,
-    ) -> Announced {
-        let unlisted = match standing {
-            Standing::Left => Announced::Left,
-            Standing::Current | Standing::Outdated => Announced::Outdated,
-        };
-        let Some(known) = self.entries.get(&record.endpoint) else { return unlisted };
+    ) -> bool {
+        let Some(known) = self.entries.get(&record.endpoint) else { return false };
         let evidence = self.evidence.entry(record.endpoint.clone());
         let evidence = evidence
             .and_modify(|evidence| evidence.record(now_ms, &record))
             .or_insert_with(|| Evidence::new(now_ms, &record));
         if !evidence.is_proof(now_ms, &known.listing, standing) {
-            return unlisted;
+            return false;
         }
         record.leaving |= evidence.leaving;
         let listing = known.listing.overridden_by(record);
         self.insert(now_ms, listing, LeaseMonitor::Local(now_ms), Source::Local);
-        Announced::Listed
+        true
     }
 
     /// Withdraws an endpoint for good, known or not: the known incarnation, and each one that was started
