A start that a late farewell ended is listed in the end, also with its clock ahead

Listed again after 90 s, its own later announcements counted as overridden, and others kept it withdrawn.

Change: the listing after a farewell has a sequence that no endpoint states.

--- a/crates/control/src/directory/listing.rs
+++ b/crates/control/src/directory/listing.rs
@@ -10,6 +10,9 @@
 };
 use smol_str::SmolStr;
 
+/// The sequence of a listing after a farewell: later than all that an endpoint can state.
+const FAREWELL_SEQUENCE: u64 = u64::MAX;
+
 /// An endpoint as propagated between replicas.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
@@ -85,7 +88,7 @@
             fencing: false,
             takes_orders: false,
             incarnation,
-            sequence: 0,
+            sequence: FAREWELL_SEQUENCE,
             leaving: true,
             load: EndpointLoad::default(),
             cold_ms: 0,
@@ -96,8 +99,12 @@
     /// Returns the listing after a farewell of the listed incarnation, or of another one up to `incarnation`.
     pub(super) fn withdrawn_until(&self, incarnation: u64) -> Self {
         let left = if self.withdrawn { self.left } else { Some(self.record.incarnation) };
-        let incarnation = self.record.incarnation.max(incarnation);
-        let record = EndpointRecord { incarnation, leaving: true, ..self.record.clone() };
+        let record = EndpointRecord {
+            incarnation: self.record.incarnation.max(incarnation),
+            sequence: FAREWELL_SEQUENCE,
+            leaving: true,
+            ..self.record.clone()
+        };
         Self { record, gone: true, withdrawn: true, left, overridden: self.overridden }
     }
 
@@ -111,16 +118,17 @@
         };
         let left = self.departed().filter(|left| *left != record.incarnation);
         let mut listing = Self { left, overridden: Some(overridden), ..Self::announced(record) };
-        listing.record.leaving |= self.is_same_incarnation(&listing) && self.record.leaving;
+        let is_draining = self.record.leaving && !self.withdrawn;
+        listing.record.leaving |= self.is_same_incarnation(&listing) && is_draining;
         listing
     }
 
     /// Compares the numbers of an announcement with this listing.
     pub(super) fn standing(&self, record: &EndpointRecord) -> Standing {
         let is_listed = record.incarnation == self.record.incarnation;
-        if self.left == Some(record.incarnation) || (self.withdrawn && is_listed) {
+        if self.left == Some(record.incarnation) {
             Standing::Left
-        } else if is_listed && record.leaving {
+        } else if is_listed && record.leaving && !self.withdrawn {
             Standing::Current
         } else if self.overrides(record) || record.freshness() <= self.record.freshness() {
             Standing::Outdated
@@ -153,7 +161,7 @@
         let is_same = self.is_same_incarnation(&other);
         let (mut newer, older) =
             if other.supersedes(&self) { (other, self) } else { (self, other) };
-        if is_same {
+        if is_same && !newer.overrides(&older.record) {
             newer.record.leaving |= older.record.leaving;
             newer.withdrawn |= older.withdrawn;
         }
--- a/crates/control/tests/control/farewells.rs
+++ b/crates/control/tests/control/farewells.rs
@@ -165,6 +165,29 @@
     }
 }
 
+/// Guards against a start that is lost for good because a farewell of the one before came late.
+#[gtest]
+fn a_start_that_a_late_farewell_ended_is_listed_in_the_end() {
+    for ahead_ms in [0, 10_000] {
+        let (mut directory, mut other) =
+            (replica(Known::ThisIncarnation), replica(Known::ThisIncarnation));
+        withdraw(&mut directory, 100, FAREWELL_UNIX_MS);
+        propagate(100, &directory, &mut other);
+        let again = |sequence| record("e", FAREWELL_UNIX_MS + 400 + ahead_ms, sequence);
+        directory.announce(500, again(1));
+        propagate(500, &directory, &mut other);
+        withdraw(&mut directory, 1_300, FAREWELL_UNIX_MS + 1_200);
+        propagate(1_300, &directory, &mut other);
+        expect_that!(is_listed(&directory) || is_listed(&other), eq(false), "{ahead_ms}");
+        for (sequence, at_ms) in (2..).zip((1_700..110_000).step_by(INTERVAL_MS as usize)) {
+            directory.announce(at_ms, again(sequence));
+            directory.expire(at_ms);
+            propagate(at_ms, &directory, &mut other);
+        }
+        expect_that!(is_listed(&directory) && is_listed(&other), eq(true), "{ahead_ms}");
+    }
+}
+
 /// Guards against an endpoint that goes on to announce itself after its farewell and is listed for it.
 #[gtest]
 fn an_endpoint_that_announces_itself_after_its_farewell_stays_withdrawn() {
