Exploration: a start has one field for its end

Read again: the world of control: orders kept beside a start's end whether it runs, which follows from it, and a number that stood for "not ended". It has one optional end now, set in one place. A derived Hash and two comparisons that nothing used are gone.

--- a/crates/control/tests/control/orders.rs
+++ b/crates/control/tests/control/orders.rs
@@ -30,7 +30,7 @@
 /// Within which an endpoint that announces itself must be listed, in milliseconds.
 const LISTED_MAX_MS: u64 = 110_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 enum Event {
     /// The endpoint starts, and announces itself to a replica.
     Start { to: usize, behind: bool },
@@ -62,17 +62,16 @@
     Wait { ms: u64 },
 }
 
-/// The endpoint's newest start.
-#[derive(Clone, Debug, Hash)]
+/// A start of the endpoint.
+#[derive(Clone, Debug)]
 struct Start {
     born: u64,
     sequence: u64,
     leaving: bool,
-    runs: bool,
     /// The replica to which it announces itself; none before the first announcement arrived and after a farewell.
     announces_to: Option<usize>,
-    /// When it may have ended.
-    ended_ms: u64,
+    /// When it ends, once it has crashed or said farewell.
+    ended_ms: Option<u64>,
     /// When it was acknowledged that it leaves.
     acknowledged_ms: Option<u64>,
 }
@@ -186,16 +185,12 @@
         self.starts.last_mut().expect("a start")
     }
 
-    fn runs(&self) -> bool {
-        self.starts.last().is_some_and(|start| start.runs)
-    }
-
     fn is_enabled(&self, event: Event) -> bool {
         let newest = self.starts.last();
-        let speaks = newest.is_some_and(|start| start.runs && start.ended_ms == u64::MAX);
+        let speaks = newest.is_some_and(|start| start.ended_ms.is_none());
         match event {
             Event::Start { behind, .. } | Event::StartUnheard { behind } => {
-                let may_start = newest.is_none_or(|start| start.ended_ms != u64::MAX);
+                let may_start = newest.is_none_or(|start| start.ended_ms.is_some());
                 // The first word of a start that has ended, with later numbers than those of the one that runs, is
                 // told from the word of a new start by nothing.
                 let is_unheard =
@@ -240,8 +235,7 @@
             Event::Drain { to } => self.drain(to),
             Event::Farewell { to } => {
                 self.farewell(to);
-                let ended_ms = self.now_ms + DRAIN_MS + 500;
-                self.newest().ended_ms = ended_ms;
+                self.end(DRAIN_MS + 500);
             }
             Event::FarewellAgain { at } => {
                 self.is_repeated = true;
@@ -253,14 +247,9 @@
                 self.drain(to);
                 self.wait(DRAIN_MS + 500);
                 self.farewell(to);
-                let now_ms = self.now_ms;
-                self.newest().ended_ms = now_ms;
-            }
-            Event::Crash => {
-                let now_ms = self.now_ms;
-                let start = self.newest();
-                (start.runs, start.announces_to, start.ended_ms) = (false, None, now_ms);
+                self.end(0);
             }
+            Event::Crash => self.end(0),
             Event::Foreign { to } => self.announce_foreign(to),
             Event::Restart { replica, keeps_disk } => {
                 self.restarts += 1;
@@ -275,9 +264,7 @@
     }
 
     fn start(&mut self, behind: bool) {
-        if let Some(before) = self.starts.last_mut() {
-            before.runs = false;
-            let ended_ms = before.ended_ms;
+        if let Some(ended_ms) = self.starts.last().and_then(|before| before.ended_ms) {
             self.wait((ended_ms + SOON_MS).saturating_sub(self.now_ms));
         }
         let born = STARTED_UNIX_MS + self.now_ms - if behind { BEHIND_MS } else { 0 };
@@ -285,13 +272,19 @@
             born,
             sequence: 0,
             leaving: false,
-            runs: true,
             announces_to: None,
-            ended_ms: u64::MAX,
+            ended_ms: None,
             acknowledged_ms: None,
         });
     }
 
+    /// The newest start announces itself no more, and ends some time later.
+    fn end(&mut self, after_ms: u64) {
+        let ended_ms = self.now_ms + after_ms;
+        let start = self.newest();
+        (start.announces_to, start.ended_ms) = (None, Some(ended_ms));
+    }
+
     /// Returns the next announcement of the newest start.
     fn next_record(&mut self) -> EndpointRecord {
         let start = self.newest();
@@ -314,11 +307,11 @@
         let Some((record, sent_ms)) = self.delayed.take() else { return };
         self.wait((sent_ms + 2_300).saturating_sub(self.now_ms));
         let now_ms = self.now_ms;
-        let is_of_running = self.runs() && self.newest().born == record.incarnation;
+        let incarnation = record.incarnation;
         self.replicas[at].directory.announce(now_ms, record);
         let start = self.newest();
-        if is_of_running && start.ended_ms == u64::MAX && start.announces_to.is_none() {
-            start.announces_to = Some(at);
+        if start.born == incarnation && start.ended_ms.is_none() {
+            start.announces_to.get_or_insert(at);
         }
     }
 
@@ -337,7 +330,6 @@
         if is_known || now_ms >= replica.started_ms + LEASE_MS {
             self.acknowledge(to);
         }
-        self.newest().announces_to = None;
     }
 
     /// Acknowledges that the newest start leaves, which the other replica holds by then.
@@ -411,10 +403,10 @@
 
     /// Promise: what runs and announces itself is listed by all replicas in the end.
     fn check_listed(&mut self) {
-        let announces = |start: &Start| {
-            start.runs && start.announces_to.is_some() && start.acknowledged_ms.is_none()
+        let must_be_listed = |start: &Start| {
+            start.announces_to.is_some() && !start.leaving && start.acknowledged_ms.is_none()
         };
-        if !self.starts.last().is_some_and(announces) || self.newest().leaving {
+        if !self.starts.last().is_some_and(must_be_listed) {
             return;
         }
         let until_ms = self.now_ms + LISTED_MAX_MS;
